--- /dev/null
+++ b/crates/config/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings and service files of knapweeddale: parsing, checks and differences.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator command of knapweeddale.
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry daemon of knapweeddale.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between the VMs of knapweeddale.
--- /dev/null
+++ b/crates/report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Policy reports and load generation for knapweeddale.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! The client of the platform's object API.
--- /dev/null
+++ b/crates/testing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around knapweeddale, and the message exchange used by its tests.
--- /dev/null
+++ b/crates/token/src/lib.rs
@@ -0,0 +1,1 @@
+//! Keys, digests and signed continuations of knapweeddale.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! A scheduler for agent programs.
