Add the decision core with one path from end to end

Cause: every part of the system builds on the tables, the systems and the typed inputs, outputs and messages, so their shape has to be set first. Change: knapweeddale_core with tables, work lists and the systems intake, timers, membership, config, outcomes, homes, rates, admission, placement and charges in thin form; the mesh and first invariants in knapweeddale_testing; a test of a whole call. Conclusion: parts can now be widened independently of each other.

--- /dev/null
+++ b/crates/core/src/config/settings.rs
@@ -0,0 +1,114 @@
+//! Settings of the core of one VM.
+
+use bon::Builder;
+
+use crate::ids::{DomainName, Incarnation, VmName};
+
+/// Which measure the placement policy favours.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum PolicyPreset {
+    /// Fair shares between client accounts first.
+    #[default]
+    FairShare,
+    /// Short program latency first.
+    Latency,
+}
+
+/// Settings of the core of one VM.
+///
+/// The defaults are those of section 4.5 of `docs/design.md`.
+///
+/// # Examples
+///
+/// ```
+/// use knapweeddale_core::{CoreSettings, Incarnation, VmName};
+///
+/// let settings = CoreSettings::builder()
+///     .vm(VmName::from("vm-1"))
+///     .incarnation(Incarnation(7))
+///     .rate_wait_ms(500)
+///     .build();
+/// assert_eq!(settings.lease_ms, 3_000);
+/// ```
+#[derive(Debug, Clone, Builder)]
+pub struct CoreSettings {
+    /// The name of this VM.
+    pub vm: VmName,
+    /// The number of this start of the process.
+    pub incarnation: Incarnation,
+    /// The failure domain of this VM.
+    #[builder(default = DomainName::from("local"))]
+    pub failure_domain: DomainName,
+    /// The address at which other VMs reach this one, as `ip:port`.
+    #[builder(default = String::new())]
+    pub address: String,
+    /// Which measure the placement policy favours.
+    #[builder(default)]
+    pub preset: PolicyPreset,
+    /// Interval between heartbeats.
+    #[builder(default = 500)]
+    pub heartbeat_ms: u64,
+    /// Silence after which a VM is suspected to have failed.
+    #[builder(default = 2_000)]
+    pub suspect_ms: u64,
+    /// Interval between touches of the view by a writer.
+    #[builder(default = 1_000)]
+    pub touch_ms: u64,
+    /// How long a confirmation of the view lets a VM act as owner or home.
+    #[builder(default = 3_000)]
+    pub lease_ms: u64,
+    /// Peers that a VM sends heartbeats to in a large fleet.
+    #[builder(default = 8)]
+    pub fan_out: usize,
+    /// How long a share of an account's rate is granted for.
+    #[builder(default = 3_000)]
+    pub grant_ms: u64,
+    /// Longest wait of a call for its account's rate.
+    #[builder(default = 2_000)]
+    pub rate_wait_ms: u64,
+    /// Longest wait of a call for the turn before it.
+    #[builder(default = 2_000)]
+    pub turn_wait_ms: u64,
+    /// How long a program without calls is kept.
+    #[builder(default = 600_000)]
+    pub program_lease_ms: u64,
+    /// How long the response to a call is kept for a resend.
+    #[builder(default = 120_000)]
+    pub answer_keep_ms: u64,
+    /// Longest wait for the first token of a response.
+    #[builder(default = 30_000)]
+    pub first_token_ms: u64,
+    /// Longest pause between two tokens of a response.
+    #[builder(default = 10_000)]
+    pub token_gap_ms: u64,
+    /// How long after its lease a VM still admits calls with keys.
+    #[builder(default = 1_000)]
+    pub isolation_ms: u64,
+    /// Longest wait for a response of the owner of a pool.
+    #[builder(default = 200)]
+    pub place_timeout_ms: u64,
+    /// Longest wait of a call for an upstream.
+    #[builder(default = 30_000)]
+    pub queue_ms: u64,
+    /// Time after which a cache hint counts half.
+    #[builder(default = 60_000)]
+    pub cache_half_life_ms: u64,
+    /// Longest time that an order to an upstream is in flight.
+    #[builder(default = 30_000)]
+    pub order_ms: u64,
+    /// How long a request that crashes upstreams is refused.
+    #[builder(default = 600_000)]
+    pub quarantine_ms: u64,
+    /// Share of recent calls that may be retried, in percent.
+    #[builder(default = 20)]
+    pub retry_percent: u64,
+}
+
+impl CoreSettings {
+    /// Extends a time by the margin for clocks that run at different speeds.
+    ///
+    /// Clock rates may differ by 10% before two VMs can act for the same thing.
+    pub fn with_margin_us(time_ms: u64) -> u64 {
+        time_ms * 1_100
+    }
+}
--- /dev/null
+++ b/crates/core/src/control/mod.rs
@@ -0,0 +1,81 @@
+//! The control value: all tables and the systems that run over them.
+
+use crate::config::CoreSettings;
+use crate::input::Input;
+use crate::output::Output;
+use crate::systems::{self, Tick, Work};
+use crate::tables::Tables;
+
+/// How often the systems run over the work lists in one tick.
+///
+/// Messages of a VM to itself make further work; a chain through all parts of
+/// a call takes fewer passes than this.
+const MAX_PASSES: usize = 16;
+
+/// The decisions of one VM.
+///
+/// One thread owns the value and calls [`Control::tick`] when inputs arrive
+/// or [`Control::next_deadline_us`] is reached.
+#[derive(Debug)]
+pub struct Control {
+    settings: CoreSettings,
+    tables: Tables,
+    work: Work,
+}
+
+impl Control {
+    /// Makes the control value of a VM that has just started.
+    pub fn new(settings: CoreSettings) -> Self {
+        Self {
+            settings,
+            tables: Tables::default(),
+            work: Work::default(),
+        }
+    }
+
+    /// Handles inputs and everything that is due.
+    ///
+    /// `now_us` is monotonic time in microseconds; its start is of no
+    /// importance. Outputs are appended in the order in which they have to be
+    /// carried out.
+    pub fn tick(
+        &mut self,
+        now_us: u64,
+        inputs: impl IntoIterator<Item = Input>,
+        outputs: &mut Vec<Output>,
+    ) {
+        let mut tick = Tick {
+            now_us,
+            settings: &self.settings,
+            tables: &mut self.tables,
+            work: &mut self.work,
+            outputs,
+        };
+        systems::intake::run(&mut tick, inputs);
+        systems::timers::run(&mut tick);
+        for _ in 0..MAX_PASSES {
+            if tick.work.is_empty() {
+                break;
+            }
+            systems::run_pass(&mut tick);
+        }
+    }
+
+    /// Returns when [`Control::tick`] has to be called at the latest.
+    pub fn next_deadline_us(&self) -> Option<u64> {
+        if !self.work.is_empty() {
+            return Some(0);
+        }
+        self.tables.timers.next_due_us()
+    }
+
+    /// Returns the tables for reading.
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+
+    /// Returns the settings.
+    pub fn settings(&self) -> &CoreSettings {
+        &self.settings
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids/digest.rs
@@ -0,0 +1,53 @@
+//! Digests of keys and content.
+
+use std::fmt;
+
+use subtle::ConstantTimeEq;
+
+/// Defines a digest type shown in hexadecimal.
+macro_rules! digests {
+    ($($(#[$doc:meta])* $name:ident = $len:literal),+ $(,)?) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+        pub struct $name(pub [u8; $len]);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                self.0.iter().try_for_each(|byte| write!(f, "{byte:02x}"))
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(self, f)
+            }
+        }
+    )+};
+}
+
+digests! {
+    /// Identifies the content of a request across resends.
+    ContentDigest = 16,
+    /// Identifies the messages of a program up to a turn.
+    HistoryDigest = 32,
+}
+
+/// The SHA-256 digest of a caller's key.
+///
+/// Comparison takes the same time for all values, and `Debug` hides them.
+#[derive(Clone, Copy)]
+pub struct Secret256(pub [u8; 32]);
+
+impl PartialEq for Secret256 {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl Eq for Secret256 {}
+
+impl fmt::Debug for Secret256 {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Secret256(..)")
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids/mod.rs
@@ -0,0 +1,13 @@
+//! Identifiers of the entities in the tables.
+
+mod digest;
+mod name;
+mod number;
+mod program;
+
+pub use digest::{ContentDigest, HistoryDigest, Secret256};
+pub use name::{
+    AccountName, DomainName, KeyId, ModelName, ProgramName, ServiceName, UpstreamName, VmName,
+};
+pub use number::{AttemptId, CallId, Epoch, Incarnation, Revision};
+pub use program::{PoolKey, ProgramKey};
--- /dev/null
+++ b/crates/core/src/ids/name.rs
@@ -0,0 +1,81 @@
+//! Shared immutable names.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// Defines a name type over a shared immutable string.
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident),+ $(,)?) => {$(
+        $(#[$doc])*
+        ///
+        /// Cloning is cheap: the text is shared.
+        #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the text of the name.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl From<String> for $name {
+            fn from(text: String) -> Self {
+                Self(Arc::from(text))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl fmt::Debug for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:?}", &*self.0)
+            }
+        }
+    )+};
+}
+
+names! {
+    /// The name of a client account.
+    AccountName,
+    /// The name of a failure domain.
+    DomainName,
+    /// The public part of a caller's key.
+    KeyId,
+    /// The name of a model.
+    ModelName,
+    /// The name of a program within its client account, as `root/child` for sub-agents.
+    ProgramName,
+    /// The name of a service.
+    ServiceName,
+    /// The name of an upstream.
+    UpstreamName,
+    /// The name of a VM.
+    VmName,
+}
+
+impl ProgramName {
+    /// Returns the first segment, which names the root program.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use knapweeddale_core::ProgramName;
+    ///
+    /// assert_eq!(ProgramName::from("tour/hotel").root(), "tour");
+    /// assert_eq!(ProgramName::from("tour").root(), "tour");
+    /// ```
+    pub fn root(&self) -> &str {
+        self.as_str().split('/').next().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/core/src/ids/program.rs
@@ -0,0 +1,36 @@
+//! Composite identifiers.
+
+use derive_more::Display;
+
+use super::{AccountName, ModelName, ProgramName, ServiceName};
+
+/// A program of a client account.
+#[derive(Debug, Display, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[display("{account}/{name}")]
+pub struct ProgramKey {
+    /// The account that the program belongs to.
+    pub account: AccountName,
+    /// The program's name within the account.
+    pub name: ProgramName,
+}
+
+impl ProgramKey {
+    /// Returns the key of the root program, which holds the budget of the whole tree.
+    #[must_use]
+    pub fn root(&self) -> Self {
+        Self {
+            account: self.account.clone(),
+            name: ProgramName::from(self.name.root()),
+        }
+    }
+}
+
+/// The upstreams of one service and model, which share a queue.
+#[derive(Debug, Display, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[display("{service}:{}", model.as_ref().map_or("-", |m| m.as_str()))]
+pub struct PoolKey {
+    /// The service.
+    pub service: ServiceName,
+    /// The model; absent for plain services.
+    pub model: Option<ModelName>,
+}
--- /dev/null
+++ b/crates/core/src/input/event.rs
@@ -0,0 +1,86 @@
+//! Everything that can reach the core.
+
+use std::sync::Arc;
+
+use super::{AttemptEvent, NewCall};
+use crate::config::FleetConfig;
+use crate::ids::{CallId, Incarnation, UpstreamName, VmName};
+use crate::message::PeerMessage;
+use crate::tables::View;
+
+/// An input of the core.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// A call arrived.
+    CallArrived(Box<NewCall>),
+    /// The caller of a call that is still waiting disconnected.
+    CallAbandoned(CallId),
+    /// Something happened to an attempt.
+    Attempt(AttemptEvent),
+    /// A message of another VM arrived.
+    Peer {
+        /// The sender.
+        from: VmName,
+        /// The start of the sender's process.
+        incarnation: Incarnation,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// The store answered a request or failed to.
+    Store(StoreEvent),
+    /// The platform's list of VMs, which may lag.
+    VmList(Vec<VmStatus>),
+    /// A configuration that has passed all checks.
+    Config(Arc<FleetConfig>),
+    /// An upstream reported its load, with a lag.
+    Load {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Calls running on it, from all VMs.
+        running_calls: u32,
+        /// Generated tokens a second.
+        tokens_per_s: u64,
+    },
+    /// The process has been asked to stop.
+    Drain,
+}
+
+/// An answer of the platform's object API about the view.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreEvent {
+    /// The view object was read; `None` if it does not exist.
+    ViewRead(Option<StoredView>),
+    /// The view was written by this VM.
+    ViewWritten(StoredView),
+    /// The view was touched by this VM.
+    ViewTouched {
+        /// The version after the touch.
+        version: u64,
+        /// When the request was sent, on this VM's clock.
+        sent_us: u64,
+    },
+    /// A conditional update lost against another one.
+    Conflict,
+    /// The store did not answer, or answered with an error.
+    Unavailable,
+}
+
+/// The view with its version in the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredView {
+    /// The view.
+    pub view: View,
+    /// The version of the object.
+    pub version: u64,
+}
+
+/// One entry of the platform's list of VMs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct VmStatus {
+    /// The VM.
+    pub vm: VmName,
+    /// The address as `ip:port`.
+    pub address: String,
+    /// Whether the VM is being removed.
+    pub leaving: bool,
+}
--- /dev/null
+++ b/crates/core/src/input/mod.rs
@@ -0,0 +1,9 @@
+//! Typed inputs of the core.
+
+mod attempt;
+mod call;
+mod event;
+
+pub use attempt::{AttemptEvent, AttemptOutcome, AttemptProgress, Failure};
+pub use call::{Continuation, NewCall, Permit, PresentedKey, ProgramTurn, Target};
+pub use event::{Input, StoreEvent, StoredView, VmStatus};
--- /dev/null
+++ b/crates/core/src/message/config.rs
@@ -0,0 +1,18 @@
+//! Messages about the published configuration.
+
+use std::sync::Arc;
+
+use crate::config::FleetConfig;
+use crate::ids::Revision;
+
+/// A message about the published configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ConfigMessage {
+    /// Asks for a configuration newer than the sender's.
+    ConfigRequest {
+        /// The revision that the sender has in force.
+        in_force: Revision,
+    },
+    /// Carries a configuration.
+    ConfigIs(Arc<FleetConfig>),
+}
--- /dev/null
+++ b/crates/core/src/output/decision.rs
@@ -0,0 +1,108 @@
+//! Decisions for the log, one short sentence each.
+
+use derive_more::Display;
+use smallvec::SmallVec;
+
+use super::{Execution, RefusalKind};
+use crate::ids::{AccountName, AttemptId, CallId, Epoch, ProgramKey, Revision, UpstreamName};
+
+/// A routing or placement decision.
+///
+/// `Display` gives the log line with the prefix of its part.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// A call was refused.
+    #[display("admission: refused call {call} as {kind}, {ran}")]
+    Refused {
+        /// The call.
+        call: CallId,
+        /// Why.
+        kind: RefusalKind,
+        /// Whether it ran.
+        ran: Execution,
+    },
+    /// A call was admitted within its account's rate.
+    #[display("rates: admitted call {call} of {account} after {waited_us} us")]
+    Admitted {
+        /// The call.
+        call: CallId,
+        /// The account.
+        account: AccountName,
+        /// How long it waited.
+        waited_us: u64,
+    },
+    /// A call was sent to an upstream.
+    #[display(
+        "placement: attempt {attempt} of {} for {} to {upstream}, {reason}{}",
+        program.as_ref().map_or_else(|| "no program".to_owned(), ToString::to_string),
+        account.as_ref().map_or("anyone", |a| a.as_str()),
+        runners_up_text(runners_up)
+    )]
+    Placed {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The program.
+        program: Option<ProgramKey>,
+        /// The account.
+        account: Option<AccountName>,
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Why this upstream.
+        reason: PlacementReason,
+        /// The next best upstreams.
+        runners_up: SmallVec<[UpstreamName; 2]>,
+    },
+    /// A call is tried again.
+    #[display("retry: call {call} again after {upstream} failed")]
+    Retry {
+        /// The call.
+        call: CallId,
+        /// The upstream that failed.
+        upstream: UpstreamName,
+    },
+    /// A view came into force.
+    #[display("membership: view {epoch} with {members} members")]
+    ViewChanged {
+        /// The epoch.
+        epoch: Epoch,
+        /// The number of members.
+        members: usize,
+    },
+    /// A configuration came into force.
+    #[display("config: revision {revision} in force")]
+    ConfigInForce {
+        /// The revision.
+        revision: Revision,
+    },
+    /// A configuration was ignored.
+    #[display("config: ignored revision {offered}, {in_force} is in force")]
+    ConfigIgnored {
+        /// The revision that was offered.
+        offered: Revision,
+        /// The revision in force.
+        in_force: Revision,
+    },
+}
+
+/// Why an upstream was chosen.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum PlacementReason {
+    /// It has the fewest calls running.
+    #[display("fewest running")]
+    LeastRunning,
+}
+
+/// Formats the runners-up of a placement.
+fn runners_up_text(runners_up: &[UpstreamName]) -> String {
+    runners_up
+        .iter()
+        .enumerate()
+        .map(|(i, name)| {
+            if i == 0 {
+                format!(" before {name}")
+            } else {
+                format!(", {name}")
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/output/mod.rs
@@ -0,0 +1,114 @@
+//! Typed outputs of the core.
+
+mod charge;
+mod decision;
+mod refusal;
+
+pub use charge::{Charge, ChargeOutcome};
+pub use decision::{Decision, PlacementReason};
+pub use refusal::{Execution, Refusal, RefusalKind};
+
+use std::sync::Arc;
+
+use crate::ids::{AccountName, ProgramKey};
+use crate::ids::{AttemptId, CallId, UpstreamName, VmName};
+use crate::input::{Continuation, Permit};
+use crate::message::PeerMessage;
+use crate::tables::View;
+
+/// An output of the core.
+#[derive(Debug, Clone)]
+pub enum Output {
+    /// Run an attempt on an upstream.
+    Dispatch(Dispatch),
+    /// Stop an attempt and discard its response.
+    CancelAttempt(AttemptId),
+    /// Close a call that ran.
+    Answered(Box<Answered>),
+    /// Refuse a call.
+    Refused(Refusal),
+    /// Answer a resent call with the response kept for an earlier one.
+    Replay {
+        /// The resent call.
+        call: CallId,
+        /// The VM that keeps the response.
+        vm: VmName,
+        /// The call that ran.
+        original: CallId,
+    },
+    /// Send a message to another VM.
+    Send {
+        /// The receiver.
+        to: VmName,
+        /// The message.
+        message: PeerMessage,
+    },
+    /// Ask the store for something.
+    Store(StoreRequest),
+    /// Release the engine memory of a program.
+    ReleaseMemory {
+        /// The engine.
+        upstream: UpstreamName,
+        /// The program.
+        program: ProgramKey,
+        /// The generation of the program that is released.
+        generation: u64,
+    },
+    /// Keep a charge record.
+    Charge(Charge),
+    /// Log a decision.
+    Decision(Decision),
+}
+
+/// The order to run an attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Dispatch {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// The upstream's address as `ip:port`.
+    pub address: Arc<str>,
+    /// Time after which the attempt must not start, on this VM's clock.
+    pub valid_until_us: u64,
+    /// Longest wait for the first byte or token.
+    pub first_token_ms: u64,
+    /// Longest pause within the response.
+    pub token_gap_ms: u64,
+    /// The account that is charged; absent on routes open to all.
+    pub account: Option<AccountName>,
+    /// The program and its generation, which the engine keeps its cache under.
+    pub program: Option<(ProgramKey, u64)>,
+}
+
+/// The end of a call that ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answered {
+    /// The call.
+    pub call: CallId,
+    /// The state that the caller carries to the next turn.
+    pub continuation: Option<Continuation>,
+    /// The permit for a next turn that may not be repeated.
+    pub permit: Option<Permit>,
+}
+
+/// A request to the platform's object API.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StoreRequest {
+    /// Read the view object.
+    Read,
+    /// Write the next view if the object still has this version; 0 if it must not exist.
+    Write {
+        /// The new view.
+        view: View,
+        /// The version that the object must have.
+        expected_version: u64,
+    },
+    /// Write the present view unchanged if the object still has this version.
+    Touch {
+        /// The present view.
+        view: View,
+        /// The version that the object must have.
+        expected_version: u64,
+    },
+}
--- /dev/null
+++ b/crates/core/src/output/refusal.rs
@@ -0,0 +1,117 @@
+//! Refusals and what they say about the call.
+
+use derive_more::Display;
+
+use crate::ids::CallId;
+
+/// Whether a call ran.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum Execution {
+    /// No byte of the request left for an upstream, or the upstream refused it.
+    #[display("not_run")]
+    NotRun,
+    /// The request was sent and its outcome is unknown.
+    #[display("may_have_run")]
+    MayHaveRun,
+    /// The request ran.
+    #[display("ran")]
+    Ran,
+}
+
+/// A call that gets no response of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Refusal {
+    /// The call.
+    pub call: CallId,
+    /// Why it was refused.
+    pub kind: RefusalKind,
+    /// Whether it ran.
+    pub ran: Execution,
+    /// When a resend may succeed, if it may.
+    pub retry_after_ms: Option<u64>,
+}
+
+/// Defines the kinds of refusal with their name, HTTP status and remedy.
+macro_rules! kinds {
+    ($($(#[$doc:meta])* $kind:ident = $text:literal, $status:literal, $remedy:literal;)+) => {
+        /// Why a call was refused.
+        #[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        pub enum RefusalKind {
+            $($(#[$doc])* #[display($text)] $kind,)+
+        }
+
+        impl RefusalKind {
+            /// All kinds, in the order of their definition.
+            pub const ALL: &[Self] = &[$(Self::$kind),+];
+
+            /// Returns the HTTP status of the refusal.
+            pub fn status(self) -> u16 {
+                match self {
+                    $(Self::$kind => $status,)+
+                }
+            }
+
+            /// Returns what the caller can do about it.
+            pub fn remedy(self) -> &'static str {
+                match self {
+                    $(Self::$kind => $remedy,)+
+                }
+            }
+        }
+    };
+}
+
+kinds! {
+    /// The call carried no key.
+    KeyMissing = "key_missing", 401, "send the header `authorization: Bearer <key>`";
+    /// The key is not known.
+    KeyUnknown = "key_unknown", 401, "check the key, or ask the operator for a new one";
+    /// The key has been withdrawn.
+    KeyWithdrawn = "key_withdrawn", 401, "ask the operator for a new key";
+    /// This VM cannot learn about withdrawn keys at present.
+    Isolated = "isolated", 503, "resend; the load balancer will choose another VM";
+    /// No service offers the model.
+    ModelUnknown = "model_unknown", 404, "list the models with GET /v1/models";
+    /// The service or route does not exist.
+    RouteUnknown = "route_unknown", 404, "check the service name and path";
+    /// The content crashed upstreams.
+    Quarantined = "quarantined", 422, "change the request; it crashed several upstreams";
+    /// The account is over its rate.
+    OverRate = "over_rate", 429, "resend after the time in retry-after";
+    /// A turn before this one has not ended.
+    TurnOutOfOrder = "turn_out_of_order", 409, "send the turn that follows the last response";
+    /// The turn is running or has ended.
+    DuplicateTurn = "duplicate_turn", 409, "wait for the response of the first request";
+    /// The continuation is older than the program.
+    StaleContinuation = "stale_continuation", 409, "use the continuation of the last response";
+    /// The messages do not match the continuation.
+    HistoryMismatch = "history_mismatch", 409, "send the messages of the last turn unchanged";
+    /// The program needs a continuation that was not sent.
+    ContinuationMissing = "continuation_missing", 409, "send the header kwd-continuation of the last response";
+    /// The program has used its tokens, turns or time.
+    OverBudget = "over_budget", 402, "end the program; its budget is used up";
+    /// The program has ended.
+    ProgramEnded = "program_ended", 410, "start a program with another name";
+    /// The program's home is moving to another VM.
+    HomeMoving = "home_moving", 503, "resend after the time in retry-after";
+    /// The call may not be repeated and carried no permit.
+    PermitRequired = "permit_required", 428, "ask for a permit with POST /v1/programs/<program>/permits";
+    /// The permit is void or has been used.
+    PermitVoid = "permit_void", 409, "find out whether the request ran before sending it again";
+    /// No upstream became free in time.
+    NoUpstream = "no_upstream", 503, "resend after the time in retry-after";
+    /// The upstream failed.
+    UpstreamFailed = "upstream_failed", 502, "resend if the request may be repeated";
+    /// The upstream did not answer in time.
+    UpstreamSilent = "upstream_silent", 504, "resend if the request may be repeated";
+    /// This VM has more calls than it can hold.
+    Overloaded = "overloaded", 503, "resend after the time in retry-after";
+    /// This VM is stopping and accepts no new programs.
+    Draining = "draining", 503, "resend; the load balancer will choose another VM";
+    /// The caller disconnected.
+    CallerGone = "caller_gone", 499, "resend if the request may be repeated";
+    /// The request could not be read.
+    Malformed = "malformed", 400, "send a JSON body as described in docs/api.md";
+    /// The request is too large.
+    TooLarge = "too_large", 413, "send a smaller body";
+}
--- /dev/null
+++ b/crates/core/src/systems/admission/mod.rs
@@ -0,0 +1,243 @@
+//! Admits calls and moves them on.
+
+use smallvec::SmallVec;
+
+use super::Tick;
+use crate::ids::{AccountName, CallId, PoolKey, ProgramKey};
+use crate::input::{NewCall, Target};
+use crate::message::{HomesMessage, PlacementMessage, Settle};
+use crate::output::{Decision, Execution, Output, Refusal, RefusalKind};
+use crate::tables::{Call, Stage};
+
+/// What waits for this system.
+#[derive(Debug, Default)]
+pub(crate) struct Work {
+    pub arrived: Vec<NewCall>,
+    pub abandoned: Vec<CallId>,
+}
+
+impl Work {
+    pub fn is_empty(&self) -> bool {
+        self.arrived.is_empty() && self.abandoned.is_empty()
+    }
+}
+
+/// Runs the system.
+pub(crate) fn run(tick: &mut Tick<'_>) {
+    let work = std::mem::take(&mut tick.work.admission);
+    for call in work.arrived {
+        arrive(tick, call);
+    }
+    for call in work.abandoned {
+        abandon(tick, call);
+    }
+}
+
+/// The route that a call takes.
+struct Route {
+    pool: PoolKey,
+    idempotent: bool,
+    open: bool,
+}
+
+/// Admits a new call or refuses it.
+fn arrive(tick: &mut Tick<'_>, new: NewCall) {
+    let id = new.id;
+    let admitted = find_route(tick, &new.target).and_then(|route| {
+        let account = find_account(tick, &new, route.open)?;
+        Ok((route, account))
+    });
+    let (route, account) = match admitted {
+        Ok(admitted) => admitted,
+        Err(kind) => {
+            report(tick, id, kind, Execution::NotRun, None);
+            return;
+        }
+    };
+    let program = match (&account, &new.program) {
+        (Some(account), Some(program)) => Some(ProgramKey {
+            account: account.clone(),
+            name: program.name.clone(),
+        }),
+        _ => None,
+    };
+    if !route.idempotent && (program.is_none() || new.permit.is_none()) {
+        report(
+            tick,
+            id,
+            RefusalKind::PermitRequired,
+            Execution::NotRun,
+            None,
+        );
+        return;
+    }
+    let call = Call {
+        stage: Stage::Rate,
+        arrived_us: tick.now_us,
+        account,
+        program,
+        generation: 0,
+        pool: route.pool,
+        idempotent: route.idempotent,
+        begin_sent_us: 0,
+        valid_until_us: u64::MAX,
+        attempts: 0,
+        upstream: None,
+        sent: false,
+        avoid: SmallVec::new(),
+        new,
+    };
+    let has_account = call.account.is_some();
+    tick.tables.calls.insert(id, call);
+    if has_account {
+        tick.work.rates.calls.push(id);
+    } else {
+        enter(tick, id, Stage::Home);
+    }
+}
+
+/// Finds the route of a call.
+fn find_route(tick: &Tick<'_>, target: &Target) -> Result<Route, RefusalKind> {
+    match target {
+        Target::Model(model) => {
+            let service = tick.tables.models.get(model);
+            let service = service.ok_or(RefusalKind::ModelUnknown)?;
+            Ok(Route {
+                pool: PoolKey {
+                    service: service.clone(),
+                    model: Some(model.clone()),
+                },
+                idempotent: true,
+                open: false,
+            })
+        }
+        Target::Plain {
+            service,
+            method,
+            path,
+        } => {
+            let config = tick.tables.services.get(service);
+            let route = config
+                .and_then(|config| config.route(method, path))
+                .ok_or(RefusalKind::RouteUnknown)?;
+            Ok(Route {
+                pool: PoolKey {
+                    service: service.clone(),
+                    model: None,
+                },
+                idempotent: route.idempotent,
+                open: route.open,
+            })
+        }
+    }
+}
+
+/// Finds the account of the key that came with a call.
+fn find_account(
+    tick: &Tick<'_>,
+    new: &NewCall,
+    open: bool,
+) -> Result<Option<AccountName>, RefusalKind> {
+    let Some(presented) = &new.key else {
+        return if open {
+            Ok(None)
+        } else {
+            Err(RefusalKind::KeyMissing)
+        };
+    };
+    let key = tick.tables.keys.get(&presented.id);
+    let key = key
+        .filter(|key| key.sha256 == presented.sha256)
+        .ok_or(RefusalKind::KeyUnknown)?;
+    if key.withdrawn {
+        return Err(RefusalKind::KeyWithdrawn);
+    }
+    Ok(Some(key.account.clone()))
+}
+
+/// Moves a call to a stage and onto the work list of its system.
+pub(crate) fn enter(tick: &mut Tick<'_>, id: CallId, stage: Stage) {
+    let Some(call) = tick.tables.calls.get_mut(&id) else {
+        return;
+    };
+    let stage = match stage {
+        Stage::Home if call.program.is_none() => Stage::Place,
+        stage => stage,
+    };
+    call.stage = stage;
+    match stage {
+        Stage::Home => tick.work.homes.calls.push(id),
+        Stage::Place => tick.work.placement.calls.push(id),
+        Stage::Rate | Stage::Running | Stage::Settling => {}
+    }
+}
+
+/// Ends a call that gets no response of an upstream.
+pub(crate) fn refuse(
+    tick: &mut Tick<'_>,
+    id: CallId,
+    kind: RefusalKind,
+    ran: Execution,
+    retry_after_ms: Option<u64>,
+) {
+    let Some(call) = tick.tables.calls.remove(&id) else {
+        return;
+    };
+    let has_begun = matches!(call.stage, Stage::Place | Stage::Running);
+    if let Some(program) = call.program.as_ref().filter(|_| has_begun) {
+        let settle = Settle {
+            call: id,
+            program: program.clone(),
+            turn: call.new.program.as_ref().map_or(0, |p| p.turn),
+            ran,
+            used_tokens: if ran == Execution::NotRun {
+                0
+            } else {
+                call.reserve_tokens()
+            },
+            history: None,
+        };
+        if let Some(home) = tick.tables.view.program_home(program).cloned() {
+            tick.send(&home, HomesMessage::Settle(settle));
+        }
+    }
+    report(tick, id, kind, ran, retry_after_ms);
+}
+
+/// Tells the front end and the log about a refusal.
+fn report(
+    tick: &mut Tick<'_>,
+    call: CallId,
+    kind: RefusalKind,
+    ran: Execution,
+    retry_after_ms: Option<u64>,
+) {
+    tick.outputs.push(Output::Refused(Refusal {
+        call,
+        kind,
+        ran,
+        retry_after_ms,
+    }));
+    tick.decide(Decision::Refused { call, kind, ran });
+}
+
+/// Ends a waiting call whose caller disconnected.
+fn abandon(tick: &mut Tick<'_>, id: CallId) {
+    let Some(call) = tick.tables.calls.get(&id) else {
+        return;
+    };
+    match call.stage {
+        Stage::Rate | Stage::Home => {
+            refuse(tick, id, RefusalKind::CallerGone, Execution::NotRun, None);
+        }
+        Stage::Place => {
+            let (pool, attempt) = (call.pool.clone(), call.attempt());
+            if let Some(owner) = tick.tables.view.pool_owner(&pool).cloned() {
+                tick.send(&owner, PlacementMessage::Withdraw { pool, attempt });
+            }
+            refuse(tick, id, RefusalKind::CallerGone, Execution::NotRun, None);
+        }
+        // The traffic side reports the end of the attempt.
+        Stage::Running | Stage::Settling => {}
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/config/mod.rs
@@ -0,0 +1,163 @@
+//! Puts published configurations in force.
+
+use std::sync::Arc;
+
+use super::{Sender, Tick};
+use crate::config::{AccountConfig, FleetConfig, ServiceConfig, ServiceKind};
+use crate::ids::PoolKey;
+use crate::message::ConfigMessage;
+use crate::output::Decision;
+use crate::tables::{Account, Bucket, Key, NCALLS_PER_CALL, Pool, Table, Upstream};
+
+/// What waits for this system.
+#[derive(Debug, Default)]
+pub(crate) struct Work {
+    pub messages: Vec<(Sender, ConfigMessage)>,
+    pub offered: Vec<Arc<FleetConfig>>,
+}
+
+impl Work {
+    pub fn is_empty(&self) -> bool {
+        self.messages.is_empty() && self.offered.is_empty()
+    }
+}
+
+/// Runs the system.
+pub(crate) fn run(tick: &mut Tick<'_>) {
+    let work = std::mem::take(&mut tick.work.config);
+    for (sender, message) in work.messages {
+        handle(tick, &sender, message);
+    }
+    for fleet in work.offered {
+        offer(tick, fleet);
+    }
+}
+
+/// Handles a message of another VM.
+fn handle(tick: &mut Tick<'_>, sender: &Sender, message: ConfigMessage) {
+    match message {
+        ConfigMessage::ConfigRequest { in_force } => {
+            if tick.tables.fleet.revision > in_force {
+                let fleet = tick.tables.fleet.clone();
+                tick.send(&sender.vm, ConfigMessage::ConfigIs(fleet));
+            }
+        }
+        ConfigMessage::ConfigIs(fleet) => offer(tick, fleet),
+    }
+}
+
+/// Puts a configuration in force if it is newer.
+fn offer(tick: &mut Tick<'_>, fleet: Arc<FleetConfig>) {
+    let in_force = tick.tables.fleet.revision;
+    if fleet.revision <= in_force {
+        if fleet.revision < in_force {
+            tick.decide(Decision::ConfigIgnored {
+                offered: fleet.revision,
+                in_force,
+            });
+        }
+        return;
+    }
+    replace_accounts(tick, &fleet.accounts);
+    replace_services(tick, &fleet.services);
+    tick.decide(Decision::ConfigInForce {
+        revision: fleet.revision,
+    });
+    tick.tables.fleet = fleet;
+}
+
+/// Replaces accounts and keys; buckets of accounts that stay keep their level.
+fn replace_accounts(tick: &mut Tick<'_>, accounts: &[AccountConfig]) {
+    let now_us = tick.now_us;
+    let tables = &mut *tick.tables;
+    tables.keys = Table::default();
+    for config in accounts {
+        for key in &config.keys {
+            let row = Key {
+                account: config.name.clone(),
+                sha256: key.sha256,
+                withdrawn: key.withdrawn,
+            };
+            tables.keys.insert(key.id.clone(), row);
+        }
+        let burst_ncalls = config.burst_calls * NCALLS_PER_CALL;
+        let rate = config.rate_mcalls_per_s;
+        let row = tables
+            .accounts
+            .get_or_insert_with(&config.name, || Account {
+                config: config.clone(),
+                bucket: Bucket::full(rate, burst_ncalls, now_us),
+                waiting: Default::default(),
+            });
+        row.bucket.refill(now_us);
+        row.bucket.rate_mcalls_per_s = rate;
+        row.bucket.burst_ncalls = burst_ncalls;
+        row.config = config.clone();
+    }
+}
+
+/// Replaces services, upstreams and pools; rows that stay keep their state.
+fn replace_services(tick: &mut Tick<'_>, services: &[ServiceConfig]) {
+    let tables = &mut *tick.tables;
+    tables.services = Table::default();
+    tables.models = Table::default();
+    for (_, pool) in tables.pools.iter_mut() {
+        pool.upstreams.clear();
+    }
+    for service in services {
+        for upstream in &service.upstreams {
+            let row = tables
+                .upstreams
+                .get_or_insert_with(&upstream.name, || Upstream {
+                    config: upstream.clone(),
+                    address: Arc::from(upstream.address.as_str()),
+                    running_calls: 0,
+                    limit_calls: upstream.max_running_calls,
+                });
+            row.address = Arc::from(upstream.address.as_str());
+            row.limit_calls = upstream.max_running_calls;
+            row.config = upstream.clone();
+        }
+        for pool in pools_of(service) {
+            let upstreams = upstreams_of(service, &pool);
+            tables
+                .pools
+                .get_or_insert_with(&pool, Pool::default)
+                .upstreams = upstreams;
+            if let Some(model) = pool.model {
+                tables.models.insert(model, service.name.clone());
+            }
+        }
+        tables
+            .services
+            .insert(service.name.clone(), service.clone());
+    }
+}
+
+/// Returns the pools of a service: one for each model, or one for a plain service.
+fn pools_of(service: &ServiceConfig) -> Vec<PoolKey> {
+    let models = match &service.kind {
+        ServiceKind::Engine(engine) => engine.models.iter().cloned().map(Some).collect(),
+        ServiceKind::Plain => vec![None],
+    };
+    models
+        .into_iter()
+        .map(|model| PoolKey {
+            service: service.name.clone(),
+            model,
+        })
+        .collect()
+}
+
+/// Returns the upstreams of a service that can run the calls of a pool.
+fn upstreams_of(service: &ServiceConfig, pool: &PoolKey) -> Vec<crate::ids::UpstreamName> {
+    service
+        .upstreams
+        .iter()
+        .filter(|upstream| match &pool.model {
+            Some(model) => upstream.models.contains(model),
+            None => true,
+        })
+        .map(|upstream| upstream.name.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/systems/intake/mod.rs
@@ -0,0 +1,56 @@
+//! Sorts inputs and messages into the work lists of the systems.
+
+use super::{Sender, Tick, Work};
+use crate::input::Input;
+use crate::message::PeerMessage;
+
+/// Sorts the inputs of a tick.
+pub(crate) fn run(tick: &mut Tick<'_>, inputs: impl IntoIterator<Item = Input>) {
+    for input in inputs {
+        sort(tick.work, input);
+    }
+}
+
+/// Puts one input on the work list of its system.
+fn sort(work: &mut Work, input: Input) {
+    match input {
+        Input::CallArrived(call) => work.admission.arrived.push(*call),
+        Input::CallAbandoned(call) => work.admission.abandoned.push(call),
+        Input::Attempt(event) => work.outcomes.events.push(event),
+        Input::Peer {
+            from,
+            incarnation,
+            message,
+        } => route(
+            work,
+            Sender {
+                vm: from,
+                incarnation,
+            },
+            message,
+        ),
+        Input::Store(event) => work.membership.store.push(event),
+        Input::VmList(vms) => work.membership.vm_list = Some(vms),
+        Input::Config(fleet) => work.config.offered.push(fleet),
+        Input::Load {
+            upstream,
+            running_calls,
+            tokens_per_s,
+        } => work
+            .placement
+            .loads
+            .push((upstream, running_calls, tokens_per_s)),
+        Input::Drain => work.membership.drain = true,
+    }
+}
+
+/// Puts a message on the work list of its system.
+pub(crate) fn route(work: &mut Work, sender: Sender, message: PeerMessage) {
+    match message {
+        PeerMessage::Membership(message) => work.membership.messages.push((sender, message)),
+        PeerMessage::Rates(message) => work.rates.messages.push((sender, message)),
+        PeerMessage::Homes(message) => work.homes.messages.push((sender, message)),
+        PeerMessage::Placement(message) => work.placement.messages.push((sender, message)),
+        PeerMessage::Config(message) => work.config.messages.push((sender, message)),
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/mod.rs
@@ -0,0 +1,101 @@
+//! Systems that run over the tables each tick.
+//!
+//! Each system has a module with its work list and a function `run`. The
+//! order is that of [`run_pass`].
+
+pub(crate) mod admission;
+pub(crate) mod charges;
+pub(crate) mod config;
+pub(crate) mod homes;
+pub(crate) mod intake;
+pub(crate) mod membership;
+pub(crate) mod outcomes;
+pub(crate) mod placement;
+pub(crate) mod rates;
+pub(crate) mod timers;
+
+use crate::config::CoreSettings;
+use crate::ids::{Incarnation, VmName};
+use crate::message::PeerMessage;
+use crate::output::{Decision, Output};
+use crate::tables::Tables;
+
+/// What the systems work on during one tick.
+#[derive(Debug)]
+pub(crate) struct Tick<'a> {
+    pub now_us: u64,
+    pub settings: &'a CoreSettings,
+    pub tables: &'a mut Tables,
+    pub work: &'a mut Work,
+    pub outputs: &'a mut Vec<Output>,
+}
+
+/// The sender of a message.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Sender {
+    pub vm: VmName,
+    pub incarnation: Incarnation,
+}
+
+/// Rows and messages that wait for each system.
+#[derive(Debug, Default)]
+pub(crate) struct Work {
+    pub membership: membership::Work,
+    pub config: config::Work,
+    pub outcomes: outcomes::Work,
+    pub homes: homes::Work,
+    pub rates: rates::Work,
+    pub admission: admission::Work,
+    pub placement: placement::Work,
+    pub charges: charges::Work,
+}
+
+impl Work {
+    /// Returns whether no system has anything to do.
+    pub fn is_empty(&self) -> bool {
+        self.membership.is_empty()
+            && self.config.is_empty()
+            && self.outcomes.is_empty()
+            && self.homes.is_empty()
+            && self.rates.is_empty()
+            && self.admission.is_empty()
+            && self.placement.is_empty()
+            && self.charges.is_empty()
+    }
+}
+
+impl Tick<'_> {
+    /// Sends a message; one to this VM is handled in the same tick.
+    pub fn send(&mut self, to: &VmName, message: impl Into<PeerMessage>) {
+        let message = message.into();
+        if *to == self.settings.vm {
+            let sender = Sender {
+                vm: self.settings.vm.clone(),
+                incarnation: self.settings.incarnation,
+            };
+            intake::route(self.work, sender, message);
+            return;
+        }
+        self.outputs.push(Output::Send {
+            to: to.clone(),
+            message,
+        });
+    }
+
+    /// Logs a decision.
+    pub fn decide(&mut self, decision: Decision) {
+        self.outputs.push(Output::Decision(decision));
+    }
+}
+
+/// Runs every system once.
+pub(crate) fn run_pass(tick: &mut Tick<'_>) {
+    membership::run(tick);
+    config::run(tick);
+    outcomes::run(tick);
+    homes::run(tick);
+    rates::run(tick);
+    admission::run(tick);
+    placement::run(tick);
+    charges::run(tick);
+}
--- /dev/null
+++ b/crates/core/src/tables/call.rs
@@ -0,0 +1,69 @@
+//! Calls that arrived at this VM.
+
+use smallvec::SmallVec;
+
+use crate::ids::{AccountName, AttemptId, PoolKey, ProgramKey, UpstreamName};
+use crate::input::NewCall;
+
+/// How far a call has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Stage {
+    /// Waits for its account's rate.
+    Rate,
+    /// Waits for the home of its program.
+    Home,
+    /// Waits for an upstream.
+    Place,
+    /// Runs on an upstream.
+    Running,
+    /// Waits for the home to confirm the end of the turn.
+    Settling,
+}
+
+/// A call that arrived at this VM.
+#[derive(Debug, Clone)]
+pub struct Call {
+    /// What the front end handed over.
+    pub new: NewCall,
+    /// How far it has come.
+    pub stage: Stage,
+    /// When it arrived.
+    pub arrived_us: u64,
+    /// The account that is charged; absent on routes open to all.
+    pub account: Option<AccountName>,
+    /// The program, if the call belongs to one.
+    pub program: Option<ProgramKey>,
+    /// The generation of the program, once the home has let the turn begin.
+    pub generation: u64,
+    /// The upstreams that can run it.
+    pub pool: PoolKey,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// When `Begin` was sent.
+    pub begin_sent_us: u64,
+    /// Time after which no attempt may start.
+    pub valid_until_us: u64,
+    /// Number of the last attempt; 0 before the first.
+    pub attempts: u32,
+    /// The upstream of the running attempt.
+    pub upstream: Option<UpstreamName>,
+    /// Whether a byte of the running attempt left for the upstream.
+    pub sent: bool,
+    /// Upstreams on which the call has failed.
+    pub avoid: SmallVec<[UpstreamName; 2]>,
+}
+
+impl Call {
+    /// Returns the running or next attempt.
+    pub fn attempt(&self) -> AttemptId {
+        AttemptId {
+            call: self.new.id,
+            number: self.attempts,
+        }
+    }
+
+    /// Returns the highest number of tokens that the call can use.
+    pub fn reserve_tokens(&self) -> u64 {
+        self.new.prompt_tokens.saturating_add(self.new.max_tokens)
+    }
+}
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -1,1 +1,8 @@
-//! Stand-ins for the systems around knapweeddale, and the message exchange used by its tests.
+//! Test support for knapweeddale: a seeded exchange of messages between VMs in
+//! virtual time, invariants over its traces, and fakes of outside systems.
+
+pub mod invariants;
+pub mod mesh;
+mod random;
+
+pub use random::Random;
--- /dev/null
+++ b/crates/testing/src/mesh/faults.rs
@@ -0,0 +1,44 @@
+//! Faults of the links between VMs.
+
+use smallvec::SmallVec;
+
+use crate::Random;
+
+/// Faults of the links between VMs.
+#[derive(Debug, Clone)]
+pub struct Faults {
+    /// Shortest delay of a message.
+    pub min_delay_us: u64,
+    /// Longest delay of a message; different delays reorder messages.
+    pub max_delay_us: u64,
+    /// Messages lost, of 1,000.
+    pub lost_per_mille: u64,
+    /// Messages delivered twice, of 1,000.
+    pub doubled_per_mille: u64,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            min_delay_us: 800,
+            max_delay_us: 1_500,
+            lost_per_mille: 0,
+            doubled_per_mille: 0,
+        }
+    }
+}
+
+impl Faults {
+    /// Returns the delays after which a message arrives; none if it is lost.
+    pub(super) fn deliveries(&self, random: &mut Random) -> SmallVec<[u64; 2]> {
+        let mut delays_us = SmallVec::new();
+        if random.per_mille(self.lost_per_mille) {
+            return delays_us;
+        }
+        delays_us.push(random.between(self.min_delay_us, self.max_delay_us));
+        if random.per_mille(self.doubled_per_mille) {
+            delays_us.push(random.between(self.min_delay_us, self.max_delay_us));
+        }
+        delays_us
+    }
+}
--- /dev/null
+++ b/crates/testing/src/random.rs
@@ -0,0 +1,41 @@
+//! A seeded random number generator.
+
+/// A SplitMix64 generator, so that a seed gives the same test on every machine.
+#[derive(Debug, Clone)]
+pub struct Random(u64);
+
+impl Random {
+    /// Makes a generator from a seed.
+    pub fn new(seed: u64) -> Self {
+        Self(seed)
+    }
+
+    /// Returns the next 64 random bits.
+    pub fn bits(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let z = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        z ^ (z >> 31)
+    }
+
+    /// Returns a number below a bound; 0 if the bound is 0.
+    pub fn below(&mut self, bound: u64) -> u64 {
+        self.bits().checked_rem(bound).unwrap_or(0)
+    }
+
+    /// Returns a number from a range that includes both ends.
+    pub fn between(&mut self, low: u64, high: u64) -> u64 {
+        low + self.below(high - low + 1)
+    }
+
+    /// Returns true in this many of 1,000 cases.
+    pub fn per_mille(&mut self, cases: u64) -> bool {
+        self.below(1_000) < cases
+    }
+
+    /// Returns an exponentially distributed number with this mean.
+    pub fn exponential(&mut self, mean: f64) -> f64 {
+        let unit = ((self.bits() >> 11) as f64 + 1.0) / (1u64 << 53) as f64;
+        -unit.ln() * mean
+    }
+}
