Add settings, service and account files with checks

Cause: VMs need settings and operators need files that are checked together before they are published. Conclusion: the daemon and the operator command can build on one document.

--- /dev/null
+++ b/crates/config/src/diff/mod.rs
@@ -0,0 +1,104 @@
+//! The difference between two documents.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use serde_json::Value;
+
+use crate::Document;
+
+/// A change between two documents.
+#[derive(Debug, Display, Clone, PartialEq)]
+pub enum Change {
+    /// An account or service is new.
+    #[display("+ {path}")]
+    Added {
+        /// What is new, such as `account aller`.
+        path: String,
+    },
+    /// An account or service is gone.
+    #[display("- {path}")]
+    Removed {
+        /// What is gone.
+        path: String,
+    },
+    /// A field has another value.
+    #[display("~ {path}: {before} -> {after}")]
+    Changed {
+        /// The field, such as `account aller rate_calls_per_s`.
+        path: String,
+        /// The value before.
+        before: Value,
+        /// The value after.
+        after: Value,
+    },
+}
+
+/// Returns the changes that lead from one document to another.
+///
+/// # Examples
+///
+/// ```
+/// use knapweeddale_config::{AccountFile, Document, diff};
+///
+/// let file = |rate: u32| format!("{{account: aller, rate_calls_per_s: {rate}, burst_calls: 5}}");
+/// let document = |rate| Document {
+///     accounts: vec![AccountFile::parse("a.account.yaml", &file(rate)).unwrap()],
+///     services: Vec::new(),
+/// };
+/// let changes = diff(&document(10), &document(20));
+/// assert_eq!(changes[0].to_string(), "~ account aller rate_calls_per_s: 10.0 -> 20.0");
+/// ```
+pub fn diff(before: &Document, after: &Document) -> Vec<Change> {
+    let before = entries(before);
+    let after = entries(after);
+    let mut changes = Vec::new();
+    for (path, value) in &before {
+        match after.get(path) {
+            None => changes.push(Change::Removed { path: path.clone() }),
+            Some(other) => diff_fields(path, value, other, &mut changes),
+        }
+    }
+    let added = after.keys().filter(|path| !before.contains_key(*path));
+    changes.extend(added.map(|path| Change::Added { path: path.clone() }));
+    changes
+}
+
+/// Returns accounts and services by kind and name.
+fn entries(document: &Document) -> BTreeMap<String, Value> {
+    let accounts = document
+        .accounts
+        .iter()
+        .map(|account| (format!("account {}", account.account), to_value(account)));
+    let services = document
+        .services
+        .iter()
+        .map(|service| (format!("service {}", service.service), to_value(service)));
+    accounts.chain(services).collect()
+}
+
+/// Converts an entry to JSON; entries hold nothing that JSON cannot carry.
+fn to_value(entry: &impl serde::Serialize) -> Value {
+    serde_json::to_value(entry).unwrap_or(Value::Null)
+}
+
+/// Compares two values field by field.
+fn diff_fields(path: &str, before: &Value, after: &Value, changes: &mut Vec<Change>) {
+    if before == after {
+        return;
+    }
+    let (Value::Object(old), Value::Object(new)) = (before, after) else {
+        changes.push(Change::Changed {
+            path: path.to_owned(),
+            before: before.clone(),
+            after: after.clone(),
+        });
+        return;
+    };
+    let keys: std::collections::BTreeSet<_> = old.keys().chain(new.keys()).collect();
+    for key in keys {
+        let old = old.get(key).unwrap_or(&Value::Null);
+        let new = new.get(key).unwrap_or(&Value::Null);
+        diff_fields(&format!("{path} {key}"), old, new, changes);
+    }
+}
--- /dev/null
+++ b/crates/config/src/document/mod.rs
@@ -0,0 +1,140 @@
+//! All files of the fleet as one document.
+
+use std::path::{Path, PathBuf};
+
+use knapweeddale_core::{FleetConfig, Revision};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::error::ConfigErrorKind;
+use crate::{AccountFile, ConfigError, ServiceFile};
+
+/// Largest document that the store takes as one value.
+pub const MAX_DOCUMENT_BYTES: usize = 1_000_000;
+
+/// All files of the fleet, as stored under `fleet/config`.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Document {
+    /// Client accounts, ordered by name.
+    #[serde(default)]
+    pub accounts: Vec<AccountFile>,
+    /// Services, ordered by name.
+    #[serde(default)]
+    pub services: Vec<ServiceFile>,
+}
+
+/// # Reading
+impl Document {
+    /// Collects all `*.service.yaml` and `*.account.yaml` files below a folder.
+    ///
+    /// # Errors
+    ///
+    /// Returns all files that cannot be read or parsed.
+    pub fn collect(folder: &Path) -> Result<Self, Vec<ConfigError>> {
+        let mut files = Vec::new();
+        find_files(folder, &mut files).map_err(|error| vec![error])?;
+        files.sort();
+        let mut document = Self::default();
+        let mut errors = Vec::new();
+        for file in files {
+            if let Err(error) = document.add_file(&file) {
+                errors.push(error);
+            }
+        }
+        if !errors.is_empty() {
+            return Err(errors);
+        }
+        document.sort();
+        Ok(document)
+    }
+
+    /// Reads one file and adds what it holds.
+    fn add_file(&mut self, file: &Path) -> Result<(), ConfigError> {
+        let name = file.to_string_lossy();
+        let text =
+            std::fs::read_to_string(file).map_err(|error| ConfigError::unreadable(file, error))?;
+        if name.ends_with(".service.yaml") {
+            self.services.push(ServiceFile::parse(&name, &text)?);
+        } else {
+            self.accounts.push(AccountFile::parse(&name, &text)?);
+        }
+        Ok(())
+    }
+
+    /// Orders accounts and services by name, so that equal fleets have equal documents.
+    fn sort(&mut self) {
+        self.accounts.sort_by(|a, b| a.account.cmp(&b.account));
+        self.services.sort_by(|a, b| a.service.cmp(&b.service));
+    }
+}
+
+/// # Encoding
+impl Document {
+    /// Encodes the document as the value of the store's object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is larger than [`MAX_DOCUMENT_BYTES`].
+    pub fn to_bytes(&self) -> Result<Vec<u8>, ConfigError> {
+        let error = |kind| ConfigError {
+            file: PathBuf::from("fleet/config"),
+            line: None,
+            kind,
+        };
+        let bytes =
+            serde_json::to_vec(self).map_err(|e| error(ConfigErrorKind::Invalid(e.to_string())))?;
+        if bytes.len() > MAX_DOCUMENT_BYTES {
+            return Err(error(ConfigErrorKind::TooLarge {
+                size_bytes: bytes.len(),
+                limit_bytes: MAX_DOCUMENT_BYTES,
+            }));
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes the value of the store's object.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the value is not a document.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, ConfigError> {
+        serde_json::from_slice(bytes).map_err(|error| ConfigError {
+            file: PathBuf::from("fleet/config"),
+            line: Some(error.line()),
+            kind: ConfigErrorKind::Invalid(error.to_string()),
+        })
+    }
+
+    /// Converts the document to the core's form at a revision.
+    pub fn to_fleet(&self, revision: Revision) -> FleetConfig {
+        FleetConfig {
+            revision,
+            accounts: self.accounts.iter().map(AccountFile::to_core).collect(),
+            services: self.services.iter().map(ServiceFile::to_core).collect(),
+        }
+    }
+
+    /// Returns the JSON schema of service and account files.
+    pub fn schema() -> serde_json::Value {
+        schemars::schema_for!(Self).to_value()
+    }
+}
+
+/// Finds all service and account files below a folder.
+fn find_files(folder: &Path, files: &mut Vec<PathBuf>) -> Result<(), ConfigError> {
+    let entries =
+        std::fs::read_dir(folder).map_err(|error| ConfigError::unreadable(folder, error))?;
+    for entry in entries {
+        let path = entry
+            .map_err(|error| ConfigError::unreadable(folder, error))?
+            .path();
+        let name = path.to_string_lossy();
+        if path.is_dir() {
+            find_files(&path, files)?;
+        } else if name.ends_with(".service.yaml") || name.ends_with(".account.yaml") {
+            files.push(path);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/config/src/files/account.rs
@@ -0,0 +1,118 @@
+//! Account files.
+
+use knapweeddale_core::{AccountConfig, AccountName, KeyConfig, KeyId, Secret256};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::ConfigError;
+
+/// A client account, as in `*.account.yaml`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct AccountFile {
+    /// The account's name, unique over the fleet.
+    pub account: String,
+    /// Calls a second over all VMs; thousandths are kept.
+    pub rate_calls_per_s: f64,
+    /// Calls admitted at once over all VMs.
+    pub burst_calls: u64,
+    /// Weight of the account when upstreams are shared, in percent.
+    #[serde(default = "default_weight_percent")]
+    pub weight_percent: u32,
+    /// Tokens that one program may use.
+    #[serde(default = "default_program_tokens")]
+    pub program_tokens: u64,
+    /// Turns that one program may take.
+    #[serde(default = "default_program_turns")]
+    pub program_turns: u32,
+    /// Seconds that one program may take.
+    #[serde(default = "default_program_wall_s")]
+    pub program_wall_s: u64,
+    /// Keys of the account, by digest.
+    #[serde(default)]
+    pub keys: Vec<KeyFile>,
+}
+
+/// A caller's key, stored by digest.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct KeyFile {
+    /// The public part of the key.
+    pub id: String,
+    /// The SHA-256 digest of the whole key in hexadecimal.
+    pub sha256: String,
+    /// Whether the key has been withdrawn.
+    #[serde(default)]
+    pub withdrawn: bool,
+}
+
+fn default_weight_percent() -> u32 {
+    100
+}
+
+fn default_program_tokens() -> u64 {
+    1_000_000
+}
+
+fn default_program_turns() -> u32 {
+    130
+}
+
+fn default_program_wall_s() -> u64 {
+    3_600
+}
+
+impl AccountFile {
+    /// Reads an account from the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the line of the first field that is unknown, missing or of the wrong type.
+    pub fn parse(file: &str, text: &str) -> Result<Self, ConfigError> {
+        serde_norway::from_str(text).map_err(|error| ConfigError::invalid(file, &error))
+    }
+
+    /// Converts the file to the core's form; keys with a malformed digest are left out.
+    pub(crate) fn to_core(&self) -> AccountConfig {
+        AccountConfig::builder()
+            .name(AccountName::from(self.account.as_str()))
+            .rate_mcalls_per_s(self.rate_mcalls_per_s())
+            .burst_calls(self.burst_calls)
+            .weight_percent(self.weight_percent)
+            .program_tokens(self.program_tokens)
+            .program_turns(self.program_turns)
+            .program_wall_ms(self.program_wall_s.saturating_mul(1_000))
+            .keys(self.keys.iter().filter_map(KeyFile::to_core).collect())
+            .build()
+    }
+
+    /// Returns the rate in thousandths of a call a second.
+    pub(crate) fn rate_mcalls_per_s(&self) -> u64 {
+        (self.rate_calls_per_s * 1_000.0).round() as u64
+    }
+}
+
+impl KeyFile {
+    /// Returns the digest, or `None` if it is not 64 hexadecimal digits.
+    pub(crate) fn digest(&self) -> Option<[u8; 32]> {
+        let text = self.sha256.as_bytes();
+        if text.len() != 64 {
+            return None;
+        }
+        let mut digest = [0; 32];
+        for (byte, pair) in digest.iter_mut().zip(text.chunks(2)) {
+            let pair = std::str::from_utf8(pair).ok()?;
+            *byte = u8::from_str_radix(pair, 16).ok()?;
+        }
+        Some(digest)
+    }
+
+    /// Converts the key to the core's form.
+    fn to_core(&self) -> Option<KeyConfig> {
+        Some(KeyConfig {
+            id: KeyId::from(self.id.as_str()),
+            sha256: Secret256(self.digest()?),
+            withdrawn: self.withdrawn,
+        })
+    }
+}
--- /dev/null
+++ b/crates/config/src/files/service.rs
@@ -0,0 +1,176 @@
+//! Service files.
+
+use knapweeddale_core::{
+    EngineConfig, ModelName, RouteConfig, ServiceConfig, ServiceKind, ServiceName, UpstreamConfig,
+    UpstreamName,
+};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+use crate::ConfigError;
+
+/// A service, as in `*.service.yaml`.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceFile {
+    /// The service's name, unique over the fleet.
+    pub service: String,
+    /// Whether the upstreams are model engines or a plain HTTP service.
+    pub kind: ServiceKindFile,
+    /// Models that the service offers; only for engines.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub models: Vec<String>,
+    /// Whether an interrupted stream can be resumed; only for engines.
+    #[serde(default)]
+    pub can_resume: bool,
+    /// The upstreams that run the service.
+    pub upstreams: Vec<UpstreamFile>,
+    /// Routes; only for plain services. The longest matching path wins.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub routes: Vec<RouteFile>,
+    /// Longest wait for the first byte or token; the VM's setting when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub first_token_ms: Option<u64>,
+    /// Longest pause within a response; the VM's setting when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub token_gap_ms: Option<u64>,
+    /// Which measure placement favours; the VM's setting when absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub preset: Option<Preset>,
+}
+
+/// What a service runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum ServiceKindFile {
+    /// Model engines that stream tokens.
+    Engine,
+    /// A plain HTTP service.
+    Plain,
+}
+
+/// Which measure placement favours.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Preset {
+    /// Fair shares between client accounts first.
+    FairShare,
+    /// Short program latency first.
+    Latency,
+}
+
+/// An upstream of a service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamFile {
+    /// The upstream's name, unique over the fleet.
+    pub name: String,
+    /// The address as `ip:port`.
+    pub address: String,
+    /// Models that it should have loaded; all models of the service when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub models: Vec<String>,
+    /// Lowest limit of calls running at once.
+    #[serde(default = "default_min_running_calls")]
+    pub min_running_calls: u32,
+    /// Highest limit of calls running at once.
+    #[serde(default = "default_max_running_calls")]
+    pub max_running_calls: u32,
+    /// Whether it refuses orders with an old fencing token.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// Whether it is leaving and gets no new calls.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// A route of a plain service.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct RouteFile {
+    /// The start of the path, ending at a segment.
+    pub path: String,
+    /// Methods in upper case; all when empty.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub methods: Vec<String>,
+    /// Whether a request may run more than once.
+    #[serde(default)]
+    pub idempotent: bool,
+    /// Whether callers without a key may use the route.
+    #[serde(default)]
+    pub open: bool,
+}
+
+fn default_min_running_calls() -> u32 {
+    1
+}
+
+fn default_max_running_calls() -> u32 {
+    8
+}
+
+impl ServiceFile {
+    /// Reads a service from the text of a file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the line of the first field that is unknown, missing or of the wrong type.
+    pub fn parse(file: &str, text: &str) -> Result<Self, ConfigError> {
+        serde_norway::from_str(text).map_err(|error| ConfigError::invalid(file, &error))
+    }
+
+    /// Converts the file to the core's form.
+    pub(crate) fn to_core(&self) -> ServiceConfig {
+        let models = |names: &[String]| names.iter().map(|n| ModelName::from(n.as_str())).collect();
+        let kind = match self.kind {
+            ServiceKindFile::Engine => ServiceKind::Engine(EngineConfig {
+                models: models(&self.models),
+                can_resume: self.can_resume,
+            }),
+            ServiceKindFile::Plain => ServiceKind::Plain,
+        };
+        let upstreams = self.upstreams.iter().map(|upstream| {
+            let loaded = if upstream.models.is_empty() {
+                &self.models
+            } else {
+                &upstream.models
+            };
+            upstream.to_core(models(loaded))
+        });
+        ServiceConfig::builder()
+            .name(ServiceName::from(self.service.as_str()))
+            .kind(kind)
+            .upstreams(upstreams.collect())
+            .routes(self.routes.iter().map(RouteFile::to_core).collect())
+            .maybe_first_token_ms(self.first_token_ms)
+            .maybe_token_gap_ms(self.token_gap_ms)
+            .build()
+    }
+}
+
+impl UpstreamFile {
+    /// Converts the upstream to the core's form.
+    fn to_core(&self, models: Vec<ModelName>) -> UpstreamConfig {
+        UpstreamConfig::builder()
+            .name(UpstreamName::from(self.name.as_str()))
+            .address(self.address.clone())
+            .models(models)
+            .min_running_calls(self.min_running_calls)
+            .max_running_calls(self.max_running_calls)
+            .checks_fencing(self.checks_fencing)
+            .leaving(self.leaving)
+            .build()
+    }
+}
+
+impl RouteFile {
+    /// Converts the route to the core's form.
+    fn to_core(&self) -> RouteConfig {
+        RouteConfig::builder()
+            .path_prefix(self.path.clone())
+            .methods(self.methods.clone())
+            .idempotent(self.idempotent)
+            .open(self.open)
+            .build()
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,41 @@
-//! Settings and service files of knapweeddale: parsing, checks and differences.
+//! Settings of the daemon and the files that operators publish.
+//!
+//! Operators keep a short `*.service.yaml` file beside each service's code
+//! and a `*.account.yaml` file for each client account. [`Document`] collects
+//! and checks them; [`Settings`] holds the settings of one VM.
+//!
+//! # Examples
+//!
+//! ```
+//! use knapweeddale_config::{Document, ServiceFile};
+//!
+//! let service = ServiceFile::parse(
+//!     "booking.service.yaml",
+//!     "service: booking
+//! kind: plain
+//! upstreams:
+//!   - {name: booking-1, address: '127.0.0.1:9001'}
+//! routes:
+//!   - {path: /search, methods: [GET], idempotent: true}
+//! ",
+//! )?;
+//! let document = Document { services: vec![service], accounts: Vec::new() };
+//! assert!(document.check().is_empty());
+//! # Ok::<(), knapweeddale_config::ConfigError>(())
+//! ```
+
+mod check;
+mod diff;
+mod document;
+mod error;
+mod files;
+mod settings;
+
+pub use check::Finding;
+pub use diff::{Change, diff};
+pub use document::{Document, MAX_DOCUMENT_BYTES};
+pub use error::{ConfigError, ConfigErrorKind};
+pub use files::{
+    AccountFile, KeyFile, Preset, RouteFile, ServiceFile, ServiceKindFile, UpstreamFile,
+};
+pub use settings::{LogFormat, Settings};
