Add the object API client and a fake of the platform

Cause: view, configuration and charge records live in the platform's store, which loses answers, lags and goes silent. Conclusion: a silent watch is reported as a failure, a lost answer as unknown.

--- /dev/null
+++ b/crates/store/src/counted.rs
@@ -0,0 +1,97 @@
+//! Counts the calls to the platform's object API.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use crate::{Object, ObjectApi, ObjectMeta, StoreError, VmEntry};
+
+/// Counts the calls to an object API and passes them on.
+#[derive(Debug)]
+pub struct Counted<A> {
+    api: A,
+    reads: AtomicU64,
+    writes: AtomicU64,
+    watches: AtomicU64,
+    failures: AtomicU64,
+}
+
+/// Calls since the start of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct CallCounts {
+    /// Reads, lists and reads of the list of VMs.
+    pub reads: u64,
+    /// Writes.
+    pub writes: u64,
+    /// Watches opened.
+    pub watches: u64,
+    /// Calls without an answer.
+    pub failures: u64,
+}
+
+impl<A> Counted<A> {
+    /// Counts the calls to an API.
+    pub fn new(api: A) -> Self {
+        Self {
+            api,
+            reads: AtomicU64::new(0),
+            writes: AtomicU64::new(0),
+            watches: AtomicU64::new(0),
+            failures: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the calls so far.
+    pub fn counts(&self) -> CallCounts {
+        CallCounts {
+            reads: self.reads.load(Ordering::Relaxed),
+            writes: self.writes.load(Ordering::Relaxed),
+            watches: self.watches.load(Ordering::Relaxed),
+            failures: self.failures.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Counts a result if it is a failure.
+    fn note<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
+        if matches!(result, Err(StoreError::Unavailable { .. })) {
+            self.failures.fetch_add(1, Ordering::Relaxed);
+        }
+        result
+    }
+}
+
+impl<A: ObjectApi> ObjectApi for Counted<A> {
+    async fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        self.note(self.api.get(key).await)
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Vec<u8>,
+        expected_version: u64,
+    ) -> Result<u64, StoreError> {
+        self.writes.fetch_add(1, Ordering::Relaxed);
+        self.note(self.api.put(key, value, expected_version).await)
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<ObjectMeta>, StoreError> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        self.note(self.api.list(prefix).await)
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after_version: u64,
+        wait: Duration,
+    ) -> Result<Option<Object>, StoreError> {
+        self.watches.fetch_add(1, Ordering::Relaxed);
+        self.note(self.api.watch(key, after_version, wait).await)
+    }
+
+    async fn vms(&self) -> Result<Vec<VmEntry>, StoreError> {
+        self.reads.fetch_add(1, Ordering::Relaxed);
+        self.note(self.api.vms().await)
+    }
+}
--- /dev/null
+++ b/crates/store/src/http/mod.rs
@@ -0,0 +1,188 @@
+//! The platform's object API over HTTP.
+
+use std::time::Duration;
+
+use bon::bon;
+use reqwest::{Client, RequestBuilder, Response, StatusCode};
+use serde::Deserialize;
+
+use crate::{Object, ObjectApi, ObjectMeta, StoreError, VmEntry};
+
+/// Time that an answer may take beyond the wait of a watch.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Pooled connections are closed before the platform does so.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The platform's object API over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpObjectApi {
+    client: Client,
+    base_url: String,
+    timeout: Duration,
+}
+
+/// The answer to a write.
+#[derive(Debug, Deserialize)]
+struct Version {
+    version: u64,
+}
+
+#[bon]
+impl HttpObjectApi {
+    /// Makes a client for the API at a base URL.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Unavailable`] if the HTTP client cannot be set up.
+    #[builder]
+    pub fn new(
+        base_url: &str,
+        #[builder(default = DEFAULT_TIMEOUT)] timeout: Duration,
+    ) -> Result<Self, StoreError> {
+        let client = Client::builder()
+            .retry(reqwest::retry::never())
+            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .build()
+            .map_err(|error| unavailable(&error))?;
+        Ok(Self {
+            client,
+            base_url: base_url.trim_end_matches('/').to_owned(),
+            timeout,
+        })
+    }
+
+    /// Returns the URL of an object.
+    fn url(&self, key: &str) -> String {
+        format!("{}/objects/{key}", self.base_url)
+    }
+
+    /// Sends a request and waits for the head of the answer.
+    async fn send(
+        &self,
+        request: RequestBuilder,
+        timeout: Duration,
+    ) -> Result<Response, StoreError> {
+        request
+            .timeout(timeout)
+            .send()
+            .await
+            .map_err(|error| unavailable(&error))
+    }
+}
+
+impl ObjectApi for HttpObjectApi {
+    async fn get(&self, key: &str) -> Result<Option<Object>, StoreError> {
+        let response = self
+            .send(self.client.get(self.url(key)), self.timeout)
+            .await?;
+        read_object(key, response).await
+    }
+
+    async fn put(
+        &self,
+        key: &str,
+        value: Vec<u8>,
+        expected_version: u64,
+    ) -> Result<u64, StoreError> {
+        let request = self
+            .client
+            .put(self.url(key))
+            .header("if-version", expected_version)
+            .body(value);
+        let response = self.send(request, self.timeout).await?;
+        let status = response.status();
+        match status {
+            StatusCode::OK => Ok(read_version(response).await?),
+            StatusCode::CONFLICT => Err(StoreError::Conflict {
+                key: key.to_owned(),
+                current: read_version(response).await?,
+            }),
+            status => Err(failure(key, status)),
+        }
+    }
+
+    async fn list(&self, prefix: &str) -> Result<Vec<ObjectMeta>, StoreError> {
+        let url = format!("{}/objects?prefix={prefix}", self.base_url);
+        let response = self.send(self.client.get(url), self.timeout).await?;
+        if response.status() != StatusCode::OK {
+            return Err(failure(prefix, response.status()));
+        }
+        response.json().await.map_err(|error| unavailable(&error))
+    }
+
+    async fn watch(
+        &self,
+        key: &str,
+        after_version: u64,
+        wait: Duration,
+    ) -> Result<Option<Object>, StoreError> {
+        let wait_ms = wait.as_millis();
+        let url = format!("{}?after={after_version}&wait_ms={wait_ms}", self.url(key));
+        let response = self.send(self.client.get(url), self.timeout + wait).await?;
+        if response.status() == StatusCode::NO_CONTENT {
+            return Ok(None);
+        }
+        read_object(key, response).await
+    }
+
+    async fn vms(&self) -> Result<Vec<VmEntry>, StoreError> {
+        let url = format!("{}/vms", self.base_url);
+        let response = self.send(self.client.get(url), self.timeout).await?;
+        if response.status() != StatusCode::OK {
+            return Err(failure("vms", response.status()));
+        }
+        response.json().await.map_err(|error| unavailable(&error))
+    }
+}
+
+/// Reads an object from an answer.
+async fn read_object(key: &str, response: Response) -> Result<Option<Object>, StoreError> {
+    match response.status() {
+        StatusCode::NOT_FOUND => Ok(None),
+        StatusCode::OK => {
+            let version = response
+                .headers()
+                .get("version")
+                .and_then(|value| value.to_str().ok()?.parse().ok())
+                .ok_or_else(|| StoreError::Unavailable {
+                    reason: "the answer has no version".to_owned(),
+                })?;
+            let value = response
+                .bytes()
+                .await
+                .map_err(|error| unavailable(&error))?;
+            Ok(Some(Object {
+                version,
+                value: value.to_vec(),
+            }))
+        }
+        status => Err(failure(key, status)),
+    }
+}
+
+/// Reads the version from the answer to a write.
+async fn read_version(response: Response) -> Result<u64, StoreError> {
+    let answer: Version = response.json().await.map_err(|error| unavailable(&error))?;
+    Ok(answer.version)
+}
+
+/// Makes an error from a status; the store is unavailable while it answers 5xx.
+fn failure(key: &str, status: StatusCode) -> StoreError {
+    if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
+        return StoreError::Unavailable {
+            reason: format!("status {status}"),
+        };
+    }
+    StoreError::Refused {
+        key: key.to_owned(),
+        status: status.as_u16(),
+    }
+}
+
+/// Makes an error from one of the HTTP client.
+fn unavailable(error: &reqwest::Error) -> StoreError {
+    StoreError::Unavailable {
+        reason: error.to_string(),
+    }
+}
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod invariants;
 pub mod mesh;
+pub mod platform;
 mod random;
 
 pub use random::Random;
