--- a/crates/core/src/ids/name.rs
+++ b/crates/core/src/ids/name.rs
@@ -65,6 +65,27 @@
 }
 
 impl ProgramName {
+    /// Returns the name of the root program, sharing the text if this is it.
+    #[must_use]
+    pub fn root_name(&self) -> Self {
+        if self.is_root() {
+            return self.clone();
+        }
+        Self::from(self.root())
+    }
+
+    /// Returns whether this is the name of a root program.
+    pub fn is_root(&self) -> bool {
+        !self.as_str().contains('/')
+    }
+
+    /// Returns whether the program is this one or a sub-agent of it.
+    pub fn is_within(&self, other: &Self) -> bool {
+        self.as_str()
+            .strip_prefix(other.as_str())
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    }
+
     /// Returns the first segment, which names the root program.
     ///
     /// # Examples
--- a/crates/core/src/ids/program.rs
+++ b/crates/core/src/ids/program.rs
@@ -20,7 +20,7 @@
     pub fn root(&self) -> Self {
         Self {
             account: self.account.clone(),
-            name: ProgramName::from(self.name.root()),
+            name: self.name.root_name(),
         }
     }
 }
--- a/crates/core/src/input/call.rs
+++ b/crates/core/src/input/call.rs
@@ -106,4 +106,35 @@
     pub incarnation: Incarnation,
     /// The epoch in which it was issued.
     pub epoch: Epoch,
+    /// Counts the permits of the program at its home.
+    pub seq: u32,
+}
+
+/// A request of a caller about a program.
+///
+/// The front end has checked the signature of the continuation.
+#[derive(Debug, Clone, PartialEq, Eq, Builder)]
+pub struct ProgramRequest {
+    /// The request's identity, chosen by the front end like that of a call.
+    pub id: CallId,
+    /// The key that came with the request, if any.
+    pub key: Option<PresentedKey>,
+    /// The program's name within the account.
+    pub program: ProgramName,
+    /// The state of the program that the last response carried.
+    pub continuation: Option<Continuation>,
+    /// What is asked for.
+    pub kind: ProgramRequestKind,
+}
+
+/// What a caller asks for about a program.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProgramRequestKind {
+    /// A permit for a turn that may not be repeated.
+    Permit {
+        /// The turn.
+        turn: u32,
+    },
+    /// The end of the program and of its sub-agents.
+    End,
 }
--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use super::{AttemptEvent, NewCall};
+use super::{AttemptEvent, NewCall, ProgramRequest};
 use crate::config::FleetConfig;
-use crate::ids::{CallId, Incarnation, UpstreamName, VmName};
+use crate::ids::{CallId, Incarnation, ProgramKey, UpstreamName, VmName};
 use crate::message::PeerMessage;
 use crate::tables::View;
 
@@ -13,6 +13,17 @@
 pub enum Input {
     /// A call arrived.
     CallArrived(Box<NewCall>),
+    /// A caller asks for a permit or ends a program.
+    Program(Box<ProgramRequest>),
+    /// An engine confirmed that it released the memory of a program.
+    ReleaseConfirmed {
+        /// The engine.
+        upstream: UpstreamName,
+        /// The program.
+        program: ProgramKey,
+        /// The generation that was released.
+        generation: u64,
+    },
     /// The caller of a call that is still waiting disconnected.
     CallAbandoned(CallId),
     /// Something happened to an attempt.
--- a/crates/core/src/input/mod.rs
+++ b/crates/core/src/input/mod.rs
@@ -5,5 +5,8 @@
 mod event;
 
 pub use attempt::{AttemptEvent, AttemptOutcome, AttemptProgress, Failure};
-pub use call::{Continuation, NewCall, Permit, PresentedKey, ProgramTurn, Target};
+pub use call::{
+    Continuation, NewCall, Permit, PresentedKey, ProgramRequest, ProgramRequestKind, ProgramTurn,
+    Target,
+};
 pub use event::{Input, StoreEvent, StoredView, VmStatus};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,7 +38,10 @@
     KeyId, ModelName, PoolKey, ProgramKey, ProgramName, Revision, Secret256, ServiceName,
     UpstreamName, VmName,
 };
-pub use input::{AttemptEvent, Input, NewCall, PresentedKey, ProgramTurn, StoreEvent, Target};
+pub use input::{
+    AttemptEvent, Input, NewCall, PresentedKey, ProgramRequest, ProgramRequestKind, ProgramTurn,
+    StoreEvent, Target,
+};
 pub use message::PeerMessage;
 pub use output::{
     Answered, Charge, Decision, Dispatch, Execution, Output, Refusal, RefusalKind, StoreRequest,
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -7,7 +7,10 @@
 mod rates;
 
 pub use config::ConfigMessage;
-pub use homes::{Begin, Denied, HomesMessage, Settle};
+pub use homes::{
+    Began, Begin, Denied, HandOver, HandedProgram, HomesMessage, PermitRequest, RunningTurn,
+    Settle, Witness,
+};
 pub use membership::MembershipMessage;
 pub use placement::{Place, PlacementMessage};
 pub use rates::RatesMessage;
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -4,7 +4,9 @@
 use smallvec::SmallVec;
 
 use super::{Execution, RefusalKind};
-use crate::ids::{AccountName, AttemptId, CallId, Epoch, ProgramKey, Revision, UpstreamName};
+use crate::ids::{
+    AccountName, AttemptId, CallId, Epoch, ProgramKey, Revision, UpstreamName, VmName,
+};
 
 /// A routing or placement decision.
 ///
@@ -31,6 +33,74 @@
         /// How long it waited.
         waited_us: u64,
     },
+    /// The home let a turn begin.
+    #[display(
+        "homes: turn {turn} of {program} begins for call {call}, {reserved_tokens} tokens reserved"
+    )]
+    TurnBegan {
+        /// The program.
+        program: ProgramKey,
+        /// The turn.
+        turn: u32,
+        /// The call.
+        call: CallId,
+        /// Tokens reserved for it.
+        reserved_tokens: u64,
+    },
+    /// The home refused a turn.
+    #[display("homes: denied turn {turn} of {program} to call {call} as {kind}, {ran}")]
+    TurnDenied {
+        /// The program.
+        program: ProgramKey,
+        /// The turn.
+        turn: u32,
+        /// The call.
+        call: CallId,
+        /// Why.
+        kind: RefusalKind,
+        /// What is known about an earlier run of the turn.
+        ran: Execution,
+    },
+    /// The outcome of a turn will not become known.
+    #[display("homes: outcome of turn {turn} of {program} unknown, its entry VM {vm} is gone")]
+    TurnUnknown {
+        /// The program.
+        program: ProgramKey,
+        /// The turn.
+        turn: u32,
+        /// The entry VM.
+        vm: VmName,
+    },
+    /// This VM took over a program from its witnesses or from the continuation of its caller.
+    #[display("homes: took over {program} at turn {turn} from {source}")]
+    ProgramTakenOver {
+        /// The program.
+        program: ProgramKey,
+        /// The last finished turn.
+        turn: u32,
+        /// What the state was taken from.
+        source: TakeoverSource,
+    },
+    /// A program is over.
+    #[display("homes: {program} generation {generation} is over, {reason}")]
+    ProgramOver {
+        /// The program.
+        program: ProgramKey,
+        /// Its generation.
+        generation: u64,
+        /// Why.
+        reason: OverReason,
+    },
+    /// Engine memory of a program is released.
+    #[display("homes: release memory of {program} generation {generation} at {upstream}")]
+    MemoryReleased {
+        /// The program.
+        program: ProgramKey,
+        /// Its generation.
+        generation: u64,
+        /// The engine.
+        upstream: UpstreamName,
+    },
     /// A call was sent to an upstream.
     #[display(
         "placement: attempt {attempt} of {} for {} to {upstream}, {reason}{}",
@@ -84,6 +154,40 @@
     },
 }
 
+/// What a home took the state of a program from.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum TakeoverSource {
+    /// An entry VM that had served it.
+    #[display("a witness")]
+    Witness,
+    /// The continuation that its caller carried.
+    #[display("its continuation")]
+    Continuation,
+    /// The end of a turn that its entry VM reported.
+    #[display("the end of a turn")]
+    Settle,
+    /// Its old home.
+    #[display("its old home")]
+    HandOver,
+}
+
+/// Why a program is over.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum OverReason {
+    /// Its caller ended it.
+    #[display("ended by its caller")]
+    Ended,
+    /// It had no calls for the time of its lease.
+    #[display("its lease ended")]
+    Lapsed,
+    /// It used up its tokens, turns or time.
+    #[display("its budget is used up")]
+    Exhausted,
+    /// Another program runs under its name.
+    #[display("its name has a new program")]
+    Replaced,
+}
+
 /// Why an upstream was chosen.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
 pub enum PlacementReason {
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -5,7 +5,7 @@
 mod refusal;
 
 pub use charge::{Charge, ChargeOutcome};
-pub use decision::{Decision, PlacementReason};
+pub use decision::{Decision, OverReason, PlacementReason, TakeoverSource};
 pub use refusal::{Execution, Refusal, RefusalKind};
 
 use std::sync::Arc;
@@ -36,6 +36,18 @@
         /// The call that ran.
         original: CallId,
     },
+    /// Answer a request for a permit.
+    PermitIssued {
+        /// The request.
+        request: CallId,
+        /// The permit.
+        permit: Box<Permit>,
+    },
+    /// Answer a request to end a program.
+    ProgramEnded {
+        /// The request.
+        request: CallId,
+    },
     /// Send a message to another VM.
     Send {
         /// The receiver.
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -2,10 +2,10 @@
 
 use smallvec::SmallVec;
 
-use super::Tick;
+use super::{Tick, homes};
 use crate::ids::{AccountName, CallId, PoolKey, ProgramKey};
-use crate::input::{NewCall, Target};
-use crate::message::{HomesMessage, PlacementMessage, Settle};
+use crate::input::{NewCall, PresentedKey, Target};
+use crate::message::PlacementMessage;
 use crate::output::{Decision, Execution, Output, Refusal, RefusalKind};
 use crate::tables::{Call, Stage};
 
@@ -44,7 +44,7 @@
 fn arrive(tick: &mut Tick<'_>, new: NewCall) {
     let id = new.id;
     let admitted = find_route(tick, &new.target).and_then(|route| {
-        let account = find_account(tick, &new, route.open)?;
+        let account = find_account(tick, new.key.as_ref(), route.open)?;
         Ok((route, account))
     });
     let (route, account) = match admitted {
@@ -79,11 +79,17 @@
         generation: 0,
         pool: route.pool,
         idempotent: route.idempotent,
-        begin_sent_us: 0,
+        state: None,
+        begin_tries: 0,
+        begin_due_us: 0,
+        has_asked_home: false,
+        home_give_up_us: 0,
         valid_until_us: u64::MAX,
         attempts: 0,
         upstream: None,
         sent: false,
+        may_have_run: false,
+        used_tokens: None,
         avoid: SmallVec::new(),
         new,
     };
@@ -133,12 +139,12 @@
 }
 
 /// Finds the account of the key that came with a call.
-fn find_account(
+pub(crate) fn find_account(
     tick: &Tick<'_>,
-    new: &NewCall,
+    key: Option<&PresentedKey>,
     open: bool,
 ) -> Result<Option<AccountName>, RefusalKind> {
-    let Some(presented) = &new.key else {
+    let Some(presented) = key else {
         return if open {
             Ok(None)
         } else {
@@ -162,11 +168,16 @@
     };
     let stage = match stage {
         Stage::Home if call.program.is_none() => Stage::Place,
+        // A retry after the turn's validity has to ask the home again.
+        Stage::Place if call.valid_until_us <= tick.now_us => Stage::Home,
         stage => stage,
     };
     call.stage = stage;
     match stage {
-        Stage::Home => tick.work.homes.calls.push(id),
+        Stage::Home => {
+            call.begin_tries = 0;
+            tick.work.homes.calls.push(id);
+        }
         Stage::Place => tick.work.placement.calls.push(id),
         Stage::Rate | Stage::Running | Stage::Settling => {}
     }
@@ -183,29 +194,22 @@
     let Some(call) = tick.tables.calls.remove(&id) else {
         return;
     };
-    let has_begun = matches!(call.stage, Stage::Place | Stage::Running);
-    if let Some(program) = call.program.as_ref().filter(|_| has_begun) {
-        let settle = Settle {
-            call: id,
-            program: program.clone(),
-            turn: call.new.program.as_ref().map_or(0, |p| p.turn),
-            ran,
-            used_tokens: if ran == Execution::NotRun {
-                0
-            } else {
-                call.reserve_tokens()
-            },
-            history: None,
-        };
-        if let Some(home) = tick.tables.view.program_home(program).cloned() {
-            tick.send(&home, HomesMessage::Settle(settle));
-        }
-    }
+    let ran = if ran == Execution::NotRun && call.may_have_run {
+        Execution::MayHaveRun
+    } else {
+        ran
+    };
+    let own = call.own_execution(ran);
+    let used_tokens = match own {
+        Execution::NotRun => 0,
+        _ => call.used_tokens.unwrap_or_else(|| call.reserve_tokens()),
+    };
+    homes::end_turn(tick, &call, own, used_tokens, None);
     report(tick, id, kind, ran, retry_after_ms);
 }
 
 /// Tells the front end and the log about a refusal.
-fn report(
+pub(crate) fn report(
     tick: &mut Tick<'_>,
     call: CallId,
     kind: RefusalKind,
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -1,5 +1,6 @@
 //! Puts published configurations in force.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use super::{Sender, Tick};
@@ -97,6 +98,8 @@
 }
 
 /// Replaces services, upstreams and pools; rows that stay keep their state.
+///
+/// Upstreams that are no longer listed go, which also ends releases of memory at them.
 fn replace_services(tick: &mut Tick<'_>, services: &[ServiceConfig]) {
     let tables = &mut *tick.tables;
     tables.services = Table::default();
@@ -104,6 +107,11 @@
     for (_, pool) in tables.pools.iter_mut() {
         pool.upstreams.clear();
     }
+    let listed: HashSet<_> = services
+        .iter()
+        .flat_map(|service| service.upstreams.iter().map(|upstream| &upstream.name))
+        .collect();
+    tables.upstreams.retain(|name, _| listed.contains(name));
     for service in services {
         for upstream in &service.upstreams {
             let row = tables
--- a/crates/core/src/systems/homes/entry.rs
+++ b/crates/core/src/systems/homes/entry.rs
@@ -1,59 +1,169 @@
-//! The entry VM's side of a turn.
+//! The entry VM's side of the start of a turn.
 
-use super::super::{Tick, admission, outcomes};
-use crate::ids::{CallId, VmName};
-use crate::input::{Continuation, Permit};
-use crate::message::{Begin, Denied, HomesMessage};
+use super::super::{Tick, admission};
+use super::{HOME_WAIT_MS, MOVING_RETRY_MS, requests, retry_us, settles, witness};
+use crate::ids::{CallId, ProgramKey, VmName};
+use crate::message::{Began, Begin, Denied, HomesMessage};
 use crate::output::{Execution, Output, RefusalKind};
-use crate::tables::Stage;
+use crate::tables::{Call, Stage, Timer};
 
-/// Asks the home to let a turn begin.
+/// Longest time between two sends of a `Begin`.
+const BEGIN_RETRY_MS: u64 = 1_000;
+
+/// Asks the home to let a turn begin, or to extend the validity of its start.
+///
+/// Nothing is sent without a valid lease; the timer tries again.
 pub(super) fn begin(tick: &mut Tick<'_>, id: CallId) {
     let now_us = tick.now_us;
+    let has_lease = tick.tables.lease.is_valid(now_us);
     let Some(call) = tick.tables.calls.get_mut(&id) else {
         return;
     };
-    let (Some(program), Some(turn)) = (call.program.clone(), call.new.program.clone()) else {
+    if call.stage == Stage::Home && call.begin_tries == 0 {
+        call.home_give_up_us = now_us + HOME_WAIT_MS * 1_000;
+    }
+    if call.stage == Stage::Home && now_us >= call.home_give_up_us {
+        let retry_after_ms = Some(MOVING_RETRY_MS);
+        let (kind, ran) = (RefusalKind::HomeMoving, Execution::NotRun);
+        admission::refuse(tick, id, kind, ran, retry_after_ms);
+        return;
+    }
+    call.begin_tries += 1;
+    let begin = has_lease.then(|| begin_for(call, now_us)).flatten();
+    call.has_asked_home |= begin.is_some();
+    let wait_us = retry_us(call.begin_tries, BEGIN_RETRY_MS);
+    plan_retry(tick, id, wait_us);
+    let Some(begin) = begin else {
         return;
     };
-    call.begin_sent_us = now_us;
-    let begin = Begin {
-        call: id,
+    if let Some(home) = tick.tables.view.program_home(&begin.program).cloned() {
+        tick.send(&home, HomesMessage::Begin(Box::new(begin)));
+    }
+}
+
+/// Makes the request of a call that belongs to a program.
+fn begin_for(call: &Call, now_us: u64) -> Option<Begin> {
+    let turn = call.new.program.as_ref()?;
+    Some(Begin {
+        call: call.new.id,
+        sent_us: now_us,
+        program: call.program.clone()?,
         turn: turn.turn,
-        continuation: turn.continuation,
+        continuation: turn.continuation.clone(),
         permit: call.new.permit.clone(),
         idempotent: call.idempotent,
         reserve_tokens: call.reserve_tokens(),
-        program,
-    };
-    let Some(home) = tick.tables.view.program_home(&begin.program).cloned() else {
-        admission::refuse(
-            tick,
-            id,
-            RefusalKind::HomeMoving,
-            Execution::NotRun,
-            Some(1_000),
-        );
-        return;
-    };
-    tick.send(&home, HomesMessage::Begin(Box::new(begin)));
+        digest: call.new.digest,
+        pool: call.pool.clone(),
+    })
+}
+
+/// Plans when `Begin` is sent again; a later plan replaces an earlier one.
+fn plan_retry(tick: &mut Tick<'_>, id: CallId, wait_us: u64) {
+    let due_us = tick.now_us + wait_us;
+    if let Some(call) = tick.tables.calls.get_mut(&id) {
+        call.begin_due_us = due_us;
+        tick.tables.timers.set(due_us, Timer::TurnRetry(id));
+    }
+}
+
+/// Sends `Begin` again if the call still needs it.
+pub(super) fn retry(tick: &mut Tick<'_>, id: CallId) {
+    let now_us = tick.now_us;
+    let is_due = tick.tables.calls.get(&id).is_some_and(|call| {
+        matches!(call.stage, Stage::Home | Stage::Place) && call.begin_due_us <= now_us
+    });
+    if is_due {
+        begin(tick, id);
+    }
 }
 
 /// Moves a call on that may begin its turn.
-pub(super) fn began(tick: &mut Tick<'_>, id: CallId, generation: u64, valid_us: u64) {
+///
+/// While the call waits for an upstream, its validity is extended when half
+/// of it has passed.
+pub(super) fn began(tick: &mut Tick<'_>, home: &VmName, began: Began) {
+    let id = began.call;
+    let lease_until_us = tick.tables.lease.until_us;
+    let now_us = tick.now_us;
     let Some(call) = tick.tables.calls.get_mut(&id) else {
+        disown(tick, home, id, began.state.program);
         return;
     };
-    if call.stage != Stage::Home {
+    if !matches!(call.stage, Stage::Home | Stage::Place) {
+        return;
+    }
+    let valid_until_us = began.sent_us.saturating_add(began.valid_us);
+    let valid_until_us = valid_until_us.min(lease_until_us);
+    if valid_until_us <= now_us {
+        plan_retry(tick, id, 20_000);
+        return;
+    }
+    let has_to_move = call.stage == Stage::Home;
+    call.generation = began.state.generation;
+    call.valid_until_us = valid_until_us;
+    call.begin_tries = 0;
+    call.state = Some(Box::new(began.state.clone()));
+    plan_retry(tick, id, (valid_until_us - now_us) / 2);
+    witness::note(tick, began.state);
+    if has_to_move {
+        admission::enter(tick, id, Stage::Place);
+    }
+}
+
+/// Tells a home that this VM does not run a call that the home let begin.
+///
+/// A call of an earlier process of this VM may have run.
+fn disown(tick: &mut Tick<'_>, home: &VmName, call: CallId, program: ProgramKey) {
+    if tick.tables.homes.settles.contains_key(&call) {
+        settles::send(tick, call);
         return;
     }
-    call.generation = generation;
-    call.valid_until_us = call.begin_sent_us.saturating_add(valid_us);
-    admission::enter(tick, id, Stage::Place);
+    let ran = if call.incarnation == tick.settings.incarnation {
+        Execution::NotRun
+    } else {
+        Execution::MayHaveRun
+    };
+    tick.send(home, HomesMessage::Gone { call, program, ran });
+}
+
+/// Answers the question of a home after a turn in progress.
+pub(super) fn probed(tick: &mut Tick<'_>, home: &VmName, call: CallId, program: ProgramKey) {
+    if !tick.tables.calls.contains_key(&call) {
+        disown(tick, home, call, program);
+    }
+}
+
+/// Notes that the home lives and the call waits for its turn.
+pub(super) fn pending(tick: &mut Tick<'_>, id: CallId) {
+    let give_up_us = tick.now_us + HOME_WAIT_MS * 1_000;
+    if let Some(call) = tick.tables.calls.get_mut(&id)
+        && call.stage == Stage::Home
+    {
+        call.home_give_up_us = give_up_us;
+    }
 }
 
-/// Refuses a call that may not begin its turn.
+/// Refuses a call that may not begin its turn; one whose home moves waits.
 pub(super) fn denied(tick: &mut Tick<'_>, denied: Denied) {
+    let now_us = tick.now_us;
+    let Some(call) = tick.tables.calls.get_mut(&denied.call) else {
+        requests::denied(tick, denied);
+        return;
+    };
+    if call.stage != Stage::Home {
+        return;
+    }
+    if denied.kind == RefusalKind::HomeMoving && now_us < call.home_give_up_us {
+        let retry_after_ms = denied.retry_after_ms.unwrap_or(MOVING_RETRY_MS);
+        let wait_ms = retry_after_ms.clamp(20, MOVING_RETRY_MS);
+        plan_retry(tick, denied.call, wait_ms * 1_000);
+        return;
+    }
+    if !call.may_have_run {
+        // The home holds no turn for the call, so there is none to settle.
+        call.has_asked_home = false;
+    }
     let Denied {
         call,
         kind,
@@ -64,18 +174,16 @@
 }
 
 /// Answers a resent call with a kept response.
-pub(super) fn kept(tick: &mut Tick<'_>, call: CallId, vm: VmName, original: CallId) {
-    if tick.tables.calls.remove(&call).is_some() {
-        tick.outputs.push(Output::Replay { call, vm, original });
+pub(super) fn kept(tick: &mut Tick<'_>, id: CallId, vm: VmName, original: CallId) {
+    let Some(call) = tick.tables.calls.get(&id) else {
+        return;
+    };
+    if call.stage == Stage::Home {
+        tick.tables.calls.remove(&id);
+        tick.outputs.push(Output::Replay {
+            call: id,
+            vm,
+            original,
+        });
     }
 }
-
-/// Gives the final answer once the home knows the end of the turn.
-pub(super) fn settled(
-    tick: &mut Tick<'_>,
-    id: CallId,
-    continuation: Continuation,
-    permit: Option<Permit>,
-) {
-    outcomes::answer(tick, id, Some(continuation), permit);
-}
--- a/crates/core/src/systems/homes/home.rs
+++ b/crates/core/src/systems/homes/home.rs
@@ -1,172 +1,395 @@
 //! The home's side of a turn.
 
-use super::super::{Sender, Tick};
-use crate::ids::{CallId, HistoryDigest, ProgramKey};
-use crate::input::{Continuation, Permit};
-use crate::message::{Begin, Denied, HomesMessage, Settle};
-use crate::output::{Execution, RefusalKind};
-use crate::tables::{Program, Timer, Turn};
-
-/// Lets a turn begin or refuses it.
-pub(super) fn begin(tick: &mut Tick<'_>, sender: &Sender, begin: Begin) {
-    let call = begin.call;
-    match try_begin(tick, sender, &begin) {
-        Ok(reply) => tick.send(&sender.vm, reply),
-        Err((kind, ran)) => {
-            let denied = Denied {
+use super::super::Tick;
+use super::order::{self, Verdict};
+use super::{
+    MOVING_RETRY_MS, PROBE_MS, budget, lifecycle, permits, release, resume, takeover, tree, waits,
+};
+use crate::ids::{CallId, HistoryDigest, ProgramKey, UpstreamName, VmName};
+use crate::message::{Began, Begin, Denied, HomesMessage, RunningTurn, Settle};
+use crate::output::{Decision, Execution, RefusalKind, TakeoverSource};
+use crate::tables::{FinishedTurn, Phase, Timer, Turn, UnknownTurn};
+
+/// Lets a turn begin, lets it wait or refuses it.
+pub(super) fn begin(tick: &mut Tick<'_>, vm: &VmName, begin: Box<Begin>) {
+    let key = &begin.program;
+    let not_run = Execution::NotRun;
+    if let Err(retry_after_ms) = takeover::check_home(tick, key) {
+        let kind = RefusalKind::HomeMoving;
+        return deny(tick, vm, &begin, kind, not_run, Some(retry_after_ms));
+    }
+    if !takeover::is_member(tick, vm, begin.call.incarnation) {
+        // The end of such an entry VM would not show in a later view.
+        let (kind, retry_after_ms) = (RefusalKind::HomeMoving, Some(MOVING_RETRY_MS));
+        return deny(tick, vm, &begin, kind, not_run, retry_after_ms);
+    }
+    if waits::refresh(tick, &begin) {
+        return tick.send(vm, HomesMessage::Pending { call: begin.call });
+    }
+    if !tick.tables.accounts.contains_key(&key.account) {
+        return deny(tick, vm, &begin, RefusalKind::KeyUnknown, not_run, None);
+    }
+    if let Err(kind) = resume::resume(tick, key, begin.continuation.as_ref()) {
+        let ran = match &begin.permit {
+            Some(_) => Execution::MayHaveRun,
+            None => not_run,
+        };
+        return deny(tick, vm, &begin, kind, ran, None);
+    }
+    carry_out(tick, vm, begin);
+}
+
+/// Carries out what the order of the program says about a call.
+fn carry_out(tick: &mut Tick<'_>, vm: &VmName, begin: Box<Begin>) {
+    let Some(program) = tick.tables.programs.get(&begin.program) else {
+        return;
+    };
+    match order::judge(tick, program, &begin) {
+        Verdict::Start => start(tick, vm, &begin),
+        Verdict::Again => reply_began(tick, vm, &begin),
+        Verdict::Wait => waits::add(tick, vm, begin, false),
+        Verdict::Attach => waits::add(tick, vm, begin, true),
+        Verdict::Kept {
+            vm: keeper,
+            original,
+        } => {
+            let call = begin.call;
+            let kept = HomesMessage::Kept {
                 call,
-                kind,
-                ran,
-                retry_after_ms: None,
+                vm: keeper,
+                original,
             };
-            tick.send(&sender.vm, HomesMessage::Denied(denied));
+            tick.send(vm, kept);
         }
+        Verdict::Deny(kind, ran) => deny(tick, vm, &begin, kind, ran, None),
     }
 }
 
-/// Checks order and budget, and reserves the tokens of a turn.
-fn try_begin(
+/// Refuses a turn.
+pub(super) fn deny(
     tick: &mut Tick<'_>,
-    sender: &Sender,
+    vm: &VmName,
     begin: &Begin,
-) -> Result<HomesMessage, (RefusalKind, Execution)> {
-    let now_us = tick.now_us;
-    let account = tick.tables.accounts.get(&begin.program.account);
-    let Some(config) = account.map(|account| &account.config) else {
-        return Err((RefusalKind::KeyUnknown, Execution::NotRun));
+    kind: RefusalKind,
+    ran: Execution,
+    retry_after_ms: Option<u64>,
+) {
+    tick.decide(Decision::TurnDenied {
+        program: begin.program.clone(),
+        turn: begin.turn,
+        call: begin.call,
+        kind,
+        ran,
+    });
+    let denied = Denied {
+        call: begin.call,
+        kind,
+        ran,
+        retry_after_ms,
     };
-    let (max_tokens, max_turns) = (config.program_tokens, config.program_turns);
-    let lease_us = tick.settings.program_lease_ms * 1_000;
-    let generation = tick.settings.incarnation.0.wrapping_add(now_us);
-    let program = tick
-        .tables
-        .programs
-        .get_or_insert_with(&begin.program, || start(begin, generation, now_us));
-    if let Some(current) = &program.current {
-        let kind = if current.number == begin.turn {
-            RefusalKind::DuplicateTurn
-        } else {
-            RefusalKind::TurnOutOfOrder
-        };
-        return Err((kind, Execution::NotRun));
-    }
-    if begin.turn == program.turn
-        && let Some((original, vm)) = program.last.clone()
-    {
-        return Ok(HomesMessage::Kept {
-            call: begin.call,
-            vm,
-            original,
+    tick.send(vm, HomesMessage::Denied(denied));
+}
+
+/// Reserves the tokens of a turn and lets it begin.
+fn start(tick: &mut Tick<'_>, vm: &VmName, begin: &Begin) {
+    let key = &begin.program;
+    if let Err(kind) = budget::reserve(tick, key, begin.reserve_tokens) {
+        let program = tick.tables.programs.get(key);
+        let ran = program.map_or(Execution::NotRun, |program| {
+            order::earlier_run(program, begin)
         });
+        deny(tick, vm, begin, kind, ran, None);
+        budget::close_if_used_up(tick, key);
+        return;
     }
-    if begin.turn != program.turn + 1 {
-        return Err((RefusalKind::TurnOutOfOrder, Execution::NotRun));
-    }
-    let used_tokens = program.spent_tokens + program.reserved_tokens;
-    if begin.turn > max_turns || used_tokens + begin.reserve_tokens > max_tokens {
-        return Err((RefusalKind::OverBudget, Execution::NotRun));
-    }
-    program.reserved_tokens += begin.reserve_tokens;
-    program.lease_until_us = now_us + lease_us;
-    program.current = Some(Turn {
+    let turn = Turn {
         call: begin.call,
-        vm: sender.vm.clone(),
+        vm: vm.clone(),
         number: begin.turn,
+        idempotent: begin.idempotent,
+        reserved_tokens: begin.reserve_tokens,
+        digest: begin.digest,
+        pool: begin.pool.clone(),
+    };
+    if let Some(program) = tick.tables.programs.get_mut(key) {
+        program.is_recovered = false;
+        program.current = Some(turn);
+    }
+    tree::renew(tick, key);
+    plan_probe(tick, key.clone(), begin.call);
+    tick.decide(Decision::TurnBegan {
+        program: key.clone(),
+        turn: begin.turn,
+        call: begin.call,
         reserved_tokens: begin.reserve_tokens,
     });
-    let generation = program.generation;
-    let timer = Timer::ProgramLease(begin.program.clone());
-    tick.tables.timers.set(now_us + lease_us, timer);
-    Ok(HomesMessage::Began {
+    reply_began(tick, vm, begin);
+}
+
+/// Tells the entry VM that the turn may run, and for how long it may start.
+fn reply_began(tick: &mut Tick<'_>, vm: &VmName, begin: &Begin) {
+    let Some(state) = tree::state_of(tick, &begin.program) else {
+        return;
+    };
+    let lease_us = tick.tables.lease.remaining_us(tick.now_us);
+    let began = Began {
         call: begin.call,
-        generation,
-        valid_us: tick.tables.lease.remaining_us(now_us),
+        sent_us: begin.sent_us,
+        valid_us: lease_us.min(budget::wall_left_us(tick, &begin.program)),
+        state,
+    };
+    tick.send(vm, HomesMessage::Began(Box::new(began)));
+}
+
+/// Plans a question after a turn that has just begun.
+fn plan_probe(tick: &mut Tick<'_>, key: ProgramKey, call: CallId) {
+    let due_us = tick.now_us + PROBE_MS * 1_000;
+    tick.tables.timers.set(due_us, Timer::TurnProbe(key, call));
+}
+
+/// Asks the entry VM after a turn that has been in progress for long.
+pub(super) fn probe(tick: &mut Tick<'_>, key: ProgramKey, call: CallId) {
+    let program = tick.tables.programs.get(&key);
+    let turn = program.and_then(|program| program.current.as_ref());
+    let Some(vm) = turn
+        .filter(|turn| turn.call == call)
+        .map(|turn| turn.vm.clone())
+    else {
+        return;
+    };
+    let program = key.clone();
+    tick.send(&vm, HomesMessage::Probe { call, program });
+    plan_probe(tick, key, call);
+}
+
+/// Ends a turn that its entry VM does not know.
+pub(super) fn gone(tick: &mut Tick<'_>, call: CallId, key: &ProgramKey, ran: Execution) {
+    if takeover::check_home(tick, key).is_ok() && is_current(tick, key, call) {
+        end(tick, key, ran, None, None, &[]);
+    }
+}
+
+/// Handles the end of a turn that its entry VM reports.
+///
+/// Without authority there is no reply, and the entry VM tries again.
+pub(super) fn settle(tick: &mut Tick<'_>, vm: &VmName, settle: &Settle) {
+    let key = &settle.state.program;
+    if takeover::check_home(tick, key).is_err() {
+        return;
+    }
+    if settle.ran != Execution::NotRun {
+        adopt_settled(tick, vm, settle);
+    }
+    if is_current(tick, key, settle.call) {
+        let used_tokens = Some(settle.used_tokens);
+        end(
+            tick,
+            key,
+            settle.ran,
+            used_tokens,
+            settle.history,
+            &settle.upstreams,
+        );
+    } else if is_unknown(tick, key, settle.call) {
+        resolve(tick, vm, settle);
+    } else {
+        waits::remove(tick, settle.call);
+    }
+    reply_settled(tick, vm, settle);
+}
+
+/// Returns whether a call is the turn in progress.
+fn is_current(tick: &Tick<'_>, key: &ProgramKey, call: CallId) -> bool {
+    let program = tick.tables.programs.get(key);
+    program.is_some_and(|p| p.current.as_ref().is_some_and(|turn| turn.call == call))
+}
+
+/// Returns whether a call is the last turn and its outcome is unknown.
+fn is_unknown(tick: &Tick<'_>, key: &ProgramKey, call: CallId) -> bool {
+    let program = tick.tables.programs.get(key);
+    program.is_some_and(|p| {
+        p.current.is_none() && p.unknown.is_some_and(|unknown| unknown.call == call)
     })
 }
 
-/// Makes the row of a program from its first call here.
-fn start(begin: &Begin, generation: u64, now_us: u64) -> Program {
-    let carried = begin.continuation.as_ref();
-    Program {
-        generation: carried.map_or(generation, |c| c.generation),
-        turn: carried.map_or(0, |c| c.turn),
-        history: carried.map_or(HistoryDigest::default(), |c| c.history),
-        current: None,
-        last: None,
-        spent_tokens: carried.map_or(0, |c| c.spent_tokens),
-        reserved_tokens: 0,
-        started_us: now_us.saturating_sub(carried.map_or(0, |c| c.age_ms * 1_000)),
-        lease_until_us: 0,
+/// Takes over a turn that began at an old home and ended before its witness arrived.
+fn adopt_settled(tick: &mut Tick<'_>, vm: &VmName, settle: &Settle) {
+    let key = &settle.state.program;
+    let source = TakeoverSource::Settle;
+    if tick.tables.programs.contains_key(key) {
+        resume::forward(tick, key, &settle.state, source);
+    } else if takeover::was_home_since(tick, key, settle.state.epoch) {
+        return;
+    } else {
+        resume::rebuild(tick, key, &settle.state, source);
     }
+    adopt_turn(tick, key, vm, settle.state.generation, &settle.turn);
 }
 
-/// Ends a turn and replies with the new state of the program.
-pub(super) fn settle(tick: &mut Tick<'_>, sender: &Sender, settle: Settle) {
-    let Some(program) = tick.tables.programs.get_mut(&settle.program) else {
+/// Takes over a turn in progress of a rebuilt program.
+pub(super) fn adopt_turn(
+    tick: &mut Tick<'_>,
+    key: &ProgramKey,
+    vm: &VmName,
+    generation: u64,
+    running: &RunningTurn,
+) {
+    let Some(program) = tick.tables.programs.get_mut(key) else {
         return;
     };
-    if program.current.as_ref().map(|turn| turn.call) == Some(settle.call) {
-        end_turn(program, &settle, sender);
+    let is_next = program.generation == generation && running.number == program.turn + 1;
+    let is_known = program
+        .unknown
+        .is_some_and(|unknown| unknown.call == running.call);
+    if !program.is_recovered || program.current.is_some() || !is_next || is_known {
+        return;
     }
-    if settle.ran == Execution::Ran {
-        reply_settled(tick, sender, &settle.program, settle.call);
+    program.current = Some(Turn {
+        call: running.call,
+        vm: vm.clone(),
+        number: running.number,
+        idempotent: running.idempotent,
+        reserved_tokens: running.reserve_tokens,
+        digest: running.digest,
+        pool: running.pool.clone(),
+    });
+    budget::adopt(tick, key, running.reserve_tokens);
+    plan_probe(tick, key.clone(), running.call);
+}
+
+/// Ends the turn in progress; without a report the worst case is booked.
+pub(super) fn end(
+    tick: &mut Tick<'_>,
+    key: &ProgramKey,
+    ran: Execution,
+    used_tokens: Option<u64>,
+    history: Option<HistoryDigest>,
+    upstreams: &[UpstreamName],
+) {
+    let now_us = tick.now_us;
+    let program = tick.tables.programs.get_mut(key);
+    let Some((program, turn)) = program.and_then(|p| p.current.take().map(|turn| (p, turn))) else {
+        return;
+    };
+    let booked_tokens = used_tokens.unwrap_or(turn.reserved_tokens);
+    match ran {
+        Execution::NotRun => {}
+        Execution::Ran => {
+            program.turn = turn.number;
+            program.history = history.unwrap_or(program.history);
+            program.unknown = None;
+            program.last = Some(FinishedTurn {
+                call: turn.call,
+                vm: turn.vm.clone(),
+                digest: turn.digest,
+                ended_us: now_us,
+            });
+        }
+        // A request that may not be repeated blocks the turn for others of its kind,
+        // whatever repeatable request has run since.
+        Execution::MayHaveRun if program.unknown.is_some_and(|u| !u.idempotent) => {}
+        Execution::MayHaveRun => {
+            program.unknown = Some(UnknownTurn {
+                call: turn.call,
+                idempotent: turn.idempotent,
+                booked_tokens,
+            });
+        }
+    }
+    budget::settle(tick, key, &turn, ran, booked_tokens);
+    release::note(tick, key, upstreams);
+    if used_tokens.is_none() && ran != Execution::NotRun && turn.pool.model.is_some() {
+        release::note_pool(tick, key, turn.pool);
+    }
+    after_end(tick, key);
+}
+
+/// Lets the program go on after the end of a turn.
+fn after_end(tick: &mut Tick<'_>, key: &ProgramKey) {
+    tree::renew(tick, key);
+    let program = tick.tables.programs.get(key);
+    if program.is_some_and(|program| program.phase == Phase::Ended) {
+        lifecycle::finish_ended(tick, key);
+    } else {
+        budget::close_if_used_up(tick, key);
     }
+    waits::recheck(tick, key);
 }
 
-/// Books the tokens of a turn that has ended.
-fn end_turn(program: &mut Program, settle: &Settle, sender: &Sender) {
-    let Some(turn) = program.current.take() else {
+/// Books the outcome of a turn that had counted as unknown.
+fn resolve(tick: &mut Tick<'_>, vm: &VmName, settle: &Settle) {
+    if settle.ran == Execution::MayHaveRun {
+        return;
+    }
+    let now_us = tick.now_us;
+    let key = &settle.state.program;
+    let program = tick.tables.programs.get_mut(key);
+    let Some((program, unknown)) = program.and_then(|p| p.unknown.take().map(|u| (p, u))) else {
         return;
     };
-    program.reserved_tokens -= turn.reserved_tokens;
-    program.spent_tokens += settle.used_tokens;
     if settle.ran == Execution::Ran {
-        program.turn = turn.number;
+        program.turn = settle.turn.number;
         program.history = settle.history.unwrap_or(program.history);
-        program.last = Some((settle.call, sender.vm.clone()));
+        program.last = Some(FinishedTurn {
+            call: settle.call,
+            vm: vm.clone(),
+            digest: settle.turn.digest,
+            ended_us: now_us,
+        });
     }
+    let (booked_tokens, used_tokens) = (unknown.booked_tokens, settle.used_tokens);
+    budget::correct(tick, key, booked_tokens, used_tokens, settle.ran);
+    release::note(tick, key, &settle.upstreams);
+    after_end(tick, key);
 }
 
-/// Sends the state that the caller carries to the next turn.
-fn reply_settled(tick: &mut Tick<'_>, sender: &Sender, key: &ProgramKey, call: CallId) {
-    let epoch = tick.tables.view.epoch;
-    let Some(program) = tick.tables.programs.get(key) else {
-        return;
-    };
-    let continuation = Continuation {
-        program: key.clone(),
-        generation: program.generation,
-        turn: program.turn,
-        history: program.history,
-        spent_tokens: program.spent_tokens,
-        age_ms: tick.now_us.saturating_sub(program.started_us) / 1_000,
-        epoch,
-    };
-    let permit = Permit {
-        program: key.clone(),
-        generation: program.generation,
-        turn: program.turn + 1,
-        home: tick.settings.vm.clone(),
-        incarnation: tick.settings.incarnation,
-        epoch,
-    };
+/// Confirms the end of a turn; one that ran gets the state for the next turn.
+fn reply_settled(tick: &mut Tick<'_>, vm: &VmName, settle: &Settle) {
+    let key = &settle.state.program;
+    let program = tick.tables.programs.get(key);
+    let is_last = program.is_some_and(|program| {
+        program
+            .last
+            .as_ref()
+            .is_some_and(|last| last.call == settle.call)
+    });
+    let state = tree::state_of(tick, key).filter(|_| is_last);
+    let next_turn = settle.turn.number + 1;
+    let permit = state
+        .as_ref()
+        .and_then(|_| permits::issue(tick, key, next_turn));
     let settled = HomesMessage::Settled {
-        call,
-        continuation: Box::new(continuation),
-        permit: Some(Box::new(permit)),
+        call: settle.call,
+        continuation: state.map(Box::new),
+        permit: permit.map(Box::new),
     };
-    tick.send(&sender.vm, settled);
+    tick.send(vm, settled);
 }
 
-/// Forgets a program whose lease has ended.
-pub(super) fn expire(tick: &mut Tick<'_>, key: &ProgramKey) {
-    let now_us = tick.now_us;
-    let is_over = tick
-        .tables
-        .programs
-        .get(key)
-        .is_some_and(|program| program.current.is_none() && program.lease_until_us <= now_us);
-    if is_over {
-        tick.tables.programs.remove(key);
+/// Looks after the turn in progress of a program that was handed over.
+pub(super) fn resume_turn(tick: &mut Tick<'_>, key: &ProgramKey) {
+    let program = tick.tables.programs.get(key);
+    let Some(turn) = program.and_then(|program| program.current.as_ref()) else {
+        return;
+    };
+    let call = turn.call;
+    plan_probe(tick, key.clone(), call);
+    lose_departed(tick, key);
+}
+
+/// Marks the turn in progress as unknown if its entry VM is no longer a member.
+pub(super) fn lose_departed(tick: &mut Tick<'_>, key: &ProgramKey) {
+    let program = tick.tables.programs.get(key);
+    let Some(turn) = program.and_then(|program| program.current.clone()) else {
+        return;
+    };
+    if takeover::is_member(tick, &turn.vm, turn.call.incarnation) {
+        return;
     }
+    tick.decide(Decision::TurnUnknown {
+        program: key.clone(),
+        turn: turn.number,
+        vm: turn.vm,
+    });
+    end(tick, key, Execution::MayHaveRun, None, None, &[]);
 }
--- /dev/null
+++ b/crates/core/src/systems/homes/lifecycle.rs
@@ -0,0 +1,134 @@
+//! The end of programs: by their caller, by their lease and by their budget.
+
+use super::super::Tick;
+use super::{budget, release, takeover, tree, waits};
+use crate::ids::{CallId, ProgramKey, VmName};
+use crate::message::{Denied, HomesMessage};
+use crate::output::{Decision, Execution, OverReason, RefusalKind};
+use crate::tables::{Phase, Timer};
+
+/// How long a request to end a program is remembered.
+///
+/// A delayed copy of it must not end a new program with the same name; the
+/// entry VM stops repeating it long before.
+const ENDED_KEEP_MS: u64 = 60_000;
+
+/// Ends a program at the request of its caller.
+pub(super) fn end(
+    tick: &mut Tick<'_>,
+    vm: &VmName,
+    request: CallId,
+    key: &ProgramKey,
+    generation: Option<u64>,
+) {
+    if let Err(retry_after_ms) = takeover::check_home(tick, key) {
+        let denied = Denied {
+            call: request,
+            kind: RefusalKind::HomeMoving,
+            ran: Execution::NotRun,
+            retry_after_ms: Some(retry_after_ms),
+        };
+        return tick.send(vm, HomesMessage::Denied(denied));
+    }
+    let program = tick.tables.programs.get(key);
+    let is_meant = program.is_some_and(|p| generation.is_none_or(|g| g == p.generation));
+    if tick.tables.homes.ended.insert(request, ()).is_none() {
+        let due_us = tick.now_us + ENDED_KEEP_MS * 1_000;
+        tick.tables.timers.set(due_us, Timer::EndedForget(request));
+        if is_meant {
+            over(tick, key, OverReason::Ended);
+        }
+    }
+    tick.send(vm, HomesMessage::Ended { request });
+}
+
+/// Closes a program and its sub-agents and releases their engine memory.
+///
+/// Turns in progress go on; the rows of their programs stay until they end.
+pub(super) fn over(tick: &mut Tick<'_>, key: &ProgramKey, reason: OverReason) {
+    for key in tree::subtree(tick, key) {
+        let Some(program) = tick.tables.programs.get_mut(&key) else {
+            continue;
+        };
+        program.phase = match reason {
+            OverReason::Exhausted => Phase::Exhausted,
+            _ => Phase::Ended,
+        };
+        let generation = program.generation;
+        tick.decide(Decision::ProgramOver {
+            program: key.clone(),
+            generation,
+            reason,
+        });
+        match reason {
+            // The row stays, so that later calls learn why they are refused.
+            OverReason::Exhausted => release::release_all(tick, &key),
+            _ => finish_ended(tick, &key),
+        }
+        waits::recheck(tick, &key);
+    }
+}
+
+/// Removes the row of an ended program once nothing needs it.
+pub(super) fn finish_ended(tick: &mut Tick<'_>, key: &ProgramKey) {
+    let is_needed = tick
+        .tables
+        .programs
+        .get(key)
+        .is_none_or(|p| p.current.is_some() || p.links.first.is_some());
+    if is_needed {
+        return;
+    }
+    waits::recheck(tick, key);
+    release::release_all(tick, key);
+    tree::remove(tick, key);
+    let root_key = key.root();
+    let root = tick.tables.programs.get(&root_key);
+    if root_key != *key && root.is_some_and(|root| root.phase == Phase::Ended) {
+        finish_ended(tick, &root_key);
+    }
+}
+
+/// Ends a program that has had no calls for the time of its lease, or no time left.
+pub(super) fn lapse(tick: &mut Tick<'_>, key: &ProgramKey) {
+    let Some(program) = tick.tables.programs.get(key) else {
+        return;
+    };
+    let is_running = program.current.is_some() || program.links.first.is_some();
+    let is_over = program.lease_until_us <= tick.now_us && !is_running;
+    if is_over {
+        return over(tick, key, OverReason::Lapsed);
+    }
+    if program.phase == Phase::Open && key.name.is_root() {
+        budget::close_if_used_up(tick, key);
+    }
+    plan_lapse(tick, key);
+}
+
+/// Plans the next look at the lease of a program.
+fn plan_lapse(tick: &mut Tick<'_>, key: &ProgramKey) {
+    let Some(program) = tick.tables.programs.get(key) else {
+        return;
+    };
+    let lease_us = tick.settings.program_lease_ms * 1_000;
+    let due_us = if program.lease_until_us > tick.now_us {
+        program.lease_until_us
+    } else {
+        tick.now_us + lease_us
+    };
+    let wall_us = budget::wall_left_us(tick, key);
+    let due_us = match wall_us {
+        0 => due_us,
+        wall_us => due_us.min(tick.now_us + wall_us),
+    };
+    let timer = Timer::ProgramLease(key.clone());
+    tick.tables.timers.set(due_us, timer);
+}
+
+/// Removes a row that only a refused call had made.
+pub(super) fn drop_unused(tick: &mut Tick<'_>, key: &ProgramKey) {
+    let program = tick.tables.programs.get(key);
+    if program.is_some_and(|program| program.links.previous.is_none() && program.is_unused()) {
+        tree::remove(tick, key);
+    }
+}
--- a/crates/core/src/systems/homes/mod.rs
+++ b/crates/core/src/systems/homes/mod.rs
@@ -1,37 +1,84 @@
-//! Order, budget and permits of programs.
+//! Programs: order, history, budget, permits, sub-agents and engine memory.
+//!
+//! A VM plays two parts. As entry VM of a call it asks the program's home to
+//! let the turn begin and reports its end (`entry`, `settles`, `requests`,
+//! `witness`). As home of a program it keeps the program's row (`home`,
+//! `order`, `budget`, `permits`, `waits`, `tree`, `lifecycle`, `release`).
+//! `takeover` moves programs between homes when the view changes.
 
+mod budget;
 mod entry;
 mod home;
+mod lifecycle;
+mod order;
+mod permits;
+mod release;
+mod requests;
+mod resume;
+mod settles;
+mod takeover;
+mod transfers;
+mod tree;
+mod waits;
+mod witness;
+
+pub(crate) use settles::end_turn;
 
 use super::{Sender, Tick};
 use crate::ids::CallId;
+use crate::input::ProgramRequest;
 use crate::message::HomesMessage;
-use crate::tables::Timer;
+use crate::tables::{Release, Timer};
+
+/// How long an entry VM waits for the home of a program.
+///
+/// Covers the loss of a home: suspicion, the write of the view and the
+/// takeover wait take about 6 s with the default settings.
+const HOME_WAIT_MS: u64 = 10_000;
+
+/// Interval at which a home asks after a turn in progress.
+///
+/// Only matters when a reply was lost and the entry VM has forgotten the call.
+const PROBE_MS: u64 = 5_000;
+
+/// Time after which a home tells a caller to try again while programs move.
+const MOVING_RETRY_MS: u64 = 500;
 
 /// What waits for this system.
 #[derive(Debug, Default)]
 pub(crate) struct Work {
     pub calls: Vec<CallId>,
     pub messages: Vec<(Sender, HomesMessage)>,
+    pub requests: Vec<ProgramRequest>,
+    pub released: Vec<Release>,
     pub due: Vec<Timer>,
 }
 
 impl Work {
     pub fn is_empty(&self) -> bool {
-        self.calls.is_empty() && self.messages.is_empty() && self.due.is_empty()
+        self.calls.is_empty()
+            && self.messages.is_empty()
+            && self.requests.is_empty()
+            && self.released.is_empty()
+            && self.due.is_empty()
     }
 }
 
 /// Runs the system.
 pub(crate) fn run(tick: &mut Tick<'_>) {
+    takeover::follow_view(tick);
     let work = std::mem::take(&mut tick.work.homes);
     for (sender, message) in work.messages {
         handle(tick, &sender, message);
     }
+    for release in work.released {
+        tick.tables.homes.releases.remove(&release);
+    }
     for timer in work.due {
-        if let Timer::ProgramLease(program) = timer {
-            home::expire(tick, &program);
-        }
+        handle_due(tick, timer);
+    }
+    for request in work.requests {
+        requests::arrive(tick, request);
     }
     for call in work.calls {
         entry::begin(tick, call);
@@ -41,19 +88,60 @@
 /// Handles a message of an entry VM or of a home.
 fn handle(tick: &mut Tick<'_>, sender: &Sender, message: HomesMessage) {
     match message {
-        HomesMessage::Begin(begin) => home::begin(tick, sender, *begin),
-        HomesMessage::Settle(settle) => home::settle(tick, sender, settle),
-        HomesMessage::Began {
-            call,
+        HomesMessage::Begin(begin) => home::begin(tick, &sender.vm, begin),
+        HomesMessage::Settle(settle) => home::settle(tick, &sender.vm, &settle),
+        HomesMessage::Gone { call, program, ran } => home::gone(tick, call, &program, ran),
+        HomesMessage::PermitRequest(request) => permits::request(tick, &sender.vm, &request),
+        HomesMessage::End {
+            request,
+            program,
             generation,
-            valid_us,
-        } => entry::began(tick, call, generation, valid_us),
+        } => lifecycle::end(tick, &sender.vm, request, &program, generation),
+        HomesMessage::Began(began) => entry::began(tick, &sender.vm, *began),
+        HomesMessage::Pending { call } => entry::pending(tick, call),
         HomesMessage::Denied(denied) => entry::denied(tick, denied),
         HomesMessage::Kept { call, vm, original } => entry::kept(tick, call, vm, original),
         HomesMessage::Settled {
             call,
             continuation,
             permit,
-        } => entry::settled(tick, call, *continuation, permit.map(|permit| *permit)),
+        } => settles::settled(tick, call, continuation, permit),
+        HomesMessage::Probe { call, program } => entry::probed(tick, &sender.vm, call, program),
+        HomesMessage::PermitIs { request, permit } => requests::permit_is(tick, request, permit),
+        HomesMessage::Ended { request } => requests::ended(tick, request),
+        HomesMessage::Witness {
+            transfer,
+            epoch,
+            witnesses,
+        } => witness::receive(tick, &sender.vm, transfer, epoch, witnesses),
+        HomesMessage::HandOver(handed) => takeover::receive(tick, &sender.vm, *handed),
+        HomesMessage::Received { transfer } => {
+            tick.tables.homes.transfers.remove(&transfer);
+        }
     }
 }
+
+/// Handles a due timer.
+fn handle_due(tick: &mut Tick<'_>, timer: Timer) {
+    match timer {
+        Timer::TurnRetry(call) => entry::retry(tick, call),
+        Timer::SettleRetry(call) => settles::send(tick, call),
+        Timer::RequestRetry(request) => requests::send(tick, request),
+        Timer::WitnessForget(program) => witness::forget(tick, &program),
+        Timer::TransferRetry(transfer) => transfers::send(tick, transfer),
+        Timer::TurnWait(call) => waits::expire(tick, call),
+        Timer::TurnProbe(program, call) => home::probe(tick, program, call),
+        Timer::ProgramLease(program) => lifecycle::lapse(tick, &program),
+        Timer::ReleaseRetry(release) => release::send(tick, release),
+        Timer::EndedForget(request) => {
+            tick.tables.homes.ended.remove(&request);
+        }
+        _ => {}
+    }
+}
+
+/// Returns the time until the next try: doubles from 200 ms up to a limit.
+fn retry_us(tries: u32, limit_ms: u64) -> u64 {
+    let wait_ms = 100u64 << tries.clamp(1, 10);
+    wait_ms.min(limit_ms) * 1_000
+}
--- /dev/null
+++ b/crates/core/src/systems/homes/order.rs
@@ -0,0 +1,151 @@
+//! Decides whether a turn may begin.
+
+use super::super::Tick;
+use super::permits;
+use crate::ids::{CallId, VmName};
+use crate::message::Begin;
+use crate::output::{Execution, RefusalKind};
+use crate::tables::{FinishedTurn, Phase, Program};
+
+/// What happens to a call that asks for its turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Verdict {
+    /// The turn begins.
+    Start,
+    /// The turn has begun for this very call.
+    Again,
+    /// The call waits for turns before it.
+    Wait,
+    /// The call is a resend of the turn in progress and waits for its end.
+    Attach,
+    /// The call is a resend of the last turn, whose response is kept.
+    Kept { vm: VmName, original: CallId },
+    /// The call is refused.
+    Deny(RefusalKind, Execution),
+}
+
+/// Decides what happens to a call that asks for its turn.
+pub(super) fn judge(tick: &Tick<'_>, program: &Program, begin: &Begin) -> Verdict {
+    let ran = earlier_run(program, begin);
+    if let Some(current) = &program.current
+        && current.call == begin.call
+    {
+        return Verdict::Again;
+    }
+    let carried = begin.continuation.as_ref();
+    if carried.is_some_and(|c| c.generation != program.generation) {
+        return Verdict::Deny(RefusalKind::ProgramEnded, ran);
+    }
+    if begin.turn <= program.turn {
+        return judge_finished(tick, program, begin);
+    }
+    match program.phase {
+        Phase::Open => {}
+        Phase::Ended => return Verdict::Deny(RefusalKind::ProgramEnded, ran),
+        Phase::Exhausted => return Verdict::Deny(RefusalKind::OverBudget, ran),
+    }
+    match &program.current {
+        Some(current) if current.number == begin.turn => {
+            if current.digest == begin.digest {
+                Verdict::Attach
+            } else {
+                Verdict::Deny(RefusalKind::DuplicateTurn, ran)
+            }
+        }
+        Some(_) => Verdict::Wait,
+        None if begin.turn > program.turn + 1 => Verdict::Wait,
+        None => judge_next(tick, program, begin),
+    }
+}
+
+/// Decides about a turn that has finished.
+fn judge_finished(tick: &Tick<'_>, program: &Program, begin: &Begin) -> Verdict {
+    let kind = RefusalKind::DuplicateTurn;
+    if begin.turn < program.turn {
+        return Verdict::Deny(kind, Execution::MayHaveRun);
+    }
+    let Some(last) = &program.last else {
+        return Verdict::Deny(kind, Execution::MayHaveRun);
+    };
+    if last.digest != begin.digest {
+        return Verdict::Deny(kind, earlier_run(program, begin));
+    }
+    if is_kept(tick, last) {
+        return Verdict::Kept {
+            vm: last.vm.clone(),
+            original: last.call,
+        };
+    }
+    Verdict::Deny(kind, Execution::Ran)
+}
+
+/// Returns whether the entry VM of a finished turn still keeps its response.
+fn is_kept(tick: &Tick<'_>, last: &FinishedTurn) -> bool {
+    let kept_until_us = last.ended_us + tick.settings.answer_keep_ms * 1_000;
+    let member = tick.tables.view.member(&last.vm);
+    tick.now_us < kept_until_us
+        && member.is_some_and(|member| member.incarnation == last.call.incarnation)
+}
+
+/// Decides about the turn that follows the last finished one.
+fn judge_next(tick: &Tick<'_>, program: &Program, begin: &Begin) -> Verdict {
+    let ran = earlier_run(program, begin);
+    if let Err(kind) = check_continuation(program, begin) {
+        return Verdict::Deny(kind, ran);
+    }
+    if begin.idempotent {
+        return Verdict::Start;
+    }
+    let is_unknown = program.unknown.is_some_and(|unknown| !unknown.idempotent);
+    if is_unknown || !permits::is_valid(tick, program, begin) {
+        return Verdict::Deny(RefusalKind::PermitVoid, ran);
+    }
+    Verdict::Start
+}
+
+/// Checks that the caller continues the history that the home knows.
+///
+/// A plain call has no messages, so the home's own row is enough for it,
+/// unless the row was rebuilt after the loss of another home.
+fn check_continuation(program: &Program, begin: &Begin) -> Result<(), RefusalKind> {
+    let Some(carried) = &begin.continuation else {
+        let has_messages = begin.pool.model.is_some();
+        let is_needed = program.turn > 0 && (has_messages || program.is_recovered);
+        return if is_needed {
+            Err(RefusalKind::ContinuationMissing)
+        } else {
+            Ok(())
+        };
+    };
+    if carried.turn < program.turn {
+        return Err(RefusalKind::StaleContinuation);
+    }
+    if carried.turn > program.turn || carried.history != program.history {
+        return Err(RefusalKind::HistoryMismatch);
+    }
+    Ok(())
+}
+
+/// Returns what is known about earlier runs of a request that does not run now.
+///
+/// A request that may be repeated is judged by this call alone. One with a
+/// permit may be a resend: "not run" needs a permit whose every use is known
+/// here and a turn that neither finished nor has an unknown outcome.
+pub(super) fn earlier_run(program: &Program, begin: &Begin) -> Execution {
+    let Some(permit) = &begin.permit else {
+        return Execution::NotRun;
+    };
+    let is_known = permit.generation == program.generation
+        && permit.turn == begin.turn
+        && permit.epoch >= program.known_from;
+    let is_unknown = program.unknown.is_some_and(|unknown| !unknown.idempotent);
+    let is_running = program
+        .current
+        .as_ref()
+        .is_some_and(|current| current.number == begin.turn && current.digest == begin.digest);
+    if is_known && begin.turn > program.turn && !is_unknown && !is_running {
+        Execution::NotRun
+    } else {
+        Execution::MayHaveRun
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/homes/permits.rs
@@ -0,0 +1,91 @@
+//! Permits for requests that may not be repeated.
+
+use super::super::Tick;
+use super::{resume, takeover};
+use crate::ids::{ProgramKey, VmName};
+use crate::input::Permit;
+use crate::message::{Begin, Denied, HomesMessage, PermitRequest};
+use crate::output::{Execution, RefusalKind};
+use crate::tables::{Phase, Program};
+
+/// Issues a permit for a turn.
+///
+/// A permit is used up by its turn: while the turn runs a resend waits, and
+/// once it has finished or its outcome is unknown no permit lets it begin.
+pub(super) fn issue(tick: &mut Tick<'_>, key: &ProgramKey, turn: u32) -> Option<Permit> {
+    let program = tick.tables.programs.get_mut(key)?;
+    program.permit_seq += 1;
+    Some(Permit {
+        program: key.clone(),
+        generation: program.generation,
+        turn,
+        home: tick.settings.vm.clone(),
+        incarnation: tick.settings.incarnation,
+        epoch: tick.tables.view.epoch,
+        seq: program.permit_seq,
+    })
+}
+
+/// Returns whether a call carries a permit of this home for its turn.
+pub(super) fn is_valid(tick: &Tick<'_>, program: &Program, begin: &Begin) -> bool {
+    begin.permit.as_ref().is_some_and(|permit| {
+        permit.program == begin.program
+            && permit.generation == program.generation
+            && permit.turn == begin.turn
+            && permit.seq <= program.permit_seq
+            && permit.home == tick.settings.vm
+            && permit.incarnation == tick.settings.incarnation
+            && permit.epoch >= program.known_from
+    })
+}
+
+/// Answers a request for a permit.
+pub(super) fn request(tick: &mut Tick<'_>, vm: &VmName, request: &PermitRequest) {
+    let reply = match try_issue(tick, request) {
+        Ok(permit) => HomesMessage::PermitIs {
+            request: request.request,
+            permit: Box::new(permit),
+        },
+        Err((kind, ran)) => HomesMessage::Denied(Denied {
+            call: request.request,
+            kind,
+            ran,
+            retry_after_ms: None,
+        }),
+    };
+    tick.send(vm, reply);
+}
+
+/// Issues a permit for a turn that is still to come.
+fn try_issue(
+    tick: &mut Tick<'_>,
+    request: &PermitRequest,
+) -> Result<Permit, (RefusalKind, Execution)> {
+    let not_run = |kind| (kind, Execution::NotRun);
+    let key = &request.program;
+    takeover::check_home(tick, key).map_err(|_| not_run(RefusalKind::HomeMoving))?;
+    resume::resume(tick, key, request.continuation.as_ref()).map_err(not_run)?;
+    let program = tick.tables.programs.get(key);
+    let program = program.ok_or(not_run(RefusalKind::ProgramEnded))?;
+    let carried = request.continuation.as_ref();
+    if carried.is_some_and(|c| c.generation != program.generation) {
+        return Err(not_run(RefusalKind::ProgramEnded));
+    }
+    match program.phase {
+        Phase::Open => {}
+        Phase::Ended => return Err(not_run(RefusalKind::ProgramEnded)),
+        Phase::Exhausted => return Err(not_run(RefusalKind::OverBudget)),
+    }
+    if request.turn <= program.turn {
+        return Err((RefusalKind::DuplicateTurn, Execution::MayHaveRun));
+    }
+    let current = program.current.as_ref();
+    if current.is_some_and(|turn| !turn.idempotent && turn.number == request.turn) {
+        return Err((RefusalKind::DuplicateTurn, Execution::MayHaveRun));
+    }
+    let is_next = request.turn == program.turn + 1;
+    if is_next && program.unknown.is_some_and(|unknown| !unknown.idempotent) {
+        return Err((RefusalKind::PermitVoid, Execution::MayHaveRun));
+    }
+    issue(tick, key, request.turn).ok_or(not_run(RefusalKind::ProgramEnded))
+}
--- /dev/null
+++ b/crates/core/src/systems/homes/requests.rs
@@ -0,0 +1,108 @@
+//! The entry VM's side of requests for permits and of ends of programs.
+
+use super::super::{Tick, admission};
+use super::{HOME_WAIT_MS, MOVING_RETRY_MS, retry_us, witness};
+use crate::ids::{CallId, ProgramKey};
+use crate::input::{Permit, ProgramRequest, ProgramRequestKind};
+use crate::message::{Denied, HomesMessage, PermitRequest};
+use crate::output::{Execution, Output, RefusalKind};
+use crate::tables::{PendingRequest, Timer};
+
+/// Longest time between two sends of a request.
+const REQUEST_RETRY_MS: u64 = 1_000;
+
+/// Checks the key of a request and sends it to the home.
+pub(super) fn arrive(tick: &mut Tick<'_>, request: ProgramRequest) {
+    let id = request.id;
+    let account = match admission::find_account(tick, request.key.as_ref(), false) {
+        Ok(Some(account)) => account,
+        Ok(None) => return refuse(tick, id, RefusalKind::KeyMissing, None),
+        Err(kind) => return refuse(tick, id, kind, None),
+    };
+    let program = ProgramKey {
+        account,
+        name: request.program,
+    };
+    let message = match request.kind {
+        ProgramRequestKind::Permit { turn } => {
+            HomesMessage::PermitRequest(Box::new(PermitRequest {
+                request: id,
+                program: program.clone(),
+                turn,
+                continuation: request.continuation,
+            }))
+        }
+        ProgramRequestKind::End => HomesMessage::End {
+            request: id,
+            program: program.clone(),
+            generation: request.continuation.map(|carried| carried.generation),
+        },
+    };
+    let pending = PendingRequest {
+        program,
+        message,
+        tries: 0,
+        give_up_us: tick.now_us + HOME_WAIT_MS * 1_000,
+    };
+    tick.tables.homes.requests.insert(id, pending);
+    send(tick, id);
+}
+
+/// Sends a request to the present home and plans the next try.
+pub(super) fn send(tick: &mut Tick<'_>, id: CallId) {
+    let now_us = tick.now_us;
+    let Some(pending) = tick.tables.homes.requests.get_mut(&id) else {
+        return;
+    };
+    if now_us >= pending.give_up_us {
+        tick.tables.homes.requests.remove(&id);
+        refuse(tick, id, RefusalKind::HomeMoving, Some(MOVING_RETRY_MS));
+        return;
+    }
+    pending.tries += 1;
+    let wait_us = retry_us(pending.tries, REQUEST_RETRY_MS);
+    let (message, program) = (pending.message.clone(), pending.program.clone());
+    tick.tables
+        .timers
+        .set(now_us + wait_us, Timer::RequestRetry(id));
+    if let Some(home) = tick.tables.view.program_home(&program).cloned() {
+        tick.send(&home, message);
+    }
+}
+
+/// Hands a permit to its caller.
+pub(super) fn permit_is(tick: &mut Tick<'_>, request: CallId, permit: Box<Permit>) {
+    if tick.tables.homes.requests.remove(&request).is_some() {
+        tick.outputs.push(Output::PermitIssued { request, permit });
+    }
+}
+
+/// Confirms the end of a program to its caller.
+pub(super) fn ended(tick: &mut Tick<'_>, request: CallId) {
+    let Some(pending) = tick.tables.homes.requests.remove(&request) else {
+        return;
+    };
+    witness::note_end(tick, &pending.program);
+    tick.outputs.push(Output::ProgramEnded { request });
+}
+
+/// Refuses a request; one whose home moves waits for the next try.
+pub(super) fn denied(tick: &mut Tick<'_>, denied: Denied) {
+    if denied.kind == RefusalKind::HomeMoving {
+        return;
+    }
+    if tick.tables.homes.requests.remove(&denied.call).is_some() {
+        admission::report(
+            tick,
+            denied.call,
+            denied.kind,
+            denied.ran,
+            denied.retry_after_ms,
+        );
+    }
+}
+
+/// Refuses a request, which never runs anything.
+fn refuse(tick: &mut Tick<'_>, id: CallId, kind: RefusalKind, retry_after_ms: Option<u64>) {
+    admission::report(tick, id, kind, Execution::NotRun, retry_after_ms);
+}
--- /dev/null
+++ b/crates/core/src/systems/homes/settles.rs
@@ -0,0 +1,143 @@
+//! The entry VM's side of the end of a turn.
+
+use super::super::{Tick, outcomes};
+use super::{HOME_WAIT_MS, retry_us, witness};
+use crate::ids::{CallId, HistoryDigest, ProgramKey, UpstreamName};
+use crate::input::{Continuation, Permit};
+use crate::message::{HomesMessage, RunningTurn, Settle};
+use crate::output::Execution;
+use crate::tables::{Call, PendingSettle, Stage, Timer};
+use smallvec::SmallVec;
+
+/// Longest time between two sends of a `Settle`.
+const SETTLE_RETRY_MS: u64 = 2_000;
+
+/// Reports the end of a turn to the home until the home confirms it.
+pub(crate) fn end_turn(
+    tick: &mut Tick<'_>,
+    call: &Call,
+    ran: Execution,
+    used_tokens: u64,
+    history: Option<HistoryDigest>,
+) {
+    let Some(turn) = running_turn(call).filter(|_| call.has_asked_home) else {
+        return;
+    };
+    let Some(program) = call.program.clone() else {
+        return;
+    };
+    let upstreams = upstreams_of(call);
+    witness::note_upstreams(tick, &program, &upstreams);
+    let settle = Settle {
+        call: call.new.id,
+        state: state_before(call, program),
+        turn,
+        ran,
+        used_tokens,
+        history,
+        upstreams,
+    };
+    let pending = PendingSettle {
+        settle: Box::new(settle),
+        since_us: tick.now_us,
+        tries: 0,
+    };
+    tick.tables.homes.settles.insert(call.new.id, pending);
+    send(tick, call.new.id);
+}
+
+/// Returns the turn of a call as the home has to know it.
+pub(super) fn running_turn(call: &Call) -> Option<RunningTurn> {
+    Some(RunningTurn {
+        call: call.new.id,
+        number: call.new.program.as_ref()?.turn,
+        idempotent: call.idempotent,
+        reserve_tokens: call.reserve_tokens(),
+        digest: call.new.digest,
+        pool: call.pool.clone(),
+    })
+}
+
+/// Returns the engines that may hold memory of the call's program.
+pub(super) fn upstreams_of(call: &Call) -> SmallVec<[UpstreamName; 4]> {
+    if call.pool.model.is_none() {
+        return SmallVec::new();
+    }
+    call.avoid.iter().chain(&call.upstream).cloned().collect()
+}
+
+/// Returns the state before the turn; a call that never began has only what its caller carried.
+fn state_before(call: &Call, program: ProgramKey) -> Continuation {
+    if let Some(state) = &call.state {
+        return (**state).clone();
+    }
+    let turn = call.new.program.as_ref();
+    if let Some(carried) = turn.and_then(|turn| turn.continuation.clone()) {
+        return carried;
+    }
+    Continuation {
+        program,
+        generation: 0,
+        turn: turn.map_or(0, |turn| turn.turn.saturating_sub(1)),
+        history: HistoryDigest::default(),
+        spent_tokens: 0,
+        age_ms: 0,
+        epoch: Default::default(),
+    }
+}
+
+/// Sends a report to the present home and plans the next try.
+pub(super) fn send(tick: &mut Tick<'_>, id: CallId) {
+    let now_us = tick.now_us;
+    let Some(pending) = tick.tables.homes.settles.get_mut(&id) else {
+        return;
+    };
+    pending.tries += 1;
+    let has_waited = now_us >= pending.since_us + HOME_WAIT_MS * 1_000;
+    let wait_us = retry_us(pending.tries, SETTLE_RETRY_MS);
+    let settle = pending.settle.clone();
+    tick.tables
+        .timers
+        .set(now_us + wait_us, Timer::SettleRetry(id));
+    if let Some(home) = tick
+        .tables
+        .view
+        .program_home(&settle.state.program)
+        .cloned()
+    {
+        tick.send(&home, HomesMessage::Settle(settle));
+    }
+    if has_waited {
+        // The response is complete; the caller gets it without a continuation.
+        answer(tick, id, None, None);
+    }
+}
+
+/// Gives the final answer once the home knows the end of the turn.
+pub(super) fn settled(
+    tick: &mut Tick<'_>,
+    id: CallId,
+    continuation: Option<Box<Continuation>>,
+    permit: Option<Box<Permit>>,
+) {
+    if tick.tables.homes.settles.remove(&id).is_none() {
+        return;
+    }
+    if let Some(state) = &continuation {
+        witness::note(tick, (**state).clone());
+    }
+    answer(tick, id, continuation.map(|c| *c), permit.map(|p| *p));
+}
+
+/// Answers a call that has run and waits for the home.
+fn answer(
+    tick: &mut Tick<'_>,
+    id: CallId,
+    continuation: Option<Continuation>,
+    permit: Option<Permit>,
+) {
+    let call = tick.tables.calls.get(&id);
+    if call.is_some_and(|call| call.stage == Stage::Settling) {
+        outcomes::answer(tick, id, continuation, permit);
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/homes/transfers.rs
@@ -0,0 +1,48 @@
+//! State of programs on its way to their new homes.
+
+use super::super::Tick;
+use super::retry_us;
+use crate::ids::VmName;
+use crate::message::HomesMessage;
+use crate::tables::{Timer, Transfer};
+
+/// Longest time between two sends of a transfer.
+const TRANSFER_RETRY_MS: u64 = 1_000;
+
+/// Sends of a transfer before it is given up; by then the takeover wait is long over.
+const MAX_TRIES: u32 = 30;
+
+/// Sends a message until the receiver confirms it.
+///
+/// The message is made from the number that identifies it.
+pub(super) fn start(tick: &mut Tick<'_>, to: VmName, message: impl FnOnce(u64) -> HomesMessage) {
+    let homes = &mut tick.tables.homes;
+    let number = homes.next_transfer;
+    homes.next_transfer += 1;
+    let transfer = Transfer {
+        to,
+        message: message(number),
+        tries: 0,
+    };
+    homes.transfers.insert(number, transfer);
+    send(tick, number);
+}
+
+/// Sends a transfer and plans the next try.
+pub(super) fn send(tick: &mut Tick<'_>, number: u64) {
+    let now_us = tick.now_us;
+    let homes = &mut tick.tables.homes;
+    let Some(transfer) = homes.transfers.get_mut(&number) else {
+        return;
+    };
+    transfer.tries += 1;
+    let is_member = tick.tables.view.member(&transfer.to).is_some();
+    if transfer.tries > MAX_TRIES || !is_member {
+        homes.transfers.remove(&number);
+        return;
+    }
+    let (to, message) = (transfer.to.clone(), transfer.message.clone());
+    let due_us = now_us + retry_us(transfer.tries, TRANSFER_RETRY_MS);
+    tick.tables.timers.set(due_us, Timer::TransferRetry(number));
+    tick.send(&to, message);
+}
--- /dev/null
+++ b/crates/core/src/systems/homes/waits.rs
@@ -0,0 +1,96 @@
+//! Calls that wait at the home for a turn.
+
+use super::super::Tick;
+use super::{home, order};
+use crate::ids::{CallId, ProgramKey, VmName};
+use crate::message::{Begin, HomesMessage};
+use crate::output::{Execution, RefusalKind};
+use crate::tables::{Timer, Wait};
+
+/// Adds a call to those that wait for a turn of its program.
+pub(super) fn add(tick: &mut Tick<'_>, vm: &VmName, begin: Box<Begin>, is_attached: bool) {
+    let call = begin.call;
+    let Some(program) = tick.tables.programs.get_mut(&begin.program) else {
+        return;
+    };
+    let wait = Wait {
+        vm: vm.clone(),
+        begin,
+        is_attached,
+        next: program.first_wait.replace(call),
+    };
+    tick.tables.homes.waits.insert(call, wait);
+    if !is_attached {
+        let due_us = tick.now_us + tick.settings.turn_wait_ms * 1_000;
+        tick.tables.timers.set(due_us, Timer::TurnWait(call));
+    }
+    tick.send(vm, HomesMessage::Pending { call });
+}
+
+/// Takes note of a repeated `Begin`; returns whether its call waits.
+pub(super) fn refresh(tick: &mut Tick<'_>, begin: &Begin) -> bool {
+    let wait = tick.tables.homes.waits.get_mut(&begin.call);
+    wait.map(|wait| wait.begin.sent_us = wait.begin.sent_us.max(begin.sent_us))
+        .is_some()
+}
+
+/// Removes a call from those that wait.
+pub(super) fn remove(tick: &mut Tick<'_>, call: CallId) -> Option<Wait> {
+    let waits = &mut tick.tables.homes.waits;
+    let wait = waits.remove(&call)?;
+    let Some(program) = tick.tables.programs.get_mut(&wait.begin.program) else {
+        return Some(wait);
+    };
+    if program.first_wait == Some(call) {
+        program.first_wait = wait.next;
+        return Some(wait);
+    }
+    let mut at = program.first_wait;
+    while let Some(other) = at.and_then(|id| waits.get_mut(&id)) {
+        if other.next == Some(call) {
+            other.next = wait.next;
+            break;
+        }
+        at = other.next;
+    }
+    Some(wait)
+}
+
+/// Takes all calls that wait for a turn of a program, lowest turn first.
+pub(super) fn take_all(tick: &mut Tick<'_>, key: &ProgramKey) -> Vec<Wait> {
+    let program = tick.tables.programs.get_mut(key);
+    let mut next = program.and_then(|program| program.first_wait.take());
+    let mut taken = Vec::new();
+    while let Some(wait) = next.and_then(|call| tick.tables.homes.waits.remove(&call)) {
+        next = wait.next;
+        taken.push(wait);
+    }
+    taken.sort_by_key(|wait| (wait.begin.turn, wait.begin.call));
+    taken
+}
+
+/// Decides anew about the calls that wait, after a turn has ended.
+pub(super) fn recheck(tick: &mut Tick<'_>, key: &ProgramKey) {
+    for wait in take_all(tick, key) {
+        home::begin(tick, &wait.vm, wait.begin);
+    }
+}
+
+/// Refuses a call that has waited long enough for the turn before it.
+pub(super) fn expire(tick: &mut Tick<'_>, call: CallId) {
+    let wait = tick.tables.homes.waits.get(&call);
+    if wait.is_none_or(|wait| wait.is_attached) {
+        return;
+    }
+    let Some(wait) = remove(tick, call) else {
+        return;
+    };
+    let key = &wait.begin.program;
+    let program = tick.tables.programs.get(key);
+    let ran = program.map_or(Execution::NotRun, |program| {
+        order::earlier_run(program, &wait.begin)
+    });
+    let kind = RefusalKind::TurnOutOfOrder;
+    home::deny(tick, &wait.vm, &wait.begin, kind, ran, None);
+    super::lifecycle::drop_unused(tick, key);
+}
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -3,6 +3,7 @@
 use super::{Sender, Tick, Work};
 use crate::input::Input;
 use crate::message::PeerMessage;
+use crate::tables::Release;
 
 /// Sorts the inputs of a tick.
 pub(crate) fn run(tick: &mut Tick<'_>, inputs: impl IntoIterator<Item = Input>) {
@@ -15,6 +16,16 @@
 fn sort(work: &mut Work, input: Input) {
     match input {
         Input::CallArrived(call) => work.admission.arrived.push(*call),
+        Input::Program(request) => work.homes.requests.push(*request),
+        Input::ReleaseConfirmed {
+            upstream,
+            program,
+            generation,
+        } => work.homes.released.push(Release {
+            upstream,
+            program,
+            generation,
+        }),
         Input::CallAbandoned(call) => work.admission.abandoned.push(call),
         Input::Attempt(event) => work.outcomes.events.push(event),
         Input::Peer {
--- a/crates/core/src/systems/outcomes/mod.rs
+++ b/crates/core/src/systems/outcomes/mod.rs
@@ -1,9 +1,9 @@
 //! Results of attempts: responses, retries and charges.
 
-use super::{Tick, admission};
+use super::{Tick, admission, homes};
 use crate::ids::{AttemptId, CallId};
 use crate::input::{AttemptEvent, AttemptOutcome, AttemptProgress, Failure};
-use crate::message::{HomesMessage, PlacementMessage, Settle};
+use crate::message::PlacementMessage;
 use crate::output::{Answered, Charge, ChargeOutcome, Decision, Execution, Output, RefusalKind};
 use crate::tables::{Call, Stage};
 
@@ -55,17 +55,20 @@
     call.stage = Stage::Settling;
     let tokens = (outcome.prompt_tokens, outcome.answer_tokens);
     let charge = charge_for(call, attempt, tokens, ChargeOutcome::Complete);
-    let settle = settle_for(
-        call,
+    tick.work.charges.charges.extend(charge);
+    if call.program.is_none() {
+        answer(tick, attempt.call, None, None);
+        return;
+    }
+    let call = call.clone();
+    let used_tokens = tokens.0 + tokens.1;
+    homes::end_turn(
+        tick,
+        &call,
         Execution::Ran,
-        tokens.0 + tokens.1,
+        used_tokens,
         Some(outcome.history),
     );
-    tick.work.charges.charges.extend(charge);
-    match settle {
-        Some(settle) => send_settle(tick, settle),
-        None => answer(tick, attempt.call, None, None),
-    }
 }
 
 /// Retries or ends a call whose attempt failed.
@@ -74,6 +77,10 @@
     let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
     };
+    call.may_have_run |= !failure.is_not_run();
+    if let Failure::CallerGone { answer_tokens } = failure {
+        call.used_tokens = Some(call.new.prompt_tokens + answer_tokens);
+    }
     let may_repeat = call.idempotent || failure.is_not_run();
     let may_retry = may_repeat && !failure.is_forwarded() && call.attempts < MAX_ATTEMPTS;
     if let Some(upstream) = call.upstream.clone().filter(|_| may_retry) {
@@ -144,13 +151,6 @@
     }
 }
 
-/// Tells the home of a program that a turn has ended.
-fn send_settle(tick: &mut Tick<'_>, settle: Settle) {
-    if let Some(home) = tick.tables.view.program_home(&settle.program).cloned() {
-        tick.send(&home, HomesMessage::Settle(settle));
-    }
-}
-
 /// Makes the charge record of an attempt.
 fn charge_for(
     call: &Call,
@@ -169,20 +169,3 @@
         outcome,
     })
 }
-
-/// Makes the report of the end of a turn.
-fn settle_for(
-    call: &Call,
-    ran: Execution,
-    used_tokens: u64,
-    history: Option<crate::ids::HistoryDigest>,
-) -> Option<Settle> {
-    Some(Settle {
-        call: call.new.id,
-        program: call.program.clone()?,
-        turn: call.new.program.as_ref()?.turn,
-        ran,
-        used_tokens,
-        history,
-    })
-}
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -9,7 +9,16 @@
         let work = &mut *tick.work;
         match &timer {
             Timer::RateWait(_) | Timer::RateRefill(_) => work.rates.due.push(timer),
-            Timer::TurnWait(_) | Timer::ProgramLease(_) => work.homes.due.push(timer),
+            Timer::TurnWait(_)
+            | Timer::TurnRetry(_)
+            | Timer::TurnProbe(..)
+            | Timer::SettleRetry(_)
+            | Timer::RequestRetry(_)
+            | Timer::EndedForget(_)
+            | Timer::WitnessForget(_)
+            | Timer::TransferRetry(_)
+            | Timer::ReleaseRetry(_)
+            | Timer::ProgramLease(_) => work.homes.due.push(timer),
             Timer::QueueWait(_) | Timer::PoolRetry(_) => work.placement.due.push(timer),
             Timer::Touch => work.membership.due.push(timer),
         }
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -3,7 +3,8 @@
 use smallvec::SmallVec;
 
 use crate::ids::{AccountName, AttemptId, PoolKey, ProgramKey, UpstreamName};
-use crate::input::NewCall;
+use crate::input::{Continuation, NewCall};
+use crate::output::Execution;
 
 /// How far a call has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,8 +40,16 @@
     pub pool: PoolKey,
     /// Whether it may run more than once.
     pub idempotent: bool,
-    /// When `Begin` was sent.
-    pub begin_sent_us: u64,
+    /// The state of the program before the turn, once the home has let it begin.
+    pub state: Option<Box<Continuation>>,
+    /// How often `Begin` was sent since the call entered its stage.
+    pub begin_tries: u32,
+    /// When `Begin` has to be sent again.
+    pub begin_due_us: u64,
+    /// Whether the home was ever asked to let the turn begin.
+    pub has_asked_home: bool,
+    /// When the call is refused unless the home has answered; 0 outside that stage.
+    pub home_give_up_us: u64,
     /// Time after which no attempt may start.
     pub valid_until_us: u64,
     /// Number of the last attempt; 0 before the first.
@@ -49,6 +58,10 @@
     pub upstream: Option<UpstreamName>,
     /// Whether a byte of the running attempt left for the upstream.
     pub sent: bool,
+    /// Whether an earlier attempt ended without certainty that it did not run.
+    pub may_have_run: bool,
+    /// Tokens that the last attempt used, if it ended early.
+    pub used_tokens: Option<u64>,
     /// Upstreams on which the call has failed.
     pub avoid: SmallVec<[UpstreamName; 2]>,
 }
@@ -62,6 +75,17 @@
         }
     }
 
+    /// Returns whether this call itself ran, given what a refusal says about its request.
+    ///
+    /// A refusal by the home may speak of an earlier call with the same request, while this one
+    /// never left for an upstream.
+    pub fn own_execution(&self, ran: Execution) -> Execution {
+        match self.stage {
+            Stage::Rate | Stage::Home if !self.may_have_run => Execution::NotRun,
+            _ => ran,
+        }
+    }
+
     /// Returns the highest number of tokens that the call can use.
     pub fn reserve_tokens(&self) -> u64 {
         self.new.prompt_tokens.saturating_add(self.new.max_tokens)
--- /dev/null
+++ b/crates/core/src/tables/homes.rs
@@ -0,0 +1,119 @@
+//! What a VM keeps as home and as entry VM besides programs and calls.
+
+use std::collections::VecDeque;
+
+use derive_more::Display;
+use smallvec::SmallVec;
+
+use super::{Table, View};
+use crate::ids::{CallId, ProgramKey, UpstreamName, VmName};
+use crate::message::{Begin, HomesMessage, Settle, Witness};
+
+/// What a VM keeps as home and as entry VM besides programs and calls.
+#[derive(Debug, Default)]
+pub struct Homes {
+    /// The view that the programs were last sorted by.
+    pub view: View,
+    /// Earlier views, newest first, to tell who was the home of a program.
+    pub past: VecDeque<PastView>,
+    /// Programs started here since the start of the process.
+    pub started_programs: u64,
+    /// As home: calls that wait for a turn.
+    pub waits: Table<CallId, Wait>,
+    /// As home: requests to end a program that were carried out.
+    pub ended: Table<CallId, ()>,
+    /// As home: releases of engine memory that are not confirmed.
+    pub releases: Table<Release, u32>,
+    /// As entry VM: the last state of the programs that it served.
+    pub witnesses: Table<ProgramKey, KeptWitness>,
+    /// As entry VM: ends of turns that the home has not confirmed.
+    pub settles: Table<CallId, PendingSettle>,
+    /// As entry VM: requests of callers that the home has not answered.
+    pub requests: Table<CallId, PendingRequest>,
+    /// State of programs on its way to their new homes.
+    pub transfers: Table<u64, Transfer>,
+    /// The number of the next transfer.
+    pub next_transfer: u64,
+}
+
+/// A view that is no longer in force.
+#[derive(Debug, Clone)]
+pub struct PastView {
+    /// The view.
+    pub view: View,
+    /// When the last lease under it has certainly ended.
+    pub until_us: u64,
+    /// Members that have handed over all their programs since.
+    pub handed_over: SmallVec<[VmName; 2]>,
+    /// Messages of members that have handed over a part.
+    pub received: Vec<(VmName, u64)>,
+}
+
+/// A call that waits at the home for a turn.
+#[derive(Debug, Clone)]
+pub struct Wait {
+    /// The entry VM of the call.
+    pub vm: VmName,
+    /// The request.
+    pub begin: Box<Begin>,
+    /// Whether it is a resend of the turn in progress, which it waits for without a limit.
+    pub is_attached: bool,
+    /// The next call that waits for the same program.
+    pub next: Option<CallId>,
+}
+
+/// The engine memory of one program at one upstream.
+#[derive(Debug, Display, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[display("{program} generation {generation} at {upstream}")]
+pub struct Release {
+    /// The engine.
+    pub upstream: UpstreamName,
+    /// The program.
+    pub program: ProgramKey,
+    /// The generation of the program that is released.
+    pub generation: u64,
+}
+
+/// The last state of a program that this VM served as entry VM.
+#[derive(Debug, Clone)]
+pub struct KeptWitness {
+    /// The state as the home last told it.
+    pub witness: Witness,
+    /// When that was.
+    pub seen_us: u64,
+}
+
+/// The end of a turn that the home has not confirmed.
+#[derive(Debug, Clone)]
+pub struct PendingSettle {
+    /// The report.
+    pub settle: Box<Settle>,
+    /// When it was sent first.
+    pub since_us: u64,
+    /// How often it was sent.
+    pub tries: u32,
+}
+
+/// A request of a caller that the home has not answered.
+#[derive(Debug, Clone)]
+pub struct PendingRequest {
+    /// The program.
+    pub program: ProgramKey,
+    /// The message.
+    pub message: HomesMessage,
+    /// How often it was sent.
+    pub tries: u32,
+    /// When the caller is refused.
+    pub give_up_us: u64,
+}
+
+/// State of programs on its way to their new home.
+#[derive(Debug, Clone)]
+pub struct Transfer {
+    /// The new home.
+    pub to: VmName,
+    /// The message.
+    pub message: HomesMessage,
+    /// How often it was sent.
+    pub tries: u32,
+}
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -6,6 +6,7 @@
 mod account;
 mod bucket;
 mod call;
+mod homes;
 mod lease;
 mod pool;
 mod program;
@@ -17,9 +18,12 @@
 pub use account::{Account, Key};
 pub use bucket::{Bucket, NCALLS_PER_CALL};
 pub use call::{Call, Stage};
+pub use homes::{
+    Homes, KeptWitness, PastView, PendingRequest, PendingSettle, Release, Transfer, Wait,
+};
 pub use lease::Lease;
 pub use pool::{Pool, Waiting};
-pub use program::{Program, Turn};
+pub use program::{FinishedTurn, Links, MAX_SERVED, Phase, Program, Turn, UnknownTurn, Usage};
 pub use table::Table;
 pub use timers::{Timer, Timers};
 pub use upstream::{Running, Upstream};
@@ -52,6 +56,8 @@
     pub upstreams: Table<UpstreamName, Upstream>,
     /// Programs whose home is this VM.
     pub programs: Table<ProgramKey, Program>,
+    /// What this VM keeps as home and as entry VM besides programs and calls.
+    pub homes: Homes,
     /// Calls that arrived at this VM.
     pub calls: Table<CallId, Call>,
     /// Attempts placed by this VM as owner of their pool.
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 
+use super::Release;
 use crate::ids::{AccountName, AttemptId, CallId, PoolKey, ProgramKey};
 
 /// What is due at a time.
@@ -15,6 +16,22 @@
     RateRefill(AccountName),
     /// A call has waited long enough for the turn before it.
     TurnWait(CallId),
+    /// A `Begin` has to be sent again.
+    TurnRetry(CallId),
+    /// A turn has been in progress for long.
+    TurnProbe(ProgramKey, CallId),
+    /// A `Settle` has to be sent again.
+    SettleRetry(CallId),
+    /// A caller's request about a program has to be sent again.
+    RequestRetry(CallId),
+    /// A request to end a program need not be remembered any longer.
+    EndedForget(CallId),
+    /// A witness need not be kept any longer.
+    WitnessForget(ProgramKey),
+    /// A transfer to a new home has to be sent again.
+    TransferRetry(u64),
+    /// A release of engine memory has to be sent again.
+    ReleaseRetry(Release),
     /// A program has had no calls for the time of its lease.
     ProgramLease(ProgramKey),
     /// A call has waited long enough for an upstream.
