--- /dev/null
+++ b/crates/token/src/history.rs
@@ -0,0 +1,49 @@
+//! Digests of a program's messages.
+
+use knapweeddale_core::HistoryDigest;
+use sha2::{Digest, Sha256};
+
+/// Keeps history digests apart from other digests of the same bytes.
+const DOMAIN: &[u8] = b"kwd-history-1";
+
+/// The digest of a sequence of messages, extended one message at a time.
+///
+/// Extending takes time in proportion to the new message only, so the digest
+/// of a long history is never recomputed for the response that follows it.
+///
+/// # Examples
+///
+/// ```
+/// use knapweeddale_token::HistoryChain;
+///
+/// let mut whole = HistoryChain::default();
+/// whole.extend(b"question");
+/// let mut later = HistoryChain::from(whole.digest());
+/// whole.extend(b"answer");
+/// later.extend(b"answer");
+/// assert_eq!(whole, later);
+/// ```
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct HistoryChain(HistoryDigest);
+
+impl HistoryChain {
+    /// Adds a message in its canonical form.
+    pub fn extend(&mut self, message: &[u8]) {
+        let mut hasher = Sha256::new();
+        hasher.update(DOMAIN);
+        hasher.update(self.0.0);
+        hasher.update(message);
+        self.0 = HistoryDigest(hasher.finalize().into());
+    }
+
+    /// Returns the digest of the messages so far.
+    pub fn digest(&self) -> HistoryDigest {
+        self.0
+    }
+}
+
+impl From<HistoryDigest> for HistoryChain {
+    fn from(digest: HistoryDigest) -> Self {
+        Self(digest)
+    }
+}
