Add the operator command

Cause: operators check, publish and withdraw by command, and race. Change: knapweeddale check, diff, publish, show, status, keys and schema with text and JSON output and typed exit codes; keys files that hold digests only. Conclusion: publishing never overwrites a revision that was not compared.

--- a/crates/config/src/document/mod.rs
+++ b/crates/config/src/document/mod.rs
@@ -7,11 +7,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::ConfigErrorKind;
-use crate::{AccountFile, ConfigError, ServiceFile};
+use crate::{AccountFile, ConfigError, KeysFile, ServiceFile};
 
 /// Largest document that the store takes as one value.
 pub const MAX_DOCUMENT_BYTES: usize = 1_000_000;
 
+/// Endings of the names of files that are collected.
+const SUFFIXES: [&str; 3] = [".service.yaml", ".account.yaml", KeysFile::SUFFIX];
+
 /// All files of the fleet, as stored under `fleet/config`.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -26,7 +29,7 @@
 
 /// # Reading
 impl Document {
-    /// Collects all `*.service.yaml` and `*.account.yaml` files below a folder.
+    /// Collects all `*.service.yaml`, `*.account.yaml` and `*.keys.yaml` files below a folder.
     ///
     /// # Errors
     ///
@@ -37,8 +40,12 @@
         files.sort();
         let mut document = Self::default();
         let mut errors = Vec::new();
-        for file in files {
-            if let Err(error) = document.add_file(&file) {
+        let (keys, others): (Vec<_>, Vec<_>) = files
+            .into_iter()
+            .partition(|file| file.to_string_lossy().ends_with(KeysFile::SUFFIX));
+        // Keys are added to accounts, so the accounts come first.
+        for file in others.iter().chain(&keys) {
+            if let Err(error) = document.add_file(file) {
                 errors.push(error);
             }
         }
@@ -56,12 +63,29 @@
             std::fs::read_to_string(file).map_err(|error| ConfigError::unreadable(file, error))?;
         if name.ends_with(".service.yaml") {
             self.services.push(ServiceFile::parse(&name, &text)?);
+        } else if name.ends_with(KeysFile::SUFFIX) {
+            self.add_keys(&name, KeysFile::parse(&name, &text)?)?;
         } else {
             self.accounts.push(AccountFile::parse(&name, &text)?);
         }
         Ok(())
     }
 
+    /// Adds the keys of a keys file to their account.
+    fn add_keys(&mut self, name: &str, keys: KeysFile) -> Result<(), ConfigError> {
+        let account = self
+            .accounts
+            .iter_mut()
+            .find(|account| account.account == keys.account)
+            .ok_or_else(|| ConfigError {
+                file: PathBuf::from(name),
+                line: None,
+                kind: ConfigErrorKind::UnknownAccount(keys.account.clone()),
+            })?;
+        account.keys.extend(keys.keys);
+        Ok(())
+    }
+
     /// Orders accounts and services by name, so that equal fleets have equal documents.
     fn sort(&mut self) {
         self.accounts.sort_by(|a, b| a.account.cmp(&b.account));
@@ -132,7 +156,7 @@
         let name = path.to_string_lossy();
         if path.is_dir() {
             find_files(&path, files)?;
-        } else if name.ends_with(".service.yaml") || name.ends_with(".account.yaml") {
+        } else if SUFFIXES.iter().any(|suffix| name.ends_with(suffix)) {
             files.push(path);
         }
     }
--- a/crates/config/src/error.rs
+++ b/crates/config/src/error.rs
@@ -26,6 +26,11 @@
     /// The text is not valid YAML or has unknown or missing fields.
     #[display("{_0}; see `knapweeddale schema` for the fields")]
     Invalid(#[error(not(source))] String),
+    /// A keys file names an account that no account file defines.
+    #[display(
+        "names account {_0:?}, which no account file defines; add the file or remove the keys"
+    )]
+    UnknownAccount(#[error(not(source))] String),
     /// The document is too large for the store.
     #[display(
         "is {size_bytes} bytes, more than {limit_bytes}; split the fleet or shorten the files"
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,7 +1,8 @@
 //! Settings of the daemon and the files that operators publish.
 //!
 //! Operators keep a short `*.service.yaml` file beside each service's code
-//! and a `*.account.yaml` file for each client account. [`Document`] collects
+//! and a `*.account.yaml` file for each client account; the operator command
+//! writes keys to `*.keys.yaml`. [`Document`] collects
 //! and checks them; [`Settings`] holds the settings of one VM.
 //!
 //! # Examples
@@ -36,6 +37,6 @@
 pub use document::{Document, MAX_DOCUMENT_BYTES};
 pub use error::{ConfigError, ConfigErrorKind};
 pub use files::{
-    AccountFile, KeyFile, Preset, RouteFile, ServiceFile, ServiceKindFile, UpstreamFile,
+    AccountFile, KeyFile, KeysFile, Preset, RouteFile, ServiceFile, ServiceKindFile, UpstreamFile,
 };
 pub use settings::{LogFormat, Settings};
--- /dev/null
+++ b/crates/ctl/src/command/publish.rs
@@ -0,0 +1,88 @@
+//! Publishing a folder by conditional update.
+
+use std::path::Path;
+
+use knapweeddale_config::{Change, Document};
+use knapweeddale_store::{CONFIG_KEY, HttpObjectApi, ObjectApi, StoreError};
+
+use crate::{CtlError, Report};
+
+/// Shows what publishing a folder would change.
+pub(super) async fn diff(store: &str, folder: &Path) -> Result<Report, CtlError> {
+    let document = Document::collect(folder)?;
+    let api = HttpObjectApi::builder().base_url(store).build()?;
+    let (revision, published) = published(&api).await?;
+    let changes = knapweeddale_config::diff(&published, &document);
+    Ok(Report::Differs { revision, changes })
+}
+
+/// Checks a folder and writes it if nobody else has published since it was compared.
+pub(super) async fn publish(
+    store: &str,
+    expect: Option<u64>,
+    folder: &Path,
+) -> Result<Report, CtlError> {
+    let document = Document::collect(folder)?;
+    let findings = document.check();
+    if !findings.is_empty() {
+        return Ok(Report::Checked { document, findings });
+    }
+    let api = HttpObjectApi::builder().base_url(store).build()?;
+    let (revision, before) = published(&api).await?;
+    if let Some(expected) = expect.filter(|expected| *expected != revision) {
+        return Err(CtlError::Conflict {
+            revision,
+            changes: format!("the store has revision {revision}, not {expected}"),
+        });
+    }
+    let changes = knapweeddale_config::diff(&before, &document);
+    if changes.is_empty() {
+        return Ok(Report::Differs { revision, changes });
+    }
+    let value = document.to_bytes()?;
+    match api.put(CONFIG_KEY, value.clone(), revision).await {
+        Ok(revision) => Ok(Report::Published { revision, changes }),
+        Err(StoreError::Conflict { .. }) => Err(conflict(&api, &before).await?),
+        Err(error) => read_back(&api, &value, &before, error, changes).await,
+    }
+}
+
+/// Finds out whether a write took effect whose answer was lost.
+async fn read_back(
+    api: &HttpObjectApi,
+    value: &[u8],
+    before: &Document,
+    error: StoreError,
+    changes: Vec<Change>,
+) -> Result<Report, CtlError> {
+    let Some(object) = api.get(CONFIG_KEY).await? else {
+        return Err(error.into());
+    };
+    if object.value == value {
+        let revision = object.version;
+        return Ok(Report::Published { revision, changes });
+    }
+    if object.value == before.to_bytes()? {
+        return Err(error.into());
+    }
+    Err(conflict(api, before).await?)
+}
+
+/// Names what another operator published in between.
+async fn conflict(api: &HttpObjectApi, before: &Document) -> Result<CtlError, CtlError> {
+    let (revision, theirs) = published(api).await?;
+    let changes = knapweeddale_config::diff(before, &theirs);
+    let changes: Vec<String> = changes.iter().map(Change::to_string).collect();
+    Ok(CtlError::Conflict {
+        revision,
+        changes: changes.join("\n"),
+    })
+}
+
+/// Reads what is published; an empty document at revision 0 if nothing is.
+pub(super) async fn published(api: &HttpObjectApi) -> Result<(u64, Document), CtlError> {
+    match api.get(CONFIG_KEY).await? {
+        Some(object) => Ok((object.version, Document::from_bytes(&object.value)?)),
+        None => Ok((0, Document::default())),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/report/mod.rs
@@ -0,0 +1,250 @@
+//! What the command prints.
+
+use std::fmt::Write as _;
+use std::str::FromStr;
+
+use knapweeddale_config::{Change, Document, Finding};
+use serde_json::{Value, json};
+
+use crate::ExitStatus;
+
+/// Form of the output.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum OutputFormat {
+    /// Text for people.
+    #[default]
+    Text,
+    /// One JSON value.
+    Json,
+}
+
+impl FromStr for OutputFormat {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(format!(
+                "{text:?} is not a form of output; use `text` or `json`"
+            )),
+        }
+    }
+}
+
+/// The result of a command.
+#[derive(Debug)]
+pub enum Report {
+    /// What a check found.
+    Checked {
+        /// The checked files.
+        document: Document,
+        /// What is wrong.
+        findings: Vec<Finding>,
+    },
+    /// What differs from the published files.
+    Differs {
+        /// The revision in the store; 0 if nothing was published.
+        revision: u64,
+        /// The changes.
+        changes: Vec<Change>,
+    },
+    /// What was published.
+    Published {
+        /// The new revision.
+        revision: u64,
+        /// The changes.
+        changes: Vec<Change>,
+    },
+    /// What is in force.
+    InForce {
+        /// The revision.
+        revision: u64,
+        /// The published files.
+        document: Document,
+    },
+    /// The state of the VMs.
+    Fleet {
+        /// The revision in the store.
+        revision: u64,
+        /// Each VM with its state, or why there is none.
+        vms: Vec<(String, Result<Value, String>)>,
+    },
+    /// A new key, shown this once.
+    KeyGranted {
+        /// The whole key.
+        key: String,
+        /// The file that holds its digest.
+        file: String,
+    },
+    /// A key that was withdrawn in its file.
+    KeyWithdrawn {
+        /// The public part.
+        id: String,
+        /// The file that holds its digest.
+        file: String,
+    },
+    /// The keys of the folder.
+    Keys(Vec<KeyRow>),
+    /// The JSON schema of the files.
+    Schema(Value),
+}
+
+/// One key in a list.
+#[derive(Debug)]
+pub struct KeyRow {
+    /// The account.
+    pub account: String,
+    /// The public part of the key.
+    pub id: String,
+    /// Whether it has been withdrawn.
+    pub withdrawn: bool,
+}
+
+/// # Formatting
+impl Report {
+    /// Returns the exit code that goes with the report.
+    pub fn status(&self) -> ExitStatus {
+        match self {
+            Self::Checked { findings, .. } if !findings.is_empty() => ExitStatus::Findings,
+            Self::Fleet { vms, .. } if vms.iter().any(|(_, state)| state.is_err()) => {
+                ExitStatus::Unavailable
+            }
+            _ => ExitStatus::Done,
+        }
+    }
+
+    /// Formats the report.
+    pub fn format(&self, format: OutputFormat) -> String {
+        match format {
+            OutputFormat::Text => self.to_text(),
+            OutputFormat::Json => format!("{:#}", self.to_json()),
+        }
+    }
+
+    fn to_text(&self) -> String {
+        match self {
+            Self::Checked { document, findings } if findings.is_empty() => format!(
+                "{} services and {} accounts are fine",
+                document.services.len(),
+                document.accounts.len()
+            ),
+            Self::Checked { findings, .. } => lines(findings),
+            Self::Differs { revision, changes } if changes.is_empty() => {
+                format!("no difference from revision {revision}")
+            }
+            Self::Differs { revision, changes } => {
+                format!("changes against revision {revision}:\n{}", lines(changes))
+            }
+            Self::Published { revision, changes } => {
+                format!("published revision {revision}\n{}", lines(changes))
+            }
+            Self::InForce { revision, document } => in_force_text(*revision, document),
+            Self::Fleet { revision, vms } => fleet_text(*revision, vms),
+            Self::KeyGranted { key, file } => {
+                format!("{key}\nshown this once; {file} holds its digest, publish it")
+            }
+            Self::KeyWithdrawn { id, file } => {
+                format!("key {id} is withdrawn in {file}; publish it")
+            }
+            Self::Keys(keys) => keys.iter().map(key_text).collect::<Vec<_>>().join("\n"),
+            Self::Schema(schema) => format!("{schema:#}"),
+        }
+    }
+
+    fn to_json(&self) -> Value {
+        match self {
+            Self::Checked { findings, .. } => json!({ "findings": texts(findings) }),
+            Self::Differs { revision, changes } => {
+                json!({ "against_revision": revision, "changes": texts(changes) })
+            }
+            Self::Published { revision, changes } => {
+                json!({ "revision": revision, "changes": texts(changes) })
+            }
+            Self::InForce { revision, document } => {
+                json!({ "revision": revision, "document": document })
+            }
+            Self::Fleet { revision, vms } => {
+                let vms = vms.iter().map(|(vm, state)| match state {
+                    Ok(state) => json!({ "vm": vm, "state": state }),
+                    Err(error) => json!({ "vm": vm, "error": error }),
+                });
+                json!({ "revision": revision, "vms": vms.collect::<Vec<_>>() })
+            }
+            Self::KeyGranted { key, file } => json!({ "key": key, "file": file }),
+            Self::KeyWithdrawn { id, file } => json!({ "id": id, "file": file }),
+            Self::Keys(keys) => keys.iter().map(key_json).collect(),
+            Self::Schema(schema) => schema.clone(),
+        }
+    }
+}
+
+fn lines<T: ToString>(items: &[T]) -> String {
+    texts(items).join("\n")
+}
+
+fn texts<T: ToString>(items: &[T]) -> Vec<String> {
+    items.iter().map(ToString::to_string).collect()
+}
+
+fn key_text(row: &KeyRow) -> String {
+    let state = if row.withdrawn { "withdrawn" } else { "valid" };
+    format!("{}\t{}\t{state}", row.account, row.id)
+}
+
+fn key_json(row: &KeyRow) -> Value {
+    json!({ "account": row.account, "id": row.id, "withdrawn": row.withdrawn })
+}
+
+fn in_force_text(revision: u64, document: &Document) -> String {
+    let mut text = format!("revision {revision}");
+    for account in &document.accounts {
+        // Writing to a string cannot fail.
+        let _ = write!(
+            text,
+            "\naccount {}: {} calls/s, burst {}, {} keys",
+            account.account,
+            account.rate_calls_per_s,
+            account.burst_calls,
+            account.keys.len()
+        );
+    }
+    for service in &document.services {
+        let _ = write!(
+            text,
+            "\nservice {}: {} upstreams, {} models, {} routes",
+            service.service,
+            service.upstreams.len(),
+            service.models.len(),
+            service.routes.len()
+        );
+    }
+    text
+}
+
+fn fleet_text(revision: u64, vms: &[(String, Result<Value, String>)]) -> String {
+    let mut text = format!("revision {revision} in the store");
+    for (vm, state) in vms {
+        let line = match state {
+            Ok(state) => vm_text(revision, state),
+            Err(error) => format!("no answer: {error}"),
+        };
+        // Writing to a string cannot fail.
+        let _ = write!(text, "\n{vm}: {line}");
+    }
+    text
+}
+
+fn vm_text(revision: u64, state: &Value) -> String {
+    let in_force = state["revision"].as_u64().unwrap_or(0);
+    let lag = if in_force < revision { " (lags)" } else { "" };
+    let ready = if state["ready"].as_bool().unwrap_or(false) {
+        "ready"
+    } else {
+        "not ready"
+    };
+    format!(
+        "{ready}, epoch {}, revision {in_force}{lag}",
+        state["epoch"]
+    )
+}
--- /dev/null
+++ b/crates/ctl/tests/key_files.rs
@@ -0,0 +1,58 @@
+//! Guards against keys kept in clear text and against withdrawals that are lost.
+
+use std::path::{Path, PathBuf};
+
+use knapweeddale_ctl::{ExitStatus, OutputFormat, Report, options, run};
+
+fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    // The folder may be left from an earlier run.
+    let _ = std::fs::remove_dir_all(&folder);
+    std::fs::create_dir_all(&folder).expect("folder");
+    let text = "account: aller\nrate_calls_per_s: 1\nburst_calls: 5\n";
+    std::fs::write(folder.join("aller.account.yaml"), text).expect("file");
+    folder
+}
+
+async fn keys(arguments: &[&str], folder: &Path) -> Result<Report, ExitStatus> {
+    let folder = folder.to_str().expect("path is text");
+    let arguments: Vec<&str> = ["keys"]
+        .iter()
+        .chain(arguments)
+        .chain([&folder])
+        .copied()
+        .collect();
+    let options = options()
+        .run_inner(arguments.as_slice())
+        .expect("options parse");
+    run(options).await.map_err(|error| error.status())
+}
+
+#[tokio::test]
+async fn digest_only_at_rest() {
+    let folder = folder("key-digest");
+    let report = keys(&["grant", "--account", "aller", "--id", "desk"], &folder).await;
+    let Ok(Report::KeyGranted { key, file }) = report else {
+        panic!("no key: {report:?}");
+    };
+    let text = std::fs::read_to_string(file).expect("keys file");
+    let secret = key.rsplit('_').next().expect("secret part");
+    assert!(!text.contains(secret) && text.contains("desk"));
+    let again = keys(&["grant", "--account", "aller", "--id", "desk"], &folder).await;
+    assert_eq!(again.expect_err("id is taken"), ExitStatus::Findings);
+}
+
+#[tokio::test]
+async fn withdrawal_is_kept() {
+    let folder = folder("key-withdrawal");
+    keys(&["grant", "--account", "aller", "--id", "desk"], &folder)
+        .await
+        .expect("grant");
+    keys(&["withdraw", "--id", "desk"], &folder)
+        .await
+        .expect("withdraw");
+    let list = keys(&["list"], &folder).await.expect("list");
+    assert_eq!(list.format(OutputFormat::Text), "aller\tdesk\twithdrawn");
+    let unknown = keys(&["withdraw", "--id", "none"], &folder).await;
+    assert_eq!(unknown.expect_err("no such key"), ExitStatus::Findings);
+}
