--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -42,6 +42,9 @@
     /// The address at which other VMs reach this one, as `ip:port`.
     #[builder(default = String::new())]
     pub address: String,
+    /// VMs to ask for the view when the store does not answer at the start.
+    #[builder(default)]
+    pub peers: Vec<VmName>,
     /// Which measure the placement policy favours.
     #[builder(default)]
     pub preset: PolicyPreset,
@@ -111,4 +114,9 @@
     pub fn with_margin_us(time_ms: u64) -> u64 {
         time_ms * 1_100
     }
+
+    /// Returns how long a VM waits before it acts for what was not handed over to it.
+    pub fn takeover_wait_us(&self) -> u64 {
+        Self::with_margin_us(self.lease_ms)
+    }
 }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -4,7 +4,7 @@
 use crate::input::Input;
 use crate::output::Output;
 use crate::systems::{self, Tick, Work};
-use crate::tables::Tables;
+use crate::tables::{Tables, Timer};
 
 /// How often the systems run over the work lists in one tick.
 ///
@@ -26,9 +26,11 @@
 impl Control {
     /// Makes the control value of a VM that has just started.
     pub fn new(settings: CoreSettings) -> Self {
+        let mut tables = Tables::default();
+        tables.timers.set(0, Timer::Heartbeat);
         Self {
             settings,
-            tables: Tables::default(),
+            tables,
             work: Work::default(),
         }
     }
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -8,7 +8,7 @@
 
 pub use config::ConfigMessage;
 pub use homes::{Begin, Denied, HomesMessage, Settle};
-pub use membership::MembershipMessage;
+pub use membership::{Heartbeat, HeartbeatAnswer, MembershipMessage};
 pub use placement::{Place, PlacementMessage};
 pub use rates::RatesMessage;
 
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -4,7 +4,9 @@
 use smallvec::SmallVec;
 
 use super::{Execution, RefusalKind};
-use crate::ids::{AccountName, AttemptId, CallId, Epoch, ProgramKey, Revision, UpstreamName};
+use crate::ids::{
+    AccountName, AttemptId, CallId, Epoch, ProgramKey, Revision, UpstreamName, VmName,
+};
 
 /// A routing or placement decision.
 ///
@@ -68,6 +70,43 @@
         /// The number of members.
         members: usize,
     },
+    /// A view was ignored since a newer one is known.
+    #[display("membership: ignored view {offered}, {in_force} is in force")]
+    ViewIgnored {
+        /// The epoch that was offered.
+        offered: Epoch,
+        /// The epoch in force.
+        in_force: Epoch,
+    },
+    /// A member was reported to be silent.
+    #[display("membership: {vm} is silent, says {by}")]
+    Suspected {
+        /// The silent member.
+        vm: VmName,
+        /// The member that reported it first.
+        by: VmName,
+    },
+    /// A message of a former start of a VM was ignored.
+    #[display("membership: ignored a message of {vm} from before its restart")]
+    FormerStart {
+        /// The VM.
+        vm: VmName,
+    },
+    /// The store does not answer.
+    #[display("membership: the store does not answer")]
+    StoreSilent,
+    /// The store answers again.
+    #[display("membership: the store answers again")]
+    StoreAnswers,
+    /// This VM, a writer, promised to write no view for the time of a lease.
+    #[display("membership: promised to write no view while the store does not answer")]
+    PromiseMade,
+    /// This VM is no longer a member and acts no more.
+    #[display("membership: left the fleet at view {epoch}")]
+    Left {
+        /// The epoch of the view without this VM.
+        epoch: Epoch,
+    },
     /// A configuration came into force.
     #[display("config: revision {revision} in force")]
     ConfigInForce {
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -4,7 +4,7 @@
 
 use super::{Sender, Tick};
 use crate::config::{AccountConfig, FleetConfig, ServiceConfig, ServiceKind};
-use crate::ids::PoolKey;
+use crate::ids::{PoolKey, Revision, VmName};
 use crate::message::ConfigMessage;
 use crate::output::Decision;
 use crate::tables::{Account, Bucket, Key, NCALLS_PER_CALL, Pool, Table, Upstream};
@@ -14,11 +14,13 @@
 pub(crate) struct Work {
     pub messages: Vec<(Sender, ConfigMessage)>,
     pub offered: Vec<Arc<FleetConfig>>,
+    /// Revisions that other VMs have in force.
+    pub seen: Vec<(VmName, Revision)>,
 }
 
 impl Work {
     pub fn is_empty(&self) -> bool {
-        self.messages.is_empty() && self.offered.is_empty()
+        self.messages.is_empty() && self.offered.is_empty() && self.seen.is_empty()
     }
 }
 
@@ -31,6 +33,30 @@
     for fleet in work.offered {
         offer(tick, fleet);
     }
+    for (vm, revision) in work.seen {
+        note_revision(tick, &vm, revision);
+    }
+}
+
+/// Asks another VM for its configuration if it is newer.
+///
+/// A request that is not answered is sent again, to whichever VM reports the
+/// revision next.
+fn note_revision(tick: &mut Tick<'_>, vm: &VmName, revision: Revision) {
+    let now_us = tick.now_us;
+    let again_us = tick.settings.heartbeat_ms * 1_000 / 2;
+    let tables = &mut *tick.tables;
+    tables.newest_revision = tables.newest_revision.max(revision);
+    let in_force = tables.fleet.revision;
+    if revision <= in_force {
+        return;
+    }
+    let asked = &mut tables.config_asked;
+    if asked.is_some_and(|(asked, at_us)| asked >= revision && now_us < at_us + again_us) {
+        return;
+    }
+    *asked = Some((revision, now_us));
+    tick.send(vm, ConfigMessage::ConfigRequest { in_force });
 }
 
 /// Handles a message of another VM.
@@ -63,7 +89,10 @@
     tick.decide(Decision::ConfigInForce {
         revision: fleet.revision,
     });
-    tick.tables.fleet = fleet;
+    let tables = &mut *tick.tables;
+    tables.newest_revision = tables.newest_revision.max(fleet.revision);
+    tables.fleet = fleet;
+    tick.work.membership.announce = true;
 }
 
 /// Replaces accounts and keys; buckets of accounts that stay keep their level.
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -3,14 +3,45 @@
 use super::{Sender, Tick, Work};
 use crate::input::Input;
 use crate::message::PeerMessage;
+use crate::output::Decision;
+use crate::tables::Vm;
 
 /// Sorts the inputs of a tick.
 pub(crate) fn run(tick: &mut Tick<'_>, inputs: impl IntoIterator<Item = Input>) {
     for input in inputs {
-        sort(tick.work, input);
+        if !is_from_former_start(tick, &input) {
+            sort(tick.work, input);
+        }
     }
 }
 
+/// Returns whether an input is a message that a VM sent before it was restarted.
+///
+/// Keeps the latest start of each sender.
+fn is_from_former_start(tick: &mut Tick<'_>, input: &Input) -> bool {
+    let Input::Peer {
+        from, incarnation, ..
+    } = input
+    else {
+        return false;
+    };
+    let (now_us, incarnation) = (tick.now_us, *incarnation);
+    let tables = &mut *tick.tables;
+    let member = tables.view.member(from);
+    let row = tables
+        .vms
+        .get_or_insert_with(from, || Vm::new(incarnation, now_us));
+    let known = member.map_or(row.incarnation, |m| m.incarnation.max(row.incarnation));
+    if incarnation < known {
+        tick.decide(Decision::FormerStart { vm: from.clone() });
+        return true;
+    }
+    if row.incarnation < incarnation {
+        *row = Vm::new(incarnation, now_us);
+    }
+    false
+}
+
 /// Puts one input on the work list of its system.
 fn sort(work: &mut Work, input: Input) {
     match input {
--- /dev/null
+++ b/crates/core/src/systems/membership/answers.rs
@@ -0,0 +1,177 @@
+//! Heartbeats that arrive, their answers, and news for those who asked.
+
+use super::super::{Sender, Tick};
+use super::{leases, leaving, views};
+use crate::ids::VmName;
+use crate::message::{Heartbeat, HeartbeatAnswer, MembershipMessage};
+use crate::tables::{Asked, Vm};
+
+/// Handles a heartbeat.
+pub(super) fn heartbeat(tick: &mut Tick<'_>, sender: &Sender, heartbeat: &Heartbeat) {
+    note_state(tick, sender, heartbeat);
+    views::note_epoch(tick, &sender.vm, heartbeat.epoch);
+    tick.work
+        .config
+        .seen
+        .push((sender.vm.clone(), heartbeat.revision));
+    if heartbeat.leaving {
+        leaving::note(tick, sender);
+    }
+    if heartbeat.asks {
+        note_asked(tick, sender, heartbeat);
+        if needs_answer(tick, sender, heartbeat) {
+            answer(tick, &sender.vm);
+        }
+    }
+}
+
+/// Keeps what a heartbeat says about its sender.
+fn note_state(tick: &mut Tick<'_>, sender: &Sender, heartbeat: &Heartbeat) {
+    let now_us = tick.now_us;
+    let row = tick
+        .tables
+        .vms
+        .get_or_insert_with(&sender.vm, || Vm::new(sender.incarnation, now_us));
+    row.heard_us = now_us;
+    row.epoch = row.epoch.max(heartbeat.epoch);
+    row.revision = row.revision.max(heartbeat.revision);
+    row.leaving |= heartbeat.leaving;
+}
+
+/// Keeps a question, so that news can be sent as a further answer to it.
+fn note_asked(tick: &mut Tick<'_>, sender: &Sender, heartbeat: &Heartbeat) {
+    let now_us = tick.now_us;
+    let Some(row) = tick.tables.vms.get_mut(&sender.vm) else {
+        return;
+    };
+    let before = row.asked;
+    // A heartbeat that arrives late or twice would move the question back.
+    if before.is_some_and(|asked| asked.round >= heartbeat.round) {
+        return;
+    }
+    row.asked = Some(Asked {
+        round: heartbeat.round,
+        at_us: now_us,
+        answered_us: before.map_or(0, |asked| asked.answered_us),
+        told_us: before.map_or(0, |asked| asked.told_us),
+        told_revision: heartbeat.revision,
+        told_promise: before.is_some_and(|asked| asked.told_promise),
+    });
+}
+
+/// Returns whether a question is answered at once.
+///
+/// In a large fleet, one that was answered lately waits for the next confirmation.
+fn needs_answer(tick: &Tick<'_>, sender: &Sender, heartbeat: &Heartbeat) -> bool {
+    let tables = &*tick.tables;
+    let has_news =
+        heartbeat.epoch < tables.view.epoch || heartbeat.revision < tables.fleet.revision;
+    if !tables.membership.peers.is_tree || has_news {
+        return true;
+    }
+    let asked = tables.vms.get(&sender.vm).and_then(|row| row.asked);
+    asked.is_none_or(|asked| {
+        let quiet_us = tick.now_us.saturating_sub(asked.answered_us);
+        quiet_us > tick.settings.touch_ms * 1_000
+    })
+}
+
+/// Answers the last question of a VM.
+fn answer(tick: &mut Tick<'_>, vm: &VmName) {
+    let now_us = tick.now_us;
+    let promises = leases::promise(tick);
+    let tables = &mut *tick.tables;
+    let confirmed_us = tables.lease.confirmed_us;
+    let Some(asked) = tables.vms.get_mut(vm).and_then(|row| row.asked.as_mut()) else {
+        return;
+    };
+    asked.answered_us = now_us;
+    asked.told_us = confirmed_us.unwrap_or(0);
+    asked.told_revision = tables.fleet.revision;
+    asked.told_promise = promises;
+    let age_us = |moment_us: u64| asked.at_us as i64 - moment_us as i64;
+    let answer = HeartbeatAnswer {
+        round: asked.round,
+        epoch: tables.view.epoch,
+        revision: tables.fleet.revision,
+        confirmed_age_us: confirmed_us.map(age_us),
+        promise_age_us: promises.then(|| age_us(now_us)),
+    };
+    tick.send(vm, MembershipMessage::HeartbeatAnswer(answer));
+}
+
+/// Handles an answer.
+pub(super) fn answered(tick: &mut Tick<'_>, sender: &Sender, answer: &HeartbeatAnswer) {
+    let now_us = tick.now_us;
+    if let Some(row) = tick.tables.vms.get_mut(&sender.vm) {
+        row.heard_us = now_us;
+        row.epoch = row.epoch.max(answer.epoch);
+        row.revision = row.revision.max(answer.revision);
+    }
+    views::note_epoch(tick, &sender.vm, answer.epoch);
+    tick.work
+        .config
+        .seen
+        .push((sender.vm.clone(), answer.revision));
+    if answer.epoch > tick.tables.view.epoch {
+        // A confirmation of a view that is not known here proves nothing about this one.
+        return;
+    }
+    let rounds = &tick.tables.membership.rounds;
+    let Some(&(_, asked_us)) = rounds.iter().find(|(round, _)| *round == answer.round) else {
+        return;
+    };
+    if let Some(age_us) = answer.confirmed_age_us {
+        leases::confirm(tick, moment(asked_us, age_us, now_us));
+    }
+    if let Some(age_us) = answer.promise_age_us {
+        leases::note_promise(tick, sender, moment(asked_us, age_us, now_us));
+    }
+}
+
+/// Returns a moment on this VM's clock that is not after the one meant.
+///
+/// The age was measured by another VM from the arrival of the heartbeat,
+/// which was not before it was sent. A moment after the arrival is brought
+/// forward by 10%, since the other clock may be faster by that much.
+fn moment(asked_us: u64, age_us: i64, now_us: u64) -> u64 {
+    let moment_us = if age_us >= 0 {
+        asked_us.saturating_sub(age_us.unsigned_abs())
+    } else {
+        asked_us + age_us.unsigned_abs() * 9 / 10
+    };
+    moment_us.min(now_us)
+}
+
+/// Passes a new confirmation, promise or revision on to those who asked lately.
+///
+/// In a small fleet only the first promise is passed on: all are asked often.
+pub(super) fn push_news(tick: &mut Tick<'_>) {
+    let is_tree = tick.tables.membership.peers.is_tree;
+    let now_us = tick.now_us;
+    let promises = leases::is_promising(tick);
+    let tables = &*tick.tables;
+    let confirmed_us = tables.lease.confirmed_us.unwrap_or(0);
+    let step_us = tick.settings.touch_ms * 1_000 * 3 / 4;
+    let kept_us = tick.settings.suspect_ms * 1_000;
+    let wants_news = |row: &Vm| {
+        let Some(asked) = row.asked else {
+            return false;
+        };
+        let is_recent = now_us.saturating_sub(asked.at_us) < kept_us;
+        let is_confirmed = confirmed_us >= asked.told_us + step_us;
+        let is_first = promises && !asked.told_promise;
+        let is_promised = promises && now_us >= asked.answered_us + step_us;
+        let is_behind = asked.told_revision < tables.fleet.revision;
+        is_recent && (is_first || is_tree && (is_confirmed || is_promised || is_behind))
+    };
+    let waiting: Vec<VmName> = tables
+        .vms
+        .iter()
+        .filter(|(_, row)| wants_news(row))
+        .map(|(vm, _)| vm.clone())
+        .collect();
+    for vm in waiting {
+        answer(tick, &vm);
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/membership/joining.rs
@@ -0,0 +1,69 @@
+//! Becoming a member.
+
+use super::super::{Sender, Tick};
+use super::views;
+use crate::ids::{Epoch, VmName};
+use crate::message::MembershipMessage;
+use crate::tables::Member;
+
+/// Time after which a join that was not repeated no longer counts.
+const JOIN_KEPT_US: u64 = 5_000_000;
+
+/// Returns the entry of this VM in a view.
+pub(super) fn entry(tick: &Tick<'_>, joined: Epoch) -> Member {
+    let settings = tick.settings;
+    Member {
+        vm: settings.vm.clone(),
+        incarnation: settings.incarnation,
+        failure_domain: settings.failure_domain.clone(),
+        address: settings.address.clone(),
+        leaving: false,
+        joined,
+    }
+}
+
+/// Asks the writers to make this VM a member, unless it is one.
+pub(super) fn ask(tick: &mut Tick<'_>) {
+    let (now_us, settings) = (tick.now_us, tick.settings);
+    let tables = &mut *tick.tables;
+    let view = &tables.view;
+    let is_member = view.member_at(&settings.vm, settings.incarnation).is_some();
+    if is_member || tables.membership.departure.is_draining {
+        return;
+    }
+    let sent_us = tables.membership.join_sent_us;
+    if sent_us.is_some_and(|sent_us| now_us < sent_us + settings.touch_ms * 1_000) {
+        return;
+    }
+    tables.membership.join_sent_us = Some(now_us);
+    let writers: Vec<VmName> = view.writers.to_vec();
+    let member = entry(tick, Epoch::default());
+    for writer in writers {
+        tick.send(&writer, MembershipMessage::Join(Box::new(member.clone())));
+    }
+}
+
+/// Takes note of a VM that wants to be a member.
+pub(super) fn record(tick: &mut Tick<'_>, sender: &Sender, member: Member) {
+    if member.vm != sender.vm || member.incarnation != sender.incarnation {
+        return;
+    }
+    let view = &tick.tables.view;
+    if view.member_at(&member.vm, member.incarnation).is_some() {
+        // The view was lost on its way.
+        views::request(tick, &sender.vm, Epoch::default());
+        return;
+    }
+    let joins = &mut tick.tables.membership.joins;
+    joins.insert(member.vm.clone(), (member, tick.now_us));
+}
+
+/// Returns the VMs that want to be members and have said so lately.
+pub(super) fn wanted(tick: &Tick<'_>) -> Vec<Member> {
+    let oldest_us = tick.now_us.saturating_sub(JOIN_KEPT_US);
+    let joins = tick.tables.membership.joins.values();
+    joins
+        .filter(|(_, at_us)| *at_us >= oldest_us)
+        .map(|(member, _)| member.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/systems/membership/leaving.rs
@@ -0,0 +1,79 @@
+//! Leaving the fleet: notice, hand-over, end.
+
+use super::super::{Sender, Tick};
+use super::{rounds, views};
+use crate::ids::{Epoch, VmName};
+use crate::message::MembershipMessage;
+use crate::output::Decision;
+
+/// Starts the departure of this VM.
+pub(super) fn drain(tick: &mut Tick<'_>) {
+    if tick.tables.membership.departure.is_draining {
+        return;
+    }
+    tick.tables.membership.departure.is_draining = true;
+    let settings = tick.settings;
+    let view = &tick.tables.view;
+    let is_member = view.member_at(&settings.vm, settings.incarnation).is_some();
+    let is_last = view.members.len() == 1;
+    if !is_member || is_last {
+        // Nobody is left to hand anything to; a view without members would
+        // leave nobody to write the next one.
+        tick.tables.membership.departure.has_left = true;
+        return;
+    }
+    let vm = settings.vm.clone();
+    let leaving = &mut tick.tables.membership.leaving;
+    leaving.insert(vm, settings.incarnation);
+    rounds::tell_leaving(tick);
+}
+
+/// Takes note that a member is leaving.
+pub(super) fn note(tick: &mut Tick<'_>, sender: &Sender) {
+    let view = &tick.tables.view;
+    if view.member_at(&sender.vm, sender.incarnation).is_some() {
+        let leaving = &mut tick.tables.membership.leaving;
+        leaving.insert(sender.vm.clone(), sender.incarnation);
+    }
+}
+
+/// Tells the members that this VM acts no more, once nothing is left to hand over.
+///
+/// A hand-over that nobody confirms is given up after the takeover wait,
+/// since its receivers act by themselves then.
+pub(super) fn finish(tick: &mut Tick<'_>) {
+    let wait_us = tick.settings.takeover_wait_us();
+    let departure = &mut tick.tables.membership.departure;
+    let Some(removed_us) = departure.removed_us else {
+        return;
+    };
+    let is_handed_over = departure.open_hand_overs == 0 && tick.now_us > removed_us;
+    let is_given_up = tick.now_us > removed_us + wait_us;
+    if departure.has_left || !(is_handed_over || is_given_up) {
+        return;
+    }
+    departure.has_left = true;
+    let view = &tick.tables.view;
+    let epoch = view.epoch;
+    let members: Vec<VmName> = view.members.iter().map(|row| row.vm.clone()).collect();
+    for vm in members {
+        tick.send(&vm, MembershipMessage::Left { epoch });
+    }
+    tick.decide(Decision::Left { epoch });
+}
+
+/// Takes note that a removed member acts no more.
+pub(super) fn record(tick: &mut Tick<'_>, sender: &Sender, epoch: Epoch) {
+    let now_us = tick.now_us;
+    let membership = &mut tick.tables.membership;
+    membership
+        .left
+        .insert(sender.vm.clone(), sender.incarnation);
+    if let Some(row) = membership.departed.get_mut(&sender.vm)
+        && row.incarnation == sender.incarnation
+        && row.handed_over_us.is_none()
+    {
+        row.handed_over_us = Some(now_us);
+    }
+    views::note_epoch(tick, &sender.vm, epoch);
+}
--- a/crates/core/src/systems/membership/mod.rs
+++ b/crates/core/src/systems/membership/mod.rs
@@ -1,13 +1,27 @@
 //! View, leases and failure suspicion.
+//!
+//! One module for each part: [`rounds`] sends heartbeats, [`answers`] handles
+//! them, [`leases`] keeps confirmations and promises, [`suspicion`] finds
+//! members that have failed, [`views`] adopts and passes on views, [`writing`]
+//! proposes new ones, [`joining`] and [`leaving`] are the two ends of a
+//! membership, and [`store`] paces the requests to the store.
 
-use smallvec::smallvec;
+mod answers;
+mod joining;
+mod leases;
+mod leaving;
+mod peers;
+mod platform;
+mod rounds;
+mod store;
+mod suspicion;
+mod views;
+mod writing;
 
 use super::{Sender, Tick};
-use crate::ids::Epoch;
-use crate::input::{StoreEvent, StoredView, VmStatus};
+use crate::input::{StoreEvent, VmStatus};
 use crate::message::MembershipMessage;
-use crate::output::{Decision, Output, StoreRequest};
-use crate::tables::{Member, Timer, View};
+use crate::tables::Timer;
 
 /// What waits for this system.
 #[derive(Debug, Default)]
@@ -17,6 +31,8 @@
     pub vm_list: Option<Vec<VmStatus>>,
     pub due: Vec<Timer>,
     pub drain: bool,
+    /// Whether a new revision came into force, which children have to hear of.
+    pub announce: bool,
 }
 
 impl Work {
@@ -26,89 +42,53 @@
             && self.vm_list.is_none()
             && self.due.is_empty()
             && !self.drain
+            && !self.announce
     }
 }
 
 /// Runs the system.
 pub(crate) fn run(tick: &mut Tick<'_>) {
     let work = std::mem::take(&mut tick.work.membership);
-    for event in work.store {
-        handle_store(tick, event);
+    if work.is_empty() {
+        return;
     }
-    if !work.due.is_empty() {
-        touch(tick);
+    if work.drain {
+        leaving::drain(tick);
     }
-}
-
-/// Handles an answer of the store.
-fn handle_store(tick: &mut Tick<'_>, event: StoreEvent) {
-    match event {
-        StoreEvent::ViewRead(None) => write_first_view(tick),
-        StoreEvent::ViewRead(Some(stored)) | StoreEvent::ViewWritten(stored) => {
-            adopt(tick, stored);
-        }
-        StoreEvent::ViewTouched { version, sent_us } => {
-            tick.tables.view_version = version;
-            extend_lease(tick, sent_us);
-        }
-        StoreEvent::Conflict | StoreEvent::Unavailable => {
-            tick.outputs.push(Output::Store(StoreRequest::Read));
-        }
+    if let Some(vms) = work.vm_list {
+        platform::handle(tick, vms);
     }
-}
-
-/// Adopts a view unless a newer one is known.
-fn adopt(tick: &mut Tick<'_>, stored: StoredView) {
-    if stored.view.epoch < tick.tables.view.epoch {
-        return;
+    for event in work.store {
+        store::handle(tick, event);
     }
-    tick.tables.view_version = stored.version;
-    if stored.view.epoch == tick.tables.view.epoch {
-        return;
+    for (sender, message) in work.messages {
+        handle(tick, &sender, message);
     }
-    tick.decide(Decision::ViewChanged {
-        epoch: stored.view.epoch,
-        members: stored.view.members.len(),
-    });
-    tick.tables.view = stored.view;
-    touch(tick);
-}
-
-/// Writes a view with this VM alone.
-fn write_first_view(tick: &mut Tick<'_>) {
-    let settings = tick.settings;
-    let view = View {
-        epoch: Epoch(1),
-        members: vec![Member {
-            vm: settings.vm.clone(),
-            incarnation: settings.incarnation,
-            failure_domain: settings.failure_domain.clone(),
-            address: settings.address.clone(),
-        }],
-        writers: smallvec![settings.vm.clone()],
-    };
-    tick.outputs.push(Output::Store(StoreRequest::Write {
-        view,
-        expected_version: 0,
-    }));
-}
-
-/// Proves by a conditional update that the view is still in force.
-fn touch(tick: &mut Tick<'_>) {
-    if !tick.tables.view.is_writer(&tick.settings.vm) {
-        return;
+    for timer in work.due {
+        match timer {
+            Timer::Heartbeat => rounds::run(tick),
+            _ => tick.tables.membership.store.timer_us = None,
+        }
     }
-    tick.outputs.push(Output::Store(StoreRequest::Touch {
-        view: tick.tables.view.clone(),
-        expected_version: tick.tables.view_version,
-    }));
-    let due_us = tick.now_us + tick.settings.touch_ms * 1_000;
-    tick.tables.timers.set(due_us, Timer::Touch);
+    leaving::finish(tick);
+    answers::push_news(tick);
+    store::drive(tick);
 }
 
-/// Extends the lease from the moment at which the view was known to be in force.
-fn extend_lease(tick: &mut Tick<'_>, confirmed_us: u64) {
-    let until_us = confirmed_us + tick.settings.lease_ms * 1_000;
-    let lease = &mut tick.tables.lease;
-    lease.until_us = lease.until_us.max(until_us);
+/// Handles a message of another VM.
+fn handle(tick: &mut Tick<'_>, sender: &Sender, message: MembershipMessage) {
+    match message {
+        MembershipMessage::Heartbeat(heartbeat) => answers::heartbeat(tick, sender, &heartbeat),
+        MembershipMessage::HeartbeatAnswer(answer) => answers::answered(tick, sender, &answer),
+        MembershipMessage::Suspect { vm, incarnation } => {
+            suspicion::record(tick, sender, vm, incarnation);
+        }
+        MembershipMessage::Join(member) => joining::record(tick, sender, *member),
+        MembershipMessage::ViewRequest { known } => views::request(tick, &sender.vm, known),
+        MembershipMessage::ViewIs(view) => {
+            views::adopt(tick, &view);
+        }
+        MembershipMessage::ViewChanges(deltas) => views::adopt_deltas(tick, sender, &deltas),
+        MembershipMessage::Left { epoch } => leaving::record(tick, sender, epoch),
+    }
 }
--- /dev/null
+++ b/crates/core/src/systems/membership/peers.rs
@@ -0,0 +1,137 @@
+//! Which VMs exchange heartbeats.
+
+use super::super::Tick;
+use crate::ids::VmName;
+use crate::tables::{Peers, View, hash_name};
+
+/// Fleets up to this size send heartbeats to all members.
+pub(super) const MAX_ALL_TO_ALL: usize = 9;
+
+/// VMs that watch each member of a larger fleet.
+///
+/// One watcher would leave a member unwatched when both fail together.
+const WATCHERS: usize = 2;
+
+/// Keeps the hashes of the ring apart from those of owners.
+const RING: u64 = 11;
+
+/// Parents of each member of a larger fleet; a writer has one, the other writer.
+///
+/// With one parent, its death would end the leases of all below it before the
+/// next view came.
+const PARENTS: usize = 2;
+
+/// Chooses the peers of this VM in the view in force.
+pub(super) fn choose(tick: &mut Tick<'_>) {
+    let view = &tick.tables.view;
+    let me = &tick.settings.vm;
+    let is_member = view.member_at(me, tick.settings.incarnation).is_some();
+    let now_us = tick.now_us;
+    let mut peers = if !is_member {
+        outside(view, me)
+    } else if view.members.len() <= MAX_ALL_TO_ALL {
+        all(view, me)
+    } else {
+        tree(view, me, tick.settings.fan_out)
+    };
+    for (vm, since_us) in &mut peers.watched {
+        // A member that was watched before gets no new time to be silent in.
+        let before = tick.tables.membership.peers.watched.get(vm);
+        *since_us = before.copied().unwrap_or(now_us);
+    }
+    tick.tables.membership.peers = peers;
+}
+
+/// Returns the VMs that watch a member, in the view in force.
+pub(super) fn watchers_of(view: &View, vm: &VmName) -> Vec<VmName> {
+    if view.members.len() <= MAX_ALL_TO_ALL {
+        return others(view, vm);
+    }
+    let ring = ring(view);
+    let at = ring.iter().position(|row| row == vm);
+    at.map_or_else(Vec::new, |at| after(&ring, at))
+}
+
+/// Returns the peers of a VM that is no member: it asks a few that are.
+fn outside(view: &View, me: &VmName) -> Peers {
+    let mut members = others(view, me);
+    members.sort_by_key(|vm| hash_name(vm.as_str(), hash_name(me.as_str(), RING)));
+    members.truncate(MAX_ALL_TO_ALL);
+    Peers {
+        parents: members,
+        is_tree: view.members.len() > MAX_ALL_TO_ALL,
+        ..Peers::default()
+    }
+}
+
+/// Returns the peers in a small fleet.
+fn all(view: &View, me: &VmName) -> Peers {
+    let others = others(view, me);
+    Peers {
+        parents: others.clone(),
+        watchers: others.clone(),
+        watched: others.into_iter().map(|vm| (vm, 0)).collect(),
+        is_tree: false,
+    }
+}
+
+/// Returns the peers in a large fleet.
+///
+/// Members stand in pairs; both VMs of a pair are the parents of those in the
+/// pairs below it. The writers are the first pair. Parents and watchers take
+/// part of the fan-out, children the rest.
+fn tree(view: &View, me: &VmName, fan_out: usize) -> Peers {
+    let ring = ring(view);
+    let at = ring.iter().position(|vm| vm == me).unwrap_or(0);
+    let before = |step: usize| ring[(at + ring.len() - step) % ring.len()].clone();
+    Peers {
+        parents: parents(view, &ring, me, fan_out),
+        watchers: after(&ring, at),
+        watched: (1..=WATCHERS).map(|step| (before(step), 0)).collect(),
+        is_tree: true,
+    }
+}
+
+/// Returns the VMs that a member asks for confirmations.
+fn parents(view: &View, ring: &[VmName], me: &VmName, fan_out: usize) -> Vec<VmName> {
+    if view.is_writer(me) {
+        let others = view.writers.iter().filter(|vm| *vm != me);
+        return others.cloned().collect();
+    }
+    let inner = ring.iter().filter(|vm| !view.is_writer(vm));
+    let order: Vec<&VmName> = view.writers.iter().chain(inner).collect();
+    let at = order.iter().position(|vm| *vm == me).unwrap_or(0);
+    let children = fan_out.saturating_sub(WATCHERS + PARENTS).max(PARENTS);
+    let pair = (at / PARENTS - 1) / (children / PARENTS);
+    order[pair * PARENTS..(pair + 1) * PARENTS]
+        .iter()
+        .map(|vm| (*vm).clone())
+        .collect()
+}
+
+/// Returns the members in the order of the ring, which mixes failure domains.
+fn ring(view: &View) -> Vec<VmName> {
+    let mut ring: Vec<_> = view
+        .members
+        .iter()
+        .map(|member| (hash_name(member.vm.as_str(), RING), &member.vm))
+        .collect();
+    ring.sort_unstable();
+    ring.into_iter().map(|(_, vm)| vm.clone()).collect()
+}
+
+/// Returns the VMs that follow one in the ring.
+fn after(ring: &[VmName], at: usize) -> Vec<VmName> {
+    (1..=WATCHERS)
+        .map(|step| ring[(at + step) % ring.len()].clone())
+        .collect()
+}
+
+/// Returns all members but one VM.
+fn others(view: &View, me: &VmName) -> Vec<VmName> {
+    view.members
+        .iter()
+        .filter(|member| member.vm != *me)
+        .map(|member| member.vm.clone())
+        .collect()
+}
--- /dev/null
+++ b/crates/core/src/systems/membership/store.rs
@@ -0,0 +1,323 @@
+//! Requests to the store, one at a time and with growing pauses while it does not answer.
+
+use super::super::Tick;
+use super::{leases, views, writing};
+use crate::input::{StoreEvent, StoredView};
+use crate::output::{Decision, Output, StoreRequest};
+use crate::tables::{PendingRequest, RequestKind, Timer, UnresolvedWrite, View, hash_name};
+
+/// The first pause after a request that was not answered.
+const MIN_PAUSE_US: u64 = 200_000;
+
+/// The longest pause.
+const MAX_PAUSE_US: u64 = 10_000_000;
+
+/// Time after which an answer is no longer waited for.
+///
+/// The store's client gives up long before; this guards against a lost event.
+const GIVE_UP_US: u64 = 15_000_000;
+
+/// Handles an answer of the store.
+pub(super) fn handle(tick: &mut Tick<'_>, event: StoreEvent) {
+    let pending = tick.tables.membership.store.pending.take();
+    if event != StoreEvent::Unavailable {
+        note_answer(tick);
+    }
+    match event {
+        StoreEvent::ViewRead(stored) => read(tick, stored),
+        StoreEvent::ViewWritten(stored) => written(tick, &stored, pending),
+        StoreEvent::ViewTouched { version, sent_us } => touched(tick, version, sent_us),
+        StoreEvent::Conflict => conflict(tick),
+        StoreEvent::Unavailable => unavailable(tick, pending),
+    }
+}
+
+/// Takes note that the store answers.
+fn note_answer(tick: &mut Tick<'_>) {
+    let store = &mut tick.tables.membership.store;
+    let was_down = store.failures > 1;
+    store.failures = 0;
+    store.not_before_us = 0;
+    if was_down {
+        tick.decide(Decision::StoreAnswers);
+    }
+}
+
+/// Handles the view that was read.
+fn read(tick: &mut Tick<'_>, stored: Option<StoredView>) {
+    let tables = &mut *tick.tables;
+    tables.membership.store.needs_read = false;
+    tables.view_version = stored.as_ref().map_or(0, |stored| stored.version);
+    tables.membership.store.is_absent = stored.is_none();
+    let known = tables.view.epoch;
+    let Some(stored) = stored else {
+        tables.membership.store.is_behind = known.0 > 0;
+        return;
+    };
+    resolve(tick, &stored);
+    if views::adopt(tick, &stored.view) {
+        tick.tables.membership.store.is_behind = false;
+    } else {
+        // Another view of the same epoch came from an older state as well.
+        let is_behind = stored.view != tick.tables.view;
+        tick.tables.membership.store.is_behind = is_behind;
+        if is_behind {
+            tick.decide(Decision::ViewIgnored {
+                offered: stored.view.epoch,
+                in_force: known,
+            });
+        }
+    }
+    pause_isolated(tick);
+}
+
+/// Settles whether a view whose write was not answered has been written.
+fn resolve(tick: &mut Tick<'_>, stored: &StoredView) {
+    let link = &mut tick.tables.membership.store;
+    let Some(unresolved) = &link.unresolved else {
+        return;
+    };
+    let is_written = stored.view == unresolved.view;
+    // At the same version the write may still arrive; an update of this VM settles it.
+    if is_written || stored.version != unresolved.expected_version {
+        link.unresolved = None;
+    }
+    if is_written && stored.view.epoch.0 == 1 {
+        tick.tables.membership.is_founder = true;
+    }
+}
+
+/// Lets a VM that is cut off from the others read the view less and less often.
+fn pause_isolated(tick: &mut Tick<'_>) {
+    if !is_cut_off(tick) {
+        tick.tables.membership.store.lonely_reads = 0;
+        return;
+    }
+    let reads = tick.tables.membership.store.lonely_reads + 1;
+    let pause_us = pause_us(tick, reads);
+    let store = &mut tick.tables.membership.store;
+    store.lonely_reads = reads;
+    store.lonely_until_us = tick.now_us + pause_us;
+}
+
+/// Handles a view that this VM wrote.
+fn written(tick: &mut Tick<'_>, stored: &StoredView, pending: Option<PendingRequest>) {
+    let link = &mut tick.tables.membership.store;
+    link.unresolved = None;
+    link.conflicts = 0;
+    link.is_behind = false;
+    link.is_absent = false;
+    link.touched_us = pending.map(|pending| pending.sent_us);
+    link.updated_us = link.touched_us;
+    tick.tables.view_version = stored.version;
+    if stored.view.epoch.0 == 1 {
+        tick.tables.membership.is_founder = true;
+    }
+    views::adopt(tick, &stored.view);
+    views::welcome(tick);
+    if let Some(pending) = pending.filter(|pending| pending.kind == RequestKind::Write) {
+        leases::confirm(tick, pending.sent_us);
+    }
+}
+
+/// Handles a touch: the view was in force when it was sent, or later.
+fn touched(tick: &mut Tick<'_>, version: u64, sent_us: u64) {
+    let link = &mut tick.tables.membership.store;
+    link.unresolved = None;
+    link.conflicts = 0;
+    link.updated_us = Some(sent_us);
+    tick.tables.view_version = version;
+    leases::confirm(tick, sent_us);
+}
+
+/// Handles an update that lost against another one.
+fn conflict(tick: &mut Tick<'_>) {
+    let conflicts = tick.tables.membership.store.conflicts + 1;
+    // The first conflict is common; more in a row mean that reads lag behind.
+    let pause_us = if conflicts > 1 {
+        pause_us(tick, conflicts - 1)
+    } else {
+        0
+    };
+    let link = &mut tick.tables.membership.store;
+    link.conflicts = conflicts;
+    link.needs_read = true;
+    link.touched_us = None;
+    link.not_before_us = tick.now_us + pause_us;
+}
+
+/// Handles a request that was not answered; it may have taken effect.
+fn unavailable(tick: &mut Tick<'_>, pending: Option<PendingRequest>) {
+    let failures = tick.tables.membership.store.failures + 1;
+    let pause_us = pause_us(tick, failures);
+    let link = &mut tick.tables.membership.store;
+    link.failures = failures;
+    link.touched_us = None;
+    link.not_before_us = tick.now_us + pause_us;
+    if pending.is_some_and(|pending| pending.kind == RequestKind::Write) {
+        link.needs_read = true;
+    }
+    // One lost answer is nothing to report.
+    if failures == 2 {
+        tick.decide(Decision::StoreSilent);
+    }
+}
+
+/// Returns the pause after some requests in a row without success.
+///
+/// Pauses double from 0.2 s to 10 s. A hash of the VM's name and a counter
+/// spreads them between half and the whole, so that VMs do not ask together
+/// when the store returns.
+fn pause_us(tick: &Tick<'_>, failures: u32) -> u64 {
+    let doublings = failures.saturating_sub(1).min(16);
+    let full_us = (MIN_PAUSE_US << doublings).min(MAX_PAUSE_US);
+    let requests = tick.tables.membership.store.requests;
+    let hash = hash_name(tick.settings.vm.as_str(), requests);
+    full_us / 2 + hash % (full_us / 2 + 1)
+}
+
+/// Sends the next request that is due, or plans it.
+pub(super) fn drive(tick: &mut Tick<'_>) {
+    give_up_late(tick);
+    if tick.tables.membership.store.pending.is_some() {
+        return;
+    }
+    let Some((due_us, wanted)) = wanted(tick) else {
+        return;
+    };
+    let due_us = due_us.max(tick.tables.membership.store.not_before_us);
+    if due_us > tick.now_us {
+        plan(tick, due_us);
+    } else {
+        send(tick, wanted);
+    }
+}
+
+/// What the store is asked for next.
+enum Wanted {
+    Read,
+    Touch,
+    Write(View),
+}
+
+/// Treats a request as unanswered after a long time.
+fn give_up_late(tick: &mut Tick<'_>) {
+    let pending = tick.tables.membership.store.pending;
+    if pending.is_some_and(|pending| tick.now_us > pending.sent_us + GIVE_UP_US) {
+        tick.tables.membership.store.pending = None;
+        unavailable(tick, pending);
+    }
+}
+
+/// Plans the next look at the store.
+fn plan(tick: &mut Tick<'_>, due_us: u64) {
+    let store = &mut tick.tables.membership.store;
+    if store.timer_us.is_none_or(|at_us| due_us < at_us) {
+        store.timer_us = Some(due_us);
+        tick.tables.timers.set(due_us, Timer::Store);
+    }
+}
+
+/// Returns the request that is due first.
+fn wanted(tick: &mut Tick<'_>) -> Option<(u64, Wanted)> {
+    let now_us = tick.now_us;
+    if tick.tables.membership.store.needs_read {
+        return Some((now_us, Wanted::Read));
+    }
+    if tick.tables.view.epoch.0 == 0 {
+        return Some(found_or_read(tick));
+    }
+    let write = writing::proposal(tick);
+    let write = write.map(|proposal| (proposal.due_us, Wanted::Write(proposal.view)));
+    let touch = touch_due_us(tick).map(|due_us| (due_us, Wanted::Touch));
+    let read = read_due_us(tick).map(|due_us| (due_us, Wanted::Read));
+    // Of requests that are due, the first in this order is sent.
+    [write, touch, read]
+        .into_iter()
+        .flatten()
+        .min_by_key(|(due_us, _)| (*due_us).max(now_us))
+}
+
+/// Returns the request of a VM that knows no view.
+fn found_or_read(tick: &Tick<'_>) -> (u64, Wanted) {
+    let membership = &tick.tables.membership;
+    if !membership.store.is_absent {
+        return (tick.now_us, Wanted::Read);
+    }
+    let started_us = membership.rounds.front().map_or(0, |(_, at_us)| *at_us);
+    // A store that lost its state must not start a second fleet: peers are asked first.
+    let wait_us = if tick.settings.peers.is_empty() {
+        0
+    } else {
+        tick.settings.heartbeat_ms * 2_000
+    };
+    let first = Wanted::Write(writing::first_view(tick));
+    (started_us + wait_us, first)
+}
+
+/// Returns when this VM touches the view next, if it is a writer.
+fn touch_due_us(tick: &Tick<'_>) -> Option<u64> {
+    let (settings, tables) = (tick.settings, &*tick.tables);
+    let view = &tables.view;
+    if !view.is_writer_at(&settings.vm, settings.incarnation) {
+        return None;
+    }
+    let interval_us = settings.touch_ms * 1_000;
+    let touched_us = tables.membership.store.touched_us.unwrap_or(0);
+    let next_us = touched_us + interval_us;
+    if view.writers.first() == Some(&settings.vm) || leases::is_promising(tick) {
+        return Some(next_us);
+    }
+    // The second writer touches only when it hears no confirmation from the first.
+    let confirmed_us = tables.lease.confirmed_us.unwrap_or(0);
+    Some(next_us.max(confirmed_us + interval_us * 2))
+}
+
+/// Returns when this VM reads the view because it hears nothing from the others.
+fn read_due_us(tick: &Tick<'_>) -> Option<u64> {
+    is_cut_off(tick).then_some(tick.tables.membership.store.lonely_until_us)
+}
+
+/// Returns whether this VM has heard no confirmation for longer than a lease.
+fn is_cut_off(tick: &Tick<'_>) -> bool {
+    let limit_us = tick.settings.lease_ms * 1_000;
+    let age_us = tick.tables.lease.age_us(tick.now_us);
+    let since_us = tick.tables.membership.view_since_us;
+    let known_us = tick.now_us.saturating_sub(since_us);
+    age_us.unwrap_or(known_us) > limit_us
+}
+
+/// Sends a request.
+fn send(tick: &mut Tick<'_>, wanted: Wanted) {
+    let expected_version = tick.tables.view_version;
+    let link = &mut tick.tables.membership.store;
+    let (kind, request) = match wanted {
+        Wanted::Read => (RequestKind::Read, StoreRequest::Read),
+        Wanted::Touch => {
+            link.touched_us = Some(tick.now_us);
+            let view = tick.tables.view.clone();
+            let request = StoreRequest::Touch {
+                view,
+                expected_version,
+            };
+            (RequestKind::Touch, request)
+        }
+        Wanted::Write(view) => {
+            link.unresolved = Some(UnresolvedWrite {
+                view: view.clone(),
+                expected_version,
+            });
+            let request = StoreRequest::Write {
+                view,
+                expected_version,
+            };
+            (RequestKind::Write, request)
+        }
+    };
+    link.requests += 1;
+    link.pending = Some(PendingRequest {
+        kind,
+        sent_us: tick.now_us,
+    });
+    tick.outputs.push(Output::Store(request));
+}
--- /dev/null
+++ b/crates/core/src/systems/membership/suspicion.rs
@@ -0,0 +1,144 @@
+//! Finds members that have failed.
+
+use std::collections::BTreeSet;
+
+use super::super::{Sender, Tick};
+use super::peers;
+use crate::ids::{Incarnation, VmName};
+use crate::message::MembershipMessage;
+use crate::output::Decision;
+use crate::tables::{Suspect, Vm};
+
+/// Rounds of heartbeats for which a report counts; it is repeated in each round.
+const REPORT_ROUNDS: u64 = 3;
+
+/// Reports members that this VM watches and that have been silent.
+pub(super) fn check(tick: &mut Tick<'_>) {
+    restart_after_pause(tick);
+    let limit_us = tick.settings.suspect_ms * 1_000;
+    let now_us = tick.now_us;
+    let tables = &*tick.tables;
+    let mut silent = Vec::new();
+    for (vm, since_us) in &tables.membership.peers.watched {
+        let Some(member) = tables.view.member(vm) else {
+            continue;
+        };
+        let is_same = |row: &&Vm| row.incarnation == member.incarnation;
+        let heard_us = tables.vms.get(vm).filter(is_same).map_or(0, |r| r.heard_us);
+        if now_us.saturating_sub(heard_us.max(*since_us)) > limit_us {
+            silent.push((vm.clone(), member.incarnation));
+        }
+    }
+    for (vm, incarnation) in silent {
+        report(tick, vm, incarnation);
+    }
+}
+
+/// Counts silence from now on if this VM itself was paused.
+///
+/// Heartbeats that arrived during the pause are still waiting to be read.
+fn restart_after_pause(tick: &mut Tick<'_>) {
+    let now_us = tick.now_us;
+    let limit_us = tick.settings.heartbeat_ms * 2_000;
+    let membership = &mut tick.tables.membership;
+    let last_us = membership.watched_us.replace(now_us);
+    if last_us.is_some_and(|last_us| now_us > last_us + limit_us) {
+        for since_us in membership.peers.watched.values_mut() {
+            *since_us = now_us;
+        }
+    }
+}
+
+/// Tells the writers about a silent member.
+fn report(tick: &mut Tick<'_>, vm: VmName, incarnation: Incarnation) {
+    let writers = tick.tables.view.writers.clone();
+    for writer in writers {
+        let vm = vm.clone();
+        tick.send(&writer, MembershipMessage::Suspect { vm, incarnation });
+    }
+}
+
+/// Takes note of a report.
+pub(super) fn record(tick: &mut Tick<'_>, sender: &Sender, vm: VmName, incarnation: Incarnation) {
+    let now_us = tick.now_us;
+    let view = &tick.tables.view;
+    let is_known = view.member_at(&vm, incarnation).is_some()
+        && view.member_at(&sender.vm, sender.incarnation).is_some();
+    if !is_known || vm == tick.settings.vm {
+        return;
+    }
+    let suspects = &mut tick.tables.membership.suspects;
+    let is_first = !suspects.contains_key(&vm);
+    let row = suspects.entry(vm.clone()).or_insert_with(|| Suspect {
+        incarnation,
+        reports: Default::default(),
+    });
+    row.reports.insert(sender.vm.clone(), now_us);
+    if is_first {
+        let by = sender.vm.clone();
+        tick.decide(Decision::Suspected { vm, by });
+    }
+}
+
+/// Returns the members that all live VMs that watch them call silent.
+///
+/// Watchers that are to be removed themselves have no say. The result is the
+/// largest set of suspects in which each is reported by all its watchers
+/// outside the set, and by at least one.
+pub(super) fn failed(tick: &Tick<'_>, gone: &BTreeSet<VmName>) -> BTreeSet<VmName> {
+    let tables = &*tick.tables;
+    let suspects = &tables.membership.suspects;
+    if suspects.is_empty() {
+        return BTreeSet::new();
+    }
+    let mut failed: BTreeSet<VmName> = suspects
+        .keys()
+        .filter(|vm| !is_heard(tick, vm))
+        .cloned()
+        .collect();
+    loop {
+        let is_live = |vm: &&VmName| !failed.contains(*vm) && !gone.contains(*vm);
+        let cleared: Vec<VmName> = failed
+            .iter()
+            .filter(|vm| {
+                let watchers = peers::watchers_of(&tables.view, vm);
+                let mut live = watchers.iter().filter(is_live).peekable();
+                live.peek().is_none() || !live.all(|by| is_reported(tick, vm, by))
+            })
+            .cloned()
+            .collect();
+        if cleared.is_empty() {
+            return failed;
+        }
+        for vm in cleared {
+            failed.remove(&vm);
+        }
+    }
+}
+
+/// Returns whether a watcher has reported a member lately.
+fn is_reported(tick: &Tick<'_>, vm: &VmName, by: &VmName) -> bool {
+    let kept_us = tick.settings.heartbeat_ms * 1_000 * REPORT_ROUNDS;
+    let suspect = tick.tables.membership.suspects.get(vm);
+    suspect
+        .and_then(|suspect| suspect.reports.get(by))
+        .is_some_and(|at_us| tick.now_us.saturating_sub(*at_us) <= kept_us)
+}
+
+/// Returns whether this VM itself has heard from a member lately.
+pub(super) fn is_heard(tick: &Tick<'_>, vm: &VmName) -> bool {
+    let tables = &*tick.tables;
+    let limit_us = tick.settings.suspect_ms * 1_000;
+    let (Some(member), Some(row)) = (tables.view.member(vm), tables.vms.get(vm)) else {
+        return false;
+    };
+    row.incarnation == member.incarnation && tick.now_us.saturating_sub(row.heard_us) <= limit_us
+}
+
+/// Forgets suspects that nobody has reported lately.
+pub(super) fn forget_cleared(tick: &mut Tick<'_>) {
+    let kept_us = tick.settings.heartbeat_ms * 1_000 * REPORT_ROUNDS;
+    let oldest_us = tick.now_us.saturating_sub(kept_us);
+    let suspects = &mut tick.tables.membership.suspects;
+    suspects.retain(|_, suspect| suspect.reports.values().any(|at_us| *at_us >= oldest_us));
+}
--- /dev/null
+++ b/crates/core/src/systems/membership/writing.rs
@@ -0,0 +1,179 @@
+//! Proposes the next view.
+
+use std::collections::BTreeSet;
+
+use super::super::Tick;
+use super::{joining, platform, suspicion};
+use crate::ids::{Epoch, VmName};
+use crate::tables::{Member, View, hash_name};
+
+/// Time for which joins are collected, so that a fleet that starts makes few views.
+const COLLECT_US: u64 = 20_000;
+
+/// Keeps the hashes of the choice of writers apart from others.
+const WRITERS: u64 = 14;
+
+/// The number of writers of a view.
+const WRITER_COUNT: usize = 2;
+
+/// A view to be written.
+#[derive(Debug)]
+pub(super) struct Proposal {
+    /// The view.
+    pub view: View,
+    /// When it may be written at the earliest.
+    pub due_us: u64,
+}
+
+/// Returns the next view if one is wanted and this VM may write it.
+pub(super) fn proposal(tick: &mut Tick<'_>) -> Option<Proposal> {
+    let settings = tick.settings;
+    if !may_change(tick) {
+        tick.tables.membership.change_wanted_us = None;
+        return None;
+    }
+    let view = &tick.tables.view;
+    let is_writer = view.is_writer_at(&settings.vm, settings.incarnation);
+    let allowed_us = if is_writer {
+        tick.now_us
+    } else {
+        platform::replaces_writers_us(tick)?
+    };
+    suspicion::forget_cleared(tick);
+    let removed = removed(tick, is_writer);
+    let view = next_view(tick, &removed);
+    if view.members.is_empty() {
+        return None;
+    }
+    let membership = &mut tick.tables.membership;
+    let is_behind = membership.store.is_behind;
+    let current = &tick.tables.view;
+    if view.members == current.members && view.writers == current.writers && !is_behind {
+        membership.change_wanted_us = None;
+        return None;
+    }
+    let wanted_us = *membership.change_wanted_us.get_or_insert(tick.now_us);
+    let due_us = if is_writer {
+        wanted_us + delay_us(tick, &removed)
+    } else {
+        allowed_us
+    };
+    Some(Proposal {
+        view,
+        due_us: due_us.max(tick.tables.membership.promised_until_us),
+    })
+}
+
+/// Returns whether there is any reason to look for a change of the view.
+fn may_change(tick: &Tick<'_>) -> bool {
+    let (view, membership) = (&tick.tables.view, &tick.tables.membership);
+    let lacks_writers = view.writers.len() < WRITER_COUNT.min(view.members.len());
+    lacks_writers
+        || membership.store.is_behind
+        || membership.writers_gone_us.is_some()
+        || !membership.joins.is_empty()
+        || !membership.suspects.is_empty()
+        || !membership.leaving.is_empty()
+        || !membership.platform.gone.is_empty()
+}
+
+/// Returns the first view of a fleet.
+pub(super) fn first_view(tick: &Tick<'_>) -> View {
+    let epoch = Epoch::default().next();
+    let member = joining::entry(tick, epoch);
+    View {
+        epoch,
+        writers: smallvec::smallvec![member.vm.clone()],
+        members: vec![member],
+    }
+}
+
+/// Returns the members that the next view does not name.
+fn removed(tick: &Tick<'_>, is_writer: bool) -> BTreeSet<VmName> {
+    let tables = &*tick.tables;
+    let mut removed = platform::gone(tick);
+    let failed = suspicion::failed(tick, &removed);
+    removed.extend(failed);
+    removed.extend(tables.membership.leaving.keys().cloned());
+    if !is_writer {
+        // The writers are gone, which is why this VM writes the view.
+        removed.extend(tables.view.writers.iter().cloned());
+    }
+    removed
+}
+
+/// Returns the view without those removed and with those that asked to join.
+fn next_view(tick: &Tick<'_>, removed: &BTreeSet<VmName>) -> View {
+    let tables = &*tick.tables;
+    let mut view = tables.view.clone();
+    view.epoch = view.epoch.next();
+    view.members.retain(|member| !removed.contains(&member.vm));
+    for member in joining::wanted(tick) {
+        view.put(Member {
+            joined: view.epoch,
+            ..member
+        });
+    }
+    let settings = tick.settings;
+    let is_draining = tables.membership.departure.is_draining;
+    if !is_draining && view.member_at(&settings.vm, settings.incarnation).is_none() {
+        view.put(joining::entry(tick, view.epoch));
+    }
+    choose_writers(&mut view, &tables.view);
+    view
+}
+
+/// Keeps the writers that stay members and adds others, in different failure domains.
+fn choose_writers(view: &mut View, before: &View) {
+    let members = &view.members;
+    let stays = |vm: &VmName| {
+        let incarnation = before.member(vm).map(|member| member.incarnation);
+        incarnation.is_some_and(|incarnation| {
+            members
+                .iter()
+                .any(|member| member.vm == *vm && member.incarnation == incarnation)
+        })
+    };
+    let mut writers = before.writers.clone();
+    writers.retain(|vm| stays(vm));
+    while writers.len() < WRITER_COUNT.min(members.len()) {
+        let domain = writers.first().and_then(|vm| {
+            let writer = members.iter().find(|member| member.vm == *vm);
+            writer.map(|writer| &writer.failure_domain)
+        });
+        let next = members
+            .iter()
+            .filter(|member| !writers.contains(&member.vm))
+            .max_by_key(|member| {
+                let is_apart = Some(&member.failure_domain) != domain;
+                (is_apart, hash_name(member.vm.as_str(), WRITERS))
+            });
+        let Some(next) = next else {
+            break;
+        };
+        writers.push(next.vm.clone());
+    }
+    view.writers = writers;
+}
+
+/// Returns how long a writer waits before it writes a view that is wanted.
+fn delay_us(tick: &Tick<'_>, removed: &BTreeSet<VmName>) -> u64 {
+    let (settings, tables) = (tick.settings, &*tick.tables);
+    let first = tables.view.writers.first();
+    let is_first = first == Some(&settings.vm);
+    let first_fails = first.is_some_and(|vm| removed.contains(vm));
+    let leaving = &tables.membership.leaving;
+    let lost = removed
+        .iter()
+        .filter(|vm| !leaving.contains_key(*vm))
+        .count();
+    if lost * 2 >= tables.view.members.len() {
+        // This VM may be the one that is cut off: the other side goes first.
+        return (settings.lease_ms + settings.suspect_ms) * 1_000;
+    }
+    if !is_first && !first_fails {
+        // The first writer is alive and writes the view; this is for when it cannot.
+        return settings.touch_ms * 2_000;
+    }
+    if removed.is_empty() { COLLECT_US } else { 0 }
+}
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -18,7 +18,7 @@
 use crate::ids::{Incarnation, VmName};
 use crate::message::PeerMessage;
 use crate::output::{Decision, Output};
-use crate::tables::Tables;
+use crate::tables::{Tables, ViewChange};
 
 /// What the systems work on during one tick.
 #[derive(Debug)]
@@ -48,6 +48,10 @@
     pub admission: admission::Work,
     pub placement: placement::Work,
     pub charges: charges::Work,
+    /// Views that came into force in this pass, which every system may read.
+    ///
+    /// They are cleared at the end of the pass, after all systems have run.
+    pub view_changes: Vec<ViewChange>,
 }
 
 impl Work {
@@ -98,4 +102,5 @@
     admission::run(tick);
     placement::run(tick);
     charges::run(tick);
+    tick.work.view_changes.clear();
 }
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -11,7 +11,7 @@
             Timer::RateWait(_) | Timer::RateRefill(_) => work.rates.due.push(timer),
             Timer::TurnWait(_) | Timer::ProgramLease(_) => work.homes.due.push(timer),
             Timer::QueueWait(_) | Timer::PoolRetry(_) => work.placement.due.push(timer),
-            Timer::Touch => work.membership.due.push(timer),
+            Timer::Heartbeat | Timer::Store => work.membership.due.push(timer),
         }
     }
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -7,30 +7,39 @@
 mod bucket;
 mod call;
 mod lease;
+mod membership;
 mod pool;
 mod program;
 mod table;
+mod takeover;
 mod timers;
 mod upstream;
 mod view;
+mod vm;
 
 pub use account::{Account, Key};
 pub use bucket::{Bucket, NCALLS_PER_CALL};
 pub use call::{Call, Stage};
 pub use lease::Lease;
+pub use membership::{
+    Departed, Departure, Membership, PastView, Peers, PendingRequest, PlatformList, RequestKind,
+    StoreLink, Suspect, UnresolvedWrite,
+};
 pub use pool::{Pool, Waiting};
 pub use program::{Program, Turn};
 pub use table::Table;
 pub use timers::{Timer, Timers};
 pub use upstream::{Running, Upstream};
-pub use view::{Member, View};
+pub(crate) use view::hash_name;
+pub use view::{Member, View, ViewChange, ViewDelta};
+pub use vm::{Asked, Vm};
 
 use std::sync::Arc;
 
 use crate::config::{FleetConfig, ServiceConfig};
 use crate::ids::{
-    AccountName, AttemptId, CallId, KeyId, ModelName, PoolKey, ProgramKey, ServiceName,
-    UpstreamName,
+    AccountName, AttemptId, CallId, KeyId, ModelName, PoolKey, ProgramKey, Revision, ServiceName,
+    UpstreamName, VmName,
 };
 
 /// All state of the core of one VM.
@@ -38,6 +47,10 @@
 pub struct Tables {
     /// The configuration in force.
     pub fleet: Arc<FleetConfig>,
+    /// The newest revision that this VM has heard of.
+    pub newest_revision: Revision,
+    /// The revision that was last asked for, and when.
+    pub config_asked: Option<(Revision, u64)>,
     /// Client accounts.
     pub accounts: Table<AccountName, Account>,
     /// Callers' keys.
@@ -60,6 +73,10 @@
     pub view: View,
     /// The version of the view object in the store; 0 if unknown.
     pub view_version: u64,
+    /// What this VM knows of others that it has heard from.
+    pub vms: Table<VmName, Vm>,
+    /// State of the membership system.
+    pub membership: Membership,
     /// The lease under which this VM acts as owner and home.
     pub lease: Lease,
     /// Due times.
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -21,8 +21,10 @@
     QueueWait(AttemptId),
     /// A pool has to be looked at again.
     PoolRetry(PoolKey),
-    /// The view has to be touched or read.
-    Touch,
+    /// Heartbeats have to be sent.
+    Heartbeat,
+    /// The store may have to be asked for something.
+    Store,
 }
 
 /// Due times, earliest first.
--- a/crates/core/src/tables/view.rs
+++ b/crates/core/src/tables/view.rs
@@ -26,6 +26,45 @@
     pub failure_domain: DomainName,
     /// Its address as `ip:port`.
     pub address: String,
+    /// Whether it is about to leave and gets no new duties.
+    pub leaving: bool,
+    /// The epoch of the view that made it a member.
+    ///
+    /// A VM that was removed and made a member again can be told from one
+    /// that stayed, even when the views between were missed.
+    pub joined: Epoch,
+}
+
+/// The difference between two views that one VM knew one after the other.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ViewDelta {
+    /// The epoch before.
+    pub from: Epoch,
+    /// The epoch after.
+    pub to: Epoch,
+    /// Members that are no longer in the view.
+    pub removed: Vec<VmName>,
+    /// Members that are new or have changed.
+    pub changed: Vec<Member>,
+    /// The members that may write the next view.
+    pub writers: SmallVec<[VmName; 2]>,
+}
+
+/// A view that came into force, as work for the other systems in the same tick.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ViewChange {
+    /// The view before.
+    pub before: View,
+    /// The epoch of the view now in force.
+    pub epoch: Epoch,
+    /// Members that were removed; a restarted VM is here and in `added`.
+    pub removed: Vec<Member>,
+    /// Members that were added.
+    pub added: Vec<Member>,
+    /// Whether this VM was removed, or was removed and made a member again.
+    ///
+    /// What it owned before may belong to others by now.
+    pub lost_membership: bool,
 }
 
 /// What a VM can own; keeps the hashes of different kinds apart.
@@ -57,16 +96,17 @@
 
     /// Chooses the member with the highest hash of itself and the key.
     fn owner(&self, kind: OwnedKind, key: [&str; 2]) -> Option<&VmName> {
-        let score = |member: &&Member| {
+        let score = |member: &Member| {
             let hash = [member.vm.as_str(), key[0], key[1]]
                 .iter()
                 .fold(kind as u64, |hash, text| fnv1a(hash, text));
-            (mix(hash), member.vm.clone())
+            mix(hash)
         };
         self.members
             .iter()
-            .max_by_key(score)
-            .map(|member| &member.vm)
+            .map(|member| (score(member), &member.vm))
+            .max()
+            .map(|(_, vm)| vm)
     }
 }
 
@@ -74,13 +114,90 @@
 impl View {
     /// Returns a member.
     pub fn member(&self, vm: &VmName) -> Option<&Member> {
-        self.members.iter().find(|member| member.vm == *vm)
+        let at = self.members.binary_search_by(|row| row.vm.cmp(vm)).ok()?;
+        Some(&self.members[at])
+    }
+
+    /// Returns a member if this start of its process is the one in the view.
+    pub fn member_at(&self, vm: &VmName, incarnation: Incarnation) -> Option<&Member> {
+        self.member(vm)
+            .filter(|member| member.incarnation == incarnation)
     }
 
     /// Returns whether a VM may write the next view.
     pub fn is_writer(&self, vm: &VmName) -> bool {
         self.writers.contains(vm)
     }
+
+    /// Returns whether this start of a VM's process may write the next view.
+    pub fn is_writer_at(&self, vm: &VmName, incarnation: Incarnation) -> bool {
+        self.is_writer(vm) && self.member_at(vm, incarnation).is_some()
+    }
+
+    /// Inserts or replaces a member.
+    pub fn put(&mut self, member: Member) {
+        match self.members.binary_search_by(|row| row.vm.cmp(&member.vm)) {
+            Ok(at) => self.members[at] = member,
+            Err(at) => self.members.insert(at, member),
+        }
+    }
+}
+
+/// # Changes
+impl View {
+    /// Returns the difference to a later view.
+    pub fn delta_to(&self, after: &Self) -> ViewDelta {
+        let is_removed = |member: &&Member| after.member(&member.vm).is_none();
+        let is_changed = |member: &&Member| self.member(&member.vm) != Some(member);
+        ViewDelta {
+            from: self.epoch,
+            to: after.epoch,
+            removed: self
+                .members
+                .iter()
+                .filter(is_removed)
+                .map(|member| member.vm.clone())
+                .collect(),
+            changed: after.members.iter().filter(is_changed).cloned().collect(),
+            writers: after.writers.clone(),
+        }
+    }
+
+    /// Returns the view after a difference, unless it starts from another epoch.
+    pub fn with_delta(&self, delta: &ViewDelta) -> Option<Self> {
+        if delta.from != self.epoch {
+            return None;
+        }
+        let mut after = self.clone();
+        after.epoch = delta.to;
+        after.writers = delta.writers.clone();
+        after
+            .members
+            .retain(|member| !delta.removed.contains(&member.vm));
+        for member in &delta.changed {
+            after.put(member.clone());
+        }
+        Some(after)
+    }
+
+    /// Returns the members of this view that are not the same in another one.
+    ///
+    /// A member is the same if neither its process nor its membership started anew.
+    pub fn members_not_in(&self, other: &Self) -> Vec<Member> {
+        self.members
+            .iter()
+            .filter(|member| {
+                let same = other.member_at(&member.vm, member.incarnation);
+                same.is_none_or(|same| same.joined != member.joined)
+            })
+            .cloned()
+            .collect()
+    }
+}
+
+/// Hashes a name, with a number that keeps uses apart.
+pub(crate) fn hash_name(name: &str, salt: u64) -> u64 {
+    mix(fnv1a(salt, name))
 }
 
 /// Adds a text and a separator to an FNV-1a hash.
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -147,8 +147,6 @@
         row.control = Some(Control::new((self.settings)(row.name.clone(), incarnation)));
         let fleet = self.fleet.clone();
         self.deliver(vm, self.now_us, Input::Config(fleet));
-        let request = StoreRequest::Read;
-        self.ask_store(vm, request);
     }
 }
 
