Document all settings and check the page against the code

Cause: a page of settings kept by hand drifts from the code. Change: Settings::reference prints the page from the schema; a test compares it with docs/settings.md. Conclusion: a changed default fails the test until the page is renewed.

--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -1,5 +1,7 @@
 //! Settings of one VM.
 
+mod reference;
+
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -78,7 +80,7 @@
     /// Longest time for streams to finish when the VM stops.
     #[serde(default = "default_drain_ms")]
     pub drain_ms: u64,
-    #[doc = "See `CoreSettings` of the same name for this and the following fields."]
+    /// Interval between heartbeats.
     #[serde(default = "defaults::heartbeat_ms")]
     pub heartbeat_ms: u64,
     /// Silence after which a VM is suspected to have failed.
