--- a/crates/core/src/message/homes.rs
+++ b/crates/core/src/message/homes.rs
@@ -229,6 +229,8 @@
     pub releases: Vec<Release>,
     /// How many messages the sender hands over in this epoch to this receiver.
     pub messages: u32,
+    /// How long the sender itself would still have had to wait for an earlier home.
+    pub wait_us: u64,
 }
 
 /// A program on its way from its old home to the new one.
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -11,7 +11,7 @@
     Began, Begin, Denied, HandOver, HandedProgram, HomesMessage, PermitRequest, RunningTurn,
     Settle, Witness,
 };
-pub use membership::MembershipMessage;
+pub use membership::{Heartbeat, HeartbeatAnswer, MembershipMessage};
 pub use placement::{Place, PlacementMessage};
 pub use rates::RatesMessage;
 
--- a/crates/core/src/systems/homes/mod.rs
+++ b/crates/core/src/systems/homes/mod.rs
@@ -115,9 +115,7 @@
             witnesses,
         } => witness::receive(tick, &sender.vm, transfer, epoch, witnesses),
         HomesMessage::HandOver(handed) => takeover::receive(tick, &sender.vm, *handed),
-        HomesMessage::Received { transfer } => {
-            tick.tables.homes.transfers.remove(&transfer);
-        }
+        HomesMessage::Received { transfer } => takeover::received(tick, transfer),
     }
 }
 
--- a/crates/core/src/systems/homes/requests.rs
+++ b/crates/core/src/systems/homes/requests.rs
@@ -6,7 +6,7 @@
 use crate::input::{Permit, ProgramRequest, ProgramRequestKind};
 use crate::message::{Denied, HomesMessage, PermitRequest};
 use crate::output::{Execution, Output, RefusalKind};
-use crate::tables::{PendingRequest, Timer};
+use crate::tables::{ProgramAsk, Timer};
 
 /// Longest time between two sends of a request.
 const REQUEST_RETRY_MS: u64 = 1_000;
@@ -38,7 +38,7 @@
             generation: request.continuation.map(|carried| carried.generation),
         },
     };
-    let pending = PendingRequest {
+    let pending = ProgramAsk {
         program,
         message,
         tries: 0,
--- a/crates/core/src/systems/homes/takeover.rs
+++ b/crates/core/src/systems/homes/takeover.rs
@@ -2,15 +2,12 @@
 
 use std::collections::BTreeMap;
 
-use smallvec::SmallVec;
-
 use super::super::Tick;
 use super::{MOVING_RETRY_MS, home, release, transfers, tree, waits, witness};
-use crate::config::CoreSettings;
 use crate::ids::{Epoch, Incarnation, ProgramKey, VmName};
 use crate::message::{HandOver, HandedProgram, HomesMessage};
 use crate::output::{Decision, TakeoverSource};
-use crate::tables::{PastView, Program, Release, View};
+use crate::tables::{HandedOver, Program, Release, Timer, View};
 
 /// Earlier views that are remembered; an older continuation counts as one of a lost home.
 const MAX_PAST_VIEWS: usize = 32;
@@ -18,22 +15,31 @@
 /// Programs in one message, so that it stays far below the limit of 256 KB.
 const BATCH: usize = 64;
 
-/// Returns the home of a program in a view, with the start of its process.
-pub(super) fn home_in<'a>(view: &'a View, key: &ProgramKey) -> Option<(&'a VmName, Incarnation)> {
-    let home = view.program_home(key)?;
-    let member = view.member(home)?;
-    Some((home, member.incarnation))
+/// A home with the start of its process and the epoch in which it became a member.
+type HomeOf<'a> = (&'a VmName, Incarnation, Epoch);
+
+/// Returns the home of a program in a view.
+pub(super) fn home_in<'a>(view: &'a View, key: &ProgramKey) -> Option<HomeOf<'a>> {
+    let member = view.member(view.program_home(key)?)?;
+    Some((&member.vm, member.incarnation, member.joined))
+}
+
+/// Returns the entry of this VM in a view.
+fn self_in<'a>(tick: &Tick<'_>, view: &'a View) -> Option<HomeOf<'a>> {
+    let settings = tick.settings;
+    let member = view.member_at(&settings.vm, settings.incarnation)?;
+    Some((&member.vm, member.incarnation, member.joined))
 }
 
-/// Returns whether this VM, with this start of its process, is the home in a view.
+/// Returns whether this VM, as the member that it is now, is the home in a view.
 fn is_home_in(tick: &Tick<'_>, view: &View, key: &ProgramKey) -> bool {
-    home_in(view, key) == Some((&tick.settings.vm, tick.settings.incarnation))
+    let me = self_in(tick, &tick.tables.view);
+    me.is_some() && home_in(view, key) == me
 }
 
 /// Returns whether a VM, with a start of its process, is a member.
 pub(super) fn is_member(tick: &Tick<'_>, vm: &VmName, incarnation: Incarnation) -> bool {
-    let member = tick.tables.view.member(vm);
-    member.is_some_and(|member| member.incarnation == incarnation)
+    tick.tables.view.member_at(vm, incarnation).is_some()
 }
 
 /// Checks that this VM may act as home of a program.
@@ -45,33 +51,36 @@
 ///
 /// Returns the time in milliseconds after which to try again.
 pub(super) fn check_home(tick: &Tick<'_>, key: &ProgramKey) -> Result<(), u64> {
-    let now_us = tick.now_us;
-    let is_home = is_home_in(tick, &tick.tables.view, key);
-    if !is_home || !tick.tables.lease.is_valid(now_us) {
+    let (now_us, tables) = (tick.now_us, &*tick.tables);
+    if !tables.lease.is_valid(now_us) {
         return Err(MOVING_RETRY_MS);
     }
-    let past = tick.tables.homes.past.iter();
-    let wait_us = past
-        .filter(|past| past.until_us > now_us && !has_let_go(tick, past, key))
-        .map(|past| past.until_us - now_us)
-        .max();
-    wait_us.map_or(Ok(()), |wait_us| Err(wait_us.div_ceil(1_000)))
+    let from_us = tables.acts_from_us(tick.settings, |view| view.program_home(key));
+    match from_us {
+        None => Err(MOVING_RETRY_MS),
+        Some(from_us) if from_us <= now_us || was_handed_over(tick, key) => Ok(()),
+        Some(from_us) => Err((from_us - now_us).div_ceil(1_000)),
+    }
 }
 
-/// Returns whether the home in a past view can no longer act for a program.
-fn has_let_go(tick: &Tick<'_>, past: &PastView, key: &ProgramKey) -> bool {
-    match home_in(&past.view, key) {
-        Some((vm, incarnation)) => {
-            let is_self = *vm == tick.settings.vm && incarnation == tick.settings.incarnation;
-            is_self || past.handed_over.contains(vm)
-        }
-        None => false,
-    }
+/// Returns whether all homes that could still act for a program have handed it over.
+fn was_handed_over(tick: &Tick<'_>, key: &ProgramKey) -> bool {
+    let past_views = &tick.tables.membership.past_views;
+    let has_let_go = |view: &View| {
+        let Some((vm, ..)) = home_in(view, key).filter(|_| !is_home_in(tick, view, key)) else {
+            return is_home_in(tick, view, key);
+        };
+        let handed = tick.tables.homes.handed_over.get(vm);
+        handed.is_some_and(|handed| {
+            handed.epoch > view.epoch && handed.from_us.is_some_and(|at| at <= tick.now_us)
+        })
+    };
+    !past_views.is_empty() && past_views.iter().all(|past| has_let_go(&past.view))
 }
 
 /// Returns whether this VM has been the only home of a program since an epoch.
 pub(super) fn was_home_since(tick: &Tick<'_>, key: &ProgramKey, since: Epoch) -> bool {
-    let past = tick.tables.homes.past.iter().map(|past| &past.view);
+    let past = tick.tables.homes.past.iter();
     for view in std::iter::once(&tick.tables.view).chain(past) {
         if !is_home_in(tick, view, key) {
             return false;
@@ -86,10 +95,7 @@
 /// Returns whether no other VM was the home of a program in any remembered view.
 pub(super) fn was_always_home(tick: &Tick<'_>, key: &ProgramKey) -> bool {
     let homes = &tick.tables.homes;
-    homes
-        .past
-        .iter()
-        .all(|past| is_home_in(tick, &past.view, key))
+    homes.past.iter().all(|view| is_home_in(tick, view, key))
 }
 
 /// Sorts programs anew when the view has changed.
@@ -101,33 +107,37 @@
     }
     let new = tick.tables.view.clone();
     let old = std::mem::replace(&mut tick.tables.homes.view, new.clone());
-    // Before the first view there was no home that could still act.
-    if new.epoch > Epoch(1) {
-        remember(tick, old.clone());
+    // Before the first view of the fleet there was no home.
+    if old.epoch > Epoch::default() || !tick.tables.membership.is_founder {
+        let past = &mut tick.tables.homes.past;
+        past.push_front(old.clone());
+        past.truncate(MAX_PAST_VIEWS);
     }
     witness::push(tick, &old, &new);
     hand_over(tick, &old, &new);
+    let (before, now) = (self_in(tick, &old), self_in(tick, &new));
+    let has_rejoined = now.is_some() && before != now;
     let kept: Vec<ProgramKey> = tick
         .tables
         .programs
         .iter()
-        .map(|(k, _)| k.clone())
+        .map(|(key, _)| key.clone())
         .collect();
     for key in kept {
+        if has_rejoined {
+            distrust(tick, &key);
+        }
         home::lose_departed(tick, &key);
     }
 }
 
-/// Remembers a view that is no longer in force.
-fn remember(tick: &mut Tick<'_>, view: View) {
-    let past = &mut tick.tables.homes.past;
-    past.push_front(PastView {
-        view,
-        until_us: tick.now_us + CoreSettings::with_margin_us(tick.settings.lease_ms),
-        handed_over: SmallVec::new(),
-        received: Vec::new(),
-    });
-    past.truncate(MAX_PAST_VIEWS);
+/// Marks a row that others may have moved on while this VM was no member.
+fn distrust(tick: &mut Tick<'_>, key: &ProgramKey) {
+    let epoch = tick.tables.view.epoch;
+    if let Some(program) = tick.tables.programs.get_mut(key) {
+        program.is_recovered = true;
+        program.known_from = epoch;
+    }
 }
 
 /// Hands programs over to their new homes.
@@ -135,17 +145,17 @@
 /// A new home is told even if it gets no programs, so that it need not wait.
 fn hand_over(tick: &mut Tick<'_>, old: &View, new: &View) {
     let me = tick.settings.vm.clone();
-    if !is_named(tick, old) {
+    if self_in(tick, old).is_none() {
         return;
     }
-    let is_leaving = !is_named(tick, new);
+    let is_leaving = self_in(tick, new).is_none();
     let mut by_home: BTreeMap<VmName, Vec<HandedProgram>> = new
         .members
         .iter()
         .filter(|member| member.vm != me)
         .filter(|member| {
             let before = old.member(&member.vm);
-            is_leaving || before.is_none_or(|before| before.incarnation != member.incarnation)
+            is_leaving || before.is_none_or(|before| before.joined != member.joined)
         })
         .map(|member| (member.vm.clone(), Vec::new()))
         .collect();
@@ -160,19 +170,13 @@
     }
 }
 
-/// Returns whether a view names this VM with this start of its process.
-fn is_named(tick: &Tick<'_>, view: &View) -> bool {
-    let member = view.member(&tick.settings.vm);
-    member.is_some_and(|member| member.incarnation == tick.settings.incarnation)
-}
-
 /// Removes the programs whose home is now another VM.
 fn take_moved(tick: &mut Tick<'_>, new: &View) -> Vec<(VmName, HandedProgram)> {
     let moved: Vec<(ProgramKey, VmName)> = tick
         .tables
         .programs
         .iter()
-        .filter(|(key, _)| !is_home_in(tick, new, key))
+        .filter(|(key, _)| new.program_home(key) != Some(&tick.settings.vm))
         .filter_map(|(key, _)| Some((key.clone(), new.program_home(key)?.clone())))
         .collect();
     let mut taken = Vec::new();
@@ -222,6 +226,10 @@
         handed.chunks(BATCH).collect()
     };
     let messages = batches.len() as u32;
+    let wait_us = own_wait_us(tick);
+    if self_in(tick, &tick.tables.view).is_none() {
+        tick.tables.membership.departure.open_hand_overs += messages;
+    }
     for (number, batch) in batches.into_iter().enumerate() {
         let programs = batch.to_vec();
         let releases = if number == 0 {
@@ -236,11 +244,60 @@
                 programs,
                 releases,
                 messages,
+                wait_us,
             }))
         });
     }
 }
 
+/// Returns how long this VM would still have had to wait for homes before it.
+///
+/// It can have gained programs from members that were removed, and from all
+/// others when it became a member itself.
+fn own_wait_us(tick: &Tick<'_>) -> u64 {
+    let membership = &tick.tables.membership;
+    let past_views = &membership.past_views;
+    let mut ready_us = match past_views.front() {
+        Some(first) if !membership.is_founder && self_in(tick, &first.view).is_some() => {
+            first.since_us + tick.settings.takeover_wait_us()
+        }
+        _ => 0,
+    };
+    for (before, after) in past_views.iter().zip(past_views.iter().skip(1)) {
+        let has_joined = self_in(tick, &before.view) != self_in(tick, &after.view);
+        let removed = before.view.members_not_in(&after.view);
+        let earlier = if has_joined {
+            &before.view.members
+        } else {
+            &removed
+        };
+        for member in earlier.iter().filter(|row| row.vm != tick.settings.vm) {
+            let until_us = let_go_us(tick, &member.vm, after.view.epoch);
+            let until_us = until_us.unwrap_or(after.since_us + tick.settings.takeover_wait_us());
+            ready_us = ready_us.max(until_us);
+        }
+    }
+    ready_us.saturating_sub(tick.now_us)
+}
+
+/// Returns from when a VM that handed its programs over needs no wait.
+fn let_go_us(tick: &Tick<'_>, vm: &VmName, epoch: Epoch) -> Option<u64> {
+    let handed = tick.tables.homes.handed_over.get(vm)?;
+    handed.from_us.filter(|_| handed.epoch >= epoch)
+}
+
+/// Takes note that a transfer has arrived, for a VM that leaves after the last one.
+pub(super) fn received(tick: &mut Tick<'_>, transfer: u64) {
+    let Some(transfer) = tick.tables.homes.transfers.remove(&transfer) else {
+        return;
+    };
+    let departure = &mut tick.tables.membership.departure;
+    if matches!(transfer.message, HomesMessage::HandOver(_)) && departure.open_hand_overs > 0 {
+        departure.open_hand_overs -= 1;
+        tick.tables.timers.set(tick.now_us + 1, Timer::Store);
+    }
+}
+
 /// Takes programs from their old home.
 pub(super) fn receive(tick: &mut Tick<'_>, vm: &VmName, handed: HandOver) {
     if handed.epoch > tick.tables.view.epoch {
@@ -257,17 +314,41 @@
     for gone in handed.releases {
         release::release(tick, gone.upstream, gone.program, gone.generation);
     }
-    for past in &mut tick.tables.homes.past {
-        let is_meant = past.view.epoch < handed.epoch && past.view.member(vm).is_some();
-        let part = (vm.clone(), transfer);
-        if !is_meant || past.received.contains(&part) {
-            continue;
-        }
-        past.received.push(part);
-        let parts = past.received.iter().filter(|(from, _)| from == vm).count();
-        if parts as u32 == handed.messages {
-            past.handed_over.push(vm.clone());
-        }
+    note_handed_over(
+        tick,
+        vm,
+        transfer,
+        handed.epoch,
+        handed.messages,
+        handed.wait_us,
+    );
+}
+
+/// Takes note of a part of a hand-over; the last part ends the takeover wait.
+fn note_handed_over(
+    tick: &mut Tick<'_>,
+    vm: &VmName,
+    transfer: u64,
+    epoch: Epoch,
+    messages: u32,
+    wait_us: u64,
+) {
+    let now_us = tick.now_us;
+    let homes = &mut tick.tables.homes;
+    let row = homes
+        .handed_over
+        .get_or_insert_with(vm, HandedOver::default);
+    if row.epoch < epoch {
+        *row = HandedOver {
+            epoch,
+            ..HandedOver::default()
+        };
+    }
+    if row.epoch == epoch && !row.received.contains(&transfer) {
+        row.received.push(transfer);
+    }
+    if row.epoch == epoch && row.received.len() as u32 == messages && row.from_us.is_none() {
+        row.from_us = Some(now_us + wait_us);
     }
 }
 
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -20,7 +20,7 @@
             | Timer::ReleaseRetry(_)
             | Timer::ProgramLease(_) => work.homes.due.push(timer),
             Timer::QueueWait(_) | Timer::PoolRetry(_) => work.placement.due.push(timer),
-            Timer::Touch => work.membership.due.push(timer),
+            Timer::Heartbeat | Timer::Store => work.membership.due.push(timer),
         }
     }
 }
--- a/crates/core/src/tables/homes.rs
+++ b/crates/core/src/tables/homes.rs
@@ -6,7 +6,7 @@
 use smallvec::SmallVec;
 
 use super::{Table, View};
-use crate::ids::{CallId, ProgramKey, UpstreamName, VmName};
+use crate::ids::{CallId, Epoch, ProgramKey, UpstreamName, VmName};
 use crate::message::{Begin, HomesMessage, Settle, Witness};
 
 /// What a VM keeps as home and as entry VM besides programs and calls.
@@ -15,7 +15,9 @@
     /// The view that the programs were last sorted by.
     pub view: View,
     /// Earlier views, newest first, to tell who was the home of a program.
-    pub past: VecDeque<PastView>,
+    pub past: VecDeque<View>,
+    /// VMs that have handed over their programs.
+    pub handed_over: Table<VmName, HandedOver>,
     /// Programs started here since the start of the process.
     pub started_programs: u64,
     /// As home: calls that wait for a turn.
@@ -29,24 +31,22 @@
     /// As entry VM: ends of turns that the home has not confirmed.
     pub settles: Table<CallId, PendingSettle>,
     /// As entry VM: requests of callers that the home has not answered.
-    pub requests: Table<CallId, PendingRequest>,
+    pub requests: Table<CallId, ProgramAsk>,
     /// State of programs on its way to their new homes.
     pub transfers: Table<u64, Transfer>,
     /// The number of the next transfer.
     pub next_transfer: u64,
 }
 
-/// A view that is no longer in force.
-#[derive(Debug, Clone)]
-pub struct PastView {
-    /// The view.
-    pub view: View,
-    /// When the last lease under it has certainly ended.
-    pub until_us: u64,
-    /// Members that have handed over all their programs since.
-    pub handed_over: SmallVec<[VmName; 2]>,
-    /// Messages of members that have handed over a part.
-    pub received: Vec<(VmName, u64)>,
+/// What a VM has handed over because of one view.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct HandedOver {
+    /// The epoch of the view that moved the programs.
+    pub epoch: Epoch,
+    /// Messages that have arrived.
+    pub received: SmallVec<[u64; 1]>,
+    /// From when this VM may act for the programs, once all messages have arrived.
+    pub from_us: Option<u64>,
 }
 
 /// A call that waits at the home for a turn.
@@ -96,7 +96,7 @@
 
 /// A request of a caller that the home has not answered.
 #[derive(Debug, Clone)]
-pub struct PendingRequest {
+pub struct ProgramAsk {
     /// The program.
     pub program: ProgramKey,
     /// The message.
