--- a/crates/core/src/config/mod.rs
+++ b/crates/core/src/config/mod.rs
@@ -7,4 +7,4 @@
     AccountConfig, EngineConfig, FleetConfig, KeyConfig, RouteConfig, ServiceConfig, ServiceKind,
     UpstreamConfig,
 };
-pub use settings::{CoreSettings, PolicyPreset};
+pub use settings::{CoreSettings, PolicyParts, PolicyPreset, UpstreamChoice};
--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -14,6 +14,44 @@
     Latency,
 }
 
+/// How an upstream is chosen for a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum UpstreamChoice {
+    /// In turn.
+    RoundRobin,
+    /// The one with the fewest calls for its limit.
+    LeastLoaded,
+    /// The one with the lowest cost of waiting and reading the prompt again.
+    #[default]
+    LowestCost,
+}
+
+/// The parts of the placement policy that are on.
+///
+/// The policy report switches parts off to measure what each contributes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PolicyParts {
+    /// Whether accounts take turns by the service that they received.
+    pub fair_sharing: bool,
+    /// Whether the program with the least attained service goes first.
+    pub least_attained: bool,
+    /// How an upstream is chosen.
+    pub upstream_choice: UpstreamChoice,
+    /// Whether the limit of calls on an upstream is learned.
+    pub learned_limit: bool,
+}
+
+impl Default for PolicyParts {
+    fn default() -> Self {
+        Self {
+            fair_sharing: true,
+            least_attained: true,
+            upstream_choice: UpstreamChoice::LowestCost,
+            learned_limit: true,
+        }
+    }
+}
+
 /// Settings of the core of one VM.
 ///
 /// The defaults are those of section 4.5 of `docs/design.md`.
@@ -45,6 +83,12 @@
     /// Which measure the placement policy favours.
     #[builder(default)]
     pub preset: PolicyPreset,
+    /// The parts of the placement policy that are on.
+    #[builder(default)]
+    pub policy: PolicyParts,
+    /// Longest mean time between two tokens before an upstream gets fewer calls.
+    #[builder(default = 30)]
+    pub token_target_ms: u64,
     /// Interval between heartbeats.
     #[builder(default = 500)]
     pub heartbeat_ms: u64,
--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -41,10 +41,28 @@
         /// Generated tokens a second.
         tokens_per_s: u64,
     },
+    /// An upstream was probed after a connection broke.
+    Probed {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// What the probe found.
+        state: ProbeState,
+    },
     /// The process has been asked to stop.
     Drain,
 }
 
+/// What a probe found after a connection to an upstream broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ProbeState {
+    /// A new connection works, and the process has not restarted.
+    Up,
+    /// A new connection works, and the process has restarted.
+    Restarted,
+    /// No connection was accepted.
+    Down,
+}
+
 /// An answer of the platform's object API about the view.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StoreEvent {
--- a/crates/core/src/input/mod.rs
+++ b/crates/core/src/input/mod.rs
@@ -6,4 +6,4 @@
 
 pub use attempt::{AttemptEvent, AttemptOutcome, AttemptProgress, Failure};
 pub use call::{Continuation, NewCall, Permit, PresentedKey, ProgramTurn, Target};
-pub use event::{Input, StoreEvent, StoredView, VmStatus};
+pub use event::{Input, ProbeState, StoreEvent, StoredView, VmStatus};
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -9,7 +9,7 @@
 pub use config::ConfigMessage;
 pub use homes::{Begin, Denied, HomesMessage, Settle};
 pub use membership::MembershipMessage;
-pub use placement::{Place, PlacementMessage};
+pub use placement::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
 pub use rates::RatesMessage;
 
 use derive_more::From;
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -5,7 +5,7 @@
 mod refusal;
 
 pub use charge::{Charge, ChargeOutcome};
-pub use decision::{Decision, PlacementReason};
+pub use decision::{CrashEvidence, Decision, PlacementReason, RetryReason};
 pub use refusal::{Execution, Refusal, RefusalKind};
 
 use std::sync::Arc;
@@ -54,6 +54,9 @@
         /// The generation of the program that is released.
         generation: u64,
     },
+    /// Connect to an upstream after a connection to it broke, and answer with
+    /// `Input::Probed`. The probe asks for the load, which shows a restart.
+    Probe(UpstreamName),
     /// Keep a charge record.
     Charge(Charge),
     /// Log a decision.
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -43,6 +43,11 @@
 /// Admits a new call or refuses it.
 fn arrive(tick: &mut Tick<'_>, new: NewCall) {
     let id = new.id;
+    if tick.tables.quarantine.contains_key(&new.digest) {
+        let kind = RefusalKind::Quarantined;
+        report(tick, id, kind, Execution::NotRun, None);
+        return;
+    }
     let admitted = find_route(tick, &new.target).and_then(|route| {
         let account = find_account(tick, &new, route.open)?;
         Ok((route, account))
@@ -85,6 +90,7 @@
         upstream: None,
         sent: false,
         avoid: SmallVec::new(),
+        place: Default::default(),
         new,
     };
     let has_account = call.account.is_some();
@@ -232,10 +238,11 @@
         }
         Stage::Place => {
             let (pool, attempt) = (call.pool.clone(), call.attempt());
+            let ran = call.execution();
             if let Some(owner) = tick.tables.view.pool_owner(&pool).cloned() {
                 tick.send(&owner, PlacementMessage::Withdraw { pool, attempt });
             }
-            refuse(tick, id, RefusalKind::CallerGone, Execution::NotRun, None);
+            refuse(tick, id, RefusalKind::CallerGone, ran, None);
         }
         // The traffic side reports the end of the attempt.
         Stage::Running | Stage::Settling => {}
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -108,15 +108,8 @@
         for upstream in &service.upstreams {
             let row = tables
                 .upstreams
-                .get_or_insert_with(&upstream.name, || Upstream {
-                    config: upstream.clone(),
-                    address: Arc::from(upstream.address.as_str()),
-                    running_calls: 0,
-                    limit_calls: upstream.max_running_calls,
-                });
-            row.address = Arc::from(upstream.address.as_str());
-            row.limit_calls = upstream.max_running_calls;
-            row.config = upstream.clone();
+                .get_or_insert_with(&upstream.name, || Upstream::new(upstream.clone()));
+            row.configure(upstream.clone());
         }
         for pool in pools_of(service) {
             let upstreams = upstreams_of(service, &pool);
@@ -132,6 +125,7 @@
             .services
             .insert(service.name.clone(), service.clone());
     }
+    tick.work.placement.config_changed = true;
 }
 
 /// Returns the pools of a service: one for each model, or one for a plain service.
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -40,6 +40,7 @@
             .placement
             .loads
             .push((upstream, running_calls, tokens_per_s)),
+        Input::Probed { upstream, state } => work.outcomes.probes.push((upstream, state)),
         Input::Drain => work.membership.drain = true,
     }
 }
--- /dev/null
+++ b/crates/core/src/systems/outcomes/ejection.rs
@@ -0,0 +1,80 @@
+//! Ejection of upstreams that fail again and again.
+
+use super::super::{Tick, placement};
+use super::suspects;
+use crate::ids::UpstreamName;
+use crate::output::{CrashEvidence, Decision};
+use crate::tables::Timer;
+
+/// Counts a failure of an upstream and ejects it after too many in a row.
+pub(crate) fn upstream_failed(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
+        return;
+    };
+    if !row.health.failed() {
+        return;
+    }
+    let failures = row.health.failures;
+    if !may_eject(tick, upstream) {
+        tick.decide(Decision::NotEjected {
+            upstream: upstream.clone(),
+            failures,
+        });
+        return;
+    }
+    eject(tick, upstream, failures);
+}
+
+/// Keeps calls away from an upstream that refused a connection.
+///
+/// While a broken connection to it is examined, the refusal shows a crash.
+pub(crate) fn upstream_refused(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    suspects::judge_crash(tick, upstream, CrashEvidence::Refused);
+    rest(tick, upstream);
+    upstream_failed(tick, upstream);
+}
+
+/// Keeps calls away from an upstream for a moment.
+pub(super) fn rest(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
+        return;
+    };
+    let until_us = row.health.rest(tick.now_us);
+    let timer = Timer::UpstreamReady(upstream.clone());
+    tick.tables.timers.set(until_us, timer);
+    placement::list(tick, upstream);
+}
+
+/// Returns whether at most half of each pool is out after one more ejection.
+fn may_eject(tick: &Tick<'_>, upstream: &UpstreamName) -> bool {
+    let Some(row) = tick.tables.upstreams.get(upstream) else {
+        return false;
+    };
+    row.pools.iter().all(|key| {
+        tick.tables.pools.get(key).is_some_and(|pool| {
+            let others = pool.ejected.len() - usize::from(pool.ejected.contains(upstream));
+            (others + 1) * 2 <= pool.upstreams.len()
+        })
+    })
+}
+
+/// Ejects an upstream.
+fn eject(tick: &mut Tick<'_>, upstream: &UpstreamName, failures: u32) {
+    let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
+        return;
+    };
+    let for_us = row.health.eject(tick.now_us);
+    for pool in &row.pools {
+        if let Some(pool) = tick.tables.pools.get_mut(pool) {
+            pool.ejected.insert(upstream.clone());
+        }
+    }
+    let timer = Timer::UpstreamReady(upstream.clone());
+    tick.tables.timers.set(tick.now_us + for_us, timer);
+    placement::list(tick, upstream);
+    tick.decide(Decision::Ejected {
+        upstream: upstream.clone(),
+        for_ms: for_us / 1_000,
+        failures,
+    });
+}
--- a/crates/core/src/systems/outcomes/mod.rs
+++ b/crates/core/src/systems/outcomes/mod.rs
@@ -1,37 +1,58 @@
-//! Results of attempts: responses, retries and charges.
+//! Results of attempts: responses, charges, retries and failures of upstreams.
 
-use super::{Tick, admission};
-use crate::ids::{AttemptId, CallId};
-use crate::input::{AttemptEvent, AttemptOutcome, AttemptProgress, Failure};
-use crate::message::{HomesMessage, PlacementMessage, Settle};
-use crate::output::{Answered, Charge, ChargeOutcome, Decision, Execution, Output, RefusalKind};
-use crate::tables::{Call, Stage};
+mod ejection;
+mod quarantine;
+mod results;
+mod retries;
+mod suspects;
 
-/// Attempts of a call, the first included.
-const MAX_ATTEMPTS: u32 = 3;
+pub(crate) use ejection::{upstream_failed, upstream_refused};
+pub(crate) use quarantine::quarantine;
+pub(crate) use results::answer;
+pub(crate) use suspects::{carry_crashes, clear_suspect, connection_lost};
+
+use super::Tick;
+use crate::ids::UpstreamName;
+use crate::input::{AttemptEvent, AttemptProgress, ProbeState};
+use crate::tables::{Stage, Timer};
 
 /// What waits for this system.
 #[derive(Debug, Default)]
 pub(crate) struct Work {
     pub events: Vec<AttemptEvent>,
+    pub probes: Vec<(UpstreamName, ProbeState)>,
+    pub due: Vec<Timer>,
 }
 
 impl Work {
     pub fn is_empty(&self) -> bool {
-        self.events.is_empty()
+        self.events.is_empty() && self.probes.is_empty() && self.due.is_empty()
     }
 }
 
 /// Runs the system.
 pub(crate) fn run(tick: &mut Tick<'_>) {
-    for event in std::mem::take(&mut tick.work.outcomes.events) {
+    let work = std::mem::take(&mut tick.work.outcomes);
+    for event in work.events {
         handle(tick, event);
     }
+    for (upstream, state) in work.probes {
+        suspects::probed(tick, &upstream, state);
+    }
+    for timer in work.due {
+        match timer {
+            Timer::CrashVerdict(upstream) => suspects::expire_probe(tick, &upstream),
+            Timer::SuspectIdle(digest) => suspects::expire(tick, digest),
+            Timer::QuarantineEnd(digest) => quarantine::expire(tick, digest),
+            _ => {}
+        }
+    }
 }
 
 /// Handles an event of the running attempt; events of older attempts are dropped.
 fn handle(tick: &mut Tick<'_>, event: AttemptEvent) {
     let attempt = event.attempt;
+    let now_us = tick.now_us;
     let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
     };
@@ -40,149 +61,8 @@
     }
     match event.progress {
         AttemptProgress::Sent => call.sent = true,
-        AttemptProgress::FirstToken => {}
-        AttemptProgress::Finished(outcome) => finish(tick, attempt, outcome),
-        AttemptProgress::Failed(failure) => fail(tick, attempt, failure),
-    }
-}
-
-/// Ends a call whose response is complete.
-fn finish(tick: &mut Tick<'_>, attempt: AttemptId, outcome: AttemptOutcome) {
-    free_upstream(tick, attempt, outcome.answer_tokens);
-    let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
-        return;
-    };
-    call.stage = Stage::Settling;
-    let tokens = (outcome.prompt_tokens, outcome.answer_tokens);
-    let charge = charge_for(call, attempt, tokens, ChargeOutcome::Complete);
-    let settle = settle_for(
-        call,
-        Execution::Ran,
-        tokens.0 + tokens.1,
-        Some(outcome.history),
-    );
-    tick.work.charges.charges.extend(charge);
-    match settle {
-        Some(settle) => send_settle(tick, settle),
-        None => answer(tick, attempt.call, None, None),
-    }
-}
-
-/// Retries or ends a call whose attempt failed.
-fn fail(tick: &mut Tick<'_>, attempt: AttemptId, failure: Failure) {
-    free_upstream(tick, attempt, failure.answer_tokens());
-    let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
-        return;
-    };
-    let may_repeat = call.idempotent || failure.is_not_run();
-    let may_retry = may_repeat && !failure.is_forwarded() && call.attempts < MAX_ATTEMPTS;
-    if let Some(upstream) = call.upstream.clone().filter(|_| may_retry) {
-        call.avoid.push(upstream.clone());
-        tick.decide(Decision::Retry {
-            call: attempt.call,
-            upstream,
-        });
-        admission::enter(tick, attempt.call, Stage::Place);
-        return;
-    }
-    let ran = if failure.is_not_run() {
-        Execution::NotRun
-    } else {
-        Execution::MayHaveRun
-    };
-    let outcome = match failure {
-        Failure::CallerGone { .. } => Some(ChargeOutcome::Abandoned),
-        failure if failure.is_forwarded() => Some(ChargeOutcome::Interrupted),
-        _ => None,
-    };
-    if let Some(outcome) = outcome {
-        let tokens = (call.new.prompt_tokens, failure.answer_tokens());
-        let charge = charge_for(call, attempt, tokens, outcome);
-        tick.work.charges.charges.extend(charge);
+        AttemptProgress::FirstToken => call.place.first_token_us = now_us,
+        AttemptProgress::Finished(outcome) => results::finish(tick, attempt, outcome),
+        AttemptProgress::Failed(failure) => retries::fail(tick, attempt, failure),
     }
-    let kind = match failure {
-        Failure::Silent { .. } => RefusalKind::UpstreamSilent,
-        Failure::CallerGone { .. } => RefusalKind::CallerGone,
-        _ => RefusalKind::UpstreamFailed,
-    };
-    admission::refuse(tick, attempt.call, kind, ran, None);
-}
-
-/// Gives the final answer to a call that ran.
-pub(crate) fn answer(
-    tick: &mut Tick<'_>,
-    id: CallId,
-    continuation: Option<crate::input::Continuation>,
-    permit: Option<crate::input::Permit>,
-) {
-    if tick.tables.calls.remove(&id).is_some() {
-        tick.outputs.push(Output::Answered(Box::new(Answered {
-            call: id,
-            continuation,
-            permit,
-        })));
-    }
-}
-
-/// Tells the owner of the pool that an attempt has ended.
-fn free_upstream(tick: &mut Tick<'_>, attempt: AttemptId, answer_tokens: u64) {
-    let Some(call) = tick.tables.calls.get(&attempt.call) else {
-        return;
-    };
-    let Some(upstream) = call.upstream.clone() else {
-        return;
-    };
-    let pool = call.pool.clone();
-    if let Some(owner) = tick.tables.view.pool_owner(&pool).cloned() {
-        let finish = PlacementMessage::Finish {
-            pool,
-            attempt,
-            upstream,
-            answer_tokens,
-        };
-        tick.send(&owner, finish);
-    }
-}
-
-/// Tells the home of a program that a turn has ended.
-fn send_settle(tick: &mut Tick<'_>, settle: Settle) {
-    if let Some(home) = tick.tables.view.program_home(&settle.program).cloned() {
-        tick.send(&home, HomesMessage::Settle(settle));
-    }
-}
-
-/// Makes the charge record of an attempt.
-fn charge_for(
-    call: &Call,
-    attempt: AttemptId,
-    (prompt_tokens, answer_tokens): (u64, u64),
-    outcome: ChargeOutcome,
-) -> Option<Charge> {
-    let turn = call.new.program.as_ref().map_or(0, |program| program.turn);
-    Some(Charge {
-        attempt,
-        account: call.account.clone(),
-        program: call.program.clone().map(|key| (key, turn)),
-        upstream: call.upstream.clone()?,
-        prompt_tokens,
-        answer_tokens,
-        outcome,
-    })
-}
-
-/// Makes the report of the end of a turn.
-fn settle_for(
-    call: &Call,
-    ran: Execution,
-    used_tokens: u64,
-    history: Option<crate::ids::HistoryDigest>,
-) -> Option<Settle> {
-    Some(Settle {
-        call: call.new.id,
-        program: call.program.clone()?,
-        turn: call.new.program.as_ref()?.turn,
-        ran,
-        used_tokens,
-        history,
-    })
 }
--- /dev/null
+++ b/crates/core/src/systems/outcomes/quarantine.rs
@@ -0,0 +1,55 @@
+//! Contents that no VM runs.
+
+use super::super::Tick;
+use crate::ids::{ContentDigest, VmName};
+use crate::message::PlacementMessage;
+use crate::output::Decision;
+use crate::tables::{Quarantine, Suspect, Timer};
+
+/// Quarantines a content that crashed an upstream alone, on all VMs.
+pub(super) fn declare(tick: &mut Tick<'_>, digest: ContentDigest) {
+    let for_ms = tick.settings.quarantine_ms;
+    let crashes = tick
+        .tables
+        .suspects
+        .get(&digest)
+        .map_or(0, |row| row.crashes);
+    tick.decide(Decision::Quarantined {
+        digest,
+        for_ms,
+        crashes,
+    });
+    quarantine(tick, digest, for_ms);
+    let members = tick.tables.view.members.iter();
+    let others: Vec<VmName> = members
+        .map(|member| member.vm.clone())
+        .filter(|vm| *vm != tick.settings.vm)
+        .collect();
+    for vm in others {
+        tick.send(&vm, PlacementMessage::Quarantine { digest, for_ms });
+    }
+}
+
+/// Refuses a content on this VM for a time.
+pub(crate) fn quarantine(tick: &mut Tick<'_>, digest: ContentDigest, for_ms: u64) {
+    let until_us = tick.now_us + for_ms * 1_000;
+    let row = tick
+        .tables
+        .quarantine
+        .get_or_insert_with(&digest, || Quarantine { until_us });
+    row.until_us = row.until_us.max(until_us);
+    let timer = Timer::QuarantineEnd(digest);
+    tick.tables.timers.set(until_us, timer);
+}
+
+/// Ends a quarantine; the content still runs alone.
+pub(super) fn expire(tick: &mut Tick<'_>, digest: ContentDigest) {
+    let row = tick.tables.quarantine.get(&digest);
+    if row.is_none_or(|row| row.until_us > tick.now_us) {
+        return;
+    }
+    tick.tables.quarantine.remove(&digest);
+    if let Some(suspect) = tick.tables.suspects.get_mut(&digest) {
+        suspect.crashes = suspect.crashes.min(Suspect::ALONE_CRASHES);
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -0,0 +1,157 @@
+//! Retries of failed attempts.
+
+use super::super::{Tick, admission};
+use super::results;
+use crate::ids::AttemptId;
+use crate::input::{AttemptOutcome, Failure};
+use crate::message::AttemptResult;
+use crate::output::{ChargeOutcome, Decision, Execution, RefusalKind, RetryReason};
+use crate::tables::{Call, Stage};
+
+/// Attempts of a call, the first included.
+///
+/// Enough for a call that shares an upstream with a crashing request twice,
+/// runs alone after that, and meets refused connections in between.
+const MAX_ATTEMPTS: u32 = 8;
+
+/// Failed attempts of a call after which it ends.
+const MAX_FAILURES: u32 = 3;
+
+/// Lost connections of a call that take nothing from the retry budget.
+///
+/// A crashing request takes others down with it at most three times, and a
+/// budget must not punish them for it.
+const FREE_LOSSES: u32 = 3;
+
+/// Retries or ends a call whose attempt failed.
+pub(super) fn fail(tick: &mut Tick<'_>, attempt: AttemptId, failure: Failure) {
+    let outcome = AttemptOutcome {
+        answer_tokens: failure.answer_tokens(),
+        ..AttemptOutcome::default()
+    };
+    results::free_upstream(tick, attempt, result_of(&failure), &outcome);
+    let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
+        return;
+    };
+    if !failure.is_not_run() && call.sent {
+        call.place.may_have_run = true;
+    }
+    match failure {
+        Failure::ConnectionLost { .. } => call.place.losses += 1,
+        Failure::NotSent | Failure::CallerGone { .. } => {}
+        _ => call.place.failures += 1,
+    }
+    let Some(upstream) = call.upstream.clone() else {
+        return;
+    };
+    let verdict = judge(call, &failure);
+    let needs_budget = needs_budget(call, &failure);
+    let verdict = verdict.and_then(|reason| {
+        if needs_budget && !take_budget(tick, attempt) {
+            return Err(RetryReason::OverBudget);
+        }
+        Ok(reason)
+    });
+    match verdict {
+        Ok(reason) => {
+            tick.decide(Decision::Retry {
+                call: attempt.call,
+                upstream: upstream.clone(),
+                reason,
+            });
+            if let Some(call) = tick.tables.calls.get_mut(&attempt.call)
+                && !call.avoid.contains(&upstream)
+            {
+                call.avoid.push(upstream);
+            }
+            admission::enter(tick, attempt.call, Stage::Place);
+        }
+        Err(reason) => {
+            tick.decide(Decision::NoRetry {
+                call: attempt.call,
+                upstream,
+                reason,
+            });
+            end(tick, attempt, failure);
+        }
+    }
+}
+
+/// Returns how an attempt ended as far as its upstream is concerned.
+fn result_of(failure: &Failure) -> AttemptResult {
+    match failure {
+        Failure::NotSent => AttemptResult::NotConnected,
+        // A refusal of the request (4xx) says nothing against the upstream.
+        Failure::RefusedByUpstream { status } if *status < 500 && *status != 429 => {
+            AttemptResult::Unused
+        }
+        Failure::RefusedByUpstream { .. }
+        | Failure::UpstreamError { .. }
+        | Failure::Silent { .. } => AttemptResult::Failed,
+        Failure::ConnectionLost { .. } => AttemptResult::Lost,
+        Failure::CallerGone { .. } => AttemptResult::Unused,
+    }
+}
+
+/// Decides whether a call may be tried again, apart from the budget.
+fn judge(call: &Call, failure: &Failure) -> Result<RetryReason, RetryReason> {
+    if failure.is_forwarded() {
+        return Err(RetryReason::Forwarded);
+    }
+    let reason = match (failure.is_not_run(), call.idempotent) {
+        (true, _) => RetryReason::NotRun,
+        (false, true) => RetryReason::Idempotent,
+        (false, false) => return Err(RetryReason::NotIdempotent),
+    };
+    if call.attempts >= MAX_ATTEMPTS || call.place.failures >= MAX_FAILURES {
+        return Err(RetryReason::TooManyAttempts);
+    }
+    Ok(reason)
+}
+
+/// Returns whether a retry takes from the retry budget.
+fn needs_budget(call: &Call, failure: &Failure) -> bool {
+    match failure {
+        Failure::ConnectionLost { .. } => call.place.losses > FREE_LOSSES,
+        // The upstream rests after a refused connection, which bounds these.
+        Failure::NotSent => false,
+        _ => true,
+    }
+}
+
+/// Takes one retry from the budget of the call's pool.
+fn take_budget(tick: &mut Tick<'_>, attempt: AttemptId) -> bool {
+    let (now_us, percent) = (tick.now_us, tick.settings.retry_percent);
+    let call = tick.tables.calls.get(&attempt.call);
+    call.map(|call| call.pool.clone())
+        .and_then(|pool| tick.tables.pools.get_mut(&pool))
+        .is_some_and(|pool| pool.retries.take(now_us, percent))
+}
+
+/// Ends a call that is not tried again.
+fn end(tick: &mut Tick<'_>, attempt: AttemptId, failure: Failure) {
+    let Some(call) = tick.tables.calls.get(&attempt.call) else {
+        return;
+    };
+    let ran = if failure.is_not_run() {
+        call.execution()
+    } else {
+        Execution::MayHaveRun
+    };
+    let outcome = match failure {
+        Failure::CallerGone { .. } => Some(ChargeOutcome::Abandoned),
+        failure if failure.is_forwarded() => Some(ChargeOutcome::Interrupted),
+        _ => None,
+    };
+    if let Some(outcome) = outcome {
+        let tokens = (call.new.prompt_tokens, failure.answer_tokens());
+        let charge = results::charge_for(call, attempt, tokens, outcome);
+        tick.work.charges.charges.extend(charge);
+    }
+    let kind = match failure {
+        Failure::Silent { .. } => RefusalKind::UpstreamSilent,
+        Failure::CallerGone { .. } => RefusalKind::CallerGone,
+        _ => RefusalKind::UpstreamFailed,
+    };
+    admission::refuse(tick, attempt.call, kind, ran, None);
+}
--- /dev/null
+++ b/crates/core/src/systems/outcomes/suspects.rs
@@ -0,0 +1,255 @@
+//! Contents that were running when an upstream crashed.
+//!
+//! A broken connection alone is no crash. The upstream gets no calls while
+//! the cause is examined: a probe that is refused or shows a restart, a
+//! refused connection of another attempt, or several attempts lost at once
+//! show a crash; a probe that works while one attempt was lost shows an
+//! ordinary broken connection. A probe without an answer counts as a crash.
+
+use std::collections::BTreeSet;
+
+use super::super::{Tick, placement};
+use super::{ejection, quarantine};
+use crate::ids::{AttemptId, CallId, ContentDigest, UpstreamName, VmName};
+use crate::input::ProbeState;
+use crate::message::PlacementMessage;
+use crate::output::{CrashEvidence, Decision, Output};
+use crate::tables::{LostAttempt, Running, Suspect, Timer};
+
+/// Time for a probe to be answered.
+const PROBE_US: u64 = 1_000_000;
+
+/// Examines a broken connection.
+pub(crate) fn connection_lost(tick: &mut Tick<'_>, attempt: AttemptId, running: &Running) {
+    if running.is_counted {
+        return;
+    }
+    let now_us = tick.now_us;
+    let Some(row) = tick.tables.upstreams.get_mut(&running.upstream) else {
+        return;
+    };
+    let is_first = row.health.lost.is_empty();
+    row.health.lost.push(LostAttempt {
+        call: attempt.call,
+        vm: running.vm.clone(),
+        digest: running.digest,
+        alone: running.alone,
+    });
+    see(tick, running.digest).examined += 1;
+    if is_first {
+        let probe = Output::Probe(running.upstream.clone());
+        tick.outputs.push(probe);
+        let timer = Timer::CrashVerdict(running.upstream.clone());
+        tick.tables.timers.set(now_us + PROBE_US, timer);
+    }
+    placement::list(tick, &running.upstream);
+}
+
+/// Judges a broken connection by the result of a probe.
+pub(super) fn probed(tick: &mut Tick<'_>, upstream: &UpstreamName, state: ProbeState) {
+    let lost_attempts = tick
+        .tables
+        .upstreams
+        .get(upstream)
+        .map_or(0, |row| row.health.lost.len());
+    match state {
+        ProbeState::Down => judge_crash(tick, upstream, CrashEvidence::Refused),
+        ProbeState::Restarted => judge_crash(tick, upstream, CrashEvidence::Restarted),
+        ProbeState::Up if lost_attempts > 1 => {
+            judge_crash(tick, upstream, CrashEvidence::SeveralLost);
+        }
+        ProbeState::Up => judge_broken(tick, upstream),
+    }
+}
+
+/// Judges a broken connection whose probe has had no answer.
+pub(super) fn expire_probe(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    judge_crash(tick, upstream, CrashEvidence::ProbeSilent);
+}
+
+/// Ends the examination of an upstream as an ordinary broken connection.
+fn judge_broken(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let lost = take_lost(tick, upstream);
+    if lost.is_empty() {
+        return;
+    }
+    tick.decide(Decision::ConnectionBroke {
+        upstream: upstream.clone(),
+        evidence: CrashEvidence::Answering,
+    });
+    for attempt in &lost {
+        forget_innocent(tick, &attempt.digest);
+    }
+    ejection::upstream_failed(tick, upstream);
+    resume(tick, upstream, lost.iter().map(|lost| lost.digest));
+}
+
+/// Ends the examination of an upstream as a crash.
+pub(super) fn judge_crash(tick: &mut Tick<'_>, upstream: &UpstreamName, evidence: CrashEvidence) {
+    let lost = take_lost(tick, upstream);
+    if lost.is_empty() {
+        return;
+    }
+    let mut suspects: Vec<(CallId, VmName, ContentDigest)> = lost
+        .iter()
+        .map(|lost| (lost.call, lost.vm.clone(), lost.digest))
+        .collect();
+    suspects.extend(count_running(tick, upstream));
+    let alone = lost.iter().find(|lost| lost.alone).map(|lost| lost.digest);
+    let digests: BTreeSet<ContentDigest> = suspects.iter().map(|(.., digest)| *digest).collect();
+    tick.decide(Decision::Crashed {
+        upstream: upstream.clone(),
+        suspects: digests.len(),
+        evidence,
+    });
+    for digest in &digests {
+        see(tick, *digest).crashes += 1;
+    }
+    count_copies(tick, &digests);
+    for (call, vm, digest) in suspects {
+        let crashes = tick
+            .tables
+            .suspects
+            .get(&digest)
+            .map_or(0, |row| row.crashes);
+        tick.send(&vm, PlacementMessage::Suspected { call, crashes });
+    }
+    if let Some(digest) = alone {
+        quarantine::declare(tick, digest);
+    }
+    if let Some(row) = tick.tables.upstreams.get_mut(upstream) {
+        row.health.cache_from_us = tick.now_us + 1;
+        row.prefill_until_us = 0;
+    }
+    ejection::rest(tick, upstream);
+    resume(tick, upstream, digests.into_iter());
+}
+
+/// Takes the lost attempts of an upstream; their contents are no longer examined.
+fn take_lost(tick: &mut Tick<'_>, upstream: &UpstreamName) -> Vec<LostAttempt> {
+    let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
+        return Vec::new();
+    };
+    let lost: Vec<LostAttempt> = std::mem::take(&mut row.health.lost).into_vec();
+    for attempt in &lost {
+        if let Some(suspect) = tick.tables.suspects.get_mut(&attempt.digest) {
+            suspect.examined = suspect.examined.saturating_sub(1);
+        }
+    }
+    lost
+}
+
+/// Marks the attempts that still run on a crashed upstream as counted.
+fn count_running(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+) -> Vec<(CallId, VmName, ContentDigest)> {
+    let attempts = tick.tables.upstreams.get(upstream);
+    let attempts = attempts.map(|row| row.attempts.clone()).unwrap_or_default();
+    let mut counted = Vec::new();
+    for attempt in attempts {
+        if let Some(running) = tick.tables.running.get_mut(&attempt) {
+            running.is_counted = true;
+            counted.push((attempt.call, running.vm.clone(), running.digest));
+        }
+    }
+    counted
+}
+
+/// Counts the running copies of contents; crashes are rare enough for a scan.
+fn count_copies(tick: &mut Tick<'_>, digests: &BTreeSet<ContentDigest>) {
+    for digest in digests {
+        if let Some(suspect) = tick.tables.suspects.get_mut(digest) {
+            suspect.running = 0;
+        }
+    }
+    let tables = &mut *tick.tables;
+    for (_, running) in tables.running.iter() {
+        if digests.contains(&running.digest)
+            && let Some(suspect) = tables.suspects.get_mut(&running.digest)
+        {
+            suspect.running += 1;
+        }
+    }
+}
+
+/// Lets held calls and the pools of an upstream go on.
+fn resume(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+    digests: impl Iterator<Item = ContentDigest>,
+) {
+    let row = tick.tables.upstreams.get(upstream);
+    let pools = row.map(|row| row.pools.clone()).unwrap_or_default();
+    for digest in digests {
+        for pool in &pools {
+            placement::release_held(tick, pool, &digest);
+        }
+    }
+    placement::wake(tick, upstream);
+}
+
+/// Returns the row of a content, which is kept for another time.
+fn see<'a>(tick: &'a mut Tick<'_>, digest: ContentDigest) -> &'a mut Suspect {
+    let now_us = tick.now_us;
+    if !tick.tables.suspects.contains_key(&digest) {
+        let due_us = now_us + keep_us(tick);
+        let timer = Timer::SuspectIdle(digest);
+        tick.tables.timers.set(due_us, timer);
+    }
+    let row = tick
+        .tables
+        .suspects
+        .get_or_insert_with(&digest, Suspect::default);
+    row.seen_us = now_us;
+    row
+}
+
+/// Returns how long a suspect is remembered: past the end of a quarantine, so
+/// that a content that crashes again right after it still runs alone.
+fn keep_us(tick: &Tick<'_>) -> u64 {
+    tick.settings.quarantine_ms * 2_000
+}
+
+/// Takes over the crash count that an entry VM remembers.
+pub(crate) fn carry_crashes(tick: &mut Tick<'_>, digest: ContentDigest, crashes: u32) {
+    if crashes == 0 {
+        return;
+    }
+    let row = see(tick, digest);
+    row.crashes = row.crashes.max(crashes);
+}
+
+/// Forgets the suspicion against a content that completed.
+pub(crate) fn clear_suspect(tick: &mut Tick<'_>, digest: &ContentDigest) {
+    if tick.tables.suspects.is_empty() {
+        return;
+    }
+    if let Some(suspect) = tick.tables.suspects.get_mut(digest) {
+        suspect.crashes = 0;
+    }
+}
+
+/// Removes the row of a content that was in no crash.
+fn forget_innocent(tick: &mut Tick<'_>, digest: &ContentDigest) {
+    let suspect = tick.tables.suspects.get(digest);
+    if suspect.is_some_and(|row| row.crashes == 0 && row.examined == 0) {
+        tick.tables.suspects.remove(digest);
+    }
+}
+
+/// Forgets a content that has not been seen for a long time.
+pub(super) fn expire(tick: &mut Tick<'_>, digest: ContentDigest) {
+    let Some(suspect) = tick.tables.suspects.get(&digest) else {
+        return;
+    };
+    let due_us = suspect.seen_us + keep_us(tick);
+    if due_us <= tick.now_us && suspect.running == 0 {
+        tick.tables.suspects.remove(&digest);
+    } else {
+        let timer = Timer::SuspectIdle(digest);
+        tick.tables
+            .timers
+            .set(due_us.max(tick.now_us + 1_000_000), timer);
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/placement/alone.rs
@@ -0,0 +1,145 @@
+//! Runs contents that were in two crashes alone on an upstream.
+
+use smallvec::SmallVec;
+
+use super::super::Tick;
+use super::choice::Chosen;
+use super::{listing, owner};
+use crate::ids::{PoolKey, UpstreamName};
+use crate::output::PlacementReason;
+use crate::tables::Waiting;
+
+/// Starts calls that have to run alone, as far as upstreams can be kept free.
+pub(super) fn assign(tick: &mut Tick<'_>, pool: &PoolKey) {
+    while let Some(waiting) = next(tick, pool) {
+        start(tick, pool, waiting);
+    }
+}
+
+/// Takes the first call that can start now, reserving an upstream for it.
+fn next(tick: &mut Tick<'_>, pool: &PoolKey) -> Option<Waiting> {
+    let row = tick.tables.pools.get(pool)?;
+    let waiting = row.alone.front()?;
+    let digest = waiting.place.digest;
+    if tick.tables.quarantine.contains_key(&digest) {
+        let waiting = tick.tables.pools.get_mut(pool)?.alone.pop_front()?;
+        owner::refuse(tick, waiting);
+        return next(tick, pool);
+    }
+    let suspect = tick.tables.suspects.get(&digest).copied();
+    let suspect = suspect.unwrap_or_default();
+    if !suspect.runs_alone() {
+        // The content completed elsewhere and is no longer suspect.
+        let waiting = tick.tables.pools.get_mut(pool)?.alone.pop_front()?;
+        listing::push(tick, waiting);
+        return next(tick, pool);
+    }
+    if suspect.running > 0 || suspect.examined > 0 {
+        let row = tick.tables.pools.get_mut(pool)?;
+        let waiting = row.alone.pop_front()?;
+        row.held.entry(digest).or_default().push_back(waiting);
+        return next(tick, pool);
+    }
+    let idle = reserved_idle(tick, pool).or_else(|| {
+        reserve(tick, pool);
+        reserved_idle(tick, pool)
+    });
+    idle?;
+    tick.tables.pools.get_mut(pool)?.alone.pop_front()
+}
+
+/// Returns a reserved upstream on which nothing of this pool's owner runs.
+fn reserved_idle(tick: &Tick<'_>, pool: &PoolKey) -> Option<UpstreamName> {
+    let row = tick.tables.pools.get(pool)?;
+    row.reserved
+        .iter()
+        .find(|name| {
+            let upstream = tick.tables.upstreams.get(name);
+            upstream.is_some_and(|row| row.attempts.is_empty() && row.is_usable(tick.now_us))
+        })
+        .cloned()
+}
+
+/// Keeps one more upstream free, at most half of the pool.
+fn reserve(tick: &mut Tick<'_>, pool: &PoolKey) {
+    let Some(row) = tick.tables.pools.get_mut(pool) else {
+        return;
+    };
+    let waiting = row.alone.len() + busy_reserved(&tick.tables.upstreams, row);
+    let allowed = (row.upstreams.len() / 2).max(1).min(waiting);
+    if row.reserved.len() >= allowed {
+        return;
+    }
+    let Some((_, name)) = row.open.first().cloned() else {
+        return;
+    };
+    row.reserved.insert(name.clone());
+    if let Some(upstream) = tick.tables.upstreams.get_mut(&name) {
+        upstream.is_alone = true;
+    }
+    listing::list(tick, &name);
+}
+
+/// Counts the reserved upstreams on which something runs.
+fn busy_reserved(
+    upstreams: &crate::tables::Table<UpstreamName, crate::tables::Upstream>,
+    pool: &crate::tables::Pool,
+) -> usize {
+    pool.reserved
+        .iter()
+        .filter(|name| {
+            let upstream = upstreams.get(name);
+            upstream.is_some_and(|row| !row.attempts.is_empty())
+        })
+        .count()
+}
+
+/// Starts a call alone on a reserved upstream.
+fn start(tick: &mut Tick<'_>, pool: &PoolKey, waiting: Waiting) {
+    let Some(upstream) = reserved_idle(tick, pool) else {
+        return;
+    };
+    let crashes = owner::crashes(tick, &waiting);
+    let chosen = Chosen {
+        upstream,
+        reason: PlacementReason::Alone { crashes },
+        runners_up: SmallVec::new(),
+        cached_tokens: 0,
+    };
+    owner::place(tick, waiting, chosen, true);
+}
+
+/// Gives back upstreams that were kept free when no call needs them any more.
+pub(super) fn unreserve(tick: &mut Tick<'_>, pool: &PoolKey) {
+    let Some(row) = tick.tables.pools.get(pool) else {
+        return;
+    };
+    if row.reserved.is_empty() || !row.alone.is_empty() {
+        return;
+    }
+    let upstreams = &tick.tables.upstreams;
+    let runs_alone = |name: &UpstreamName| {
+        let attempts = upstreams.get(name).map(|row| &row.attempts);
+        attempts.is_some_and(|attempts| {
+            attempts
+                .iter()
+                .filter_map(|attempt| tick.tables.running.get(attempt))
+                .any(|running| running.alone)
+        })
+    };
+    let freed: SmallVec<[UpstreamName; 2]> = row
+        .reserved
+        .iter()
+        .filter(|name| !runs_alone(name))
+        .cloned()
+        .collect();
+    for name in freed {
+        if let Some(row) = tick.tables.pools.get_mut(pool) {
+            row.reserved.remove(&name);
+        }
+        if let Some(upstream) = tick.tables.upstreams.get_mut(&name) {
+            upstream.is_alone = false;
+        }
+        listing::list(tick, &name);
+    }
+}
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -3,12 +3,21 @@
 use smallvec::SmallVec;
 
 use super::super::{Tick, admission};
-use crate::ids::{AttemptId, CallId, UpstreamName};
-use crate::message::{Place, PlacementMessage};
+use crate::ids::{AttemptId, CallId, PoolKey, UpstreamName};
+use crate::message::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
 use crate::output::{Decision, Dispatch, Execution, Output, PlacementReason, RefusalKind};
-use crate::tables::{Stage, Timer};
+use crate::tables::{Call, Stage, Timer};
 
-/// Asks the owner of the pool for an upstream.
+/// Unanswered requests after which the owner of a pool counts as failed.
+const MAX_UNANSWERED: u32 = 2;
+
+/// Interval at which a waiting call is confirmed, in timeouts of a request.
+const CONFIRM_TIMEOUTS: u64 = 5;
+
+/// The upstream chosen for an attempt, the reason and the next best upstreams.
+type Assignment = (UpstreamName, PlacementReason, SmallVec<[UpstreamName; 2]>);
+
+/// Starts the next attempt of a call and asks the owner of the pool for an upstream.
 pub(super) fn request(tick: &mut Tick<'_>, id: CallId) {
     let now_us = tick.now_us;
     let Some(call) = tick.tables.calls.get_mut(&id) else {
@@ -17,53 +26,229 @@
     call.attempts += 1;
     call.sent = false;
     call.upstream = None;
-    let place = Place {
+    call.place.unanswered = 0;
+    call.place.first_token_us = 0;
+    let attempt = call.attempt();
+    let pool = call.pool.clone();
+    if call.attempts == 1
+        && let Some(row) = tick.tables.pools.get_mut(&pool)
+    {
+        row.retries.count_call(now_us);
+    }
+    let due_us = now_us + tick.settings.queue_ms * 1_000;
+    tick.tables.timers.set(due_us, Timer::QueueWait(attempt));
+    send_place(tick, id);
+}
+
+/// Sends the request for an upstream, for the first time or again.
+pub(super) fn send_place(tick: &mut Tick<'_>, id: CallId) {
+    let Some(call) = tick.tables.calls.get(&id) else {
+        return;
+    };
+    let Some(owner) = tick.tables.view.pool_owner(&call.pool).cloned() else {
+        let ran = call.execution();
+        admission::refuse(tick, id, RefusalKind::NoUpstream, ran, Some(1_000));
+        return;
+    };
+    let mut place = place_of(call);
+    let before = AttemptId {
+        call: id,
+        number: call.attempts.saturating_sub(1),
+    };
+    place.ended = tick.tables.finishing.get(&before).cloned();
+    if owner != tick.settings.vm {
+        wait_for_answer(tick, place.attempt, 1);
+    }
+    tick.send(&owner, PlacementMessage::Place(Box::new(place)));
+}
+
+/// Makes the request for an upstream.
+fn place_of(call: &Call) -> Place {
+    let turn = call.new.program.as_ref();
+    let continuation = turn.and_then(|turn| turn.continuation.as_ref());
+    Place {
         pool: call.pool.clone(),
         attempt: call.attempt(),
         account: call.account.clone(),
         program: call.program.clone(),
+        spent_tokens: continuation.map_or(0, |continuation| continuation.spent_tokens),
         prompt_tokens: call.new.prompt_tokens,
+        max_tokens: call.new.max_tokens,
         digest: call.new.digest,
+        crashes: call.place.crashes,
         avoid: call.avoid.clone(),
+        ended: None,
+    }
+}
+
+/// Plans to look for the answer of the owner of a pool.
+fn wait_for_answer(tick: &mut Tick<'_>, attempt: AttemptId, timeouts: u64) {
+    let due_us = tick.now_us + timeouts * tick.settings.place_timeout_ms * 1_000;
+    if let Some(call) = tick.tables.calls.get_mut(&attempt.call) {
+        call.place.check_us = due_us;
+    }
+    tick.tables.timers.set(due_us, Timer::PlaceWait(attempt));
+}
+
+/// Notes that a call waits at the owner of its pool.
+pub(super) fn queued(tick: &mut Tick<'_>, attempt: AttemptId) {
+    if !is_waiting(tick, attempt) {
+        return;
+    }
+    if let Some(call) = tick.tables.calls.get_mut(&attempt.call) {
+        call.place.unanswered = 0;
+    }
+    wait_for_answer(tick, attempt, CONFIRM_TIMEOUTS);
+}
+
+/// Asks again, or places the call here when the owner counts as failed.
+pub(super) fn check_answer(tick: &mut Tick<'_>, attempt: AttemptId) {
+    if !is_waiting(tick, attempt) {
+        return;
+    }
+    let now_us = tick.now_us;
+    let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
+        return;
     };
-    let due_us = now_us + tick.settings.queue_ms * 1_000;
-    let timer = Timer::QueueWait(place.attempt);
-    tick.tables.timers.set(due_us, timer);
-    let Some(owner) = tick.tables.view.pool_owner(&place.pool).cloned() else {
-        admission::refuse(
-            tick,
-            id,
-            RefusalKind::NoUpstream,
-            Execution::NotRun,
-            Some(1_000),
-        );
+    if now_us < call.place.check_us {
         return;
+    }
+    call.place.unanswered += 1;
+    // Only the owner knows how many copies of a suspect run, so a suspect waits for one.
+    let is_suspect = call.place.crashes > 0;
+    if call.place.unanswered >= MAX_UNANSWERED && !is_suspect && place_here(tick, attempt) {
+        return;
+    }
+    send_place(tick, attempt.call);
+}
+
+/// Places a call on the upstream with the fewest calls of this VM.
+///
+/// The scan of the pool is limited to calls whose owner has failed.
+fn place_here(tick: &mut Tick<'_>, attempt: AttemptId) -> bool {
+    let Some(call) = tick.tables.calls.get(&attempt.call) else {
+        return false;
     };
-    tick.send(&owner, PlacementMessage::Place(Box::new(place)));
+    let Some(pool) = tick.tables.pools.get(&call.pool) else {
+        return false;
+    };
+    let mut ranked: SmallVec<[(bool, u32, &UpstreamName); 8]> = pool
+        .upstreams
+        .iter()
+        .filter_map(|name| {
+            let row = tick.tables.upstreams.get(name)?;
+            let is_avoided = call.avoid.contains(name);
+            let is_usable = row.is_usable(tick.now_us) && row.own_calls < row.limit.max;
+            is_usable.then_some((is_avoided, row.own_calls, name))
+        })
+        .collect();
+    ranked.sort();
+    let mut runners_up: SmallVec<[UpstreamName; 2]> = ranked
+        .into_iter()
+        .take(3)
+        .map(|(_, _, name)| name.clone())
+        .collect();
+    if runners_up.is_empty() {
+        return false;
+    }
+    let upstream = runners_up.remove(0);
+    let key = call.pool.clone();
+    let running = in_flight(call, upstream.clone());
+    if let Some(owner) = tick.tables.view.pool_owner(&key).cloned() {
+        let message = PlacementMessage::InFlight {
+            pool: key,
+            attempts: vec![running],
+        };
+        tick.send(&owner, message);
+    }
+    dispatch(
+        tick,
+        attempt,
+        (upstream, PlacementReason::OwnerSilent, runners_up),
+    );
+    true
 }
 
-/// Sends an attempt to its upstream.
-pub(super) fn dispatch(
+/// Describes a running attempt to the owner of its pool.
+pub(super) fn in_flight(call: &Call, upstream: UpstreamName) -> InFlight {
+    InFlight {
+        attempt: call.attempt(),
+        upstream,
+        account: call.account.clone(),
+        program: call.program.clone(),
+        digest: call.new.digest,
+        crashes: call.place.crashes,
+    }
+}
+
+/// Returns whether an attempt still waits for an upstream.
+fn is_waiting(tick: &Tick<'_>, attempt: AttemptId) -> bool {
+    let call = tick.tables.calls.get(&attempt.call);
+    call.is_some_and(|call| call.stage == Stage::Place && call.attempt() == attempt)
+}
+
+/// Starts an attempt that the owner has placed, or frees its upstream.
+pub(super) fn placed(
     tick: &mut Tick<'_>,
+    pool: &PoolKey,
     attempt: AttemptId,
-    upstream: UpstreamName,
-    reason: PlacementReason,
-    runners_up: SmallVec<[UpstreamName; 2]>,
+    assignment: Assignment,
 ) {
-    let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
+    if is_waiting(tick, attempt) {
+        let call = tick.tables.calls.get(&attempt.call);
+        let digest = call.map(|call| call.new.digest).unwrap_or_default();
+        if tick.tables.quarantine.contains_key(&digest) {
+            free_unused(tick, pool, attempt, assignment.0);
+            unplaced(tick, attempt, RefusalKind::Quarantined);
+            return;
+        }
+        dispatch(tick, attempt, assignment);
         return;
+    }
+    let call = tick.tables.calls.get(&attempt.call);
+    let runs_there = call.is_some_and(|call| {
+        call.stage == Stage::Running
+            && call.attempt() == attempt
+            && call.upstream.as_ref() == Some(&assignment.0)
+    });
+    // The end of a finished attempt is on its way already.
+    if !runs_there && !tick.tables.finishing.contains_key(&attempt) {
+        free_unused(tick, pool, attempt, assignment.0);
+    }
+}
+
+/// Frees an upstream that was chosen for a call that no longer waits.
+fn free_unused(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId, upstream: UpstreamName) {
+    let finish = Finish {
+        pool: pool.clone(),
+        attempt,
+        upstream,
+        result: AttemptResult::Unused,
+        prompt_tokens: 0,
+        cached_tokens: 0,
+        answer_tokens: 0,
+        first_token_us: 0,
+        total_us: 0,
     };
-    if call.stage != Stage::Place || call.attempt() != attempt {
+    send_finish(tick, finish);
+}
+
+/// Sends an attempt to its upstream.
+fn dispatch(tick: &mut Tick<'_>, attempt: AttemptId, assignment: Assignment) {
+    let (upstream, reason, runners_up) = assignment;
+    let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
-    }
-    let Some(row) = tick.tables.upstreams.get(&upstream) else {
+    };
+    let Some(row) = tick.tables.upstreams.get_mut(&upstream) else {
         return;
     };
+    row.own_calls += 1;
     let service = tick.tables.services.get(&call.pool.service);
     let first_token_ms = service.and_then(|service| service.first_token_ms);
     let token_gap_ms = service.and_then(|service| service.token_gap_ms);
     call.stage = Stage::Running;
     call.upstream = Some(upstream.clone());
+    call.place.dispatched_us = tick.now_us;
     let order = Dispatch {
         attempt,
         upstream: upstream.clone(),
@@ -88,16 +273,57 @@
 
 /// Refuses a call that has waited too long for an upstream.
 pub(super) fn expire(tick: &mut Tick<'_>, attempt: AttemptId) {
+    if !is_waiting(tick, attempt) {
+        return;
+    }
     let Some(call) = tick.tables.calls.get(&attempt.call) else {
         return;
     };
-    if call.stage != Stage::Place || call.attempt() != attempt {
-        return;
-    }
-    let pool = call.pool.clone();
+    let (pool, ran) = (call.pool.clone(), call.execution());
     if let Some(owner) = tick.tables.view.pool_owner(&pool).cloned() {
         tick.send(&owner, PlacementMessage::Withdraw { pool, attempt });
     }
     let kind = RefusalKind::NoUpstream;
-    admission::refuse(tick, attempt.call, kind, Execution::NotRun, Some(1_000));
+    admission::refuse(tick, attempt.call, kind, ran, Some(1_000));
+}
+
+/// Refuses a call that the owner of the pool does not place.
+pub(super) fn unplaced(tick: &mut Tick<'_>, attempt: AttemptId, kind: RefusalKind) {
+    if !is_waiting(tick, attempt) {
+        return;
+    }
+    let call = tick.tables.calls.get(&attempt.call);
+    let ran = call.map_or(Execution::NotRun, Call::execution);
+    admission::refuse(tick, attempt.call, kind, ran, None);
+}
+
+/// Reports the end of an attempt to the owner of its pool.
+pub(crate) fn end_attempt(tick: &mut Tick<'_>, finish: Finish) {
+    if let Some(row) = tick.tables.upstreams.get_mut(&finish.upstream) {
+        row.own_calls = row.own_calls.saturating_sub(1);
+    }
+    send_finish(tick, finish);
+}
+
+/// Sends a report until the owner confirms it.
+fn send_finish(tick: &mut Tick<'_>, finish: Finish) {
+    let attempt = finish.attempt;
+    tick.tables.finishing.insert(attempt, finish);
+    resend_finish(tick, attempt);
+}
+
+/// Sends a report that the owner has not confirmed, for as long as a call may run.
+pub(crate) fn resend_finish(tick: &mut Tick<'_>, attempt: AttemptId) {
+    let Some(finish) = tick.tables.finishing.get(&attempt).cloned() else {
+        return;
+    };
+    let Some(owner) = tick.tables.view.pool_owner(&finish.pool).cloned() else {
+        tick.tables.finishing.remove(&attempt);
+        return;
+    };
+    if owner != tick.settings.vm {
+        let due_us = tick.now_us + tick.settings.place_timeout_ms * 1_000;
+        tick.tables.timers.set(due_us, Timer::FinishWait(attempt));
+    }
+    tick.send(&owner, PlacementMessage::Finish(Box::new(finish)));
 }
--- /dev/null
+++ b/crates/core/src/systems/placement/handover.rs
@@ -0,0 +1,190 @@
+//! Changes of the view and the configuration.
+
+use std::collections::BTreeMap;
+
+use super::super::{Sender, Tick, outcomes};
+use super::{entry, listing, owner};
+use crate::ids::{AttemptId, CallId, PoolKey, UpstreamName, VmName};
+use crate::message::{InFlight, PlacementMessage};
+use crate::tables::{Running, Stage};
+
+/// Attempts in one message, to stay under the size limit of a message between VMs.
+const ATTEMPTS_PER_MESSAGE: usize = 500;
+
+/// Rebuilds the open sets after the upstreams of pools have changed.
+pub(super) fn adopt_config(tick: &mut Tick<'_>) {
+    let tables = &mut *tick.tables;
+    for (_, row) in tables.upstreams.iter_mut() {
+        row.pools.clear();
+        row.listed = None;
+    }
+    for (key, pool) in tables.pools.iter_mut() {
+        pool.open.clear();
+        pool.ejected.retain(|name| pool.upstreams.contains(name));
+        pool.reserved.retain(|name| pool.upstreams.contains(name));
+        for name in &pool.upstreams {
+            if let Some(row) = tables.upstreams.get_mut(name) {
+                row.pools.push(key.clone());
+            }
+        }
+    }
+    let names: Vec<UpstreamName> = names(tick);
+    for name in names {
+        listing::wake(tick, &name);
+    }
+}
+
+/// Returns the names of all upstreams.
+fn names(tick: &Tick<'_>) -> Vec<UpstreamName> {
+    let rows = tick.tables.upstreams.iter();
+    rows.map(|(name, _)| name.clone()).collect()
+}
+
+/// Acts on a new view: gives up pools, frees what ran for VMs that are gone,
+/// and reports the calls of this VM to new owners.
+pub(super) fn adopt_view(tick: &mut Tick<'_>) {
+    tick.tables.placed_epoch = tick.tables.view.epoch;
+    drop_waiting(tick);
+    drop_running(tick);
+    report_calls(tick);
+    let finishing: Vec<AttemptId> = {
+        let rows = tick.tables.finishing.iter();
+        rows.map(|(attempt, _)| *attempt).collect()
+    };
+    for attempt in finishing {
+        entry::resend_finish(tick, attempt);
+    }
+    for name in names(tick) {
+        listing::wake(tick, &name);
+    }
+}
+
+/// Returns whether this VM owns a pool and a VM is a member.
+fn is_kept(tick: &Tick<'_>, pool: &PoolKey, vm: &VmName) -> bool {
+    let view = &tick.tables.view;
+    view.pool_owner(pool) == Some(&tick.settings.vm) && view.member(vm).is_some()
+}
+
+/// Removes waiting calls of pools that moved away and of VMs that are gone.
+fn drop_waiting(tick: &mut Tick<'_>) {
+    let gone: Vec<(PoolKey, AttemptId)> = tick
+        .tables
+        .pools
+        .iter()
+        .flat_map(|(key, pool)| pool.waiting().map(move |waiting| (key, waiting)))
+        .filter(|(key, waiting)| !is_kept(tick, key, &waiting.vm))
+        .map(|(key, waiting)| (key.clone(), waiting.place.attempt))
+        .collect();
+    for (key, attempt) in gone {
+        if let Some(pool) = tick.tables.pools.get_mut(&key) {
+            pool.forget(attempt);
+        }
+    }
+}
+
+/// Frees what ran for pools that moved away and for VMs that are gone.
+///
+/// An upstream stops the requests of a VM that is gone when its connections close.
+fn drop_running(tick: &mut Tick<'_>) {
+    let gone: Vec<AttemptId> = tick
+        .tables
+        .running
+        .iter()
+        .filter(|(_, running)| !is_kept(tick, &running.pool, &running.vm))
+        .map(|(attempt, _)| *attempt)
+        .collect();
+    for attempt in gone {
+        if let Some(running) = tick.tables.running.remove(&attempt) {
+            owner::release(tick, attempt, &running);
+        }
+    }
+}
+
+/// Reports running attempts to the owners of their pools and asks again for waiting ones.
+fn report_calls(tick: &mut Tick<'_>) {
+    let mut in_flight: BTreeMap<PoolKey, Vec<InFlight>> = BTreeMap::new();
+    let mut waiting: Vec<CallId> = Vec::new();
+    for (id, call) in tick.tables.calls.iter() {
+        match (call.stage, &call.upstream) {
+            (Stage::Running, Some(upstream)) => {
+                let attempt = entry::in_flight(call, upstream.clone());
+                in_flight
+                    .entry(call.pool.clone())
+                    .or_default()
+                    .push(attempt);
+            }
+            (Stage::Place, _) if call.attempts > 0 => waiting.push(*id),
+            _ => {}
+        }
+    }
+    for (pool, attempts) in in_flight {
+        let Some(owner) = tick.tables.view.pool_owner(&pool).cloned() else {
+            continue;
+        };
+        for part in attempts.chunks(ATTEMPTS_PER_MESSAGE) {
+            let message = PlacementMessage::InFlight {
+                pool: pool.clone(),
+                attempts: part.to_vec(),
+            };
+            tick.send(&owner, message);
+        }
+    }
+    for id in waiting {
+        entry::send_place(tick, id);
+    }
+}
+
+/// Counts the attempts that an entry VM reports for a pool of this VM.
+pub(super) fn adopt_attempts(
+    tick: &mut Tick<'_>,
+    sender: &Sender,
+    pool: &PoolKey,
+    attempts: Vec<InFlight>,
+) {
+    if !is_kept(tick, pool, &sender.vm) {
+        return;
+    }
+    for in_flight in attempts {
+        adopt_attempt(tick, sender, pool, in_flight);
+    }
+}
+
+/// Counts one attempt unless it is known.
+fn adopt_attempt(tick: &mut Tick<'_>, sender: &Sender, pool: &PoolKey, in_flight: InFlight) {
+    let attempt = in_flight.attempt;
+    if let Some(row) = tick.tables.pools.get_mut(pool) {
+        row.forget(attempt);
+    }
+    outcomes::carry_crashes(tick, in_flight.digest, in_flight.crashes);
+    let known = tick.tables.running.get(&attempt);
+    if known.is_some_and(|running| running.upstream == in_flight.upstream) {
+        return;
+    }
+    if let Some(running) = tick.tables.running.remove(&attempt) {
+        owner::release(tick, attempt, &running);
+        listing::list(tick, &running.upstream);
+    }
+    if let Some(suspect) = tick.tables.suspects.get_mut(&in_flight.digest) {
+        suspect.running += 1;
+    }
+    let running = Running {
+        upstream: in_flight.upstream.clone(),
+        pool: pool.clone(),
+        vm: sender.vm.clone(),
+        account: in_flight.account,
+        program: in_flight.program,
+        digest: in_flight.digest,
+        alone: false,
+        placed_us: tick.now_us,
+        prefill_wait_us: 0,
+        expected_cached_tokens: 0,
+        booked: 0,
+        is_counted: false,
+    };
+    if let Some(row) = tick.tables.upstreams.get_mut(&running.upstream) {
+        row.attempts.insert(attempt);
+    }
+    listing::list(tick, &in_flight.upstream);
+    tick.tables.running.insert(attempt, running);
+    owner::check_running(tick, attempt);
+}
--- /dev/null
+++ b/crates/core/src/systems/placement/hints.rs
@@ -0,0 +1,111 @@
+//! Cache hints and attained service of programs.
+
+use super::super::Tick;
+use crate::ids::{ProgramKey, UpstreamName};
+use crate::message::{Finish, Place};
+use crate::tables::{Footprint, Hint, Running, Timer};
+
+/// Prefixes shorter than this say little about how far hints can be trusted.
+const MEASURED_TOKENS: u64 = 500;
+
+/// Returns the key of the root program without copying the name of a root.
+pub(super) fn root_of(program: &ProgramKey) -> ProgramKey {
+    if program.name.root().len() == program.name.as_str().len() {
+        program.clone()
+    } else {
+        program.root()
+    }
+}
+
+/// Estimates the tokens of a prompt that each hinted upstream has cached.
+pub(super) fn expected<'a>(
+    tick: &'a Tick<'_>,
+    place: &'a Place,
+) -> impl Iterator<Item = (&'a UpstreamName, u64)> {
+    let footprint = place
+        .program
+        .as_ref()
+        .and_then(|program| tick.tables.footprints.get(program));
+    let hints = footprint.map_or(&[][..], |footprint| &footprint.hints);
+    hints.iter().filter_map(|hint| {
+        let row = tick.tables.upstreams.get(&hint.upstream)?;
+        if hint.at_us < row.health.cache_from_us {
+            return None;
+        }
+        let half_life_us = tick.settings.cache_half_life_ms * 1_000;
+        let tokens = hint.expected_tokens(tick.now_us, half_life_us, row.hint_trust_percent);
+        Some((&hint.upstream, tokens.min(place.prompt_tokens)))
+    })
+}
+
+/// Notes the end of an attempt in the footprint of its program.
+pub(super) fn note(tick: &mut Tick<'_>, running: &Running, finish: &Finish) {
+    let Some(program) = &running.program else {
+        return;
+    };
+    let now_us = tick.now_us;
+    let used_tokens = finish.prompt_tokens + finish.answer_tokens;
+    let hint = Hint {
+        upstream: finish.upstream.clone(),
+        tokens: used_tokens,
+        at_us: now_us,
+    };
+    touch(tick, program).note(hint);
+    let root = root_of(program);
+    touch(tick, &root).attained_tokens += used_tokens;
+    measure(tick, running, finish);
+}
+
+/// Notes the tokens that a program had used before this VM knew it.
+pub(super) fn carry(tick: &mut Tick<'_>, place: &Place) {
+    let Some(program) = place.program.as_ref().filter(|_| place.spent_tokens > 0) else {
+        return;
+    };
+    let root = root_of(program);
+    let row = touch(tick, &root);
+    row.attained_tokens = row.attained_tokens.max(place.spent_tokens);
+}
+
+/// Learns how far the hints of an upstream can be trusted.
+fn measure(tick: &mut Tick<'_>, running: &Running, finish: &Finish) {
+    if running.expected_cached_tokens < MEASURED_TOKENS {
+        return;
+    }
+    let Some(row) = tick.tables.upstreams.get_mut(&finish.upstream) else {
+        return;
+    };
+    let found_percent = finish.cached_tokens * 100 / running.expected_cached_tokens;
+    row.hint_trust_percent = (row.hint_trust_percent * 15 + found_percent.min(100)) / 16;
+    // A floor, or an upstream without hits would never be tried again.
+    row.hint_trust_percent = row.hint_trust_percent.max(20);
+}
+
+/// Returns the footprint of a program, which is kept for another idle time.
+fn touch<'a>(tick: &'a mut Tick<'_>, program: &ProgramKey) -> &'a mut Footprint {
+    let now_us = tick.now_us;
+    if !tick.tables.footprints.contains_key(program) {
+        let due_us = now_us + tick.settings.program_lease_ms * 1_000;
+        let timer = Timer::FootprintIdle(program.clone());
+        tick.tables.timers.set(due_us, timer);
+    }
+    let row = tick
+        .tables
+        .footprints
+        .get_or_insert_with(program, Footprint::default);
+    row.used_us = now_us;
+    row
+}
+
+/// Forgets a program that has had no calls for the time of its lease.
+pub(super) fn expire(tick: &mut Tick<'_>, program: ProgramKey) {
+    let Some(row) = tick.tables.footprints.get(&program) else {
+        return;
+    };
+    let due_us = row.used_us + tick.settings.program_lease_ms * 1_000;
+    if due_us <= tick.now_us {
+        tick.tables.footprints.remove(&program);
+    } else {
+        let timer = Timer::FootprintIdle(program);
+        tick.tables.timers.set(due_us, timer);
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/placement/listing.rs
@@ -0,0 +1,74 @@
+//! Keeps the open sets of pools up to date and wakes waiting calls.
+
+use super::super::Tick;
+use super::{order, owner};
+use crate::ids::{ContentDigest, PoolKey, UpstreamName};
+use crate::tables::Waiting;
+
+/// Lists an upstream in the open sets of its pools according to its present load.
+pub(crate) fn list(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let is_learned = tick.settings.policy.learned_limit;
+    let tables = &mut *tick.tables;
+    let Some(row) = tables.upstreams.get_mut(upstream) else {
+        return;
+    };
+    let limit_calls = u64::from(row.limit_calls(is_learned).max(1));
+    let load_permille = u64::from(row.running_calls()) * 1_000 / limit_calls;
+    let listed = row
+        .has_room(tick.now_us, is_learned)
+        .then_some(load_permille);
+    if listed == row.listed {
+        return;
+    }
+    for pool in &row.pools {
+        let Some(pool) = tables.pools.get_mut(pool) else {
+            continue;
+        };
+        if let Some(load) = row.listed {
+            pool.open.remove(&(load, upstream.clone()));
+        }
+        if let Some(load) = listed {
+            pool.open.insert((load, upstream.clone()));
+        }
+    }
+    row.listed = listed;
+}
+
+/// Lists an upstream whose state changed and assigns waiting calls to it.
+pub(crate) fn wake(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let Some(row) = tick.tables.upstreams.get(upstream) else {
+        return;
+    };
+    let pools = row.pools.clone();
+    if tick.now_us >= row.health.ejected_until_us {
+        for pool in &pools {
+            if let Some(pool) = tick.tables.pools.get_mut(pool) {
+                pool.ejected.remove(upstream);
+            }
+        }
+    }
+    list(tick, upstream);
+    for pool in &pools {
+        owner::assign(tick, pool);
+    }
+}
+
+/// Puts a call in the ordered queue.
+pub(super) fn push(tick: &mut Tick<'_>, waiting: Waiting) {
+    let lane = order::lane_of(tick, &waiting.place.account);
+    let rank = order::rank(tick, &waiting.place, waiting.arrived_us);
+    let pool = waiting.place.pool.clone();
+    if let Some(pool) = tick.tables.pools.get_mut(&pool) {
+        pool.queue.push(lane, rank, waiting);
+    }
+}
+
+/// Puts the calls that were held for a content back in the queue.
+pub(crate) fn release_held(tick: &mut Tick<'_>, pool: &PoolKey, digest: &ContentDigest) {
+    let Some(row) = tick.tables.pools.get_mut(pool) else {
+        return;
+    };
+    for waiting in row.held.remove(digest).unwrap_or_default() {
+        push(tick, waiting);
+    }
+}
--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -1,8 +1,18 @@
 //! Queues calls and chooses upstreams.
 
+mod alone;
+mod choice;
 mod entry;
+mod handover;
+mod hints;
+mod limits;
+mod listing;
+mod order;
 mod owner;
 
+pub(crate) use entry::{end_attempt, resend_finish};
+pub(crate) use listing::{list, release_held, wake};
+
 use super::{Sender, Tick};
 use crate::ids::{CallId, UpstreamName};
 use crate::message::PlacementMessage;
@@ -15,6 +25,7 @@
     pub messages: Vec<(Sender, PlacementMessage)>,
     pub loads: Vec<(UpstreamName, u32, u64)>,
     pub due: Vec<Timer>,
+    pub config_changed: bool,
 }
 
 impl Work {
@@ -23,38 +34,82 @@
             && self.messages.is_empty()
             && self.loads.is_empty()
             && self.due.is_empty()
+            && !self.config_changed
     }
 }
 
 /// Runs the system.
 pub(crate) fn run(tick: &mut Tick<'_>) {
     let work = std::mem::take(&mut tick.work.placement);
+    if work.config_changed {
+        handover::adopt_config(tick);
+    }
+    if tick.tables.placed_epoch != tick.tables.view.epoch {
+        handover::adopt_view(tick);
+    }
+    for (upstream, running_calls, tokens_per_s) in work.loads {
+        limits::report(tick, &upstream, running_calls, tokens_per_s);
+    }
     for (sender, message) in work.messages {
         handle(tick, &sender, message);
     }
     for timer in work.due {
-        match timer {
-            Timer::QueueWait(attempt) => entry::expire(tick, attempt),
-            Timer::PoolRetry(pool) => owner::assign(tick, &pool),
-            _ => {}
-        }
+        handle_due(tick, timer);
     }
     for call in work.calls {
         entry::request(tick, call);
     }
 }
 
+/// Handles a due timer.
+fn handle_due(tick: &mut Tick<'_>, timer: Timer) {
+    match timer {
+        Timer::QueueWait(attempt) => entry::expire(tick, attempt),
+        Timer::PlaceWait(attempt) => entry::check_answer(tick, attempt),
+        Timer::FinishWait(attempt) => resend_finish(tick, attempt),
+        Timer::RunningCheck(attempt) => owner::check_running(tick, attempt),
+        Timer::UpstreamReady(upstream) => wake(tick, &upstream),
+        Timer::FootprintIdle(program) => hints::expire(tick, program),
+        _ => {}
+    }
+}
+
 /// Handles a message of an entry VM or of the owner of a pool.
 fn handle(tick: &mut Tick<'_>, sender: &Sender, message: PlacementMessage) {
     match message {
         PlacementMessage::Place(place) => owner::enqueue(tick, sender, *place),
+        PlacementMessage::Queued { attempt } => entry::queued(tick, attempt),
         PlacementMessage::Placed {
+            pool,
             attempt,
             upstream,
             reason,
             runners_up,
-        } => entry::dispatch(tick, attempt, upstream, reason, runners_up),
+        } => entry::placed(tick, &pool, attempt, (upstream, reason, runners_up)),
+        PlacementMessage::Unplaced { attempt, kind } => entry::unplaced(tick, attempt, kind),
         PlacementMessage::Withdraw { pool, attempt } => owner::withdraw(tick, &pool, attempt),
-        PlacementMessage::Finish { pool, attempt, .. } => owner::finish(tick, &pool, attempt),
+        PlacementMessage::Finish(finish) => {
+            owner::finish(tick, &finish);
+            let attempt = finish.attempt;
+            if sender.vm == tick.settings.vm {
+                tick.tables.finishing.remove(&attempt);
+            } else {
+                tick.send(&sender.vm, PlacementMessage::Finished { attempt });
+            }
+        }
+        PlacementMessage::Finished { attempt } => {
+            tick.tables.finishing.remove(&attempt);
+        }
+        PlacementMessage::InFlight { pool, attempts } => {
+            handover::adopt_attempts(tick, sender, &pool, attempts);
+        }
+        PlacementMessage::Suspected { call, crashes } => {
+            if let Some(row) = tick.tables.calls.get_mut(&call) {
+                row.place.crashes = row.place.crashes.max(crashes);
+            }
+        }
+        PlacementMessage::Quarantine { digest, for_ms } => {
+            super::outcomes::quarantine(tick, digest, for_ms);
+        }
     }
 }
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -1,94 +1,342 @@
 //! The pool owner's side of a placement.
 
-use std::cmp::Reverse;
-
 use smallvec::SmallVec;
 
-use super::super::{Sender, Tick};
-use crate::ids::{AttemptId, PoolKey, UpstreamName};
-use crate::message::{Place, PlacementMessage};
-use crate::output::PlacementReason;
-use crate::tables::{Running, Waiting};
+use super::super::{Sender, Tick, outcomes};
+use super::choice::{self, Choice, Chosen};
+use super::{alone, hints, limits, listing, order};
+use crate::config::UpstreamChoice;
+use crate::ids::{AttemptId, PoolKey};
+use crate::message::{AttemptResult, Finish, Place, PlacementMessage};
+use crate::output::{PlacementReason, RefusalKind};
+use crate::tables::{Running, Suspect, Timer, Waiting};
+
+/// Interval at which the entry VM of a running attempt is asked about it.
+const CHECK_US: u64 = 5_000_000;
+
+/// Tokens of a response before any has been measured.
+const ANSWER_TOKENS: u64 = 200;
 
-/// Puts a call in the queue of its pool.
-pub(super) fn enqueue(tick: &mut Tick<'_>, sender: &Sender, place: Place) {
+/// Puts a call in the queue of its pool; a repeated request gets the same answer.
+pub(super) fn enqueue(tick: &mut Tick<'_>, sender: &Sender, mut place: Place) {
+    let attempt = place.attempt;
+    if let Some(ended) = place.ended.take() {
+        finish(tick, &ended);
+    }
+    if tick.tables.running.contains_key(&attempt) {
+        repeat_placed(tick, attempt);
+        return;
+    }
     let pool = place.pool.clone();
-    let Some(row) = tick.tables.pools.get_mut(&pool) else {
+    let Some(row) = tick.tables.pools.get(&pool) else {
+        return;
+    };
+    let is_remote = sender.vm != tick.settings.vm;
+    if !row.waits(&attempt) {
+        outcomes::carry_crashes(tick, place.digest, place.crashes);
+        hints::carry(tick, &place);
+        let waiting = Waiting {
+            vm: sender.vm.clone(),
+            place,
+            arrived_us: tick.now_us,
+        };
+        listing::push(tick, waiting);
+        assign(tick, &pool);
+    }
+    let waits = |row: &crate::tables::Pool| row.waits(&attempt);
+    if is_remote && tick.tables.pools.get(&pool).is_some_and(waits) {
+        tick.send(&sender.vm, PlacementMessage::Queued { attempt });
+    }
+}
+
+/// Names the upstream of a running attempt again.
+fn repeat_placed(tick: &mut Tick<'_>, attempt: AttemptId) {
+    let Some(running) = tick.tables.running.get(&attempt) else {
         return;
     };
-    row.queue.push_back(Waiting {
-        vm: sender.vm.clone(),
-        place,
-        arrived_us: tick.now_us,
-    });
-    assign(tick, &pool);
+    let vm = running.vm.clone();
+    let placed = PlacementMessage::Placed {
+        pool: running.pool.clone(),
+        attempt,
+        upstream: running.upstream.clone(),
+        reason: PlacementReason::Repeated,
+        runners_up: SmallVec::new(),
+    };
+    tick.send(&vm, placed);
+}
+
+/// Asks the entry VM of an attempt whether it still runs.
+///
+/// `Placed` for a call that no longer waits or runs is answered with its end,
+/// so an attempt placed after a late or doubled request is freed even if the
+/// first `Placed` was lost.
+pub(super) fn check_running(tick: &mut Tick<'_>, attempt: AttemptId) {
+    if !tick.tables.running.contains_key(&attempt) {
+        return;
+    }
+    repeat_placed(tick, attempt);
+    let due_us = tick.now_us + CHECK_US;
+    tick.tables.timers.set(due_us, Timer::RunningCheck(attempt));
 }
 
 /// Assigns waiting calls while an upstream has room.
 pub(super) fn assign(tick: &mut Tick<'_>, pool: &PoolKey) {
-    while let Some((waiting, mut ranked)) = next_assignment(tick, pool) {
-        let upstream = ranked.remove(0);
-        if let Some(row) = tick.tables.upstreams.get_mut(&upstream) {
-            row.running_calls += 1;
+    alone::assign(tick, pool);
+    alone::unreserve(tick, pool);
+    while assign_next(tick, pool) {}
+}
+
+/// Assigns the first call that can run; returns whether there was one.
+fn assign_next(tick: &mut Tick<'_>, pool: &PoolKey) -> bool {
+    let Some(row) = tick.tables.pools.get(pool) else {
+        return false;
+    };
+    if row.open.is_empty() || row.queue.is_empty() {
+        return false;
+    }
+    for attempt in row.queue.candidates(order::lane_order(tick)) {
+        if gate(tick, pool, attempt) {
+            return true;
         }
-        let running = Running {
-            upstream: upstream.clone(),
-            pool: pool.clone(),
-            vm: waiting.vm.clone(),
-        };
-        let attempt = waiting.place.attempt;
-        tick.tables.running.insert(attempt, running);
-        let placed = PlacementMessage::Placed {
-            attempt,
-            upstream,
-            reason: PlacementReason::LeastRunning,
-            runners_up: ranked.into_iter().take(2).collect(),
+        let row = tick.tables.pools.get(pool);
+        let Some(waiting) = row.and_then(|row| row.queue.get(&attempt)) else {
+            continue;
         };
-        tick.send(&waiting.vm, placed);
+        if let Choice::Run(chosen) = choice::choose(tick, pool, waiting) {
+            let row = tick.tables.pools.get_mut(pool);
+            if let Some(waiting) = row.and_then(|row| row.queue.remove(attempt)) {
+                place(tick, waiting, chosen, false);
+            }
+            return true;
+        }
     }
+    false
 }
 
-/// Takes the next call that can run and ranks the upstreams with room for it.
-fn next_assignment(
-    tick: &mut Tick<'_>,
-    pool: &PoolKey,
-) -> Option<(Waiting, SmallVec<[UpstreamName; 8]>)> {
-    let tables = &mut *tick.tables;
-    let row = tables.pools.get_mut(pool)?;
-    let waiting = row.queue.front()?;
-    let mut ranked: SmallVec<[(u32, UpstreamName); 8]> = row
-        .upstreams
-        .iter()
-        .filter(|name| !waiting.place.avoid.contains(name))
-        .filter_map(|name| {
-            let upstream = tables.upstreams.get(name)?;
-            let room = !upstream.config.leaving && upstream.running_calls < upstream.limit_calls;
-            room.then(|| (upstream.running_calls, name.clone()))
-        })
-        .collect();
-    if ranked.is_empty() {
-        return None;
-    }
-    ranked.sort_by_key(|(running_calls, name)| (*running_calls, Reverse(name.clone())));
-    let waiting = row.queue.pop_front()?;
-    Some((waiting, ranked.into_iter().map(|(_, name)| name).collect()))
+/// Takes a call out of the queue whose content must not run now.
+fn gate(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId) -> bool {
+    if tick.tables.suspects.is_empty() && tick.tables.quarantine.is_empty() {
+        return false;
+    }
+    let Some(row) = tick.tables.pools.get_mut(pool) else {
+        return false;
+    };
+    let Some(digest) = row.queue.get(&attempt).map(|waiting| waiting.place.digest) else {
+        return false;
+    };
+    let is_quarantined = tick.tables.quarantine.contains_key(&digest);
+    let suspect = tick.tables.suspects.get(&digest).copied();
+    let suspect = suspect.unwrap_or_default();
+    let is_held = suspect.examined > 0 || (suspect.crashes > 0 && suspect.running > 0);
+    if !is_quarantined && !is_held && !suspect.runs_alone() {
+        return false;
+    }
+    let Some(waiting) = row.queue.remove(attempt) else {
+        return false;
+    };
+    if is_quarantined {
+        refuse(tick, waiting);
+    } else if is_held {
+        row.held.entry(digest).or_default().push_back(waiting);
+    } else {
+        row.alone.push_back(waiting);
+        alone::assign(tick, pool);
+    }
+    true
+}
+
+/// Tells the entry VM of a call that its content is quarantined.
+pub(super) fn refuse(tick: &mut Tick<'_>, waiting: Waiting) {
+    let unplaced = PlacementMessage::Unplaced {
+        attempt: waiting.place.attempt,
+        kind: RefusalKind::Quarantined,
+    };
+    tick.send(&waiting.vm, unplaced);
 }
 
-/// Removes a call from the queue, or frees its upstream if it was just placed.
+/// Books a call on an upstream and tells its entry VM.
+pub(super) fn place(tick: &mut Tick<'_>, waiting: Waiting, chosen: Chosen, alone: bool) {
+    let now_us = tick.now_us;
+    let place = waiting.place;
+    let attempt = place.attempt;
+    let booked = book(tick, &place, chosen.cached_tokens);
+    let mut prefill_wait_us = 0;
+    if let Some(row) = tick.tables.upstreams.get_mut(&chosen.upstream) {
+        row.attempts.insert(attempt);
+        row.is_alone |= alone;
+        row.peak_calls[0] = row.peak_calls[0].max(row.attempts.len() as u32);
+        let read_tokens = place.prompt_tokens.saturating_sub(chosen.cached_tokens);
+        let from_us = row.prefill_until_us.max(now_us);
+        prefill_wait_us = from_us - now_us;
+        row.prefill_until_us = from_us + read_tokens * row.prefill_ns_per_token / 1_000;
+    }
+    if let Some(suspect) = tick.tables.suspects.get_mut(&place.digest) {
+        suspect.running += 1;
+    }
+    let running = Running {
+        upstream: chosen.upstream.clone(),
+        pool: place.pool.clone(),
+        vm: waiting.vm.clone(),
+        account: place.account,
+        program: place.program,
+        digest: place.digest,
+        alone,
+        placed_us: now_us,
+        prefill_wait_us,
+        expected_cached_tokens: chosen.cached_tokens,
+        booked,
+        is_counted: false,
+    };
+    tick.tables.running.insert(attempt, running);
+    if waiting.vm != tick.settings.vm {
+        let due_us = now_us + CHECK_US;
+        tick.tables.timers.set(due_us, Timer::RunningCheck(attempt));
+    }
+    if tick.settings.policy.upstream_choice == UpstreamChoice::RoundRobin
+        && let Some(row) = tick.tables.pools.get_mut(&place.pool)
+    {
+        let at = row
+            .upstreams
+            .iter()
+            .position(|name| *name == chosen.upstream);
+        row.next = at.map_or(0, |at| at + 1);
+    }
+    listing::list(tick, &chosen.upstream);
+    let placed = PlacementMessage::Placed {
+        pool: place.pool,
+        attempt,
+        upstream: chosen.upstream,
+        reason: chosen.reason,
+        runners_up: chosen.runners_up,
+    };
+    tick.send(&waiting.vm, placed);
+}
+
+/// Books the expected service of a call for its account and returns it.
+fn book(tick: &mut Tick<'_>, place: &Place, cached_tokens: u64) -> u64 {
+    let lane = order::lane_of(tick, &place.account);
+    let Some(row) = tick.tables.pools.get(&place.pool) else {
+        return 0;
+    };
+    let answer_tokens = match row.answer_tokens {
+        0 => ANSWER_TOKENS,
+        tokens => tokens,
+    };
+    let answer_tokens = answer_tokens.min(place.max_tokens);
+    let service = order::service(place.prompt_tokens, cached_tokens, answer_tokens);
+    let booked = order::weighted(tick, &place.account, service);
+    if let Some(row) = tick.tables.pools.get_mut(&place.pool) {
+        row.queue.serve(&lane, booked);
+    }
+    booked
+}
+
+/// Removes a call that waits, or frees its upstream if it was just placed.
 pub(super) fn withdraw(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId) {
     if let Some(row) = tick.tables.pools.get_mut(pool) {
-        row.queue.retain(|waiting| waiting.place.attempt != attempt);
+        row.forget(attempt);
+    }
+    let Some(running) = tick.tables.running.get(&attempt) else {
+        return;
+    };
+    let unused = Finish {
+        pool: pool.clone(),
+        attempt,
+        upstream: running.upstream.clone(),
+        result: AttemptResult::Unused,
+        prompt_tokens: 0,
+        cached_tokens: 0,
+        answer_tokens: 0,
+        first_token_us: 0,
+        total_us: 0,
+    };
+    finish(tick, &unused);
+}
+
+/// Frees the upstream of an attempt that has ended and learns from it.
+///
+/// A repeated report changes nothing, because the attempt is no longer listed.
+pub(super) fn finish(tick: &mut Tick<'_>, finish: &Finish) {
+    let Some(running) = tick.tables.running.remove(&finish.attempt) else {
+        return;
+    };
+    release(tick, finish.attempt, &running);
+    settle_service(tick, &running, finish);
+    if running.upstream == finish.upstream {
+        learn(tick, &running, finish);
+    }
+    if let Some(suspect) = tick.tables.suspects.get(&running.digest)
+        && suspect.running == 0
+        && suspect.examined == 0
+    {
+        listing::release_held(tick, &running.pool, &running.digest);
+    }
+    listing::wake(tick, &running.upstream);
+}
+
+/// Takes an attempt off its upstream.
+pub(super) fn release(tick: &mut Tick<'_>, attempt: AttemptId, running: &Running) {
+    if let Some(row) = tick.tables.upstreams.get_mut(&running.upstream) {
+        row.attempts.remove(&attempt);
+        if running.alone {
+            row.is_alone = false;
+        }
+    }
+    if running.alone
+        && let Some(pool) = tick.tables.pools.get_mut(&running.pool)
+    {
+        pool.reserved.remove(&running.upstream);
+    }
+    if let Some(suspect) = tick.tables.suspects.get_mut(&running.digest) {
+        suspect.running = suspect.running.saturating_sub(1);
     }
-    finish(tick, pool, attempt);
 }
 
-/// Frees the upstream of an attempt that has ended.
-pub(super) fn finish(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId) {
-    let Some(running) = tick.tables.running.remove(&attempt) else {
+/// Replaces the service booked for an account by what it received.
+fn settle_service(tick: &mut Tick<'_>, running: &Running, finish: &Finish) {
+    let lane = order::lane_of(tick, &running.account);
+    let is_run = matches!(finish.result, AttemptResult::Complete);
+    let prompt_tokens = if is_run { finish.prompt_tokens } else { 0 };
+    let service = order::service(prompt_tokens, finish.cached_tokens, finish.answer_tokens);
+    let received = order::weighted(tick, &running.account, service);
+    let Some(row) = tick.tables.pools.get_mut(&running.pool) else {
         return;
     };
-    if let Some(upstream) = tick.tables.upstreams.get_mut(&running.upstream) {
-        upstream.running_calls = upstream.running_calls.saturating_sub(1);
+    if received >= running.booked {
+        row.queue.serve(&lane, received - running.booked);
+    } else {
+        row.queue.unserve(&lane, running.booked - received);
     }
-    assign(tick, pool);
+    if is_run {
+        let mean = if row.answer_tokens == 0 {
+            finish.answer_tokens
+        } else {
+            (row.answer_tokens * 31 + finish.answer_tokens) / 32
+        };
+        row.answer_tokens = mean;
+    }
+}
+
+/// Learns from the result of an attempt.
+fn learn(tick: &mut Tick<'_>, running: &Running, finish: &Finish) {
+    match finish.result {
+        AttemptResult::Complete => {
+            if let Some(row) = tick.tables.upstreams.get_mut(&finish.upstream) {
+                row.health.succeeded();
+            }
+            outcomes::clear_suspect(tick, &running.digest);
+            limits::finished(tick, running, finish);
+            hints::note(tick, running, finish);
+        }
+        AttemptResult::Failed => outcomes::upstream_failed(tick, &finish.upstream),
+        AttemptResult::NotConnected => outcomes::upstream_refused(tick, &finish.upstream),
+        AttemptResult::Lost => outcomes::connection_lost(tick, finish.attempt, running),
+        AttemptResult::Unused => {}
+    }
+}
+
+/// Returns the crashes in which a content was seen.
+pub(super) fn crashes(tick: &Tick<'_>, waiting: &Waiting) -> u32 {
+    let suspect = tick.tables.suspects.get(&waiting.place.digest);
+    suspect.map_or(Suspect::ALONE_CRASHES, |suspect| suspect.crashes)
 }
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -10,7 +10,15 @@
         match &timer {
             Timer::RateWait(_) | Timer::RateRefill(_) => work.rates.due.push(timer),
             Timer::TurnWait(_) | Timer::ProgramLease(_) => work.homes.due.push(timer),
-            Timer::QueueWait(_) | Timer::PoolRetry(_) => work.placement.due.push(timer),
+            Timer::QueueWait(_)
+            | Timer::PlaceWait(_)
+            | Timer::FinishWait(_)
+            | Timer::RunningCheck(_)
+            | Timer::UpstreamReady(_)
+            | Timer::FootprintIdle(_) => work.placement.due.push(timer),
+            Timer::CrashVerdict(_) | Timer::SuspectIdle(_) | Timer::QuarantineEnd(_) => {
+                work.outcomes.due.push(timer);
+            }
             Timer::Touch => work.membership.due.push(timer),
         }
     }
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -4,6 +4,7 @@
 
 use crate::ids::{AccountName, AttemptId, PoolKey, ProgramKey, UpstreamName};
 use crate::input::NewCall;
+use crate::output::Execution;
 
 /// How far a call has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +52,29 @@
     pub sent: bool,
     /// Upstreams on which the call has failed.
     pub avoid: SmallVec<[UpstreamName; 2]>,
+    /// Placement and retries.
+    pub place: PlaceState,
+}
+
+/// Placement and retries of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PlaceState {
+    /// Whether an earlier attempt may have run.
+    pub may_have_run: bool,
+    /// Requests for an upstream without an answer.
+    pub unanswered: u32,
+    /// When the answer of the owner of the pool is looked for.
+    pub check_us: u64,
+    /// When the attempt was sent to its upstream.
+    pub dispatched_us: u64,
+    /// When its first token arrived; 0 before that.
+    pub first_token_us: u64,
+    /// Connections lost so far.
+    pub losses: u32,
+    /// Attempts that failed in another way after they may have run.
+    pub failures: u32,
+    /// Crashes in which the content ran, as told by the owner of the pool.
+    pub crashes: u32,
 }
 
 impl Call {
@@ -62,6 +86,15 @@
         }
     }
 
+    /// Returns what is known about an execution of a call that waits.
+    pub fn execution(&self) -> Execution {
+        if self.place.may_have_run {
+            Execution::MayHaveRun
+        } else {
+            Execution::NotRun
+        }
+    }
+
     /// Returns the highest number of tokens that the call can use.
     pub fn reserve_tokens(&self) -> u64 {
         self.new.prompt_tokens.saturating_add(self.new.max_tokens)
--- /dev/null
+++ b/crates/core/src/tables/footprint.rs
@@ -0,0 +1,68 @@
+//! What the owner of a pool remembers about a program.
+
+use smallvec::SmallVec;
+
+use crate::ids::UpstreamName;
+
+/// Largest part of a hint that counts, in percent: an engine may evict a
+/// prefix at any time and reports it late.
+const MAX_TRUST_PERCENT: u64 = 95;
+
+/// What the owner of a pool remembers about a program.
+#[derive(Debug, Clone, Default)]
+pub struct Footprint {
+    /// Tokens of all calls of the program and its sub-agents; kept at the root.
+    pub attained_tokens: u64,
+    /// When the program last had a call.
+    pub used_us: u64,
+    /// Upstreams that may hold the program's prefix, the last one first.
+    pub hints: SmallVec<[Hint; 2]>,
+}
+
+/// An upstream that may hold a prefix of a program.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Hint {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Length of the prefix when the last call there ended.
+    pub tokens: u64,
+    /// When that was.
+    pub at_us: u64,
+}
+
+impl Footprint {
+    /// Notes the upstream that ran the last call.
+    pub fn note(&mut self, hint: Hint) {
+        self.hints.retain(|old| old.upstream != hint.upstream);
+        self.hints.insert(0, hint);
+        self.hints.truncate(2);
+    }
+}
+
+impl Hint {
+    /// Estimates the cached tokens, halving with each half-life.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use knapweeddale_core::UpstreamName;
+    /// use knapweeddale_core::tables::Hint;
+    ///
+    /// let hint = Hint { upstream: UpstreamName::from("e"), tokens: 1_000, at_us: 0 };
+    /// assert_eq!(hint.expected_tokens(0, 60_000_000, 100), 950);
+    /// assert_eq!(hint.expected_tokens(60_000_000, 60_000_000, 100), 475);
+    /// ```
+    pub fn expected_tokens(&self, now_us: u64, half_life_us: u64, trust_percent: u64) -> u64 {
+        let trusted = self.tokens * trust_percent.min(MAX_TRUST_PERCENT) / 100;
+        let age_us = now_us.saturating_sub(self.at_us);
+        let half_life_us = half_life_us.max(1);
+        let halvings = age_us / half_life_us;
+        if halvings >= 32 {
+            return 0;
+        }
+        // Linear between halvings; the estimate is too rough for more.
+        let at_halving = trusted >> halvings;
+        let rest_us = age_us % half_life_us;
+        at_halving - (at_halving / 2) * rest_us / half_life_us
+    }
+}
--- /dev/null
+++ b/crates/core/src/tables/health.rs
@@ -0,0 +1,93 @@
+//! Failures of an upstream.
+
+use smallvec::SmallVec;
+
+use crate::ids::{CallId, ContentDigest, VmName};
+
+/// Failures in a row after which an upstream is ejected.
+const EJECT_FAILURES: u32 = 5;
+
+/// Time of the first ejection.
+const EJECT_US: u64 = 5_000_000;
+
+/// Longest ejection.
+const MAX_EJECT_US: u64 = 300_000_000;
+
+/// Successes in a row after which earlier ejections are forgotten.
+const FORGIVE_SUCCESSES: u32 = 10;
+
+/// Time without calls after a crash or a refused connection.
+const REST_US: u64 = 1_000_000;
+
+/// Failures of an upstream, as seen by the owner of its pool.
+#[derive(Debug, Clone, Default)]
+pub struct Health {
+    /// Failures since the last success.
+    pub failures: u32,
+    /// Successes since the last failure.
+    successes: u32,
+    /// Ejections that have not been forgotten.
+    ejections: u32,
+    /// When the ejection ends.
+    pub ejected_until_us: u64,
+    /// When the rest after a crash or a refused connection ends.
+    pub rest_until_us: u64,
+    /// Prefixes cached before this time are lost.
+    pub cache_from_us: u64,
+    /// Contents whose connection broke and whose cause is examined.
+    pub lost: SmallVec<[LostAttempt; 2]>,
+}
+
+/// An attempt whose connection broke.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LostAttempt {
+    /// The call.
+    pub call: CallId,
+    /// Its entry VM.
+    pub vm: VmName,
+    /// The content.
+    pub digest: ContentDigest,
+    /// Whether it ran alone on the upstream.
+    pub alone: bool,
+}
+
+impl Health {
+    /// Returns whether the upstream may get calls.
+    pub fn is_ready(&self, now_us: u64) -> bool {
+        now_us >= self.ejected_until_us && now_us >= self.rest_until_us && self.lost.is_empty()
+    }
+
+    /// Counts a success.
+    pub fn succeeded(&mut self) {
+        self.failures = 0;
+        self.successes += 1;
+        if self.successes >= FORGIVE_SUCCESSES {
+            self.ejections = 0;
+        }
+    }
+
+    /// Counts a failure; returns whether the upstream is due for ejection.
+    pub fn failed(&mut self) -> bool {
+        self.failures += 1;
+        self.successes = 0;
+        self.failures >= EJECT_FAILURES
+    }
+
+    /// Ejects the upstream and returns the time, which doubles with each ejection.
+    ///
+    /// One more failure after the ejection leads to the next one.
+    pub fn eject(&mut self, now_us: u64) -> u64 {
+        let time_us = (EJECT_US << self.ejections.min(16)).min(MAX_EJECT_US);
+        self.ejections += 1;
+        self.failures = EJECT_FAILURES - 1;
+        self.ejected_until_us = now_us + time_us;
+        time_us
+    }
+
+    /// Keeps calls away for a moment, longer with each failure in a row.
+    pub fn rest(&mut self, now_us: u64) -> u64 {
+        let rest_us = REST_US << self.failures.min(2);
+        self.rest_until_us = self.rest_until_us.max(now_us + rest_us);
+        self.rest_until_us
+    }
+}
--- a/crates/core/src/tables/pool.rs
+++ b/crates/core/src/tables/pool.rs
@@ -1,26 +1,60 @@
-//! Queues of pools.
+//! Pools: the upstreams of one service and model, with their queue.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use crate::ids::{UpstreamName, VmName};
-use crate::message::Place;
+use super::{Queue, RetryBudget, Waiting};
+use crate::ids::{AttemptId, ContentDigest, UpstreamName};
 
-/// The queue of the upstreams of one service and model.
+/// The upstreams of one service and model, with their queue.
 #[derive(Debug, Default)]
 pub struct Pool {
     /// The upstreams that can run its calls.
     pub upstreams: Vec<UpstreamName>,
+    /// Upstreams with room for a call, by load in thousandths of their limit.
+    pub open: BTreeSet<(u64, UpstreamName)>,
+    /// Upstreams that are excluded for their failures.
+    pub ejected: BTreeSet<UpstreamName>,
     /// Calls that wait for an upstream.
-    pub queue: VecDeque<Waiting>,
+    pub queue: Queue,
+    /// Calls whose content was in a crash, while a copy runs or the crash is examined.
+    pub held: BTreeMap<ContentDigest, VecDeque<Waiting>>,
+    /// Calls whose content was in two crashes; they run alone on an upstream.
+    pub alone: VecDeque<Waiting>,
+    /// Upstreams kept free for a call that runs alone.
+    pub reserved: BTreeSet<UpstreamName>,
+    /// What retries the calls of this VM may still use.
+    pub retries: RetryBudget,
+    /// Mean tokens of a response.
+    pub answer_tokens: u64,
+    /// The position of the next upstream, for placement in turn.
+    pub next: usize,
 }
 
-/// A call that waits for an upstream.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Waiting {
-    /// The entry VM of the call.
-    pub vm: VmName,
-    /// The request.
-    pub place: Place,
-    /// When it arrived.
-    pub arrived_us: u64,
+impl Pool {
+    /// Returns whether a call waits here in any way.
+    pub fn waits(&self, attempt: &AttemptId) -> bool {
+        let is_it = |waiting: &Waiting| waiting.place.attempt == *attempt;
+        self.queue.get(attempt).is_some()
+            || self.alone.iter().any(is_it)
+            || self.held.values().flatten().any(is_it)
+    }
+
+    /// Removes a call that waits.
+    pub fn forget(&mut self, attempt: AttemptId) {
+        let is_other = |waiting: &Waiting| waiting.place.attempt != attempt;
+        if self.queue.remove(attempt).is_some() {
+            return;
+        }
+        self.alone.retain(is_other);
+        for held in self.held.values_mut() {
+            held.retain(is_other);
+        }
+        self.held.retain(|_, held| !held.is_empty());
+    }
+
+    /// Returns all calls that wait here.
+    pub fn waiting(&self) -> impl Iterator<Item = &Waiting> {
+        let held = self.held.values().flatten();
+        self.queue.iter().chain(&self.alone).chain(held)
+    }
 }
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use crate::ids::{AccountName, AttemptId, CallId, PoolKey, ProgramKey};
+use crate::ids::{AccountName, AttemptId, CallId, ContentDigest, ProgramKey, UpstreamName};
 
 /// What is due at a time.
 ///
@@ -19,8 +19,22 @@
     ProgramLease(ProgramKey),
     /// A call has waited long enough for an upstream.
     QueueWait(AttemptId),
-    /// A pool has to be looked at again.
-    PoolRetry(PoolKey),
+    /// The owner of a pool has not answered a request for an upstream.
+    PlaceWait(AttemptId),
+    /// The owner of a pool has not confirmed the end of an attempt.
+    FinishWait(AttemptId),
+    /// The entry VM of a running attempt is asked whether it still runs.
+    RunningCheck(AttemptId),
+    /// An upstream may be ready for calls again.
+    UpstreamReady(UpstreamName),
+    /// The cause of a broken connection must be decided.
+    CrashVerdict(UpstreamName),
+    /// A program may have had no calls for a long time.
+    FootprintIdle(ProgramKey),
+    /// A content may not have been seen for a long time.
+    SuspectIdle(ContentDigest),
+    /// A quarantine may have ended.
+    QuarantineEnd(ContentDigest),
     /// The view has to be touched or read.
     Touch,
 }
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -1,9 +1,21 @@
 //! Upstreams and what runs on them.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use smallvec::SmallVec;
+
+use super::{Health, Limit};
 use crate::config::UpstreamConfig;
-use crate::ids::{PoolKey, UpstreamName, VmName};
+use crate::ids::{
+    AccountName, AttemptId, ContentDigest, PoolKey, ProgramKey, UpstreamName, VmName,
+};
+
+/// Time per prefill token before it has been measured.
+const PREFILL_NS_PER_TOKEN: u64 = 20_000;
+
+/// Part of a cache hint that counts before it has been measured, in percent.
+const HINT_TRUST_PERCENT: u64 = 90;
 
 /// An upstream.
 #[derive(Debug, Clone)]
@@ -12,10 +24,90 @@
     pub config: UpstreamConfig,
     /// Its address, shared with dispatches.
     pub address: Arc<str>,
-    /// Calls that this VM, as owner of the pool, has placed on it.
-    pub running_calls: u32,
+    /// The pools that it belongs to.
+    pub pools: SmallVec<[PoolKey; 1]>,
+    /// Attempts that this VM, as owner of a pool, has placed on it.
+    pub attempts: BTreeSet<AttemptId>,
+    /// Calls of other origin in the last load report.
+    pub foreign_calls: u32,
+    /// Most attempts at once since the last two load reports; reports lag, so
+    /// attempts that have ended may still be in them.
+    pub peak_calls: [u32; 2],
+    /// Calls of this VM that run on it.
+    pub own_calls: u32,
     /// How many calls it may run at once.
-    pub limit_calls: u32,
+    pub limit: Limit,
+    /// Its failures.
+    pub health: Health,
+    /// Whether one call has it for itself.
+    pub is_alone: bool,
+    /// When the prompts placed on it so far have been read.
+    pub prefill_until_us: u64,
+    /// Measured time to read one prompt token.
+    pub prefill_ns_per_token: u64,
+    /// Measured part of the cache hints that was found, in percent.
+    pub hint_trust_percent: u64,
+    /// Mean time that a call holds a place on it.
+    pub hold_us: u64,
+    /// The load with which it is listed in the open sets of its pools.
+    pub listed: Option<u64>,
+}
+
+impl Upstream {
+    /// Makes the row of an upstream on which nothing runs.
+    pub fn new(config: UpstreamConfig) -> Self {
+        Self {
+            address: Arc::from(config.address.as_str()),
+            pools: SmallVec::new(),
+            attempts: BTreeSet::new(),
+            foreign_calls: 0,
+            peak_calls: [0; 2],
+            own_calls: 0,
+            limit: Limit::new(config.min_running_calls, config.max_running_calls),
+            health: Health::default(),
+            is_alone: false,
+            prefill_until_us: 0,
+            prefill_ns_per_token: PREFILL_NS_PER_TOKEN,
+            hint_trust_percent: HINT_TRUST_PERCENT,
+            hold_us: 1_000_000,
+            listed: None,
+            config,
+        }
+    }
+
+    /// Applies new published settings; what was learned stays.
+    pub fn configure(&mut self, config: UpstreamConfig) {
+        self.address = Arc::from(config.address.as_str());
+        self.limit
+            .set_range(config.min_running_calls, config.max_running_calls);
+        self.config = config;
+    }
+
+    /// Returns the calls that run on it, of all origins.
+    pub fn running_calls(&self) -> u32 {
+        self.attempts.len() as u32 + self.foreign_calls
+    }
+
+    /// Returns how many calls it may run at once.
+    pub fn limit_calls(&self, is_learned: bool) -> u32 {
+        if is_learned {
+            self.limit.calls
+        } else {
+            self.limit.max
+        }
+    }
+
+    /// Returns whether it may get new calls at all.
+    pub fn is_usable(&self, now_us: u64) -> bool {
+        !self.config.leaving && self.health.is_ready(now_us)
+    }
+
+    /// Returns whether it may get one more call.
+    pub fn has_room(&self, now_us: u64, is_learned: bool) -> bool {
+        self.is_usable(now_us)
+            && !self.is_alone
+            && self.running_calls() < self.limit_calls(is_learned)
+    }
 }
 
 /// An attempt that runs on an upstream.
@@ -27,4 +119,22 @@
     pub pool: PoolKey,
     /// The entry VM of the call.
     pub vm: VmName,
+    /// The account that is charged.
+    pub account: Option<AccountName>,
+    /// The program.
+    pub program: Option<ProgramKey>,
+    /// The content.
+    pub digest: ContentDigest,
+    /// Whether it has the upstream for itself.
+    pub alone: bool,
+    /// When it was placed.
+    pub placed_us: u64,
+    /// Prompts that were read before it, in prefill time.
+    pub prefill_wait_us: u64,
+    /// Tokens that were expected in the cache.
+    pub expected_cached_tokens: u64,
+    /// Service booked for the account.
+    pub booked: u64,
+    /// Whether it was already counted in a crash of its upstream.
+    pub is_counted: bool,
 }
