Test placement, retries, crash suspects and ejection

Cause: the placement and outcomes systems had no tests of their own.

Change: one test file a feature, a shared fleet and calls in the testing crate, failing upstreams and probes in the mesh.

--- /dev/null
+++ b/crates/core/tests/poison_request.rs
@@ -0,0 +1,208 @@
+//! Guards against a request that crashes every upstream that runs it, and
+//! against blame for the requests that happened to run beside it.
+
+use knapweeddale_core::input::{AttemptProgress, Failure};
+use knapweeddale_core::{
+    AttemptEvent, CallId, CoreSettings, Decision, Input, RefusalKind, UpstreamName,
+};
+use knapweeddale_testing::fleet::{digest, engine_call, engine_fleet, seeds, stored_view};
+use knapweeddale_testing::invariants;
+use knapweeddale_testing::mesh::{Mesh, TraceEvent};
+
+const POISON: u64 = 666;
+
+/// Makes a mesh of VMs that share one view from the start.
+fn mesh(vms: usize, seed: u64) -> Mesh {
+    let mut mesh = Mesh::with_settings(vms, engine_fleet(6, 4, 2), seed, |vm, incarnation| {
+        CoreSettings::builder()
+            .address(vm.to_string())
+            .vm(vm)
+            .incarnation(incarnation)
+            .build()
+    });
+    let members: Vec<usize> = (0..vms).collect();
+    mesh.store.stored = Some(stored_view(1, &members));
+    mesh.engines.poison.insert(digest(POISON));
+    mesh.run_ms(200);
+    mesh
+}
+
+/// Returns all crashes of all upstreams.
+fn crashes(mesh: &Mesh) -> u64 {
+    mesh.engines.crashes.values().sum()
+}
+
+/// Sends innocent calls with different contents to all VMs in turn.
+fn send_innocent(mesh: &mut Mesh, vms: usize, calls: u64) -> Vec<CallId> {
+    let call = |content| engine_call(0, content, 500, 100);
+    (0..calls)
+        .map(|content| mesh.call(content as usize % vms, call(content)))
+        .collect()
+}
+
+/// Returns the time at which an attempt of a call last ran.
+fn last_run_us(mesh: &Mesh, id: CallId) -> Option<u64> {
+    mesh.trace
+        .events
+        .iter()
+        .filter_map(|(at_us, event)| match event {
+            TraceEvent::Executed { call, .. } if call.id == id => Some(*at_us),
+            _ => None,
+        })
+        .next_back()
+}
+
+#[test]
+fn one_crash_too_many() {
+    for seed in seeds() {
+        let mut mesh = mesh(1, seed);
+        let innocent = send_innocent(&mut mesh, 1, 12);
+        let poison = mesh.call(0, engine_call(1, POISON, 500, 100));
+        mesh.run_ms(40_000);
+        assert_eq!(crashes(&mesh), 3, "seed {seed}");
+        for id in innocent {
+            assert!(mesh.trace.answer(id).is_some(), "seed {seed}: {id}");
+        }
+        let refusal = mesh.trace.refusal(poison).expect("poison is refused");
+        assert_eq!(refusal.kind, RefusalKind::Quarantined);
+        invariants::refusal_is_true(&mesh.trace).expect("refusals are true");
+        invariants::charges_reconcile(&mesh.trace).expect("charges");
+    }
+}
+
+#[test]
+fn resent_through_other_vms() {
+    for seed in seeds() {
+        let mut mesh = mesh(4, seed);
+        mesh.faults.lost_per_mille = 20;
+        mesh.faults.doubled_per_mille = 20;
+        let mut innocent = Vec::new();
+        for round in 0..30 {
+            let vm = round % 4;
+            mesh.call(vm, engine_call(1, POISON, 500, 100));
+            innocent.extend(send_innocent(&mut mesh, 4, 4));
+            mesh.run_ms(700);
+        }
+        mesh.run_ms(60_000);
+        // Copies that already run elsewhere before the first crash come on top;
+        // here they are sent one after another.
+        assert!(crashes(&mesh) <= 3, "seed {seed}: {}", crashes(&mesh));
+        for id in innocent {
+            assert!(mesh.trace.answer(id).is_some(), "seed {seed}: {id}");
+        }
+        invariants::refusal_is_true(&mesh.trace).expect("refusals are true");
+    }
+}
+
+#[test]
+fn innocent_is_delayed_by_its_run_alone() {
+    for seed in seeds() {
+        let mut mesh = mesh(1, seed);
+        let innocent = send_innocent(&mut mesh, 1, 10);
+        mesh.call(0, engine_call(1, POISON, 500, 100));
+        mesh.run_ms(40_000);
+        // Two crashes with their examination, the drain of an upstream and the run alone.
+        let run_us = 1_000 + 500 * 20 + 100 * 5_000;
+        let bound_us = 200_000 + 4 * run_us;
+        for id in innocent {
+            let last_us = last_run_us(&mesh, id).expect("innocent call ran");
+            assert!(last_us <= bound_us, "seed {seed}: {id} at {last_us} us");
+        }
+    }
+}
+
+#[test]
+fn quarantine_reaches_all_vms() {
+    let mut mesh = mesh(3, 1);
+    mesh.call(0, engine_call(1, POISON, 500, 100));
+    mesh.run_ms(20_000);
+    for vm in 0..3 {
+        let before = crashes(&mesh);
+        let id = mesh.call(vm, engine_call(1, POISON, 500, 100));
+        mesh.run_ms(1);
+        let refusal = mesh.trace.refusal(id).expect("refused at admission");
+        assert_eq!(refusal.kind, RefusalKind::Quarantined);
+        assert_eq!(crashes(&mesh), before);
+    }
+}
+
+#[test]
+fn broken_connections_are_no_crash() {
+    let mut mesh = mesh(1, 1);
+    // The same innocent content loses its connection in call after call.
+    for _ in 0..5 {
+        let id = mesh.call(0, engine_call(0, 7, 500, 400));
+        mesh.run_ms(100);
+        for _ in 0..2 {
+            let calls = &mesh.control(0).expect("VM runs").tables().calls;
+            let attempt = calls.get(&id).expect("call runs").attempt();
+            let lost = AttemptProgress::Failed(Failure::ConnectionLost {
+                answer_tokens: 0,
+                forwarded: false,
+            });
+            let event = AttemptEvent {
+                attempt,
+                progress: lost,
+            };
+            mesh.input(0, Input::Attempt(event));
+            mesh.run_ms(50);
+        }
+        mesh.run_ms(10_000);
+        assert!(mesh.trace.answer(id).is_some(), "call {id} completes");
+    }
+    let is_blamed = mesh.trace.events.iter().any(|(_, event)| {
+        matches!(
+            event,
+            TraceEvent::Decided {
+                decision: Decision::Crashed { .. } | Decision::Quarantined { .. },
+                ..
+            }
+        )
+    });
+    assert!(!is_blamed, "a broken connection counted as a crash");
+    let suspects = &mesh.control(0).expect("VM runs").tables().suspects;
+    assert!(suspects.is_empty());
+    assert!(
+        !mesh
+            .engines
+            .crashes
+            .contains_key(&UpstreamName::from("engine-0"))
+    );
+}
+
+#[test]
+fn count_survives_the_owner() {
+    for seed in seeds() {
+        let mut mesh = mesh(3, seed);
+        let view = stored_view(1, &[0, 1, 2]).view;
+        let control = mesh.control(0).expect("VM runs");
+        let pool = control
+            .tables()
+            .pools
+            .iter()
+            .next()
+            .expect("pool")
+            .0
+            .clone();
+        let owner = mesh.index(view.pool_owner(&pool).expect("owner"));
+        let owner = owner.expect("owner is a VM of the mesh");
+        let others: Vec<usize> = (0..3).filter(|vm| *vm != owner).collect();
+        mesh.call(others[0], engine_call(1, POISON, 500, 100));
+        mesh.run_ms(30);
+        // The owner dies after at least one crash; the entry VM carries the count on.
+        let before = crashes(&mesh);
+        assert!(before >= 1, "seed {seed}");
+        mesh.crash(owner);
+        let stored = stored_view(2, &others);
+        for &vm in &others {
+            let event = knapweeddale_core::StoreEvent::ViewRead(Some(stored.clone()));
+            mesh.input(vm, Input::Store(event));
+        }
+        for round in 0..20 {
+            mesh.call(others[round % 2], engine_call(1, POISON, 500, 100));
+            mesh.run_ms(1_000);
+        }
+        mesh.run_ms(30_000);
+        assert!(crashes(&mesh) <= 3, "seed {seed}: {}", crashes(&mesh));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/pool_owner.rs
@@ -0,0 +1,218 @@
+//! Guards against calls that are lost, counted twice or stuck when messages
+//! to the owner of a pool are lost, or the owner itself is.
+
+use knapweeddale_core::input::{AttemptProgress, Failure};
+use knapweeddale_core::output::PlacementReason;
+use knapweeddale_core::{AttemptEvent, Control, Decision, Input, PoolKey, RefusalKind, StoreEvent};
+use knapweeddale_testing::fleet::{engine_call, engine_fleet, seeds, stored_view};
+use knapweeddale_testing::invariants;
+use knapweeddale_testing::mesh::{Mesh, TraceEvent};
+
+/// Makes a mesh whose VMs share a view; returns it with the pool's owner first.
+fn mesh(engines: usize, max_calls: u32, seed: u64) -> (Mesh, usize, Vec<usize>) {
+    let mut mesh = Mesh::new(3, engine_fleet(engines, max_calls, 2), seed);
+    let stored = stored_view(1, &[0, 1, 2]);
+    mesh.store.stored = Some(stored.clone());
+    mesh.run_ms(200);
+    let owner = stored.view.pool_owner(&pool(&mesh, 0)).expect("owner");
+    let owner = mesh.index(owner).expect("owner is in the mesh");
+    let others = (0..3).filter(|vm| *vm != owner).collect();
+    (mesh, owner, others)
+}
+
+/// Returns the pool of the engines.
+fn pool(mesh: &Mesh, vm: usize) -> PoolKey {
+    let tables = control(mesh, vm).tables();
+    tables.pools.iter().next().expect("pool").0.clone()
+}
+
+fn control(mesh: &Mesh, vm: usize) -> &Control {
+    mesh.control(vm).expect("VM runs")
+}
+
+/// Puts a view in force on some VMs.
+fn adopt(mesh: &mut Mesh, epoch: u64, members: &[usize]) {
+    let stored = stored_view(epoch, members);
+    mesh.store.stored = Some(stored.clone());
+    for &vm in members {
+        let event = StoreEvent::ViewRead(Some(stored.clone()));
+        mesh.input(vm, Input::Store(event));
+    }
+}
+
+/// Asserts that nothing is queued or counted as running at a VM.
+fn assert_idle(mesh: &Mesh, vm: usize) {
+    let tables = control(mesh, vm).tables();
+    assert!(tables.running.is_empty(), "{:?}", tables.running);
+    assert!(tables.finishing.is_empty(), "{:?}", tables.finishing);
+    for (_, pool) in tables.pools.iter() {
+        assert_eq!(pool.waiting().count(), 0);
+    }
+    for (_, upstream) in tables.upstreams.iter() {
+        assert_eq!((upstream.running_calls(), upstream.own_calls), (0, 0));
+    }
+}
+
+#[test]
+fn survives_lost_and_doubled_messages() {
+    for seed in seeds() {
+        let (mut mesh, owner, others) = mesh(3, 2, seed);
+        mesh.faults.lost_per_mille = 100;
+        mesh.faults.doubled_per_mille = 100;
+        let mut calls = Vec::new();
+        for content in 0..90 {
+            let vm = others[content as usize % 2];
+            calls.push(mesh.call(vm, engine_call(0, content, 100, 20)));
+            mesh.run_ms(30);
+        }
+        mesh.run_ms(20_000);
+        for id in calls {
+            assert!(mesh.trace.answer(id).is_some(), "seed {seed}: {id}");
+        }
+        assert_idle(&mesh, owner);
+        invariants::charges_reconcile(&mesh.trace).expect("charges");
+    }
+}
+
+#[test]
+fn new_owner_counts_running_calls() {
+    let (mut mesh, owner, others) = mesh(2, 3, 1);
+    let calls: Vec<_> = (0..6)
+        .map(|content| mesh.call(others[0], engine_call(0, content, 100, 1_000)))
+        .collect();
+    // The limit starts in the middle of its range: two calls on each engine.
+    let waiting = mesh.call(others[1], engine_call(0, 100, 100, 10));
+    mesh.run_ms(50);
+    let before = &control(&mesh, owner).tables().running;
+    let running: Vec<_> = before.iter().map(|(attempt, _)| *attempt).collect();
+    assert_eq!(running.len(), 4);
+    mesh.crash(owner);
+    adopt(&mut mesh, 2, &others);
+    mesh.run_ms(50);
+    let view = stored_view(2, &others).view;
+    let next = view.pool_owner(&pool(&mesh, others[0])).expect("owner");
+    let next = mesh.index(next).expect("owner is in the mesh");
+    for attempt in running {
+        assert!(control(&mesh, next).tables().running.contains_key(&attempt));
+    }
+    mesh.run_ms(40_000);
+    for id in calls.into_iter().chain([waiting]) {
+        assert!(mesh.trace.answer(id).is_some(), "{id}");
+    }
+    assert_idle(&mesh, next);
+}
+
+#[test]
+fn places_alone_while_the_owner_is_silent() {
+    let (mut mesh, owner, others) = mesh(2, 4, 1);
+    mesh.crash(owner);
+    let id = mesh.call(others[0], engine_call(0, 1, 100, 10));
+    mesh.run_ms(390);
+    assert!(mesh.trace.answer(id).is_none());
+    mesh.run_ms(300);
+    assert!(mesh.trace.answer(id).is_some());
+    let is_alone = mesh.trace.events.iter().any(|(_, event)| {
+        matches!(
+            event,
+            TraceEvent::Decided {
+                decision: Decision::Placed {
+                    reason: PlacementReason::OwnerSilent,
+                    ..
+                },
+                ..
+            }
+        )
+    });
+    assert!(is_alone);
+}
+
+#[test]
+fn waits_for_a_busy_owner() {
+    let (mut mesh, _, others) = mesh(1, 2, 1);
+    for content in 0..20 {
+        mesh.call(others[0], engine_call(0, content, 100, 200));
+    }
+    mesh.run_ms(15_000);
+    let places_alone = mesh.trace.events.iter().any(|(_, event)| {
+        matches!(
+            event,
+            TraceEvent::Decided {
+                decision: Decision::Placed {
+                    reason: PlacementReason::OwnerSilent,
+                    ..
+                },
+                ..
+            }
+        )
+    });
+    assert!(
+        !places_alone,
+        "a queued call left the queue of a live owner"
+    );
+}
+
+#[test]
+fn queue_forgets_calls_of_a_lost_vm() {
+    let (mut mesh, owner, others) = mesh(1, 1, 1);
+    let blocker = mesh.call(owner, engine_call(0, 1, 100, 2_000));
+    mesh.run_ms(20);
+    mesh.call(others[0], engine_call(0, 2, 100, 10));
+    mesh.run_ms(20);
+    let waiting = |mesh: &Mesh| {
+        let tables = control(mesh, owner).tables();
+        tables
+            .pools
+            .iter()
+            .map(|(_, pool)| pool.waiting().count())
+            .sum::<usize>()
+    };
+    assert_eq!(waiting(&mesh), 1);
+    mesh.crash(others[0]);
+    let members: Vec<usize> = (0..3).filter(|vm| *vm != others[0]).collect();
+    adopt(&mut mesh, 2, &members);
+    mesh.run_ms(20);
+    if stored_view(2, &members)
+        .view
+        .pool_owner(&pool(&mesh, owner))
+        == stored_view(1, &[0, 1, 2])
+            .view
+            .pool_owner(&pool(&mesh, owner))
+    {
+        assert_eq!(waiting(&mesh), 0);
+    }
+    mesh.run_ms(20_000);
+    assert!(mesh.trace.answer(blocker).is_some());
+}
+
+#[test]
+fn withdrawn_call_frees_its_place() {
+    let (mut mesh, owner, others) = mesh(1, 1, 1);
+    mesh.call(others[0], engine_call(0, 1, 100, 500));
+    let gone = mesh.call(others[1], engine_call(0, 2, 100, 500));
+    let last = mesh.call(others[1], engine_call(0, 3, 100, 10));
+    mesh.run_ms(50);
+    mesh.input(others[1], Input::CallAbandoned(gone));
+    mesh.run_ms(10_000);
+    let refusal = mesh.trace.refusal(gone).expect("abandoned call ends");
+    assert_eq!(refusal.kind, RefusalKind::CallerGone);
+    assert!(mesh.trace.answer(last).is_some());
+    assert_idle(&mesh, owner);
+}
+
+#[test]
+fn avoided_everywhere_still_runs() {
+    let mut mesh = Mesh::new(1, engine_fleet(1, 4, 1), 1);
+    mesh.run_ms(100);
+    let id = mesh.call(0, engine_call(0, 1, 100, 10));
+    mesh.run_ms(20);
+    let attempt = control(&mesh, 0)
+        .tables()
+        .calls
+        .get(&id)
+        .expect("call runs")
+        .attempt();
+    let progress = AttemptProgress::Failed(Failure::UpstreamError { status: 500 });
+    mesh.input(0, Input::Attempt(AttemptEvent { attempt, progress }));
+    mesh.run_ms(2_000);
+    assert!(mesh.trace.answer(id).is_some());
+}
--- a/crates/testing/src/mesh/engine.rs
+++ b/crates/testing/src/mesh/engine.rs
@@ -1,8 +1,8 @@
 //! Upstreams of the mesh.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 
-use knapweeddale_core::input::{AttemptOutcome, AttemptProgress, Failure};
+use knapweeddale_core::input::{AttemptOutcome, AttemptProgress, Failure, ProbeState};
 use knapweeddale_core::tables::Call;
 use knapweeddale_core::{AttemptId, ContentDigest, Dispatch, HistoryDigest, UpstreamName};
 
@@ -37,6 +37,8 @@
     pub model: EngineModel,
     /// Contents that crash each upstream that runs them.
     pub poison: HashSet<ContentDigest>,
+    /// Upstreams that answer every request with an error.
+    pub failing: BTreeSet<UpstreamName>,
     /// Crashes so far, by upstream.
     pub crashes: BTreeMap<UpstreamName, u64>,
     running: BTreeMap<UpstreamName, BTreeMap<AttemptId, u64>>,
@@ -72,6 +74,16 @@
                 events: vec![(now_us + 200, attempt, progress)],
             };
         }
+        if self.failing.contains(&dispatch.upstream) {
+            let failure = Failure::UpstreamError { status: 500 };
+            return Run {
+                executed: true,
+                events: vec![
+                    (now_us, attempt, AttemptProgress::Sent),
+                    (now_us + 500, attempt, AttemptProgress::Failed(failure)),
+                ],
+            };
+        }
         let batch = self.running.entry(dispatch.upstream.clone()).or_default();
         batch.retain(|_, ends_us| *ends_us > now_us);
         if self.poison.contains(&call.new.digest) {
@@ -124,6 +136,15 @@
         }
     }
 
+    /// Probes an upstream after a connection to it broke.
+    pub(super) fn probe(&self, now_us: u64, upstream: &UpstreamName) -> ProbeState {
+        match self.down_until_us.get(upstream) {
+            Some(&until_us) if now_us < until_us => ProbeState::Down,
+            Some(&until_us) if now_us < until_us + 5_000_000 => ProbeState::Restarted,
+            _ => ProbeState::Up,
+        }
+    }
+
     /// Stops an attempt.
     pub(super) fn cancel(&mut self, attempt: AttemptId) {
         self.cancelled.insert(attempt);
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -325,6 +325,11 @@
             Output::Dispatch(dispatch) => self.dispatch(vm, dispatch),
             Output::CancelAttempt(attempt) => self.engines.cancel(attempt),
             Output::Store(request) => self.ask_store(vm, request),
+            Output::Probe(upstream) => {
+                let state = self.engines.probe(self.now_us, &upstream);
+                let probed = Input::Probed { upstream, state };
+                self.deliver(vm, self.now_us + 1_000, probed);
+            }
             _ => {}
         }
     }
