--- a/crates/core/src/systems/membership/suspicion.rs
+++ b/crates/core/src/systems/membership/suspicion.rs
@@ -7,7 +7,7 @@
 use crate::ids::{Incarnation, VmName};
 use crate::message::MembershipMessage;
 use crate::output::Decision;
-use crate::tables::{Suspect, Vm};
+use crate::tables::{Suspicion, Vm};
 
 /// Rounds of heartbeats for which a report counts; it is repeated in each round.
 const REPORT_ROUNDS: u64 = 3;
@@ -69,7 +69,7 @@
     }
     let suspects = &mut tick.tables.membership.suspects;
     let is_first = !suspects.contains_key(&vm);
-    let row = suspects.entry(vm.clone()).or_insert_with(|| Suspect {
+    let row = suspects.entry(vm.clone()).or_insert_with(|| Suspicion {
         incarnation,
         reports: Default::default(),
     });
--- /dev/null
+++ b/crates/core/src/systems/outcomes/results.rs
@@ -0,0 +1,99 @@
+//! Complete responses, charge records and the end of turns.
+
+use super::super::{Tick, homes, placement};
+use crate::ids::{AttemptId, CallId};
+use crate::input::{AttemptOutcome, Continuation, Permit};
+use crate::message::{AttemptResult, Finish};
+use crate::output::{Answered, Charge, ChargeOutcome, Execution, Output};
+use crate::tables::{Call, Stage};
+
+/// Ends a call whose response is complete.
+pub(super) fn finish(tick: &mut Tick<'_>, attempt: AttemptId, outcome: AttemptOutcome) {
+    free_upstream(tick, attempt, AttemptResult::Complete, &outcome);
+    let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
+        return;
+    };
+    call.stage = Stage::Settling;
+    let tokens = (outcome.prompt_tokens, outcome.answer_tokens);
+    let charge = charge_for(call, attempt, tokens, ChargeOutcome::Complete);
+    tick.work.charges.charges.extend(charge);
+    if call.program.is_none() {
+        answer(tick, attempt.call, None, None);
+        return;
+    }
+    let call = call.clone();
+    let used_tokens = tokens.0 + tokens.1;
+    homes::end_turn(
+        tick,
+        &call,
+        Execution::Ran,
+        used_tokens,
+        Some(outcome.history),
+    );
+}
+
+/// Gives the final answer to a call that ran.
+pub(crate) fn answer(
+    tick: &mut Tick<'_>,
+    id: CallId,
+    continuation: Option<Continuation>,
+    permit: Option<Permit>,
+) {
+    if tick.tables.calls.remove(&id).is_some() {
+        tick.outputs.push(Output::Answered(Box::new(Answered {
+            call: id,
+            continuation,
+            permit,
+        })));
+    }
+}
+
+/// Tells the owner of the pool that an attempt has ended.
+pub(super) fn free_upstream(
+    tick: &mut Tick<'_>,
+    attempt: AttemptId,
+    result: AttemptResult,
+    outcome: &AttemptOutcome,
+) {
+    let now_us = tick.now_us;
+    let Some(call) = tick.tables.calls.get(&attempt.call) else {
+        return;
+    };
+    let Some(upstream) = call.upstream.clone() else {
+        return;
+    };
+    let finish = Finish {
+        pool: call.pool.clone(),
+        attempt,
+        upstream,
+        result,
+        prompt_tokens: outcome.prompt_tokens,
+        cached_tokens: outcome.cached_tokens,
+        answer_tokens: outcome.answer_tokens,
+        first_token_us: call
+            .place
+            .first_token_us
+            .saturating_sub(call.place.dispatched_us),
+        total_us: now_us.saturating_sub(call.place.dispatched_us),
+    };
+    placement::end_attempt(tick, finish);
+}
+
+/// Makes the charge record of an attempt.
+pub(super) fn charge_for(
+    call: &Call,
+    attempt: AttemptId,
+    (prompt_tokens, answer_tokens): (u64, u64),
+    outcome: ChargeOutcome,
+) -> Option<Charge> {
+    let turn = call.new.program.as_ref().map_or(0, |program| program.turn);
+    Some(Charge {
+        attempt,
+        account: call.account.clone(),
+        program: call.program.clone().map(|key| (key, turn)),
+        upstream: call.upstream.clone()?,
+        prompt_tokens,
+        answer_tokens,
+        outcome,
+    })
+}
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -64,6 +64,27 @@
     pub used_tokens: Option<u64>,
     /// Upstreams on which the call has failed.
     pub avoid: SmallVec<[UpstreamName; 2]>,
+    /// Placement and retries.
+    pub place: PlaceState,
+}
+
+/// Placement and retries of a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct PlaceState {
+    /// Requests for an upstream without an answer.
+    pub unanswered: u32,
+    /// When the answer of the owner of the pool is looked for.
+    pub check_us: u64,
+    /// When the attempt was sent to its upstream.
+    pub dispatched_us: u64,
+    /// When its first token arrived; 0 before that.
+    pub first_token_us: u64,
+    /// Connections lost so far.
+    pub losses: u32,
+    /// Attempts that failed in another way after they may have run.
+    pub failures: u32,
+    /// Crashes in which the content ran, as told by the owner of the pool.
+    pub crashes: u32,
 }
 
 impl Call {
@@ -75,6 +96,15 @@
         }
     }
 
+    /// Returns what is known about an execution of a call that waits.
+    pub fn execution(&self) -> Execution {
+        if self.may_have_run {
+            Execution::MayHaveRun
+        } else {
+            Execution::NotRun
+        }
+    }
+
     /// Returns whether this call itself ran, given what a refusal says about its request.
     ///
     /// A refusal by the home may speak of an earlier call with the same request, while this one
--- a/crates/token/src/signer.rs
+++ b/crates/token/src/signer.rs
@@ -38,6 +38,7 @@
 ///     program: ProgramKey { account: "aller".into(), name: "tour".into() },
 ///     generation: 1,
 ///     turn: 2,
+///     seq: 0,
 ///     home: VmName::from("vm-1"),
 ///     incarnation: Incarnation(3),
 ///     epoch: Epoch(4),
--- a/crates/token/src/value.rs
+++ b/crates/token/src/value.rs
@@ -63,6 +63,7 @@
         encoder
             .u64(self.generation)
             .u32(self.turn)
+            .u32(self.seq)
             .text(self.home.as_str())
             .u64(self.incarnation.0)
             .u64(self.epoch.0);
@@ -73,6 +74,7 @@
             program: decode_program(decoder)?,
             generation: decoder.u64()?,
             turn: decoder.u32()?,
+            seq: decoder.u32()?,
             home: VmName::from(decoder.text()?),
             incarnation: Incarnation(decoder.u64()?),
             epoch: Epoch(decoder.u64()?),
