Cover leases with faults in the mesh

Cause: nothing showed that two VMs never own the same account, or that leases last through an outage of the store.

Change: the mesh gains the platform's list, which lags, clocks that run at different rates, store requests that take effect late, and counts of messages. The second writer now touches at the normal interval while the first one promises: before, the interval of 2 s made it join in the promises in between, and it never wrote a view. `isolated` refuses calls with a key on a VM that is cut off. `Control::is_ready` and `Control::has_left` tell the daemon when to take calls and when to exit.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -71,6 +71,25 @@
         self.tables.timers.next_due_us()
     }
 
+    /// Returns whether the load balancer may send calls to this VM.
+    ///
+    /// That is the case once the VM is connected to the fleet and has the
+    /// newest configuration that it has heard of, until it is asked to stop.
+    pub fn is_ready(&self, now_us: u64) -> bool {
+        let tables = &self.tables;
+        tables.fleet.revision.0 > 0
+            && tables.fleet.revision >= tables.newest_revision
+            && !tables.is_isolated(&self.settings, now_us)
+            && !tables.membership.departure.is_draining
+    }
+
+    /// Returns whether a VM that was asked to stop has handed everything over.
+    ///
+    /// Calls that still run are not counted here.
+    pub fn has_left(&self) -> bool {
+        self.tables.membership.departure.has_left
+    }
+
     /// Returns the tables for reading.
     pub fn tables(&self) -> &Tables {
         &self.tables
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -145,6 +145,9 @@
             Err(RefusalKind::KeyMissing)
         };
     };
+    if tick.tables.is_isolated(tick.settings, tick.now_us) {
+        return Err(RefusalKind::Isolated);
+    }
     let key = tick.tables.keys.get(&presented.id);
     let key = key
         .filter(|key| key.sha256 == presented.sha256)
--- a/crates/core/src/systems/membership/leases.rs
+++ b/crates/core/src/systems/membership/leases.rs
@@ -45,14 +45,14 @@
     if age_us.is_some_and(|age_us| age_us < limit_us) && !is_kept_by_promises(tick) {
         return false;
     }
-    store.failures > 0 || is_touch_late(tick) || hears_promise(tick)
+    store.failures > 0 || is_touch_late(tick) || joins_promise(tick)
 }
 
 /// Returns whether the last confirmation came from promises and not from a touch.
 fn is_kept_by_promises(tick: &Tick<'_>) -> bool {
     let membership = &tick.tables.membership;
     let promised = membership.store.failures > 0 && membership.promised_until_us > tick.now_us;
-    promised || hears_promise(tick)
+    promised || joins_promise(tick)
 }
 
 /// Returns whether a touch has waited for its answer for half the touch interval.
@@ -64,16 +64,19 @@
     })
 }
 
-/// Returns whether the other writer has promised to write no view lately.
+/// Returns whether this writer promises because the other one does.
 ///
-/// A writer that the store has answered since does not join in; otherwise two
+/// A writer that the store has answered lately does not join in; otherwise two
 /// writers would keep each other's promises up for ever.
-fn hears_promise(tick: &Tick<'_>) -> bool {
+fn joins_promise(tick: &Tick<'_>) -> bool {
     let updated_us = tick.tables.membership.store.updated_us;
     let limit_us = tick.settings.touch_ms * 1_500;
-    if updated_us.is_some_and(|at_us| tick.now_us.saturating_sub(at_us) < limit_us) {
-        return false;
-    }
+    let is_updated = |at_us: u64| tick.now_us.saturating_sub(at_us) < limit_us;
+    !updated_us.is_some_and(is_updated) && hears_promise(tick)
+}
+
+/// Returns whether the other writer has promised to write no view lately.
+pub(super) fn hears_promise(tick: &Tick<'_>) -> bool {
     let recent_us = tick.settings.heartbeat_ms * 2_500;
     let is_recent = |from_us: u64| tick.now_us.saturating_sub(from_us) < recent_us;
     let promises = &tick.tables.membership.promises;
--- a/crates/core/src/systems/membership/store.rs
+++ b/crates/core/src/systems/membership/store.rs
@@ -265,10 +265,11 @@
     let interval_us = settings.touch_ms * 1_000;
     let touched_us = tables.membership.store.touched_us.unwrap_or(0);
     let next_us = touched_us + interval_us;
-    if view.writers.first() == Some(&settings.vm) || leases::is_promising(tick) {
+    // The second writer touches only when the store does not answer the first,
+    // or when it hears no confirmation from the first.
+    if view.writers.first() == Some(&settings.vm) || leases::hears_promise(tick) {
         return Some(next_us);
     }
-    // The second writer touches only when it hears no confirmation from the first.
     let confirmed_us = tables.lease.confirmed_us.unwrap_or(0);
     Some(next_us.max(confirmed_us + interval_us * 2))
 }
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -4,5 +4,7 @@
 pub mod invariants;
 pub mod mesh;
 mod random;
+mod seeds;
 
 pub use random::Random;
+pub use seeds::{run_sampled, sample_accounts, seeds};
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -7,20 +7,27 @@
 
 mod engine;
 mod faults;
+mod platform;
 mod store;
 mod trace;
+mod traffic;
 
 pub use engine::{EngineModel, Engines};
 pub use faults::Faults;
+pub use platform::Platform;
 pub use store::ViewStore;
 pub use trace::{Trace, TraceEvent};
+pub use traffic::{Traffic, estimated_bytes};
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
+use std::time::Instant;
 
+use knapweeddale_core::input::VmStatus;
+use knapweeddale_core::tables::Tables;
 use knapweeddale_core::{
-    AttemptEvent, CallId, Control, CoreSettings, Dispatch, FleetConfig, Incarnation, Input,
-    NewCall, Output, PeerMessage, StoreEvent, StoreRequest, VmName,
+    AttemptEvent, CallId, Control, CoreSettings, Dispatch, DomainName, FleetConfig, Incarnation,
+    Input, NewCall, Output, PeerMessage, StoreEvent, StoreRequest, VmName,
 };
 
 use crate::Random;
@@ -42,7 +49,11 @@
         incarnation: Incarnation,
         sent_us: u64,
         request: StoreRequest,
+        /// Whether the VM has given up waiting for the answer.
+        is_late: bool,
     },
+    /// The platform publishes a list of VMs.
+    VmList(Vec<VmStatus>),
 }
 
 /// A VM of the mesh.
@@ -55,6 +66,9 @@
     paused_until_us: u64,
     /// The VM's clock starts here; clocks of VMs are not comparable.
     clock_offset_us: u64,
+    /// How far the VM's clock moves in a million microseconds.
+    clock_rate_ppm: u64,
+    traffic: Traffic,
     next_wake_us: Option<u64>,
     next_call: u64,
 }
@@ -62,6 +76,7 @@
 /// Several VMs in one process.
 pub struct Mesh {
     vms: Vec<Vm>,
+    numbers: HashMap<VmName, usize>,
     events: BTreeMap<(u64, u64), Event>,
     next_event: u64,
     now_us: u64,
@@ -73,6 +88,8 @@
     pub faults: Faults,
     /// The store that holds the view.
     pub store: ViewStore,
+    /// The platform's list of VMs.
+    pub platform: Platform,
     /// The upstreams.
     pub engines: Engines,
     /// What happened so far.
@@ -101,6 +118,23 @@
         })
     }
 
+    /// Makes a mesh whose VMs are in several failure domains and know each other's names.
+    pub fn with_domains(vms: usize, domains: usize, fleet: FleetConfig, seed: u64) -> Self {
+        let peers: Vec<_> = (0..vms)
+            .map(|number| VmName::from(format!("vm-{number}")))
+            .collect();
+        Self::with_settings(vms, fleet, seed, move |vm, incarnation| {
+            let number = peers.iter().position(|peer| *peer == vm).unwrap_or(0);
+            CoreSettings::builder()
+                .address(vm.to_string())
+                .vm(vm)
+                .incarnation(incarnation)
+                .failure_domain(DomainName::from(format!("domain-{}", number % domains)))
+                .peers(peers.clone())
+                .build()
+        })
+    }
+
     /// Makes a mesh with settings chosen for each start of a VM.
     pub fn with_settings(
         vms: usize,
@@ -110,6 +144,7 @@
     ) -> Self {
         let mut mesh = Self {
             vms: Vec::new(),
+            numbers: HashMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
             now_us: 0,
@@ -119,34 +154,68 @@
             blocked: HashSet::new(),
             faults: Faults::default(),
             store: ViewStore::default(),
+            platform: Platform::default(),
             engines: Engines::default(),
             trace: Trace::default(),
         };
         for number in 0..vms {
             let clock_offset_us = mesh.random.below(1_000_000_000);
+            let name = VmName::from(format!("vm-{number}"));
+            mesh.platform.published.push(platform::status(&name));
+            mesh.numbers.insert(name.clone(), number);
             mesh.vms.push(Vm {
-                name: VmName::from(format!("vm-{number}")),
+                name,
                 control: None,
                 incarnation: Incarnation(0),
                 paused_until_us: 0,
                 clock_offset_us,
+                clock_rate_ppm: 1_000_000,
+                traffic: Traffic::default(),
                 next_wake_us: None,
                 next_call: 0,
             });
-            mesh.restart(number);
+        }
+        for number in 0..vms {
+            mesh.start(number);
         }
         mesh
     }
 
-    /// Starts a VM, or starts it again after a crash.
+    /// Starts a VM again after a crash.
     pub fn restart(&mut self, vm: usize) {
+        self.start(vm);
+        self.publish_list();
+    }
+
+    /// Starts the process of a VM.
+    fn start(&mut self, vm: usize) {
         let incarnation = Incarnation(((vm as u64 + 1) << 48) | (self.now_us + 1));
         let row = &mut self.vms[vm];
         row.incarnation = incarnation;
         row.next_wake_us = None;
         row.control = Some(Control::new((self.settings)(row.name.clone(), incarnation)));
-        let fleet = self.fleet.clone();
-        self.deliver(vm, self.now_us, Input::Config(fleet));
+        self.vms[vm].paused_until_us = 0;
+        let list = Input::VmList(self.platform.published.clone());
+        self.deliver(vm, self.now_us, list);
+        if !self.store.is_down {
+            let fleet = self.fleet.clone();
+            self.deliver(vm, self.now_us, Input::Config(fleet));
+        }
+    }
+
+    /// Lets the clock of a VM run fast or slow, by parts in a million.
+    ///
+    /// Call it before the first step of the mesh.
+    pub fn set_clock_rate(&mut self, vm: usize, ppm: u64) {
+        self.vms[vm].clock_rate_ppm = ppm;
+    }
+
+    /// Plans a list of the VMs that run now.
+    fn publish_list(&mut self) {
+        let running = self.vms.iter().filter(|vm| vm.control.is_some());
+        let list: Vec<_> = running.map(|vm| platform::status(&vm.name)).collect();
+        let at_us = self.now_us + self.platform.lag_us;
+        self.schedule(at_us, Event::VmList(list));
     }
 }
 
@@ -158,6 +227,7 @@
         let name = self.vms[vm].name.clone();
         self.trace
             .push(self.now_us, TraceEvent::Crashed { vm: name });
+        self.publish_list();
     }
 
     /// Stops a VM for a time; its inputs wait.
@@ -277,18 +347,29 @@
                 incarnation,
                 sent_us,
                 request,
-            } => self.answer_store(vm, incarnation, sent_us, request),
+                is_late,
+            } => self.answer_store(vm, incarnation, sent_us, request, is_late),
+            Event::VmList(list) => {
+                for vm in 0..self.vms.len() {
+                    self.deliver(vm, self.now_us, Input::VmList(list.clone()));
+                }
+                self.platform.published = list;
+            }
         }
     }
 
     /// Runs the systems of a VM and carries its outputs.
     fn tick(&mut self, vm: usize, input: Option<Input>) {
-        let local_us = self.now_us + self.vms[vm].clock_offset_us;
+        let local_us = self.local_us(vm);
         let mut outputs = Vec::new();
         let Some(control) = self.vms[vm].control.as_mut() else {
             return;
         };
+        let started = Instant::now();
         control.tick(local_us, input, &mut outputs);
+        let traffic = &mut self.vms[vm].traffic;
+        traffic.tick_ns += started.elapsed().as_nanos() as u64;
+        traffic.ticks += 1;
         for output in outputs {
             self.carry(vm, output);
         }
@@ -304,7 +385,9 @@
         let Some(due_us) = control.next_deadline_us() else {
             return;
         };
-        let due_us = due_us.saturating_sub(row.clock_offset_us).max(self.now_us);
+        let elapsed_us = due_us.saturating_sub(row.clock_offset_us);
+        let due_us = (elapsed_us * 1_000_000).div_ceil(row.clock_rate_ppm);
+        let due_us = due_us.max(self.now_us);
         if row.next_wake_us.is_none_or(|at| due_us < at) {
             self.vms[vm].next_wake_us = Some(due_us);
             self.schedule(due_us, Event::Wake { vm });
@@ -329,9 +412,12 @@
 
     /// Sends a message between two VMs through the faults of the link.
     fn send(&mut self, from: usize, to: &VmName, message: PeerMessage) {
-        let Some(to) = self.vms.iter().position(|vm| vm.name == *to) else {
+        let Some(to) = self.index(to) else {
             return;
         };
+        let bytes = estimated_bytes(&message);
+        self.vms[from].traffic.sent_messages += 1;
+        self.vms[from].traffic.sent_bytes += bytes;
         if self.blocked.contains(&(from, to)) {
             return;
         }
@@ -341,13 +427,15 @@
                 incarnation: self.vms[from].incarnation,
                 message: message.clone(),
             };
+            self.vms[to].traffic.received_messages += 1;
+            self.vms[to].traffic.received_bytes += bytes;
             self.deliver(to, self.now_us + delay_us, input);
         }
     }
 
     /// Runs an attempt on its upstream.
     fn dispatch(&mut self, vm: usize, dispatch: Dispatch) {
-        let local_us = self.now_us + self.vms[vm].clock_offset_us;
+        let local_us = self.local_us(vm);
         let call = self.vms[vm]
             .control
             .as_ref()
@@ -386,8 +474,9 @@
         let event = Event::Store {
             vm,
             incarnation: self.vms[vm].incarnation,
-            sent_us: self.now_us + self.vms[vm].clock_offset_us,
+            sent_us: self.local_us(vm),
             request,
+            is_late: false,
         };
         let delay_us = self.random.between(1_000, 4_000);
         self.schedule(self.now_us + delay_us, event);
@@ -400,8 +489,30 @@
         incarnation: Incarnation,
         sent_us: u64,
         request: StoreRequest,
+        is_late: bool,
     ) {
+        if !is_late && self.random.per_mille(self.store.late_per_mille) {
+            let at_us = self.now_us + self.random.between(1, self.store.latest_us);
+            let late = Event::Store {
+                vm,
+                incarnation,
+                sent_us,
+                request,
+                is_late: true,
+            };
+            self.schedule(at_us, late);
+            let event = Event::Input {
+                vm,
+                incarnation,
+                input: Box::new(Input::Store(StoreEvent::Unavailable)),
+            };
+            self.schedule(self.now_us + self.store.timeout_us, event);
+            return;
+        }
         let answer = self.store.handle(vm, request, sent_us, &mut self.random);
+        if is_late {
+            return;
+        }
         let delay_us = match answer {
             StoreEvent::Unavailable => self.store.timeout_us,
             _ => self.random.between(1_000, 4_000),
@@ -440,11 +551,49 @@
 
     /// Returns the number of a VM.
     pub fn index(&self, vm: &VmName) -> Option<usize> {
-        self.vms.iter().position(|row| row.name == *vm)
+        self.numbers.get(vm).copied()
+    }
+
+    /// Returns the tables of a VM.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the VM is crashed.
+    pub fn tables(&self, vm: usize) -> &Tables {
+        self.control(vm).expect("VM runs").tables()
+    }
+
+    /// Returns whether a VM runs and has a valid lease.
+    pub fn has_lease(&self, vm: usize) -> bool {
+        let now_us = self.local_us(vm);
+        self.control(vm)
+            .is_some_and(|control| control.tables().lease.is_valid(now_us))
+    }
+
+    /// Returns the numbers of the writers in the view of a VM.
+    pub fn writers(&self, vm: usize) -> Vec<usize> {
+        let writers = &self.tables(vm).view.writers;
+        writers.iter().filter_map(|name| self.index(name)).collect()
+    }
+
+    /// Returns the number of VMs, crashed ones included.
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Returns whether the mesh has no VMs.
+    pub fn is_empty(&self) -> bool {
+        self.vms.is_empty()
     }
 
     /// Returns the present time on the clock of a VM.
     pub fn local_us(&self, vm: usize) -> u64 {
-        self.now_us + self.vms[vm].clock_offset_us
+        let row = &self.vms[vm];
+        self.now_us * row.clock_rate_ppm / 1_000_000 + row.clock_offset_us
+    }
+
+    /// Returns the messages of a VM so far.
+    pub fn traffic(&self, vm: usize) -> Traffic {
+        self.vms[vm].traffic
     }
 }
--- a/crates/testing/src/mesh/store.rs
+++ b/crates/testing/src/mesh/store.rs
@@ -19,6 +19,10 @@
     pub cut_off: HashSet<usize>,
     /// Answers lost after the write took effect, of 1,000.
     pub lost_answers_per_mille: u64,
+    /// Requests that take effect only after the VM has given up waiting, of 1,000.
+    pub late_per_mille: u64,
+    /// How late such a request takes effect at most.
+    pub latest_us: u64,
     /// Time after which a VM gives up waiting.
     pub timeout_us: u64,
     /// Requests that were sent to the store.
@@ -32,6 +36,8 @@
             is_down: false,
             cut_off: HashSet::new(),
             lost_answers_per_mille: 0,
+            late_per_mille: 0,
+            latest_us: 10_000_000,
             timeout_us: 500_000,
             requests: 0,
         }
