--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod mesh;
 pub mod platform;
 mod random;
+mod seeds;
 
 pub use random::Random;
+pub use seeds::{run_sampled, sample_accounts, seeds};
