--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod http;
 pub mod invariants;
 pub mod mesh;
+pub mod platform;
 mod random;
 
 pub use random::Random;
