Derive the wire form of messages behind a feature of the core

Cause: messages between VMs need a wire form; hand-written twins of each enum would have to change with every new variant. Change: the feature 'serde' of knapweeddale_core derives the serde traits for messages and the types in them; digests are hexadecimal text. Conclusion: a new variant needs no conversion code.

--- a/crates/core/src/config/fleet.rs
+++ b/crates/core/src/config/fleet.rs
@@ -6,6 +6,7 @@
 
 /// The configuration that operators publish for the whole fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct FleetConfig {
     /// The version of the write that published it.
     pub revision: Revision,
@@ -17,6 +18,7 @@
 
 /// A client account.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct AccountConfig {
     /// The account's name.
     pub name: AccountName,
@@ -43,6 +45,7 @@
 
 /// A caller's key, stored as a digest.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct KeyConfig {
     /// The public part of the key.
     pub id: KeyId,
@@ -54,6 +57,7 @@
 
 /// A service: model engines or plain upstreams.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct ServiceConfig {
     /// The service's name.
     pub name: ServiceName,
@@ -73,6 +77,7 @@
 
 /// What a service runs.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum ServiceKind {
     /// Model engines that stream tokens.
     Engine(EngineConfig),
@@ -82,6 +87,7 @@
 
 /// What only model engines have.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct EngineConfig {
     /// Models that the service offers.
     pub models: Vec<ModelName>,
@@ -91,6 +97,7 @@
 
 /// An upstream of a service.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct UpstreamConfig {
     /// The upstream's name, unique over all services.
     pub name: UpstreamName,
@@ -115,6 +122,7 @@
 
 /// A route of a plain service.
 #[derive(Debug, Clone, PartialEq, Eq, Builder)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct RouteConfig {
     /// The start of the path that the route matches.
     pub path_prefix: String,
--- a/crates/core/src/ids/digest.rs
+++ b/crates/core/src/ids/digest.rs
@@ -9,7 +9,8 @@
     ($($(#[$doc:meta])* $name:ident = $len:literal),+ $(,)?) => {$(
         $(#[$doc])*
         #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
-        pub struct $name(pub [u8; $len]);
+        #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+        pub struct $name(#[cfg_attr(feature = "serde", serde(with = "super::hex"))] pub [u8; $len]);
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -36,7 +37,8 @@
 ///
 /// Comparison takes the same time for all values, and `Debug` hides them.
 #[derive(Clone, Copy)]
-pub struct Secret256(pub [u8; 32]);
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct Secret256(#[cfg_attr(feature = "serde", serde(with = "super::hex"))] pub [u8; 32]);
 
 impl PartialEq for Secret256 {
     fn eq(&self, other: &Self) -> bool {
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -1,6 +1,8 @@
 //! Identifiers of the entities in the tables.
 
 mod digest;
+#[cfg(feature = "serde")]
+mod hex;
 mod name;
 mod number;
 mod program;
--- a/crates/core/src/ids/name.rs
+++ b/crates/core/src/ids/name.rs
@@ -10,6 +10,7 @@
         ///
         /// Cloning is cheap: the text is shared.
         #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
         pub struct $name(Arc<str>);
 
         impl $name {
--- a/crates/core/src/ids/program.rs
+++ b/crates/core/src/ids/program.rs
@@ -6,6 +6,7 @@
 
 /// A program of a client account.
 #[derive(Debug, Display, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 #[display("{account}/{name}")]
 pub struct ProgramKey {
     /// The account that the program belongs to.
@@ -27,6 +28,7 @@
 
 /// The upstreams of one service and model, which share a queue.
 #[derive(Debug, Display, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 #[display("{service}:{}", model.as_ref().map_or("-", |m| m.as_str()))]
 pub struct PoolKey {
     /// The service.
--- a/crates/core/src/input/call.rs
+++ b/crates/core/src/input/call.rs
@@ -74,6 +74,7 @@
 ///
 /// The front end signs it; the core only sees verified values.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Continuation {
     /// The program.
     pub program: ProgramKey,
@@ -93,6 +94,7 @@
 
 /// The single-use right to send one request that may not be repeated.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Permit {
     /// The program.
     pub program: ProgramKey,
--- a/crates/core/src/message/config.rs
+++ b/crates/core/src/message/config.rs
@@ -7,6 +7,7 @@
 
 /// A message about the published configuration.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum ConfigMessage {
     /// Asks for a configuration newer than the sender's.
     ConfigRequest {
--- a/crates/core/src/message/homes.rs
+++ b/crates/core/src/message/homes.rs
@@ -6,6 +6,7 @@
 
 /// A message between the entry VM of a call and the home of its program.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum HomesMessage {
     /// Asks the home to let a turn begin.
     Begin(Box<Begin>),
@@ -44,6 +45,7 @@
 
 /// Asks the home to let a turn begin.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Begin {
     /// The call.
     pub call: CallId,
@@ -63,6 +65,7 @@
 
 /// Refuses a turn.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Denied {
     /// The call.
     pub call: CallId,
@@ -76,6 +79,7 @@
 
 /// Reports the end of a turn.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Settle {
     /// The call.
     pub call: CallId,
--- a/crates/core/src/message/membership.rs
+++ b/crates/core/src/message/membership.rs
@@ -4,6 +4,7 @@
 
 /// A message about the view and its leases.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum MembershipMessage {
     /// Says that the sender is alive and asks for its lease to be confirmed.
     Heartbeat {
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -16,6 +16,7 @@
 
 /// A message between two VMs.
 #[derive(Debug, Clone, PartialEq, Eq, From)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum PeerMessage {
     /// View, leases and failure suspicion.
     Membership(MembershipMessage),
--- a/crates/core/src/message/placement.rs
+++ b/crates/core/src/message/placement.rs
@@ -6,6 +6,7 @@
 
 /// A message between the entry VM of a call and the owner of a pool.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum PlacementMessage {
     /// Asks for an upstream.
     Place(Box<Place>),
@@ -42,6 +43,7 @@
 
 /// Asks for an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Place {
     /// The pool.
     pub pool: PoolKey,
--- a/crates/core/src/message/rates.rs
+++ b/crates/core/src/message/rates.rs
@@ -4,6 +4,7 @@
 
 /// A message about shares of the rate of client accounts.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum RatesMessage {
     /// Asks the owner of an account for a share.
     Demand {
--- a/crates/core/src/output/charge.rs
+++ b/crates/core/src/output/charge.rs
@@ -4,6 +4,7 @@
 
 /// The record of one call that ran.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Charge {
     /// The attempt that ran; its call identifies the charge.
     pub attempt: AttemptId,
@@ -23,6 +24,7 @@
 
 /// How a charged attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum ChargeOutcome {
     /// The response was complete.
     Complete,
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -86,6 +86,7 @@
 
 /// Why an upstream was chosen.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum PlacementReason {
     /// It has the fewest calls running.
     #[display("fewest running")]
--- a/crates/core/src/output/refusal.rs
+++ b/crates/core/src/output/refusal.rs
@@ -6,6 +6,7 @@
 
 /// Whether a call ran.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Execution {
     /// No byte of the request left for an upstream, or the upstream refused it.
     #[display("not_run")]
@@ -36,6 +37,7 @@
     ($($(#[$doc:meta])* $kind:ident = $text:literal, $status:literal, $remedy:literal;)+) => {
         /// Why a call was refused.
         #[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+        #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
         pub enum RefusalKind {
             $($(#[$doc])* #[display($text)] $kind,)+
         }
--- a/crates/core/src/tables/view.rs
+++ b/crates/core/src/tables/view.rs
@@ -6,6 +6,7 @@
 
 /// The members of the fleet at one epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct View {
     /// The number of the view.
     pub epoch: Epoch,
@@ -17,6 +18,7 @@
 
 /// A member of the fleet.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Member {
     /// The VM.
     pub vm: VmName,
