Derive the wire form of view changes

Cause: the merged membership messages carry types without the serde traits. Change: heartbeats and view changes derive them under the feature. Conclusion: new types in messages need the same attribute.

--- a/crates/core/src/message/membership.rs
+++ b/crates/core/src/message/membership.rs
@@ -40,6 +40,7 @@
 
 /// Says that the sender is alive.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Heartbeat {
     /// The round of heartbeats; answers repeat it.
     pub round: u64,
@@ -58,6 +59,7 @@
 /// Ages count back from the moment at which the heartbeat arrived; a negative
 /// age is a moment after that.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct HeartbeatAnswer {
     /// The round of heartbeats that is answered.
     pub round: u64,
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -1,4 +1,6 @@
 //! Messages between VMs, one enum for each system that handles them.
+//!
+//! Every type in a message derives the serde traits under the feature `serde`.
 
 mod config;
 mod homes;
--- a/crates/core/src/tables/view.rs
+++ b/crates/core/src/tables/view.rs
@@ -39,6 +39,7 @@
 
 /// The difference between two views that one VM knew one after the other.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct ViewDelta {
     /// The epoch before.
     pub from: Epoch,
