State the sender's address in deliveries

Cause: a VM that joins or has just left is in no view, so its messages could not be answered. Change: a delivery carries the address at which its sender is reached. Conclusion: answers reach VMs outside the view.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -158,6 +158,7 @@
         let limit = (self.options.max_body_bytes as usize).saturating_sub(ENVELOPE_BYTES);
         let mut batch = Batch {
             from: self.options.vm.clone(),
+            address: self.options.address.clone(),
             incarnation: self.options.incarnation,
             messages: Vec::new(),
         };
--- a/crates/peer/src/options.rs
+++ b/crates/peer/src/options.rs
@@ -11,6 +11,9 @@
 pub struct PeerOptions {
     /// The name of this VM.
     pub vm: VmName,
+    /// The address at which other VMs reach this one, as `ip:port`.
+    #[builder(into)]
+    pub address: String,
     /// The number of this start of the process.
     pub incarnation: Incarnation,
     /// The secret that all VMs share.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -10,6 +10,8 @@
 pub struct Delivery {
     /// The sender.
     pub from: VmName,
+    /// Where the sender is reached; a VM that joins or leaves is in no view.
+    pub address: String,
     /// The start of the sender's process.
     pub incarnation: Incarnation,
     /// The messages.
@@ -27,6 +29,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Batch {
     pub from: VmName,
+    pub address: String,
     pub incarnation: Incarnation,
     /// Each message is decoded on its own, so that one of a newer version does
     /// not make the others unreadable during a rolling restart.
@@ -41,6 +44,7 @@
         let unreadable = (total - messages.len()) as u64;
         let delivery = Delivery {
             from: self.from,
+            address: self.address,
             incarnation: self.incarnation,
             messages,
         };
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -38,6 +38,7 @@
     PeerOptions::builder()
         .vm(VmName::from("vm-1"))
         .incarnation(Incarnation(5))
+        .address("127.0.0.1:9")
         .secret(secret)
         .backoff_min(Duration::from_millis(1))
         .build()
--- a/crates/token/src/lib.rs
+++ b/crates/token/src/lib.rs
@@ -29,5 +29,5 @@
 pub use encoding::{Decoder, Encoder, EncodingError};
 pub use history::HistoryChain;
 pub use key::{CallerKey, KeyError};
-pub use signer::{SecretError, Signer, TokenError, secrets_match};
+pub use signer::{SecretError, Signer, TokenError, derive_secret, secrets_match};
 pub use value::SignedValue;
--- a/crates/token/src/signer.rs
+++ b/crates/token/src/signer.rs
@@ -153,6 +153,17 @@
     }
 }
 
+/// Derives a secret for one purpose, so that it says nothing about the others.
+///
+/// # Errors
+///
+/// Fails if the secret is shorter than 32 bytes.
+pub fn derive_secret(secret: &[u8], purpose: &str) -> Result<String, SecretError> {
+    let tag = Signer::new(secret)?.mac(purpose.as_bytes()).finalize();
+    let tag = tag.into_bytes();
+    Ok(tag.iter().map(|byte| format!("{byte:02x}")).collect())
+}
+
 /// Reads version, kind and fields; an error without a source means another kind.
 fn read_value<T: SignedValue>(bytes: &[u8]) -> Result<T, Option<EncodingError>> {
     let mut decoder = Decoder::new(bytes);
