--- /dev/null
+++ b/crates/entry/src/call/answers.rs
@@ -0,0 +1,104 @@
+//! Responses kept for resends.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use bytes::Bytes;
+use knapweeddale_core::{CallId, ContentDigest};
+use knapweeddale_peer::KeptAnswer;
+
+use super::reply::Reply;
+
+/// Bytes of all kept responses; a quarter of what a VM may use for control.
+const MAX_KEPT_BYTES: usize = 64 * 1024 * 1024;
+
+/// Responses kept for resends, for a limited time and up to a limited size.
+#[derive(Debug)]
+pub(crate) struct KeptAnswers {
+    keep_us: u64,
+    inner: Mutex<Inner>,
+}
+
+#[derive(Debug, Default)]
+struct Inner {
+    answers: HashMap<CallId, (ContentDigest, Reply)>,
+    /// Calls in the order in which they expire.
+    expiry: VecDeque<(u64, CallId)>,
+    bytes: usize,
+}
+
+impl KeptAnswers {
+    pub fn new(keep_ms: u64) -> Self {
+        Self {
+            keep_us: keep_ms * 1_000,
+            inner: Mutex::default(),
+        }
+    }
+
+    /// Keeps the response of a call.
+    pub fn keep(&self, now_us: u64, call: CallId, digest: ContentDigest, reply: Reply) {
+        let mut inner = self.lock();
+        inner.bytes += reply.body.len();
+        inner.answers.insert(call, (digest, reply));
+        inner.expiry.push_back((now_us + self.keep_us, call));
+        inner.drop_old(now_us);
+    }
+
+    /// Returns the response of a call whose content had this digest.
+    pub fn get(&self, call: CallId, digest: ContentDigest) -> Option<Reply> {
+        let inner = self.lock();
+        let (kept_digest, reply) = inner.answers.get(&call)?;
+        (*kept_digest == digest).then(|| reply.clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Drops responses that have expired or exceed the size.
+    fn drop_old(&mut self, now_us: u64) {
+        while let Some(&(expires_us, call)) = self.expiry.front() {
+            if expires_us > now_us && self.bytes <= MAX_KEPT_BYTES {
+                return;
+            }
+            self.expiry.pop_front();
+            if let Some((_, reply)) = self.answers.remove(&call) {
+                self.bytes -= reply.body.len();
+            }
+        }
+    }
+}
+
+/// The headers that a kept response has on other VMs.
+impl From<Reply> for KeptAnswer {
+    fn from(reply: Reply) -> Self {
+        let header = |name: &str| reply.header(name).map(str::to_owned);
+        Self {
+            status: reply.status,
+            content_type: header("content-type").unwrap_or_default(),
+            continuation: header("kwd-continuation"),
+            permit: header("kwd-permit"),
+            body: reply.body.to_vec(),
+        }
+    }
+}
+
+impl From<KeptAnswer> for Reply {
+    fn from(answer: KeptAnswer) -> Self {
+        let headers = [
+            ("content-type", Some(answer.content_type)),
+            ("kwd-continuation", answer.continuation),
+            ("kwd-permit", answer.permit),
+        ];
+        Self {
+            status: answer.status,
+            headers: headers
+                .into_iter()
+                .filter_map(|(name, value)| Some((name.to_owned(), value?)))
+                .collect(),
+            body: Bytes::from(answer.body),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/call/attempt.rs
@@ -0,0 +1,251 @@
+//! One attempt of a call on one upstream.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use knapweeddale_core::input::{AttemptOutcome, AttemptProgress, Failure};
+use knapweeddale_core::{AttemptEvent, AttemptId, Dispatch, Input};
+use reqwest::Response;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, timeout};
+
+use super::reply::{Reply, ReplyPart};
+use super::task::CallKind;
+use crate::clock::Clock;
+use crate::front::Shared;
+use crate::upstream::{
+    Completion, EventError, EventReader, Step, UpstreamRequest, UpstreamTimes, returnable,
+};
+
+/// Longest wait for a caller to read. A caller that reads more slowly than an
+/// engine generates for this long has stopped reading.
+pub(super) const SLOW_CALLER: Duration = Duration::from_secs(10);
+
+/// Largest response of a plain service, which is held in memory.
+const MAX_PLAIN_BYTES: usize = 8 * 1024 * 1024;
+
+/// Statuses by which an upstream refuses a request without running it.
+const REFUSALS: [u16; 2] = [429, 503];
+
+/// What an attempt has achieved so far; it outlives a cancelled attempt.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// Parts of the answer that have arrived.
+    pub answer_tokens: u64,
+    /// Whether any part of the response reached the caller.
+    pub forwarded: bool,
+    /// The bytes of a stream so far, if they are kept for a resend.
+    pub kept: Vec<u8>,
+}
+
+/// A complete response of an upstream.
+#[derive(Debug)]
+pub(super) struct Finished {
+    /// What the core learns.
+    pub outcome: AttemptOutcome,
+    /// The response; `None` if it went to the caller as a stream.
+    pub reply: Option<Reply>,
+}
+
+/// One attempt of a call on one upstream.
+pub(super) struct Attempt<'a, C> {
+    pub shared: &'a Shared<C>,
+    pub dispatch: &'a Dispatch,
+    pub request: &'a UpstreamRequest,
+    pub kind: &'a CallKind,
+    pub service: &'a str,
+    pub reply: &'a mpsc::Sender<ReplyPart>,
+    pub keeps_answer: bool,
+    pub progress: &'a mut Progress,
+}
+
+/// Reports progress of an attempt to the core.
+pub(super) async fn report<C: Clock>(
+    shared: &Shared<C>,
+    attempt: AttemptId,
+    progress: AttemptProgress,
+) {
+    let event = AttemptEvent { attempt, progress };
+    shared.inputs.input(Input::Attempt(event)).await;
+}
+
+impl<C: Clock> Attempt<'_, C> {
+    /// Runs the attempt to its end.
+    pub async fn run(mut self) -> Result<Finished, Failure> {
+        report(self.shared, self.dispatch.attempt, AttemptProgress::Sent).await;
+        // Checked last before the request leaves: the permission to start may
+        // have run out while the process was paused.
+        if self.shared.clock.now_us() >= self.dispatch.valid_until_us {
+            return Err(Failure::NotSent);
+        }
+        let started = Instant::now();
+        let response = self
+            .shared
+            .upstream
+            .open(self.dispatch, self.request)
+            .await?;
+        match self.kind {
+            CallKind::Engine { .. } => self.run_engine(response, started).await,
+            CallKind::Plain { .. } => self.run_plain(response, started).await,
+        }
+    }
+
+    /// Notes the first token or byte.
+    async fn note_first(&self, started: Instant) {
+        let attempt = self.dispatch.attempt;
+        report(self.shared, attempt, AttemptProgress::FirstToken).await;
+        let took = started.elapsed();
+        self.shared.metrics.note_first_token(self.service, took);
+    }
+
+    /// Returns the failure of a broken or silent connection.
+    fn interrupted(&self, is_silent: bool) -> Failure {
+        let answer_tokens = self.progress.answer_tokens;
+        let forwarded = self.progress.forwarded;
+        if is_silent {
+            Failure::Silent {
+                answer_tokens,
+                forwarded,
+            }
+        } else {
+            Failure::ConnectionLost {
+                answer_tokens,
+                forwarded,
+            }
+        }
+    }
+}
+
+/// # Engines
+impl<C: Clock> Attempt<'_, C> {
+    /// Reads the events of an engine and forwards them if the caller streams.
+    async fn run_engine(
+        &mut self,
+        response: Response,
+        started: Instant,
+    ) -> Result<Finished, Failure> {
+        let status = response.status().as_u16();
+        if !response.status().is_success() {
+            return Err(if status < 500 || REFUSALS.contains(&status) {
+                Failure::RefusedByUpstream { status }
+            } else {
+                Failure::UpstreamError { status }
+            });
+        }
+        let times = UpstreamTimes::from(self.dispatch);
+        let mut completion = Completion::default();
+        let mut events = EventReader::new(response);
+        loop {
+            let limit = if completion.tokens() == 0 {
+                times.first.saturating_sub(started.elapsed())
+            } else {
+                times.gap
+            };
+            let event = events
+                .next(limit)
+                .await
+                .map_err(|error| self.interrupted(error == EventError::Silent))?;
+            let step = completion.add(&event);
+            if step == Step::Done {
+                return Ok(self.finish_engine(&completion));
+            }
+            if step == Step::Token && completion.tokens() == 1 {
+                self.note_first(started).await;
+            }
+            self.progress.answer_tokens = completion.tokens();
+            self.forward(event).await?;
+        }
+    }
+
+    /// Forwards an event to a caller that streams.
+    async fn forward(&mut self, event: Bytes) -> Result<(), Failure> {
+        if !self.kind.streams() {
+            return Ok(());
+        }
+        if self.keeps_answer {
+            self.progress.kept.extend_from_slice(&event);
+        }
+        if !self.progress.forwarded {
+            self.progress.forwarded = true;
+            self.send(ReplyPart::Start).await?;
+        }
+        self.send(ReplyPart::Chunk(event)).await
+    }
+
+    /// Hands a part to the caller.
+    async fn send(&self, part: ReplyPart) -> Result<(), Failure> {
+        let answer_tokens = self.progress.answer_tokens;
+        let sent = self.reply.send_timeout(part, SLOW_CALLER).await;
+        sent.map_err(|_| Failure::CallerGone { answer_tokens })
+    }
+
+    /// Returns the result of a complete stream of events.
+    fn finish_engine(&self, completion: &Completion) -> Finished {
+        let CallKind::Engine {
+            history,
+            prompt_tokens,
+            ..
+        } = self.kind
+        else {
+            return Finished {
+                outcome: AttemptOutcome::default(),
+                reply: None,
+            };
+        };
+        let outcome = completion.outcome(*history, *prompt_tokens);
+        let reply = (!self.progress.forwarded).then(|| Reply::json(200, &completion.to_json()));
+        Finished { outcome, reply }
+    }
+}
+
+/// # Plain services
+impl<C: Clock> Attempt<'_, C> {
+    /// Reads the whole response of a plain service.
+    async fn run_plain(
+        &mut self,
+        mut response: Response,
+        started: Instant,
+    ) -> Result<Finished, Failure> {
+        self.note_first(started).await;
+        let status = response.status().as_u16();
+        let headers = response.headers();
+        let says_not_run = headers.get("kwd-ran").is_some_and(|ran| ran == "not_run");
+        if REFUSALS.contains(&status) && says_not_run {
+            return Err(Failure::RefusedByUpstream { status });
+        }
+        if status >= 500 {
+            return Err(Failure::UpstreamError { status });
+        }
+        let headers = returnable(headers);
+        let gap = UpstreamTimes::from(self.dispatch).gap;
+        let mut body = Vec::new();
+        loop {
+            match timeout(gap, response.chunk()).await {
+                Ok(Ok(Some(chunk))) => body.extend_from_slice(&chunk),
+                Ok(Ok(None)) => break,
+                Ok(Err(_)) => return Err(self.interrupted(false)),
+                Err(_) => return Err(self.interrupted(true)),
+            }
+            if body.len() > MAX_PLAIN_BYTES {
+                return Err(self.interrupted(false));
+            }
+        }
+        let history = match self.kind {
+            CallKind::Plain { history } => *history,
+            CallKind::Engine { history, .. } => history.digest(),
+        };
+        let outcome = AttemptOutcome {
+            history,
+            ..AttemptOutcome::default()
+        };
+        let reply = Reply {
+            status,
+            headers,
+            body: Bytes::from(body),
+        };
+        Ok(Finished {
+            outcome,
+            reply: Some(reply),
+        })
+    }
+}
--- /dev/null
+++ b/crates/entry/src/call/mod.rs
@@ -0,0 +1,14 @@
+//! The traffic side of a call: one task from arrival to the last byte.
+
+mod answers;
+mod attempt;
+mod ids;
+mod in_flight;
+mod reply;
+mod task;
+
+pub(crate) use answers::KeptAnswers;
+pub(crate) use ids::{CallIds, random_u64};
+pub(crate) use in_flight::{InFlight, InFlightGuard};
+pub(crate) use reply::{Reply, ReplyPart};
+pub(crate) use task::{CallKind, CallTask, NewTask};
--- /dev/null
+++ b/crates/entry/src/call/reply.rs
@@ -0,0 +1,98 @@
+//! What the caller gets.
+
+use bytes::Bytes;
+use knapweeddale_core::{CallId, Execution, Refusal};
+use serde_json::{Map, Value, json};
+
+/// A part of the response to a caller.
+#[derive(Debug)]
+pub(crate) enum ReplyPart {
+    /// The whole response.
+    Whole(Reply),
+    /// The head of a stream of events; chunks follow.
+    Start,
+    /// A part of a stream.
+    Chunk(Bytes),
+}
+
+/// A whole response.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Reply {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl Reply {
+    /// Makes a response with a JSON body.
+    pub fn json(status: u16, body: &Value) -> Self {
+        Self {
+            status,
+            headers: vec![("content-type".to_owned(), "application/json".to_owned())],
+            body: Bytes::from(body.to_string()),
+        }
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn with(mut self, name: &str, value: impl ToString) -> Self {
+        self.headers.push((name.to_owned(), value.to_string()));
+        self
+    }
+
+    /// Makes the response to a refused call. `detail` replaces the general message.
+    pub fn refused(refusal: &Refusal, detail: Option<&str>) -> Self {
+        let reply = Self::json(refusal.kind.status(), &error_body(refusal, detail))
+            .with("kwd-call", refusal.call)
+            .with("kwd-ran", refusal.ran);
+        match refusal.retry_after_ms {
+            Some(ms) => reply.with("retry-after", ms.div_ceil(1_000)),
+            None => reply,
+        }
+    }
+
+    /// Returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let header = self.headers.iter().find(|(key, _)| key == name);
+        header.map(|(_, value)| value.as_str())
+    }
+}
+
+/// Returns the body of a refusal.
+pub(crate) fn error_body(refusal: &Refusal, detail: Option<&str>) -> Value {
+    let message = match (detail, refusal.ran) {
+        (Some(detail), _) => detail.to_owned(),
+        (None, Execution::NotRun) => format!("the request was refused as {}", refusal.kind),
+        (None, Execution::MayHaveRun) => {
+            format!("the request ended as {} and may have run", refusal.kind)
+        }
+        (None, Execution::Ran) => format!("the request ran before ({})", refusal.kind),
+    };
+    json!({"error": {
+        "kind": refusal.kind.to_string(),
+        "ran": refusal.ran.to_string(),
+        "message": message,
+        "remedy": refusal.kind.remedy(),
+        "retry_after_ms": refusal.retry_after_ms,
+    }})
+}
+
+/// Returns the last event of a stream, in the form of a chunk without choices,
+/// which clients of model APIs pass over, and the usual end mark.
+pub(crate) fn last_event(call: CallId, continuation: Option<&str>, permit: Option<&str>) -> Bytes {
+    let mut event = Map::new();
+    event.insert("object".to_owned(), json!("chat.completion.chunk"));
+    event.insert("choices".to_owned(), json!([]));
+    event.insert("kwd-call".to_owned(), json!(call.to_string()));
+    event.insert("kwd-ran".to_owned(), json!(Execution::Ran.to_string()));
+    for (name, value) in [("kwd-continuation", continuation), ("kwd-permit", permit)] {
+        if let Some(value) = value {
+            event.insert(name.to_owned(), json!(value));
+        }
+    }
+    let event = Value::Object(event);
+    Bytes::from(format!("data: {event}\n\ndata: [DONE]\n\n"))
+}
--- /dev/null
+++ b/crates/entry/src/call/task.rs
@@ -0,0 +1,330 @@
+//! The task that accompanies a call from arrival to the last byte.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use knapweeddale_core::input::{AttemptProgress, Failure};
+use knapweeddale_core::output::Answered;
+use knapweeddale_core::{
+    AttemptId, CallId, ContentDigest, Dispatch, Execution, HistoryDigest, Input, Refusal,
+    RefusalKind,
+};
+use knapweeddale_peer::Peers;
+use knapweeddale_token::HistoryChain;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::attempt::{Attempt, Finished, Progress, SLOW_CALLER, report};
+use super::in_flight::InFlightGuard;
+use super::reply::{Reply, ReplyPart, error_body, last_event};
+use crate::clock::Clock;
+use crate::control::CallOutput;
+use crate::front::Shared;
+use crate::upstream::UpstreamRequest;
+
+/// What differs between calls to engines and to plain services.
+#[derive(Debug, Clone)]
+pub(crate) enum CallKind {
+    /// A completion by a model.
+    Engine {
+        /// Whether the caller reads a stream.
+        stream: bool,
+        /// The messages of the request.
+        history: HistoryChain,
+        /// Tokens of the prompt, as estimated.
+        prompt_tokens: u64,
+    },
+    /// A request to a plain service, which leaves the history as it is.
+    Plain {
+        /// The history of the program.
+        history: HistoryDigest,
+    },
+}
+
+impl CallKind {
+    /// Returns whether the caller reads a stream.
+    pub fn streams(&self) -> bool {
+        matches!(self, Self::Engine { stream: true, .. })
+    }
+}
+
+/// A call as the front end hands it over.
+#[derive(Debug)]
+pub(crate) struct NewTask {
+    /// The call.
+    pub call: CallId,
+    /// The request for upstreams.
+    pub request: UpstreamRequest,
+    /// What kind of call it is.
+    pub kind: CallKind,
+    /// Identifies the content across resends.
+    pub digest: ContentDigest,
+    /// The service, as a bounded label.
+    pub service: String,
+    /// Whether the response is kept for a resend.
+    pub keeps_answer: bool,
+}
+
+/// The task of a call.
+pub(crate) struct CallTask<C> {
+    shared: Arc<Shared<C>>,
+    new: NewTask,
+    outputs: mpsc::Receiver<CallOutput>,
+    reply: mpsc::Sender<ReplyPart>,
+    started: Instant,
+    progress: Progress,
+    finished: Option<Finished>,
+    caller_gone: bool,
+    _guard: InFlightGuard,
+}
+
+/// Why a running attempt stopped.
+enum Stopped {
+    /// It came to its end.
+    Ended(Result<Finished, Failure>),
+    /// The core cancelled it.
+    Cancelled,
+    /// The core put out something else for the call.
+    Output(Option<CallOutput>),
+    /// The caller disconnected.
+    CallerGone,
+}
+
+impl<C: Clock> CallTask<C> {
+    /// Makes the task of a call.
+    pub fn new(
+        shared: Arc<Shared<C>>,
+        new: NewTask,
+        outputs: mpsc::Receiver<CallOutput>,
+        reply: mpsc::Sender<ReplyPart>,
+    ) -> Self {
+        let guard = shared.in_flight.enter(new.call);
+        Self {
+            shared,
+            new,
+            outputs,
+            reply,
+            started: Instant::now(),
+            progress: Progress::default(),
+            finished: None,
+            caller_gone: false,
+            _guard: guard,
+        }
+    }
+
+    /// Accompanies the call to its end.
+    pub async fn run(mut self) {
+        let mut next = self.next_output().await;
+        loop {
+            next = match next {
+                Some(CallOutput::Dispatch(dispatch)) => match self.attempt(&dispatch).await {
+                    Some(output) => output,
+                    None => self.next_output().await,
+                },
+                Some(CallOutput::Answered(answered)) => return self.answer(*answered).await,
+                Some(CallOutput::Refused(refusal)) => return self.refuse(&refusal, None).await,
+                Some(CallOutput::Replay { peer, original }) => {
+                    return self.replay(peer, original).await;
+                }
+                Some(CallOutput::Cancel(_)) => self.next_output().await,
+                None => return self.lose().await,
+            };
+        }
+    }
+
+    /// Waits for an output, and tells the core once if the caller disconnects.
+    async fn next_output(&mut self) -> Option<CallOutput> {
+        if !self.caller_gone && self.finished.is_none() {
+            tokio::select! {
+                biased;
+                output = self.outputs.recv() => return output,
+                () = self.reply.closed() => {}
+            }
+            self.caller_gone = true;
+            let abandoned = Input::CallAbandoned(self.new.call);
+            self.shared.inputs.input(abandoned).await;
+        }
+        self.outputs.recv().await
+    }
+}
+
+/// # Attempts
+impl<C: Clock> CallTask<C> {
+    /// Runs an attempt; returns an output of the core that came instead of its end.
+    async fn attempt(&mut self, dispatch: &Dispatch) -> Option<Option<CallOutput>> {
+        let attempt = dispatch.attempt;
+        self.progress = Progress {
+            forwarded: self.progress.forwarded,
+            ..Progress::default()
+        };
+        let failure = match self.run_attempt(dispatch).await {
+            Stopped::Ended(Ok(finished)) => {
+                let outcome = finished.outcome;
+                self.finished = Some(finished);
+                report(&self.shared, attempt, AttemptProgress::Finished(outcome)).await;
+                return None;
+            }
+            Stopped::Ended(Err(failure)) => failure,
+            Stopped::CallerGone => Failure::CallerGone {
+                answer_tokens: self.progress.answer_tokens,
+            },
+            Stopped::Cancelled => return None,
+            Stopped::Output(output) => return Some(output),
+        };
+        report(&self.shared, attempt, AttemptProgress::Failed(failure)).await;
+        None
+    }
+
+    /// Runs an attempt until it ends or is stopped. Dropping the attempt
+    /// closes its connection, by which the engine learns of the cancellation.
+    async fn run_attempt(&mut self, dispatch: &Dispatch) -> Stopped {
+        let run = Attempt {
+            shared: &self.shared,
+            dispatch,
+            request: &self.new.request,
+            kind: &self.new.kind,
+            service: &self.new.service,
+            reply: &self.reply,
+            keeps_answer: self.new.keeps_answer,
+            progress: &mut self.progress,
+        };
+        tokio::select! {
+            ended = run.run() => Stopped::Ended(ended),
+            stopped = interruption(&mut self.outputs, dispatch.attempt) => stopped,
+            () = self.reply.closed() => Stopped::CallerGone,
+        }
+    }
+}
+
+/// Waits for an output that stops a running attempt.
+async fn interruption(outputs: &mut mpsc::Receiver<CallOutput>, running: AttemptId) -> Stopped {
+    loop {
+        match outputs.recv().await {
+            Some(CallOutput::Cancel(attempt)) if attempt == running => return Stopped::Cancelled,
+            Some(CallOutput::Cancel(_)) => {}
+            output => return Stopped::Output(output),
+        }
+    }
+}
+
+/// # Ends
+impl<C: Clock> CallTask<C> {
+    /// Gives the response of an upstream to the caller.
+    async fn answer(mut self, answered: Answered) {
+        let Some(finished) = self.finished.take() else {
+            return self.lose().await;
+        };
+        let took = self.started.elapsed();
+        self.shared.metrics.note_call(&self.new.service, took);
+        let signer = &self.shared.signer;
+        let continuation = answered
+            .continuation
+            .as_ref()
+            .map(|value| signer.sign(value));
+        let permit = answered.permit.as_ref().map(|value| signer.sign(value));
+        let call = self.new.call;
+        let tokens = [("kwd-continuation", &continuation), ("kwd-permit", &permit)];
+        if let Some(mut reply) = finished.reply {
+            for (name, value) in tokens {
+                if let Some(value) = value {
+                    reply = reply.with(name, value);
+                }
+            }
+            self.keep(&reply);
+            let reply = reply.with("kwd-call", call).with("kwd-ran", Execution::Ran);
+            self.send(ReplyPart::Whole(reply)).await;
+            return;
+        }
+        let last = last_event(call, continuation.as_deref(), permit.as_deref());
+        let mut body = std::mem::take(&mut self.progress.kept);
+        body.extend_from_slice(&last);
+        self.keep(&stream_reply(body));
+        self.send(ReplyPart::Chunk(last)).await;
+    }
+
+    /// Keeps a response for a resend.
+    fn keep(&self, reply: &Reply) {
+        if self.new.keeps_answer {
+            let now_us = self.shared.clock.now_us();
+            let answers = &self.shared.answers;
+            answers.keep(now_us, self.new.call, self.new.digest, reply.clone());
+        }
+    }
+
+    /// Tells the caller that the call is refused.
+    async fn refuse(self, refusal: &Refusal, detail: Option<&str>) {
+        if !self.progress.forwarded {
+            let reply = Reply::refused(refusal, detail);
+            return self.send(ReplyPart::Whole(reply)).await;
+        }
+        // The status is out already, so that the stream ends with the error.
+        let body = error_body(refusal, detail);
+        let event = Bytes::from(format!("data: {body}\n\n"));
+        self.send(ReplyPart::Chunk(event)).await;
+    }
+
+    /// Gives a kept response to the caller.
+    async fn replay(self, peer: Option<String>, original: CallId) {
+        let digest = self.new.digest;
+        let reply = match peer {
+            None => self.shared.answers.get(original, digest),
+            Some(address) => {
+                let options = &self.shared.peer_options;
+                let fetched = Peers::fetch_answer(options, &address, original, digest).await;
+                match fetched {
+                    Ok(answer) => answer.map(Reply::from),
+                    Err(error) => {
+                        tracing::warn!("homes: no kept response of call {original}, {error}");
+                        None
+                    }
+                }
+            }
+        };
+        let Some(reply) = reply else {
+            let refusal = Refusal {
+                call: self.new.call,
+                kind: RefusalKind::DuplicateTurn,
+                ran: Execution::Ran,
+                retry_after_ms: None,
+            };
+            let detail =
+                "the turn ran before; its response is no longer kept, or the content differs";
+            return self.refuse(&refusal, Some(detail)).await;
+        };
+        let reply = reply
+            .with("kwd-call", original)
+            .with("kwd-ran", Execution::Ran);
+        self.send(ReplyPart::Whole(reply)).await;
+    }
+
+    /// Ends a call of which the control thread knows nothing any more.
+    async fn lose(self) {
+        let ran = if self.finished.is_some() {
+            Execution::Ran
+        } else {
+            Execution::MayHaveRun
+        };
+        let refusal = Refusal {
+            call: self.new.call,
+            kind: RefusalKind::UpstreamFailed,
+            ran,
+            retry_after_ms: None,
+        };
+        self.refuse(&refusal, Some("the VM stopped while the call ran"))
+            .await;
+    }
+
+    /// Hands the last part to the caller; a caller that is gone misses it.
+    async fn send(&self, part: ReplyPart) {
+        let _ = self.reply.send_timeout(part, SLOW_CALLER).await;
+    }
+}
+
+/// Returns a kept stream as a whole response.
+fn stream_reply(body: Vec<u8>) -> Reply {
+    Reply {
+        status: 200,
+        headers: vec![("content-type".to_owned(), "text/event-stream".to_owned())],
+        body: Bytes::from(body),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/health.rs
@@ -0,0 +1,39 @@
+//! `/healthz`, `/readyz` and `/metrics`.
+
+use bytes::Bytes;
+use serde_json::json;
+
+use super::shared::Shared;
+use crate::call::Reply;
+use crate::clock::Clock;
+
+impl<C: Clock> Shared<C> {
+    /// Says that the process answers requests.
+    pub fn health(&self) -> Reply {
+        Reply::json(200, &json!({"healthy": true}))
+    }
+
+    /// Says whether the load balancer should send calls.
+    pub fn readiness(&self) -> Reply {
+        let reasons = self.unready_reasons();
+        let status = if reasons.is_empty() { 200 } else { 503 };
+        let body = json!({"ready": reasons.is_empty(), "reasons": reasons});
+        Reply::json(status, &body)
+    }
+
+    /// Returns all metrics.
+    pub fn metrics_text(&self) -> Reply {
+        self.metrics.set_peer(&self.peer_counts.snapshot());
+        match self.metrics.to_text() {
+            Ok(text) => Reply {
+                status: 200,
+                headers: vec![(
+                    "content-type".to_owned(),
+                    "text/plain; version=0.0.4".to_owned(),
+                )],
+                body: Bytes::from(text),
+            },
+            Err(error) => Reply::json(500, &json!({"error": error.to_string()})),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/open.rs
@@ -0,0 +1,45 @@
+//! Opens a call: hands it to the core and waits for the start of its response.
+
+use std::sync::Arc;
+
+use knapweeddale_core::{Input, NewCall};
+use tokio::sync::mpsc;
+
+use super::refuse::FrontError;
+use super::respond::Answer;
+use super::shared::Shared;
+use crate::call::{CallTask, NewTask, ReplyPart};
+use crate::clock::Clock;
+use crate::control::{CallOutput, Message};
+
+/// Outputs that may wait for a call's task: a dispatch and a cancellation for
+/// each of three attempts, the end, and as many again to be safe.
+const CALL_OUTPUTS: usize = 16;
+
+impl<C: Clock> Shared<C> {
+    /// Opens a call and waits for the start of its response.
+    pub async fn open(self: &Arc<Self>, new: NewCall, task: NewTask) -> Result<Answer, FrontError> {
+        let call = new.id;
+        let (outputs, receiver) = mpsc::channel::<CallOutput>(CALL_OUTPUTS);
+        let input = Input::CallArrived(Box::new(new));
+        self.inputs
+            .try_send(Message::Open {
+                call,
+                input,
+                outputs,
+            })
+            .map_err(|_| FrontError::overloaded())?;
+        let (reply, mut parts) = mpsc::channel(self.response_queue_len);
+        let guard = self.in_flight.enter(call);
+        tokio::spawn(CallTask::new(Arc::clone(self), task, receiver, reply).run());
+        match parts.recv().await {
+            Some(ReplyPart::Whole(reply)) => Ok(Answer::Whole(reply)),
+            Some(ReplyPart::Start | ReplyPart::Chunk(_)) => Ok(Answer::Events {
+                call: call.to_string(),
+                parts,
+                guard,
+            }),
+            None => Err(FrontError::overloaded()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/respond.rs
@@ -0,0 +1,66 @@
+//! Responses of the front end.
+
+use std::io::Cursor;
+
+use bytes::Bytes;
+use futures_util::stream;
+use rocket::http::{Header, Status};
+use rocket::request::Request;
+use rocket::response::stream::ByteStream;
+use rocket::response::{self, Responder, Response};
+use tokio::sync::mpsc;
+
+use crate::call::{InFlightGuard, Reply, ReplyPart};
+
+/// A response to a caller.
+pub(crate) enum Answer {
+    /// A whole response.
+    Whole(Reply),
+    /// A stream of events; the guard lasts until its end.
+    Events {
+        call: String,
+        parts: mpsc::Receiver<ReplyPart>,
+        guard: InFlightGuard,
+    },
+}
+
+impl<'r> Responder<'r, 'r> for Answer {
+    fn respond_to(self, request: &'r Request<'_>) -> response::Result<'r> {
+        match self {
+            Self::Whole(reply) => Ok(whole(reply)),
+            Self::Events { call, parts, guard } => {
+                let chunks = stream::unfold((parts, guard), next_chunk);
+                let response = ByteStream(chunks).respond_to(request)?;
+                Response::build_from(response)
+                    .header(Header::new("content-type", "text/event-stream"))
+                    .header(Header::new("cache-control", "no-store"))
+                    .header(Header::new("kwd-call", call))
+                    .ok()
+            }
+        }
+    }
+}
+
+/// Returns a whole response.
+fn whole<'r>(reply: Reply) -> Response<'r> {
+    let mut response = Response::build();
+    response.status(Status::new(reply.status));
+    for (name, value) in reply.headers {
+        response.header_adjoin(Header::new(name, value));
+    }
+    response.sized_body(reply.body.len(), Cursor::new(reply.body));
+    response.finalize()
+}
+
+/// Returns the next chunk of a stream.
+async fn next_chunk(
+    (mut parts, guard): (mpsc::Receiver<ReplyPart>, InFlightGuard),
+) -> Option<(Bytes, (mpsc::Receiver<ReplyPart>, InFlightGuard))> {
+    loop {
+        match parts.recv().await? {
+            ReplyPart::Chunk(chunk) => return Some((chunk, (parts, guard))),
+            ReplyPart::Whole(reply) => return Some((reply.body, (parts, guard))),
+            ReplyPart::Start => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/front/routes.rs
@@ -0,0 +1,130 @@
+//! The routes of the front end.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rocket::catcher::{BoxFuture, Catcher};
+use rocket::config::{Ident, LogLevel, Shutdown};
+use rocket::data::Data;
+use rocket::http::{Method, Status};
+use rocket::request::Request;
+use rocket::response::Responder;
+use rocket::route::{Handler, Outcome};
+use rocket::{Build, Config, Rocket, Route};
+use serde_json::json;
+
+use super::completions;
+use super::respond::Answer;
+use super::shared::Shared;
+use crate::call::Reply;
+use crate::clock::Clock;
+
+/// The methods of plain services.
+const SERVICE_METHODS: [Method; 7] = [
+    Method::Get,
+    Method::Head,
+    Method::Post,
+    Method::Put,
+    Method::Patch,
+    Method::Delete,
+    Method::Options,
+];
+
+/// What a route does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Endpoint {
+    Complete,
+    Models,
+    Service,
+    Health,
+    Readiness,
+    Metrics,
+}
+
+/// The handler of a route.
+struct Front<C> {
+    shared: Arc<Shared<C>>,
+    endpoint: Endpoint,
+}
+
+impl<C> Clone for Front<C> {
+    fn clone(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            endpoint: self.endpoint,
+        }
+    }
+}
+
+#[rocket::async_trait]
+impl<C: Clock> Handler for Front<C> {
+    async fn handle<'r>(&self, request: &'r Request<'_>, data: Data<'r>) -> Outcome<'r> {
+        let shared = &self.shared;
+        let id = shared.ids.next();
+        let answer = match self.endpoint {
+            Endpoint::Complete => shared.complete(id, request, data).await,
+            Endpoint::Service => shared.call_service(id, request, data).await,
+            Endpoint::Models => Ok(Answer::Whole(shared.models())),
+            Endpoint::Health => Ok(Answer::Whole(shared.health())),
+            Endpoint::Readiness => Ok(Answer::Whole(shared.readiness())),
+            Endpoint::Metrics => Ok(Answer::Whole(shared.metrics_text())),
+        };
+        let answer = answer.unwrap_or_else(|error| Answer::Whole(shared.refuse(id, &error)));
+        Outcome::from(request, answer)
+    }
+}
+
+/// Builds the server. Its own handling of signals is off: it would cut streams.
+pub(crate) fn build<C: Clock>(listen: SocketAddr, shared: &Arc<Shared<C>>) -> Rocket<Build> {
+    let config = Config {
+        address: listen.ip(),
+        port: listen.port(),
+        ident: Ident::none(),
+        log_level: LogLevel::Off,
+        cli_colors: false,
+        shutdown: Shutdown {
+            ctrlc: false,
+            signals: Default::default(),
+            force: false,
+            ..Shutdown::default()
+        },
+        ..Config::default()
+    };
+    let route = |method, path: &str, endpoint| {
+        let shared = Arc::clone(shared);
+        Route::new(method, path, Front { shared, endpoint })
+    };
+    let mut routes = vec![
+        route(Method::Post, completions::PATH, Endpoint::Complete),
+        route(Method::Get, "/v1/models", Endpoint::Models),
+        route(Method::Get, "/healthz", Endpoint::Health),
+        route(Method::Get, "/readyz", Endpoint::Readiness),
+        route(Method::Get, "/metrics", Endpoint::Metrics),
+    ];
+    for method in SERVICE_METHODS {
+        let path = "/services/<service>/<path..>";
+        routes.push(route(method, path, Endpoint::Service));
+    }
+    rocket::custom(config)
+        .mount("/", routes)
+        .register("/", vec![Catcher::new(None, not_routed)])
+}
+
+/// Answers requests that match no route or that the server cannot read.
+fn not_routed<'r>(status: Status, request: &'r Request<'_>) -> BoxFuture<'r> {
+    let (kind, remedy) = match status.code {
+        404 | 405 => ("route_unknown", "see docs/api.md for the routes"),
+        413 | 431 => ("too_large", "send a smaller request"),
+        _ => ("malformed", "see docs/api.md for the form of requests"),
+    };
+    let message = format!("no route for {} {}", request.method(), request.uri().path());
+    let error = json!({"error": {
+        "kind": kind,
+        "ran": "not_run",
+        "message": message,
+        "remedy": remedy,
+        "retry_after_ms": null,
+    }});
+    let reply = Reply::json(status.code, &error).with("kwd-ran", "not_run");
+    Box::pin(async move { Answer::Whole(reply).respond_to(request) })
+}
--- /dev/null
+++ b/crates/entry/src/inbox.rs
@@ -0,0 +1,26 @@
+//! Requests of other VMs.
+
+use std::sync::Arc;
+
+use knapweeddale_core::{CallId, ContentDigest};
+use knapweeddale_peer::{Delivery, KeptAnswer, PeerHandler};
+
+use crate::clock::Clock;
+use crate::control::Message;
+use crate::front::Shared;
+
+/// Hands requests of other VMs to the control thread.
+pub(crate) struct Inbox<C>(pub Arc<Shared<C>>);
+
+impl<C: Clock> PeerHandler for Inbox<C> {
+    fn deliver(&self, delivery: Delivery) {
+        let message = Message::Delivery(delivery);
+        if self.0.inputs.try_send(message).is_err() {
+            self.0.metrics.count_lost_delivery();
+        }
+    }
+
+    fn fetch_answer(&self, call: CallId, digest: ContentDigest) -> Option<KeptAnswer> {
+        self.0.answers.get(call, digest).map(KeptAnswer::from)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,22 @@
 //! The entry daemon of knapweeddale.
+//!
+//! [`Daemon`] serves callers over HTTP, drives the decision core in a control
+//! thread of its own, calls upstreams and exchanges messages with other VMs.
+//! The binary `knapweeddale-entry` is a thin wrapper around it.
+
+mod call;
+mod clock;
+mod control;
+mod daemon;
+mod front;
+mod inbox;
+pub mod logs;
+mod metrics;
+mod options;
+mod store;
+mod upstream;
+
+pub use clock::{Clock, MonotonicClock};
+pub use daemon::{CutList, Daemon, StartError, read_secret};
+pub use metrics::Metrics;
+pub use options::Options;
--- /dev/null
+++ b/crates/entry/src/store/charges.rs
@@ -0,0 +1,225 @@
+//! Charge records on their way to the store.
+
+use std::collections::VecDeque;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use knapweeddale_core::output::ChargeOutcome;
+use knapweeddale_core::{Charge, Incarnation};
+use knapweeddale_store::{Backoff, CHARGES_PREFIX, ObjectApi, StoreError};
+use serde::Serialize;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::metrics::Metrics;
+
+/// Longest time that a record waits for its batch.
+const BATCH_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Largest batch; the store takes values of up to one megabyte.
+const MAX_BATCH_BYTES: usize = 900_000;
+
+/// Bytes of batches kept in memory while the store is down: at 300 bytes a
+/// record, 300 calls a second for six minutes.
+const MAX_KEPT_BYTES: usize = 32 * 1024 * 1024;
+
+/// A charge record as it is stored, one JSON object a line.
+#[derive(Debug, Serialize)]
+struct Record<'a> {
+    call: String,
+    attempt: u32,
+    account: Option<&'a str>,
+    program: Option<&'a str>,
+    turn: Option<u32>,
+    upstream: &'a str,
+    prompt_tokens: u64,
+    answer_tokens: u64,
+    outcome: &'static str,
+}
+
+impl<'a> From<&'a Charge> for Record<'a> {
+    fn from(charge: &'a Charge) -> Self {
+        let program = charge.program.as_ref();
+        Self {
+            call: charge.attempt.call.to_string(),
+            attempt: charge.attempt.number,
+            account: charge.account.as_ref().map(|name| name.as_str()),
+            program: program.map(|(key, _)| key.name.as_str()),
+            turn: program.map(|(_, turn)| *turn),
+            upstream: charge.upstream.as_str(),
+            prompt_tokens: charge.prompt_tokens,
+            answer_tokens: charge.answer_tokens,
+            outcome: match charge.outcome {
+                ChargeOutcome::Complete => "complete",
+                ChargeOutcome::Abandoned => "abandoned",
+                ChargeOutcome::Interrupted => "interrupted",
+            },
+        }
+    }
+}
+
+/// Writes charge records in batches.
+#[derive(Debug)]
+pub(crate) struct ChargeWriter<A> {
+    api: Arc<A>,
+    prefix: String,
+    next_batch: u64,
+    open: Vec<u8>,
+    /// Batches that are not stored yet, with their key.
+    kept: VecDeque<(String, Vec<u8>)>,
+    kept_bytes: usize,
+    folder: Option<PathBuf>,
+    backoff: Backoff,
+    metrics: Arc<Metrics>,
+}
+
+impl<A: ObjectApi> ChargeWriter<A> {
+    /// Makes a writer for one start of a VM.
+    pub fn new(
+        api: Arc<A>,
+        vm: &str,
+        incarnation: Incarnation,
+        folder: Option<PathBuf>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            api,
+            prefix: format!("{CHARGES_PREFIX}{vm}/{incarnation}"),
+            next_batch: 0,
+            open: Vec::new(),
+            kept: VecDeque::new(),
+            kept_bytes: 0,
+            folder,
+            backoff: Backoff::new(vm),
+            metrics,
+        }
+    }
+
+    /// Writes records until the control thread ends, then what is left.
+    pub async fn run(mut self, mut charges: mpsc::Receiver<Charge>) {
+        self.load_kept();
+        let mut flush_at = Instant::now() + BATCH_INTERVAL;
+        loop {
+            tokio::select! {
+                charge = charges.recv() => {
+                    let Some(charge) = charge else {
+                        break;
+                    };
+                    self.add(&charge);
+                    if self.open.len() < MAX_BATCH_BYTES {
+                        continue;
+                    }
+                }
+                () = tokio::time::sleep_until(flush_at) => {}
+            }
+            let is_stored = self.flush().await;
+            let wait = if is_stored {
+                self.backoff.reset();
+                BATCH_INTERVAL
+            } else {
+                self.backoff.next_wait()
+            };
+            flush_at = Instant::now() + wait;
+        }
+        if !self.flush().await {
+            let left = self.kept.len();
+            tracing::error!("charges: {left} batches are not stored; the store did not answer");
+        }
+    }
+
+    /// Adds a record to the open batch.
+    fn add(&mut self, charge: &Charge) {
+        if serde_json::to_writer(&mut self.open, &Record::from(charge)).is_ok() {
+            self.open.push(b'\n');
+        }
+    }
+
+    /// Closes the open batch and stores all batches; returns whether none is left.
+    async fn flush(&mut self) -> bool {
+        if !self.open.is_empty() {
+            let key = format!("{}/{}", self.prefix, self.next_batch);
+            self.next_batch += 1;
+            let batch = std::mem::take(&mut self.open);
+            self.keep(key, batch);
+        }
+        while let Some((key, batch)) = self.kept.front() {
+            match self.api.put(key, batch.clone(), 0).await {
+                Ok(_) => {}
+                // Only this process writes the key, so an earlier write took effect.
+                Err(StoreError::Conflict { .. }) => {}
+                Err(error) => {
+                    tracing::warn!("charges: {error}");
+                    self.save_kept();
+                    return false;
+                }
+            }
+            if let Some((key, batch)) = self.kept.pop_front() {
+                self.kept_bytes -= batch.len();
+                self.remove_saved(&key);
+            }
+        }
+        true
+    }
+
+    /// Keeps a batch until it is stored; the oldest ones give way when there are too many.
+    fn keep(&mut self, key: String, batch: Vec<u8>) {
+        self.kept_bytes += batch.len();
+        self.kept.push_back((key, batch));
+        while self.kept_bytes > MAX_KEPT_BYTES {
+            let Some((key, batch)) = self.kept.pop_front() else {
+                return;
+            };
+            self.kept_bytes -= batch.len();
+            self.metrics.count_lost_charge();
+            tracing::error!("charges: dropped batch {key} from memory; the store is down too long");
+        }
+    }
+}
+
+/// # Data folder
+impl<A> ChargeWriter<A> {
+    /// Returns the file of a batch.
+    fn file(&self, key: &str) -> Option<PathBuf> {
+        let name = format!("{}.jsonl", key.replace('/', "+"));
+        Some(self.folder.as_ref()?.join(name))
+    }
+
+    /// Writes the batches in memory to the data folder.
+    fn save_kept(&self) {
+        for (key, batch) in &self.kept {
+            let Some(file) = self.file(key).filter(|file| !file.exists()) else {
+                continue;
+            };
+            if let Err(error) = std::fs::write(&file, batch) {
+                tracing::error!("charges: cannot write {}, {error}", file.display());
+            }
+        }
+    }
+
+    /// Reads batches that an earlier start left in the data folder.
+    fn load_kept(&mut self) {
+        let Some(folder) = &self.folder else {
+            return;
+        };
+        let entries = std::fs::read_dir(folder).into_iter().flatten().flatten();
+        for entry in entries {
+            let name = entry.file_name().to_string_lossy().into_owned();
+            let Some(key) = name.strip_suffix(".jsonl") else {
+                continue;
+            };
+            if let Ok(batch) = std::fs::read(entry.path()) {
+                self.kept_bytes += batch.len();
+                self.kept.push_back((key.replace('+', "/"), batch));
+            }
+        }
+    }
+
+    /// Removes the file of a batch that is stored.
+    fn remove_saved(&self, key: &str) {
+        if let Some(file) = self.file(key) {
+            // Most batches were never saved.
+            let _ = std::fs::remove_file(file);
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/store/config.rs
@@ -0,0 +1,66 @@
+//! The watch of the published configuration.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use knapweeddale_config::Document;
+use knapweeddale_core::{Input, Revision};
+use knapweeddale_store::{Backoff, CONFIG_KEY, Object, ObjectApi, StoreError};
+
+use crate::control::InputSender;
+
+/// How long one watch waits for a change. A watch that has gone silent is
+/// reopened after this time, which bounds how late a change is noticed.
+const WATCH_WAIT: Duration = Duration::from_secs(3);
+
+/// Watches the configuration until the process ends.
+pub(crate) async fn watch_config<A: ObjectApi>(api: Arc<A>, vm: String, inputs: InputSender) {
+    let mut backoff = Backoff::new(&vm);
+    let mut known = None;
+    loop {
+        match next(&*api, known).await {
+            Ok(Some(object)) => {
+                backoff.reset();
+                known = Some(object.version);
+                offer(&object, &inputs).await;
+            }
+            Ok(None) => {
+                backoff.reset();
+                known.get_or_insert(0);
+            }
+            Err(error) => {
+                tracing::warn!("config: {error}");
+                // The next call reads the object instead of trusting the watch.
+                known = None;
+                tokio::time::sleep(backoff.next_wait()).await;
+            }
+        }
+    }
+}
+
+/// Reads the configuration, or waits for one newer than the known version.
+async fn next<A: ObjectApi>(api: &A, known: Option<u64>) -> Result<Option<Object>, StoreError> {
+    match known {
+        None => api.get(CONFIG_KEY).await,
+        Some(version) => api.watch(CONFIG_KEY, version, WATCH_WAIT).await,
+    }
+}
+
+/// Hands a configuration that passes all checks to the core.
+async fn offer(object: &Object, inputs: &InputSender) {
+    let revision = object.version;
+    let document = match Document::from_bytes(&object.value) {
+        Ok(document) => document,
+        Err(error) => {
+            tracing::error!("config: ignored revision {revision}, {error}");
+            return;
+        }
+    };
+    let findings = document.check();
+    if let Some(first) = findings.first() {
+        tracing::error!("config: ignored revision {revision}, {first}");
+        return;
+    }
+    let fleet = document.to_fleet(Revision(revision));
+    inputs.input(Input::Config(fleet.into())).await;
+}
--- /dev/null
+++ b/crates/entry/src/store/view.rs
@@ -0,0 +1,95 @@
+//! Reads and writes of the view.
+
+use std::sync::Arc;
+
+use knapweeddale_core::input::StoredView;
+use knapweeddale_core::tables::View;
+use knapweeddale_core::{Input, StoreEvent, StoreRequest};
+use knapweeddale_store::{ObjectApi, StoreError, VIEW_KEY};
+use tokio::sync::mpsc;
+
+use crate::control::InputSender;
+
+/// A request of the core about the view.
+#[derive(Debug)]
+pub(crate) struct ViewOrder {
+    /// The request.
+    pub request: StoreRequest,
+    /// When the core made it.
+    pub now_us: u64,
+}
+
+/// Carries out requests about the view until the process ends.
+///
+/// Each runs in its own task: a touch that waits for a slow store must not
+/// hold up the read that follows it.
+pub(crate) async fn serve_views<A: ObjectApi>(
+    api: Arc<A>,
+    mut orders: mpsc::Receiver<ViewOrder>,
+    inputs: InputSender,
+) {
+    while let Some(order) = orders.recv().await {
+        let (api, inputs) = (Arc::clone(&api), inputs.clone());
+        tokio::spawn(async move {
+            let event = carry_out(&*api, order).await;
+            inputs.input(Input::Store(event)).await;
+        });
+    }
+}
+
+/// Carries out one request.
+async fn carry_out<A: ObjectApi>(api: &A, order: ViewOrder) -> StoreEvent {
+    let result = match order.request {
+        StoreRequest::Read => read(api).await,
+        StoreRequest::Write {
+            view,
+            expected_version,
+        } => write(api, &view, expected_version).await.map(|version| {
+            let stored = StoredView { view, version };
+            StoreEvent::ViewWritten(stored)
+        }),
+        StoreRequest::Touch {
+            view,
+            expected_version,
+        } => {
+            let sent_us = order.now_us;
+            let written = write(api, &view, expected_version).await;
+            written.map(|version| StoreEvent::ViewTouched { version, sent_us })
+        }
+    };
+    result.unwrap_or_else(|error| failure(&error))
+}
+
+/// Reads the view.
+async fn read<A: ObjectApi>(api: &A) -> Result<StoreEvent, StoreError> {
+    let Some(object) = api.get(VIEW_KEY).await? else {
+        return Ok(StoreEvent::ViewRead(None));
+    };
+    match serde_json::from_slice::<View>(&object.value) {
+        Ok(view) => Ok(StoreEvent::ViewRead(Some(StoredView {
+            view,
+            version: object.version,
+        }))),
+        Err(error) => {
+            tracing::error!("membership: cannot read {VIEW_KEY} ({error}); restore or delete it");
+            Ok(StoreEvent::Unavailable)
+        }
+    }
+}
+
+/// Writes the view.
+async fn write<A: ObjectApi>(api: &A, view: &View, version: u64) -> Result<u64, StoreError> {
+    let value = serde_json::to_vec(view).map_err(|error| StoreError::Unavailable {
+        reason: error.to_string(),
+    })?;
+    api.put(VIEW_KEY, value, version).await
+}
+
+/// Converts an error to an input of the core.
+fn failure(error: &StoreError) -> StoreEvent {
+    tracing::debug!("membership: {error}");
+    match error {
+        StoreError::Conflict { .. } => StoreEvent::Conflict,
+        StoreError::Unavailable { .. } | StoreError::Refused { .. } => StoreEvent::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/store/vms.rs
@@ -0,0 +1,49 @@
+//! The platform's list of VMs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use knapweeddale_core::input::VmStatus;
+use knapweeddale_core::{Input, VmName};
+use knapweeddale_store::ObjectApi;
+
+use crate::control::{InputSender, StatusReader};
+
+/// Time between reads by a writer of the view, who acts on the list.
+const WRITER_INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time between reads by other VMs, for each member of the view. The fleet
+/// makes four reads a second at any size.
+const INTERVAL_PER_MEMBER: Duration = Duration::from_millis(250);
+
+/// Reads the list of VMs until the process ends.
+pub(crate) async fn poll_vms<A: ObjectApi>(
+    api: Arc<A>,
+    vm: VmName,
+    status: StatusReader,
+    inputs: InputSender,
+) {
+    loop {
+        match api.vms().await {
+            Ok(entries) => {
+                let vms = entries.into_iter().map(|entry| VmStatus {
+                    vm: VmName::from(entry.vm),
+                    address: entry.address,
+                    leaving: entry.leaving,
+                });
+                inputs.input(Input::VmList(vms.collect())).await;
+            }
+            Err(error) => tracing::debug!("membership: no list of VMs, {error}"),
+        }
+        let wait = {
+            let status = status.borrow();
+            let members = u32::try_from(status.view.members.len()).unwrap_or(u32::MAX);
+            if status.view.is_writer(&vm) {
+                WRITER_INTERVAL
+            } else {
+                WRITER_INTERVAL.max(INTERVAL_PER_MEMBER.saturating_mul(members))
+            }
+        };
+        tokio::time::sleep(wait).await;
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstream/loads.rs
@@ -0,0 +1,98 @@
+//! Load reports of engines.
+
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use knapweeddale_core::tables::View;
+use knapweeddale_core::{
+    FleetConfig, Input, ModelName, PoolKey, ServiceConfig, ServiceKind, UpstreamConfig,
+    UpstreamName, VmName,
+};
+use serde::Deserialize;
+
+use super::UpstreamClient;
+use crate::control::{InputSender, StatusReader};
+
+/// Time between two reports; engines update theirs about as often.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest wait for a report, so that rounds do not overlap.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// A load report.
+#[derive(Debug, Deserialize)]
+struct Load {
+    running_calls: u32,
+    #[serde(default)]
+    tokens_per_s: u64,
+}
+
+/// Asks the engines of the pools that this VM owns for their load.
+pub(crate) async fn poll_loads(
+    client: UpstreamClient,
+    vm: VmName,
+    status: StatusReader,
+    inputs: InputSender,
+) {
+    loop {
+        let engines = {
+            let status = status.borrow();
+            owned_engines(&status.fleet, &status.view, &vm)
+        };
+        let reports = engines
+            .into_iter()
+            .map(|(upstream, address)| ask(&client, upstream, address));
+        for input in join_all(reports).await.into_iter().flatten() {
+            inputs.input(input).await;
+        }
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
+
+/// Returns name and address of the engines in pools that a VM owns.
+fn owned_engines(fleet: &FleetConfig, view: &View, vm: &VmName) -> Vec<(UpstreamName, String)> {
+    let engines = fleet.services.iter().flat_map(|service| {
+        let models = owned_models(service, view, vm);
+        let is_owned = move |upstream: &&UpstreamConfig| {
+            upstream.models.iter().any(|model| models.contains(model))
+        };
+        service.upstreams.iter().filter(is_owned)
+    });
+    engines
+        .map(|upstream| (upstream.name.clone(), upstream.address.clone()))
+        .collect()
+}
+
+/// Returns the models of a service whose pool a VM owns.
+fn owned_models(service: &ServiceConfig, view: &View, vm: &VmName) -> Vec<ModelName> {
+    let ServiceKind::Engine(engine) = &service.kind else {
+        return Vec::new();
+    };
+    let is_owned = |model: &&ModelName| {
+        let pool = PoolKey {
+            service: service.name.clone(),
+            model: Some((*model).clone()),
+        };
+        view.pool_owner(&pool) == Some(vm)
+    };
+    engine.models.iter().filter(is_owned).cloned().collect()
+}
+
+/// Asks one engine.
+async fn ask(client: &UpstreamClient, upstream: UpstreamName, address: String) -> Option<Input> {
+    let url = format!("http://{address}/load");
+    let sent = client.http().get(url).timeout(TIMEOUT).send();
+    let load: Load = sent
+        .await
+        .ok()?
+        .error_for_status()
+        .ok()?
+        .json()
+        .await
+        .ok()?;
+    Some(Input::Load {
+        upstream,
+        running_calls: load.running_calls,
+        tokens_per_s: load.tokens_per_s,
+    })
+}
--- /dev/null
+++ b/crates/entry/tests/support/mod.rs
@@ -0,0 +1,234 @@
+//! One VM with fakes of the platform, an engine and a plain service.
+
+#![allow(dead_code, reason = "each test file uses a part of the support")]
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use knapweeddale_config::{AccountFile, Document, KeyFile, ServiceFile, Settings};
+use knapweeddale_entry::{Daemon, MonotonicClock};
+use knapweeddale_store::{CONFIG_KEY, HttpObjectApi, ObjectApi};
+use knapweeddale_testing::http::{EngineOptions, FakeEngine, FakePlain, FakeServer};
+use knapweeddale_testing::platform::Platform;
+use knapweeddale_token::CallerKey;
+use reqwest::{Client, Response};
+use serde_json::{Value, json};
+
+pub const KEY: &str = "kwd_desk_0123456789abcdefghijABCDEFGHIJ01";
+pub const WITHDRAWN: &str = "kwd_old_0123456789abcdefghijABCDEFGHIJ02";
+pub const UNPUBLISHED: &str = "kwd_new_0123456789abcdefghijABCDEFGHIJ03";
+pub const SLOW: &str = "kwd_slow_0123456789abcdefghijABCDEFGHIJ04";
+pub const SMALL: &str = "kwd_small_0123456789abcdefghijABCDEFGHIJ05";
+pub const SECRET: &[u8] = b"a secret that all VMs of the fleet share";
+
+/// One VM with its surroundings.
+pub struct Rig {
+    pub daemon: Daemon<MonotonicClock>,
+    pub platform: Platform,
+    pub engine: FakeServer<FakeEngine>,
+    pub plain: FakeServer<FakePlain>,
+    pub client: Client,
+}
+
+impl Rig {
+    /// Starts everything and waits until the VM is ready.
+    pub async fn start() -> Self {
+        Self::with(|_, _| {}).await
+    }
+
+    /// Starts with changed settings and files.
+    pub async fn with(change: impl FnOnce(&mut Settings, &mut Document)) -> Self {
+        let platform = Platform::start(0).await;
+        let engine = FakeEngine::start(EngineOptions::default()).await;
+        let engine = engine.expect("engine starts");
+        let plain = FakePlain::start().await.expect("plain service starts");
+        let mut settings = settings(&platform.url());
+        let mut document = Document {
+            accounts: accounts(),
+            services: services(&engine.address().to_string(), &plain.address().to_string()),
+        };
+        change(&mut settings, &mut document);
+        assert_eq!(document.check(), []);
+        publish(&platform, &document, 0).await;
+        let api = HttpObjectApi::builder().base_url(&platform.url()).build();
+        let api = api.expect("client of the platform");
+        let daemon = Daemon::start(settings, SECRET, api, MonotonicClock::start()).await;
+        let daemon = daemon.expect("daemon starts");
+        daemon.ready().await;
+        Self {
+            daemon,
+            platform,
+            engine,
+            plain,
+            client: Client::builder().no_proxy().build().expect("client"),
+        }
+    }
+
+    /// Returns the URL of a path.
+    pub fn url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.daemon.address())
+    }
+
+    /// Sends a completion with these headers.
+    pub async fn complete(&self, headers: &[(&str, &str)], body: &Value) -> Response {
+        self.post("/v1/chat/completions", headers, &body.to_string())
+            .await
+    }
+
+    /// Sends a body with these headers.
+    pub async fn post(&self, path: &str, headers: &[(&str, &str)], body: &str) -> Response {
+        let mut request = self.client.post(self.url(path)).body(body.to_owned());
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        request.send().await.expect("the VM answers")
+    }
+
+    /// Returns a resource as text.
+    pub async fn get(&self, path: &str) -> String {
+        let response = self.client.get(self.url(path)).send().await;
+        response
+            .expect("the VM answers")
+            .text()
+            .await
+            .expect("text")
+    }
+
+    /// Returns all stored charge records.
+    pub fn charges(&self) -> Vec<Value> {
+        let objects = self.platform.objects.with_prefix("charges/");
+        let lines = objects
+            .iter()
+            .flat_map(|(_, _, value)| value.split(|b| *b == b'\n'));
+        lines
+            .filter(|line| !line.is_empty())
+            .map(|line| serde_json::from_slice(line).expect("a record is JSON"))
+            .collect()
+    }
+}
+
+/// Returns the header with a key.
+pub fn bearer(key: &str) -> String {
+    format!("Bearer {key}")
+}
+
+/// Returns a body that asks for 4 tokens.
+pub fn ask(messages: &[(&str, &str)], stream: bool) -> Value {
+    let messages: Vec<Value> = messages
+        .iter()
+        .map(|(role, content)| json!({"role": role, "content": content}))
+        .collect();
+    json!({"model": "small", "messages": messages, "max_tokens": 4, "stream": stream})
+}
+
+/// Returns the data of all events of a stream.
+pub fn events(text: &str) -> Vec<Value> {
+    text.split("\n\n")
+        .filter_map(|event| event.strip_prefix("data: "))
+        .filter(|data| *data != "[DONE]")
+        .map(|data| serde_json::from_str(data).expect("an event is JSON"))
+        .collect()
+}
+
+/// Formats a response as a session: status, own headers and body, with the
+/// values that change from run to run replaced.
+pub async fn session(request: &str, response: Response) -> String {
+    let status = response.status();
+    let names = ["content-type", "kwd-ran", "retry-after"];
+    let headers: BTreeMap<_, _> = response
+        .headers()
+        .iter()
+        .filter(|(name, _)| names.contains(&name.as_str()))
+        .map(|(name, value)| {
+            (
+                name.to_string(),
+                value.to_str().unwrap_or_default().to_owned(),
+            )
+        })
+        .collect();
+    let headers: String = headers.iter().map(|(k, v)| format!("{k}: {v}\n")).collect();
+    let body = response.text().await.expect("body");
+    let body = match serde_json::from_str::<Value>(&body) {
+        Ok(value) => serde_json::to_string_pretty(&value).expect("JSON"),
+        Err(_) => body,
+    };
+    format!("> {request}\n< {status}\n{headers}\n{body}\n")
+}
+
+/// Publishes a document over the one with this version.
+pub async fn publish(platform: &Platform, document: &Document, version: u64) -> u64 {
+    let api = HttpObjectApi::builder().base_url(&platform.url()).build();
+    let api = api.expect("client of the platform");
+    let bytes = document.to_bytes().expect("document fits");
+    let written = api.put(CONFIG_KEY, bytes, version).await;
+    written.expect("platform takes the document")
+}
+
+/// Returns settings with ports that the system chooses.
+pub fn settings(store: &str) -> Settings {
+    let text = format!(
+        "vm: vm-1\nfailure_domain: north\nlisten: 127.0.0.1:0\npeer_listen: 127.0.0.1:0\n\
+         store: {store}\nsecret_file: unused\ndrain_notice_ms: 0\nrate_wait_ms: 50\nturn_wait_ms: 50\n"
+    );
+    Settings::parse("vm.yaml", &text).expect("settings")
+}
+
+/// Returns the accounts: one without tight limits, one with a low rate, one with a small budget.
+pub fn accounts() -> Vec<AccountFile> {
+    let account = |name: &str, rate: f64, burst: u64, tokens: u64, keys: Vec<KeyFile>| {
+        let text = format!(
+            "account: {name}\nrate_calls_per_s: {rate}\nburst_calls: {burst}\nprogram_tokens: {tokens}\n"
+        );
+        let mut file = AccountFile::parse("test.account.yaml", &text).expect("account");
+        file.keys = keys;
+        file
+    };
+    vec![
+        account(
+            "aller",
+            1_000.0,
+            100,
+            1_000_000,
+            vec![key(KEY), withdrawn()],
+        ),
+        account("berg", 0.001, 1, 1_000_000, vec![key(SLOW)]),
+        account("clyde", 1_000.0, 100, 20, vec![key(SMALL)]),
+    ]
+}
+
+/// Returns an engine service and a plain service.
+pub fn services(engine: &str, plain: &str) -> Vec<ServiceFile> {
+    let chat = format!(
+        "service: chat\nkind: engine\nmodels: [small]\nupstreams:\n  - {{name: engine-1, address: '{engine}', models: [small]}}\n"
+    );
+    let booking = format!(
+        "service: booking\nkind: plain\nupstreams:\n  - {{name: booking-1, address: '{plain}'}}\n\
+         routes:\n  - {{path: /search, methods: [GET, POST], idempotent: true}}\n  - {{path: /open, idempotent: true, open: true}}\n  - {{path: /pay, methods: [POST], idempotent: false}}\n"
+    );
+    [chat, booking]
+        .iter()
+        .map(|text| ServiceFile::parse("test.service.yaml", text).expect("service"))
+        .collect()
+}
+
+fn key(text: &str) -> KeyFile {
+    let key: CallerKey = text.parse().expect("key");
+    let digest = key.digest().0;
+    KeyFile {
+        id: key.id().to_string(),
+        sha256: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+        withdrawn: false,
+    }
+}
+
+fn withdrawn() -> KeyFile {
+    KeyFile {
+        withdrawn: true,
+        ..key(WITHDRAWN)
+    }
+}
+
+/// Returns a file that tests may fill.
+pub fn scratch_file(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name)
+}
--- /dev/null
+++ b/crates/entry/tests/whole_path.rs
@@ -0,0 +1,186 @@
+//! Guards against a break in the path of a call between caller, VM and upstream.
+
+mod support;
+
+use reqwest::Response;
+use serde_json::Value;
+use support::{KEY, Rig, ask, bearer, events};
+
+fn header<'a>(response: &'a Response, name: &str) -> &'a str {
+    let value = response.headers().get(name);
+    value.map_or("", |value| value.to_str().expect("text"))
+}
+
+fn content(answer: &Value) -> &str {
+    answer["choices"][0]["message"]["content"]
+        .as_str()
+        .expect("content")
+}
+
+#[tokio::test]
+async fn turns_follow_each_other() {
+    let rig = Rig::start().await;
+    let key = bearer(KEY);
+    let first = [
+        ("authorization", key.as_str()),
+        ("kwd-program", "tour"),
+        ("kwd-turn", "1"),
+    ];
+    let response = rig
+        .complete(&first, &ask(&[("user", "plan oslo")], false))
+        .await;
+    assert_eq!(response.status(), 200);
+    assert_eq!(header(&response, "kwd-ran"), "ran");
+    let continuation = header(&response, "kwd-continuation").to_owned();
+    let answer: Value = response.json().await.expect("JSON");
+    assert_eq!(content(&answer), "oslo-0 oslo-1 oslo-2 oslo-3 ");
+
+    let second = [
+        ("authorization", key.as_str()),
+        ("kwd-program", "tour"),
+        ("kwd-turn", "2"),
+        ("kwd-continuation", &continuation),
+    ];
+    let messages = [
+        ("user", "plan oslo"),
+        ("assistant", content(&answer)),
+        ("user", "and bergen"),
+    ];
+    let response = rig.complete(&second, &ask(&messages, true)).await;
+    assert_eq!(header(&response, "content-type"), "text/event-stream");
+    let text = response.text().await.expect("text");
+    assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    let events = events(&text);
+    let streamed: String = events
+        .iter()
+        .filter_map(|event| event["choices"][0]["delta"]["content"].as_str())
+        .collect();
+    assert_eq!(streamed, "bergen-0 bergen-1 bergen-2 bergen-3 ");
+    let last = events.last().expect("events");
+    assert_eq!(last["kwd-ran"], "ran");
+    assert!(last["kwd-continuation"].is_string() && last["kwd-permit"].is_string());
+    let usage = events.iter().rev().find(|event| event["usage"].is_object());
+    let cached = &usage.expect("usage")["usage"]["prompt_tokens_details"]["cached_tokens"];
+    assert_eq!(cached, 2, "the engine knows the program's prefix");
+    assert_eq!(rig.engine.handler().total_executions(), 2);
+}
+
+#[tokio::test]
+async fn payment_runs_once() {
+    let rig = Rig::start().await;
+    let key = bearer(KEY);
+    let first = [
+        ("authorization", key.as_str()),
+        ("kwd-program", "tour"),
+        ("kwd-turn", "1"),
+    ];
+    let response = rig.complete(&first, &ask(&[("user", "pay")], false)).await;
+    let permit = header(&response, "kwd-permit").to_owned();
+    let continuation = header(&response, "kwd-continuation").to_owned();
+    let second = [
+        ("authorization", key.as_str()),
+        ("kwd-program", "tour"),
+        ("kwd-turn", "2"),
+        ("kwd-continuation", &continuation),
+        ("kwd-permit", &permit),
+        ("x-request-id", "deposit"),
+    ];
+    let paid = rig.post("/services/booking/pay", &second, "50 EUR").await;
+    assert_eq!(
+        (paid.status().as_u16(), header(&paid, "kwd-ran")),
+        (200, "ran")
+    );
+    let paid = paid.text().await.expect("text");
+    let again = rig.post("/services/booking/pay", &second, "50 EUR").await;
+    assert_eq!(again.status(), 200);
+    assert_eq!(again.text().await.expect("text"), paid);
+    let other = rig.post("/services/booking/pay", &second, "70 EUR").await;
+    let refused = (other.status().as_u16(), header(&other, "kwd-ran"));
+    assert_eq!(
+        refused,
+        (409, "ran"),
+        "a kept response answers its own request only"
+    );
+    assert_eq!(rig.plain.handler().executions("deposit"), 1);
+}
+
+#[tokio::test]
+async fn open_route_needs_no_key() {
+    let rig = Rig::start().await;
+    let response = rig
+        .post("/services/booking/open/fees?year=2", &[], "")
+        .await;
+    let echo: Value = response.json().await.expect("JSON");
+    assert_eq!(
+        (&echo["method"], &echo["path"]),
+        (&"POST".into(), &"/open/fees?year=2".into())
+    );
+}
+
+#[tokio::test]
+async fn trace_is_passed_on() {
+    let rig = Rig::start().await;
+    let key = bearer(KEY);
+    let parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    let headers = [("authorization", key.as_str()), ("traceparent", parent)];
+    rig.complete(&headers, &ask(&[("user", "oslo")], false))
+        .await;
+    rig.complete(&headers[..1], &ask(&[("user", "oslo")], false))
+        .await;
+    let heads = String::from_utf8(rig.engine.handler().heads()).expect("text");
+    let traces: Vec<&str> = heads
+        .lines()
+        .filter(|l| l.starts_with("traceparent: "))
+        .collect();
+    assert_eq!(traces.len(), 2, "{heads}");
+    assert_eq!(traces[0], format!("traceparent: {parent}"));
+    assert_eq!(
+        traces[1].len(),
+        traces[0].len(),
+        "a missing trace is created"
+    );
+}
+
+#[tokio::test]
+async fn charges_reach_the_store() {
+    let rig = Rig::start().await;
+    let key = bearer(KEY);
+    for stream in [false, true] {
+        let headers = [("authorization", key.as_str())];
+        let response = rig
+            .complete(&headers, &ask(&[("user", "oslo")], stream))
+            .await;
+        response.text().await.expect("text");
+    }
+    let Rig {
+        daemon, platform, ..
+    } = rig;
+    daemon.stop().await;
+    let objects = platform.objects.with_prefix("charges/");
+    let lines: Vec<Value> = objects
+        .iter()
+        .flat_map(|(_, _, value)| value.split(|b| *b == b'\n'))
+        .filter(|line| !line.is_empty())
+        .map(|line| serde_json::from_slice(line).expect("JSON"))
+        .collect();
+    assert_eq!(lines.len(), 2);
+    for line in lines {
+        assert_eq!(
+            (&line["account"], &line["answer_tokens"]),
+            (&"aller".into(), &4.into())
+        );
+        assert_eq!(
+            (&line["upstream"], &line["outcome"]),
+            (&"engine-1".into(), &"complete".into())
+        );
+    }
+}
+
+#[tokio::test]
+async fn models_and_health() {
+    let rig = Rig::start().await;
+    assert!(rig.get("/v1/models").await.contains(r#""id":"small""#));
+    assert_eq!(rig.get("/healthz").await, r#"{"healthy":true}"#);
+    assert_eq!(rig.get("/readyz").await, r#"{"ready":true,"reasons":[]}"#);
+    assert!(rig.get("/metrics").await.contains("kwd_revision 1"));
+}
