--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -4,7 +4,7 @@
 use crate::input::Input;
 use crate::message::PeerMessage;
 use crate::output::Decision;
-use crate::tables::Vm;
+use crate::tables::{Release, Vm};
 
 /// Sorts the inputs of a tick.
 pub(crate) fn run(tick: &mut Tick<'_>, inputs: impl IntoIterator<Item = Input>) {
@@ -46,6 +46,16 @@
 fn sort(work: &mut Work, input: Input) {
     match input {
         Input::CallArrived(call) => work.admission.arrived.push(*call),
+        Input::Program(request) => work.homes.requests.push(*request),
+        Input::ReleaseConfirmed {
+            upstream,
+            program,
+            generation,
+        } => work.homes.released.push(Release {
+            upstream,
+            program,
+            generation,
+        }),
         Input::CallAbandoned(call) => work.admission.abandoned.push(call),
         Input::Attempt(event) => work.outcomes.events.push(event),
         Input::Peer {
