--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -1,4 +1,6 @@
 //! Messages between VMs, one enum for each system that handles them.
+//!
+//! Every type in a message derives the serde traits under the feature `serde`.
 
 mod config;
 mod homes;
@@ -19,6 +21,7 @@
 
 /// A message between two VMs.
 #[derive(Debug, Clone, PartialEq, Eq, From)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum PeerMessage {
     /// View, leases and failure suspicion.
     Membership(MembershipMessage),
--- a/crates/core/src/message/placement.rs
+++ b/crates/core/src/message/placement.rs
@@ -9,6 +9,7 @@
 
 /// A message between the entry VM of a call and the owner of a pool.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum PlacementMessage {
     /// Asks for an upstream.
     Place(Box<Place>),
@@ -76,6 +77,7 @@
 
 /// Asks for an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Place {
     /// The pool.
     pub pool: PoolKey,
@@ -104,6 +106,7 @@
 
 /// Reports the end of an attempt.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Finish {
     /// The pool.
     pub pool: PoolKey,
@@ -127,6 +130,7 @@
 
 /// How an attempt ended, as far as its upstream is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum AttemptResult {
     /// The response was complete.
     Complete,
@@ -142,6 +146,7 @@
 
 /// A running attempt, reported to a new owner of its pool.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct InFlight {
     /// The attempt.
     pub attempt: AttemptId,
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -299,6 +299,7 @@
 
 /// Why an upstream was chosen.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum PlacementReason {
     /// It has the fewest calls running for its limit.
     #[display("fewest running")]
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -2,6 +2,7 @@
 //! virtual time, invariants over its traces, and fakes of outside systems.
 
 pub mod fleet;
+pub mod http;
 pub mod invariants;
 pub mod mesh;
 pub mod platform;
