Serve permits and ends of programs, and confirm releases

Change: POST /v1/programs/<program>/permits and DELETE /v1/programs/<program>; a release that the engine answers becomes an input. All types in messages of the homes derive the wire form. A plain call no longer overwrites the history of its program: the end of its turn carries none.

--- a/crates/core/src/message/homes.rs
+++ b/crates/core/src/message/homes.rs
@@ -130,6 +130,7 @@
 
 /// Lets a turn begin.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Began {
     /// The call.
     pub call: CallId,
@@ -177,6 +178,7 @@
 
 /// A turn in progress as its entry VM knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct RunningTurn {
     /// The call that runs it.
     pub call: CallId,
@@ -194,6 +196,7 @@
 
 /// Asks for a permit.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct PermitRequest {
     /// The request.
     pub request: CallId,
@@ -207,6 +210,7 @@
 
 /// What an entry VM knows of a program that it served.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Witness {
     /// The state as the home last told it.
     pub state: Continuation,
@@ -222,6 +226,7 @@
 
 /// Carries programs from their old home to the new one.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct HandOver {
     /// Identifies the message at its sender.
     pub transfer: u64,
@@ -239,6 +244,7 @@
 
 /// A program on its way from its old home to the new one.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct HandedProgram {
     /// The program.
     pub key: ProgramKey,
--- a/crates/core/src/systems/homes/settles.rs
+++ b/crates/core/src/systems/homes/settles.rs
@@ -13,6 +13,8 @@
 const SETTLE_RETRY_MS: u64 = 2_000;
 
 /// Reports the end of a turn to the home until the home confirms it.
+///
+/// A plain call has no messages and leaves the history as it is.
 pub(crate) fn end_turn(
     tick: &mut Tick<'_>,
     call: &Call,
@@ -34,7 +36,7 @@
         turn,
         ran,
         used_tokens,
-        history,
+        history: history.filter(|_| call.pool.model.is_some()),
         upstreams,
     };
     let pending = PendingSettle {
--- a/crates/core/src/tables/homes.rs
+++ b/crates/core/src/tables/homes.rs
@@ -65,6 +65,7 @@
 /// The engine memory of one program at one upstream.
 #[derive(Debug, Display, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[display("{program} generation {generation} at {upstream}")]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Release {
     /// The engine.
     pub upstream: UpstreamName,
--- a/crates/core/src/tables/program.rs
+++ b/crates/core/src/tables/program.rs
@@ -13,6 +13,7 @@
 
 /// A program whose home is this VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Program {
     /// Distinguishes programs that had the same name one after another.
     pub generation: u64,
@@ -52,6 +53,7 @@
 
 /// Whether a program accepts turns.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum Phase {
     /// It accepts turns.
     Open,
@@ -63,6 +65,7 @@
 
 /// What a program and its sub-agents have used of the budget.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Usage {
     /// Tokens used.
     pub spent_tokens: u64,
@@ -76,6 +79,7 @@
 
 /// A turn in progress.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Turn {
     /// The call that runs it.
     pub call: CallId,
@@ -95,6 +99,7 @@
 
 /// A turn that ended with an unknown outcome.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct UnknownTurn {
     /// The call that ran it or not.
     pub call: CallId,
@@ -106,6 +111,7 @@
 
 /// A finished turn.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct FinishedTurn {
     /// The call that ran it.
     pub call: CallId,
@@ -121,6 +127,7 @@
 ///
 /// Links between rows keep the row of a root small however many sub-agents it has.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Links {
     /// In the row of a root: the first sub-agent.
     pub first: Option<ProgramName>,
--- a/crates/entry/src/call/attempt.rs
+++ b/crates/entry/src/call/attempt.rs
@@ -86,7 +86,7 @@
             .await?;
         match self.kind {
             CallKind::Engine { .. } => self.run_engine(response, started).await,
-            CallKind::Plain { .. } => self.run_plain(response, started).await,
+            CallKind::Plain => self.run_plain(response, started).await,
         }
     }
 
@@ -230,21 +230,13 @@
                 return Err(self.interrupted(false));
             }
         }
-        let history = match self.kind {
-            CallKind::Plain { history } => *history,
-            CallKind::Engine { history, .. } => history.digest(),
-        };
-        let outcome = AttemptOutcome {
-            history,
-            ..AttemptOutcome::default()
-        };
         let reply = Reply {
             status,
             headers,
             body: Bytes::from(body),
         };
         Ok(Finished {
-            outcome,
+            outcome: AttemptOutcome::default(),
             reply: Some(reply),
         })
     }
--- a/crates/entry/src/call/task.rs
+++ b/crates/entry/src/call/task.rs
@@ -6,8 +6,7 @@
 use knapweeddale_core::input::{AttemptProgress, Failure};
 use knapweeddale_core::output::Answered;
 use knapweeddale_core::{
-    AttemptId, CallId, ContentDigest, Dispatch, Execution, HistoryDigest, Input, Refusal,
-    RefusalKind,
+    AttemptId, CallId, ContentDigest, Dispatch, Execution, Input, Refusal, RefusalKind,
 };
 use knapweeddale_peer::Peers;
 use knapweeddale_token::HistoryChain;
@@ -34,11 +33,8 @@
         /// Tokens of the prompt, as estimated.
         prompt_tokens: u64,
     },
-    /// A request to a plain service, which leaves the history as it is.
-    Plain {
-        /// The history of the program.
-        history: HistoryDigest,
-    },
+    /// A request to a plain service, which has no messages.
+    Plain,
 }
 
 impl CallKind {
@@ -126,7 +122,10 @@
                 Some(CallOutput::Replay { peer, original }) => {
                     return self.replay(peer, original).await;
                 }
-                Some(CallOutput::Cancel(_)) => self.next_output().await,
+                // The first has come too late; the others answer requests, not calls.
+                Some(CallOutput::Cancel(_) | CallOutput::Permit(_) | CallOutput::Ended) => {
+                    self.next_output().await
+                }
                 None => return self.lose().await,
             };
         }
--- a/crates/entry/src/control/input.rs
+++ b/crates/entry/src/control/input.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 
+use knapweeddale_core::input::Permit;
 use knapweeddale_core::output::Answered;
 use knapweeddale_core::{AttemptId, CallId, Dispatch, Input, Refusal};
 use knapweeddale_peer::Delivery;
@@ -46,6 +47,10 @@
         /// The call that ran.
         original: CallId,
     },
+    /// A permit that was asked for.
+    Permit(Box<Permit>),
+    /// The program has ended.
+    Ended,
 }
 
 /// A message with its place in the queue.
--- a/crates/entry/src/control/outlets.rs
+++ b/crates/entry/src/control/outlets.rs
@@ -90,6 +90,10 @@
                     (vm != self.vm).then(|| self.address_of(control, &vm).unwrap_or_default());
                 self.close(call, CallOutput::Replay { peer, original });
             }
+            Output::PermitIssued { request, permit } => {
+                self.close(request, CallOutput::Permit(permit));
+            }
+            Output::ProgramEnded { request } => self.close(request, CallOutput::Ended),
             Output::Send { to, message } => match self.address_of(control, &to) {
                 Some(address) => self.peers.send(&to, &address, message),
                 None => self.metrics.count_unaddressed(),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -230,7 +230,7 @@
     tasks.spawn(watch_config(Arc::clone(api), settings.vm.clone(), inputs()));
     tasks.spawn(poll_vms(Arc::clone(api), vm(), status(), inputs()));
     tasks.spawn(poll_loads(client(), vm(), status(), inputs()));
-    tasks.spawn(serve_releases(client(), release_orders));
+    tasks.spawn(serve_releases(client(), release_orders, inputs()));
     let (api, metrics) = (Arc::clone(api), Arc::clone(&shared.metrics));
     tasks.spawn(async move {
         loop {
--- a/crates/entry/src/front/headers.rs
+++ b/crates/entry/src/front/headers.rs
@@ -79,11 +79,7 @@
         let Some(name) = headers.get_one("kwd-program") else {
             return Ok(None);
         };
-        if key.is_some_and(|key| name.contains(key.expose())) {
-            let detail = "kwd-program holds the key; names of programs are logged";
-            return Err(FrontError::malformed(detail));
-        }
-        let name = read_program_name(name)?;
+        let name = read_program_name(name, key)?;
         check_parent(&name, headers.get_one("kwd-parent"))?;
         let turn = headers.get_one("kwd-turn").unwrap_or_default();
         let turn = match turn.parse::<u32>() {
@@ -135,7 +131,7 @@
 }
 
 /// Refuses headers that are too large together.
-fn check_size(request: &Request<'_>) -> Result<(), FrontError> {
+pub(crate) fn check_size(request: &Request<'_>) -> Result<(), FrontError> {
     let headers = request.headers().iter();
     let bytes: usize = headers
         .map(|h| h.name().as_str().len() + h.value().len())
@@ -164,7 +160,14 @@
 }
 
 /// Reads the name of a program.
-pub(crate) fn read_program_name(name: &str) -> Result<ProgramName, FrontError> {
+pub(crate) fn read_program_name(
+    name: &str,
+    key: Option<&CallerKey>,
+) -> Result<ProgramName, FrontError> {
+    if key.is_some_and(|key| name.contains(key.expose())) {
+        let detail = "the name of the program holds the key; names of programs are logged";
+        return Err(FrontError::malformed(detail));
+    }
     let is_allowed = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.' | b'/');
     let has_empty_part = name.split('/').any(str::is_empty);
     if name.len() > MAX_PROGRAM_BYTES || has_empty_part || !name.bytes().all(is_allowed) {
--- a/crates/entry/src/front/mod.rs
+++ b/crates/entry/src/front/mod.rs
@@ -6,6 +6,7 @@
 mod health;
 mod models;
 mod open;
+mod programs;
 mod refuse;
 mod respond;
 mod routes;
--- /dev/null
+++ b/crates/entry/src/front/programs.rs
@@ -0,0 +1,112 @@
+//! `POST /v1/programs/<program>/permits` and `DELETE /v1/programs/<program>`.
+
+use knapweeddale_core::input::{ProgramRequest, ProgramRequestKind};
+use knapweeddale_core::{CallId, Execution, Input, Refusal, RefusalKind};
+use rocket::data::Data;
+use rocket::request::Request;
+use serde::Deserialize;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use super::headers::{check_size, read_key, read_program_name};
+use super::refuse::FrontError;
+use super::respond::Answer;
+use super::services::read_body;
+use super::shared::Shared;
+use crate::call::Reply;
+use crate::clock::Clock;
+use crate::control::{CallOutput, Message};
+
+/// Largest body of a request about a program.
+const MAX_BODY_BYTES: u64 = 4_096;
+
+/// The place of the program's name among the segments of the path.
+const NAME_SEGMENT: usize = 2;
+
+/// The body of a request for a permit.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct PermitBody {
+    turn: u32,
+}
+
+impl<C: Clock> Shared<C> {
+    /// Issues a permit for a turn that may not be repeated.
+    pub async fn issue_permit(
+        &self,
+        id: CallId,
+        request: &Request<'_>,
+        data: Data<'_>,
+    ) -> Result<Answer, FrontError> {
+        let raw = read_body(data, MAX_BODY_BYTES).await?;
+        let body: PermitBody = serde_json::from_slice(&raw).map_err(|error| {
+            FrontError::malformed(format!("the body is not {{\"turn\": n}} ({error})"))
+        })?;
+        let kind = ProgramRequestKind::Permit { turn: body.turn };
+        self.ask_home(id, request, kind).await
+    }
+
+    /// Ends a program.
+    pub async fn end_program(
+        &self,
+        id: CallId,
+        request: &Request<'_>,
+    ) -> Result<Answer, FrontError> {
+        self.ask_home(id, request, ProgramRequestKind::End).await
+    }
+
+    /// Hands a request about a program to the core and waits for the answer.
+    async fn ask_home(
+        &self,
+        id: CallId,
+        request: &Request<'_>,
+        kind: ProgramRequestKind,
+    ) -> Result<Answer, FrontError> {
+        check_size(request)?;
+        let key = read_key(request)?;
+        let name = request.param::<String>(NAME_SEGMENT).and_then(Result::ok);
+        let program = read_program_name(&name.unwrap_or_default(), key.as_ref())?;
+        let continuation = match request.headers().get_one("kwd-continuation") {
+            None => None,
+            Some(text) => Some(self.read_continuation(text, &program, key.as_ref())?),
+        };
+        let ask = ProgramRequest::builder()
+            .id(id)
+            .maybe_key(key.map(|key| key.presented()))
+            .program(program)
+            .maybe_continuation(continuation)
+            .kind(kind)
+            .build();
+        let (outputs, mut answers) = mpsc::channel(1);
+        self.inputs
+            .try_send(Message::Open {
+                call: id,
+                input: Input::Program(Box::new(ask)),
+                outputs,
+            })
+            .map_err(|_| FrontError::overloaded())?;
+        Ok(Answer::Whole(self.program_reply(id, answers.recv().await)))
+    }
+
+    /// Converts the answer of the core to a response.
+    fn program_reply(&self, id: CallId, output: Option<CallOutput>) -> Reply {
+        match output {
+            Some(CallOutput::Permit(permit)) => {
+                let token = self.signer.sign(&*permit);
+                let body = json!({"turn": permit.turn, "permit": token});
+                Reply::json(200, &body).with("kwd-permit", token)
+            }
+            Some(CallOutput::Ended) => Reply::json(200, &json!({"ended": true})),
+            Some(CallOutput::Refused(refusal)) => Reply::refused(&refusal, None),
+            _ => Reply::refused(
+                &Refusal {
+                    call: id,
+                    kind: RefusalKind::Draining,
+                    ran: Execution::NotRun,
+                    retry_after_ms: Some(1_000),
+                },
+                None,
+            ),
+        }
+    }
+}
--- a/crates/entry/src/front/routes.rs
+++ b/crates/entry/src/front/routes.rs
@@ -36,6 +36,8 @@
     Complete,
     Models,
     Service,
+    Permit,
+    End,
     Health,
     Readiness,
     Metrics,
@@ -64,6 +66,8 @@
         let answer = match self.endpoint {
             Endpoint::Complete => shared.complete(id, request, data).await,
             Endpoint::Service => shared.call_service(id, request, data).await,
+            Endpoint::Permit => shared.issue_permit(id, request, data).await,
+            Endpoint::End => shared.end_program(id, request).await,
             Endpoint::Models => Ok(Answer::Whole(shared.models())),
             Endpoint::Health => Ok(Answer::Whole(shared.health())),
             Endpoint::Readiness => Ok(Answer::Whole(shared.readiness())),
@@ -97,6 +101,12 @@
     let mut routes = vec![
         route(Method::Post, completions::PATH, Endpoint::Complete),
         route(Method::Get, "/v1/models", Endpoint::Models),
+        route(
+            Method::Post,
+            "/v1/programs/<program>/permits",
+            Endpoint::Permit,
+        ),
+        route(Method::Delete, "/v1/programs/<program>", Endpoint::End),
         route(Method::Get, "/healthz", Endpoint::Health),
         route(Method::Get, "/readyz", Endpoint::Readiness),
         route(Method::Get, "/metrics", Endpoint::Metrics),
--- a/crates/entry/src/front/services.rs
+++ b/crates/entry/src/front/services.rs
@@ -59,15 +59,9 @@
             .maybe_permit(headers.permit.clone())
             .digest(digest)
             .build();
-        let continuation = headers
-            .program
-            .as_ref()
-            .and_then(|p| p.continuation.as_ref());
         let task = NewTask {
             call: id,
-            kind: CallKind::Plain {
-                history: continuation.map(|state| state.history).unwrap_or_default(),
-            },
+            kind: CallKind::Plain,
             digest,
             service: label,
             keeps_answer: headers.program.is_some(),
--- a/crates/entry/src/upstream/release.rs
+++ b/crates/entry/src/upstream/release.rs
@@ -3,11 +3,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use knapweeddale_core::{ProgramKey, UpstreamName};
+use knapweeddale_core::{Input, ProgramKey, UpstreamName};
 use serde_json::json;
 use tokio::sync::{Semaphore, mpsc};
 
 use super::UpstreamClient;
+use crate::control::InputSender;
 
 /// Longest wait for the confirmation of a release; the core repeats it.
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -33,23 +34,36 @@
 pub(crate) async fn serve_releases(
     client: UpstreamClient,
     mut orders: mpsc::Receiver<ReleaseOrder>,
+    inputs: InputSender,
 ) {
     let room = Arc::new(Semaphore::new(MAX_RUNNING));
     while let Some(order) = orders.recv().await {
         let Ok(room) = Arc::clone(&room).acquire_owned().await else {
             return;
         };
-        let client = client.clone();
+        let (client, inputs) = (client.clone(), inputs.clone());
         tokio::spawn(async move {
-            if let Err(error) = release(&client, &order).await {
-                let (program, upstream) = (&order.program, &order.upstream);
-                tracing::debug!("homes: no release of {program} at {upstream}, {error}");
+            match release(&client, &order).await {
+                Ok(()) => inputs.input(confirmation(order)).await,
+                Err(error) => {
+                    let (program, upstream) = (&order.program, &order.upstream);
+                    tracing::debug!("homes: no release of {program} at {upstream}, {error}");
+                }
             }
             drop(room);
         });
     }
 }
 
+/// Returns the input that confirms a release.
+fn confirmation(order: ReleaseOrder) -> Input {
+    Input::ReleaseConfirmed {
+        upstream: order.upstream,
+        program: order.program,
+        generation: order.generation,
+    }
+}
+
 /// Sends one release and waits for its confirmation.
 async fn release(client: &UpstreamClient, order: &ReleaseOrder) -> reqwest::Result<()> {
     let url = format!("http://{}/cache/release", order.address);
--- a/crates/token/src/signer.rs
+++ b/crates/token/src/signer.rs
@@ -41,6 +41,7 @@
 ///     home: VmName::from("vm-1"),
 ///     incarnation: Incarnation(3),
 ///     epoch: Epoch(4),
+///     seq: 1,
 /// };
 /// let token = signer.sign(&permit);
 /// assert_eq!(signer.verify::<Permit>(&token)?, permit);
