--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -14,7 +14,7 @@
     Settle, Witness,
 };
 pub use membership::{Heartbeat, HeartbeatAnswer, MembershipMessage};
-pub use placement::{Place, PlacementMessage};
+pub use placement::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
 pub use rates::RatesMessage;
 
 use derive_more::From;
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -45,6 +45,9 @@
     let id = new.id;
     let admitted = find_route(tick, &new.target).and_then(|route| {
         let account = find_account(tick, new.key.as_ref(), route.open)?;
+        if tick.tables.quarantine.contains_key(&new.digest) {
+            return Err(RefusalKind::Quarantined);
+        }
         Ok((route, account))
     });
     let (route, account) = match admitted {
@@ -91,6 +94,7 @@
         may_have_run: false,
         used_tokens: None,
         avoid: SmallVec::new(),
+        place: Default::default(),
         new,
     };
     let has_account = call.account.is_some();
@@ -151,6 +155,9 @@
             Err(RefusalKind::KeyMissing)
         };
     };
+    if tick.tables.is_isolated(tick.settings, tick.now_us) {
+        return Err(RefusalKind::Isolated);
+    }
     let key = tick.tables.keys.get(&presented.id);
     let key = key
         .filter(|key| key.sha256 == presented.sha256)
@@ -236,10 +243,11 @@
         }
         Stage::Place => {
             let (pool, attempt) = (call.pool.clone(), call.attempt());
+            let ran = call.execution();
             if let Some(owner) = tick.tables.view.pool_owner(&pool).cloned() {
                 tick.send(&owner, PlacementMessage::Withdraw { pool, attempt });
             }
-            refuse(tick, id, RefusalKind::CallerGone, Execution::NotRun, None);
+            refuse(tick, id, RefusalKind::CallerGone, ran, None);
         }
         // The traffic side reports the end of the attempt.
         Stage::Running | Stage::Settling => {}
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -6,11 +6,17 @@
 mod account;
 mod bucket;
 mod call;
+mod footprint;
+mod health;
 mod homes;
 mod lease;
+mod limit;
 mod membership;
 mod pool;
 mod program;
+mod queue;
+mod retry;
+mod suspect;
 mod table;
 mod takeover;
 mod timers;
@@ -20,17 +26,23 @@
 
 pub use account::{Account, Key};
 pub use bucket::{Bucket, NCALLS_PER_CALL};
-pub use call::{Call, Stage};
+pub use call::{Call, PlaceState, Stage};
+pub use footprint::{Footprint, Hint};
+pub use health::{Health, LostAttempt};
 pub use homes::{
     HandedOver, Homes, KeptWitness, PendingSettle, ProgramAsk, Release, Transfer, Wait,
 };
 pub use lease::Lease;
+pub use limit::{Limit, LimitReason};
 pub use membership::{
     Departed, Departure, Membership, PastView, Peers, PendingRequest, PlatformList, RequestKind,
-    StoreLink, Suspect, UnresolvedWrite,
+    StoreLink, Suspicion, UnresolvedWrite,
 };
-pub use pool::{Pool, Waiting};
+pub use pool::Pool;
 pub use program::{FinishedTurn, Links, MAX_SERVED, Phase, Program, Turn, UnknownTurn, Usage};
+pub use queue::{Candidates, LaneOrder, Queue, Rank, Waiting};
+pub use retry::RetryBudget;
+pub use suspect::{Quarantine, Suspect};
 pub use table::Table;
 pub use timers::{Timer, Timers};
 pub use upstream::{Running, Upstream};
@@ -42,9 +54,10 @@
 
 use crate::config::{FleetConfig, ServiceConfig};
 use crate::ids::{
-    AccountName, AttemptId, CallId, KeyId, ModelName, PoolKey, ProgramKey, Revision, ServiceName,
-    UpstreamName, VmName,
+    AccountName, AttemptId, CallId, ContentDigest, Epoch, KeyId, ModelName, PoolKey, ProgramKey,
+    Revision, ServiceName, UpstreamName, VmName,
 };
+use crate::message::Finish;
 
 /// All state of the core of one VM.
 #[derive(Debug, Default)]
@@ -75,8 +88,18 @@
     pub calls: Table<CallId, Call>,
     /// Attempts placed by this VM as owner of their pool.
     pub running: Table<AttemptId, Running>,
+    /// Ended attempts whose end the owner of their pool has not confirmed.
+    pub finishing: Table<AttemptId, Finish>,
+    /// What this VM, as owner of pools, remembers about programs.
+    pub footprints: Table<ProgramKey, Footprint>,
+    /// Contents that were running when an upstream crashed.
+    pub suspects: Table<ContentDigest, Suspect>,
+    /// Contents that no VM runs.
+    pub quarantine: Table<ContentDigest, Quarantine>,
     /// The view in force.
     pub view: View,
+    /// The epoch of the view that placement has acted on.
+    pub placed_epoch: Epoch,
     /// The version of the view object in the store; 0 if unknown.
     pub view_version: u64,
     /// What this VM knows of others that it has heard from.
--- a/crates/entry/src/control/outlets.rs
+++ b/crates/entry/src/control/outlets.rs
@@ -5,10 +5,11 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use knapweeddale_core::input::{AttemptProgress, Failure};
+use knapweeddale_core::input::{AttemptProgress, Failure, ProbeState};
 use knapweeddale_core::tables::View;
 use knapweeddale_core::{
-    AttemptEvent, CallId, Charge, Control, Decision, Input, Output, StoreEvent, VmName,
+    AttemptEvent, CallId, Charge, Control, Decision, Input, Output, StoreEvent, UpstreamName,
+    VmName,
 };
 use knapweeddale_peer::Peers;
 use tokio::sync::{mpsc, watch};
@@ -17,7 +18,7 @@
 use super::status::Status;
 use crate::metrics::Metrics;
 use crate::store::ViewOrder;
-use crate::upstream::ReleaseOrder;
+use crate::upstream::{ProbeOrder, ReleaseOrder};
 
 /// Addresses of VMs that are in no view; more than join or leave at once.
 const MAX_STRANGERS: usize = 64;
@@ -29,6 +30,7 @@
     pub peers: Peers,
     pub views: mpsc::Sender<ViewOrder>,
     pub releases: mpsc::Sender<ReleaseOrder>,
+    pub probes: mpsc::Sender<ProbeOrder>,
     pub charges: mpsc::Sender<Charge>,
     pub status: watch::Sender<Status>,
     pub lease_until_us: Arc<AtomicU64>,
@@ -120,11 +122,26 @@
                     generation,
                 });
             }
+            Output::Probe(upstream) => self.probe(upstream, control),
             Output::Charge(charge) => self.charge(charge),
             Output::Decision(decision) => self.log(&decision),
         }
     }
 
+    /// Orders a probe. An upstream that cannot be probed counts as alive, so
+    /// that nobody is suspected without evidence.
+    fn probe(&mut self, upstream: UpstreamName, control: &Control) {
+        let row = control.tables().upstreams.get(&upstream);
+        let order = row.map(|row| ProbeOrder {
+            upstream: upstream.clone(),
+            address: Arc::clone(&row.address),
+        });
+        if order.is_none_or(|order| self.probes.try_send(order).is_err()) {
+            let state = ProbeState::Up;
+            self.echo.push(Input::Probed { upstream, state });
+        }
+    }
+
     /// Keeps a charge record.
     fn charge(&mut self, charge: Charge) {
         self.metrics.count_charge(&charge);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -27,7 +27,9 @@
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
 use crate::store::{ChargeWriter, ViewOrder, poll_vms, serve_views, watch_config};
-use crate::upstream::{UpstreamClient, poll_loads, serve_releases};
+use crate::upstream::{
+    LastAlive, ProbeOrder, ReleaseOrder, UpstreamClient, poll_loads, serve_probes, serve_releases,
+};
 
 /// Orders about the view that may wait; the core has few of them at a time.
 const VIEW_ORDERS: usize = 32;
@@ -35,6 +37,9 @@
 /// Releases of engine memory that may wait; the core repeats those dropped.
 const RELEASES: usize = 4_096;
 
+/// Probes that may wait; there is one for each broken connection.
+const PROBES: usize = 1_024;
+
 /// Charge records that may wait for the writer, a second of traffic at the
 /// rate that a VM decides at most.
 const CHARGES: usize = 100_000;
@@ -141,6 +146,7 @@
             inputs,
             clock: clock.clone(),
             upstream: UpstreamClient::new()?,
+            last_alive: LastAlive::default(),
             signer: Signer::new(derive_secret(secret, "sign")?.as_bytes())?,
             answers: KeptAnswers::new(settings.answer_keep_ms),
             metrics,
@@ -156,6 +162,7 @@
         });
         let (views, view_orders) = mpsc::channel(VIEW_ORDERS);
         let (releases, release_orders) = mpsc::channel(RELEASES);
+        let (probes, probe_orders) = mpsc::channel(PROBES);
         let (charges, charge_records) = mpsc::channel(CHARGES);
         let first_read = ViewOrder {
             request: StoreRequest::Read,
@@ -172,6 +179,7 @@
             ),
             views,
             releases,
+            probes,
             charges,
             status: status_sender,
             lease_until_us: Arc::clone(&shared.lease_until_us),
@@ -195,7 +203,16 @@
             Arc::clone(&shared.metrics),
         );
         let charges = tokio::spawn(writer.run(charge_records));
-        let background = start_background(&api, &shared, &settings, view_orders, release_orders);
+        let background = start_background(
+            &api,
+            &shared,
+            &settings,
+            Orders {
+                views: view_orders,
+                releases: release_orders,
+                probes: probe_orders,
+            },
+        );
         let (address, server, server_task) = start_server(settings.listen, &shared).await?;
         tracing::info!("membership: {} serves callers at {address}", shared.vm);
         Ok(Self {
@@ -213,24 +230,32 @@
     }
 }
 
+/// The queues of orders from the control thread.
+struct Orders {
+    views: mpsc::Receiver<ViewOrder>,
+    releases: mpsc::Receiver<ReleaseOrder>,
+    probes: mpsc::Receiver<ProbeOrder>,
+}
+
 /// Starts the tasks that end with the process.
 fn start_background<A: ObjectApi, C: Clock>(
     api: &Arc<Counted<A>>,
     shared: &Arc<Shared<C>>,
     settings: &Settings,
-    view_orders: mpsc::Receiver<ViewOrder>,
-    release_orders: mpsc::Receiver<crate::upstream::ReleaseOrder>,
+    orders: Orders,
 ) -> JoinSet<()> {
     let inputs = || shared.inputs.clone();
     let status = || shared.status.clone();
     let client = || shared.upstream.clone();
     let vm = || shared.vm.clone();
     let mut tasks = JoinSet::new();
-    tasks.spawn(serve_views(Arc::clone(api), view_orders, inputs()));
+    tasks.spawn(serve_views(Arc::clone(api), orders.views, inputs()));
     tasks.spawn(watch_config(Arc::clone(api), settings.vm.clone(), inputs()));
     tasks.spawn(poll_vms(Arc::clone(api), vm(), status(), inputs()));
     tasks.spawn(poll_loads(client(), vm(), status(), inputs()));
-    tasks.spawn(serve_releases(client(), release_orders, inputs()));
+    tasks.spawn(serve_releases(client(), orders.releases, inputs()));
+    let last_alive = shared.last_alive.clone();
+    tasks.spawn(serve_probes(client(), orders.probes, last_alive, inputs()));
     let (api, metrics) = (Arc::clone(api), Arc::clone(&shared.metrics));
     tasks.spawn(async move {
         loop {
--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod headers;
 mod loads;
+mod probe;
 mod release;
 
 pub(crate) use client::{UpstreamClient, UpstreamRequest, UpstreamTimes};
@@ -12,4 +13,5 @@
 pub(crate) use events::{EventError, EventReader};
 pub(crate) use headers::{forwardable, returnable};
 pub(crate) use loads::poll_loads;
+pub(crate) use probe::{LastAlive, ProbeOrder, serve_probes};
 pub(crate) use release::{ReleaseOrder, serve_releases};
--- /dev/null
+++ b/crates/entry/src/upstream/probe.rs
@@ -0,0 +1,92 @@
+//! Probes of upstreams to which a connection broke.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use knapweeddale_core::input::ProbeState;
+use knapweeddale_core::{Input, UpstreamName};
+use serde::Deserialize;
+use tokio::sync::mpsc;
+
+use super::UpstreamClient;
+use crate::control::InputSender;
+
+/// Longest wait for the answer to a probe. The suspects of a crash wait for it.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The order to probe an upstream.
+#[derive(Debug)]
+pub(crate) struct ProbeOrder {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its address as `ip:port`.
+    pub address: Arc<str>,
+}
+
+/// When each upstream was last known to be alive.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct LastAlive(Arc<Mutex<HashMap<UpstreamName, Instant>>>);
+
+impl LastAlive {
+    /// Notes that an upstream is about to get a request.
+    pub fn note(&self, upstream: &UpstreamName) {
+        let mut times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        times.insert(upstream.clone(), Instant::now());
+    }
+
+    /// Returns how long ago an upstream got its last request.
+    fn age(&self, upstream: &UpstreamName) -> Option<Duration> {
+        let times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        times.get(upstream).map(Instant::elapsed)
+    }
+}
+
+/// The part of a load report that shows a restart.
+#[derive(Debug, Deserialize)]
+struct Uptime {
+    uptime_ms: Option<u64>,
+}
+
+/// Probes upstreams until the control thread ends.
+pub(crate) async fn serve_probes(
+    client: UpstreamClient,
+    mut orders: mpsc::Receiver<ProbeOrder>,
+    last_alive: LastAlive,
+    inputs: InputSender,
+) {
+    while let Some(order) = orders.recv().await {
+        let (client, inputs) = (client.clone(), inputs.clone());
+        let last_alive = last_alive.clone();
+        tokio::spawn(async move {
+            let state = probe(&client, &order, &last_alive).await;
+            let upstream = order.upstream;
+            inputs.input(Input::Probed { upstream, state }).await;
+        });
+    }
+}
+
+/// Probes an upstream over a new or pooled connection.
+///
+/// A process that is younger than the last request to it has restarted. One
+/// that reports no age, such as a plain service, counts as not restarted.
+async fn probe(client: &UpstreamClient, order: &ProbeOrder, last_alive: &LastAlive) -> ProbeState {
+    let url = format!("http://{}/load", order.address);
+    let sent = client.http().get(url).timeout(TIMEOUT).send().await;
+    let response = match sent {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => return ProbeState::Down,
+        Err(_) => return ProbeState::Up,
+    };
+    let uptime = response
+        .json::<Uptime>()
+        .await
+        .ok()
+        .and_then(|l| l.uptime_ms);
+    match (uptime, last_alive.age(&order.upstream)) {
+        (Some(uptime_ms), Some(age)) if Duration::from_millis(uptime_ms) < age => {
+            ProbeState::Restarted
+        }
+        _ => ProbeState::Up,
+    }
+}
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -1,10 +1,13 @@
 //! Test support for knapweeddale: a seeded exchange of messages between VMs in
 //! virtual time, invariants over its traces, and fakes of outside systems.
 
+pub mod fleet;
 pub mod http;
 pub mod invariants;
 pub mod mesh;
 pub mod platform;
 mod random;
+mod seeds;
 
 pub use random::Random;
+pub use seeds::{run_sampled, sample_accounts, seeds};
