Cover refusals reachable by bad input with golden sessions

Cause: callers program against the form of refusals, and nothing guarded it. Dot segments and encoded slashes in paths are sent raw, because HTTP clients resolve them. Conclusion: a change of a refusal shows up as a changed file.

--- a/crates/core/src/output/refusal.rs
+++ b/crates/core/src/output/refusal.rs
@@ -113,7 +113,7 @@
     /// The caller disconnected.
     CallerGone = "caller_gone", 499, "resend if the request may be repeated";
     /// The request could not be read.
-    Malformed = "malformed", 400, "send a JSON body as described in docs/api.md";
+    Malformed = "malformed", 400, "correct the request; docs/api.md describes it";
     /// The request is too large.
-    TooLarge = "too_large", 413, "send a smaller body";
+    TooLarge = "too_large", 413, "send a smaller request";
 }
--- /dev/null
+++ b/crates/entry/src/call/describe.rs
@@ -0,0 +1,35 @@
+//! What callers read about a refusal.
+
+use knapweeddale_core::RefusalKind;
+
+/// Returns one sentence about a refusal; the remedy is stated apart from it.
+pub(super) fn describe(kind: RefusalKind) -> &'static str {
+    match kind {
+        RefusalKind::KeyMissing => "the request carries no key",
+        RefusalKind::KeyUnknown => "the key is not known",
+        RefusalKind::KeyWithdrawn => "the key has been withdrawn",
+        RefusalKind::Isolated => "this VM cannot learn about withdrawn keys at present",
+        RefusalKind::ModelUnknown => "no service offers the model",
+        RefusalKind::RouteUnknown => "the service or its route does not exist",
+        RefusalKind::Quarantined => "the same request crashed several upstreams",
+        RefusalKind::OverRate => "the account is over its rate",
+        RefusalKind::TurnOutOfOrder => "a turn before this one has not ended",
+        RefusalKind::DuplicateTurn => "the turn is running or has ended",
+        RefusalKind::StaleContinuation => "the continuation is older than the program",
+        RefusalKind::HistoryMismatch => "the messages do not match the continuation",
+        RefusalKind::ContinuationMissing => "the turn needs the continuation of the one before",
+        RefusalKind::OverBudget => "the program has used its tokens, turns or time",
+        RefusalKind::ProgramEnded => "the program has ended",
+        RefusalKind::HomeMoving => "the program is moving to another VM",
+        RefusalKind::PermitRequired => "the request may not be repeated and carries no permit",
+        RefusalKind::PermitVoid => "the permit is void or has been used",
+        RefusalKind::NoUpstream => "no upstream became free in time",
+        RefusalKind::UpstreamFailed => "the upstream failed",
+        RefusalKind::UpstreamSilent => "the upstream did not answer in time",
+        RefusalKind::Overloaded => "this VM has more calls than it can hold",
+        RefusalKind::Draining => "this VM is stopping",
+        RefusalKind::CallerGone => "the caller disconnected",
+        RefusalKind::Malformed => "the request cannot be read",
+        RefusalKind::TooLarge => "the request is too large",
+    }
+}
--- a/crates/entry/src/call/mod.rs
+++ b/crates/entry/src/call/mod.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempt;
+mod describe;
 mod ids;
 mod in_flight;
 mod reply;
--- a/crates/entry/src/call/reply.rs
+++ b/crates/entry/src/call/reply.rs
@@ -4,6 +4,8 @@
 use knapweeddale_core::{CallId, Execution, Refusal};
 use serde_json::{Map, Value, json};
 
+use super::describe::describe;
+
 /// A part of the response to a caller.
 #[derive(Debug)]
 pub(crate) enum ReplyPart {
@@ -65,11 +67,10 @@
 pub(crate) fn error_body(refusal: &Refusal, detail: Option<&str>) -> Value {
     let message = match (detail, refusal.ran) {
         (Some(detail), _) => detail.to_owned(),
-        (None, Execution::NotRun) => format!("the request was refused as {}", refusal.kind),
         (None, Execution::MayHaveRun) => {
-            format!("the request ended as {} and may have run", refusal.kind)
+            format!("{}; the request may have run", describe(refusal.kind))
         }
-        (None, Execution::Ran) => format!("the request ran before ({})", refusal.kind),
+        (None, _) => describe(refusal.kind).to_owned(),
     };
     json!({"error": {
         "kind": refusal.kind.to_string(),
--- a/crates/entry/src/front/headers.rs
+++ b/crates/entry/src/front/headers.rs
@@ -81,7 +81,8 @@
         };
         let name = read_program_name(name, key)?;
         check_parent(&name, headers.get_one("kwd-parent"))?;
-        let turn = headers.get_one("kwd-turn").unwrap_or_default();
+        let missing = || FrontError::malformed("kwd-turn is missing; send a number from 1");
+        let turn = headers.get_one("kwd-turn").ok_or_else(missing)?;
         let turn = match turn.parse::<u32>() {
             Ok(turn) if turn > 0 => turn,
             _ => {
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -13,6 +13,8 @@
 use knapweeddale_token::CallerKey;
 use reqwest::{Client, Response};
 use serde_json::{Value, json};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 pub const KEY: &str = "kwd_desk_0123456789abcdefghijABCDEFGHIJ01";
 pub const WITHDRAWN: &str = "kwd_old_0123456789abcdefghijABCDEFGHIJ02";
@@ -134,7 +136,7 @@
 /// values that change from run to run replaced.
 pub async fn session(request: &str, response: Response) -> String {
     let status = response.status();
-    let names = ["content-type", "kwd-ran", "retry-after"];
+    let names = ["content-type", "kwd-ran"];
     let headers: BTreeMap<_, _> = response
         .headers()
         .iter()
@@ -147,12 +149,34 @@
         })
         .collect();
     let headers: String = headers.iter().map(|(k, v)| format!("{k}: {v}\n")).collect();
+    let has_retry_after = response.headers().contains_key("retry-after");
     let body = response.text().await.expect("body");
     let body = match serde_json::from_str::<Value>(&body) {
-        Ok(value) => serde_json::to_string_pretty(&value).expect("JSON"),
+        Ok(mut value) => {
+            if value["error"]["retry_after_ms"].is_u64() {
+                value["error"]["retry_after_ms"] = "[time]".into();
+            }
+            serde_json::to_string_pretty(&value).expect("JSON")
+        }
         Err(_) => body,
     };
-    format!("> {request}\n< {status}\n{headers}\n{body}\n")
+    let retry = if has_retry_after {
+        "retry-after: [time]\n"
+    } else {
+        ""
+    };
+    format!("> {request}\n< {status}\n{headers}{retry}\n{body}\n")
+}
+
+/// Sends bytes over a new connection and returns the start of the response.
+pub async fn raw(address: std::net::SocketAddr, request: &str) -> String {
+    let mut stream = TcpStream::connect(address).await.expect("the VM listens");
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the VM reads");
+    let mut response = Vec::new();
+    // A server that refuses a request may reset the connection after its response.
+    let _ = stream.read_to_end(&mut response).await;
+    String::from_utf8(response).expect("text")
 }
 
 /// Publishes a document over the one with this version.
