--- a/crates/entry/src/call/attempt.rs
+++ b/crates/entry/src/call/attempt.rs
@@ -78,6 +78,7 @@
         if self.shared.clock.now_us() >= self.dispatch.valid_until_us {
             return Err(Failure::NotSent);
         }
+        self.shared.last_alive.note(&self.dispatch.upstream);
         let started = Instant::now();
         let response = self
             .shared
--- a/crates/entry/src/control/outlets.rs
+++ b/crates/entry/src/control/outlets.rs
@@ -128,7 +128,8 @@
         }
     }
 
-    /// Orders a probe; one that cannot be carried out counts as a working upstream.
+    /// Orders a probe. An upstream that cannot be probed counts as alive, so
+    /// that nobody is suspected without evidence.
     fn probe(&mut self, upstream: UpstreamName, control: &Control) {
         let row = control.tables().upstreams.get(&upstream);
         let order = row.map(|row| ProbeOrder {
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -28,7 +28,7 @@
 use crate::metrics::Metrics;
 use crate::store::{ChargeWriter, ViewOrder, poll_vms, serve_views, watch_config};
 use crate::upstream::{
-    ProbeOrder, ReleaseOrder, Starts, UpstreamClient, poll_loads, serve_probes, serve_releases,
+    LastAlive, ProbeOrder, ReleaseOrder, UpstreamClient, poll_loads, serve_probes, serve_releases,
 };
 
 /// Orders about the view that may wait; the core has few of them at a time.
@@ -37,8 +37,8 @@
 /// Releases of engine memory that may wait; the core repeats those dropped.
 const RELEASES: usize = 4_096;
 
-/// Probes that may wait; one for each broken upstream.
-const PROBES: usize = 64;
+/// Probes that may wait; there is one for each broken connection.
+const PROBES: usize = 1_024;
 
 /// Charge records that may wait for the writer, a second of traffic at the
 /// rate that a VM decides at most.
@@ -146,6 +146,7 @@
             inputs,
             clock: clock.clone(),
             upstream: UpstreamClient::new()?,
+            last_alive: LastAlive::default(),
             signer: Signer::new(derive_secret(secret, "sign")?.as_bytes())?,
             answers: KeptAnswers::new(settings.answer_keep_ms),
             metrics,
@@ -206,7 +207,11 @@
             &api,
             &shared,
             &settings,
-            (view_orders, release_orders, probe_orders),
+            Orders {
+                views: view_orders,
+                releases: release_orders,
+                probes: probe_orders,
+            },
         );
         let (address, server, server_task) = start_server(settings.listen, &shared).await?;
         tracing::info!("membership: {} serves callers at {address}", shared.vm);
@@ -225,38 +230,32 @@
     }
 }
 
-/// Orders of the control thread to background tasks.
-type Orders = (
-    mpsc::Receiver<ViewOrder>,
-    mpsc::Receiver<ReleaseOrder>,
-    mpsc::Receiver<ProbeOrder>,
-);
+/// The queues of orders from the control thread.
+struct Orders {
+    views: mpsc::Receiver<ViewOrder>,
+    releases: mpsc::Receiver<ReleaseOrder>,
+    probes: mpsc::Receiver<ProbeOrder>,
+}
 
 /// Starts the tasks that end with the process.
 fn start_background<A: ObjectApi, C: Clock>(
     api: &Arc<Counted<A>>,
     shared: &Arc<Shared<C>>,
     settings: &Settings,
-    (view_orders, release_orders, probe_orders): Orders,
+    orders: Orders,
 ) -> JoinSet<()> {
     let inputs = || shared.inputs.clone();
     let status = || shared.status.clone();
     let client = || shared.upstream.clone();
     let vm = || shared.vm.clone();
     let mut tasks = JoinSet::new();
-    tasks.spawn(serve_views(Arc::clone(api), view_orders, inputs()));
+    tasks.spawn(serve_views(Arc::clone(api), orders.views, inputs()));
     tasks.spawn(watch_config(Arc::clone(api), settings.vm.clone(), inputs()));
     tasks.spawn(poll_vms(Arc::clone(api), vm(), status(), inputs()));
-    let starts = Starts::default();
-    tasks.spawn(poll_loads(
-        client(),
-        starts.clone(),
-        vm(),
-        status(),
-        inputs(),
-    ));
-    tasks.spawn(serve_probes(client(), starts, probe_orders, inputs()));
-    tasks.spawn(serve_releases(client(), release_orders, inputs()));
+    tasks.spawn(poll_loads(client(), vm(), status(), inputs()));
+    tasks.spawn(serve_releases(client(), orders.releases, inputs()));
+    let last_alive = shared.last_alive.clone();
+    tasks.spawn(serve_probes(client(), orders.probes, last_alive, inputs()));
     let (api, metrics) = (Arc::clone(api), Arc::clone(&shared.metrics));
     tasks.spawn(async move {
         loop {
--- a/crates/entry/src/front/shared.rs
+++ b/crates/entry/src/front/shared.rs
@@ -11,7 +11,7 @@
 use crate::clock::Clock;
 use crate::control::{InputSender, StatusReader};
 use crate::metrics::Metrics;
-use crate::upstream::UpstreamClient;
+use crate::upstream::{LastAlive, UpstreamClient};
 
 /// The label of services that are not in the configuration.
 const UNKNOWN_SERVICE: &str = "unknown";
@@ -23,6 +23,7 @@
     pub inputs: InputSender,
     pub clock: C,
     pub upstream: UpstreamClient,
+    pub last_alive: LastAlive,
     pub signer: Signer,
     pub answers: KeptAnswers,
     pub metrics: Arc<Metrics>,
--- a/crates/entry/src/upstream/loads.rs
+++ b/crates/entry/src/upstream/loads.rs
@@ -10,7 +10,7 @@
 };
 use serde::Deserialize;
 
-use super::{Starts, UpstreamClient};
+use super::UpstreamClient;
 use crate::control::{InputSender, StatusReader};
 
 /// Time between two reports; engines update theirs about as often.
@@ -25,15 +25,11 @@
     running_calls: u32,
     #[serde(default)]
     tokens_per_s: u64,
-    /// Identifies the start of the engine's process.
-    #[serde(default)]
-    start: Option<String>,
 }
 
 /// Asks the engines of the pools that this VM owns for their load.
 pub(crate) async fn poll_loads(
     client: UpstreamClient,
-    starts: Starts,
     vm: VmName,
     status: StatusReader,
     inputs: InputSender,
@@ -45,7 +41,7 @@
         };
         let reports = engines
             .into_iter()
-            .map(|(upstream, address)| ask(&client, &starts, upstream, address));
+            .map(|(upstream, address)| ask(&client, upstream, address));
         for input in join_all(reports).await.into_iter().flatten() {
             inputs.input(input).await;
         }
@@ -83,12 +79,7 @@
 }
 
 /// Asks one engine.
-async fn ask(
-    client: &UpstreamClient,
-    starts: &Starts,
-    upstream: UpstreamName,
-    address: String,
-) -> Option<Input> {
+async fn ask(client: &UpstreamClient, upstream: UpstreamName, address: String) -> Option<Input> {
     let url = format!("http://{address}/load");
     let sent = client.http().get(url).timeout(TIMEOUT).send();
     let load: Load = sent
@@ -99,7 +90,6 @@
         .json()
         .await
         .ok()?;
-    starts.note(&upstream, load.start.as_deref());
     Some(Input::Load {
         upstream,
         running_calls: load.running_calls,
--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -13,5 +13,5 @@
 pub(crate) use events::{EventError, EventReader};
 pub(crate) use headers::{forwardable, returnable};
 pub(crate) use loads::poll_loads;
-pub(crate) use probe::{ProbeOrder, Starts, serve_probes};
+pub(crate) use probe::{LastAlive, ProbeOrder, serve_probes};
 pub(crate) use release::{ReleaseOrder, serve_releases};
--- a/crates/entry/src/upstream/probe.rs
+++ b/crates/entry/src/upstream/probe.rs
@@ -1,8 +1,8 @@
-//! Probes of upstreams after a connection broke.
+//! Probes of upstreams to which a connection broke.
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use knapweeddale_core::input::ProbeState;
 use knapweeddale_core::{Input, UpstreamName};
@@ -12,7 +12,7 @@
 use super::UpstreamClient;
 use crate::control::InputSender;
 
-/// Longest wait for the answer to a probe.
+/// Longest wait for the answer to a probe. The suspects of a crash wait for it.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
 /// The order to probe an upstream.
@@ -24,57 +24,69 @@
     pub address: Arc<str>,
 }
 
-/// The start of the process of each engine, as it stated it last.
+/// When each upstream was last known to be alive.
 #[derive(Debug, Clone, Default)]
-pub(crate) struct Starts(Arc<Mutex<HashMap<UpstreamName, String>>>);
+pub(crate) struct LastAlive(Arc<Mutex<HashMap<UpstreamName, Instant>>>);
 
-/// The part of a load report that names the start of the process.
-#[derive(Debug, Deserialize)]
-struct Start {
-    #[serde(default)]
-    start: Option<String>,
-}
+impl LastAlive {
+    /// Notes that an upstream is about to get a request.
+    pub fn note(&self, upstream: &UpstreamName) {
+        let mut times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        times.insert(upstream.clone(), Instant::now());
+    }
 
-impl Starts {
-    /// Keeps the start that an engine stated and returns whether it differs from the last one.
-    pub fn note(&self, upstream: &UpstreamName, start: Option<&str>) -> bool {
-        let Some(start) = start else {
-            return false;
-        };
-        let mut starts = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        let before = starts.insert(upstream.clone(), start.to_owned());
-        before.is_some_and(|before| before != start)
+    /// Returns how long ago an upstream got its last request.
+    fn age(&self, upstream: &UpstreamName) -> Option<Duration> {
+        let times = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        times.get(upstream).map(Instant::elapsed)
     }
 }
 
-/// Carries out probes until the control thread ends.
+/// The part of a load report that shows a restart.
+#[derive(Debug, Deserialize)]
+struct Uptime {
+    uptime_ms: Option<u64>,
+}
+
+/// Probes upstreams until the control thread ends.
 pub(crate) async fn serve_probes(
     client: UpstreamClient,
-    starts: Starts,
     mut orders: mpsc::Receiver<ProbeOrder>,
+    last_alive: LastAlive,
     inputs: InputSender,
 ) {
     while let Some(order) = orders.recv().await {
-        let (client, starts, inputs) = (client.clone(), starts.clone(), inputs.clone());
+        let (client, inputs) = (client.clone(), inputs.clone());
+        let last_alive = last_alive.clone();
         tokio::spawn(async move {
-            let state = probe(&client, &starts, &order).await;
+            let state = probe(&client, &order, &last_alive).await;
             let upstream = order.upstream;
             inputs.input(Input::Probed { upstream, state }).await;
         });
     }
 }
 
-/// Asks an upstream for its load; any answer shows that it accepts connections.
-async fn probe(client: &UpstreamClient, starts: &Starts, order: &ProbeOrder) -> ProbeState {
+/// Probes an upstream over a new or pooled connection.
+///
+/// A process that is younger than the last request to it has restarted. One
+/// that reports no age, such as a plain service, counts as not restarted.
+async fn probe(client: &UpstreamClient, order: &ProbeOrder, last_alive: &LastAlive) -> ProbeState {
     let url = format!("http://{}/load", order.address);
-    let Ok(response) = client.http().get(url).timeout(TIMEOUT).send().await else {
-        return ProbeState::Down;
+    let sent = client.http().get(url).timeout(TIMEOUT).send().await;
+    let response = match sent {
+        Ok(response) => response,
+        Err(error) if error.is_connect() => return ProbeState::Down,
+        Err(_) => return ProbeState::Up,
     };
-    // A plain service has no load report, so that only its connection counts.
-    let start = response.json::<Start>().await.ok().and_then(|s| s.start);
-    if starts.note(&order.upstream, start.as_deref()) {
-        ProbeState::Restarted
-    } else {
-        ProbeState::Up
+    let uptime = response
+        .json::<Uptime>()
+        .await
+        .ok()
+        .and_then(|l| l.uptime_ms);
+    match (uptime, last_alive.age(&order.upstream)) {
+        (Some(uptime_ms), Some(age)) if Duration::from_millis(uptime_ms) < age => {
+            ProbeState::Restarted
+        }
+        _ => ProbeState::Up,
     }
 }
--- a/crates/entry/tests/whole_path.rs
+++ b/crates/entry/tests/whole_path.rs
@@ -203,12 +203,15 @@
     let continuation = header(&response, "kwd-continuation").to_owned();
     let mut third = turn("3");
     third.push(("kwd-continuation", &continuation));
-    let messages = [
-        ("user", "oslo"),
+    let mut messages = [
+        ("user", "rome"),
         ("assistant", content(&answer)),
         ("tool", "hall is free"),
     ];
     let response = rig.complete(&third, &ask(&messages, false)).await;
+    assert_eq!(response.status(), 409, "the history is still checked");
+    messages[0].1 = "oslo";
+    let response = rig.complete(&third, &ask(&messages, false)).await;
     assert_eq!(
         response.status(),
         200,
--- a/crates/testing/src/http/engine.rs
+++ b/crates/testing/src/http/engine.rs
@@ -54,6 +54,7 @@
     options: EngineOptions,
     gate: Semaphore,
     crashed: Semaphore,
+    started: Instant,
     state: Mutex<State>,
 }
 
@@ -62,6 +63,8 @@
 struct State {
     running: usize,
     loads: VecDeque<(Instant, usize)>,
+    /// When the process last restarted.
+    restarted: Option<Instant>,
     heads: Vec<u8>,
     executions: BTreeMap<String, u64>,
     faults: VecDeque<EngineFault>,
@@ -82,6 +85,7 @@
             options,
             gate: Semaphore::new(0),
             crashed: Semaphore::new(0),
+            started: Instant::now(),
             state: Mutex::default(),
         })
         .await
@@ -299,8 +303,13 @@
         let lagged = lagged
             .clone()
             .find(|(at, _)| now.duration_since(*at) >= self.options.load_lag);
-        json!({"running_calls": lagged.map_or(0, |(_, running)| *running), "tokens_per_s": 0})
-            .to_string()
+        let started = state.restarted.unwrap_or(self.started);
+        json!({
+            "running_calls": lagged.map_or(0, |(_, running)| *running),
+            "tokens_per_s": 0,
+            "uptime_ms": now.duration_since(started).as_millis() as u64,
+        })
+        .to_string()
     }
 
     /// Releases the cache of a program unless a newer program has its name.
@@ -355,6 +364,12 @@
 }
 
 impl Handler for FakeEngine {
+    fn restarted(&self) {
+        let mut state = self.state();
+        state.restarted = Some(Instant::now());
+        state.cache.clear();
+    }
+
     async fn handle(&self, request: Request, connection: &mut Connection) -> io::Result<()> {
         self.state().heads.extend(&request.head);
         let kind = "application/json";
--- a/crates/testing/src/http/server.rs
+++ b/crates/testing/src/http/server.rs
@@ -17,6 +17,9 @@
         request: Request,
         connection: &mut Connection,
     ) -> impl Future<Output = io::Result<()>> + Send;
+
+    /// Forgets what does not survive a crash.
+    fn restarted(&self) {}
 }
 
 /// A server on loopback that can crash and come back.
@@ -58,6 +61,7 @@
     /// Fails if the port has been taken meanwhile.
     pub async fn restart(&self) -> io::Result<()> {
         self.crash();
+        self.handler.restarted();
         self.listen(TcpListener::bind(self.address).await?);
         Ok(())
     }
