--- a/crates/core/src/systems/membership/leaving.rs
+++ b/crates/core/src/systems/membership/leaving.rs
@@ -5,6 +5,7 @@
 use crate::ids::{Epoch, VmName};
 use crate::message::MembershipMessage;
 use crate::output::Decision;
+use crate::tables::View;
 
 /// Starts the departure of this VM.
 pub(super) fn drain(tick: &mut Tick<'_>) {
@@ -15,10 +16,8 @@
     let settings = tick.settings;
     let view = &tick.tables.view;
     let is_member = view.member_at(&settings.vm, settings.incarnation).is_some();
-    let is_last = view.members.len() == 1;
-    if !is_member || is_last {
-        // Nobody is left to hand anything to; a view without members would
-        // leave nobody to write the next one.
+    if !is_member {
+        // There is nothing to hand over.
         tick.tables.membership.departure.has_left = true;
         return;
     }
@@ -37,6 +36,14 @@
     }
 }
 
+/// Returns whether a VM is the only member.
+///
+/// It leaves without a new view: one without members would leave nobody to
+/// write the next one.
+fn is_last(view: &View, vm: &VmName) -> bool {
+    view.members.len() == 1 && view.member(vm).is_some()
+}
+
 /// Tells the members that this VM acts no more, once nothing is left to hand over.
 ///
 /// A hand-over that nobody confirms is given up after the takeover wait,
@@ -44,6 +51,10 @@
 pub(super) fn finish(tick: &mut Tick<'_>) {
     let wait_us = tick.settings.takeover_wait_us();
     let departure = &mut tick.tables.membership.departure;
+    if departure.is_draining && is_last(&tick.tables.view, &tick.settings.vm) {
+        departure.has_left = true;
+        return;
+    }
     let Some(removed_us) = departure.removed_us else {
         return;
     };
--- a/crates/core/src/systems/membership/writing.rs
+++ b/crates/core/src/systems/membership/writing.rs
@@ -119,6 +119,12 @@
     if !is_draining && view.member_at(&settings.vm, settings.incarnation).is_none() {
         view.put(joining::entry(tick, view.epoch));
     }
+    if view.members.is_empty()
+        && let Some(last) = tables.view.member_at(&settings.vm, settings.incarnation)
+    {
+        // All leave: this writer stays until the others have gone.
+        view.put(last.clone());
+    }
     choose_writers(&mut view, &tables.view);
     view
 }
--- /dev/null
+++ b/crates/core/tests/fleet_partition.rs
@@ -0,0 +1,107 @@
+//! Guards against two sides of a partition that both act, or a fleet that does not recover.
+
+use knapweeddale_core::FleetConfig;
+use knapweeddale_testing::mesh::Mesh;
+use knapweeddale_testing::{Random, run_sampled, seeds};
+
+fn mesh(seed: u64) -> Mesh {
+    let mut mesh = Mesh::with_domains(8, 3, FleetConfig::default(), seed);
+    run_sampled(&mut mesh, 6_000, seed);
+    mesh
+}
+
+fn others(side: &[usize]) -> Vec<usize> {
+    (0..8).filter(|vm| !side.contains(vm)).collect()
+}
+
+fn assert_recovers(mesh: &mut Mesh, seed: u64) {
+    mesh.heal();
+    run_sampled(mesh, 25_000, seed);
+    for vm in 0..8 {
+        assert!(mesh.has_lease(vm), "seed {seed}: VM {vm} without lease");
+        let members = mesh.tables(vm).view.members.len();
+        assert_eq!(members, 8, "seed {seed}: view of VM {vm}");
+    }
+}
+
+#[test]
+fn side_without_writer_stops() {
+    for seed in seeds() {
+        let mut mesh = mesh(seed);
+        let mut left = mesh.writers(0);
+        left.push(others(&left)[0]);
+        let right = others(&left);
+        mesh.partition(&left, &right);
+        run_sampled(&mut mesh, 4_000, seed);
+        for &vm in &right {
+            assert!(!mesh.has_lease(vm), "seed {seed}: VM {vm} without writer");
+        }
+        run_sampled(&mut mesh, 20_000, seed);
+        for &vm in &left {
+            assert!(mesh.has_lease(vm), "seed {seed}: VM {vm} with writers");
+        }
+        assert_recovers(&mut mesh, seed);
+    }
+}
+
+#[test]
+fn one_writer_on_each_side() {
+    for seed in seeds() {
+        let mut mesh = mesh(seed);
+        let writers = mesh.writers(0);
+        let rest = others(&writers);
+        let left = [vec![writers[0]], rest[..2].to_vec()].concat();
+        let right = others(&left);
+        mesh.partition(&left, &right);
+        run_sampled(&mut mesh, 30_000, seed);
+        // The larger side goes on.
+        for &vm in &left {
+            assert!(
+                !mesh.has_lease(vm),
+                "seed {seed}: VM {vm} on the smaller side"
+            );
+        }
+        for &vm in &right {
+            assert!(
+                mesh.has_lease(vm),
+                "seed {seed}: VM {vm} on the larger side"
+            );
+        }
+        assert_recovers(&mut mesh, seed);
+    }
+}
+
+#[test]
+fn cut_off_during_outage() {
+    for seed in seeds() {
+        let mut mesh = mesh(seed);
+        let writers = mesh.writers(0);
+        let rest = others(&writers);
+        let left = [vec![writers[0]], rest[..3].to_vec()].concat();
+        mesh.store.is_down = true;
+        run_sampled(&mut mesh, 5_000, seed);
+        mesh.partition(&left, &others(&left));
+        run_sampled(&mut mesh, 4_000, seed);
+        // Neither side hears the promises of both writers.
+        for vm in 0..8 {
+            assert!(!mesh.has_lease(vm), "seed {seed}: VM {vm} has a lease");
+        }
+        mesh.store.is_down = false;
+        run_sampled(&mut mesh, 20_000, seed);
+        assert_recovers(&mut mesh, seed);
+    }
+}
+
+#[test]
+fn broken_links() {
+    for seed in seeds() {
+        let mut random = Random::new(seed);
+        let mut mesh = mesh(seed);
+        for _ in 0..8 {
+            let (a, b) = (random.below(8) as usize, random.below(8) as usize);
+            mesh.partition(&[a], &[b]);
+        }
+        run_sampled(&mut mesh, 20_000, seed);
+        assert_recovers(&mut mesh, seed);
+    }
+}
--- /dev/null
+++ b/crates/report/src/bin/membership_report.rs
@@ -0,0 +1,129 @@
+//! Measures the control traffic of an idle fleet in the mesh.
+//!
+//! Bytes are estimates of compact JSON with TCP and IP headers, see
+//! `knapweeddale_testing::mesh::estimated_bytes`. Times depend on the machine.
+
+use bpaf::Bpaf;
+use knapweeddale_core::{FleetConfig, Revision};
+use knapweeddale_testing::mesh::{Mesh, Traffic};
+
+/// Measures the control traffic of an idle fleet.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Seed of the delays.
+    #[bpaf(fallback(1))]
+    seed: u64,
+    /// Measured seconds of virtual time.
+    #[bpaf(fallback(30))]
+    seconds: u64,
+    /// Measure during an outage of the store.
+    outage: bool,
+    /// Lose one VM in this many seconds; 0 for none.
+    #[bpaf(fallback(0))]
+    crash_every: u64,
+    /// Sizes of fleets.
+    #[bpaf(positional("VMS"), many)]
+    vms: Vec<usize>,
+}
+
+/// Sizes that are measured when none is given.
+const SIZES: [usize; 6] = [8, 16, 32, 64, 128, 700];
+
+/// Virtual time in which a fleet forms before it is measured.
+const SETTLE_MS: u64 = 30_000;
+
+fn main() {
+    let mut options = options().run();
+    if options.vms.is_empty() {
+        options.vms = SIZES.to_vec();
+    }
+    println!(
+        "{:>5} {:>8} {:>10} {:>10} {:>10} {:>10} {:>9} {:>9} {:>8} {:>8}",
+        "VMs",
+        "members",
+        "msg/s mean",
+        "msg/s max",
+        "B/s mean",
+        "B/s max",
+        "sent max",
+        "CPU% max",
+        "store/s",
+        "leases"
+    );
+    for &vms in &options.vms {
+        measure(vms, &options);
+    }
+}
+
+/// Measures one size of fleet and prints its row.
+fn measure(vms: usize, options: &Options) {
+    let fleet = FleetConfig {
+        revision: Revision(1),
+        ..FleetConfig::default()
+    };
+    let mut mesh = Mesh::with_domains(vms, 3, fleet, options.seed);
+    mesh.run_ms(SETTLE_MS);
+    mesh.store.is_down = options.outage;
+    if options.outage {
+        mesh.run_ms(SETTLE_MS);
+    }
+    let before: Vec<Traffic> = (0..vms).map(|vm| mesh.traffic(vm)).collect();
+    let requests = mesh.store.requests;
+    for second in 0..options.seconds {
+        crash_next(&mut mesh, second, options.crash_every);
+        mesh.run_ms(1_000);
+    }
+    let seconds = options.seconds as f64;
+    let rates: Vec<Rates> = (0..vms)
+        .map(|vm| Rates::between(before[vm], mesh.traffic(vm), seconds))
+        .collect();
+    let mean = |rate: fn(&Rates) -> f64| rates.iter().map(rate).sum::<f64>() / vms as f64;
+    let max = |rate: fn(&Rates) -> f64| rates.iter().map(rate).fold(0.0, f64::max);
+    let leases = (0..vms).filter(|vm| mesh.has_lease(*vm)).count();
+    let writer = (0..vms).find(|vm| mesh.control(*vm).is_some()).unwrap_or(0);
+    println!(
+        "{vms:>5} {:>8} {:>10.1} {:>10.1} {:>10.0} {:>10.0} {:>9.0} {:>9.3} {:>8.2} {leases:>8}",
+        mesh.tables(writer).view.members.len(),
+        mean(|rates| rates.messages),
+        max(|rates| rates.messages),
+        mean(|rates| rates.bytes),
+        max(|rates| rates.bytes),
+        max(|rates| rates.sent_bytes),
+        max(|rates| rates.processor_percent),
+        (mesh.store.requests - requests) as f64 / seconds,
+    );
+}
+
+/// Crashes one VM each time the interval is over, and starts the one before again.
+fn crash_next(mesh: &mut Mesh, second: u64, every: u64) {
+    if every == 0 || !second.is_multiple_of(every) {
+        return;
+    }
+    let number = (second / every) as usize * 7;
+    if number > 0 {
+        mesh.restart((number - 7) % mesh.len());
+    }
+    mesh.crash(number % mesh.len());
+}
+
+/// What one VM spends on control.
+struct Rates {
+    messages: f64,
+    bytes: f64,
+    sent_bytes: f64,
+    processor_percent: f64,
+}
+
+impl Rates {
+    /// Returns the rates between two counts; messages and bytes are sent plus received.
+    fn between(before: Traffic, after: Traffic, seconds: f64) -> Self {
+        let per_s = |before: u64, after: u64| (after - before) as f64 / seconds;
+        Self {
+            messages: per_s(before.messages(), after.messages()),
+            bytes: per_s(before.bytes(), after.bytes()),
+            sent_bytes: per_s(before.sent_bytes, after.sent_bytes),
+            processor_percent: per_s(before.tick_ns, after.tick_ns) / 1e7,
+        }
+    }
+}
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -8,7 +8,9 @@
 mod engine;
 mod faults;
 mod platform;
+mod reading;
 mod store;
+mod store_link;
 mod trace;
 mod traffic;
 
@@ -24,10 +26,9 @@
 use std::time::Instant;
 
 use knapweeddale_core::input::VmStatus;
-use knapweeddale_core::tables::Tables;
 use knapweeddale_core::{
     AttemptEvent, CallId, Control, CoreSettings, Dispatch, DomainName, FleetConfig, Incarnation,
-    Input, NewCall, Output, PeerMessage, StoreEvent, StoreRequest, VmName,
+    Input, NewCall, Output, PeerMessage, StoreRequest, VmName,
 };
 
 use crate::Random;
@@ -209,14 +210,6 @@
     pub fn set_clock_rate(&mut self, vm: usize, ppm: u64) {
         self.vms[vm].clock_rate_ppm = ppm;
     }
-
-    /// Plans a list of the VMs that run now.
-    fn publish_list(&mut self) {
-        let running = self.vms.iter().filter(|vm| vm.control.is_some());
-        let list: Vec<_> = running.map(|vm| platform::status(&vm.name)).collect();
-        let at_us = self.now_us + self.platform.lag_us;
-        self.schedule(at_us, Event::VmList(list));
-    }
 }
 
 /// # Faults
@@ -468,62 +461,6 @@
             .iter()
             .position(|vm| vm.incarnation == call.incarnation)
     }
-
-    /// Sends a request to the store.
-    fn ask_store(&mut self, vm: usize, request: StoreRequest) {
-        let event = Event::Store {
-            vm,
-            incarnation: self.vms[vm].incarnation,
-            sent_us: self.local_us(vm),
-            request,
-            is_late: false,
-        };
-        let delay_us = self.random.between(1_000, 4_000);
-        self.schedule(self.now_us + delay_us, event);
-    }
-
-    /// Lets the store handle a request and sends its answer back.
-    fn answer_store(
-        &mut self,
-        vm: usize,
-        incarnation: Incarnation,
-        sent_us: u64,
-        request: StoreRequest,
-        is_late: bool,
-    ) {
-        if !is_late && self.random.per_mille(self.store.late_per_mille) {
-            let at_us = self.now_us + self.random.between(1, self.store.latest_us);
-            let late = Event::Store {
-                vm,
-                incarnation,
-                sent_us,
-                request,
-                is_late: true,
-            };
-            self.schedule(at_us, late);
-            let event = Event::Input {
-                vm,
-                incarnation,
-                input: Box::new(Input::Store(StoreEvent::Unavailable)),
-            };
-            self.schedule(self.now_us + self.store.timeout_us, event);
-            return;
-        }
-        let answer = self.store.handle(vm, request, sent_us, &mut self.random);
-        if is_late {
-            return;
-        }
-        let delay_us = match answer {
-            StoreEvent::Unavailable => self.store.timeout_us,
-            _ => self.random.between(1_000, 4_000),
-        };
-        let event = Event::Input {
-            vm,
-            incarnation,
-            input: Box::new(Input::Store(answer)),
-        };
-        self.schedule(self.now_us + delay_us, event);
-    }
 }
 
 /// # Events
@@ -554,46 +491,9 @@
         self.numbers.get(vm).copied()
     }
 
-    /// Returns the tables of a VM.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the VM is crashed.
-    pub fn tables(&self, vm: usize) -> &Tables {
-        self.control(vm).expect("VM runs").tables()
-    }
-
-    /// Returns whether a VM runs and has a valid lease.
-    pub fn has_lease(&self, vm: usize) -> bool {
-        let now_us = self.local_us(vm);
-        self.control(vm)
-            .is_some_and(|control| control.tables().lease.is_valid(now_us))
-    }
-
-    /// Returns the numbers of the writers in the view of a VM.
-    pub fn writers(&self, vm: usize) -> Vec<usize> {
-        let writers = &self.tables(vm).view.writers;
-        writers.iter().filter_map(|name| self.index(name)).collect()
-    }
-
-    /// Returns the number of VMs, crashed ones included.
-    pub fn len(&self) -> usize {
-        self.vms.len()
-    }
-
-    /// Returns whether the mesh has no VMs.
-    pub fn is_empty(&self) -> bool {
-        self.vms.is_empty()
-    }
-
     /// Returns the present time on the clock of a VM.
     pub fn local_us(&self, vm: usize) -> u64 {
         let row = &self.vms[vm];
         self.now_us * row.clock_rate_ppm / 1_000_000 + row.clock_offset_us
     }
-
-    /// Returns the messages of a VM so far.
-    pub fn traffic(&self, vm: usize) -> Traffic {
-        self.vms[vm].traffic
-    }
 }
--- a/crates/testing/src/mesh/platform.rs
+++ b/crates/testing/src/mesh/platform.rs
@@ -3,6 +3,8 @@
 use knapweeddale_core::VmName;
 use knapweeddale_core::input::VmStatus;
 
+use super::{Event, Mesh};
+
 /// The platform's list of VMs, which lags.
 #[derive(Debug, Clone)]
 pub struct Platform {
@@ -29,3 +31,14 @@
         leaving: false,
     }
 }
+
+/// # Platform
+impl Mesh {
+    /// Plans a list of the VMs that run now.
+    pub(super) fn publish_list(&mut self) {
+        let running = self.vms.iter().filter(|vm| vm.control.is_some());
+        let list: Vec<_> = running.map(|vm| status(&vm.name)).collect();
+        let at_us = self.now_us + self.platform.lag_us;
+        self.schedule(at_us, Event::VmList(list));
+    }
+}
--- /dev/null
+++ b/crates/testing/src/mesh/reading.rs
@@ -0,0 +1,45 @@
+//! What tests read from a mesh.
+
+use knapweeddale_core::tables::Tables;
+
+use super::{Mesh, Traffic};
+
+/// # Reading
+impl Mesh {
+    /// Returns the tables of a VM.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the VM is crashed.
+    pub fn tables(&self, vm: usize) -> &Tables {
+        self.control(vm).expect("VM runs").tables()
+    }
+
+    /// Returns whether a VM runs and has a valid lease.
+    pub fn has_lease(&self, vm: usize) -> bool {
+        let now_us = self.local_us(vm);
+        self.control(vm)
+            .is_some_and(|control| control.tables().lease.is_valid(now_us))
+    }
+
+    /// Returns the numbers of the writers in the view of a VM.
+    pub fn writers(&self, vm: usize) -> Vec<usize> {
+        let writers = &self.tables(vm).view.writers;
+        writers.iter().filter_map(|name| self.index(name)).collect()
+    }
+
+    /// Returns the number of VMs, crashed ones included.
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Returns whether the mesh has no VMs.
+    pub fn is_empty(&self) -> bool {
+        self.vms.is_empty()
+    }
+
+    /// Returns the messages of a VM so far.
+    pub fn traffic(&self, vm: usize) -> Traffic {
+        self.vms[vm].traffic
+    }
+}
