Touch the view before the next one is written

Cause: a view that is sent as an outage begins and is not answered may be in force. It rules the writer's promises out, so all leases end until the store returns. The window was a touch interval: a member that had died 2 s before the outage was enough.

Change: a writer touches the present view first unless the store has answered within 100 ms. Members that the platform calls leaving are marked in the view and not chosen as writers.

Conclusion: the window is one answer of the store; the double fault in it stays open.

--- a/crates/core/src/systems/membership/platform.rs
+++ b/crates/core/src/systems/membership/platform.rs
@@ -23,6 +23,8 @@
 /// A VM that was never on the list is not gone: the list lags.
 pub(super) fn handle(tick: &mut Tick<'_>, vms: Vec<VmStatus>) {
     let platform = &mut tick.tables.membership.platform;
+    let leaving = vms.iter().filter(|status| status.leaving);
+    platform.leaving = leaving.map(|status| status.vm.clone()).collect();
     let listed: BTreeSet<VmName> = vms.into_iter().map(|status| status.vm).collect();
     platform.gone = platform.seen.difference(&listed).cloned().collect();
     platform.seen.extend(listed.iter().cloned());
--- a/crates/core/src/systems/membership/store.rs
+++ b/crates/core/src/systems/membership/store.rs
@@ -9,6 +9,13 @@
 /// The first pause after a request that was not answered.
 const MIN_PAUSE_US: u64 = 200_000;
 
+/// How recently the store must have answered before a writer sends it a view.
+///
+/// A view that may still be written rules promises out for the whole of an
+/// outage. A touch right before the view shortens the time in which an outage
+/// can begin unnoticed from the touch interval to one answer of the store.
+const FRESH_US: u64 = 100_000;
+
 /// The longest pause.
 const MAX_PAUSE_US: u64 = 10_000_000;
 
@@ -38,6 +45,7 @@
     let was_down = store.failures > 1;
     store.failures = 0;
     store.not_before_us = 0;
+    store.answered_us = Some(tick.now_us);
     if was_down {
         tick.decide(Decision::StoreAnswers);
     }
@@ -228,7 +236,10 @@
         return Some(found_or_read(tick));
     }
     let write = writing::proposal(tick);
-    let write = write.map(|proposal| (proposal.due_us, Wanted::Write(proposal.view)));
+    let write = write.map(|proposal| match touches_first(tick) {
+        true => (proposal.due_us, Wanted::Touch),
+        false => (proposal.due_us, Wanted::Write(proposal.view)),
+    });
     let touch = touch_due_us(tick).map(|due_us| (due_us, Wanted::Touch));
     let read = read_due_us(tick).map(|due_us| (due_us, Wanted::Read));
     // Of requests that are due, the first in this order is sent.
@@ -238,6 +249,17 @@
         .min_by_key(|(due_us, _)| (*due_us).max(now_us))
 }
 
+/// Returns whether a writer touches the view before it writes the next one.
+fn touches_first(tick: &Tick<'_>) -> bool {
+    let (settings, tables) = (tick.settings, &*tick.tables);
+    let store = &tables.membership.store;
+    let is_fresh = |at_us: u64| tick.now_us.saturating_sub(at_us) <= FRESH_US;
+    // A store that holds an older view is known to answer, and a touch would lose.
+    tables.view.is_writer_at(&settings.vm, settings.incarnation)
+        && !store.is_behind
+        && !store.answered_us.is_some_and(is_fresh)
+}
+
 /// Returns the request of a VM that knows no view.
 fn found_or_read(tick: &Tick<'_>) -> (u64, Wanted) {
     let membership = &tick.tables.membership;
--- a/crates/core/src/systems/membership/views.rs
+++ b/crates/core/src/systems/membership/views.rs
@@ -260,7 +260,5 @@
     membership
         .left
         .retain(|vm, _| membership.departed.contains_key(vm));
-    tables
-        .vms
-        .retain(|vm, row| row.heard_us > oldest_us || tables.view.member(vm).is_some());
+    tables.vms.retain(|_, row| row.heard_us > oldest_us);
 }
--- a/crates/core/src/systems/membership/writing.rs
+++ b/crates/core/src/systems/membership/writing.rs
@@ -75,6 +75,7 @@
         || !membership.suspects.is_empty()
         || !membership.leaving.is_empty()
         || !membership.platform.gone.is_empty()
+        || !membership.platform.leaving.is_empty()
 }
 
 /// Returns the first view of a fleet.
@@ -119,6 +120,9 @@
     if !is_draining && view.member_at(&settings.vm, settings.incarnation).is_none() {
         view.put(joining::entry(tick, view.epoch));
     }
+    for member in &mut view.members {
+        member.leaving = tables.membership.platform.leaving.contains(&member.vm);
+    }
     if view.members.is_empty()
         && let Some(last) = tables.view.member_at(&settings.vm, settings.incarnation)
     {
@@ -130,14 +134,16 @@
 }
 
 /// Keeps the writers that stay members and adds others, in different failure domains.
+///
+/// Members that the platform is about to take away are chosen last.
 fn choose_writers(view: &mut View, before: &View) {
     let members = &view.members;
     let stays = |vm: &VmName| {
         let incarnation = before.member(vm).map(|member| member.incarnation);
         incarnation.is_some_and(|incarnation| {
-            members
-                .iter()
-                .any(|member| member.vm == *vm && member.incarnation == incarnation)
+            members.iter().any(|member| {
+                member.vm == *vm && member.incarnation == incarnation && !member.leaving
+            })
         })
     };
     let mut writers = before.writers.clone();
@@ -152,7 +158,11 @@
             .filter(|member| !writers.contains(&member.vm))
             .max_by_key(|member| {
                 let is_apart = Some(&member.failure_domain) != domain;
-                (is_apart, hash_name(member.vm.as_str(), WRITERS))
+                (
+                    !member.leaving,
+                    is_apart,
+                    hash_name(member.vm.as_str(), WRITERS),
+                )
             });
         let Some(next) = next else {
             break;
--- a/crates/core/src/tables/membership.rs
+++ b/crates/core/src/tables/membership.rs
@@ -109,6 +109,8 @@
     pub listed: Option<BTreeSet<VmName>>,
     /// VMs that have been on the list.
     pub seen: BTreeSet<VmName>,
+    /// VMs that the list calls leaving.
+    pub leaving: BTreeSet<VmName>,
     /// VMs that have been on the list and are no longer.
     pub gone: BTreeSet<VmName>,
 }
@@ -136,6 +138,8 @@
     pub lonely_reads: u32,
     /// When a VM that is cut off reads again.
     pub lonely_until_us: u64,
+    /// When the store last answered.
+    pub answered_us: Option<u64>,
     /// When the last update that succeeded was sent.
     pub updated_us: Option<u64>,
     /// When the last touch was sent, unless it has to be repeated.
--- a/crates/core/tests/store_outage.rs
+++ b/crates/core/tests/store_outage.rs
@@ -1,5 +1,6 @@
 //! Guards against an outage of the store that stops the fleet, or is followed by a rush of requests.
 
+use knapweeddale_core::tables::RequestKind;
 use knapweeddale_core::{Decision, FleetConfig, Revision};
 use knapweeddale_testing::mesh::{Mesh, TraceEvent};
 use knapweeddale_testing::{invariants, run_sampled, sample_accounts, seeds};
@@ -69,6 +70,26 @@
     }
 }
 
+#[test]
+fn removal_wanted_as_outage_begins() {
+    for seed in seeds() {
+        for delay_ms in [1_700, 2_000, 2_200, 2_400] {
+            let mut mesh = mesh(seed);
+            let writers = mesh.writers(0);
+            let dead = (0..8).find(|vm| !writers.contains(vm)).expect("a member");
+            mesh.crash(dead);
+            mesh.run_ms(delay_ms);
+            mesh.store.is_down = true;
+            for _ in 0..200 {
+                run_sampled(&mut mesh, 100, seed);
+                for vm in (0..8).filter(|vm| *vm != dead) {
+                    assert!(mesh.has_lease(vm), "seed {seed}, {delay_ms} ms: VM {vm}");
+                }
+            }
+        }
+    }
+}
+
 #[test]
 fn writers_die_meanwhile() {
     for seed in seeds() {
@@ -170,3 +191,70 @@
         }
     }
 }
+
+#[test]
+fn promises_are_kept() {
+    for seed in seeds() {
+        let mut mesh = mesh(seed);
+        let writers = mesh.writers(0);
+        let dead = (0..8).find(|vm| !writers.contains(vm)).expect("a member");
+        mesh.store.is_down = true;
+        run_sampled(&mut mesh, 6_000, seed);
+        mesh.crash(dead);
+        run_sampled(&mut mesh, 8_000, seed);
+        mesh.store.is_down = false;
+        let mut writes = 0;
+        for _ in 0..20_000 {
+            mesh.run_ms(1);
+            for &vm in &writers {
+                let membership = &mesh.tables(vm).membership;
+                let pending = membership.store.pending;
+                if pending.is_some_and(|pending| pending.kind == RequestKind::Write) {
+                    writes += 1;
+                    let until_us = membership.promised_until_us;
+                    assert!(until_us <= mesh.local_us(vm), "seed {seed}: VM {vm}");
+                }
+            }
+        }
+        assert!(writes > 0, "seed {seed}: no view written");
+        run_sampled(&mut mesh, 8_000, seed);
+    }
+}
+
+#[test]
+fn unanswered_write_rules_promises_out() {
+    for seed in seeds() {
+        let mut mesh = mesh(seed);
+        let writers = mesh.writers(0);
+        let dead = (0..8).find(|vm| !writers.contains(vm)).expect("a member");
+        let epoch = mesh.tables(writers[0]).view.epoch;
+        mesh.crash(dead);
+        // The write takes effect, its answer is lost, and the outage begins.
+        for _ in 0..60_000 {
+            mesh.run_until(mesh.now_us() + 100);
+            let pending = mesh.tables(writers[0]).membership.store.pending;
+            if pending.is_some_and(|pending| pending.kind == RequestKind::Write) {
+                mesh.store.lost_answers_per_mille = 1_000;
+            }
+            let stored = mesh.store.stored.as_ref().expect("view is stored");
+            if stored.view.epoch > epoch {
+                break;
+            }
+        }
+        let known = mesh.tables(writers[0]).view.epoch;
+        assert_eq!(known, epoch, "seed {seed}: answer came");
+        mesh.store.is_down = true;
+        mesh.store.lost_answers_per_mille = 0;
+        run_sampled(&mut mesh, 4_000, seed);
+        for _ in 0..200 {
+            run_sampled(&mut mesh, 100, seed);
+            assert!((0..8).all(|vm| !mesh.has_lease(vm)), "seed {seed}");
+        }
+        mesh.store.is_down = false;
+        run_sampled(&mut mesh, 20_000, seed);
+        for vm in (0..8).filter(|vm| *vm != dead) {
+            assert!(mesh.has_lease(vm), "seed {seed}: VM {vm} without lease");
+            assert!(mesh.tables(vm).view.epoch > epoch, "seed {seed}: VM {vm}");
+        }
+    }
+}
