Add callers, invariants of programs and a test of faults

Cause: nothing drove whole programs through faults. Change: callers with resends, permits and sub-agents; invariants program_order, history_intact, budget_holds, memory_released and answer_matches_request; a test with one fault at a time. A kept response comes with the state of its home, a validity that ends is not extended in a loop, and a VM that has left refuses turns at once.

--- a/crates/core/src/message/homes.rs
+++ b/crates/core/src/message/homes.rs
@@ -31,6 +31,10 @@
         vm: VmName,
         /// The call that ran.
         original: CallId,
+        /// The state that the caller carries to the next turn.
+        continuation: Box<Continuation>,
+        /// The permit for a next turn that may not be repeated.
+        permit: Option<Box<Permit>>,
     },
     /// Reports the end of a turn.
     Settle(Box<Settle>),
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -35,6 +35,12 @@
         vm: VmName,
         /// The call that ran.
         original: CallId,
+        /// The state that the caller carries to the next turn, in place of that of the response.
+        ///
+        /// The kept response has none if the home did not confirm the turn in time.
+        continuation: Box<Continuation>,
+        /// The permit for a next turn that may not be repeated.
+        permit: Option<Box<Permit>>,
     },
     /// Answer a request for a permit.
     PermitIssued {
--- a/crates/core/src/systems/homes/entry.rs
+++ b/crates/core/src/systems/homes/entry.rs
@@ -10,22 +10,33 @@
 /// Longest time between two sends of a `Begin`.
 const BEGIN_RETRY_MS: u64 = 1_000;
 
+/// Shortest time between two extensions of a validity.
+///
+/// Half of a validity that is about to end is no time at all, and a home on this VM answers at once.
+const MIN_EXTEND_US: u64 = 20_000;
+
 /// Asks the home to let a turn begin, or to extend the validity of its start.
 ///
 /// Nothing is sent without a valid lease; the timer tries again.
 pub(super) fn begin(tick: &mut Tick<'_>, id: CallId) {
     let now_us = tick.now_us;
     let has_lease = tick.tables.lease.is_valid(now_us);
+    let has_left = tick.tables.membership.departure.removed_us.is_some();
     let Some(call) = tick.tables.calls.get_mut(&id) else {
         return;
     };
     if call.stage == Stage::Home && call.begin_tries == 0 {
         call.home_give_up_us = now_us + HOME_WAIT_MS * 1_000;
     }
-    if call.stage == Stage::Home && now_us >= call.home_give_up_us {
+    let refusal = match call.stage {
+        // No home accepts turns of a VM that has left the fleet.
+        Stage::Home if has_left => Some(RefusalKind::Draining),
+        Stage::Home if now_us >= call.home_give_up_us => Some(RefusalKind::HomeMoving),
+        _ => None,
+    };
+    if let Some(kind) = refusal {
         let retry_after_ms = Some(MOVING_RETRY_MS);
-        let (kind, ran) = (RefusalKind::HomeMoving, Execution::NotRun);
-        admission::refuse(tick, id, kind, ran, retry_after_ms);
+        admission::refuse(tick, id, kind, Execution::NotRun, retry_after_ms);
         return;
     }
     call.begin_tries += 1;
@@ -96,7 +107,7 @@
     let valid_until_us = began.sent_us.saturating_add(began.valid_us);
     let valid_until_us = valid_until_us.min(lease_until_us);
     if valid_until_us <= now_us {
-        plan_retry(tick, id, 20_000);
+        plan_retry(tick, id, MIN_EXTEND_US);
         return;
     }
     let has_to_move = call.stage == Stage::Home;
@@ -104,7 +115,8 @@
     call.valid_until_us = valid_until_us;
     call.begin_tries = 0;
     call.state = Some(Box::new(began.state.clone()));
-    plan_retry(tick, id, (valid_until_us - now_us) / 2);
+    let wait_us = (valid_until_us - now_us) / 2;
+    plan_retry(tick, id, wait_us.max(MIN_EXTEND_US));
     witness::note(tick, began.state);
     if has_to_move {
         admission::enter(tick, id, Stage::Place);
@@ -174,16 +186,10 @@
 }
 
 /// Answers a resent call with a kept response.
-pub(super) fn kept(tick: &mut Tick<'_>, id: CallId, vm: VmName, original: CallId) {
-    let Some(call) = tick.tables.calls.get(&id) else {
-        return;
-    };
-    if call.stage == Stage::Home {
+pub(super) fn kept(tick: &mut Tick<'_>, replay: Output, id: CallId) {
+    let call = tick.tables.calls.get(&id);
+    if call.is_some_and(|call| call.stage == Stage::Home) {
         tick.tables.calls.remove(&id);
-        tick.outputs.push(Output::Replay {
-            call: id,
-            vm,
-            original,
-        });
+        tick.outputs.push(replay);
     }
 }
--- a/crates/core/src/systems/homes/home.rs
+++ b/crates/core/src/systems/homes/home.rs
@@ -52,19 +52,28 @@
         Verdict::Kept {
             vm: keeper,
             original,
-        } => {
-            let call = begin.call;
-            let kept = HomesMessage::Kept {
-                call,
-                vm: keeper,
-                original,
-            };
-            tick.send(vm, kept);
-        }
+        } => reply_kept(tick, vm, &begin, keeper, original),
         Verdict::Deny(kind, ran) => deny(tick, vm, &begin, kind, ran, None),
     }
 }
 
+/// Tells the entry VM of a resend where the response is kept.
+fn reply_kept(tick: &mut Tick<'_>, vm: &VmName, begin: &Begin, keeper: VmName, original: CallId) {
+    let key = &begin.program;
+    let Some(state) = tree::state_of(tick, key) else {
+        return;
+    };
+    let permit = permits::issue(tick, key, begin.turn + 1);
+    let kept = HomesMessage::Kept {
+        call: begin.call,
+        vm: keeper,
+        original,
+        continuation: Box::new(state),
+        permit: permit.map(Box::new),
+    };
+    tick.send(vm, kept);
+}
+
 /// Refuses a turn.
 pub(super) fn deny(
     tick: &mut Tick<'_>,
--- a/crates/core/src/systems/homes/mod.rs
+++ b/crates/core/src/systems/homes/mod.rs
@@ -28,6 +28,7 @@
 use crate::ids::CallId;
 use crate::input::ProgramRequest;
 use crate::message::HomesMessage;
+use crate::output::Output;
 use crate::tables::{Release, Timer};
 
 /// How long an entry VM waits for the home of a program.
@@ -100,7 +101,23 @@
         HomesMessage::Began(began) => entry::began(tick, &sender.vm, *began),
         HomesMessage::Pending { call } => entry::pending(tick, call),
         HomesMessage::Denied(denied) => entry::denied(tick, denied),
-        HomesMessage::Kept { call, vm, original } => entry::kept(tick, call, vm, original),
+        HomesMessage::Kept {
+            call,
+            vm,
+            original,
+            continuation,
+            permit,
+        } => entry::kept(
+            tick,
+            Output::Replay {
+                call,
+                vm,
+                original,
+                continuation,
+                permit,
+            },
+            call,
+        ),
         HomesMessage::Settled {
             call,
             continuation,
--- a/crates/core/src/systems/homes/settles.rs
+++ b/crates/core/src/systems/homes/settles.rs
@@ -34,7 +34,8 @@
         turn,
         ran,
         used_tokens,
-        history,
+        // A plain call has no messages and leaves the history as it is.
+        history: history.filter(|_| call.pool.model.is_some()),
         upstreams,
     };
     let pending = PendingSettle {
--- /dev/null
+++ b/crates/core/tests/fault_mix.rs
@@ -0,0 +1,118 @@
+//! Guards against programs that break under faults of VMs and links, one fault at a time.
+
+use knapweeddale_testing::callers::{Callers, fleet};
+use knapweeddale_testing::mesh::Mesh;
+use knapweeddale_testing::{Random, invariants};
+use rstest::rstest;
+
+/// A fault that strikes while programs run.
+#[derive(Debug, Clone, Copy)]
+enum Fault {
+    None,
+    Lossy,
+    Pause,
+    Crash,
+    Restart,
+    TwoCrashes,
+    Partition,
+    Drain,
+}
+
+/// Returns the number of seeds; `KNAPWEEDDALE_SEEDS` sets it.
+fn seeds() -> u64 {
+    let seeds = std::env::var("KNAPWEEDDALE_SEEDS").ok();
+    seeds.and_then(|seeds| seeds.parse().ok()).unwrap_or(3)
+}
+
+/// Lets a fault strike and undoes it where VMs recover by themselves.
+fn strike(fault: Fault, mesh: &mut Mesh, callers: &mut Callers, random: &mut Random) {
+    let vm = random.below(mesh.len() as u64) as usize;
+    let other = (vm + 1) % mesh.len();
+    let pause_us = random.between(200_000, 8_000_000);
+    match fault {
+        Fault::None => {}
+        Fault::Lossy => {
+            mesh.faults.lost_per_mille = 100;
+            mesh.faults.doubled_per_mille = 100;
+            mesh.faults.max_delay_us = 100_000;
+            callers.run_ms(mesh, 10_000);
+            mesh.faults = Default::default();
+        }
+        Fault::Pause => mesh.pause(vm, pause_us),
+        Fault::Crash => mesh.crash(vm),
+        Fault::Restart => {
+            mesh.crash(vm);
+            callers.run_ms(mesh, random.between(20, 4_000));
+            mesh.restart(vm);
+        }
+        Fault::TwoCrashes => {
+            mesh.crash(vm);
+            callers.run_ms(mesh, random.between(20, 4_000));
+            mesh.crash(other);
+        }
+        Fault::Partition => {
+            let rest: Vec<usize> = (0..mesh.len()).filter(|row| *row != vm).collect();
+            mesh.partition(&[vm], &rest);
+            mesh.store.cut_off.insert(vm);
+            callers.run_ms(mesh, pause_us / 1_000);
+            mesh.heal();
+            mesh.store.cut_off.clear();
+        }
+        Fault::Drain => mesh.input(vm, knapweeddale_core::Input::Drain),
+    }
+}
+
+#[rstest]
+fn programs_survive(
+    #[values(
+        Fault::None,
+        Fault::Lossy,
+        Fault::Pause,
+        Fault::Crash,
+        Fault::Restart,
+        Fault::TwoCrashes,
+        Fault::Partition,
+        Fault::Drain
+    )]
+    fault: Fault,
+) {
+    let (mut worst, mut total) = (0.0f64, 0.0f64);
+    let mut unfinished = 0;
+    for seed in 0..seeds() {
+        let fleet = fleet(100_000, 130);
+        let mut mesh = Mesh::new(5, fleet.clone(), seed);
+        let mut callers = Callers::new(8, 8, seed);
+        let mut random = Random::new(seed ^ 0xfa17);
+        mesh.run_ms(1_500);
+        callers.run_ms(&mut mesh, random.between(200, 3_000));
+        strike(fault, &mut mesh, &mut callers, &mut random);
+        callers.run_ms(&mut mesh, 60_000);
+        let trace = &mesh.trace;
+        let checks = [
+            invariants::program_order(trace),
+            invariants::history_intact(trace),
+            invariants::budget_holds(trace, &fleet),
+            invariants::memory_released(&mesh),
+            invariants::at_most_once(trace),
+            invariants::refusal_is_true(trace),
+            invariants::charges_reconcile(trace),
+            invariants::answer_matches_request(trace),
+        ];
+        for check in checks {
+            check.unwrap_or_else(|broken| panic!("{fault:?}, seed {seed}: {broken}"));
+        }
+        let stuck = callers.stuck();
+        let may_stick = matches!(fault, Fault::TwoCrashes);
+        assert!(
+            may_stick || stuck.is_empty(),
+            "{fault:?}, seed {seed}: {stuck:?}"
+        );
+        unfinished += stuck.len();
+        worst = worst.max(callers.unknown_per_mille());
+        total += callers.unknown_per_mille();
+    }
+    let mean = total / seeds() as f64;
+    println!(
+        "{fault:?}: may_have_run {mean:.2} of 1,000 calls, worst seed {worst:.2}, {unfinished} programs stuck"
+    );
+}
--- /dev/null
+++ b/crates/testing/src/callers.rs
@@ -0,0 +1,456 @@
+//! Callers that drive programs through a mesh, as agents with retries do.
+
+use std::collections::{BTreeMap, HashMap};
+
+use knapweeddale_core::input::{Continuation, Permit};
+use knapweeddale_core::{
+    AccountConfig, AccountName, CallId, ContentDigest, EngineConfig, Execution, FleetConfig,
+    Incarnation, KeyConfig, KeyId, ModelName, NewCall, PresentedKey, ProgramKey, ProgramName,
+    ProgramRequest, ProgramRequestKind, ProgramTurn, RefusalKind, Revision, RouteConfig, Secret256,
+    ServiceConfig, ServiceKind, ServiceName, Target, UpstreamConfig, UpstreamName,
+};
+
+use crate::Random;
+use crate::mesh::{Mesh, TraceEvent};
+
+/// Time after which a caller gives a silent connection up and sends again.
+const SILENT_US: u64 = 25_000_000;
+
+/// Time until a caller notices that the VM of its call has died.
+const BROKEN_US: u64 = 200_000;
+
+/// The account of all callers.
+pub const ACCOUNT: &str = "norte";
+
+/// Returns one account, four engines, and a service with a route that may not be repeated.
+pub fn fleet(program_tokens: u64, program_turns: u32) -> FleetConfig {
+    let account = AccountConfig::builder()
+        .name(AccountName::from(ACCOUNT))
+        .rate_mcalls_per_s(100_000_000)
+        .burst_calls(100_000)
+        .program_tokens(program_tokens)
+        .program_turns(program_turns)
+        .keys(vec![KeyConfig {
+            id: KeyId::from("k1"),
+            sha256: Secret256([1; 32]),
+            withdrawn: false,
+        }])
+        .build();
+    let model = ModelName::from("small");
+    let upstream = |name: &str, models: &[ModelName]| {
+        UpstreamConfig::builder()
+            .name(UpstreamName::from(name))
+            .address(format!("127.0.0.1:{}", name.len()))
+            .models(models.to_vec())
+            .max_running_calls(64)
+            .build()
+    };
+    let engines = ["engine-1", "engine-2", "engine-3", "engine-4"];
+    let chat = ServiceConfig::builder()
+        .name(ServiceName::from("chat"))
+        .kind(ServiceKind::Engine(EngineConfig {
+            models: vec![model.clone()],
+            can_resume: false,
+        }))
+        .upstreams(
+            engines
+                .map(|name| upstream(name, &[model.clone()]))
+                .to_vec(),
+        )
+        .build();
+    let route = |prefix: &str, idempotent: bool| {
+        RouteConfig::builder()
+            .path_prefix(prefix.to_owned())
+            .idempotent(idempotent)
+            .build()
+    };
+    let pages = ServiceConfig::builder()
+        .name(ServiceName::from("pages"))
+        .kind(ServiceKind::Plain)
+        .upstreams(vec![upstream("pager-1", &[]), upstream("pager-2", &[])])
+        .routes(vec![route("/send", false), route("/status", true)])
+        .build();
+    FleetConfig {
+        revision: Revision(1),
+        accounts: vec![account],
+        services: vec![chat, pages],
+    }
+}
+
+/// Returns the key of a program of the callers.
+pub fn key_of(program: &str) -> ProgramKey {
+    ProgramKey {
+        account: AccountName::from(ACCOUNT),
+        name: ProgramName::from(program),
+    }
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A completion by a model.
+    Chat,
+    /// A request that may not be repeated.
+    Send,
+    /// A plain request that may be repeated.
+    Status,
+}
+
+/// Returns a call of a program.
+pub fn call(
+    kind: Kind,
+    program: &str,
+    turn: u32,
+    content: u64,
+    continuation: Option<&Continuation>,
+    permit: Option<&Permit>,
+) -> NewCall {
+    let plain = |path: &str| Target::Plain {
+        service: ServiceName::from("pages"),
+        method: "POST".to_owned(),
+        path: path.to_owned(),
+    };
+    let target = match kind {
+        Kind::Chat => Target::Model(ModelName::from("small")),
+        Kind::Send => plain("/send"),
+        Kind::Status => plain("/status"),
+    };
+    NewCall::builder()
+        .id(unset_id())
+        .key(presented_key())
+        .target(target)
+        .program(ProgramTurn {
+            name: ProgramName::from(program),
+            turn,
+            continuation: continuation.cloned(),
+        })
+        .maybe_permit(permit.cloned())
+        .prompt_tokens(100)
+        .max_tokens(20)
+        .digest(ContentDigest(u128::from(content).to_be_bytes()))
+        .build()
+}
+
+/// Returns a request about a program.
+pub fn request(
+    kind: ProgramRequestKind,
+    program: &str,
+    continuation: Option<&Continuation>,
+) -> ProgramRequest {
+    ProgramRequest::builder()
+        .id(unset_id())
+        .key(presented_key())
+        .program(ProgramName::from(program))
+        .maybe_continuation(continuation.cloned())
+        .kind(kind)
+        .build()
+}
+
+/// Returns the identity that the mesh replaces.
+fn unset_id() -> CallId {
+    CallId {
+        incarnation: Incarnation(0),
+        seq: 0,
+    }
+}
+
+/// Returns the key of the account.
+fn presented_key() -> PresentedKey {
+    PresentedKey {
+        id: KeyId::from("k1"),
+        sha256: Secret256([1; 32]),
+    }
+}
+
+/// A program and its caller.
+#[derive(Debug)]
+struct Agent {
+    program: String,
+    turn: u32,
+    continuation: Option<Continuation>,
+    permit: Option<Permit>,
+    kind: Kind,
+    content: u64,
+    sends: u32,
+    open: Vec<(CallId, usize, u64)>,
+    wait_until_us: u64,
+    end: Option<Result<(), RefusalKind>>,
+}
+
+/// Callers that drive programs through a mesh.
+///
+/// A caller sends a turn, waits, and sends it again when its VM dies, when
+/// the connection stays silent, or when it is told that the call did not run.
+/// It sends a request with a permit again only with that permit; when the
+/// outcome is unknown it asks for the status in the same turn.
+#[derive(Debug)]
+pub struct Callers {
+    agents: Vec<Agent>,
+    by_call: HashMap<CallId, usize>,
+    seen: usize,
+    turns: u32,
+    random: Random,
+    /// Calls sent twice at once, of 1,000.
+    pub doubled_per_mille: u64,
+    /// Calls by what their refusal said.
+    pub refused: BTreeMap<(RefusalKind, String), u64>,
+    /// Calls with a response.
+    pub answered: u64,
+    /// Calls sent.
+    pub sent: u64,
+}
+
+impl Callers {
+    /// Makes callers of root programs with two sub-agents each.
+    pub fn new(roots: usize, turns: u32, seed: u64) -> Self {
+        let names = (0..roots).flat_map(|number| {
+            let root = format!("tour-{seed}-{number}");
+            [root.clone(), format!("{root}/hall"), format!("{root}/bus")]
+        });
+        let mut random = Random::new(seed ^ 0x5eed);
+        let agents = names
+            .map(|program| Agent {
+                program,
+                turn: 1,
+                continuation: None,
+                permit: None,
+                kind: Kind::Chat,
+                content: random.bits(),
+                sends: 0,
+                open: Vec::new(),
+                wait_until_us: random.below(2_000_000),
+                end: None,
+            })
+            .collect();
+        Self {
+            agents,
+            by_call: HashMap::new(),
+            seen: 0,
+            turns,
+            random,
+            doubled_per_mille: 20,
+            refused: BTreeMap::new(),
+            answered: 0,
+            sent: 0,
+        }
+    }
+
+    /// Runs the mesh and the callers for a time.
+    pub fn run_ms(&mut self, mesh: &mut Mesh, ms: u64) {
+        for _ in 0..ms / 20 {
+            self.step(mesh);
+            mesh.run_ms(20);
+        }
+    }
+
+    /// Returns the programs that neither finished nor were told that they are over, with the
+    /// reason.
+    pub fn stuck(&self) -> Vec<String> {
+        let is_over = |kind: &RefusalKind| {
+            matches!(kind, RefusalKind::OverBudget | RefusalKind::ProgramEnded)
+        };
+        let stuck = self.agents.iter().filter(|agent| match &agent.end {
+            Some(Ok(())) => false,
+            Some(Err(kind)) => !is_over(kind),
+            None => true,
+        });
+        stuck.map(|agent| format!("{agent:?}")).collect()
+    }
+
+    /// Returns how many of 1,000 calls were refused as `may_have_run`.
+    pub fn unknown_per_mille(&self) -> f64 {
+        let is_unknown = |ran: &str| ran == Execution::MayHaveRun.to_string();
+        let unknown = self.refused.iter().filter(|((_, ran), _)| is_unknown(ran));
+        let unknown: u64 = unknown.map(|(_, count)| count).sum();
+        1_000.0 * unknown as f64 / self.sent.max(1) as f64
+    }
+
+    /// Takes the responses and sends what is due.
+    fn step(&mut self, mesh: &mut Mesh) {
+        while let Some((_, event)) = mesh.trace.events.get(self.seen) {
+            self.seen += 1;
+            self.take(mesh.now_us(), event.clone());
+        }
+        for at in 0..self.agents.len() {
+            self.drop_broken(mesh, at);
+            let agent = &self.agents[at];
+            if agent.end.is_none() && agent.open.is_empty() && agent.wait_until_us <= mesh.now_us()
+            {
+                self.send(mesh, at);
+            }
+        }
+    }
+
+    /// Handles an event of the trace.
+    fn take(&mut self, now_us: u64, event: TraceEvent) {
+        match event {
+            TraceEvent::Answered(answered) => {
+                self.answered(
+                    now_us,
+                    answered.call,
+                    answered.continuation,
+                    answered.permit,
+                );
+            }
+            TraceEvent::Replayed {
+                call,
+                continuation,
+                permit,
+                ..
+            } => self.answered(
+                now_us,
+                call,
+                Some(*continuation),
+                permit.map(|permit| *permit),
+            ),
+            TraceEvent::PermitIssued { request, permit } => {
+                if let Some(at) = self.close(request) {
+                    self.agents[at].permit = Some(*permit);
+                }
+            }
+            TraceEvent::ProgramEnded { request } => {
+                if let Some(at) = self.close(request) {
+                    self.agents[at].end = Some(Ok(()));
+                }
+            }
+            TraceEvent::Refused(refusal) => {
+                let key = (refusal.kind, refusal.ran.to_string());
+                *self.refused.entry(key).or_default() += 1;
+                if let Some(at) = self.close(refusal.call) {
+                    self.refused(now_us, at, refusal.kind, refusal.ran);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Removes a call from the open ones of its caller.
+    fn close(&mut self, call: CallId) -> Option<usize> {
+        let at = *self.by_call.get(&call)?;
+        let open = &mut self.agents[at].open;
+        let before = open.len();
+        open.retain(|(id, ..)| *id != call);
+        (open.len() < before).then_some(at)
+    }
+
+    /// Goes on to the next turn.
+    fn answered(
+        &mut self,
+        now_us: u64,
+        call: CallId,
+        continuation: Option<Continuation>,
+        permit: Option<Permit>,
+    ) {
+        let Some(at) = self.close(call) else {
+            return;
+        };
+        let (agent, random) = (&mut self.agents[at], &mut self.random);
+        let Some(continuation) = continuation else {
+            // The home did not confirm the turn in time; a resend gets the state.
+            agent.wait_until_us = now_us + 500_000;
+            return;
+        };
+        self.answered += 1;
+        agent.open.clear();
+        agent.turn = continuation.turn + 1;
+        agent.continuation = Some(continuation);
+        agent.permit = permit;
+        agent.kind = match random.below(10) {
+            0..6 => Kind::Chat,
+            6..9 => Kind::Send,
+            _ => Kind::Status,
+        };
+        agent.content = random.bits();
+        agent.sends = 0;
+        agent.wait_until_us = now_us + random.below(400_000);
+    }
+
+    /// Decides what to do about a refusal, unless another copy of the call is open.
+    fn refused(&mut self, now_us: u64, at: usize, kind: RefusalKind, ran: Execution) {
+        let agent = &mut self.agents[at];
+        agent.wait_until_us = now_us + 300_000;
+        if !agent.open.is_empty() {
+            return;
+        }
+        match kind {
+            RefusalKind::OverBudget
+            | RefusalKind::ProgramEnded
+            | RefusalKind::StaleContinuation
+            | RefusalKind::HistoryMismatch
+            | RefusalKind::ContinuationMissing => agent.end = Some(Err(kind)),
+            // A request that was never sent before, or certainly did not run, gets a new permit.
+            RefusalKind::PermitVoid if agent.sends <= 1 || ran == Execution::NotRun => {
+                agent.permit = None;
+                agent.sends = 0;
+            }
+            _ if agent.kind == Kind::Send && ran != Execution::NotRun => {
+                agent.kind = Kind::Status;
+                agent.content = self.random.bits();
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives up calls whose VM has died or that have been silent for long.
+    fn drop_broken(&mut self, mesh: &Mesh, at: usize) {
+        let now_us = mesh.now_us();
+        self.agents[at].open.retain(|(call, vm, sent_us)| {
+            let is_down = mesh.control(*vm).is_none() || mesh.incarnation(*vm) != call.incarnation;
+            let limit_us = if is_down { BROKEN_US } else { SILENT_US };
+            now_us < sent_us + limit_us
+        });
+    }
+
+    /// Sends the turn of a caller, or what it needs first.
+    fn send(&mut self, mesh: &mut Mesh, at: usize) {
+        let Some(vm) = self.pick(mesh) else {
+            return;
+        };
+        let agent = &self.agents[at];
+        let carried = agent.continuation.as_ref();
+        if agent.turn > self.turns {
+            let end = request(ProgramRequestKind::End, &agent.program, carried);
+            let id = mesh.program(vm, end);
+            return self.opened(mesh, at, vm, id);
+        }
+        let permit = agent.permit.as_ref().filter(|p| p.turn == agent.turn);
+        if agent.kind == Kind::Send && permit.is_none() {
+            let kind = ProgramRequestKind::Permit { turn: agent.turn };
+            let id = mesh.program(vm, request(kind, &agent.program, carried));
+            return self.opened(mesh, at, vm, id);
+        }
+        let permit = permit.filter(|_| agent.kind == Kind::Send);
+        let new = call(
+            agent.kind,
+            &agent.program,
+            agent.turn,
+            agent.content,
+            carried,
+            permit,
+        );
+        let copies = 1 + usize::from(self.random.per_mille(self.doubled_per_mille));
+        for copy in 0..copies {
+            let vm = if copy == 0 { Some(vm) } else { self.pick(mesh) };
+            if let Some(vm) = vm {
+                self.sent += 1;
+                self.agents[at].sends += 1;
+                let id = mesh.call(vm, new.clone());
+                self.opened(mesh, at, vm, id);
+            }
+        }
+    }
+
+    /// Remembers an open call.
+    fn opened(&mut self, mesh: &Mesh, at: usize, vm: usize, id: CallId) {
+        self.by_call.insert(id, at);
+        self.agents[at].open.push((id, vm, mesh.now_us()));
+    }
+
+    /// Picks a VM that runs.
+    fn pick(&mut self, mesh: &Mesh) -> Option<usize> {
+        let up: Vec<usize> = (0..mesh.len())
+            .filter(|vm| mesh.control(*vm).is_some())
+            .collect();
+        up.get(self.random.below(up.len() as u64) as usize).copied()
+    }
+}
--- /dev/null
+++ b/crates/testing/src/invariants/memory.rs
@@ -0,0 +1,90 @@
+//! Invariants of engine memory.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use knapweeddale_core::{Decision, ProgramKey, Target, UpstreamName};
+
+use crate::mesh::{Mesh, TraceEvent};
+
+/// No engine memory is held by programs that no longer exist.
+///
+/// Memory that a run left at an engine and that was not released since belongs
+/// to a program that a live VM keeps as its home, or to a release or a
+/// transfer in progress. Memory is exempt if the entry VM and the home of every
+/// run that left it have crashed: nobody who knew of it is left, and the engine
+/// drops it by itself.
+///
+/// # Errors
+///
+/// Returns the program and the engine that holds its memory.
+pub fn memory_released(mesh: &Mesh) -> Result<(), String> {
+    let mut held: BTreeSet<(&UpstreamName, &ProgramKey, u64)> = BTreeSet::new();
+    let mut homes = BTreeMap::new();
+    let mut runs = Vec::new();
+    let mut crashed = BTreeSet::new();
+    for (_, event) in &mesh.trace.events {
+        match event {
+            TraceEvent::Executed { vm, dispatch, call } => {
+                if let (Some((key, generation)), Target::Model(_)) =
+                    (&dispatch.program, &call.target)
+                {
+                    held.insert((&dispatch.upstream, key, *generation));
+                    runs.push((vm, call.id, (&dispatch.upstream, key, *generation)));
+                }
+            }
+            TraceEvent::Released {
+                upstream,
+                program,
+                generation,
+            } => {
+                held.remove(&(upstream, program, *generation));
+            }
+            TraceEvent::Crashed { vm } => {
+                crashed.insert(vm);
+            }
+            TraceEvent::Decided {
+                vm,
+                decision: Decision::TurnBegan { call, .. },
+            } => {
+                homes.insert(*call, vm);
+            }
+            _ => {}
+        }
+    }
+    let is_exempt = |memory: &(&UpstreamName, &ProgramKey, u64)| {
+        let is_lost = |vm, call| {
+            crashed.contains(vm) && homes.get(call).is_none_or(|home| crashed.contains(home))
+        };
+        let mut left_by = runs.iter().filter(|(.., other)| other == memory);
+        left_by.all(|(vm, call, _)| is_lost(*vm, call))
+    };
+    for memory in held {
+        let (upstream, program, generation) = memory;
+        if !is_exempt(&memory) && !is_known(mesh, upstream, program, generation) {
+            return Err(format!(
+                "{upstream} still holds {program} generation {generation}"
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Returns whether a live VM will release the memory of a program.
+fn is_known(mesh: &Mesh, upstream: &UpstreamName, program: &ProgramKey, generation: u64) -> bool {
+    let controls = (0..mesh.len()).filter_map(|vm| mesh.control(vm));
+    controls.into_iter().any(|control| {
+        let tables = control.tables();
+        let row = tables.programs.get(program);
+        let is_released = tables.homes.releases.iter().any(|(release, _)| {
+            release.upstream == *upstream
+                && release.program == *program
+                && release.generation == generation
+        });
+        is_released
+            || !tables.homes.transfers.is_empty()
+            || row.is_some_and(|row| {
+                let is_served = row.served.contains(upstream) || !row.unknown_pools.is_empty();
+                row.generation == generation && (is_served || row.current.is_some())
+            })
+    })
+}
--- a/crates/testing/src/invariants/mod.rs
+++ b/crates/testing/src/invariants/mod.rs
@@ -3,7 +3,11 @@
 //! Each function returns the first violation as text.
 
 mod calls;
+mod memory;
+mod programs;
 mod rates;
 
-pub use calls::{at_most_once, charges_reconcile, refusal_is_true};
+pub use calls::{answer_matches_request, at_most_once, charges_reconcile, refusal_is_true};
+pub use memory::memory_released;
+pub use programs::{budget_holds, history_intact, program_order};
 pub use rates::rate_and_burst;
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -1,6 +1,7 @@
 //! Test support for knapweeddale: a seeded exchange of messages between VMs in
 //! virtual time, invariants over its traces, and fakes of outside systems.
 
+pub mod callers;
 pub mod invariants;
 pub mod mesh;
 pub mod platform;
--- a/crates/testing/src/mesh/engine.rs
+++ b/crates/testing/src/mesh/engine.rs
@@ -4,7 +4,7 @@
 
 use knapweeddale_core::input::{AttemptOutcome, AttemptProgress, Failure};
 use knapweeddale_core::tables::Call;
-use knapweeddale_core::{AttemptId, ContentDigest, Dispatch, HistoryDigest, UpstreamName};
+use knapweeddale_core::{AttemptId, ContentDigest, Dispatch, HistoryDigest, NewCall, UpstreamName};
 
 /// How an upstream behaves.
 #[derive(Debug, Clone)]
@@ -37,6 +37,8 @@
     pub model: EngineModel,
     /// Contents that crash each upstream that runs them.
     pub poison: HashSet<ContentDigest>,
+    /// Upstreams that answer no releases of memory.
+    pub silent: HashSet<UpstreamName>,
     /// Crashes so far, by upstream.
     pub crashes: BTreeMap<UpstreamName, u64>,
     running: BTreeMap<UpstreamName, BTreeMap<AttemptId, u64>>,
@@ -44,6 +46,18 @@
     cancelled: HashSet<AttemptId>,
 }
 
+/// Returns the digest of the history that a call to a model leads to.
+pub fn history_after(call: &NewCall) -> HistoryDigest {
+    let program = call.program.as_ref();
+    let before = program.and_then(|program| program.continuation.as_ref());
+    let mut digest = before.map_or([0; 32], |before| before.history.0);
+    for (at, byte) in digest.iter_mut().enumerate() {
+        let added = call.digest.0[at % 16];
+        *byte = byte.wrapping_mul(31).wrapping_add(added).wrapping_add(7);
+    }
+    HistoryDigest(digest)
+}
+
 /// What running an attempt leads to.
 #[derive(Debug)]
 pub(super) struct Run {
@@ -87,7 +101,7 @@
             prompt_tokens: call.new.prompt_tokens,
             cached_tokens: 0,
             answer_tokens: call.new.max_tokens,
-            history: HistoryDigest::default(),
+            history: history_after(&call.new),
         };
         Run {
             executed: true,
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -10,7 +10,7 @@
 mod store;
 mod trace;
 
-pub use engine::{EngineModel, Engines};
+pub use engine::{EngineModel, Engines, history_after};
 pub use faults::Faults;
 pub use store::ViewStore;
 pub use trace::{Trace, TraceEvent};
@@ -20,7 +20,8 @@
 
 use knapweeddale_core::{
     AttemptEvent, CallId, Control, CoreSettings, Dispatch, FleetConfig, Incarnation, Input,
-    NewCall, Output, PeerMessage, StoreEvent, StoreRequest, VmName,
+    NewCall, Output, PeerMessage, ProgramKey, ProgramRequest, StoreEvent, StoreRequest,
+    UpstreamName, VmName,
 };
 
 use crate::Random;
@@ -71,6 +72,8 @@
     blocked: HashSet<(usize, usize)>,
     /// Faults of the links between VMs.
     pub faults: Faults,
+    /// Conditions with the number of messages between VMs that are lost to each.
+    pub lose_next: Vec<(fn(&PeerMessage) -> bool, u32)>,
     /// The store that holds the view.
     pub store: ViewStore,
     /// The upstreams.
@@ -118,6 +121,7 @@
             settings: Box::new(settings),
             blocked: HashSet::new(),
             faults: Faults::default(),
+            lose_next: Vec::new(),
             store: ViewStore::default(),
             engines: Engines::default(),
             trace: Trace::default(),
@@ -203,6 +207,21 @@
         id
     }
 
+    /// Sends a request about a program to a VM and returns its identity.
+    ///
+    /// The identity in `request` is replaced.
+    pub fn program(&mut self, vm: usize, mut request: ProgramRequest) -> CallId {
+        let row = &mut self.vms[vm];
+        row.next_call += 1;
+        request.id = CallId {
+            incarnation: row.incarnation,
+            seq: row.next_call,
+        };
+        let id = request.id;
+        self.deliver(vm, self.now_us, Input::Program(Box::new(request)));
+        id
+    }
+
     /// Hands an input to a VM at once.
     pub fn input(&mut self, vm: usize, input: Input) {
         self.deliver(vm, self.now_us, input);
@@ -323,6 +342,11 @@
             Output::Dispatch(dispatch) => self.dispatch(vm, dispatch),
             Output::CancelAttempt(attempt) => self.engines.cancel(attempt),
             Output::Store(request) => self.ask_store(vm, request),
+            Output::ReleaseMemory {
+                upstream,
+                program,
+                generation,
+            } => self.release(vm, upstream, program, generation),
             _ => {}
         }
     }
@@ -335,6 +359,14 @@
         if self.blocked.contains(&(from, to)) {
             return;
         }
+        let loses = |(is_lost, left): &mut (fn(&PeerMessage) -> bool, u32)| {
+            let is_hit = *left > 0 && is_lost(&message);
+            *left -= u32::from(is_hit);
+            is_hit
+        };
+        if self.lose_next.iter_mut().any(loses) {
+            return;
+        }
         for delay_us in self.faults.deliveries(&mut self.random) {
             let input = Input::Peer {
                 from: self.vms[from].name.clone(),
@@ -345,6 +377,32 @@
         }
     }
 
+    /// Lets an engine release memory and confirm it through the faults of the link.
+    fn release(&mut self, vm: usize, upstream: UpstreamName, program: ProgramKey, generation: u64) {
+        if self.is_silent(&upstream) {
+            return;
+        }
+        let released = TraceEvent::Released {
+            upstream: upstream.clone(),
+            program: program.clone(),
+            generation,
+        };
+        self.trace.push(self.now_us, released);
+        for delay_us in self.faults.deliveries(&mut self.random) {
+            let input = Input::ReleaseConfirmed {
+                upstream: upstream.clone(),
+                program: program.clone(),
+                generation,
+            };
+            self.deliver(vm, self.now_us + delay_us, input);
+        }
+    }
+
+    /// Returns whether an engine answers no releases.
+    fn is_silent(&self, upstream: &UpstreamName) -> bool {
+        self.engines.silent.contains(upstream)
+    }
+
     /// Runs an attempt on its upstream.
     fn dispatch(&mut self, vm: usize, dispatch: Dispatch) {
         let local_us = self.now_us + self.vms[vm].clock_offset_us;
@@ -438,6 +496,27 @@
         self.vms[vm].control.as_ref()
     }
 
+    /// Returns the present start of a VM.
+    pub fn incarnation(&self, vm: usize) -> Incarnation {
+        self.vms[vm].incarnation
+    }
+
+    /// Returns the number of VMs.
+    pub fn len(&self) -> usize {
+        self.vms.len()
+    }
+
+    /// Returns whether there are no VMs.
+    pub fn is_empty(&self) -> bool {
+        self.vms.is_empty()
+    }
+
+    /// Returns the home of a program in the view of a VM.
+    pub fn home_of(&self, vm: usize, program: &ProgramKey) -> Option<usize> {
+        let view = &self.control(vm)?.tables().view;
+        self.index(view.program_home(program)?)
+    }
+
     /// Returns the number of a VM.
     pub fn index(&self, vm: &VmName) -> Option<usize> {
         self.vms.iter().position(|row| row.name == *vm)
--- a/crates/testing/src/mesh/trace.rs
+++ b/crates/testing/src/mesh/trace.rs
@@ -1,7 +1,9 @@
 //! What happened in a mesh.
 
+use knapweeddale_core::input::{Continuation, Permit};
 use knapweeddale_core::{
-    AccountName, Answered, CallId, Charge, Decision, Dispatch, NewCall, Output, Refusal, VmName,
+    AccountName, Answered, CallId, Charge, Decision, Dispatch, NewCall, Output, ProgramKey,
+    Refusal, UpstreamName, VmName,
 };
 
 /// One event of a trace.
@@ -36,6 +38,40 @@
     Answered(Box<Answered>),
     /// A call was refused.
     Refused(Refusal),
+    /// A resent call was answered with the response to an earlier one.
+    Replayed {
+        /// The resent call.
+        call: CallId,
+        /// The VM that keeps the response.
+        vm: VmName,
+        /// The call that ran.
+        original: CallId,
+        /// The state that the caller carries to the next turn.
+        continuation: Box<Continuation>,
+        /// The permit for a next turn that may not be repeated.
+        permit: Option<Box<Permit>>,
+    },
+    /// A permit was issued.
+    PermitIssued {
+        /// The request.
+        request: CallId,
+        /// The permit.
+        permit: Box<Permit>,
+    },
+    /// A program was ended by its caller.
+    ProgramEnded {
+        /// The request.
+        request: CallId,
+    },
+    /// An engine released the memory of a program.
+    Released {
+        /// The engine.
+        upstream: UpstreamName,
+        /// The program.
+        program: ProgramKey,
+        /// Its generation.
+        generation: u64,
+    },
     /// A charge record was made.
     Charged(Charge),
     /// A VM crashed.
@@ -71,6 +107,24 @@
         let event = match output {
             Output::Answered(answered) => TraceEvent::Answered(answered.clone()),
             Output::Refused(refusal) => TraceEvent::Refused(refusal.clone()),
+            Output::Replay {
+                call,
+                vm,
+                original,
+                continuation,
+                permit,
+            } => TraceEvent::Replayed {
+                call: *call,
+                vm: vm.clone(),
+                original: *original,
+                continuation: continuation.clone(),
+                permit: permit.clone(),
+            },
+            Output::PermitIssued { request, permit } => TraceEvent::PermitIssued {
+                request: *request,
+                permit: permit.clone(),
+            },
+            Output::ProgramEnded { request } => TraceEvent::ProgramEnded { request: *request },
             Output::Charge(charge) => TraceEvent::Charged(charge.clone()),
             Output::Decision(Decision::Admitted { call, account, .. }) => TraceEvent::Admitted {
                 vm,
