Keep ended programs ended across homes

Change: homes remember the state of programs that are over for the time of a lease and tell new homes; permits count per process and belong to one row; a hand-over replaces a row only while the home still waits.

--- a/crates/core/src/input/call.rs
+++ b/crates/core/src/input/call.rs
@@ -106,8 +106,8 @@
     pub incarnation: Incarnation,
     /// The epoch in which it was issued.
     pub epoch: Epoch,
-    /// Counts the permits of the program at its home.
-    pub seq: u32,
+    /// Counts the permits of the home's process.
+    pub seq: u64,
 }
 
 /// A request of a caller about a program.
--- a/crates/core/src/systems/homes/home.rs
+++ b/crates/core/src/systems/homes/home.rs
@@ -105,7 +105,7 @@
     if let Err(kind) = budget::reserve(tick, key, begin.reserve_tokens) {
         let program = tick.tables.programs.get(key);
         let ran = program.map_or(Execution::NotRun, |program| {
-            order::earlier_run(program, begin)
+            order::earlier_run(tick, program, begin)
         });
         deny(tick, vm, begin, kind, ran, None);
         budget::close_if_used_up(tick, key);
--- a/crates/core/src/systems/homes/lifecycle.rs
+++ b/crates/core/src/systems/homes/lifecycle.rs
@@ -3,9 +3,10 @@
 use super::super::Tick;
 use super::{budget, release, takeover, tree, waits};
 use crate::ids::{CallId, ProgramKey, VmName};
+use crate::input::Continuation;
 use crate::message::{Denied, HomesMessage};
 use crate::output::{Decision, Execution, OverReason, RefusalKind};
-use crate::tables::{Phase, Timer};
+use crate::tables::{Phase, Timer, Tombstone};
 
 /// How long a request to end a program is remembered.
 ///
@@ -81,6 +82,7 @@
     }
     waits::recheck(tick, key);
     release::release_all(tick, key);
+    bury(tick, key);
     tree::remove(tick, key);
     let root_key = key.root();
     let root = tick.tables.programs.get(&root_key);
@@ -89,6 +91,31 @@
     }
 }
 
+/// Keeps the last state of a program that is over for the time of a lease.
+fn bury(tick: &mut Tick<'_>, key: &ProgramKey) {
+    let until_us = tick.now_us + tick.settings.program_lease_ms * 1_000;
+    if let Some(state) = tree::state_of(tick, key) {
+        let tombstone = Tombstone { state, until_us };
+        tick.tables.homes.over.insert(key.clone(), tombstone);
+        let timer = Timer::TombstoneForget(key.clone());
+        tick.tables.timers.set(until_us, timer);
+    }
+}
+
+/// Returns whether a continuation belongs to a program that is over.
+pub(super) fn is_over(tick: &Tick<'_>, key: &ProgramKey, carried: &Continuation) -> bool {
+    let tombstone = tick.tables.homes.over.get(key);
+    tombstone.is_some_and(|tombstone| tombstone.state.generation == carried.generation)
+}
+
+/// Forgets the last state of a program that is over.
+pub(super) fn forget(tick: &mut Tick<'_>, key: &ProgramKey) {
+    let over = &mut tick.tables.homes.over;
+    if over.get(key).is_some_and(|row| row.until_us <= tick.now_us) {
+        over.remove(key);
+    }
+}
+
 /// Ends a program that has had no calls for the time of its lease, or no time left.
 pub(super) fn lapse(tick: &mut Tick<'_>, key: &ProgramKey) {
     let Some(program) = tick.tables.programs.get(key) else {
--- a/crates/core/src/systems/homes/mod.rs
+++ b/crates/core/src/systems/homes/mod.rs
@@ -142,6 +142,7 @@
         Timer::TurnRetry(call) => entry::retry(tick, call),
         Timer::SettleRetry(call) => settles::send(tick, call),
         Timer::RequestRetry(request) => requests::send(tick, request),
+        Timer::TombstoneForget(program) => lifecycle::forget(tick, &program),
         Timer::WitnessForget(program) => witness::forget(tick, &program),
         Timer::TransferRetry(transfer) => transfers::send(tick, transfer),
         Timer::TurnWait(call) => waits::expire(tick, call),
--- a/crates/core/src/systems/homes/order.rs
+++ b/crates/core/src/systems/homes/order.rs
@@ -26,7 +26,7 @@
 
 /// Decides what happens to a call that asks for its turn.
 pub(super) fn judge(tick: &Tick<'_>, program: &Program, begin: &Begin) -> Verdict {
-    let ran = earlier_run(program, begin);
+    let ran = earlier_run(tick, program, begin);
     if let Some(current) = &program.current
         && current.call == begin.call
     {
@@ -68,7 +68,7 @@
         return Verdict::Deny(kind, Execution::MayHaveRun);
     };
     if last.digest != begin.digest {
-        return Verdict::Deny(kind, earlier_run(program, begin));
+        return Verdict::Deny(kind, earlier_run(tick, program, begin));
     }
     if is_kept(tick, last) {
         return Verdict::Kept {
@@ -89,7 +89,7 @@
 
 /// Decides about the turn that follows the last finished one.
 fn judge_next(tick: &Tick<'_>, program: &Program, begin: &Begin) -> Verdict {
-    let ran = earlier_run(program, begin);
+    let ran = earlier_run(tick, program, begin);
     if let Err(kind) = check_continuation(program, begin) {
         return Verdict::Deny(kind, ran);
     }
@@ -131,13 +131,13 @@
 /// A request that may be repeated is judged by this call alone. One with a
 /// permit may be a resend: "not run" needs a permit whose every use is known
 /// here and a turn that neither finished nor has an unknown outcome.
-pub(super) fn earlier_run(program: &Program, begin: &Begin) -> Execution {
+pub(super) fn earlier_run(tick: &Tick<'_>, program: &Program, begin: &Begin) -> Execution {
     let Some(permit) = &begin.permit else {
         return Execution::NotRun;
     };
     let is_known = permit.generation == program.generation
         && permit.turn == begin.turn
-        && permit.epoch >= program.known_from;
+        && (permits::is_own(tick, program, permit) || permit.epoch >= program.known_from);
     let is_unknown = program.unknown.is_some_and(|unknown| !unknown.idempotent);
     let is_running = program
         .current
--- a/crates/core/src/systems/homes/permits.rs
+++ b/crates/core/src/systems/homes/permits.rs
@@ -14,7 +14,9 @@
 /// once it has finished or its outcome is unknown no permit lets it begin.
 pub(super) fn issue(tick: &mut Tick<'_>, key: &ProgramKey, turn: u32) -> Option<Permit> {
     let program = tick.tables.programs.get_mut(key)?;
-    program.permit_seq += 1;
+    let homes = &mut tick.tables.homes;
+    homes.issued_permits += 1;
+    program.last_permit = homes.issued_permits;
     Some(Permit {
         program: key.clone(),
         generation: program.generation,
@@ -22,7 +24,7 @@
         home: tick.settings.vm.clone(),
         incarnation: tick.settings.incarnation,
         epoch: tick.tables.view.epoch,
-        seq: program.permit_seq,
+        seq: program.last_permit,
     })
 }
 
@@ -32,13 +34,18 @@
         permit.program == begin.program
             && permit.generation == program.generation
             && permit.turn == begin.turn
-            && permit.seq <= program.permit_seq
-            && permit.home == tick.settings.vm
-            && permit.incarnation == tick.settings.incarnation
-            && permit.epoch >= program.known_from
+            && is_own(tick, program, permit)
     })
 }
 
+/// Returns whether a permit was issued from the row of its program.
+pub(super) fn is_own(tick: &Tick<'_>, program: &Program, permit: &Permit) -> bool {
+    permit.home == tick.settings.vm
+        && permit.incarnation == tick.settings.incarnation
+        && permit.seq > program.before_permits
+        && permit.seq <= program.last_permit
+}
+
 /// Answers a request for a permit.
 pub(super) fn request(tick: &mut Tick<'_>, vm: &VmName, request: &PermitRequest) {
     let reply = match try_issue(tick, request) {
--- a/crates/core/src/systems/homes/resume.rs
+++ b/crates/core/src/systems/homes/resume.rs
@@ -1,7 +1,7 @@
 //! Rebuilds the rows of programs from what callers and entry VMs carry.
 
 use super::super::Tick;
-use super::{takeover, tree};
+use super::{lifecycle, takeover, tree};
 use crate::ids::ProgramKey;
 use crate::input::Continuation;
 use crate::output::{Decision, RefusalKind, TakeoverSource};
@@ -25,7 +25,9 @@
     match carried {
         Some(carried) if exists => forward(tick, key, carried, TakeoverSource::Continuation),
         Some(carried) => {
-            if takeover::was_home_since(tick, key, carried.epoch) {
+            if lifecycle::is_over(tick, key, carried)
+                || takeover::was_home_since(tick, key, carried.epoch)
+            {
                 return Err(RefusalKind::ProgramEnded);
             }
             rebuild(tick, key, carried, TakeoverSource::Continuation);
@@ -48,6 +50,8 @@
 ) {
     let mut row = tree::new_row(tick, key);
     row.is_recovered = true;
+    // Permits of this epoch may have been used with a row that was here before.
+    row.known_from = tick.tables.view.epoch.next();
     tree::insert(tick, key, row);
     forward(tick, key, state, source);
 }
--- a/crates/core/src/systems/homes/takeover.rs
+++ b/crates/core/src/systems/homes/takeover.rs
@@ -4,7 +4,7 @@
 
 use super::super::Tick;
 use super::{MOVING_RETRY_MS, home, release, transfers, tree, waits, witness};
-use crate::ids::{Epoch, Incarnation, ProgramKey, VmName};
+use crate::ids::{Epoch, Incarnation, ProgramKey, UpstreamName, VmName};
 use crate::message::{HandOver, HandedProgram, HomesMessage};
 use crate::output::{Decision, TakeoverSource};
 use crate::tables::{HandedOver, Program, Release, Timer, View};
@@ -133,7 +133,7 @@
 
 /// Marks a row that others may have moved on while this VM was no member.
 fn distrust(tick: &mut Tick<'_>, key: &ProgramKey) {
-    let epoch = tick.tables.view.epoch;
+    let epoch = tick.tables.view.epoch.next();
     if let Some(program) = tick.tables.programs.get_mut(key) {
         program.is_recovered = true;
         program.known_from = epoch;
@@ -354,16 +354,21 @@
 
 /// Puts the row of a handed-over program in place of one that was rebuilt.
 ///
-/// A row that has moved on since stays; it only learns the upstreams.
+/// A row with which this VM may already act, or that is newer, stays; it only
+/// learns what the handed-over one knows besides.
 fn install(tick: &mut Tick<'_>, handed: HandedProgram) {
     let HandedProgram { key, row, now_us } = handed;
     let is_waiting = check_home(tick, &key).is_err();
     let present = tick.tables.programs.get(&key);
-    if present.is_some_and(|present| !present.is_recovered) {
-        if present.is_some_and(|present| present.generation == row.generation) {
-            release::note(tick, &key, &row.served);
-        }
-        return;
+    let known: Vec<UpstreamName> = present
+        .filter(|present| present.generation == row.generation)
+        .map_or_else(Vec::new, |present| present.served.to_vec());
+    let stays = present.is_some_and(|present| {
+        let is_newer = present.generation == row.generation && present.turn > row.turn;
+        !is_waiting || !present.is_recovered || is_newer
+    });
+    if stays {
+        return merge(tick, &key, &row);
     }
     let mut row = rebase(row, now_us, tick.now_us);
     row.is_recovered |= !is_waiting;
@@ -375,6 +380,7 @@
         }
         None => tree::insert(tick, &key, row),
     }
+    release::note(tick, &key, &known);
     let turn = tick.tables.programs.get(&key).map_or(0, |row| row.turn);
     tick.decide(Decision::ProgramTakenOver {
         program: key.clone(),
@@ -384,6 +390,25 @@
     home::resume_turn(tick, &key);
 }
 
+/// Adds what a handed-over row knows to the row that stays.
+fn merge(tick: &mut Tick<'_>, key: &ProgramKey, handed: &Program) {
+    let Some(present) = tick.tables.programs.get_mut(key) else {
+        return;
+    };
+    if present.generation != handed.generation {
+        for upstream in &handed.served {
+            release::release(tick, upstream.clone(), key.clone(), handed.generation);
+        }
+        return;
+    }
+    let spent_tokens = &mut present.usage.spent_tokens;
+    *spent_tokens = (*spent_tokens).max(handed.usage.spent_tokens);
+    release::note(tick, key, &handed.served);
+    for pool in &handed.unknown_pools {
+        release::note_pool(tick, key, pool.clone());
+    }
+}
+
 /// Moves the times of a row to the clock of this VM and drops what only its old place had.
 fn rebase(mut row: Program, from_us: u64, to_us: u64) -> Program {
     let rebased = |at_us: u64| (at_us + to_us).saturating_sub(from_us);
@@ -392,6 +417,9 @@
     if let Some(last) = &mut row.last {
         last.ended_us = rebased(last.ended_us);
     }
+    // Permits of the old home are void here.
+    row.before_permits = 0;
+    row.last_permit = 0;
     row.first_wait = None;
     row.links = Default::default();
     row
--- a/crates/core/src/systems/homes/tree.rs
+++ b/crates/core/src/systems/homes/tree.rs
@@ -24,7 +24,8 @@
     Program {
         generation,
         turn: 0,
-        permit_seq: 0,
+        before_permits: tick.tables.homes.issued_permits,
+        last_permit: 0,
         history: HistoryDigest::default(),
         phase: Phase::Open,
         is_recovered,
--- a/crates/core/src/systems/homes/waits.rs
+++ b/crates/core/src/systems/homes/waits.rs
@@ -88,7 +88,7 @@
     let key = &wait.begin.program;
     let program = tick.tables.programs.get(key);
     let ran = program.map_or(Execution::NotRun, |program| {
-        order::earlier_run(program, &wait.begin)
+        order::earlier_run(tick, program, &wait.begin)
     });
     let kind = RefusalKind::TurnOutOfOrder;
     home::deny(tick, &wait.vm, &wait.begin, kind, ran, None);
--- a/crates/core/src/systems/homes/witness.rs
+++ b/crates/core/src/systems/homes/witness.rs
@@ -86,7 +86,10 @@
 /// Sends the witnesses of programs whose home moved to the new homes.
 pub(super) fn push(tick: &mut Tick<'_>, old: &View, new: &View) {
     let mut by_home: BTreeMap<VmName, Vec<Witness>> = BTreeMap::new();
-    for witness in moved(tick, old, new) {
+    for witness in moved(tick, old, new)
+        .into_iter()
+        .chain(over(tick, old, new))
+    {
         if let Some(home) = new.program_home(&witness.state.program) {
             by_home.entry(home.clone()).or_default().push(witness);
         }
@@ -123,6 +126,20 @@
         .collect()
 }
 
+/// Returns witnesses for the ends of programs whose home moved away from this VM.
+fn over(tick: &Tick<'_>, old: &View, new: &View) -> Vec<Witness> {
+    let over = tick.tables.homes.over.iter();
+    over.filter(|(key, _)| takeover::home_in(old, key) != takeover::home_in(new, key))
+        .map(|(_, tombstone)| Witness {
+            state: tombstone.state.clone(),
+            upstreams: SmallVec::new(),
+            running: SmallVec::new(),
+            is_ended: true,
+            idle_ms: 0,
+        })
+        .collect()
+}
+
 /// Turns in progress at this entry VM with the upstreams that may run them.
 type RunningTurns = (SmallVec<[RunningTurn; 1]>, SmallVec<[UpstreamName; 4]>);
 
@@ -164,6 +181,11 @@
     tick.send(vm, HomesMessage::Received { transfer });
 }
 
+/// Returns whether a program without a row is known to be over.
+fn is_gone(tick: &Tick<'_>, key: &ProgramKey, state: &Continuation) -> bool {
+    lifecycle::is_over(tick, key, state) || takeover::was_home_since(tick, key, state.epoch)
+}
+
 /// Brings the row of a program up to a witness.
 fn take(tick: &mut Tick<'_>, vm: &VmName, witness: &Witness) {
     let (key, state) = (&witness.state.program, &witness.state);
@@ -172,15 +194,12 @@
     let source = TakeoverSource::Witness;
     if tick.tables.programs.contains_key(key) {
         resume::forward(tick, key, &state, source);
-    } else if takeover::was_home_since(tick, key, state.epoch) {
-        return;
-    } else {
+    } else if !is_gone(tick, key, &state) {
         resume::rebuild(tick, key, &state, source);
     }
-    let Some(program) = tick.tables.programs.get(key) else {
-        return;
-    };
-    if program.generation != state.generation {
+    let program = tick.tables.programs.get(key);
+    if program.is_none_or(|program| program.generation != state.generation) {
+        // The program is over, and the witness may know of memory that its home did not.
         for upstream in &witness.upstreams {
             release::release(tick, upstream.clone(), key.clone(), state.generation);
         }
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -15,6 +15,7 @@
             | Timer::SettleRetry(_)
             | Timer::RequestRetry(_)
             | Timer::EndedForget(_)
+            | Timer::TombstoneForget(_)
             | Timer::WitnessForget(_)
             | Timer::TransferRetry(_)
             | Timer::ReleaseRetry(_)
--- a/crates/core/src/tables/homes.rs
+++ b/crates/core/src/tables/homes.rs
@@ -7,6 +7,7 @@
 
 use super::{Table, View};
 use crate::ids::{CallId, Epoch, ProgramKey, UpstreamName, VmName};
+use crate::input::Continuation;
 use crate::message::{Begin, HomesMessage, Settle, Witness};
 
 /// What a VM keeps as home and as entry VM besides programs and calls.
@@ -20,6 +21,10 @@
     pub handed_over: Table<VmName, HandedOver>,
     /// Programs started here since the start of the process.
     pub started_programs: u64,
+    /// Permits issued here since the start of the process.
+    pub issued_permits: u64,
+    /// As home: the last states of programs that are over.
+    pub over: Table<ProgramKey, Tombstone>,
     /// As home: calls that wait for a turn.
     pub waits: Table<CallId, Wait>,
     /// As home: requests to end a program that were carried out.
@@ -49,6 +54,17 @@
     pub from_us: Option<u64>,
 }
 
+/// The last state of a program that is over.
+///
+/// Without it, a continuation that an earlier home signed would bring the program back.
+#[derive(Debug, Clone)]
+pub struct Tombstone {
+    /// The state.
+    pub state: Continuation,
+    /// When it need not be kept any longer.
+    pub until_us: u64,
+}
+
 /// A call that waits at the home for a turn.
 #[derive(Debug, Clone)]
 pub struct Wait {
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -22,7 +22,7 @@
 pub use bucket::{Bucket, NCALLS_PER_CALL};
 pub use call::{Call, Stage};
 pub use homes::{
-    HandedOver, Homes, KeptWitness, PendingSettle, ProgramAsk, Release, Transfer, Wait,
+    HandedOver, Homes, KeptWitness, PendingSettle, ProgramAsk, Release, Tombstone, Transfer, Wait,
 };
 pub use lease::Lease;
 pub use membership::{
--- a/crates/core/src/tables/program.rs
+++ b/crates/core/src/tables/program.rs
@@ -18,8 +18,10 @@
     pub generation: u64,
     /// The last finished turn.
     pub turn: u32,
-    /// The number of the last permit.
-    pub permit_seq: u32,
+    /// Permits of this VM with a higher number were issued from this row.
+    pub before_permits: u64,
+    /// The number of the last permit; 0 without one.
+    pub last_permit: u64,
     /// The digest of the history up to the last finished turn.
     pub history: HistoryDigest,
     /// Whether the program accepts turns.
@@ -145,7 +147,7 @@
     /// Returns whether no turn of the program has begun and no permit was issued.
     pub fn is_blank(&self) -> bool {
         self.turn == 0
-            && self.permit_seq == 0
+            && self.last_permit == 0
             && self.current.is_none()
             && self.unknown.is_none()
             && self.served.is_empty()
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -26,6 +26,8 @@
     RequestRetry(CallId),
     /// A request to end a program need not be remembered any longer.
     EndedForget(CallId),
+    /// The state of a program that is over need not be kept any longer.
+    TombstoneForget(ProgramKey),
     /// A witness need not be kept any longer.
     WitnessForget(ProgramKey),
     /// A transfer to a new home has to be sent again.
--- a/crates/testing/src/callers.rs
+++ b/crates/testing/src/callers.rs
@@ -54,7 +54,7 @@
         }))
         .upstreams(
             engines
-                .map(|name| upstream(name, &[model.clone()]))
+                .map(|name| upstream(name, std::slice::from_ref(&model)))
                 .to_vec(),
         )
         .build();
--- a/crates/testing/src/invariants/memory.rs
+++ b/crates/testing/src/invariants/memory.rs
@@ -10,7 +10,7 @@
 ///
 /// Memory that a run left at an engine and that was not released since belongs
 /// to a program that a live VM keeps as its home, or to a release or a
-/// transfer in progress. Memory is exempt if the entry VM and the home of every
+/// transfer in progress, or to a live entry VM whose view still names a dead home. Memory is exempt if the entry VM and the home of every
 /// run that left it have crashed: nobody who knew of it is left, and the engine
 /// drops it by itself.
 ///
@@ -80,7 +80,15 @@
                 && release.program == *program
                 && release.generation == generation
         });
+        let kept = tables.homes.witnesses.get(program);
+        let is_witnessed = kept.is_some_and(|kept| kept.witness.upstreams.contains(upstream));
+        let home = tables
+            .view
+            .program_home(program)
+            .and_then(|home| mesh.index(home));
+        let is_orphan = home.is_none_or(|home| mesh.control(home).is_none());
         is_released
+            || (is_witnessed && is_orphan)
             || !tables.homes.transfers.is_empty()
             || row.is_some_and(|row| {
                 let is_served = row.served.contains(upstream) || !row.unknown_pools.is_empty();
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -60,6 +60,9 @@
     next_call: u64,
 }
 
+/// A condition with the number of messages that are still lost to it.
+pub type LoseNext = (fn(&PeerMessage) -> bool, u32);
+
 /// Several VMs in one process.
 pub struct Mesh {
     vms: Vec<Vm>,
@@ -73,7 +76,7 @@
     /// Faults of the links between VMs.
     pub faults: Faults,
     /// Conditions with the number of messages between VMs that are lost to each.
-    pub lose_next: Vec<(fn(&PeerMessage) -> bool, u32)>,
+    pub lose_next: Vec<LoseNext>,
     /// The store that holds the view.
     pub store: ViewStore,
     /// The upstreams.
@@ -359,7 +362,7 @@
         if self.blocked.contains(&(from, to)) {
             return;
         }
-        let loses = |(is_lost, left): &mut (fn(&PeerMessage) -> bool, u32)| {
+        let loses = |(is_lost, left): &mut LoseNext| {
             let is_hit = *left > 0 && is_lost(&message);
             *left -= u32::from(is_hit);
             is_hit
--- a/crates/token/src/value.rs
+++ b/crates/token/src/value.rs
@@ -65,7 +65,8 @@
             .u32(self.turn)
             .text(self.home.as_str())
             .u64(self.incarnation.0)
-            .u64(self.epoch.0);
+            .u64(self.epoch.0)
+            .u64(self.seq);
     }
 
     fn decode(decoder: &mut Decoder<'_>) -> Result<Self, EncodingError> {
@@ -76,6 +77,7 @@
             home: VmName::from(decoder.text()?),
             incarnation: Incarnation(decoder.u64()?),
             epoch: Epoch(decoder.u64()?),
+            seq: decoder.u64()?,
         })
     }
 }
