--- a/crates/core/src/message/homes.rs
+++ b/crates/core/src/message/homes.rs
@@ -11,6 +11,7 @@
 
 /// A message between the entry VM of a call and the home of its program.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum HomesMessage {
     /// Asks the home to let a turn begin, or to extend the validity of its start.
     Begin(Box<Begin>),
@@ -107,6 +108,7 @@
 
 /// Asks the home to let a turn begin.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Begin {
     /// The call.
     pub call: CallId,
@@ -132,6 +134,7 @@
 
 /// Lets a turn begin.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Began {
     /// The call.
     pub call: CallId,
@@ -145,6 +148,7 @@
 
 /// Refuses a turn or a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Denied {
     /// The call.
     pub call: CallId,
@@ -158,6 +162,7 @@
 
 /// Reports the end of a turn.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Settle {
     /// The call.
     pub call: CallId,
@@ -177,6 +182,7 @@
 
 /// A turn in progress as its entry VM knows it.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct RunningTurn {
     /// The call that runs it.
     pub call: CallId,
@@ -194,6 +200,7 @@
 
 /// Asks for a permit.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct PermitRequest {
     /// The request.
     pub request: CallId,
@@ -207,6 +214,7 @@
 
 /// What an entry VM knows of a program that it served.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Witness {
     /// The state as the home last told it.
     pub state: Continuation,
@@ -222,6 +230,7 @@
 
 /// Carries programs from their old home to the new one.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct HandOver {
     /// Identifies the message at its sender.
     pub transfer: u64,
@@ -239,6 +248,7 @@
 
 /// A program on its way from its old home to the new one.
 #[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct HandedProgram {
     /// The program.
     pub key: ProgramKey,
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -1,4 +1,6 @@
 //! Messages between VMs, one enum for each system that handles them.
+//!
+//! Every type in a message derives the serde traits under the feature `serde`.
 
 mod config;
 mod homes;
@@ -12,13 +14,14 @@
     Settle, Witness,
 };
 pub use membership::{Heartbeat, HeartbeatAnswer, MembershipMessage};
-pub use placement::{Place, PlacementMessage};
+pub use placement::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
 pub use rates::RatesMessage;
 
 use derive_more::From;
 
 /// A message between two VMs.
 #[derive(Debug, Clone, PartialEq, Eq, From)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub enum PeerMessage {
     /// View, leases and failure suspicion.
     Membership(MembershipMessage),
--- a/crates/core/src/tables/membership.rs
+++ b/crates/core/src/tables/membership.rs
@@ -39,7 +39,7 @@
     /// VMs that said that they have handed everything over.
     pub left: BTreeMap<VmName, Incarnation>,
     /// Reports of silent members.
-    pub suspects: BTreeMap<VmName, Suspect>,
+    pub suspects: BTreeMap<VmName, Suspicion>,
     /// Since when a change of the view has been wanted.
     pub change_wanted_us: Option<u64>,
     /// The platform's list of VMs.
@@ -95,7 +95,7 @@
 
 /// Reports of a silent member.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Suspect {
+pub struct Suspicion {
     /// The start of its process that is silent.
     pub incarnation: Incarnation,
     /// Who reported it, and when last.
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -2,9 +2,13 @@
 //! virtual time, invariants over its traces, and fakes of outside systems.
 
 pub mod callers;
+pub mod fleet;
+pub mod http;
 pub mod invariants;
 pub mod mesh;
 pub mod platform;
 mod random;
+mod seeds;
 
 pub use random::Random;
+pub use seeds::{run_sampled, sample_accounts, seeds};
