--- a/crates/core/src/systems/homes/settles.rs
+++ b/crates/core/src/systems/homes/settles.rs
@@ -36,6 +36,7 @@
         turn,
         ran,
         used_tokens,
+        // A plain call has no messages and leaves the history as it is.
         history: history.filter(|_| call.pool.model.is_some()),
         upstreams,
     };
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -14,7 +14,7 @@
 mod trace;
 mod traffic;
 
-pub use engine::{EngineModel, Engines};
+pub use engine::{EngineModel, Engines, history_after};
 pub use faults::Faults;
 pub use platform::Platform;
 pub use store::ViewStore;
@@ -28,7 +28,8 @@
 use knapweeddale_core::input::VmStatus;
 use knapweeddale_core::{
     AttemptEvent, CallId, Control, CoreSettings, Dispatch, DomainName, FleetConfig, Incarnation,
-    Input, NewCall, Output, PeerMessage, StoreRequest, VmName,
+    Input, NewCall, Output, PeerMessage, ProgramKey, ProgramRequest, StoreRequest, UpstreamName,
+    VmName,
 };
 
 use crate::Random;
@@ -74,6 +75,9 @@
     next_call: u64,
 }
 
+/// A condition with the number of messages that are still lost to it.
+pub type LoseNext = (fn(&PeerMessage) -> bool, u32);
+
 /// Several VMs in one process.
 pub struct Mesh {
     vms: Vec<Vm>,
@@ -87,6 +91,8 @@
     blocked: HashSet<(usize, usize)>,
     /// Faults of the links between VMs.
     pub faults: Faults,
+    /// Conditions with the number of messages between VMs that are lost to each.
+    pub lose_next: Vec<LoseNext>,
     /// The store that holds the view.
     pub store: ViewStore,
     /// The platform's list of VMs.
@@ -154,6 +160,7 @@
             settings: Box::new(settings),
             blocked: HashSet::new(),
             faults: Faults::default(),
+            lose_next: Vec::new(),
             store: ViewStore::default(),
             platform: Platform::default(),
             engines: Engines::default(),
@@ -266,6 +273,21 @@
         id
     }
 
+    /// Sends a request about a program to a VM and returns its identity.
+    ///
+    /// The identity in `request` is replaced.
+    pub fn program(&mut self, vm: usize, mut request: ProgramRequest) -> CallId {
+        let row = &mut self.vms[vm];
+        row.next_call += 1;
+        request.id = CallId {
+            incarnation: row.incarnation,
+            seq: row.next_call,
+        };
+        let id = request.id;
+        self.deliver(vm, self.now_us, Input::Program(Box::new(request)));
+        id
+    }
+
     /// Hands an input to a VM at once.
     pub fn input(&mut self, vm: usize, input: Input) {
         self.deliver(vm, self.now_us, input);
@@ -399,6 +421,11 @@
             Output::Dispatch(dispatch) => self.dispatch(vm, dispatch),
             Output::CancelAttempt(attempt) => self.engines.cancel(attempt),
             Output::Store(request) => self.ask_store(vm, request),
+            Output::ReleaseMemory {
+                upstream,
+                program,
+                generation,
+            } => self.release(vm, upstream, program, generation),
             Output::Probe(upstream) => {
                 let state = self.engines.probe(self.now_us, &upstream);
                 let probed = Input::Probed { upstream, state };
@@ -419,6 +446,14 @@
         if self.blocked.contains(&(from, to)) {
             return;
         }
+        let loses = |(is_lost, left): &mut LoseNext| {
+            let is_hit = *left > 0 && is_lost(&message);
+            *left -= u32::from(is_hit);
+            is_hit
+        };
+        if self.lose_next.iter_mut().any(loses) {
+            return;
+        }
         for delay_us in self.faults.deliveries(&mut self.random) {
             let input = Input::Peer {
                 from: self.vms[from].name.clone(),
@@ -431,6 +466,32 @@
         }
     }
 
+    /// Lets an engine release memory and confirm it through the faults of the link.
+    fn release(&mut self, vm: usize, upstream: UpstreamName, program: ProgramKey, generation: u64) {
+        if self.is_silent(&upstream) {
+            return;
+        }
+        let released = TraceEvent::Released {
+            upstream: upstream.clone(),
+            program: program.clone(),
+            generation,
+        };
+        self.trace.push(self.now_us, released);
+        for delay_us in self.faults.deliveries(&mut self.random) {
+            let input = Input::ReleaseConfirmed {
+                upstream: upstream.clone(),
+                program: program.clone(),
+                generation,
+            };
+            self.deliver(vm, self.now_us + delay_us, input);
+        }
+    }
+
+    /// Returns whether an engine answers no releases.
+    fn is_silent(&self, upstream: &UpstreamName) -> bool {
+        self.engines.silent.contains(upstream)
+    }
+
     /// Runs an attempt on its upstream.
     fn dispatch(&mut self, vm: usize, dispatch: Dispatch) {
         let local_us = self.local_us(vm);
@@ -491,6 +552,17 @@
         self.vms[vm].control.as_ref()
     }
 
+    /// Returns the present start of a VM.
+    pub fn incarnation(&self, vm: usize) -> Incarnation {
+        self.vms[vm].incarnation
+    }
+
+    /// Returns the home of a program in the view of a VM.
+    pub fn home_of(&self, vm: usize, program: &ProgramKey) -> Option<usize> {
+        let view = &self.control(vm)?.tables().view;
+        self.index(view.program_home(program)?)
+    }
+
     /// Returns the number of a VM.
     pub fn index(&self, vm: &VmName) -> Option<usize> {
         self.numbers.get(vm).copied()
