--- a/crates/entry/src/front/open.rs
+++ b/crates/entry/src/front/open.rs
@@ -13,8 +13,8 @@
 use crate::control::{CallOutput, Message};
 
 /// Outputs that may wait for a call's task: a dispatch and a cancellation for
-/// each of three attempts, the end, and as many again to be safe.
-const CALL_OUTPUTS: usize = 16;
+/// each of the core's eight attempts, the end, and as many again to be safe.
+const CALL_OUTPUTS: usize = 32;
 
 impl<C: Clock> Shared<C> {
     /// Opens a call and waits for the start of its response.
--- a/crates/entry/src/front/respond.rs
+++ b/crates/entry/src/front/respond.rs
@@ -1,6 +1,7 @@
 //! Responses of the front end.
 
 use std::io::Cursor;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -9,9 +10,17 @@
 use rocket::response::stream::ByteStream;
 use rocket::response::{self, Responder, Response};
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::call::{InFlightGuard, Reply, ReplyPart};
 
+/// Silence after which a comment is sent. The server notices only when it
+/// writes that a caller has disconnected.
+const HEARTBEAT: Duration = Duration::from_secs(1);
+
+/// An event that clients ignore.
+const COMMENT: &[u8] = b": waiting\n\n";
+
 /// A response to a caller.
 pub(crate) enum Answer {
     /// A whole response.
@@ -57,7 +66,11 @@
     (mut parts, guard): (mpsc::Receiver<ReplyPart>, InFlightGuard),
 ) -> Option<(Bytes, (mpsc::Receiver<ReplyPart>, InFlightGuard))> {
     loop {
-        match parts.recv().await? {
+        let part = match timeout(HEARTBEAT, parts.recv()).await {
+            Ok(part) => part?,
+            Err(_) => ReplyPart::Chunk(Bytes::from_static(COMMENT)),
+        };
+        match part {
             ReplyPart::Chunk(chunk) => return Some((chunk, (parts, guard))),
             ReplyPart::Whole(reply) => return Some((reply.body, (parts, guard))),
             ReplyPart::Start => {}
--- /dev/null
+++ b/crates/entry/tests/caller_gone.rs
@@ -0,0 +1,31 @@
+//! Guards against engines that generate for a caller who has left.
+
+mod support;
+
+use knapweeddale_testing::http::EngineFault;
+use support::{KEY, Rig, ask, bearer, until};
+
+#[tokio::test]
+async fn attempt_is_cancelled() {
+    let rig = Rig::start().await;
+    let key = bearer(KEY);
+    rig.engine.handler().plan(EngineFault::GateAfter(2));
+    let headers = [("authorization", key.as_str())];
+    let mut response = rig
+        .complete(&headers, &ask(&[("user", "oslo")], true))
+        .await;
+    response.chunk().await.expect("the stream starts");
+    drop(response);
+    until(|| rig.engine.handler().cancelled() == 1).await;
+    let Rig {
+        daemon, platform, ..
+    } = rig;
+    daemon.stop().await;
+    let stored = platform.objects.with_prefix("charges/");
+    let records: String = stored
+        .iter()
+        .map(|(_, _, v)| String::from_utf8_lossy(v))
+        .collect();
+    assert!(records.contains(r#""outcome":"abandoned""#), "{records}");
+    assert!(records.contains(r#""answer_tokens":2"#), "{records}");
+}
--- a/crates/entry/tests/support/mod.rs
+++ b/crates/entry/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::path::PathBuf;
 
 use knapweeddale_config::{AccountFile, Document, KeyFile, ServiceFile, Settings};
-use knapweeddale_entry::{Daemon, MonotonicClock};
+use knapweeddale_entry::{Clock, Daemon, MonotonicClock};
 use knapweeddale_store::{CONFIG_KEY, HttpObjectApi, ObjectApi};
 use knapweeddale_testing::http::{EngineOptions, FakeEngine, FakePlain, FakeServer};
 use knapweeddale_testing::platform::Platform;
@@ -24,8 +24,8 @@
 pub const SECRET: &[u8] = b"a secret that all VMs of the fleet share";
 
 /// One VM with its surroundings.
-pub struct Rig {
-    pub daemon: Daemon<MonotonicClock>,
+pub struct Rig<C = MonotonicClock> {
+    pub daemon: Daemon<C>,
     pub platform: Platform,
     pub engine: FakeServer<FakeEngine>,
     pub plain: FakeServer<FakePlain>,
@@ -40,6 +40,13 @@
 
     /// Starts with changed settings and files.
     pub async fn with(change: impl FnOnce(&mut Settings, &mut Document)) -> Self {
+        Self::with_clock(MonotonicClock::start(), change).await
+    }
+}
+
+impl<C: Clock> Rig<C> {
+    /// Starts with a clock and changed settings and files.
+    pub async fn with_clock(clock: C, change: impl FnOnce(&mut Settings, &mut Document)) -> Self {
         let platform = Platform::start(0).await;
         let engine = FakeEngine::start(EngineOptions::default()).await;
         let engine = engine.expect("engine starts");
@@ -54,7 +61,7 @@
         publish(&platform, &document, 0).await;
         let api = HttpObjectApi::builder().base_url(&platform.url()).build();
         let api = api.expect("client of the platform");
-        let daemon = Daemon::start(settings, SECRET, api, MonotonicClock::start()).await;
+        let daemon = Daemon::start(settings, SECRET, api, clock).await;
         let daemon = daemon.expect("daemon starts");
         daemon.ready().await;
         Self {
@@ -114,6 +121,22 @@
     format!("Bearer {key}")
 }
 
+/// Adds a second engine to the service of the first.
+pub fn add_engine(document: &mut Document, engine: &FakeServer<FakeEngine>) {
+    let chat = &mut document.services[0];
+    let mut upstream = chat.upstreams[0].clone();
+    upstream.name = "engine-2".to_owned();
+    upstream.address = engine.address().to_string();
+    chat.upstreams.push(upstream);
+}
+
+/// Waits until something outside the VM has happened.
+pub async fn until(happened: impl Fn() -> bool) {
+    while !happened() {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
 /// Returns a body that asks for 4 tokens.
 pub fn ask(messages: &[(&str, &str)], stream: bool) -> Value {
     let messages: Vec<Value> = messages
--- a/crates/testing/src/http/plain.rs
+++ b/crates/testing/src/http/plain.rs
@@ -19,6 +19,14 @@
     heads: Vec<u8>,
     executions: BTreeMap<String, u64>,
     drop_next: bool,
+    hang_next: bool,
+}
+
+/// What becomes of a request after it ran.
+enum Ending {
+    Respond,
+    Drop,
+    Hang,
 }
 
 impl FakePlain {
@@ -51,26 +59,47 @@
         self.seen().drop_next = true;
     }
 
+    /// Runs the next request and keeps its connection open without a response.
+    pub fn hang_next(&self) {
+        self.seen().hang_next = true;
+    }
+
     fn seen(&self) -> MutexGuard<'_, Seen> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Counts a request; returns its count and whether to drop it.
-    fn count(&self, request: &Request) -> (u64, bool) {
+    /// Counts a request; returns its count and what becomes of it.
+    fn count(&self, request: &Request) -> (u64, Ending) {
         let id = request.header("x-request-id").unwrap_or_default();
         let mut seen = self.seen();
         seen.heads.extend(&request.head);
         let count = seen.executions.entry(id).or_default();
         *count += 1;
-        (*count, std::mem::take(&mut seen.drop_next))
+        let count = *count;
+        let ending = if std::mem::take(&mut seen.drop_next) {
+            Ending::Drop
+        } else if std::mem::take(&mut seen.hang_next) {
+            Ending::Hang
+        } else {
+            Ending::Respond
+        };
+        (count, ending)
     }
 }
 
 impl Handler for FakePlain {
     async fn handle(&self, request: Request, connection: &mut Connection) -> io::Result<()> {
-        let (count, is_dropped) = self.count(&request);
-        if is_dropped {
-            return Err(io::ErrorKind::ConnectionAborted.into());
+        if request.path == "/load" {
+            return connection.respond(404, "text/plain", b"").await;
+        }
+        let (count, ending) = self.count(&request);
+        match ending {
+            Ending::Respond => {}
+            Ending::Drop => return Err(io::ErrorKind::ConnectionAborted.into()),
+            Ending::Hang => {
+                connection.closed().await;
+                return Err(io::ErrorKind::TimedOut.into());
+            }
         }
         let echo = json!({
             "method": request.method,
--- a/crates/testing/src/http/server.rs
+++ b/crates/testing/src/http/server.rs
@@ -48,9 +48,12 @@
     }
 
     /// Breaks all connections and refuses new ones.
-    pub fn crash(&self) {
-        if let Some(listener) = self.slot().take() {
+    pub async fn crash(&self) {
+        let listener = self.slot().take();
+        if let Some(listener) = listener {
             listener.abort();
+            // The port is free only once the task has ended.
+            let _ = listener.await;
         }
     }
 
@@ -60,7 +63,7 @@
     ///
     /// Fails if the port has been taken meanwhile.
     pub async fn restart(&self) -> io::Result<()> {
-        self.crash();
+        self.crash().await;
         self.handler.restarted();
         self.listen(TcpListener::bind(self.address).await?);
         Ok(())
