--- a/crates/entry/src/front/routes.rs
+++ b/crates/entry/src/front/routes.rs
@@ -10,6 +10,7 @@
 use rocket::request::Request;
 use rocket::response::Responder;
 use rocket::route::{Handler, Outcome};
+use rocket::shield::Shield;
 use rocket::{Build, Config, Rocket, Route};
 use serde_json::json;
 
@@ -116,6 +117,8 @@
         routes.push(route(method, path, Endpoint::Service));
     }
     rocket::custom(config)
+        // The default headers concern browsers, which are no callers.
+        .attach(Shield::new())
         .mount("/", routes)
         .register("/", vec![Catcher::new(None, not_routed)])
 }
--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -2,8 +2,9 @@
 
 use derive_more::{Display, Error};
 use knapweeddale_config::LogFormat;
+use tracing::subscriber::{SetGlobalDefaultError, set_global_default};
 use tracing_subscriber::EnvFilter;
-use tracing_subscriber::util::{SubscriberInitExt, TryInitError};
+use tracing_subscriber::fmt::MakeWriter;
 
 /// The log cannot be set up.
 #[derive(Debug, Display, Error)]
@@ -20,7 +21,7 @@
     #[display("the log is set up already ({source}); set it up once")]
     Twice {
         /// The error of the log.
-        source: TryInitError,
+        source: SetGlobalDefaultError,
     },
 }
 
@@ -30,16 +31,31 @@
 ///
 /// Fails if the filter cannot be read or the process has a log already.
 pub fn init(format: LogFormat, filter: &str) -> Result<(), LogError> {
+    init_with(format, filter, std::io::stderr)
+}
+
+/// Writes the log of the process to a writer.
+///
+/// Records of the crate `log` are left out: the HTTP server writes whole
+/// requests there, and with them the keys of callers.
+///
+/// # Errors
+///
+/// Fails if the filter cannot be read or the process has a log already.
+pub fn init_with<W>(format: LogFormat, filter: &str, writer: W) -> Result<(), LogError>
+where
+    W: for<'a> MakeWriter<'a> + Send + Sync + 'static,
+{
     let parsed = EnvFilter::try_new(filter).map_err(|source| LogError::Filter {
         filter: filter.to_owned(),
         source,
     })?;
     let builder = tracing_subscriber::fmt()
         .with_env_filter(parsed)
-        .with_writer(std::io::stderr);
+        .with_writer(writer);
     let result = match format {
-        LogFormat::Text => builder.finish().try_init(),
-        LogFormat::Json => builder.json().finish().try_init(),
+        LogFormat::Text => set_global_default(builder.finish()),
+        LogFormat::Json => set_global_default(builder.json().finish()),
     };
     result.map_err(|source| LogError::Twice { source })
 }
--- a/crates/entry/tests/key_hygiene.rs
+++ b/crates/entry/tests/key_hygiene.rs
@@ -5,6 +5,8 @@
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 
+use knapweeddale_config::LogFormat;
+use knapweeddale_entry::logs;
 use support::{KEY, Rig, ask, bearer};
 
 /// A log that the test can read.
@@ -26,11 +28,8 @@
 async fn key_stays_here() {
     let log = Log::default();
     let writer = log.clone();
-    let subscriber = tracing_subscriber::fmt()
-        .with_max_level(tracing::Level::TRACE)
-        .with_writer(move || writer.clone())
-        .finish();
-    tracing::subscriber::set_global_default(subscriber).expect("the only log");
+    let log_init = logs::init_with(LogFormat::Text, "trace", move || writer.clone());
+    log_init.expect("the only log");
     let rig = Rig::start().await;
     let key = bearer(KEY);
     let cookie = format!("session={KEY}");
