--- a/crates/entry/src/logs.rs
+++ b/crates/entry/src/logs.rs
@@ -52,6 +52,9 @@
     })?;
     let builder = tracing_subscriber::fmt()
         .with_env_filter(parsed)
+        // Each line starts with the name of its part already.
+        .with_target(false)
+        .with_ansi(false)
         .with_writer(writer);
     let result = match format {
         LogFormat::Text => set_global_default(builder.finish()),
--- /dev/null
+++ b/crates/entry/tests/two_vms.rs
@@ -0,0 +1,88 @@
+//! Guards against programs that work only through the VM that is their home.
+
+mod support;
+
+use knapweeddale_entry::{Daemon, MonotonicClock};
+use knapweeddale_store::HttpObjectApi;
+use knapweeddale_testing::platform::VmRow;
+use serde_json::Value;
+use support::{KEY, Rig, SECRET, ask, bearer, settings};
+
+/// Starts a second VM beside that of a rig and waits until both know each other.
+async fn start_second(rig: &Rig) -> Daemon<MonotonicClock> {
+    let mut settings = settings(&rig.platform.url());
+    settings.vm = "vm-2".to_owned();
+    settings.failure_domain = "south".to_owned();
+    let api = HttpObjectApi::builder()
+        .base_url(&rig.platform.url())
+        .build();
+    let api = api.expect("client of the platform");
+    let second = Daemon::start(settings, SECRET, api, MonotonicClock::start()).await;
+    let second = second.expect("daemon starts");
+    let row = |vm: &str, daemon: &Daemon<MonotonicClock>| VmRow {
+        vm: vm.to_owned(),
+        address: daemon.peer_address().to_string(),
+        leaving: false,
+    };
+    let rows = vec![row("vm-1", &rig.daemon), row("vm-2", &second)];
+    rig.platform.objects.set_vms(rows);
+    second.ready().await;
+    while !rig.get("/metrics").await.contains("kwd_epoch 2") {
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    second
+}
+
+#[tokio::test]
+async fn turns_move_between_vms() {
+    let rig = Rig::start().await;
+    let second = start_second(&rig).await;
+    let url = format!("http://{}/v1/chat/completions", second.address());
+    let key = bearer(KEY);
+    // Homes are spread by hash, so that both VMs are home of some programs.
+    for number in 0..12 {
+        let program = format!("tour-{number}");
+        let request = format!("first-{number}");
+        let headers = |turn| {
+            vec![
+                ("authorization", key.as_str()),
+                ("kwd-program", program.as_str()),
+                ("kwd-turn", turn),
+                ("x-request-id", request.as_str()),
+            ]
+        };
+        let send = |headers: Vec<(&'static str, &str)>, body: &Value| {
+            let mut request = rig.client.post(&url).body(body.to_string());
+            for (name, value) in headers {
+                request = request.header(name, value);
+            }
+            request.send()
+        };
+        let body = ask(&[("user", "oslo")], false);
+        let first = rig.complete(&headers("1"), &body).await;
+        assert_eq!(first.status(), 200, "{program}");
+        let continuation = first.headers()["kwd-continuation"].clone();
+        let continuation = continuation.to_str().expect("text");
+        let first = first.text().await.expect("text");
+        let again = send(headers("1"), &body).await.expect("the VM answers");
+        assert_eq!(again.status(), 200, "{program}");
+        assert_eq!(
+            again.text().await.expect("text"),
+            first,
+            "the response is fetched"
+        );
+        assert_eq!(rig.engine.handler().executions(&request), 1);
+        let answer: Value = serde_json::from_str(&first).expect("JSON");
+        let answer = answer["choices"][0]["message"]["content"]
+            .as_str()
+            .expect("text");
+        let body = ask(
+            &[("user", "oslo"), ("assistant", answer), ("user", "bergen")],
+            false,
+        );
+        let mut carried = headers("2");
+        carried.push(("kwd-continuation", continuation));
+        let next = send(carried, &body).await.expect("the VM answers");
+        assert_eq!(next.status(), 200, "{program}");
+    }
+}
