Let queued calls outlive the lease of their home; compare policies in virtual time

Cause: a call that waited longer than the lease of its program's home was dispatched too late, failed as not sent, and its upstream was taken for one that refuses connections; under load a pool lost all its upstreams this way.

Change: only calls that may not be repeated are bound to the validity of Began; those go back to the home for another confirmation. An attempt that was too late says nothing against its upstream. The mesh has engines with continuous batching, a prefix cache and lagging load reports, and the policy report runs placement policies on the same programs.

--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -29,7 +29,8 @@
         answer_tokens: failure.answer_tokens(),
         ..AttemptOutcome::default()
     };
-    results::free_upstream(tick, attempt, result_of(&failure), &outcome);
+    let result = result_of(tick, attempt, &failure);
+    results::free_upstream(tick, attempt, result, &outcome);
     let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
     };
@@ -78,8 +79,12 @@
 }
 
 /// Returns how an attempt ended as far as its upstream is concerned.
-fn result_of(failure: &Failure) -> AttemptResult {
+fn result_of(tick: &Tick<'_>, attempt: AttemptId, failure: &Failure) -> AttemptResult {
+    let call = tick.tables.calls.get(&attempt.call);
+    let is_late = call.is_some_and(|call| tick.now_us >= call.valid_until_us);
     match failure {
+        // The attempt was not started in time, which says nothing against the upstream.
+        Failure::NotSent if is_late => AttemptResult::Unused,
         Failure::NotSent => AttemptResult::NotConnected,
         // A refusal of the request (4xx) says nothing against the upstream.
         Failure::RefusedByUpstream { status } if *status < 500 && *status != 429 => {
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -202,6 +202,12 @@
             unplaced(tick, attempt, RefusalKind::Quarantined);
             return;
         }
+        if call.is_some_and(|call| tick.now_us >= valid_until_us(call)) {
+            // The home has to confirm the turn again before the call may start.
+            free_unused(tick, pool, attempt, assignment.0);
+            admission::enter(tick, attempt.call, Stage::Home);
+            return;
+        }
         dispatch(tick, attempt, assignment);
         return;
     }
@@ -217,6 +223,18 @@
     }
 }
 
+/// Returns the time after which a call must not start.
+///
+/// A call that may run more than once may wait in a queue for longer than
+/// the lease of its home lasts.
+fn valid_until_us(call: &Call) -> u64 {
+    if call.idempotent {
+        u64::MAX
+    } else {
+        call.valid_until_us
+    }
+}
+
 /// Frees an upstream that was chosen for a call that no longer waits.
 fn free_unused(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId, upstream: UpstreamName) {
     let finish = Finish {
@@ -253,7 +271,7 @@
         attempt,
         upstream: upstream.clone(),
         address: row.address.clone(),
-        valid_until_us: call.valid_until_us,
+        valid_until_us: valid_until_us(call),
         first_token_ms: first_token_ms.unwrap_or(tick.settings.first_token_ms),
         token_gap_ms: token_gap_ms.unwrap_or(tick.settings.token_gap_ms),
         account: call.account.clone(),
--- a/crates/core/tests/pool_owner.rs
+++ b/crates/core/tests/pool_owner.rs
@@ -216,3 +216,31 @@
     mesh.run_ms(2_000);
     assert!(mesh.trace.answer(id).is_some());
 }
+
+#[test]
+fn long_wait_does_not_blame_upstreams() {
+    let mut mesh = Mesh::new(1, engine_fleet(1, 1, 1), 1);
+    mesh.run_ms(100);
+    let mut calls = Vec::new();
+    // The queue takes longer than the lease of the programs' home lasts.
+    for number in 0..5 {
+        let mut call = engine_call(0, number, 100, 400);
+        call.program = Some(knapweeddale_core::ProgramTurn {
+            name: knapweeddale_core::ProgramName::from(format!("tour-{number}")),
+            turn: 1,
+            continuation: None,
+        });
+        calls.push(mesh.call(0, call));
+    }
+    mesh.run_ms(15_000);
+    for id in calls {
+        assert!(mesh.trace.answer(id).is_some(), "{id}");
+    }
+    let (_, upstream) = control(&mesh, 0)
+        .tables()
+        .upstreams
+        .iter()
+        .next()
+        .expect("upstream");
+    assert_eq!(upstream.health.failures, 0);
+}
--- /dev/null
+++ b/crates/report/src/bin/policy_report.rs
@@ -0,0 +1,181 @@
+//! Compares placement policies on the same programs in virtual time.
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use bpaf::Bpaf;
+use knapweeddale_report::policy::{Measures, Outcome, Trial, Variant, Workload, run};
+
+/// Compares placement policies on the same programs in virtual time.
+#[derive(Debug, Clone, Bpaf)]
+#[bpaf(options)]
+struct Options {
+    /// Number of seeds.
+    #[bpaf(fallback(3))]
+    seeds: u64,
+    /// Arrival of programs per run, in seconds; the first sixth is not measured.
+    #[bpaf(fallback(600))]
+    seconds: u64,
+    /// Runs at the same time.
+    #[bpaf(fallback(4))]
+    threads: usize,
+    /// Only this load, in percent.
+    load: Option<u64>,
+    /// Only policies whose name contains this.
+    policy: Option<String>,
+    /// Programs per second that count as the capacity; measured when absent.
+    capacity: Option<f64>,
+    /// Print JSON instead of a table.
+    json: bool,
+}
+
+/// One run.
+struct Job {
+    load: usize,
+    variant: usize,
+    seed: u64,
+}
+
+fn main() {
+    let options = options().run();
+    let capacity = options.capacity.unwrap_or_else(|| capacity(&options));
+    let loads = options
+        .load
+        .map_or(vec![50, 80, 95, 120], |load| vec![load]);
+    let variants: Vec<Variant> = Variant::ALL
+        .iter()
+        .filter(|variant| match &options.policy {
+            Some(text) => variant.name.contains(text.as_str()),
+            None => true,
+        })
+        .copied()
+        .collect();
+    println!("capacity: {capacity:.3} programs per second");
+    let workloads: Vec<Vec<Workload>> = loads
+        .iter()
+        .map(|load| workloads(&options, capacity * *load as f64 / 100.0))
+        .collect();
+    let outcomes = run_all(&options, &variants, &workloads);
+    for (at, load) in loads.iter().enumerate() {
+        println!("\nload {load}%");
+        if !options.json {
+            println!(
+                "{:<28}{:>8}{:>8}{:>8}{:>8}{:>9}{:>10}{:>8}{:>9}{:>8}{:>7}{:>7}",
+                "policy",
+                "mean s",
+                "p50 s",
+                "p95 s",
+                "p99 s",
+                "wasted %",
+                "wasted Mt",
+                "worst",
+                "refused",
+                "calls",
+                "unfin.",
+                "limit"
+            );
+        }
+        for (number, variant) in variants.iter().enumerate() {
+            let runs: Vec<(&Workload, &Outcome)> = outcomes
+                .iter()
+                .filter(|(job, _)| job.load == at && job.variant == number)
+                .map(|(job, outcome)| (&workloads[at][job.seed as usize], outcome))
+                .collect();
+            print(&options, variant, &Measures::new(&runs));
+        }
+    }
+}
+
+/// Prints the figures of one policy.
+fn print(options: &Options, variant: &Variant, measures: &Measures) {
+    if options.json {
+        let text = serde_json::to_string(measures).unwrap_or_default();
+        println!("{}: {text}", variant.name);
+        return;
+    }
+    println!(
+        "{:<28}{:>8.2}{:>8.2}{:>8.2}{:>8.2}{:>9.2}{:>10.1}{:>8.3}{:>9}{:>8}{:>7}{:>7.1}",
+        variant.name,
+        measures.mean_s,
+        measures.p50_s,
+        measures.p95_s,
+        measures.p99_s,
+        measures.wasted_percent,
+        measures.wasted_tokens as f64 / 1e6,
+        measures.worst_share,
+        measures.refused_calls,
+        measures.calls,
+        measures.unfinished,
+        measures.mean_limit,
+    );
+}
+
+/// Makes the programs of each seed at a rate of arrival.
+fn workloads(options: &Options, programs_per_s: f64) -> Vec<Workload> {
+    let until_us = options.seconds * 1_000_000;
+    (0..options.seeds)
+        .map(|seed| Workload::new(seed + 1, programs_per_s, until_us / 6, until_us))
+        .collect()
+}
+
+/// Runs all policies with all workloads.
+fn run_all(
+    options: &Options,
+    variants: &[Variant],
+    workloads: &[Vec<Workload>],
+) -> Vec<(Job, Outcome)> {
+    let mut jobs = Vec::new();
+    for load in 0..workloads.len() {
+        for variant in 0..variants.len() {
+            jobs.extend((0..options.seeds).map(|seed| Job {
+                load,
+                variant,
+                seed,
+            }));
+        }
+    }
+    let next = AtomicUsize::new(0);
+    let done = Mutex::new(Vec::new());
+    std::thread::scope(|scope| {
+        for _ in 0..options.threads {
+            scope.spawn(|| {
+                while let Some(job) = jobs.get(next.fetch_add(1, Ordering::Relaxed)) {
+                    let outcome = run(&Trial {
+                        variant: variants[job.variant],
+                        workload: &workloads[job.load][job.seed as usize],
+                        seed: job.seed,
+                        drain_us: 1_800_000_000,
+                    });
+                    let job = Job { ..*job };
+                    if let Ok(mut done) = done.lock() {
+                        done.push((job, outcome));
+                    }
+                }
+            });
+        }
+    });
+    let mut done = done.into_inner().unwrap_or_default();
+    done.sort_by_key(|(job, _)| (job.load, job.variant, job.seed));
+    done
+}
+
+/// Measures the capacity: the highest rate of arrival, in steps of 5%, at
+/// which the baseline ends as much work as arrives.
+fn capacity(options: &Options) -> f64 {
+    let is_stable = |programs_per_s: f64| {
+        let until_us = options.seconds * 1_000_000;
+        let workload = Workload::new(1_000, programs_per_s, until_us / 6, until_us);
+        let outcome = run(&Trial {
+            variant: *Variant::BASELINE,
+            workload: &workload,
+            seed: 1,
+            drain_us: 300_000_000,
+        });
+        outcome.refused_calls == 0 && outcome.unfinished * 200 <= outcome.latencies_us.len() as u64
+    };
+    let mut rate = 0.5;
+    while is_stable(rate * 1.05) {
+        rate *= 1.05;
+    }
+    rate
+}
--- a/crates/report/src/lib.rs
+++ b/crates/report/src/lib.rs
@@ -1,1 +1,3 @@
 //! Policy reports and load generation for knapweeddale.
+
+pub mod policy;
--- /dev/null
+++ b/crates/report/src/policy/mod.rs
@@ -0,0 +1,11 @@
+//! The policy report: placement policies on the same programs in virtual time.
+
+mod measure;
+mod program;
+mod run;
+mod variant;
+
+pub use measure::{Measures, worst_share};
+pub use program::{Plan, TurnPlan, Workload};
+pub use run::{Outcome, Trial, engine_model, run};
+pub use variant::Variant;
--- /dev/null
+++ b/crates/report/src/policy/run.rs
@@ -0,0 +1,312 @@
+//! Runs a workload on a fleet in virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use knapweeddale_core::input::Continuation;
+use knapweeddale_core::{CallId, Charge, ContentDigest, CoreSettings, ProgramName, ProgramTurn};
+use knapweeddale_testing::fleet::{engine_call, engine_fleet};
+use knapweeddale_testing::mesh::{BatchModel, Mesh, TraceEvent};
+
+use super::program::{Plan, Workload};
+use super::variant::Variant;
+
+/// Engines of the fleet.
+const ENGINES: usize = 8;
+
+/// Highest limit of calls on an engine, as an operator would set it without measuring.
+const MAX_CALLS: u32 = 48;
+
+/// Accounts of the fleet.
+pub(super) const ACCOUNTS: usize = 8;
+
+/// Steps in which the virtual time passes; shorter than the shortest pause.
+const STEP_MS: u64 = 10;
+
+/// Time after a refusal until the caller sends the call again.
+const RESEND_US: u64 = 2_000_000;
+
+/// Longest response that callers allow; the scheduler does not know the real length.
+const MAX_TOKENS: u64 = 1_024;
+
+/// Tokens that the result of a sub-agent adds to its parent's history.
+const RESULT_TOKENS: u64 = 200;
+
+/// Returns how the engines of the report behave.
+pub fn engine_model() -> BatchModel {
+    BatchModel {
+        max_calls: MAX_CALLS as usize,
+        ..BatchModel::default()
+    }
+}
+
+/// A policy with a workload.
+#[derive(Debug)]
+pub struct Trial<'a> {
+    /// The policy.
+    pub variant: Variant,
+    /// The programs.
+    pub workload: &'a Workload,
+    /// The seed of the mesh.
+    pub seed: u64,
+    /// Time after the arrivals for programs to end.
+    pub drain_us: u64,
+}
+
+/// What a run leads to.
+#[derive(Debug, Default)]
+pub struct Outcome {
+    /// Latency of measured programs; of those that have not ended, their age.
+    pub latencies_us: Vec<u64>,
+    /// Measured programs that have not ended.
+    pub unfinished: u64,
+    /// Prompt tokens that were read again although they had been read before.
+    pub wasted_tokens: u64,
+    /// Prompt tokens that had been read before.
+    pub known_tokens: u64,
+    /// Refused calls.
+    pub refused_calls: u64,
+    /// Calls that ended.
+    pub calls: u64,
+    /// Work that ended by the end of the arrivals, by account.
+    pub delivered: Vec<f64>,
+    /// Calls that ended by the end of the arrivals, after the warm-up.
+    pub measured_calls: u64,
+    /// Limits of the engines at the end.
+    pub limits: Vec<u32>,
+}
+
+/// A running program or sub-agent.
+struct Task<'a> {
+    plan: &'a Plan,
+    name: String,
+    root: usize,
+    parent: Option<usize>,
+    turn: usize,
+    context_tokens: u64,
+    waits_for: usize,
+    children: usize,
+    continuation: Option<Continuation>,
+}
+
+/// The state of a run.
+struct Driver<'a> {
+    mesh: Mesh,
+    tasks: Vec<Task<'a>>,
+    starts: BinaryHeap<Reverse<(u64, usize)>>,
+    calls: BTreeMap<CallId, (usize, u64)>,
+    roots: Vec<(u64, Option<u64>)>,
+    contents: u64,
+    model: BatchModel,
+    outcome: Outcome,
+    until_us: u64,
+    from_us: u64,
+}
+
+/// Returns the work of a call in microseconds of an engine at its knee.
+pub(super) fn work(model: &BatchModel, new_tokens: u64, answer_tokens: u64) -> f64 {
+    let knee = model.knee_calls;
+    let token_us = model.step_us(knee) / knee as f64;
+    new_tokens as f64 * model.prefill_us_per_token + answer_tokens as f64 * token_us
+}
+
+/// Runs a workload with a policy.
+pub fn run(trial: &Trial<'_>) -> Outcome {
+    let variant = trial.variant;
+    let fleet = engine_fleet(ENGINES, MAX_CALLS, ACCOUNTS);
+    let mut mesh = Mesh::with_settings(1, fleet, trial.seed, move |vm, incarnation| {
+        CoreSettings::builder()
+            .vm(vm)
+            .incarnation(incarnation)
+            .preset(variant.preset)
+            .policy(variant.parts)
+            .build()
+    });
+    mesh.use_batches(engine_model());
+    mesh.run_ms(1_000);
+    let start_us = mesh.now_us();
+    let mut driver = Driver {
+        mesh,
+        tasks: Vec::new(),
+        starts: BinaryHeap::new(),
+        calls: BTreeMap::new(),
+        roots: Vec::new(),
+        contents: 0,
+        model: engine_model(),
+        outcome: Outcome {
+            delivered: vec![0.0; ACCOUNTS],
+            ..Outcome::default()
+        },
+        until_us: start_us + trial.workload.until_us,
+        from_us: start_us + trial.workload.from_us,
+    };
+    for (number, (at_us, plan)) in trial.workload.arrivals.iter().enumerate() {
+        let task = driver.add(plan, format!("p{number}"), number, None);
+        driver.starts.push(Reverse((start_us + at_us, task)));
+        driver.roots.push((start_us + at_us, None));
+    }
+    driver.run(driver.until_us + trial.drain_us);
+    driver.finish(trial.workload, start_us)
+}
+
+impl<'a> Driver<'a> {
+    /// Adds a program or sub-agent.
+    fn add(&mut self, plan: &'a Plan, name: String, root: usize, parent: Option<usize>) -> usize {
+        self.tasks.push(Task {
+            plan,
+            name,
+            root,
+            parent,
+            turn: 0,
+            context_tokens: 0,
+            waits_for: 0,
+            children: 0,
+            continuation: None,
+        });
+        self.tasks.len() - 1
+    }
+
+    /// Runs until all programs have ended or a time has come.
+    fn run(&mut self, end_us: u64) {
+        let mut open = self.roots.len();
+        while open > 0 && self.mesh.now_us() < end_us {
+            let until_us = self.mesh.now_us() + STEP_MS * 1_000;
+            while let Some(Reverse((at_us, task))) = self.starts.peek().copied()
+                && at_us <= until_us
+            {
+                self.starts.pop();
+                self.mesh.run_until(at_us.max(self.mesh.now_us()));
+                self.send(task);
+            }
+            self.mesh.run_until(until_us);
+            let events = std::mem::take(&mut self.mesh.trace.events);
+            for (at_us, event) in events {
+                open -= self.handle(at_us, event);
+            }
+        }
+    }
+
+    /// Sends the next call of a task.
+    fn send(&mut self, number: usize) {
+        self.contents += 1;
+        let task = &self.tasks[number];
+        let turn = &task.plan.turns[task.turn];
+        let prompt_tokens = task.context_tokens + turn.new_tokens;
+        let mut call = engine_call(task.plan.account, 0, prompt_tokens, MAX_TOKENS);
+        let mut digest = [0; 16];
+        digest[..8].copy_from_slice(&self.contents.to_le_bytes());
+        digest[8..].copy_from_slice(&turn.answer_tokens.to_le_bytes());
+        call.digest = ContentDigest(digest);
+        call.program = Some(ProgramTurn {
+            name: ProgramName::from(task.name.as_str()),
+            turn: task.turn as u32 + 1,
+            continuation: task.continuation.clone(),
+        });
+        let id = self.mesh.call(0, call);
+        self.calls.insert(id, (number, task.context_tokens));
+    }
+
+    /// Handles an event; returns the number of programs that ended.
+    fn handle(&mut self, at_us: u64, event: TraceEvent) -> usize {
+        match event {
+            TraceEvent::Charged(charge) => {
+                self.charge(at_us, &charge);
+                0
+            }
+            TraceEvent::Answered(answered) => {
+                let Some((task, _)) = self.calls.remove(&answered.call) else {
+                    return 0;
+                };
+                self.tasks[task].continuation = answered.continuation.clone();
+                self.answered(at_us, task)
+            }
+            TraceEvent::Refused(refusal) => {
+                if let Some((task, _)) = self.calls.remove(&refusal.call) {
+                    self.outcome.refused_calls += 1;
+                    self.starts.push(Reverse((at_us + RESEND_US, task)));
+                }
+                0
+            }
+            _ => 0,
+        }
+    }
+
+    /// Counts the tokens of a call that ended.
+    fn charge(&mut self, at_us: u64, charge: &Charge) {
+        let Some(&(number, known_tokens)) = self.calls.get(&charge.attempt.call) else {
+            return;
+        };
+        let task = &self.tasks[number];
+        let turn = &task.plan.turns[task.turn];
+        self.outcome.calls += 1;
+        if (self.from_us..self.until_us).contains(&at_us) {
+            let work = work(&self.model, turn.new_tokens, turn.answer_tokens);
+            self.outcome.delivered[task.plan.account] += work;
+            self.outcome.measured_calls += 1;
+        }
+        self.outcome.known_tokens += known_tokens;
+    }
+
+    /// Moves a task on after a response.
+    fn answered(&mut self, at_us: u64, number: usize) -> usize {
+        let task = &mut self.tasks[number];
+        let plan: &'a Plan = task.plan;
+        let turn = &plan.turns[task.turn];
+        task.context_tokens += turn.new_tokens + turn.answer_tokens;
+        if !turn.children.is_empty() {
+            task.waits_for = turn.children.len();
+            for child in &turn.children {
+                let task = &mut self.tasks[number];
+                task.children += 1;
+                let name = format!("{}/c{}", task.name, task.children);
+                let root = task.root;
+                let child = self.add(child, name, root, Some(number));
+                self.starts.push(Reverse((at_us, child)));
+            }
+            return 0;
+        }
+        self.next_turn(at_us, number)
+    }
+
+    /// Starts the next turn of a task or ends it.
+    fn next_turn(&mut self, at_us: u64, number: usize) -> usize {
+        let task = &mut self.tasks[number];
+        let pause_us = task.plan.turns[task.turn].pause_us;
+        task.turn += 1;
+        if task.turn < task.plan.turns.len() {
+            self.starts.push(Reverse((at_us + pause_us, number)));
+            return 0;
+        }
+        let Some(parent) = task.parent else {
+            self.roots[task.root].1 = Some(at_us);
+            return 1;
+        };
+        let row = &mut self.tasks[parent];
+        row.context_tokens += RESULT_TOKENS;
+        row.waits_for -= 1;
+        if row.waits_for == 0 {
+            return self.next_turn(at_us, parent);
+        }
+        0
+    }
+
+    /// Sums the run up.
+    fn finish(mut self, workload: &Workload, start_us: u64) -> Outcome {
+        let now_us = self.mesh.now_us();
+        for (arrived_us, ended_us) in &self.roots {
+            if *arrived_us < start_us + workload.from_us {
+                continue;
+            }
+            self.outcome.unfinished += u64::from(ended_us.is_none());
+            let latency_us = ended_us.unwrap_or(now_us).saturating_sub(*arrived_us);
+            self.outcome.latencies_us.push(latency_us);
+        }
+        let read_again = self.mesh.engines.prompt_tokens_found();
+        self.outcome.wasted_tokens = self.outcome.known_tokens.saturating_sub(read_again);
+        if let Some(control) = self.mesh.control(0) {
+            let rows = control.tables().upstreams.iter();
+            self.outcome.limits = rows.map(|(_, row)| row.limit.calls).collect();
+        }
+        self.outcome
+    }
+}
--- a/crates/testing/src/mesh/engine.rs
+++ b/crates/testing/src/mesh/engine.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
+use super::batch::{BatchEngine, BatchEvent, BatchModel, Job};
 use knapweeddale_core::input::{AttemptOutcome, AttemptProgress, Failure, ProbeState};
 use knapweeddale_core::tables::Call;
 use knapweeddale_core::{AttemptId, ContentDigest, Dispatch, HistoryDigest, UpstreamName};
@@ -44,6 +45,17 @@
     running: BTreeMap<UpstreamName, BTreeMap<AttemptId, u64>>,
     down_until_us: BTreeMap<UpstreamName, u64>,
     cancelled: HashSet<AttemptId>,
+    batch_model: Option<BatchModel>,
+    found_tokens: u64,
+    batches: BTreeMap<UpstreamName, Batch>,
+}
+
+/// An engine with a batch.
+#[derive(Debug)]
+struct Batch {
+    engine: BatchEngine,
+    /// The next event that is planned.
+    planned_us: Option<u64>,
 }
 
 /// What running an attempt leads to.
@@ -84,6 +96,9 @@
                 ],
             };
         }
+        if self.has_batches() {
+            return self.run_in_batch(now_us, dispatch, call);
+        }
         let batch = self.running.entry(dispatch.upstream.clone()).or_default();
         batch.retain(|_, ends_us| *ends_us > now_us);
         if self.poison.contains(&call.new.digest) {
@@ -115,6 +130,102 @@
         }
     }
 
+    /// Adds an attempt to the batch of its engine.
+    ///
+    /// The second half of the content digest tells the length of the
+    /// response, which the scheduler does not know; if it is 0, the response
+    /// has the highest allowed length.
+    fn run_in_batch(&mut self, now_us: u64, dispatch: &Dispatch, call: &Call) -> Run {
+        let mut tail = [0; 8];
+        tail.copy_from_slice(&call.new.digest.0[8..]);
+        let answer_tokens = match u64::from_le_bytes(tail) {
+            0 => call.new.max_tokens,
+            tokens => tokens.min(call.new.max_tokens),
+        };
+        let program = dispatch
+            .program
+            .as_ref()
+            .map(|(program, _)| program.clone());
+        let prompt_tokens = call.new.prompt_tokens;
+        let job = Job::new(dispatch.attempt, program, prompt_tokens, answer_tokens);
+        let batch = self.batch(&dispatch.upstream);
+        batch.engine.push(job);
+        Run {
+            executed: true,
+            events: vec![(now_us, dispatch.attempt, AttemptProgress::Sent)],
+        }
+    }
+
+    /// Returns an engine with a batch.
+    fn batch(&mut self, upstream: &UpstreamName) -> &mut Batch {
+        let model = self.batch_model.clone().unwrap_or_default();
+        let batches = &mut self.batches;
+        batches.entry(upstream.clone()).or_insert_with(|| Batch {
+            engine: BatchEngine::new(model),
+            planned_us: None,
+        })
+    }
+
+    /// Replaces the simple engines by engines with batches.
+    pub(super) fn use_batches(&mut self, model: BatchModel) {
+        self.batch_model = Some(model);
+    }
+
+    /// Returns whether the engines have batches.
+    pub(super) fn has_batches(&self) -> bool {
+        self.batch_model.is_some()
+    }
+
+    /// Returns the interval between load reports of engines with batches.
+    pub(super) fn report_us(&self) -> Option<u64> {
+        self.batch_model.as_ref().map(|model| model.report_us)
+    }
+
+    /// Runs an engine with a batch; returns its events and the time of the
+    /// next one if that has to be planned.
+    pub(super) fn advance(
+        &mut self,
+        now_us: u64,
+        upstream: &UpstreamName,
+    ) -> (Vec<BatchEvent>, Option<u64>) {
+        let batch = self.batch(upstream);
+        let events = batch.engine.advance(now_us);
+        for (.., progress) in &events {
+            if let AttemptProgress::Finished(outcome) = progress {
+                self.found_tokens += outcome.cached_tokens;
+            }
+        }
+        let batch = self.batch(upstream);
+        let next_us = batch.engine.next_us();
+        let is_planned = batch.planned_us.is_some_and(|planned_us| {
+            planned_us > now_us && next_us.is_none_or(|at| planned_us <= at)
+        });
+        if is_planned {
+            return (events, None);
+        }
+        batch.planned_us = next_us;
+        (events, next_us)
+    }
+
+    /// Returns the prompt tokens that engines with batches found in their caches.
+    pub fn prompt_tokens_found(&self) -> u64 {
+        self.found_tokens
+    }
+
+    /// Returns the names of the engines with batches that have had calls.
+    pub(super) fn batch_names(&self) -> Vec<UpstreamName> {
+        self.batches.keys().cloned().collect()
+    }
+
+    /// Returns the load of the engines with batches.
+    pub(super) fn loads(&mut self) -> Vec<(UpstreamName, u32, u64)> {
+        let rows = self.batches.iter_mut().map(|(upstream, batch)| {
+            let (running_calls, tokens_per_s) = batch.engine.load();
+            (upstream.clone(), running_calls, tokens_per_s)
+        });
+        rows.collect()
+    }
+
     /// Crashes an upstream with everything that runs on it.
     fn crash(&mut self, now_us: u64, dispatch: &Dispatch) -> Run {
         let upstream = &dispatch.upstream;
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -5,11 +5,13 @@
 //! crash, restart and partition VMs and stop the store. Every event that an
 //! invariant needs is kept in a trace.
 
+mod batch;
 mod engine;
 mod faults;
 mod store;
 mod trace;
 
+pub use batch::{BatchEngine, BatchEvent, BatchModel, Job};
 pub use engine::{EngineModel, Engines};
 pub use faults::Faults;
 pub use store::ViewStore;
@@ -20,7 +22,7 @@
 
 use knapweeddale_core::{
     AttemptEvent, CallId, Control, CoreSettings, Dispatch, FleetConfig, Incarnation, Input,
-    NewCall, Output, PeerMessage, StoreEvent, StoreRequest, VmName,
+    NewCall, Output, PeerMessage, StoreEvent, StoreRequest, UpstreamName, VmName,
 };
 
 use crate::Random;
@@ -43,6 +45,10 @@
         sent_us: u64,
         request: StoreRequest,
     },
+    /// Something happens at an engine with a batch.
+    Engine { upstream: UpstreamName },
+    /// The engines with batches report their load.
+    Load,
 }
 
 /// A VM of the mesh.
@@ -280,6 +286,8 @@
                 sent_us,
                 request,
             } => self.answer_store(vm, incarnation, sent_us, request),
+            Event::Engine { upstream } => self.run_engine(&upstream),
+            Event::Load => self.report_load(),
         }
     }
 
@@ -363,7 +371,14 @@
         let Some(call) = call else {
             return;
         };
+        if self.engines.has_batches() {
+            // The engine has to be at the present before it gets a request.
+            self.run_engine(&dispatch.upstream);
+        }
         let run = self.engines.run(self.now_us, local_us, &dispatch, &call);
+        if self.engines.has_batches() {
+            self.run_engine(&dispatch.upstream);
+        }
         if run.executed {
             let executed = TraceEvent::Executed {
                 vm: self.vms[vm].name.clone(),
@@ -381,6 +396,48 @@
         }
     }
 
+    /// Replaces the simple engines by engines with batches and prefix caches.
+    pub fn use_batches(&mut self, model: BatchModel) {
+        self.engines.use_batches(model);
+        self.report_load();
+    }
+
+    /// Runs an engine with a batch up to the present and plans its next event.
+    fn run_engine(&mut self, upstream: &UpstreamName) {
+        let (events, next_us) = self.engines.advance(self.now_us, upstream);
+        for (at_us, attempt, progress) in events {
+            if let Some(vm) = self.vm_of(attempt.call) {
+                let event = AttemptEvent { attempt, progress };
+                self.deliver(vm, at_us.max(self.now_us), Input::Attempt(event));
+            }
+        }
+        if let Some(at_us) = next_us {
+            let upstream = upstream.clone();
+            self.schedule(at_us.max(self.now_us + 1), Event::Engine { upstream });
+        }
+    }
+
+    /// Sends the load of the engines with batches, one interval late.
+    fn report_load(&mut self) {
+        let Some(report_us) = self.engines.report_us() else {
+            return;
+        };
+        for upstream in self.engines.batch_names() {
+            self.run_engine(&upstream);
+        }
+        for (upstream, running_calls, tokens_per_s) in self.engines.loads() {
+            for vm in 0..self.vms.len() {
+                let load = Input::Load {
+                    upstream: upstream.clone(),
+                    running_calls,
+                    tokens_per_s,
+                };
+                self.deliver(vm, self.now_us + report_us, load);
+            }
+        }
+        self.schedule(self.now_us + report_us, Event::Load);
+    }
+
     /// Returns the VM that received a call.
     fn vm_of(&self, call: CallId) -> Option<usize> {
         self.vms
