--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -5,6 +5,7 @@
 //! crash, restart and partition VMs and stop the store. Every event that an
 //! invariant needs is kept in a trace.
 
+mod batch;
 mod engine;
 mod faults;
 mod platform;
@@ -14,6 +15,7 @@
 mod trace;
 mod traffic;
 
+pub use batch::{BatchEngine, BatchEvent, BatchModel, Job};
 pub use engine::{EngineModel, Engines, history_after};
 pub use faults::Faults;
 pub use platform::Platform;
@@ -56,6 +58,10 @@
     },
     /// The platform publishes a list of VMs.
     VmList(Vec<VmStatus>),
+    /// Something happens at an engine with a batch.
+    Engine { upstream: UpstreamName },
+    /// The engines with batches report their load.
+    Load,
 }
 
 /// A VM of the mesh.
@@ -370,6 +376,8 @@
                 }
                 self.platform.published = list;
             }
+            Event::Engine { upstream } => self.run_engine(&upstream),
+            Event::Load => self.report_load(),
         }
     }
 
@@ -503,7 +511,14 @@
         let Some(call) = call else {
             return;
         };
+        if self.engines.has_batches() {
+            // The engine has to be at the present before it gets a request.
+            self.run_engine(&dispatch.upstream);
+        }
         let run = self.engines.run(self.now_us, local_us, &dispatch, &call);
+        if self.engines.has_batches() {
+            self.run_engine(&dispatch.upstream);
+        }
         if run.executed {
             let executed = TraceEvent::Executed {
                 vm: self.vms[vm].name.clone(),
@@ -521,6 +536,48 @@
         }
     }
 
+    /// Replaces the simple engines by engines with batches and prefix caches.
+    pub fn use_batches(&mut self, model: BatchModel) {
+        self.engines.use_batches(model);
+        self.report_load();
+    }
+
+    /// Runs an engine with a batch up to the present and plans its next event.
+    fn run_engine(&mut self, upstream: &UpstreamName) {
+        let (events, next_us) = self.engines.advance(self.now_us, upstream);
+        for (at_us, attempt, progress) in events {
+            if let Some(vm) = self.vm_of(attempt.call) {
+                let event = AttemptEvent { attempt, progress };
+                self.deliver(vm, at_us.max(self.now_us), Input::Attempt(event));
+            }
+        }
+        if let Some(at_us) = next_us {
+            let upstream = upstream.clone();
+            self.schedule(at_us.max(self.now_us + 1), Event::Engine { upstream });
+        }
+    }
+
+    /// Sends the load of the engines with batches, one interval late.
+    fn report_load(&mut self) {
+        let Some(report_us) = self.engines.report_us() else {
+            return;
+        };
+        for upstream in self.engines.batch_names() {
+            self.run_engine(&upstream);
+        }
+        for (upstream, running_calls, tokens_per_s) in self.engines.loads() {
+            for vm in 0..self.vms.len() {
+                let load = Input::Load {
+                    upstream: upstream.clone(),
+                    running_calls,
+                    tokens_per_s,
+                };
+                self.deliver(vm, self.now_us + report_us, load);
+            }
+        }
+        self.schedule(self.now_us + report_us, Event::Load);
+    }
+
     /// Returns the VM that received a call.
     fn vm_of(&self, call: CallId) -> Option<usize> {
         self.vms
