--- a/crates/core/benches/decisions.rs
+++ b/crates/core/benches/decisions.rs
@@ -53,6 +53,8 @@
             incarnation: Incarnation(1),
             failure_domain: DomainName::from("local"),
             address: String::new(),
+            leaving: false,
+            joined: knapweeddale_core::Epoch(1),
         }];
         let fleet = engine_fleet(ENGINES, 64, ACCOUNTS);
         let inputs = [
