Order engines to load and unload models

Cause: the service file states which models an engine should have, and nothing told the engine. Change: the system orders compares desired and reported models; one VM orders for a service, under its lease, one order at a time for each engine, with fencing tokens. A new owner waits out the longest order for engines that ignore tokens. Loads are spread by the rate of the weight store. Placement uses a model once the engine reports it.

--- a/crates/config/src/files/service.rs
+++ b/crates/config/src/files/service.rs
@@ -28,6 +28,9 @@
     /// Routes; only for plain services. The longest matching path wins.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub routes: Vec<RouteFile>,
+    /// Models that engines may load a minute from the weight store.
+    #[serde(default = "default_weight_loads_per_min")]
+    pub weight_loads_per_min: u32,
     /// Longest wait for the first byte or token; the VM's setting when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub first_token_ms: Option<u64>,
@@ -101,6 +104,10 @@
     pub open: bool,
 }
 
+fn default_weight_loads_per_min() -> u32 {
+    6
+}
+
 fn default_min_running_calls() -> u32 {
     1
 }
@@ -142,6 +149,7 @@
             .kind(kind)
             .upstreams(upstreams.collect())
             .routes(self.routes.iter().map(RouteFile::to_core).collect())
+            .weight_loads_per_min(self.weight_loads_per_min)
             .maybe_first_token_ms(self.first_token_ms)
             .maybe_token_gap_ms(self.token_gap_ms)
             .build()
--- a/crates/config/src/settings/mod.rs
+++ b/crates/config/src/settings/mod.rs
@@ -116,6 +116,9 @@
     /// Longest wait of a call for an upstream.
     #[serde(default = "defaults::queue_ms")]
     pub queue_ms: u64,
+    /// Longest time that an order to an engine is in flight.
+    #[serde(default = "defaults::order_ms")]
+    pub order_ms: u64,
     /// How long a request that crashes upstreams is refused.
     #[serde(default = "defaults::quarantine_ms")]
     pub quarantine_ms: u64,
@@ -181,6 +184,7 @@
         first_token_ms = 30_000,
         token_gap_ms = 10_000,
         queue_ms = 30_000,
+        order_ms = 30_000,
         quarantine_ms = 600_000,
     }
 }
@@ -234,6 +238,7 @@
             .first_token_ms(self.first_token_ms)
             .token_gap_ms(self.token_gap_ms)
             .queue_ms(self.queue_ms)
+            .order_ms(self.order_ms)
             .quarantine_ms(self.quarantine_ms)
             .build()
     }
--- a/crates/core/src/config/fleet.rs
+++ b/crates/core/src/config/fleet.rs
@@ -69,6 +69,9 @@
     /// Routes of a plain service; the longest matching prefix wins.
     #[builder(default)]
     pub routes: Vec<RouteConfig>,
+    /// Models that engines may load a minute from the weight store.
+    #[builder(default = 6)]
+    pub weight_loads_per_min: u32,
     /// Longest wait for the first byte or token; the VM's setting when absent.
     pub first_token_ms: Option<u64>,
     /// Longest pause within a response; the VM's setting when absent.
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -11,5 +11,5 @@
 pub use name::{
     AccountName, DomainName, KeyId, ModelName, ProgramName, ServiceName, UpstreamName, VmName,
 };
-pub use number::{AttemptId, CallId, Epoch, Incarnation, Revision};
+pub use number::{AttemptId, CallId, Epoch, FencingToken, Incarnation, Revision};
 pub use program::{PoolKey, ProgramKey};
--- a/crates/core/src/ids/number.rs
+++ b/crates/core/src/ids/number.rs
@@ -29,6 +29,16 @@
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct Revision(pub u64);
 
+/// Lets an upstream refuse orders of an earlier owner: later tokens are higher.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Default)]
+#[display("{epoch}.{seq}")]
+pub struct FencingToken {
+    /// The view in which the order was given.
+    pub epoch: Epoch,
+    /// Counts the orders of the owner.
+    pub seq: u64,
+}
+
 /// A call, unique over the fleet.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -4,7 +4,7 @@
 
 use super::{AttemptEvent, NewCall, ProgramRequest};
 use crate::config::FleetConfig;
-use crate::ids::{CallId, Incarnation, ProgramKey, UpstreamName, VmName};
+use crate::ids::{CallId, FencingToken, Incarnation, ModelName, ProgramKey, UpstreamName, VmName};
 use crate::message::PeerMessage;
 use crate::tables::View;
 
@@ -59,10 +59,39 @@
         /// What the probe found.
         state: ProbeState,
     },
+    /// An engine reported the models that it has loaded.
+    Loaded {
+        /// The engine.
+        upstream: UpstreamName,
+        /// The models.
+        models: Vec<ModelName>,
+        /// Calls running on it, from all VMs.
+        running_calls: u32,
+    },
+    /// An upstream answered an order or failed to.
+    OrderResult {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The token of the order.
+        token: FencingToken,
+        /// The answer.
+        result: OrderResult,
+    },
     /// The process has been asked to stop.
     Drain,
 }
 
+/// The answer to an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderResult {
+    /// The order was carried out.
+    Done,
+    /// The upstream has seen a higher fencing token.
+    Stale,
+    /// There was no answer; the order may have been carried out.
+    Unknown,
+}
+
 /// What a probe found after a connection to an upstream broke.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeState {
--- a/crates/core/src/input/mod.rs
+++ b/crates/core/src/input/mod.rs
@@ -9,4 +9,4 @@
     Continuation, NewCall, Permit, PresentedKey, ProgramRequest, ProgramRequestKind, ProgramTurn,
     Target,
 };
-pub use event::{Input, ProbeState, StoreEvent, StoredView, VmStatus};
+pub use event::{Input, OrderResult, ProbeState, StoreEvent, StoredView, VmStatus};
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -3,10 +3,10 @@
 use derive_more::Display;
 use smallvec::SmallVec;
 
-use super::{Execution, RefusalKind};
+use super::{Execution, OrderAction, RefusalKind};
 use crate::ids::{
-    AccountName, AttemptId, CallId, ContentDigest, Epoch, ProgramKey, Revision, UpstreamName,
-    VmName,
+    AccountName, AttemptId, CallId, ContentDigest, Epoch, FencingToken, ProgramKey, Revision,
+    UpstreamName, VmName,
 };
 use crate::tables::LimitReason;
 
@@ -247,6 +247,24 @@
         /// The epoch of the view without this VM.
         epoch: Epoch,
     },
+    /// An upstream was given an order.
+    #[display("orders: {action} on {upstream}, token {token}")]
+    Ordered {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The fencing token.
+        token: FencingToken,
+        /// What it has to do.
+        action: OrderAction,
+    },
+    /// An upstream refused an order, since a later owner has given one.
+    #[display("orders: {upstream} refused token {token} as stale")]
+    OrderStale {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// The fencing token.
+        token: FencingToken,
+    },
     /// A configuration came into force.
     #[display("config: revision {revision} in force")]
     ConfigInForce {
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -2,12 +2,14 @@
 
 mod charge;
 mod decision;
+mod order;
 mod refusal;
 
 pub use charge::{Charge, ChargeOutcome};
 pub use decision::{
     CrashEvidence, Decision, OverReason, PlacementReason, RetryReason, TakeoverSource,
 };
+pub use order::{Order, OrderAction};
 pub use refusal::{Execution, Refusal, RefusalKind};
 
 use std::sync::Arc;
@@ -77,6 +79,8 @@
     /// Connect to an upstream after a connection to it broke, and answer with
     /// `Input::Probed`. The probe asks for the load, which shows a restart.
     Probe(UpstreamName),
+    /// Send an order to an upstream and answer with `Input::OrderResult`.
+    Order(Box<Order>),
     /// Keep a charge record.
     Charge(Charge),
     /// Log a decision.
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -5,7 +5,7 @@
 
 use super::{Sender, Tick};
 use crate::config::{AccountConfig, FleetConfig, ServiceConfig, ServiceKind};
-use crate::ids::{PoolKey, Revision, VmName};
+use crate::ids::{PoolKey, Revision, UpstreamName, VmName};
 use crate::message::ConfigMessage;
 use crate::output::Decision;
 use crate::tables::{Account, Bucket, Key, NCALLS_PER_CALL, Pool, Table, Upstream};
@@ -149,7 +149,7 @@
             row.configure(upstream.clone());
         }
         for pool in pools_of(service) {
-            let upstreams = upstreams_of(service, &pool);
+            let upstreams = upstreams_of(&tables.upstreams, service, &pool);
             tables
                 .pools
                 .get_or_insert_with(&pool, Pool::default)
@@ -163,6 +163,24 @@
             .insert(service.name.clone(), service.clone());
     }
     tick.work.placement.config_changed = true;
+    tick.work.orders.config_changed = true;
+}
+
+/// Lists the upstreams of the pools of one service again after a model was loaded or unloaded.
+pub(crate) fn refresh_pools(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let tables = &mut *tick.tables;
+    let mut services = tables.services.iter();
+    let service = services.find(|(_, row)| row.upstreams.iter().any(|u| u.name == *upstream));
+    let Some((_, service)) = service else {
+        return;
+    };
+    for key in pools_of(service) {
+        let upstreams = upstreams_of(&tables.upstreams, service, &key);
+        if let Some(pool) = tables.pools.get_mut(&key) {
+            pool.upstreams = upstreams;
+        }
+    }
+    tick.work.placement.config_changed = true;
 }
 
 /// Returns the pools of a service: one for each model, or one for a plain service.
@@ -181,12 +199,18 @@
 }
 
 /// Returns the upstreams of a service that can run the calls of a pool.
-fn upstreams_of(service: &ServiceConfig, pool: &PoolKey) -> Vec<crate::ids::UpstreamName> {
+fn upstreams_of(
+    upstreams: &Table<UpstreamName, Upstream>,
+    service: &ServiceConfig,
+    pool: &PoolKey,
+) -> Vec<UpstreamName> {
     service
         .upstreams
         .iter()
         .filter(|upstream| match &pool.model {
-            Some(model) => upstream.models.contains(model),
+            Some(model) => upstreams
+                .get(&upstream.name)
+                .is_some_and(|row| row.has_loaded(model)),
             None => true,
         })
         .map(|upstream| upstream.name.clone())
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -82,6 +82,16 @@
             .loads
             .push((upstream, running_calls, tokens_per_s)),
         Input::Probed { upstream, state } => work.outcomes.probes.push((upstream, state)),
+        Input::Loaded {
+            upstream,
+            models,
+            running_calls,
+        } => work.orders.loaded.push((upstream, models, running_calls)),
+        Input::OrderResult {
+            upstream,
+            token,
+            result,
+        } => work.orders.results.push((upstream, token, result)),
         Input::Drain => work.membership.drain = true,
     }
 }
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod homes;
 pub(crate) mod intake;
 pub(crate) mod membership;
+pub(crate) mod orders;
 pub(crate) mod outcomes;
 pub(crate) mod placement;
 pub(crate) mod rates;
@@ -47,6 +48,7 @@
     pub rates: rates::Work,
     pub admission: admission::Work,
     pub placement: placement::Work,
+    pub orders: orders::Work,
     pub charges: charges::Work,
     /// Views that came into force in this pass, which every system may read.
     ///
@@ -64,6 +66,7 @@
             && self.rates.is_empty()
             && self.admission.is_empty()
             && self.placement.is_empty()
+            && self.orders.is_empty()
             && self.charges.is_empty()
     }
 }
@@ -101,6 +104,7 @@
     rates::run(tick);
     admission::run(tick);
     placement::run(tick);
+    orders::run(tick);
     charges::run(tick);
     tick.work.view_changes.clear();
 }
--- /dev/null
+++ b/crates/core/src/systems/orders/mod.rs
@@ -0,0 +1,66 @@
+//! Orders to upstreams: which models they load and unload.
+//!
+//! The service file states which models each engine should have loaded. The
+//! owner of a service's orders compares that with what the engines report and
+//! sends one order at a time to each engine. Orders carry fencing tokens. For
+//! engines that ignore them, a new owner waits until the longest order of the
+//! old owner has ended.
+
+mod planning;
+mod results;
+
+use super::Tick;
+use crate::ids::{FencingToken, ModelName, ServiceName, UpstreamName};
+use crate::input::OrderResult;
+use crate::tables::Timer;
+
+/// Time between two comparisons of desired and reported models.
+const REVIEW_US: u64 = 1_000_000;
+
+/// What waits for this system.
+#[derive(Debug, Default)]
+pub(crate) struct Work {
+    pub loaded: Vec<(UpstreamName, Vec<ModelName>, u32)>,
+    pub results: Vec<(UpstreamName, FencingToken, OrderResult)>,
+    pub due: Vec<Timer>,
+    pub config_changed: bool,
+}
+
+impl Work {
+    pub fn is_empty(&self) -> bool {
+        self.loaded.is_empty()
+            && self.results.is_empty()
+            && self.due.is_empty()
+            && !self.config_changed
+    }
+}
+
+/// Runs the system.
+pub(crate) fn run(tick: &mut Tick<'_>) {
+    let work = std::mem::take(&mut tick.work.orders);
+    if work.config_changed || !tick.work.view_changes.is_empty() {
+        planning::own(tick);
+    }
+    for (upstream, models, running_calls) in work.loaded {
+        results::note_loaded(tick, &upstream, models, running_calls);
+    }
+    for (upstream, token, result) in work.results {
+        results::handle(tick, &upstream, token, result);
+    }
+    for timer in work.due {
+        if let Timer::OrdersReview(service) = timer {
+            review(tick, &service);
+        }
+    }
+}
+
+/// Compares desired and reported models of a service, now and again later.
+fn review(tick: &mut Tick<'_>, service: &ServiceName) {
+    if !tick.tables.orders.contains_key(service) {
+        return;
+    }
+    planning::plan(tick, service);
+    let due_us = tick.now_us + REVIEW_US;
+    let timer = Timer::OrdersReview(service.clone());
+    tick.tables.timers.set(due_us, timer);
+}
--- /dev/null
+++ b/crates/core/src/systems/orders/planning.rs
@@ -0,0 +1,152 @@
+//! Chooses the next orders.
+
+use super::super::Tick;
+use crate::config::ServiceKind;
+use crate::ids::{FencingToken, ModelName, ServiceName, UpstreamName};
+use crate::output::{Decision, Order, OrderAction, Output};
+use crate::tables::{Bucket, NCALLS_PER_CALL, OpenOrder, OrderBook, Timer};
+
+/// Idle reports after which a model may be unloaded.
+///
+/// Reports lag, so that a call that was just placed may be missing from one.
+const IDLE_REPORTS: u32 = 3;
+
+/// Takes over and gives up services after the view or the configuration has changed.
+pub(super) fn own(tick: &mut Tick<'_>) {
+    let me = &tick.settings.vm;
+    let tables = &mut *tick.tables;
+    let mut gained = Vec::new();
+    for (name, service) in tables.services.iter() {
+        let is_engine = matches!(service.kind, ServiceKind::Engine(_));
+        if !is_engine || tables.view.orders_owner(name) != Some(me) {
+            tables.orders.remove(name);
+        } else if !tables.orders.contains_key(name) {
+            gained.push((name.clone(), service.weight_loads_per_min));
+        }
+    }
+    let services = &tables.services;
+    tables.orders.retain(|name, _| services.contains_key(name));
+    for (name, loads_per_min) in gained {
+        let rate_mcalls_per_s = u64::from(loads_per_min) * 1_000 / 60;
+        let book = OrderBook {
+            loads: Bucket::full(rate_mcalls_per_s, NCALLS_PER_CALL, tick.now_us),
+            ..OrderBook::default()
+        };
+        tables.orders.insert(name.clone(), book);
+        tables.timers.set(tick.now_us, Timer::OrdersReview(name));
+    }
+}
+
+/// Sends orders to the engines of a service whose models differ from the desired ones.
+pub(super) fn plan(tick: &mut Tick<'_>, service: &ServiceName) {
+    let Some(ready_us) = ready_us(tick, service) else {
+        return;
+    };
+    let Some(config) = tick.tables.services.get(service) else {
+        return;
+    };
+    let order_us = tick.settings.order_ms * 1_000;
+    let upstreams: Vec<(UpstreamName, bool)> = config
+        .upstreams
+        .iter()
+        .map(|upstream| (upstream.name.clone(), upstream.checks_fencing))
+        .collect();
+    for (upstream, checks_fencing) in upstreams {
+        // An order of the old owner may still arrive at an engine that ignores tokens.
+        let wait_us = if checks_fencing { 0 } else { order_us };
+        if tick.now_us >= ready_us + wait_us {
+            plan_upstream(tick, service, &upstream);
+        }
+    }
+}
+
+/// Returns from when this VM may send orders, or `None` without a valid lease.
+fn ready_us(tick: &Tick<'_>, service: &ServiceName) -> Option<u64> {
+    if !tick.tables.lease.is_valid(tick.now_us) {
+        return None;
+    }
+    let owner = |view| orders_owner(view, service);
+    tick.tables.acts_from_us(tick.settings, owner)
+}
+
+/// Returns the owner of a service's orders in a view.
+fn orders_owner<'a>(
+    view: &'a crate::tables::View,
+    service: &ServiceName,
+) -> Option<&'a crate::ids::VmName> {
+    view.orders_owner(service)
+}
+
+/// Sends an order to one engine if it needs one and none is open.
+fn plan_upstream(tick: &mut Tick<'_>, service: &ServiceName, upstream: &UpstreamName) {
+    let (now_us, order_us) = (tick.now_us, tick.settings.order_ms * 1_000);
+    let tables = &*tick.tables;
+    let Some(book) = tables.orders.get(service) else {
+        return;
+    };
+    let is_open = book
+        .open
+        .get(upstream)
+        .is_some_and(|open| now_us < open.sent_us + order_us);
+    if is_open {
+        return;
+    }
+    let Some(action) = next_action(tick, upstream) else {
+        return;
+    };
+    let epoch = tables.view.epoch;
+    let Some(book) = tick.tables.orders.get_mut(service) else {
+        return;
+    };
+    // The weight store is rate-limited, so loads are spread over time.
+    if matches!(action, OrderAction::Load(_)) && !book.loads.take(now_us) {
+        return;
+    }
+    book.seq += 1;
+    let token = FencingToken {
+        epoch,
+        seq: book.seq,
+    };
+    let open = OpenOrder {
+        token,
+        action: action.clone(),
+        sent_us: now_us,
+    };
+    book.open.insert(upstream.clone(), open);
+    send(tick, upstream, token, action);
+}
+
+/// Returns what an engine has to do next; `None` if it reports the desired models or nothing.
+fn next_action(tick: &Tick<'_>, upstream: &UpstreamName) -> Option<OrderAction> {
+    let row = tick.tables.upstreams.get(upstream)?;
+    let loaded = row.loaded.as_ref()?;
+    let desired = &row.config.models;
+    let is_missing = |model: &&ModelName| !loaded.contains(model);
+    if let Some(model) = desired.iter().find(is_missing) {
+        return Some(OrderAction::Load(model.clone()));
+    }
+    // A model is not taken away under calls that may still use it.
+    let is_idle = row.running_calls() == 0 && row.idle_reports >= IDLE_REPORTS;
+    let extra = loaded.iter().find(|model| !desired.contains(model));
+    extra.filter(|_| is_idle).cloned().map(OrderAction::Unload)
+}
+
+/// Sends an order.
+fn send(tick: &mut Tick<'_>, upstream: &UpstreamName, token: FencingToken, action: OrderAction) {
+    let Some(row) = tick.tables.upstreams.get(upstream) else {
+        return;
+    };
+    let order = Order {
+        upstream: upstream.clone(),
+        address: row.address.clone(),
+        token,
+        valid_until_us: tick.tables.lease.until_us,
+        action: action.clone(),
+    };
+    tick.outputs.push(Output::Order(Box::new(order)));
+    tick.decide(Decision::Ordered {
+        upstream: upstream.clone(),
+        token,
+        action,
+    });
+}
--- /dev/null
+++ b/crates/core/src/systems/orders/results.rs
@@ -0,0 +1,68 @@
+//! Reports of engines and answers to orders.
+
+use super::super::{Tick, config};
+use crate::ids::{FencingToken, ModelName, UpstreamName};
+use crate::input::OrderResult;
+use crate::output::Decision;
+
+/// Keeps the models that an engine reports; placement uses only loaded ones.
+pub(super) fn note_loaded(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+    models: Vec<ModelName>,
+    running_calls: u32,
+) {
+    let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
+        return;
+    };
+    row.idle_reports = if running_calls == 0 {
+        row.idle_reports.saturating_add(1)
+    } else {
+        0
+    };
+    if row.loaded.as_ref() == Some(&models) {
+        return;
+    }
+    row.loaded = Some(models);
+    config::refresh_pools(tick, upstream);
+}
+
+/// Handles the answer to an order; answers to older orders are dropped.
+pub(super) fn handle(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+    token: FencingToken,
+    result: OrderResult,
+) {
+    let service = tick
+        .tables
+        .services
+        .iter()
+        .find(|(_, service)| service.upstreams.iter().any(|u| u.name == *upstream))
+        .map(|(name, _)| name.clone());
+    let book = service.and_then(|service| tick.tables.orders.get_mut(&service));
+    let Some(book) = book else {
+        return;
+    };
+    if book
+        .open
+        .get(upstream)
+        .is_none_or(|open| open.token != token)
+    {
+        return;
+    }
+    match result {
+        OrderResult::Done => {
+            book.open.remove(upstream);
+        }
+        // The order may still take effect; it stays open until its longest time is over.
+        OrderResult::Unknown => {}
+        OrderResult::Stale => {
+            book.open.remove(upstream);
+            tick.decide(Decision::OrderStale {
+                upstream: upstream.clone(),
+                token,
+            });
+        }
+    }
+}
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -29,6 +29,7 @@
             Timer::CrashVerdict(_) | Timer::SuspectIdle(_) | Timer::QuarantineEnd(_) => {
                 work.outcomes.due.push(timer);
             }
+            Timer::OrdersReview(_) => work.orders.due.push(timer),
             Timer::Heartbeat | Timer::Store => work.membership.due.push(timer),
         }
     }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -12,6 +12,7 @@
 mod lease;
 mod limit;
 mod membership;
+mod order;
 mod pool;
 mod program;
 mod queue;
@@ -38,6 +39,7 @@
     Departed, Departure, Membership, PastView, Peers, PendingRequest, PlatformList, RequestKind,
     StoreLink, Suspicion, UnresolvedWrite,
 };
+pub use order::{OpenOrder, OrderBook};
 pub use pool::Pool;
 pub use program::{FinishedTurn, Links, MAX_SERVED, Phase, Program, Turn, UnknownTurn, Usage};
 pub use queue::{Candidates, LaneOrder, Queue, Rank, Waiting};
@@ -80,6 +82,8 @@
     pub pools: Table<PoolKey, Pool>,
     /// Upstreams.
     pub upstreams: Table<UpstreamName, Upstream>,
+    /// Orders to the engines of services whose orders this VM gives.
+    pub orders: Table<ServiceName, OrderBook>,
     /// Programs whose home is this VM.
     pub programs: Table<ProgramKey, Program>,
     /// What this VM keeps as home and as entry VM besides programs and calls.
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeSet;
 
 use super::Release;
-use crate::ids::{AccountName, AttemptId, CallId, ContentDigest, ProgramKey, UpstreamName};
+use crate::ids::{
+    AccountName, AttemptId, CallId, ContentDigest, ProgramKey, ServiceName, UpstreamName,
+};
 
 /// What is due at a time.
 ///
@@ -54,6 +56,8 @@
     SuspectIdle(ContentDigest),
     /// A quarantine may have ended.
     QuarantineEnd(ContentDigest),
+    /// Orders to the engines of a service have to be reviewed.
+    OrdersReview(ServiceName),
     /// Heartbeats have to be sent.
     Heartbeat,
     /// The store may have to be asked for something.
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -8,7 +8,7 @@
 use super::{Health, Limit};
 use crate::config::UpstreamConfig;
 use crate::ids::{
-    AccountName, AttemptId, ContentDigest, PoolKey, ProgramKey, UpstreamName, VmName,
+    AccountName, AttemptId, ContentDigest, ModelName, PoolKey, ProgramKey, UpstreamName, VmName,
 };
 
 /// Time per prefill token before it has been measured.
@@ -24,6 +24,10 @@
     pub config: UpstreamConfig,
     /// Its address, shared with dispatches.
     pub address: Arc<str>,
+    /// Models that it reports as loaded; `None` if it does not report them.
+    pub loaded: Option<Vec<ModelName>>,
+    /// Reports in a row in which no call ran on it.
+    pub idle_reports: u32,
     /// The pools that it belongs to.
     pub pools: SmallVec<[PoolKey; 1]>,
     /// Attempts that this VM, as owner of a pool, has placed on it.
@@ -58,6 +62,8 @@
     pub fn new(config: UpstreamConfig) -> Self {
         Self {
             address: Arc::from(config.address.as_str()),
+            loaded: None,
+            idle_reports: 0,
             pools: SmallVec::new(),
             attempts: BTreeSet::new(),
             foreign_calls: 0,
@@ -83,6 +89,12 @@
         self.config = config;
     }
 
+    /// Returns whether calls of a model can run on it.
+    pub fn has_loaded(&self, model: &ModelName) -> bool {
+        let is_loaded = |loaded: &Vec<ModelName>| loaded.contains(model);
+        self.config.models.contains(model) && self.loaded.as_ref().is_none_or(is_loaded)
+    }
+
     /// Returns the calls that run on it, of all origins.
     pub fn running_calls(&self) -> u32 {
         self.attempts.len() as u32 + self.foreign_calls
--- a/crates/core/src/tables/view.rs
+++ b/crates/core/src/tables/view.rs
@@ -2,7 +2,9 @@
 
 use smallvec::SmallVec;
 
-use crate::ids::{AccountName, DomainName, Epoch, Incarnation, PoolKey, ProgramKey, VmName};
+use crate::ids::{
+    AccountName, DomainName, Epoch, Incarnation, PoolKey, ProgramKey, ServiceName, VmName,
+};
 
 /// The members of the fleet at one epoch.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -76,6 +78,7 @@
     Account = 1,
     Program = 2,
     Pool = 3,
+    Orders = 4,
 }
 
 /// # Owners
@@ -97,6 +100,11 @@
         self.owner(OwnedKind::Pool, [pool.service.as_str(), model])
     }
 
+    /// Returns the VM that gives the orders to the engines of a service.
+    pub fn orders_owner(&self, service: &ServiceName) -> Option<&VmName> {
+        self.owner(OwnedKind::Orders, [service.as_str(), ""])
+    }
+
     /// Chooses the member with the highest hash of itself and the key.
     fn owner(&self, kind: OwnedKind, key: [&str; 2]) -> Option<&VmName> {
         let score = |member: &Member| {
--- a/crates/entry/src/control/outlets.rs
+++ b/crates/entry/src/control/outlets.rs
@@ -5,7 +5,8 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use knapweeddale_core::input::{AttemptProgress, Failure, ProbeState};
+use knapweeddale_core::input::{AttemptProgress, Failure, OrderResult, ProbeState};
+use knapweeddale_core::output::Order;
 use knapweeddale_core::tables::View;
 use knapweeddale_core::{
     AttemptEvent, CallId, Charge, Control, Decision, Input, Output, StoreEvent, UpstreamName,
@@ -31,6 +32,7 @@
     pub views: mpsc::Sender<ViewOrder>,
     pub releases: mpsc::Sender<ReleaseOrder>,
     pub probes: mpsc::Sender<ProbeOrder>,
+    pub orders: mpsc::Sender<Order>,
     pub charges: mpsc::Sender<Charge>,
     pub status: watch::Sender<Status>,
     pub lease_until_us: Arc<AtomicU64>,
@@ -125,6 +127,7 @@
                 });
             }
             Output::Probe(upstream) => self.probe(upstream, control),
+            Output::Order(order) => self.order(*order),
             Output::Charge(charge) => self.charge(charge),
             Output::Decision(decision) => self.log(&decision),
         }
@@ -144,6 +147,18 @@
         }
     }
 
+    /// Sends an order on its way; one that cannot be sent counts as unanswered.
+    fn order(&mut self, order: Order) {
+        if let Err(error) = self.orders.try_send(order) {
+            let order = error.into_inner();
+            self.echo.push(Input::OrderResult {
+                upstream: order.upstream,
+                token: order.token,
+                result: OrderResult::Unknown,
+            });
+        }
+    }
+
     /// Keeps a charge record.
     fn charge(&mut self, charge: Charge) {
         self.metrics.count_charge(&charge);
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -9,6 +9,7 @@
 
 use derive_more::{Display, Error, From};
 use knapweeddale_config::Settings;
+use knapweeddale_core::output::Order;
 use knapweeddale_core::{Control, Incarnation, StoreRequest};
 use knapweeddale_peer::{PeerOptions, PeerServer, Peers};
 use knapweeddale_store::{Counted, ObjectApi};
@@ -28,7 +29,8 @@
 use crate::metrics::Metrics;
 use crate::store::{ChargeWriter, ViewOrder, poll_vms, serve_views, watch_config};
 use crate::upstream::{
-    LastAlive, ProbeOrder, ReleaseOrder, UpstreamClient, poll_loads, serve_probes, serve_releases,
+    LastAlive, ProbeOrder, ReleaseOrder, UpstreamClient, poll_loads, serve_orders, serve_probes,
+    serve_releases,
 };
 
 /// Orders about the view that may wait; the core has few of them at a time.
@@ -37,6 +39,9 @@
 /// Releases of engine memory that may wait; the core repeats those dropped.
 const RELEASES: usize = 4_096;
 
+/// Orders to engines that may wait; one for each engine of the services of one VM.
+const ORDERS: usize = 1_024;
+
 /// Probes that may wait; there is one for each broken connection.
 const PROBES: usize = 1_024;
 
@@ -163,6 +168,7 @@
         let (views, view_orders) = mpsc::channel(VIEW_ORDERS);
         let (releases, release_orders) = mpsc::channel(RELEASES);
         let (probes, probe_orders) = mpsc::channel(PROBES);
+        let (orders, model_orders) = mpsc::channel(ORDERS);
         let (charges, charge_records) = mpsc::channel(CHARGES);
         let first_read = ViewOrder {
             request: StoreRequest::Read,
@@ -180,6 +186,7 @@
             views,
             releases,
             probes,
+            orders,
             charges,
             status: status_sender,
             lease_until_us: Arc::clone(&shared.lease_until_us),
@@ -211,6 +218,7 @@
                 views: view_orders,
                 releases: release_orders,
                 probes: probe_orders,
+                models: model_orders,
             },
         );
         let (address, server, server_task) = start_server(settings.listen, &shared).await?;
@@ -235,6 +243,7 @@
     views: mpsc::Receiver<ViewOrder>,
     releases: mpsc::Receiver<ReleaseOrder>,
     probes: mpsc::Receiver<ProbeOrder>,
+    models: mpsc::Receiver<Order>,
 }
 
 /// Starts the tasks that end with the process.
@@ -255,6 +264,13 @@
     tasks.spawn(poll_loads(client(), vm(), status(), inputs()));
     tasks.spawn(serve_releases(client(), orders.releases, inputs()));
     let last_alive = shared.last_alive.clone();
+    tasks.spawn(serve_orders(
+        client(),
+        shared.clock.clone(),
+        settings.order_ms,
+        orders.models,
+        inputs(),
+    ));
     tasks.spawn(serve_probes(client(), orders.probes, last_alive, inputs()));
     let (api, metrics) = (Arc::clone(api), Arc::clone(&shared.metrics));
     tasks.spawn(async move {
--- a/crates/entry/src/upstream/loads.rs
+++ b/crates/entry/src/upstream/loads.rs
@@ -25,9 +25,12 @@
     running_calls: u32,
     #[serde(default)]
     tokens_per_s: u64,
+    /// Models that are loaded; absent if the engine takes no orders.
+    #[serde(default)]
+    models: Option<Vec<String>>,
 }
 
-/// Asks the engines of the pools that this VM owns for their load.
+/// Asks the engines whose pools or orders this VM owns for their load.
 pub(crate) async fn poll_loads(
     client: UpstreamClient,
     vm: VmName,
@@ -42,8 +45,10 @@
         let reports = engines
             .into_iter()
             .map(|(upstream, address)| ask(&client, upstream, address));
-        for input in join_all(reports).await.into_iter().flatten() {
-            inputs.input(input).await;
+        for (upstream, load) in join_all(reports).await.into_iter().flatten() {
+            for input in inputs_of(upstream, load) {
+                inputs.input(input).await;
+            }
         }
         tokio::time::sleep(INTERVAL).await;
     }
@@ -53,8 +58,9 @@
 fn owned_engines(fleet: &FleetConfig, view: &View, vm: &VmName) -> Vec<(UpstreamName, String)> {
     let engines = fleet.services.iter().flat_map(|service| {
         let models = owned_models(service, view, vm);
+        let gives_orders = view.orders_owner(&service.name) == Some(vm);
         let is_owned = move |upstream: &&UpstreamConfig| {
-            upstream.models.iter().any(|model| models.contains(model))
+            gives_orders || upstream.models.iter().any(|model| models.contains(model))
         };
         service.upstreams.iter().filter(is_owned)
     });
@@ -79,10 +85,14 @@
 }
 
 /// Asks one engine.
-async fn ask(client: &UpstreamClient, upstream: UpstreamName, address: String) -> Option<Input> {
+async fn ask(
+    client: &UpstreamClient,
+    upstream: UpstreamName,
+    address: String,
+) -> Option<(UpstreamName, Load)> {
     let url = format!("http://{address}/load");
     let sent = client.http().get(url).timeout(TIMEOUT).send();
-    let load: Load = sent
+    let load = sent
         .await
         .ok()?
         .error_for_status()
@@ -90,9 +100,21 @@
         .json()
         .await
         .ok()?;
-    Some(Input::Load {
+    Some((upstream, load))
+}
+
+/// Returns the inputs that a load report makes.
+fn inputs_of(upstream: UpstreamName, load: Load) -> impl Iterator<Item = Input> {
+    let running_calls = load.running_calls;
+    let loaded = load.models.map(|models| Input::Loaded {
+        upstream: upstream.clone(),
+        models: models.into_iter().map(ModelName::from).collect(),
+        running_calls,
+    });
+    let report = Input::Load {
         upstream,
-        running_calls: load.running_calls,
+        running_calls,
         tokens_per_s: load.tokens_per_s,
-    })
+    };
+    loaded.into_iter().chain([report])
 }
--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 mod headers;
 mod loads;
+mod orders;
 mod probe;
 mod release;
 
@@ -13,5 +14,6 @@
 pub(crate) use events::{EventError, EventReader};
 pub(crate) use headers::{forwardable, returnable};
 pub(crate) use loads::poll_loads;
+pub(crate) use orders::serve_orders;
 pub(crate) use probe::{LastAlive, ProbeOrder, serve_probes};
 pub(crate) use release::{ReleaseOrder, serve_releases};
--- a/crates/testing/src/http/engine.rs
+++ b/crates/testing/src/http/engine.rs
@@ -22,6 +22,8 @@
     pub load_lag: Duration,
     /// Programs whose prefix is kept.
     pub cache_entries: usize,
+    /// Models loaded at the start; `None` if the engine takes no orders.
+    pub models: Option<Vec<String>>,
 }
 
 impl Default for EngineOptions {
@@ -31,6 +33,7 @@
             token_time: Duration::ZERO,
             load_lag: Duration::from_millis(500),
             cache_entries: 64,
+            models: None,
         }
     }
 }
@@ -65,6 +68,9 @@
     loads: VecDeque<(Instant, usize)>,
     /// When the process last restarted.
     restarted: Option<Instant>,
+    /// Models loaded, with the highest fencing token seen.
+    models: Option<Vec<String>>,
+    token: (u64, u64),
     heads: Vec<u8>,
     executions: BTreeMap<String, u64>,
     faults: VecDeque<EngineFault>,
@@ -81,12 +87,16 @@
     ///
     /// Fails if no port can be bound.
     pub async fn start(options: EngineOptions) -> io::Result<FakeServer<Self>> {
+        let state = State {
+            models: options.models.clone(),
+            ..State::default()
+        };
         FakeServer::start(Self {
             options,
             gate: Semaphore::new(0),
             crashed: Semaphore::new(0),
             started: Instant::now(),
-            state: Mutex::default(),
+            state: Mutex::new(state),
         })
         .await
     }
@@ -96,6 +106,11 @@
         self.state().faults.push_back(fault);
     }
 
+    /// Returns the models that orders have loaded.
+    pub fn models(&self) -> Vec<String> {
+        self.state().models.clone().unwrap_or_default()
+    }
+
     /// Lets one request pass its gate.
     pub fn open_gate(&self) {
         self.gate.add_permits(1);
@@ -307,11 +322,31 @@
         json!({
             "running_calls": lagged.map_or(0, |(_, running)| *running),
             "tokens_per_s": 0,
+            "models": state.models,
             "uptime_ms": now.duration_since(started).as_millis() as u64,
         })
         .to_string()
     }
 
+    /// Carries out an order unless its fencing token is old; returns the status.
+    fn order(&self, body: &[u8]) -> u16 {
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let number = |field: &str| body["token"][field].as_u64().unwrap_or(0);
+        let token = (number("epoch"), number("seq"));
+        let model = body["model"].as_str().unwrap_or_default().to_owned();
+        let mut state = self.state();
+        if token < state.token {
+            return 409;
+        }
+        state.token = token;
+        let models = state.models.get_or_insert_default();
+        models.retain(|other| *other != model);
+        if body["action"] == "load" {
+            models.push(model);
+        }
+        200
+    }
+
     /// Releases the cache of a program unless a newer program has its name.
     fn release(&self, body: &[u8]) -> String {
         let body: Value = serde_json::from_slice(body).unwrap_or_default();
@@ -378,6 +413,10 @@
                 let body = self.load();
                 connection.respond(200, kind, body.as_bytes()).await
             }
+            ("POST", "/orders") => {
+                let status = self.order(&request.body);
+                connection.respond(status, kind, b"{}").await
+            }
             ("POST", "/cache/release") => {
                 let body = self.release(&request.body);
                 connection.respond(200, kind, body.as_bytes()).await
--- a/crates/testing/src/mesh/engine.rs
+++ b/crates/testing/src/mesh/engine.rs
@@ -270,6 +270,15 @@
         }
     }
 
+    /// Returns how many calls run on an upstream.
+    pub(super) fn running_calls(&self, now_us: u64, upstream: &UpstreamName) -> u32 {
+        let batch = self.running.get(upstream);
+        let running = batch.map_or(0, |batch| {
+            batch.values().filter(|end| **end > now_us).count()
+        });
+        running as u32
+    }
+
     /// Stops an attempt.
     pub(super) fn cancel(&mut self, attempt: AttemptId) {
         self.cancelled.insert(attempt);
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -8,6 +8,7 @@
 mod batch;
 mod engine;
 mod faults;
+mod orders;
 mod platform;
 mod reading;
 mod store;
@@ -18,6 +19,7 @@
 pub use batch::{BatchEngine, BatchEvent, BatchModel, Job};
 pub use engine::{EngineModel, Engines, history_after};
 pub use faults::Faults;
+pub use orders::OrderDesk;
 pub use platform::Platform;
 pub use store::ViewStore;
 pub use trace::{Trace, TraceEvent};
@@ -62,6 +64,12 @@
     Engine { upstream: UpstreamName },
     /// The engines with batches report their load.
     Load,
+    /// An order reaches an engine.
+    Order {
+        vm: usize,
+        incarnation: Incarnation,
+        order: Box<knapweeddale_core::output::Order>,
+    },
 }
 
 /// A VM of the mesh.
@@ -103,6 +111,8 @@
     pub store: ViewStore,
     /// The platform's list of VMs.
     pub platform: Platform,
+    /// What engines have been ordered to do.
+    pub orders: OrderDesk,
     /// The upstreams.
     pub engines: Engines,
     /// What happened so far.
@@ -169,6 +179,7 @@
             lose_next: Vec::new(),
             store: ViewStore::default(),
             platform: Platform::default(),
+            orders: OrderDesk::default(),
             engines: Engines::default(),
             trace: Trace::default(),
         };
@@ -377,6 +388,11 @@
                 self.platform.published = list;
             }
             Event::Engine { upstream } => self.run_engine(&upstream),
+            Event::Order {
+                vm,
+                incarnation,
+                order,
+            } => self.arrive_order(vm, incarnation, &order),
             Event::Load => self.report_load(),
         }
     }
@@ -427,6 +443,7 @@
         match output {
             Output::Send { to, message } => self.send(vm, &to, message),
             Output::Dispatch(dispatch) => self.dispatch(vm, dispatch),
+            Output::Order(order) => self.send_order(vm, *order),
             Output::CancelAttempt(attempt) => self.engines.cancel(attempt),
             Output::Store(request) => self.ask_store(vm, request),
             Output::ReleaseMemory {
