Keep a restarted member that an old platform list misses

Cause: the platform's list lags, so a VM that restarts soon is a member again when the list without it comes. In a fleet above 9 VMs the writer does not hear most members itself, and removed it; the VM joined again, and so on until the list named it.

Change: a member that the list misses is removed on the first report of its silence. Writers count as gone only when no confirmation has come for the time of a lease. VMs that start ask three peers of their settings in each round for the view, not all; several changes of the view are adopted one after the other, so that they can be passed on; and a view is not pushed twice to a child that has not reported it yet.

--- a/crates/core/src/systems/membership/platform.rs
+++ b/crates/core/src/systems/membership/platform.rs
@@ -33,11 +33,19 @@
 }
 
 /// Returns the members that the platform calls gone and that are silent.
+///
+/// The list may be older than the present start of a VM, so one report of its
+/// silence is needed. In a small fleet the writer itself hears every member.
 pub(super) fn gone(tick: &Tick<'_>) -> BTreeSet<VmName> {
     let tables = &*tick.tables;
+    let hears_all = !tables.membership.peers.is_tree;
+    let is_silent = |vm: &VmName| {
+        let has_report = tables.membership.suspects.contains_key(vm);
+        has_report || (hears_all && !is_alive(tick, vm))
+    };
     let gone = tables.membership.platform.gone.iter();
     gone.filter(|vm| tables.view.member(vm).is_some())
-        .filter(|vm| **vm != tick.settings.vm && !is_alive(tick, vm))
+        .filter(|vm| **vm != tick.settings.vm && is_silent(vm))
         .cloned()
         .collect()
 }
@@ -51,9 +59,16 @@
 }
 
 /// Takes note of when all writers are gone.
+///
+/// Confirmations come from writers only, so that one which arrived within the
+/// time of a lease says that a writer lives, whatever the list says.
 pub(super) fn check_writers(tick: &mut Tick<'_>) {
-    let view = &tick.tables.view;
-    let all_gone = !view.writers.is_empty() && view.writers.iter().all(|vm| is_gone(tick, vm));
+    let (settings, tables) = (tick.settings, &*tick.tables);
+    let age_us = tables.lease.age_us(tick.now_us);
+    let is_confirmed = age_us.is_some_and(|age_us| age_us <= settings.lease_ms * 1_000);
+    let writers = &tables.view.writers;
+    let all_gone =
+        !is_confirmed && !writers.is_empty() && writers.iter().all(|vm| is_gone(tick, vm));
     let since_us = &mut tick.tables.membership.writers_gone_us;
     if !all_gone {
         *since_us = None;
--- a/crates/core/src/systems/membership/rounds.rs
+++ b/crates/core/src/systems/membership/rounds.rs
@@ -9,6 +9,9 @@
 /// Rounds whose answers still count; later answers could not extend a lease.
 const KEPT_ROUNDS: usize = 16;
 
+/// VMs in the settings that are asked for the view in each round.
+const ASKED_PEERS: usize = 3;
+
 /// Starts the next round.
 pub(super) fn run(tick: &mut Tick<'_>) {
     begin_round(tick);
@@ -46,11 +49,17 @@
     tick.tables.timers.set(due_us, Timer::Heartbeat);
 }
 
-/// Asks the VMs in the settings for the view, in case the store does not answer.
+/// Asks some of the VMs in the settings for the view, in case the store does not answer.
+///
+/// Each round asks the next ones: the view of a large fleet is long, and a VM
+/// that asked all would get it from each.
 fn ask_settings_peers(tick: &mut Tick<'_>) {
-    for peer in &tick.settings.peers {
+    let peers = &tick.settings.peers;
+    let first = tick.tables.membership.round as usize * ASKED_PEERS;
+    let known = tick.tables.view.epoch;
+    for step in 0..ASKED_PEERS.min(peers.len()) {
+        let peer = &peers[(first + step) % peers.len()];
         if *peer != tick.settings.vm {
-            let known = tick.tables.view.epoch;
             tick.send(peer, MembershipMessage::ViewRequest { known });
         }
     }
--- a/crates/core/src/systems/membership/views.rs
+++ b/crates/core/src/systems/membership/views.rs
@@ -152,11 +152,15 @@
     let behind: Vec<(VmName, Epoch)> = tables
         .vms
         .iter()
-        .filter(|(_, row)| row.epoch < epoch)
+        .filter(|(_, row)| row.epoch.max(row.told_epoch) < epoch)
         .filter(|(_, row)| row.asked.is_some_and(|asked| asked.at_us >= oldest_us))
-        .map(|(vm, row)| (vm.clone(), row.epoch))
+        .map(|(vm, row)| (vm.clone(), row.epoch.max(row.told_epoch)))
         .collect();
     for (vm, known) in behind {
+        if let Some(row) = tick.tables.vms.get_mut(&vm) {
+            // A view that is lost on its way is asked for after the next heartbeat.
+            row.told_epoch = epoch;
+        }
         send_view(tick, &vm, known);
     }
 }
@@ -222,24 +226,18 @@
     tick.send(vm, MembershipMessage::ViewRequest { known });
 }
 
-/// Adopts a view given by its changes.
+/// Adopts views given by their changes, one after the other.
+///
+/// A VM that took several changes as one could not pass them on to those that
+/// know a view between.
 pub(super) fn adopt_deltas(tick: &mut Tick<'_>, sender: &Sender, deltas: &[ViewDelta]) {
-    let mut view: Option<View> = None;
     for delta in deltas {
-        let from = view.as_ref().unwrap_or(&tick.tables.view);
-        if let Some(after) = from.with_delta(delta) {
-            view = Some(after);
-        }
-    }
-    match view {
-        Some(view) => {
+        if let Some(view) = tick.tables.view.with_delta(delta) {
             adopt(tick, &view);
         }
-        None => {
-            let newest = deltas.last().map_or(Epoch::default(), |delta| delta.to);
-            note_epoch(tick, &sender.vm, newest);
-        }
     }
+    let newest = deltas.last().map_or(Epoch::default(), |delta| delta.to);
+    note_epoch(tick, &sender.vm, newest);
 }
 
 /// Forgets removed members and silent strangers after a while.
--- a/crates/core/src/tables/vm.rs
+++ b/crates/core/src/tables/vm.rs
@@ -11,6 +11,8 @@
     pub heard_us: u64,
     /// The epoch that it last reported.
     pub epoch: Epoch,
+    /// The epoch of the view that was last passed on to it.
+    pub told_epoch: Epoch,
     /// The revision that it last reported.
     pub revision: Revision,
     /// Whether it says that it is leaving.
@@ -43,6 +45,7 @@
             incarnation,
             heard_us: now_us,
             epoch: Epoch::default(),
+            told_epoch: Epoch::default(),
             revision: Revision::default(),
             leaving: false,
             asked: None,
--- a/crates/report/src/bin/membership_report.rs
+++ b/crates/report/src/bin/membership_report.rs
@@ -39,7 +39,7 @@
         options.vms = SIZES.to_vec();
     }
     println!(
-        "{:>5} {:>8} {:>10} {:>10} {:>10} {:>10} {:>9} {:>9} {:>8} {:>8}",
+        "{:>5} {:>8} {:>10} {:>10} {:>10} {:>10} {:>9} {:>9} {:>8} {:>6} {:>7}",
         "VMs",
         "members",
         "msg/s mean",
@@ -49,6 +49,7 @@
         "sent max",
         "CPU% max",
         "store/s",
+        "views",
         "leases"
     );
     for &vms in &options.vms {
@@ -70,6 +71,7 @@
     }
     let before: Vec<Traffic> = (0..vms).map(|vm| mesh.traffic(vm)).collect();
     let requests = mesh.store.requests;
+    let epoch = mesh.tables(0).view.epoch.0;
     for second in 0..options.seconds {
         crash_next(&mut mesh, second, options.crash_every);
         mesh.run_ms(1_000);
@@ -83,7 +85,7 @@
     let leases = (0..vms).filter(|vm| mesh.has_lease(*vm)).count();
     let writer = (0..vms).find(|vm| mesh.control(*vm).is_some()).unwrap_or(0);
     println!(
-        "{vms:>5} {:>8} {:>10.1} {:>10.1} {:>10.0} {:>10.0} {:>9.0} {:>9.3} {:>8.2} {leases:>8}",
+        "{vms:>5} {:>8} {:>10.1} {:>10.1} {:>10.0} {:>10.0} {:>9.0} {:>9.3} {:>8.2} {:>6} {leases:>7}",
         mesh.tables(writer).view.members.len(),
         mean(|rates| rates.messages),
         max(|rates| rates.messages),
@@ -92,6 +94,7 @@
         max(|rates| rates.sent_bytes),
         max(|rates| rates.processor_percent),
         (mesh.store.requests - requests) as f64 / seconds,
+        mesh.tables(writer).view.epoch.0 - epoch,
     );
 }
 
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -7,4 +7,4 @@
 mod seeds;
 
 pub use random::Random;
-pub use seeds::{run_sampled, sample_accounts, seeds};
+pub use seeds::{assert_members, run_sampled, sample_accounts, seeds, settled_mesh};
--- a/crates/testing/src/seeds.rs
+++ b/crates/testing/src/seeds.rs
@@ -1,8 +1,8 @@
-//! Seeds of fault tests.
+//! Common steps of fault tests.
 
 use crate::invariants;
 use crate::mesh::Mesh;
-use knapweeddale_core::AccountName;
+use knapweeddale_core::{AccountName, FleetConfig};
 
 /// Seeds that fault tests run with unless `KNAPWEEDDALE_SEEDS` says otherwise.
 const DEFAULT_SEEDS: u64 = 3;
@@ -50,3 +50,29 @@
         }
     }
 }
+
+/// Makes a mesh of 8 VMs in 3 failure domains in which all are members.
+///
+/// # Panics
+///
+/// Panics with the seed if an account has two owners meanwhile.
+pub fn settled_mesh(fleet: FleetConfig, seed: u64) -> Mesh {
+    let mut mesh = Mesh::with_domains(8, 3, fleet, seed);
+    run_sampled(&mut mesh, 6_000, seed);
+    mesh
+}
+
+/// Checks that some VMs have a lease and a view with exactly these members.
+///
+/// # Panics
+///
+/// Panics with the seed and the first VM for which that is not so.
+pub fn assert_members(mesh: &Mesh, running: &[usize], seed: u64) {
+    for &vm in running {
+        let members = &mesh.tables(vm).view.members;
+        let mut numbers: Vec<_> = members.iter().filter_map(|m| mesh.index(&m.vm)).collect();
+        numbers.sort_unstable();
+        assert_eq!(numbers, running, "seed {seed}: view of VM {vm}");
+        assert!(mesh.has_lease(vm), "seed {seed}: lease of VM {vm}");
+    }
+}
