Let no late hand-over bring an ended program back

Change: a hand-over yields to the state of an ended program; a row that comes after the takeover wait counts as incomplete.

--- a/crates/core/src/systems/homes/lifecycle.rs
+++ b/crates/core/src/systems/homes/lifecycle.rs
@@ -3,7 +3,6 @@
 use super::super::Tick;
 use super::{budget, release, takeover, tree, waits};
 use crate::ids::{CallId, ProgramKey, VmName};
-use crate::input::Continuation;
 use crate::message::{Denied, HomesMessage};
 use crate::output::{Decision, Execution, OverReason, RefusalKind};
 use crate::tables::{Phase, Timer, Tombstone};
@@ -102,10 +101,10 @@
     }
 }
 
-/// Returns whether a continuation belongs to a program that is over.
-pub(super) fn is_over(tick: &Tick<'_>, key: &ProgramKey, carried: &Continuation) -> bool {
+/// Returns whether a generation of a program is over.
+pub(super) fn is_over(tick: &Tick<'_>, key: &ProgramKey, generation: u64) -> bool {
     let tombstone = tick.tables.homes.over.get(key);
-    tombstone.is_some_and(|tombstone| tombstone.state.generation == carried.generation)
+    tombstone.is_some_and(|tombstone| tombstone.state.generation == generation)
 }
 
 /// Forgets the last state of a program that is over.
--- a/crates/core/src/systems/homes/resume.rs
+++ b/crates/core/src/systems/homes/resume.rs
@@ -25,7 +25,7 @@
     match carried {
         Some(carried) if exists => forward(tick, key, carried, TakeoverSource::Continuation),
         Some(carried) => {
-            if lifecycle::is_over(tick, key, carried)
+            if lifecycle::is_over(tick, key, carried.generation)
                 || takeover::was_home_since(tick, key, carried.epoch)
             {
                 return Err(RefusalKind::ProgramEnded);
--- a/crates/core/src/systems/homes/takeover.rs
+++ b/crates/core/src/systems/homes/takeover.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::super::Tick;
-use super::{MOVING_RETRY_MS, home, release, transfers, tree, waits, witness};
+use super::{MOVING_RETRY_MS, home, lifecycle, release, transfers, tree, waits, witness};
 use crate::ids::{Epoch, Incarnation, ProgramKey, UpstreamName, VmName};
 use crate::message::{HandOver, HandedProgram, HomesMessage};
 use crate::output::{Decision, TakeoverSource};
@@ -367,11 +367,15 @@
         let is_newer = present.generation == row.generation && present.turn > row.turn;
         !is_waiting || !present.is_recovered || is_newer
     });
-    if stays {
+    if stays || lifecycle::is_over(tick, &key, row.generation) {
         return merge(tick, &key, &row);
     }
     let mut row = rebase(row, now_us, tick.now_us);
-    row.is_recovered |= !is_waiting;
+    if !is_waiting {
+        // Homes in between may have acted without the old one.
+        row.is_recovered = true;
+        row.known_from = tick.tables.view.epoch.next();
+    }
     match tick.tables.programs.get_mut(&key) {
         Some(present) => {
             row.links = std::mem::take(&mut present.links);
@@ -392,15 +396,13 @@
 
 /// Adds what a handed-over row knows to the row that stays.
 fn merge(tick: &mut Tick<'_>, key: &ProgramKey, handed: &Program) {
-    let Some(present) = tick.tables.programs.get_mut(key) else {
-        return;
-    };
-    if present.generation != handed.generation {
+    let present = tick.tables.programs.get_mut(key);
+    let Some(present) = present.filter(|row| row.generation == handed.generation) else {
         for upstream in &handed.served {
             release::release(tick, upstream.clone(), key.clone(), handed.generation);
         }
         return;
-    }
+    };
     let spent_tokens = &mut present.usage.spent_tokens;
     *spent_tokens = (*spent_tokens).max(handed.usage.spent_tokens);
     release::note(tick, key, &handed.served);
--- a/crates/core/src/systems/homes/witness.rs
+++ b/crates/core/src/systems/homes/witness.rs
@@ -183,7 +183,8 @@
 
 /// Returns whether a program without a row is known to be over.
 fn is_gone(tick: &Tick<'_>, key: &ProgramKey, state: &Continuation) -> bool {
-    lifecycle::is_over(tick, key, state) || takeover::was_home_since(tick, key, state.epoch)
+    lifecycle::is_over(tick, key, state.generation)
+        || takeover::was_home_since(tick, key, state.epoch)
 }
 
 /// Brings the row of a program up to a witness.
--- /dev/null
+++ b/crates/core/tests/home_session.rs
@@ -0,0 +1,46 @@
+//! Guards against unnoticed changes of what homes decide, in one fixed session.
+
+use knapweeddale_core::ProgramRequestKind;
+use knapweeddale_testing::callers::{Kind, call, fleet, key_of, request};
+use knapweeddale_testing::mesh::{Mesh, TraceEvent};
+
+/// Returns the decisions of homes with the time in milliseconds.
+fn decisions(mesh: &Mesh) -> String {
+    let lines = mesh.trace.events.iter().filter_map(|(at_us, event)| {
+        let TraceEvent::Decided { vm, decision } = event else {
+            return None;
+        };
+        let text = decision.to_string();
+        let is_home = text.starts_with("homes:") || text.starts_with("admission:");
+        is_home.then(|| format!("{:>6} ms {vm} {text}\n", at_us / 1_000))
+    });
+    lines.collect()
+}
+
+#[test]
+fn session_with_lost_home() {
+    let mut mesh = Mesh::new(3, fleet(1_000, 130), 1);
+    mesh.run_ms(2_000);
+    let home = mesh.home_of(0, &key_of("tour")).expect("a home");
+    let entry = (home + 1) % 3;
+    let first = mesh.call(entry, call(Kind::Chat, "tour", 1, 1, None, None));
+    mesh.call(entry, call(Kind::Chat, "tour/hall", 1, 2, None, None));
+    mesh.run_ms(1_000);
+    let answered = mesh.trace.answer(first).expect("turn 1").clone();
+    let (state, permit) = (answered.continuation, answered.permit);
+    let send = call(Kind::Send, "tour", 2, 3, state.as_ref(), permit.as_ref());
+    mesh.call(entry, send.clone());
+    mesh.run_ms(30);
+    mesh.call(entry, send.clone());
+    mesh.run_ms(500);
+    let stale = call(Kind::Chat, "tour", 3, 4, state.as_ref(), None);
+    mesh.call(entry, stale);
+    mesh.run_ms(500);
+    mesh.crash(home);
+    mesh.run_ms(10_000);
+    mesh.call(entry, send);
+    mesh.run_ms(500);
+    mesh.program(entry, request(ProgramRequestKind::End, "tour", None));
+    mesh.run_ms(500);
+    insta::assert_snapshot!(decisions(&mesh));
+}
