Tell a resend of an ended program whether it ran

Cause: with no fault, 8.1 of 1,000 calls were refused as may_have_run, all for programs that had been ended while a sub-agent's call was under way. Change: the row of an ended program is kept for the time of a lease and answers for its permits; a resend stays attached to the turn in progress, and the last turn gets its state.

--- a/crates/core/src/systems/homes/home.rs
+++ b/crates/core/src/systems/homes/home.rs
@@ -8,7 +8,7 @@
 use crate::ids::{CallId, HistoryDigest, ProgramKey, UpstreamName, VmName};
 use crate::message::{Began, Begin, Denied, HomesMessage, RunningTurn, Settle};
 use crate::output::{Decision, Execution, RefusalKind, TakeoverSource};
-use crate::tables::{FinishedTurn, Phase, Timer, Turn, UnknownTurn};
+use crate::tables::{FinishedTurn, Phase, Program, Timer, Turn, UnknownTurn};
 
 /// Lets a turn begin, lets it wait or refuses it.
 pub(super) fn begin(tick: &mut Tick<'_>, vm: &VmName, begin: Box<Begin>) {
@@ -30,10 +30,7 @@
         return deny(tick, vm, &begin, RefusalKind::KeyUnknown, not_run, None);
     }
     if let Err(kind) = resume::resume(tick, key, begin.continuation.as_ref()) {
-        let ran = match &begin.permit {
-            Some(_) => Execution::MayHaveRun,
-            None => not_run,
-        };
+        let ran = lifecycle::earlier_run(tick, &begin);
         return deny(tick, vm, &begin, kind, ran, None);
     }
     carry_out(tick, vm, begin);
@@ -355,14 +352,19 @@
 /// Confirms the end of a turn; one that ran gets the state for the next turn.
 fn reply_settled(tick: &mut Tick<'_>, vm: &VmName, settle: &Settle) {
     let key = &settle.state.program;
-    let program = tick.tables.programs.get(key);
-    let is_last = program.is_some_and(|program| {
-        program
-            .last
-            .as_ref()
-            .is_some_and(|last| last.call == settle.call)
-    });
-    let state = tree::state_of(tick, key).filter(|_| is_last);
+    let is_last = |program: &Program| {
+        let last = program.last.as_ref();
+        last.is_some_and(|last| last.call == settle.call)
+    };
+    let state = match tick.tables.programs.get(key) {
+        Some(program) => tree::state_of(tick, key).filter(|_| is_last(program)),
+        // The turn was the last one of a program that had been ended meanwhile.
+        None => {
+            let tombstone = tick.tables.homes.over.get(key);
+            let tombstone = tombstone.filter(|tombstone| is_last(&tombstone.row));
+            tombstone.map(|tombstone| tombstone.state.clone())
+        }
+    };
     let next_turn = settle.turn.number + 1;
     let permit = state
         .as_ref()
--- a/crates/core/src/systems/homes/lifecycle.rs
+++ b/crates/core/src/systems/homes/lifecycle.rs
@@ -1,9 +1,9 @@
 //! The end of programs: by their caller, by their lease and by their budget.
 
 use super::super::Tick;
-use super::{budget, release, takeover, tree, waits};
+use super::{budget, order, release, takeover, tree, waits};
 use crate::ids::{CallId, ProgramKey, VmName};
-use crate::message::{Denied, HomesMessage};
+use crate::message::{Begin, Denied, HomesMessage};
 use crate::output::{Decision, Execution, OverReason, RefusalKind};
 use crate::tables::{Phase, Timer, Tombstone};
 
@@ -93,8 +93,13 @@
 /// Keeps the last state of a program that is over for the time of a lease.
 fn bury(tick: &mut Tick<'_>, key: &ProgramKey) {
     let until_us = tick.now_us + tick.settings.program_lease_ms * 1_000;
-    if let Some(state) = tree::state_of(tick, key) {
-        let tombstone = Tombstone { state, until_us };
+    let row = tick.tables.programs.get(key).cloned();
+    if let Some((state, row)) = tree::state_of(tick, key).zip(row) {
+        let tombstone = Tombstone {
+            state,
+            row,
+            until_us,
+        };
         tick.tables.homes.over.insert(key.clone(), tombstone);
         let timer = Timer::TombstoneForget(key.clone());
         tick.tables.timers.set(until_us, timer);
@@ -107,6 +112,16 @@
     tombstone.is_some_and(|tombstone| tombstone.state.generation == generation)
 }
 
+/// Returns what is known about earlier runs of a request of a program without a row.
+pub(super) fn earlier_run(tick: &Tick<'_>, begin: &Begin) -> Execution {
+    let tombstone = tick.tables.homes.over.get(&begin.program);
+    match (tombstone, &begin.permit) {
+        (Some(tombstone), _) => order::earlier_run(tick, &tombstone.row, begin),
+        (None, Some(_)) => Execution::MayHaveRun,
+        (None, None) => Execution::NotRun,
+    }
+}
+
 /// Forgets the last state of a program that is over.
 pub(super) fn forget(tick: &mut Tick<'_>, key: &ProgramKey) {
     let over = &mut tick.tables.homes.over;
--- a/crates/core/src/systems/homes/order.rs
+++ b/crates/core/src/systems/homes/order.rs
@@ -39,6 +39,13 @@
     if begin.turn <= program.turn {
         return judge_finished(tick, program, begin);
     }
+    let is_resend = program
+        .current
+        .as_ref()
+        .is_some_and(|current| current.number == begin.turn && current.digest == begin.digest);
+    if is_resend {
+        return Verdict::Attach;
+    }
     match program.phase {
         Phase::Open => {}
         Phase::Ended => return Verdict::Deny(RefusalKind::ProgramEnded, ran),
@@ -46,11 +53,7 @@
     }
     match &program.current {
         Some(current) if current.number == begin.turn => {
-            if current.digest == begin.digest {
-                Verdict::Attach
-            } else {
-                Verdict::Deny(RefusalKind::DuplicateTurn, ran)
-            }
+            Verdict::Deny(RefusalKind::DuplicateTurn, ran)
         }
         Some(_) => Verdict::Wait,
         None if begin.turn > program.turn + 1 => Verdict::Wait,
--- a/crates/core/src/tables/homes.rs
+++ b/crates/core/src/tables/homes.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use smallvec::SmallVec;
 
-use super::{Table, View};
+use super::{Program, Table, View};
 use crate::ids::{CallId, Epoch, ProgramKey, UpstreamName, VmName};
 use crate::input::Continuation;
 use crate::message::{Begin, HomesMessage, Settle, Witness};
@@ -59,8 +59,10 @@
 /// Without it, a continuation that an earlier home signed would bring the program back.
 #[derive(Debug, Clone)]
 pub struct Tombstone {
-    /// The state.
+    /// The state that a new home is told.
     pub state: Continuation,
+    /// The row, which tells whether a permit of the program may have been used.
+    pub row: Program,
     /// When it need not be kept any longer.
     pub until_us: u64,
 }
--- a/crates/testing/src/callers.rs
+++ b/crates/testing/src/callers.rs
@@ -190,6 +190,8 @@
     seen: usize,
     turns: u32,
     random: Random,
+    /// A VM that the load balancer sends no calls to.
+    pub avoid: Option<usize>,
     /// Calls sent twice at once, of 1,000.
     pub doubled_per_mille: u64,
     /// Calls by what their refusal said.
@@ -228,6 +230,7 @@
             seen: 0,
             turns,
             random,
+            avoid: None,
             doubled_per_mille: 20,
             refused: BTreeMap::new(),
             answered: 0,
@@ -449,7 +452,7 @@
     /// Picks a VM that runs.
     fn pick(&mut self, mesh: &Mesh) -> Option<usize> {
         let up: Vec<usize> = (0..mesh.len())
-            .filter(|vm| mesh.control(*vm).is_some())
+            .filter(|vm| mesh.control(*vm).is_some() && self.avoid != Some(*vm))
             .collect();
         up.get(self.random.below(up.len() as u64) as usize).copied()
     }
