Ask known peers at the start, and divide the daemon into its parts

Cause: a VM that starts while the store is down had no way to learn view and configuration, and the daemon's start was one long function. Change: known_peers are asked for both until they are known; the daemon is a folder with start, links, server, background tasks, stop and errors apart.

--- /dev/null
+++ b/crates/entry/src/daemon/background.rs
@@ -0,0 +1,58 @@
+//! Tasks that end with the process.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use knapweeddale_config::Settings;
+use knapweeddale_store::{Counted, ObjectApi};
+use tokio::sync::mpsc;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+use crate::clock::Clock;
+use crate::front::Shared;
+use crate::known_peers::ask_known_peers;
+use crate::store::{ViewOrder, poll_vms, serve_views, watch_config};
+use crate::upstream::{ProbeOrder, ReleaseOrder, poll_loads, serve_probes, serve_releases};
+
+/// Time between two updates of the counts of store calls.
+const COUNTS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The queues of orders from the control thread.
+pub(super) struct Orders {
+    pub views: mpsc::Receiver<ViewOrder>,
+    pub releases: mpsc::Receiver<ReleaseOrder>,
+    pub probes: mpsc::Receiver<ProbeOrder>,
+}
+
+/// Starts the tasks that end with the process.
+pub(super) fn start<A: ObjectApi, C: Clock>(
+    api: &Arc<Counted<A>>,
+    shared: &Arc<Shared<C>>,
+    settings: &Settings,
+    orders: Orders,
+) -> JoinSet<()> {
+    let inputs = || shared.inputs.clone();
+    let status = || shared.status.clone();
+    let client = || shared.upstream.clone();
+    let vm = || shared.vm.clone();
+    let mut tasks = JoinSet::new();
+    tasks.spawn(serve_views(Arc::clone(api), orders.views, inputs()));
+    tasks.spawn(watch_config(Arc::clone(api), settings.vm.clone(), inputs()));
+    tasks.spawn(poll_vms(Arc::clone(api), vm(), status(), inputs()));
+    tasks.spawn(poll_loads(client(), vm(), status(), inputs()));
+    tasks.spawn(serve_releases(client(), orders.releases, inputs()));
+    let last_alive = shared.last_alive.clone();
+    tasks.spawn(serve_probes(client(), orders.probes, last_alive, inputs()));
+    let peers = settings.known_peers.clone();
+    let options = shared.peer_options.clone();
+    tasks.spawn(ask_known_peers(options, peers, status()));
+    let (api, metrics) = (Arc::clone(api), Arc::clone(&shared.metrics));
+    tasks.spawn(async move {
+        loop {
+            metrics.set_store(&api.counts());
+            sleep(COUNTS_INTERVAL).await;
+        }
+    });
+    tasks
+}
--- /dev/null
+++ b/crates/entry/src/daemon/mod.rs
@@ -0,0 +1,196 @@
+//! The daemon: starts all parts and stops them without cutting calls.
+
+mod background;
+mod error;
+mod links;
+mod server;
+mod stop;
+
+pub use error::StartError;
+pub use stop::CutList;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use knapweeddale_config::Settings;
+use knapweeddale_core::{Control, CoreSettings, Incarnation, StoreRequest};
+use knapweeddale_peer::{PeerOptions, PeerServer};
+use knapweeddale_store::{Counted, ObjectApi};
+use knapweeddale_token::{Signer, derive_secret};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::timeout;
+
+use crate::call::{CallIds, InFlight, KeptAnswers, random_u64};
+use crate::clock::Clock;
+use crate::control::{self, InputSender, Status, StatusReader, input_queue};
+use crate::front::Shared;
+use crate::inbox::Inbox;
+use crate::metrics::Metrics;
+use crate::store::{ChargeWriter, ViewOrder};
+use crate::upstream::{LastAlive, UpstreamClient};
+use links::Links;
+use server::Server;
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon<C> {
+    shared: Arc<Shared<C>>,
+    peers: PeerServer,
+    control: JoinHandle<()>,
+    server: Server,
+    charges: tokio::task::JoinHandle<()>,
+    /// Tasks that end with the process.
+    background: JoinSet<()>,
+    drain_notice: Duration,
+    drain: Duration,
+}
+
+/// Reads the secret of the fleet.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read or the secret is too short.
+pub fn read_secret(settings: &Settings) -> Result<Vec<u8>, StartError> {
+    let file = &settings.secret_file;
+    let text = std::fs::read(file).map_err(|source| StartError::SecretFile {
+        file: file.display().to_string(),
+        source,
+    })?;
+    let secret = text.trim_ascii().to_vec();
+    Signer::new(&secret)?;
+    Ok(secret)
+}
+
+/// # Start
+impl<C: Clock> Daemon<C> {
+    /// Starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a listener cannot be bound or the secret is too short.
+    pub async fn start<A: ObjectApi>(
+        settings: Settings,
+        secret: &[u8],
+        api: A,
+        clock: C,
+    ) -> Result<Self, StartError> {
+        let api = Arc::new(Counted::new(api));
+        let listener = TcpListener::bind(settings.peer_listen).await?;
+        let mut core = settings.to_core(new_incarnation());
+        // The system chooses the port if the settings leave it open.
+        core.address = listener.local_addr()?.to_string();
+        let (inputs, queue) = input_queue(settings.input_queue_len);
+        let (status_sender, status) = watch::channel(Status::default());
+        let shared = share(&settings, &core, secret, (inputs, status), clock.clone())?;
+        let links = Links::new(&shared, status_sender);
+        let first_read = ViewOrder {
+            request: StoreRequest::Read,
+            now_us: clock.now_us(),
+        };
+        // The queue is empty, so that there is room.
+        let _ = links.outlets.views.try_send(first_read);
+        let writer = ChargeWriter::new(
+            Arc::clone(&api),
+            &settings.vm,
+            core.incarnation,
+            settings.data_folder.clone(),
+            Arc::clone(&shared.metrics),
+        );
+        let control = control::spawn(Control::new(core), queue, links.outlets, clock)?;
+        let peers = PeerServer::start(
+            listener,
+            shared.peer_options.clone(),
+            Arc::new(Inbox(Arc::clone(&shared))),
+            Arc::clone(&shared.peer_counts),
+        )?;
+        let charges = tokio::spawn(writer.run(links.charges));
+        let background = background::start(&api, &shared, &settings, links.orders);
+        let server = server::start(settings.listen, &shared).await?;
+        let address = server.address;
+        tracing::info!("membership: {} serves callers at {address}", shared.vm);
+        Ok(Self {
+            shared,
+            peers,
+            control,
+            server,
+            charges,
+            background,
+            drain_notice: Duration::from_millis(settings.drain_notice_ms),
+            drain: Duration::from_millis(settings.drain_ms),
+        })
+    }
+}
+
+/// Makes what all requests share.
+fn share<C: Clock>(
+    settings: &Settings,
+    core: &CoreSettings,
+    secret: &[u8],
+    (inputs, status): (InputSender, StatusReader),
+    clock: C,
+) -> Result<Arc<Shared<C>>, StartError> {
+    let peer_options = PeerOptions::builder()
+        .vm(core.vm.clone())
+        .address(core.address.as_str())
+        .incarnation(core.incarnation)
+        .secret(derive_secret(secret, "peer")?)
+        .build();
+    Ok(Arc::new(Shared {
+        vm: core.vm.clone(),
+        inputs,
+        clock,
+        upstream: UpstreamClient::new()?,
+        last_alive: LastAlive::default(),
+        signer: Signer::new(derive_secret(secret, "sign")?.as_bytes())?,
+        answers: KeptAnswers::new(settings.answer_keep_ms),
+        metrics: Arc::new(Metrics::new()?),
+        in_flight: InFlight::default(),
+        ids: CallIds::new(core.incarnation),
+        status,
+        lease_until_us: Arc::default(),
+        draining: AtomicBool::new(false),
+        peer_options,
+        peer_counts: Arc::default(),
+        max_body_bytes: settings.max_body_bytes,
+        response_queue_len: settings.response_queue_len,
+    }))
+}
+
+/// Returns the number of this start: the time in seconds and a random part.
+fn new_incarnation() -> Incarnation {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let seconds = elapsed.map(|time| time.as_secs()).unwrap_or_default();
+    Incarnation((seconds << 32) | (random_u64() >> 32))
+}
+
+/// # Observation
+impl<C: Clock> Daemon<C> {
+    /// Returns the address that callers reach.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address
+    }
+
+    /// Returns the address that other VMs reach.
+    pub fn peer_address(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
+    /// Waits until the VM is configured, a member and under lease.
+    pub async fn ready(&self) {
+        let mut status = self.shared.status.clone();
+        while !self.shared.unready_reasons().is_empty() {
+            // The lease is no part of the status, so the wait is short as well.
+            let _ = timeout(Duration::from_millis(10), status.changed()).await;
+        }
+    }
+
+    /// Returns what lists the calls that a forced end cuts.
+    pub fn cut_list(&self) -> CutList {
+        CutList(self.shared.in_flight.clone())
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 mod daemon;
 mod front;
 mod inbox;
+mod known_peers;
 pub mod logs;
 mod metrics;
 mod options;
--- a/crates/entry/tests/two_vms.rs
+++ b/crates/entry/tests/two_vms.rs
@@ -4,7 +4,7 @@
 
 use knapweeddale_entry::{Daemon, MonotonicClock};
 use knapweeddale_store::HttpObjectApi;
-use knapweeddale_testing::platform::VmRow;
+use knapweeddale_testing::platform::{Fault, VmRow};
 use serde_json::Value;
 use support::{KEY, Rig, SECRET, ask, bearer, settings};
 
@@ -33,6 +33,36 @@
     second
 }
 
+#[tokio::test]
+async fn start_without_store() {
+    let rig = Rig::start().await;
+    rig.platform.objects.set_fault(Fault::Down);
+    let mut settings = settings(&rig.platform.url());
+    settings.vm = "vm-2".to_owned();
+    settings.known_peers = vec![rig.daemon.peer_address()];
+    let api = HttpObjectApi::builder()
+        .base_url(&rig.platform.url())
+        .build();
+    let api = api.expect("client of the platform");
+    let second = Daemon::start(settings, SECRET, api, MonotonicClock::start()).await;
+    let second = second.expect("daemon starts");
+    let address = second.address();
+    loop {
+        let models = reqwest::get(format!("http://{address}/v1/models")).await;
+        let models = models.expect("the VM answers").text().await.expect("text");
+        if models.contains("small") {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(10)).await;
+    }
+    let ready = reqwest::get(format!("http://{address}/readyz")).await;
+    assert_eq!(
+        ready.expect("the VM answers").status(),
+        503,
+        "it is no member yet"
+    );
+}
+
 #[tokio::test]
 async fn turns_move_between_vms() {
     let rig = Rig::start().await;
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -41,9 +41,9 @@
     messages: mpsc::Sender<PeerMessage>,
 }
 
-/// A kept response could not be fetched.
+/// A VM did not answer a single request.
 #[derive(Debug, Display, Error)]
-#[display("no answer from the VM at {address} ({reason}); resend the request")]
+#[display("no answer from the VM at {address} ({reason}); check that it runs with this secret")]
 pub struct FetchError {
     /// The address of the VM.
     pub address: String,
@@ -96,6 +96,35 @@
         }
     }
 
+    /// Sends messages once to the VM at an address whose name is not known.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the VM does not confirm them in time.
+    pub async fn deliver_once(
+        options: &PeerOptions,
+        address: &str,
+        messages: &[PeerMessage],
+    ) -> Result<(), FetchError> {
+        let error = |reason: ClientError| FetchError {
+            address: address.to_owned(),
+            reason: reason.to_string(),
+        };
+        let batch = Batch {
+            from: options.vm.clone(),
+            address: options.address.clone(),
+            incarnation: options.incarnation,
+            messages: messages
+                .iter()
+                .filter_map(|m| wire::write(m).ok())
+                .collect(),
+        };
+        let client = connect(options, address).map_err(error)?;
+        let params = rpc_params![batch];
+        let _: bool = client.request("deliver", params).await.map_err(error)?;
+        Ok(())
+    }
+
     /// Fetches the response that the VM at an address keeps for a call.
     ///
     /// # Errors
