--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -28,6 +28,8 @@
     call.upstream = None;
     call.place.unanswered = 0;
     call.place.first_token_us = 0;
+    let due_us = now_us + tick.settings.queue_ms * 1_000;
+    call.place.queue_until_us = due_us;
     let attempt = call.attempt();
     let pool = call.pool.clone();
     if call.attempts == 1
@@ -35,7 +37,6 @@
     {
         row.retries.count_call(now_us);
     }
-    let due_us = now_us + tick.settings.queue_ms * 1_000;
     tick.tables.timers.set(due_us, Timer::QueueWait(attempt));
     send_place(tick, id);
 }
@@ -202,6 +203,12 @@
             unplaced(tick, attempt, RefusalKind::Quarantined);
             return;
         }
+        if call.is_some_and(|call| tick.now_us >= valid_until_us(call)) {
+            // The home has to confirm the turn again before the call may start.
+            free_unused(tick, pool, attempt, assignment.0);
+            admission::enter(tick, attempt.call, Stage::Home);
+            return;
+        }
         dispatch(tick, attempt, assignment);
         return;
     }
@@ -217,6 +224,18 @@
     }
 }
 
+/// Returns the time after which a call must not start.
+///
+/// A call that may run more than once may wait in a queue for longer than
+/// the lease of its home lasts.
+fn valid_until_us(call: &Call) -> u64 {
+    if call.idempotent {
+        u64::MAX
+    } else {
+        call.valid_until_us
+    }
+}
+
 /// Frees an upstream that was chosen for a call that no longer waits.
 fn free_unused(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId, upstream: UpstreamName) {
     let finish = Finish {
@@ -236,6 +255,7 @@
 /// Sends an attempt to its upstream.
 fn dispatch(tick: &mut Tick<'_>, attempt: AttemptId, assignment: Assignment) {
     let (upstream, reason, runners_up) = assignment;
+    cancel_waits(tick, attempt);
     let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
     };
@@ -253,7 +273,7 @@
         attempt,
         upstream: upstream.clone(),
         address: row.address.clone(),
-        valid_until_us: call.valid_until_us,
+        valid_until_us: valid_until_us(call),
         first_token_ms: first_token_ms.unwrap_or(tick.settings.first_token_ms),
         token_gap_ms: token_gap_ms.unwrap_or(tick.settings.token_gap_ms),
         account: call.account.clone(),
@@ -271,6 +291,17 @@
     tick.decide(decision);
 }
 
+/// Removes the timers of a call that no longer waits; at a high rate of calls
+/// they would fill the timers for as long as a call may wait.
+fn cancel_waits(tick: &mut Tick<'_>, attempt: AttemptId) {
+    let tables = &mut *tick.tables;
+    if let Some(call) = tables.calls.get(&attempt.call) {
+        let waits = (call.place.queue_until_us, call.place.check_us);
+        tables.timers.cancel(waits.0, Timer::QueueWait(attempt));
+        tables.timers.cancel(waits.1, Timer::PlaceWait(attempt));
+    }
+}
+
 /// Refuses a call that has waited too long for an upstream.
 pub(super) fn expire(tick: &mut Tick<'_>, attempt: AttemptId) {
     if !is_waiting(tick, attempt) {
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -30,7 +30,7 @@
 pub use footprint::{Footprint, Hint};
 pub use health::{Health, LostAttempt};
 pub use homes::{
-    HandedOver, Homes, KeptWitness, PendingSettle, ProgramAsk, Release, Transfer, Wait,
+    HandedOver, Homes, KeptWitness, PendingSettle, ProgramAsk, Release, Tombstone, Transfer, Wait,
 };
 pub use lease::Lease;
 pub use limit::{Limit, LimitReason};
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -26,6 +26,8 @@
     RequestRetry(CallId),
     /// A request to end a program need not be remembered any longer.
     EndedForget(CallId),
+    /// The state of a program that is over need not be kept any longer.
+    TombstoneForget(ProgramKey),
     /// A witness need not be kept any longer.
     WitnessForget(ProgramKey),
     /// A transfer to a new home has to be sent again.
@@ -70,6 +72,11 @@
         self.due.insert((due_us, timer));
     }
 
+    /// Removes a timer that is no longer needed.
+    pub fn cancel(&mut self, due_us: u64, timer: Timer) {
+        self.due.remove(&(due_us, timer));
+    }
+
     /// Returns the earliest due time.
     pub fn next_due_us(&self) -> Option<u64> {
         self.due.first().map(|(due_us, _)| *due_us)
--- a/crates/entry/src/control/outlets.rs
+++ b/crates/entry/src/control/outlets.rs
@@ -87,7 +87,9 @@
                 self.close(answered.call, CallOutput::Answered(answered));
             }
             Output::Refused(refusal) => self.close(refusal.call, CallOutput::Refused(refusal)),
-            Output::Replay { call, vm, original } => {
+            Output::Replay {
+                call, vm, original, ..
+            } => {
                 let peer =
                     (vm != self.vm).then(|| self.address_of(control, &vm).unwrap_or_default());
                 self.close(call, CallOutput::Replay { peer, original });
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -5,14 +5,18 @@
 //! crash, restart and partition VMs and stop the store. Every event that an
 //! invariant needs is kept in a trace.
 
+mod batch;
 mod engine;
 mod faults;
 mod platform;
+mod reading;
 mod store;
+mod store_link;
 mod trace;
 mod traffic;
 
-pub use engine::{EngineModel, Engines};
+pub use batch::{BatchEngine, BatchEvent, BatchModel, Job};
+pub use engine::{EngineModel, Engines, history_after};
 pub use faults::Faults;
 pub use platform::Platform;
 pub use store::ViewStore;
@@ -24,10 +28,10 @@
 use std::time::Instant;
 
 use knapweeddale_core::input::VmStatus;
-use knapweeddale_core::tables::Tables;
 use knapweeddale_core::{
     AttemptEvent, CallId, Control, CoreSettings, Dispatch, DomainName, FleetConfig, Incarnation,
-    Input, NewCall, Output, PeerMessage, StoreEvent, StoreRequest, VmName,
+    Input, NewCall, Output, PeerMessage, ProgramKey, ProgramRequest, StoreRequest, UpstreamName,
+    VmName,
 };
 
 use crate::Random;
@@ -54,6 +58,10 @@
     },
     /// The platform publishes a list of VMs.
     VmList(Vec<VmStatus>),
+    /// Something happens at an engine with a batch.
+    Engine { upstream: UpstreamName },
+    /// The engines with batches report their load.
+    Load,
 }
 
 /// A VM of the mesh.
@@ -73,6 +81,9 @@
     next_call: u64,
 }
 
+/// A condition with the number of messages that are still lost to it.
+pub type LoseNext = (fn(&PeerMessage) -> bool, u32);
+
 /// Several VMs in one process.
 pub struct Mesh {
     vms: Vec<Vm>,
@@ -86,6 +97,8 @@
     blocked: HashSet<(usize, usize)>,
     /// Faults of the links between VMs.
     pub faults: Faults,
+    /// Conditions with the number of messages between VMs that are lost to each.
+    pub lose_next: Vec<LoseNext>,
     /// The store that holds the view.
     pub store: ViewStore,
     /// The platform's list of VMs.
@@ -153,6 +166,7 @@
             settings: Box::new(settings),
             blocked: HashSet::new(),
             faults: Faults::default(),
+            lose_next: Vec::new(),
             store: ViewStore::default(),
             platform: Platform::default(),
             engines: Engines::default(),
@@ -209,14 +223,6 @@
     pub fn set_clock_rate(&mut self, vm: usize, ppm: u64) {
         self.vms[vm].clock_rate_ppm = ppm;
     }
-
-    /// Plans a list of the VMs that run now.
-    fn publish_list(&mut self) {
-        let running = self.vms.iter().filter(|vm| vm.control.is_some());
-        let list: Vec<_> = running.map(|vm| platform::status(&vm.name)).collect();
-        let at_us = self.now_us + self.platform.lag_us;
-        self.schedule(at_us, Event::VmList(list));
-    }
 }
 
 /// # Faults
@@ -273,6 +279,21 @@
         id
     }
 
+    /// Sends a request about a program to a VM and returns its identity.
+    ///
+    /// The identity in `request` is replaced.
+    pub fn program(&mut self, vm: usize, mut request: ProgramRequest) -> CallId {
+        let row = &mut self.vms[vm];
+        row.next_call += 1;
+        request.id = CallId {
+            incarnation: row.incarnation,
+            seq: row.next_call,
+        };
+        let id = request.id;
+        self.deliver(vm, self.now_us, Input::Program(Box::new(request)));
+        id
+    }
+
     /// Hands an input to a VM at once.
     pub fn input(&mut self, vm: usize, input: Input) {
         self.deliver(vm, self.now_us, input);
@@ -355,6 +376,8 @@
                 }
                 self.platform.published = list;
             }
+            Event::Engine { upstream } => self.run_engine(&upstream),
+            Event::Load => self.report_load(),
         }
     }
 
@@ -406,6 +429,11 @@
             Output::Dispatch(dispatch) => self.dispatch(vm, dispatch),
             Output::CancelAttempt(attempt) => self.engines.cancel(attempt),
             Output::Store(request) => self.ask_store(vm, request),
+            Output::ReleaseMemory {
+                upstream,
+                program,
+                generation,
+            } => self.release(vm, upstream, program, generation),
             Output::Probe(upstream) => {
                 let state = self.engines.probe(self.now_us, &upstream);
                 let probed = Input::Probed { upstream, state };
@@ -426,6 +454,14 @@
         if self.blocked.contains(&(from, to)) {
             return;
         }
+        let loses = |(is_lost, left): &mut LoseNext| {
+            let is_hit = *left > 0 && is_lost(&message);
+            *left -= u32::from(is_hit);
+            is_hit
+        };
+        if self.lose_next.iter_mut().any(loses) {
+            return;
+        }
         for delay_us in self.faults.deliveries(&mut self.random) {
             let input = Input::Peer {
                 from: self.vms[from].name.clone(),
@@ -438,6 +474,32 @@
         }
     }
 
+    /// Lets an engine release memory and confirm it through the faults of the link.
+    fn release(&mut self, vm: usize, upstream: UpstreamName, program: ProgramKey, generation: u64) {
+        if self.is_silent(&upstream) {
+            return;
+        }
+        let released = TraceEvent::Released {
+            upstream: upstream.clone(),
+            program: program.clone(),
+            generation,
+        };
+        self.trace.push(self.now_us, released);
+        for delay_us in self.faults.deliveries(&mut self.random) {
+            let input = Input::ReleaseConfirmed {
+                upstream: upstream.clone(),
+                program: program.clone(),
+                generation,
+            };
+            self.deliver(vm, self.now_us + delay_us, input);
+        }
+    }
+
+    /// Returns whether an engine answers no releases.
+    fn is_silent(&self, upstream: &UpstreamName) -> bool {
+        self.engines.silent.contains(upstream)
+    }
+
     /// Runs an attempt on its upstream.
     fn dispatch(&mut self, vm: usize, dispatch: Dispatch) {
         let local_us = self.local_us(vm);
@@ -449,7 +511,14 @@
         let Some(call) = call else {
             return;
         };
+        if self.engines.has_batches() {
+            // The engine has to be at the present before it gets a request.
+            self.run_engine(&dispatch.upstream);
+        }
         let run = self.engines.run(self.now_us, local_us, &dispatch, &call);
+        if self.engines.has_batches() {
+            self.run_engine(&dispatch.upstream);
+        }
         if run.executed {
             let executed = TraceEvent::Executed {
                 vm: self.vms[vm].name.clone(),
@@ -467,67 +536,53 @@
         }
     }
 
-    /// Returns the VM that received a call.
-    fn vm_of(&self, call: CallId) -> Option<usize> {
-        self.vms
-            .iter()
-            .position(|vm| vm.incarnation == call.incarnation)
+    /// Replaces the simple engines by engines with batches and prefix caches.
+    pub fn use_batches(&mut self, model: BatchModel) {
+        self.engines.use_batches(model);
+        self.report_load();
     }
 
-    /// Sends a request to the store.
-    fn ask_store(&mut self, vm: usize, request: StoreRequest) {
-        let event = Event::Store {
-            vm,
-            incarnation: self.vms[vm].incarnation,
-            sent_us: self.local_us(vm),
-            request,
-            is_late: false,
-        };
-        let delay_us = self.random.between(1_000, 4_000);
-        self.schedule(self.now_us + delay_us, event);
+    /// Runs an engine with a batch up to the present and plans its next event.
+    fn run_engine(&mut self, upstream: &UpstreamName) {
+        let (events, next_us) = self.engines.advance(self.now_us, upstream);
+        for (at_us, attempt, progress) in events {
+            if let Some(vm) = self.vm_of(attempt.call) {
+                let event = AttemptEvent { attempt, progress };
+                self.deliver(vm, at_us.max(self.now_us), Input::Attempt(event));
+            }
+        }
+        if let Some(at_us) = next_us {
+            let upstream = upstream.clone();
+            self.schedule(at_us.max(self.now_us + 1), Event::Engine { upstream });
+        }
     }
 
-    /// Lets the store handle a request and sends its answer back.
-    fn answer_store(
-        &mut self,
-        vm: usize,
-        incarnation: Incarnation,
-        sent_us: u64,
-        request: StoreRequest,
-        is_late: bool,
-    ) {
-        if !is_late && self.random.per_mille(self.store.late_per_mille) {
-            let at_us = self.now_us + self.random.between(1, self.store.latest_us);
-            let late = Event::Store {
-                vm,
-                incarnation,
-                sent_us,
-                request,
-                is_late: true,
-            };
-            self.schedule(at_us, late);
-            let event = Event::Input {
-                vm,
-                incarnation,
-                input: Box::new(Input::Store(StoreEvent::Unavailable)),
-            };
-            self.schedule(self.now_us + self.store.timeout_us, event);
+    /// Sends the load of the engines with batches, one interval late.
+    fn report_load(&mut self) {
+        let Some(report_us) = self.engines.report_us() else {
             return;
+        };
+        for upstream in self.engines.batch_names() {
+            self.run_engine(&upstream);
         }
-        let answer = self.store.handle(vm, request, sent_us, &mut self.random);
-        if is_late {
-            return;
+        for (upstream, running_calls, tokens_per_s) in self.engines.loads() {
+            for vm in 0..self.vms.len() {
+                let load = Input::Load {
+                    upstream: upstream.clone(),
+                    running_calls,
+                    tokens_per_s,
+                };
+                self.deliver(vm, self.now_us + report_us, load);
+            }
         }
-        let delay_us = match answer {
-            StoreEvent::Unavailable => self.store.timeout_us,
-            _ => self.random.between(1_000, 4_000),
-        };
-        let event = Event::Input {
-            vm,
-            incarnation,
-            input: Box::new(Input::Store(answer)),
-        };
-        self.schedule(self.now_us + delay_us, event);
+        self.schedule(self.now_us + report_us, Event::Load);
+    }
+
+    /// Returns the VM that received a call.
+    fn vm_of(&self, call: CallId) -> Option<usize> {
+        self.vms
+            .iter()
+            .position(|vm| vm.incarnation == call.incarnation)
     }
 }
 
@@ -554,41 +609,20 @@
         self.vms[vm].control.as_ref()
     }
 
-    /// Returns the number of a VM.
-    pub fn index(&self, vm: &VmName) -> Option<usize> {
-        self.numbers.get(vm).copied()
-    }
-
-    /// Returns the tables of a VM.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the VM is crashed.
-    pub fn tables(&self, vm: usize) -> &Tables {
-        self.control(vm).expect("VM runs").tables()
-    }
-
-    /// Returns whether a VM runs and has a valid lease.
-    pub fn has_lease(&self, vm: usize) -> bool {
-        let now_us = self.local_us(vm);
-        self.control(vm)
-            .is_some_and(|control| control.tables().lease.is_valid(now_us))
-    }
-
-    /// Returns the numbers of the writers in the view of a VM.
-    pub fn writers(&self, vm: usize) -> Vec<usize> {
-        let writers = &self.tables(vm).view.writers;
-        writers.iter().filter_map(|name| self.index(name)).collect()
+    /// Returns the present start of a VM.
+    pub fn incarnation(&self, vm: usize) -> Incarnation {
+        self.vms[vm].incarnation
     }
 
-    /// Returns the number of VMs, crashed ones included.
-    pub fn len(&self) -> usize {
-        self.vms.len()
+    /// Returns the home of a program in the view of a VM.
+    pub fn home_of(&self, vm: usize, program: &ProgramKey) -> Option<usize> {
+        let view = &self.control(vm)?.tables().view;
+        self.index(view.program_home(program)?)
     }
 
-    /// Returns whether the mesh has no VMs.
-    pub fn is_empty(&self) -> bool {
-        self.vms.is_empty()
+    /// Returns the number of a VM.
+    pub fn index(&self, vm: &VmName) -> Option<usize> {
+        self.numbers.get(vm).copied()
     }
 
     /// Returns the present time on the clock of a VM.
@@ -596,9 +630,4 @@
         let row = &self.vms[vm];
         self.now_us * row.clock_rate_ppm / 1_000_000 + row.clock_offset_us
     }
-
-    /// Returns the messages of a VM so far.
-    pub fn traffic(&self, vm: usize) -> Traffic {
-        self.vms[vm].traffic
-    }
 }
