Move calls that have waited for long to the front of their account

Cause: under overload, least attained service let calls of long programs wait until they were refused.

Change: a call that has waited for three quarters of queue_ms goes first within its account.

--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -67,6 +67,7 @@
         Timer::QueueWait(attempt) => entry::expire(tick, attempt),
         Timer::PlaceWait(attempt) => entry::check_answer(tick, attempt),
         Timer::FinishWait(attempt) => resend_finish(tick, attempt),
+        Timer::QueueAge(pool, attempt) => owner::advance(tick, &pool, attempt),
         Timer::RunningCheck(attempt) => owner::check_running(tick, attempt),
         Timer::UpstreamReady(upstream) => wake(tick, &upstream),
         Timer::FootprintIdle(program) => hints::expire(tick, program),
--- a/crates/core/src/systems/placement/order.rs
+++ b/crates/core/src/systems/placement/order.rs
@@ -8,9 +8,9 @@
 
 /// How far an account may fall behind under the preset `Latency`, in service units.
 ///
-/// About ten long calls: enough to let short programs of other accounts pass,
-/// and short enough that an account is served again within seconds.
-const FALL_BEHIND: u64 = 400_000;
+/// About ten seconds of eight engines: enough to let short programs of other
+/// accounts pass, and less than half of the longest wait of a call.
+const FALL_BEHIND: u64 = 4_000_000;
 
 /// Service of one token of a response, in prompt tokens read.
 ///
@@ -43,9 +43,11 @@
 /// The attained service of the whole program counts, sub-agents included, in
 /// levels that double. Within a level the earlier call goes first, so that
 /// the sub-agents of a program stay together instead of passing each other
-/// with each call.
+/// with each call. A call that has waited for three quarters of the longest wait goes
+/// first, or a long program would be refused under load.
 pub(super) fn rank(tick: &Tick<'_>, place: &Place, arrived_us: u64) -> Rank {
-    let attained = if tick.settings.policy.least_attained {
+    let is_old = tick.now_us >= aged_us(tick, arrived_us);
+    let attained = if tick.settings.policy.least_attained && !is_old {
         level(attained_tokens(tick, place))
     } else {
         0
@@ -57,6 +59,11 @@
     }
 }
 
+/// Returns when a call has waited for three quarters of the longest wait.
+pub(super) fn aged_us(tick: &Tick<'_>, arrived_us: u64) -> u64 {
+    arrived_us + tick.settings.queue_ms * 750
+}
+
 /// Returns the tokens of the whole program so far.
 fn attained_tokens(tick: &Tick<'_>, place: &Place) -> u64 {
     let Some(program) = &place.program else {
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -42,6 +42,7 @@
         };
         listing::push(tick, waiting);
         assign(tick, &pool);
+        age(tick, &pool, attempt);
     }
     let waits = |row: &crate::tables::Pool| row.waits(&attempt);
     if is_remote && tick.tables.pools.get(&pool).is_some_and(waits) {
@@ -49,6 +50,25 @@
     }
 }
 
+/// Plans to move a call that still waits to the front of its account.
+fn age(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId) {
+    let row = tick.tables.pools.get(pool);
+    if row.is_some_and(|row| row.queue.get(&attempt).is_some()) {
+        let due_us = order::aged_us(tick, tick.now_us);
+        tick.tables
+            .timers
+            .set(due_us, Timer::QueueAge(pool.clone(), attempt));
+    }
+}
+
+/// Moves a call that has waited for long to the front of its account.
+pub(super) fn advance(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId) {
+    let row = tick.tables.pools.get_mut(pool);
+    if let Some(waiting) = row.and_then(|row| row.queue.remove(attempt)) {
+        listing::push(tick, waiting);
+    }
+}
+
 /// Names the upstream of a running attempt again.
 fn repeat_placed(tick: &mut Tick<'_>, attempt: AttemptId) {
     let Some(running) = tick.tables.running.get(&attempt) else {
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -13,6 +13,7 @@
             Timer::QueueWait(_)
             | Timer::PlaceWait(_)
             | Timer::FinishWait(_)
+            | Timer::QueueAge(..)
             | Timer::RunningCheck(_)
             | Timer::UpstreamReady(_)
             | Timer::FootprintIdle(_) => work.placement.due.push(timer),
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use crate::ids::{AccountName, AttemptId, CallId, ContentDigest, ProgramKey, UpstreamName};
+use crate::ids::{
+    AccountName, AttemptId, CallId, ContentDigest, PoolKey, ProgramKey, UpstreamName,
+};
 
 /// What is due at a time.
 ///
@@ -23,6 +25,8 @@
     PlaceWait(AttemptId),
     /// The owner of a pool has not confirmed the end of an attempt.
     FinishWait(AttemptId),
+    /// A call has waited for three quarters of the longest wait.
+    QueueAge(PoolKey, AttemptId),
     /// The entry VM of a running attempt is asked whether it still runs.
     RunningCheck(AttemptId),
     /// An upstream may be ready for calls again.
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -179,3 +179,27 @@
     queue.serve(&lanes[0], 1);
     assert_eq!(first(&queue), 1);
 }
+
+#[test]
+fn long_program_is_not_starved() {
+    let mut mesh = mesh(engine_fleet(1, 1, 1), PolicyPreset::FairShare);
+    let mut first = program_call(0, "tour/a", 1, 20);
+    first.prompt_tokens = 50_000;
+    mesh.call(0, first);
+    mesh.run_ms(3_000);
+    // Fresh programs arrive faster than one engine serves them.
+    mesh.call(0, program_call(0, "blocker", 2, 100));
+    let old = mesh.call(0, program_call(0, "tour/b", 3, 100));
+    for number in 0..150 {
+        mesh.call(
+            0,
+            program_call(0, &format!("fresh-{number}"), 10 + number, 100),
+        );
+        mesh.run_ms(300);
+    }
+    assert!(
+        mesh.trace.answer(old).is_some(),
+        "{:?}",
+        mesh.trace.refusal(old)
+    );
+}
