--- a/crates/core/src/systems/homes/witness.rs
+++ b/crates/core/src/systems/homes/witness.rs
@@ -95,7 +95,9 @@
         }
     }
     let epoch = new.epoch;
-    for (home, witnesses) in by_home {
+    for (home, mut witnesses) in by_home {
+        // Roots before their sub-agents, and the same order for the same programs.
+        witnesses.sort_by(|a, b| a.state.program.cmp(&b.state.program));
         for batch in witnesses.chunks(BATCH) {
             transfers::start(tick, home.clone(), |transfer| HomesMessage::Witness {
                 transfer,
