Give a resend the present continuation and permit

Cause: the core names the state of the program with each replay, since the kept response has none if the home confirmed the turn too late. Change: responses are kept without signed values, and a replay adds those of the core, as headers or in the last event. Conclusion: a caller can go on after any resend.

--- a/crates/entry/src/call/answers.rs
+++ b/crates/entry/src/call/answers.rs
@@ -71,15 +71,12 @@
     }
 }
 
-/// The headers that a kept response has on other VMs.
 impl From<Reply> for KeptAnswer {
     fn from(reply: Reply) -> Self {
-        let header = |name: &str| reply.header(name).map(str::to_owned);
+        let content_type = reply.header("content-type").unwrap_or_default().to_owned();
         Self {
             status: reply.status,
-            content_type: header("content-type").unwrap_or_default(),
-            continuation: header("kwd-continuation"),
-            permit: header("kwd-permit"),
+            content_type,
             body: reply.body.to_vec(),
         }
     }
@@ -87,17 +84,9 @@
 
 impl From<KeptAnswer> for Reply {
     fn from(answer: KeptAnswer) -> Self {
-        let headers = [
-            ("content-type", Some(answer.content_type)),
-            ("kwd-continuation", answer.continuation),
-            ("kwd-permit", answer.permit),
-        ];
         Self {
             status: answer.status,
-            headers: headers
-                .into_iter()
-                .filter_map(|(name, value)| Some((name.to_owned(), value?)))
-                .collect(),
+            headers: vec![("content-type".to_owned(), answer.content_type)],
             body: Bytes::from(answer.body),
         }
     }
--- a/crates/entry/src/call/reply.rs
+++ b/crates/entry/src/call/reply.rs
@@ -6,6 +6,31 @@
 
 use super::describe::describe;
 
+/// The content type of a stream of events.
+pub(crate) const EVENT_STREAM: &str = "text/event-stream";
+
+/// The signed values that the caller carries to the next turn.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub(crate) struct Tokens {
+    /// The state of the program.
+    pub continuation: Option<String>,
+    /// The permit for a turn that may not be repeated.
+    pub permit: Option<String>,
+}
+
+impl Tokens {
+    /// Returns the values that are present, with their names.
+    fn named(&self) -> impl Iterator<Item = (&'static str, &str)> {
+        let named = [
+            ("kwd-continuation", &self.continuation),
+            ("kwd-permit", &self.permit),
+        ];
+        named
+            .into_iter()
+            .filter_map(|(name, value)| Some((name, value.as_deref()?)))
+    }
+}
+
 /// A part of the response to a caller.
 #[derive(Debug)]
 pub(crate) enum ReplyPart {
@@ -45,6 +70,15 @@
         self
     }
 
+    /// Adds the headers of a call that ran.
+    #[must_use]
+    pub fn ran(self, call: CallId, tokens: &Tokens) -> Self {
+        let reply = self.with("kwd-call", call).with("kwd-ran", Execution::Ran);
+        tokens
+            .named()
+            .fold(reply, |reply, (name, value)| reply.with(name, value))
+    }
+
     /// Makes the response to a refused call. `detail` replaces the general message.
     pub fn refused(refusal: &Refusal, detail: Option<&str>) -> Self {
         let reply = Self::json(refusal.kind.status(), &error_body(refusal, detail))
@@ -83,16 +117,14 @@
 
 /// Returns the last event of a stream, in the form of a chunk without choices,
 /// which clients of model APIs pass over, and the usual end mark.
-pub(crate) fn last_event(call: CallId, continuation: Option<&str>, permit: Option<&str>) -> Bytes {
+pub(crate) fn last_event(call: CallId, tokens: &Tokens) -> Bytes {
     let mut event = Map::new();
     event.insert("object".to_owned(), json!("chat.completion.chunk"));
     event.insert("choices".to_owned(), json!([]));
     event.insert("kwd-call".to_owned(), json!(call.to_string()));
     event.insert("kwd-ran".to_owned(), json!(Execution::Ran.to_string()));
-    for (name, value) in [("kwd-continuation", continuation), ("kwd-permit", permit)] {
-        if let Some(value) = value {
-            event.insert(name.to_owned(), json!(value));
-        }
+    for (name, value) in tokens.named() {
+        event.insert(name.to_owned(), json!(value));
     }
     let event = Value::Object(event);
     Bytes::from(format!("data: {event}\n\ndata: [DONE]\n\n"))
--- a/crates/entry/src/call/task.rs
+++ b/crates/entry/src/call/task.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use knapweeddale_core::input::{AttemptProgress, Failure};
+use knapweeddale_core::input::{AttemptProgress, Continuation, Failure, Permit};
 use knapweeddale_core::output::Answered;
 use knapweeddale_core::{
     AttemptId, CallId, ContentDigest, Dispatch, Execution, Input, Refusal, RefusalKind,
@@ -15,7 +15,7 @@
 
 use super::attempt::{Attempt, Finished, Progress, SLOW_CALLER, report};
 use super::in_flight::InFlightGuard;
-use super::reply::{Reply, ReplyPart, error_body, last_event};
+use super::reply::{EVENT_STREAM, Reply, ReplyPart, Tokens, error_body, last_event};
 use crate::clock::Clock;
 use crate::control::CallOutput;
 use crate::front::Shared;
@@ -119,8 +119,14 @@
                 },
                 Some(CallOutput::Answered(answered)) => return self.answer(*answered).await,
                 Some(CallOutput::Refused(refusal)) => return self.refuse(&refusal, None).await,
-                Some(CallOutput::Replay { peer, original }) => {
-                    return self.replay(peer, original).await;
+                Some(CallOutput::Replay {
+                    peer,
+                    original,
+                    continuation,
+                    permit,
+                }) => {
+                    let tokens = self.sign(Some(&continuation), permit.as_deref());
+                    return self.replay(peer, original, tokens).await;
                 }
                 // The first has come too late; the others answer requests, not calls.
                 Some(CallOutput::Cancel(_) | CallOutput::Permit(_) | CallOutput::Ended) => {
@@ -215,30 +221,26 @@
         };
         let took = self.started.elapsed();
         self.shared.metrics.note_call(&self.new.service, took);
-        let signer = &self.shared.signer;
-        let continuation = answered
-            .continuation
-            .as_ref()
-            .map(|value| signer.sign(value));
-        let permit = answered.permit.as_ref().map(|value| signer.sign(value));
+        let tokens = self.sign(answered.continuation.as_ref(), answered.permit.as_ref());
         let call = self.new.call;
-        let tokens = [("kwd-continuation", &continuation), ("kwd-permit", &permit)];
-        if let Some(mut reply) = finished.reply {
-            for (name, value) in tokens {
-                if let Some(value) = value {
-                    reply = reply.with(name, value);
-                }
-            }
+        if let Some(reply) = finished.reply {
             self.keep(&reply);
-            let reply = reply.with("kwd-call", call).with("kwd-ran", Execution::Ran);
+            let reply = reply.ran(call, &tokens);
             self.send(ReplyPart::Whole(reply)).await;
             return;
         }
-        let last = last_event(call, continuation.as_deref(), permit.as_deref());
-        let mut body = std::mem::take(&mut self.progress.kept);
-        body.extend_from_slice(&last);
+        let body = std::mem::take(&mut self.progress.kept);
         self.keep(&stream_reply(body));
-        self.send(ReplyPart::Chunk(last)).await;
+        self.send(ReplyPart::Chunk(last_event(call, &tokens))).await;
+    }
+
+    /// Signs what the caller carries to the next turn.
+    fn sign(&self, continuation: Option<&Continuation>, permit: Option<&Permit>) -> Tokens {
+        let signer = &self.shared.signer;
+        Tokens {
+            continuation: continuation.map(|value| signer.sign(value)),
+            permit: permit.map(|value| signer.sign(value)),
+        }
     }
 
     /// Keeps a response for a resend.
@@ -263,7 +265,7 @@
     }
 
     /// Gives a kept response to the caller.
-    async fn replay(self, peer: Option<String>, original: CallId) {
+    async fn replay(self, peer: Option<String>, original: CallId, tokens: Tokens) {
         let digest = self.new.digest;
         let reply = match peer {
             None => self.shared.answers.get(original, digest),
@@ -290,9 +292,13 @@
                 "the turn ran before; its response is no longer kept, or the content differs";
             return self.refuse(&refusal, Some(detail)).await;
         };
-        let reply = reply
-            .with("kwd-call", original)
-            .with("kwd-ran", Execution::Ran);
+        let mut reply = reply;
+        if reply.header("content-type") == Some(EVENT_STREAM) {
+            let mut body = reply.body.to_vec();
+            body.extend_from_slice(&last_event(original, &tokens));
+            reply.body = Bytes::from(body);
+        }
+        let reply = reply.ran(original, &tokens);
         self.send(ReplyPart::Whole(reply)).await;
     }
 
@@ -319,11 +325,11 @@
     }
 }
 
-/// Returns a kept stream as a whole response.
+/// Returns a kept stream, without its last event, as a whole response.
 fn stream_reply(body: Vec<u8>) -> Reply {
     Reply {
         status: 200,
-        headers: vec![("content-type".to_owned(), "text/event-stream".to_owned())],
+        headers: vec![("content-type".to_owned(), EVENT_STREAM.to_owned())],
         body: Bytes::from(body),
     }
 }
--- a/crates/entry/src/control/input.rs
+++ b/crates/entry/src/control/input.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 
-use knapweeddale_core::input::Permit;
+use knapweeddale_core::input::{Continuation, Permit};
 use knapweeddale_core::output::Answered;
 use knapweeddale_core::{AttemptId, CallId, Dispatch, Input, Refusal};
 use knapweeddale_peer::Delivery;
@@ -46,6 +46,10 @@
         peer: Option<String>,
         /// The call that ran.
         original: CallId,
+        /// The state that the caller carries to the next turn.
+        continuation: Box<Continuation>,
+        /// The permit for a next turn that may not be repeated.
+        permit: Option<Box<Permit>>,
     },
     /// A permit that was asked for.
     Permit(Box<Permit>),
--- a/crates/entry/src/control/outlets.rs
+++ b/crates/entry/src/control/outlets.rs
@@ -90,11 +90,21 @@
             }
             Output::Refused(refusal) => self.close(refusal.call, CallOutput::Refused(refusal)),
             Output::Replay {
-                call, vm, original, ..
+                call,
+                vm,
+                original,
+                continuation,
+                permit,
             } => {
-                let peer =
-                    (vm != self.vm).then(|| self.address_of(control, &vm).unwrap_or_default());
-                self.close(call, CallOutput::Replay { peer, original });
+                let address = || self.address_of(control, &vm).unwrap_or_default();
+                let peer = (vm != self.vm).then(address);
+                let replay = CallOutput::Replay {
+                    peer,
+                    original,
+                    continuation,
+                    permit,
+                };
+                self.close(call, replay);
             }
             Output::PermitIssued { request, permit } => {
                 self.close(request, CallOutput::Permit(permit));
--- a/crates/entry/src/front/respond.rs
+++ b/crates/entry/src/front/respond.rs
@@ -12,7 +12,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::call::{InFlightGuard, Reply, ReplyPart};
+use crate::call::{EVENT_STREAM, InFlightGuard, Reply, ReplyPart};
 
 /// Silence after which a comment is sent. The server notices only when it
 /// writes that a caller has disconnected.
@@ -41,7 +41,7 @@
                 let chunks = stream::unfold((parts, guard), next_chunk);
                 let response = ByteStream(chunks).respond_to(request)?;
                 Response::build_from(response)
-                    .header(Header::new("content-type", "text/event-stream"))
+                    .header(Header::new("content-type", EVENT_STREAM))
                     .header(Header::new("cache-control", "no-store"))
                     .header(Header::new("kwd-call", call))
                     .ok()
--- a/crates/entry/tests/two_vms.rs
+++ b/crates/entry/tests/two_vms.rs
@@ -96,6 +96,7 @@
         let first = first.text().await.expect("text");
         let again = send(headers("1"), &body).await.expect("the VM answers");
         assert_eq!(again.status(), 200, "{program}");
+        assert!(again.headers().contains_key("kwd-continuation"));
         assert_eq!(
             again.text().await.expect("text"),
             first,
--- a/crates/entry/tests/whole_path.rs
+++ b/crates/entry/tests/whole_path.rs
@@ -50,6 +50,10 @@
     assert_eq!(header(&response, "content-type"), "text/event-stream");
     let text = response.text().await.expect("text");
     assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
+    let again = rig.complete(&second, &ask(&messages, true)).await;
+    let again = again.text().await.expect("text");
+    let last = events(&again).pop().expect("events");
+    assert!(again.ends_with("data: [DONE]\n\n") && last["kwd-continuation"].is_string());
     let events = events(&text);
     let streamed: String = events
         .iter()
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -72,10 +72,6 @@
     /// The body.
     #[serde(with = "base64_text")]
     pub body: Vec<u8>,
-    /// The value of `kwd-continuation`.
-    pub continuation: Option<String>,
-    /// The value of `kwd-permit`.
-    pub permit: Option<String>,
 }
 
 /// Bytes as base64 text.
--- a/crates/peer/tests/support/mod.rs
+++ b/crates/peer/tests/support/mod.rs
@@ -28,8 +28,6 @@
             status: 200,
             content_type: "application/json".to_owned(),
             body: vec![0, 159, 255],
-            continuation: None,
-            permit: Some("permit".to_owned()),
         })
     }
 }
