--- a/crates/testing/src/http/server.rs
+++ b/crates/testing/src/http/server.rs
@@ -85,6 +85,8 @@
         *self.slot() = Some(tokio::spawn(async move {
             let mut connections = tokio::task::JoinSet::new();
             while let Ok((stream, _)) = listener.accept().await {
+                // Small writes would otherwise wait 40 ms for the other side's acknowledgement.
+                let _ = stream.set_nodelay(true);
                 let handler = Arc::clone(&handler);
                 connections.spawn(serve(handler, Connection::new(stream)));
                 while connections.try_join_next().is_some() {}
