--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -10,7 +10,7 @@
 pub use homes::{Begin, Denied, HomesMessage, Settle};
 pub use membership::MembershipMessage;
 pub use placement::{Place, PlacementMessage};
-pub use rates::RatesMessage;
+pub use rates::{Demand, DemandKind, Grant, HeldShare, RatesMessage, ShareId, Unlent};
 
 use derive_more::From;
 
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -7,7 +7,7 @@
 use crate::ids::PoolKey;
 use crate::message::ConfigMessage;
 use crate::output::Decision;
-use crate::tables::{Account, Bucket, Key, NCALLS_PER_CALL, Pool, Table, Upstream};
+use crate::tables::{Account, Key, Pool, Table, Upstream};
 
 /// What waits for this system.
 #[derive(Debug, Default)]
@@ -66,9 +66,8 @@
     tick.tables.fleet = fleet;
 }
 
-/// Replaces accounts and keys; buckets of accounts that stay keep their level.
+/// Replaces accounts and keys; `rates` brings shares and loans up to date.
 fn replace_accounts(tick: &mut Tick<'_>, accounts: &[AccountConfig]) {
-    let now_us = tick.now_us;
     let tables = &mut *tick.tables;
     tables.keys = Table::default();
     for config in accounts {
@@ -80,19 +79,11 @@
             };
             tables.keys.insert(key.id.clone(), row);
         }
-        let burst_ncalls = config.burst_calls * NCALLS_PER_CALL;
-        let rate = config.rate_mcalls_per_s;
-        let row = tables
-            .accounts
-            .get_or_insert_with(&config.name, || Account {
-                config: config.clone(),
-                bucket: Bucket::full(rate, burst_ncalls, now_us),
-                waiting: Default::default(),
-            });
-        row.bucket.refill(now_us);
-        row.bucket.rate_mcalls_per_s = rate;
-        row.bucket.burst_ncalls = burst_ncalls;
-        row.config = config.clone();
+        let account = Account {
+            config: config.clone(),
+        };
+        tables.accounts.insert(config.name.clone(), account);
+        tick.work.rates.accounts.push(config.name.clone());
     }
 }
 
--- /dev/null
+++ b/crates/core/src/systems/rates/holder.rs
@@ -0,0 +1,288 @@
+//! The holder's side: demands, grants, confirmations and release.
+
+use super::super::Tick;
+use super::calls;
+use crate::ids::{AccountName, VmName};
+use crate::message::{Demand, DemandKind, Grant, HeldShare, RatesMessage};
+use crate::tables::{Bucket, Held, Share, Timer};
+
+/// Time after the last call for which a share is kept; section 4.5 of `docs/design.md`.
+const IDLE_US: u64 = 5_000_000;
+
+/// A call that gets its rate from this VM's own bucket within this time sends no demand.
+///
+/// About two round trips between failure domains, so asking would not be faster.
+const SOON_US: u64 = 5_000;
+
+/// Pause before a demand is repeated while calls wait.
+///
+/// Several round trips, so that only lost messages cause a repetition.
+const FIRST_RETRY_US: u64 = 20_000;
+
+/// Longest pause before a demand is repeated while calls wait.
+const MAX_RETRY_US: u64 = 500_000;
+
+/// Brings the share of an account in line with its published limits.
+pub(super) fn limits_changed(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let tables = &mut *tick.tables;
+    let Some(limits) = tables.accounts.get(account).map(|row| row.limits()) else {
+        return;
+    };
+    let share = tables.shares.get_or_insert_with(account, Share::default);
+    let bucket = &mut share.bucket;
+    bucket.refill(now_us);
+    bucket.rate_mcalls_per_s = bucket.rate_mcalls_per_s.min(limits.rate_mcalls_per_s);
+    bucket.burst_ncalls = bucket.burst_ncalls.min(limits.burst_ncalls);
+    bucket.refill(now_us);
+}
+
+/// Asks for calls when some wait, unless a demand is under way.
+pub(super) fn starve(tick: &mut Tick<'_>, account: &AccountName, ready_us: Option<u64>) {
+    let now_us = tick.now_us;
+    let Some(share) = tick.tables.shares.get_mut(account) else {
+        return;
+    };
+    let is_soon = ready_us.is_some_and(|ready_us| ready_us <= now_us + SOON_US);
+    if share.retry_us > 0 || is_soon {
+        return;
+    }
+    share.retry_us = FIRST_RETRY_US;
+    let next_us = share.asked_us + SOON_US;
+    if share.demand_seq > 0 && next_us > now_us {
+        plan_ask(tick, account, next_us);
+        return;
+    }
+    ask(tick, account);
+}
+
+/// Asks for a grant and plans the next demand.
+pub(super) fn ask(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let renew_us = tick.settings.grant_ms * 1_000 / 3;
+    send(tick, account, DemandKind::Ask);
+    let Some(share) = tick.tables.shares.get_mut(account) else {
+        return;
+    };
+    share.asked_us = now_us;
+    share.ask_due_us = 0;
+    let mut due_us = now_us + renew_us;
+    if share.waiting.is_empty() {
+        share.retry_us = 0;
+    } else {
+        due_us = now_us + share.retry_us.clamp(FIRST_RETRY_US, renew_us);
+        share.retry_us = (share.retry_us * 2).clamp(FIRST_RETRY_US, MAX_RETRY_US);
+    }
+    plan_ask(tick, account, due_us);
+}
+
+/// Renews the share, asks again, or gives an idle share up.
+pub(super) fn ask_due(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let Some(share) = tick.tables.shares.get_mut(account) else {
+        return;
+    };
+    if share.ask_due_us == 0 || share.ask_due_us > now_us {
+        return;
+    }
+    share.ask_due_us = 0;
+    let is_idle = share.waiting.is_empty() && now_us >= share.last_call_us + IDLE_US;
+    if is_idle {
+        release(tick, account);
+    } else {
+        ask(tick, account);
+    }
+}
+
+/// Gives a share up with all its calls.
+fn release(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let Some(share) = tick.tables.shares.get_mut(account) else {
+        return;
+    };
+    share.drop_expired(now_us);
+    let Some(held) = share.held.as_mut() else {
+        return;
+    };
+    share.bucket.refill(now_us);
+    held.returned_ncalls += std::mem::take(&mut share.bucket.level_ncalls);
+    send(tick, account, DemandKind::Release);
+    if let Some(share) = tick.tables.shares.get_mut(account) {
+        share.drop_grant();
+    }
+}
+
+/// Sends a demand to the owner.
+fn send(tick: &mut Tick<'_>, account: &AccountName, kind: DemandKind) {
+    let now_us = tick.now_us;
+    let epoch = tick.tables.view.epoch;
+    let Some(owner) = owner_of(tick, account) else {
+        return;
+    };
+    let Some(share) = tick.tables.shares.get_mut(account) else {
+        return;
+    };
+    share.drop_expired(now_us);
+    share.bucket.refill(now_us);
+    share.demand_seq += 1;
+    let bucket = share.bucket;
+    let demand = Demand {
+        kind,
+        account: account.clone(),
+        epoch,
+        seq: share.demand_seq,
+        floor_seq: share.floor_seq,
+        sent_us: now_us,
+        wanted_mcalls_per_s: share.offered.rate_mcalls_per_s(now_us),
+        waiting_calls: share.waiting.len() as u64,
+        level_ncalls: bucket.level_ncalls,
+        held: share.held.map(|held| report(&held, &bucket)),
+    };
+    tick.send(&owner, RatesMessage::Demand(Box::new(demand)));
+}
+
+/// Describes a share for its owner.
+fn report(held: &Held, bucket: &Bucket) -> HeldShare {
+    HeldShare {
+        id: held.id,
+        applied_seq: held.applied_seq,
+        rate_mcalls_per_s: bucket.rate_mcalls_per_s,
+        burst_ncalls: bucket.burst_ncalls,
+        received_ncalls: held.received_ncalls,
+        returned_ncalls: held.returned_ncalls,
+        recalled_ncalls: held.recalled_ncalls,
+    }
+}
+
+/// Returns the owner of an account; works it out once for each view.
+pub(super) fn owner_of(tick: &mut Tick<'_>, account: &AccountName) -> Option<VmName> {
+    let tables = &mut *tick.tables;
+    let epoch = tables.view.epoch;
+    let share = tables.shares.get_mut(account)?;
+    if let Some((known_epoch, owner)) = &share.owner
+        && *known_epoch == epoch
+    {
+        return Some(owner.clone());
+    }
+    let owner = tables.view.account_owner(account)?.clone();
+    share.owner = Some((epoch, owner.clone()));
+    Some(owner)
+}
+
+/// Applies a grant unless it is old, repeated or not for this VM.
+pub(super) fn granted(tick: &mut Tick<'_>, grant: &Grant) {
+    let now_us = tick.now_us;
+    let is_current = grant.holder == tick.settings.incarnation
+        && grant.epoch >= tick.tables.view.epoch
+        && now_us < grant.sent_us + grant.valid_ms * 1_000;
+    let Some(share) = tick.tables.shares.get_mut(&grant.account) else {
+        return;
+    };
+    share.drop_expired(now_us);
+    if !is_current || !is_next(share, grant) {
+        return;
+    }
+    let before = share.bucket;
+    let deposit_ncalls = deposit(share, grant, now_us);
+    calls::serve(tick, &grant.account);
+    let returned_ncalls = settle(tick, grant, before.burst_ncalls);
+    let is_smaller = grant.rate_mcalls_per_s < before.rate_mcalls_per_s
+        || grant.burst_ncalls < before.burst_ncalls;
+    if is_smaller || returned_ncalls > 0 || deposit_ncalls > 0 && before.burst_ncalls > 0 {
+        send(tick, &grant.account, DemandKind::Confirm);
+    }
+    calls::wait(tick, &grant.account);
+}
+
+/// Returns whether a grant is newer than what is held.
+fn is_next(share: &Share, grant: &Grant) -> bool {
+    match &share.held {
+        Some(held) if held.id == grant.id => grant.seq > held.applied_seq,
+        _ => grant.answers_seq >= share.floor_seq,
+    }
+}
+
+/// Takes over the rate of a grant and deposits the calls that came with it.
+///
+/// The burst is lifted until [`settle`], so that calls that wait can use all of them.
+fn deposit(share: &mut Share, grant: &Grant, now_us: u64) -> u64 {
+    let is_same = share.held.is_some_and(|held| held.id == grant.id);
+    if !is_same {
+        share.drop_grant();
+        share.floor_seq = grant.answers_seq;
+    }
+    let bucket = &mut share.bucket;
+    bucket.refill(now_us);
+    let held = share.held.get_or_insert(Held {
+        id: grant.id,
+        applied_seq: 0,
+        until_us: 0,
+        received_ncalls: 0,
+        returned_ncalls: 0,
+        recalled_ncalls: 0,
+    });
+    let deposit_ncalls = grant.moved_ncalls.saturating_sub(held.received_ncalls);
+    held.applied_seq = grant.seq;
+    held.until_us = grant.sent_us + grant.valid_ms * 1_000;
+    held.received_ncalls += deposit_ncalls;
+    bucket.rate_mcalls_per_s = grant.rate_mcalls_per_s;
+    bucket.level_ncalls += deposit_ncalls;
+    bucket.burst_ncalls = bucket.level_ncalls;
+    deposit_ncalls
+}
+
+/// Sets the burst of a grant and gives back what is over it or asked back.
+fn settle(tick: &mut Tick<'_>, grant: &Grant, before_burst_ncalls: u64) -> u64 {
+    let tables = &mut *tick.tables;
+    let limits = tables.accounts.get(&grant.account).map(|row| row.limits());
+    let (Some(limits), Some(share)) = (limits, tables.shares.get_mut(&grant.account)) else {
+        return 0;
+    };
+    let Some(held) = share.held.as_mut() else {
+        return 0;
+    };
+    let bucket = &mut share.bucket;
+    bucket.rate_mcalls_per_s = grant.rate_mcalls_per_s.min(limits.rate_mcalls_per_s);
+    bucket.burst_ncalls = grant.burst_ncalls.min(limits.burst_ncalls);
+    let kept_ncalls = kept(
+        bucket.level_ncalls,
+        before_burst_ncalls,
+        bucket.burst_ncalls,
+    );
+    let over_ncalls = bucket.level_ncalls - kept_ncalls;
+    bucket.level_ncalls -= over_ncalls;
+    let asked_ncalls = grant.recalled_ncalls.saturating_sub(held.recalled_ncalls);
+    let recalled_ncalls = asked_ncalls
+        .saturating_sub(over_ncalls)
+        .min(bucket.level_ncalls);
+    bucket.level_ncalls -= recalled_ncalls;
+    held.recalled_ncalls += asked_ncalls;
+    held.returned_ncalls += over_ncalls + recalled_ncalls;
+    over_ncalls + recalled_ncalls
+}
+
+/// Returns how many calls stay in a bucket whose burst changes.
+///
+/// A smaller bucket stays as full as it was: calls in a bucket that is full
+/// would cost the calls that its rate adds.
+fn kept(level_ncalls: u64, before_ncalls: u64, burst_ncalls: u64) -> u64 {
+    if burst_ncalls >= before_ncalls {
+        return level_ncalls.min(burst_ncalls);
+    }
+    let level_ncalls = u128::from(level_ncalls.min(before_ncalls));
+    let kept = level_ncalls * u128::from(burst_ncalls) / u128::from(before_ncalls);
+    u64::try_from(kept).unwrap_or(burst_ncalls)
+}
+
+/// Sets the timer of the next demand unless an earlier one runs.
+fn plan_ask(tick: &mut Tick<'_>, account: &AccountName, due_us: u64) {
+    let Some(share) = tick.tables.shares.get_mut(account) else {
+        return;
+    };
+    if share.ask_due_us != 0 && share.ask_due_us <= due_us {
+        return;
+    }
+    share.ask_due_us = due_us;
+    let timer = Timer::ShareAsk(account.clone());
+    tick.tables.timers.set(due_us, timer);
+}
--- /dev/null
+++ b/crates/core/src/systems/rates/owner.rs
@@ -0,0 +1,461 @@
+//! The owner's side: lending, taking back, and calls for holders that wait.
+
+use smallvec::SmallVec;
+
+use super::super::{Sender, Tick};
+use super::{division, takeover};
+use crate::config::CoreSettings;
+use crate::ids::{AccountName, Epoch};
+use crate::message::{Demand, DemandKind, Grant, RatesMessage, ShareId};
+use crate::tables::{Holder, Lending, Loan, NCALLS_PER_CALL, Timer};
+
+/// Holders that are asked to give calls back for one demand.
+///
+/// Bounds the cost of a demand; a holder that still waits asks again.
+const MAX_RECALLS: usize = 8;
+
+/// Smallest part of a call that is asked back.
+///
+/// Holders keep parts of calls; with 8 holders, smaller parts do not add up to a call.
+const SMALLEST_RECALL_NCALLS: u64 = NCALLS_PER_CALL / 8;
+
+/// Holders that are served from the queue for one input.
+const MAX_SERVED: usize = 16;
+
+/// Pause before something is looked at again that waits for a confirmed lease.
+pub(super) const LEASE_RETRY_US: u64 = 100_000;
+
+/// Holders that get a grant.
+type Granted = SmallVec<[Holder; 8]>;
+
+/// Returns whether this VM may act as owner in an epoch.
+pub(super) fn may_act(tick: &Tick<'_>, epoch: Epoch) -> bool {
+    tick.tables.lease.is_valid(tick.now_us) && tick.tables.view.epoch == epoch
+}
+
+/// Returns whether the view was in force at a time or later.
+///
+/// What becomes free by the passing of time may only be lent again then:
+/// otherwise a newer owner could have adopted and renewed it before it ended.
+pub(super) fn was_in_force(tick: &Tick<'_>, at_us: u64) -> bool {
+    tick.tables.lease.until_us >= at_us + tick.settings.lease_ms * 1_000
+}
+
+/// Handles a demand.
+pub(super) fn demanded(tick: &mut Tick<'_>, sender: Sender, demand: &Demand) {
+    if !may_act(tick, demand.epoch) {
+        return;
+    }
+    let holder = Holder {
+        vm: sender.vm,
+        incarnation: sender.incarnation,
+    };
+    let Some(row) = tick.tables.loans.get(&demand.account) else {
+        return;
+    };
+    match position(row, &holder, demand) {
+        Position::Stale => return,
+        Position::Repeated => {
+            if demand.kind == DemandKind::Ask {
+                send(tick, &demand.account, [holder]);
+            }
+            return;
+        }
+        Position::Next => {}
+        Position::Reported => takeover::adopt(tick, &holder, demand),
+        Position::New => open(tick, &holder, demand),
+    }
+    let now_us = tick.now_us;
+    let Some(row) = tick.tables.loans.get_mut(&demand.account) else {
+        return;
+    };
+    absorb(row, &holder, demand, now_us);
+    let mut granted = Granted::new();
+    match demand.kind {
+        DemandKind::Ask => answer(row, &holder, now_us, &mut granted),
+        DemandKind::Confirm => {
+            give_up_spare(row, &holder, now_us, &mut granted);
+        }
+        DemandKind::Release => {
+            let loan = row.remove(&holder, now_us);
+            row.deposit(loan.map_or(0, |loan| loan.unplaced_ncalls));
+        }
+    }
+    serve_queue(row, now_us, &mut granted);
+    send(tick, &demand.account, granted);
+    plan_queue(tick, &demand.account);
+}
+
+/// How a demand relates to what is known of its holder.
+enum Position {
+    /// It is older than what is known, or about a share that is not known.
+    Stale,
+    /// It is the last demand again.
+    Repeated,
+    /// It is newer and about the present loan.
+    Next,
+    /// It reports a share that another owner lent.
+    Reported,
+    /// Its sender has no share.
+    New,
+}
+
+/// Compares a demand with the loan of its holder.
+fn position(row: &Lending, holder: &Holder, demand: &Demand) -> Position {
+    let loan = row.loans.get(holder);
+    if let Some(loan) = loan {
+        if demand.seq == loan.demand_seq {
+            return Position::Repeated;
+        }
+        if demand.seq < loan.demand_seq {
+            return Position::Stale;
+        }
+        let is_same = match &demand.held {
+            Some(held) => held.id == loan.id,
+            // The holder may still apply a grant that is on its way.
+            None => demand.floor_seq <= loan.opened_seq,
+        };
+        if is_same {
+            return Position::Next;
+        }
+    }
+    match &demand.held {
+        Some(held) => {
+            let takeover = row.takeover.as_ref();
+            if takeover.is_some_and(|takeover| !takeover.adopted.contains(&held.id)) {
+                Position::Reported
+            } else {
+                Position::Stale
+            }
+        }
+        None if demand.kind == DemandKind::Ask => Position::New,
+        None => Position::Stale,
+    }
+}
+
+/// Opens a loan with nothing lent yet.
+fn open(tick: &mut Tick<'_>, holder: &Holder, demand: &Demand) {
+    let ownership = &mut tick.tables.ownership;
+    ownership.opened_shares += 1;
+    let id = ShareId {
+        owner: tick.settings.incarnation,
+        number: ownership.opened_shares,
+    };
+    let loan = Loan::new(id, demand.seq);
+    insert(tick, &demand.account, holder, loan);
+}
+
+/// Inserts a loan and plans its end.
+pub(super) fn insert(tick: &mut Tick<'_>, account: &AccountName, holder: &Holder, loan: Loan) {
+    let id = loan.id;
+    if let Some(row) = tick.tables.loans.get_mut(account) {
+        row.insert(holder, loan, tick.now_us);
+    }
+    let due_us = tick.now_us + CoreSettings::with_margin_us(tick.settings.grant_ms);
+    let timer = Timer::LoanEnd(account.clone(), holder.clone(), id);
+    tick.tables.timers.set(due_us, timer);
+}
+
+/// Takes in what a demand reports and confirms.
+fn absorb(row: &mut Lending, holder: &Holder, demand: &Demand, now_us: u64) {
+    let weight = division::weight(demand, row.limits.rate_mcalls_per_s);
+    let mut returned_ncalls = 0;
+    row.change(holder, now_us, |loan| {
+        loan.demand_seq = demand.seq;
+        loan.demand_sent_us = demand.sent_us;
+        loan.demand_arrived_us = now_us;
+        loan.weight = weight;
+        loan.wanted_mcalls_per_s = demand.wanted_mcalls_per_s;
+        loan.waiting_calls = demand.waiting_calls;
+        loan.level_ncalls = demand.level_ncalls;
+        loan.reported_us = now_us;
+        let Some(held) = &demand.held else {
+            return;
+        };
+        returned_ncalls = held.returned_ncalls.saturating_sub(loan.returned_ncalls);
+        loan.returned_ncalls += returned_ncalls;
+        loan.received_ncalls = held.received_ncalls.min(loan.moved_ncalls);
+        loan.confirm(held.applied_seq);
+        returned_ncalls += std::mem::take(&mut loan.unplaced_ncalls);
+    });
+    let unplaced_ncalls = row.deposit(returned_ncalls);
+    if let Some(loan) = row.loans.get_mut(holder) {
+        loan.unplaced_ncalls = unplaced_ncalls;
+    }
+}
+
+/// Answers a demand and asks others to give back if too little is free.
+fn answer(row: &mut Lending, holder: &Holder, now_us: u64, granted: &mut Granted) {
+    if give_up_spare(row, holder, now_us, granted) {
+        return;
+    }
+    issue(row, holder, 0, now_us);
+    granted.push(holder.clone());
+    let Some(loan) = row.loans.get(holder) else {
+        return;
+    };
+    if loan.waiting_calls == 0 {
+        return;
+    }
+    let need_ncalls = loan.waiting_calls.saturating_mul(NCALLS_PER_CALL);
+    let target = division::target(row, loan);
+    let is_behind = loan.granted.rate_mcalls_per_s < target.rate_mcalls_per_s / 4 * 3;
+    enqueue(row, holder, now_us);
+    recall(row, holder, need_ncalls, now_us, granted);
+    if is_behind {
+        shrink(row, holder, now_us, granted);
+    }
+}
+
+/// Asks a holder that does not need its calls to give them to the first one that waits.
+fn give_up_spare(row: &mut Lending, holder: &Holder, now_us: u64, granted: &mut Granted) -> bool {
+    let first = row.queue.front().and_then(|first| row.loans.get(first));
+    let Some(first) = first else {
+        return false;
+    };
+    let need_ncalls = first.waiting_calls.saturating_mul(NCALLS_PER_CALL);
+    let Some(loan) = row.loans.get(holder).filter(|loan| loan.waiting_calls == 0) else {
+        return false;
+    };
+    let ncalls = loan.level_at_ncalls(now_us).min(need_ncalls);
+    if ncalls < SMALLEST_RECALL_NCALLS {
+        return false;
+    }
+    issue(row, holder, ncalls, now_us);
+    granted.push(holder.clone());
+    true
+}
+
+/// Puts a holder at the end of the queue unless it is there.
+fn enqueue(row: &mut Lending, holder: &Holder, now_us: u64) {
+    let is_queued = row.loans.get(holder).is_none_or(|loan| loan.is_queued);
+    if !is_queued {
+        row.change(holder, now_us, |loan| loan.is_queued = true);
+        row.queue.push_back(holder.clone());
+    }
+}
+
+/// Asks the holders with most calls to give some back.
+fn recall(
+    row: &mut Lending,
+    holder: &Holder,
+    mut need_ncalls: u64,
+    now_us: u64,
+    granted: &mut Granted,
+) {
+    let first = row.by_filling.iter().map(|(_, other)| other);
+    let others: Granted = first
+        .filter(|&other| other != holder)
+        .take(MAX_RECALLS)
+        .cloned()
+        .collect();
+    for other in others {
+        let level_ncalls = row
+            .loans
+            .get(&other)
+            .filter(|loan| loan.waiting_calls == 0)
+            .map_or(0, |loan| loan.level_at_ncalls(now_us));
+        let ncalls = level_ncalls.min(need_ncalls);
+        if ncalls >= SMALLEST_RECALL_NCALLS {
+            issue(row, &other, ncalls, now_us);
+            granted.push(other);
+            need_ncalls -= ncalls;
+        }
+    }
+}
+
+/// Makes the shares smaller that are largest for their holders' weight.
+fn shrink(row: &mut Lending, holder: &Holder, now_us: u64, granted: &mut Granted) {
+    let last = row.by_service.iter().rev().map(|(_, other)| other);
+    let others: Granted = last
+        .filter(|&other| other != holder)
+        .take(MAX_RECALLS)
+        .cloned()
+        .collect();
+    for other in others {
+        let Some(loan) = row.loans.get(&other) else {
+            continue;
+        };
+        let target = division::target(row, loan);
+        if loan.granted.rate_mcalls_per_s <= target.rate_mcalls_per_s / 4 * 5 {
+            return;
+        }
+        issue(row, &other, 0, now_us);
+        granted.push(other);
+    }
+}
+
+/// Serves holders that wait from what is not lent.
+pub(super) fn serve_queue(row: &mut Lending, now_us: u64, granted: &mut Granted) {
+    for _ in 0..MAX_SERVED {
+        let Some(holder) = row.queue.front().cloned() else {
+            return;
+        };
+        let loan = row.loans.get(&holder).filter(|loan| loan.waiting_calls > 0);
+        let Some(loan) = loan else {
+            leave_queue(row, &holder, now_us);
+            continue;
+        };
+        let level_ncalls = loan.level_at_ncalls(now_us) + row.reserve.level_ncalls;
+        let target = division::target(row, loan);
+        let has_rate = row.reserve.rate_mcalls_per_s > target.rate_mcalls_per_s / 4
+            && loan.granted.rate_mcalls_per_s < target.rate_mcalls_per_s / 4 * 3;
+        if level_ncalls < NCALLS_PER_CALL && !has_rate {
+            return;
+        }
+        leave_queue(row, &holder, now_us);
+        issue(row, &holder, 0, now_us);
+        granted.push(holder.clone());
+        let loan = row.loans.get(&holder);
+        if loan.is_some_and(|loan| loan.waiting_calls > 0) {
+            enqueue(row, &holder, now_us);
+        }
+    }
+}
+
+/// Removes the first holder of the queue.
+fn leave_queue(row: &mut Lending, holder: &Holder, now_us: u64) {
+    row.queue.pop_front();
+    row.change(holder, now_us, |loan| loan.is_queued = false);
+}
+
+/// Makes the next grant of a loan and asks for some calls back.
+fn issue(row: &mut Lending, holder: &Holder, recall_ncalls: u64, now_us: u64) {
+    row.reserve.refill(now_us);
+    let Some(loan) = row.loans.get(holder) else {
+        return;
+    };
+    let (next, moved_ncalls) = if recall_ncalls == 0 {
+        let next = division::next(row, loan);
+        (next, division::calls(row, loan, next, now_us))
+    } else {
+        (division::recalled(row, loan, recall_ncalls), 0)
+    };
+    row.reserve.level_ncalls -= moved_ncalls;
+    row.change(holder, now_us, |loan| {
+        loan.grant(next, moved_ncalls, recall_ncalls, now_us);
+    });
+}
+
+/// Sends the present grants of holders.
+pub(super) fn send(
+    tick: &mut Tick<'_>,
+    account: &AccountName,
+    holders: impl IntoIterator<Item = Holder>,
+) {
+    let valid_ms = tick.settings.grant_ms;
+    let margin_us = CoreSettings::with_margin_us(valid_ms);
+    for holder in holders {
+        let epoch = tick.tables.view.epoch;
+        let Some(row) = tick.tables.loans.get_mut(account) else {
+            return;
+        };
+        let Some(loan) = row.loans.get_mut(&holder) else {
+            continue;
+        };
+        loan.expires_us = loan.demand_arrived_us + margin_us;
+        let grant = Grant {
+            account: account.clone(),
+            epoch,
+            holder: holder.incarnation,
+            answers_seq: loan.demand_seq,
+            sent_us: loan.demand_sent_us,
+            valid_ms,
+            id: loan.id,
+            seq: loan.grant_seq,
+            rate_mcalls_per_s: loan.granted.rate_mcalls_per_s,
+            burst_ncalls: loan.granted.burst_ncalls,
+            moved_ncalls: loan.moved_ncalls,
+            recalled_ncalls: loan.recalled_ncalls,
+        };
+        tick.send(&holder.vm, RatesMessage::Grant(Box::new(grant)));
+    }
+}
+
+/// Sets a timer for when enough calls have gathered for a holder that waits.
+fn plan_queue(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let Some(row) = tick.tables.loans.get_mut(account) else {
+        return;
+    };
+    if row.queue.is_empty() || row.queue_due_us != 0 {
+        return;
+    }
+    if let Some(wait_us) = row.reserve.ready_in_us(now_us) {
+        row.queue_due_us = now_us + wait_us.max(1);
+        let due_us = row.queue_due_us;
+        let timer = Timer::LoanQueue(account.clone());
+        tick.tables.timers.set(due_us, timer);
+    }
+}
+
+/// Serves the queue from the calls that have gathered.
+pub(super) fn queue_due(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let epoch = tick.tables.view.epoch;
+    let may_act = may_act(tick, epoch);
+    let Some(row) = tick.tables.loans.get_mut(account) else {
+        return;
+    };
+    row.queue_due_us = 0;
+    if !may_act {
+        return;
+    }
+    row.reserve.refill(now_us);
+    let mut granted = Granted::new();
+    serve_queue(row, now_us, &mut granted);
+    send(tick, account, granted);
+    plan_queue(tick, account);
+}
+
+/// Takes a loan back whose last grant has ended.
+pub(super) fn loan_ended(tick: &mut Tick<'_>, account: &AccountName, holder: &Holder, id: ShareId) {
+    let now_us = tick.now_us;
+    let row = tick.tables.loans.get(account);
+    let loan = row.and_then(|row| row.loans.get(holder));
+    let Some(loan) = loan.filter(|loan| loan.id == id) else {
+        return;
+    };
+    let expires_us = loan.expires_us;
+    if now_us < expires_us || !was_in_force(tick, expires_us) {
+        let due_us = expires_us.max(now_us + LEASE_RETRY_US);
+        let timer = Timer::LoanEnd(account.clone(), holder.clone(), id);
+        tick.tables.timers.set(due_us, timer);
+        return;
+    }
+    if let Some(row) = tick.tables.loans.get_mut(account) {
+        row.remove(holder, now_us);
+    }
+    queue_due(tick, account);
+}
+
+/// Brings an account that this VM owns in line with its published limits.
+pub(super) fn limits_changed(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let epoch = tick.tables.view.epoch;
+    if !takeover::ensure_row(tick, account) {
+        return;
+    }
+    let may_act = may_act(tick, epoch);
+    let tables = &mut *tick.tables;
+    let limits = tables.accounts.get(account).map(|row| row.limits());
+    let (Some(limits), Some(row)) = (limits, tables.loans.get_mut(account)) else {
+        return;
+    };
+    let limits = match &row.takeover {
+        Some(takeover) => takeover.known.lower(limits),
+        None => limits,
+    };
+    if limits == row.limits {
+        return;
+    }
+    row.set_limits(limits, now_us);
+    if !may_act {
+        return;
+    }
+    let holders: Vec<_> = row.loans.iter().map(|(holder, _)| holder.clone()).collect();
+    for holder in &holders {
+        issue(row, holder, 0, now_us);
+    }
+    send(tick, account, holders);
+}
--- /dev/null
+++ b/crates/core/src/systems/rates/takeover.rs
@@ -0,0 +1,303 @@
+//! Changes of the owner of an account.
+
+use std::collections::HashMap;
+
+use smallvec::smallvec;
+
+use super::super::{Sender, Tick};
+use super::{holder, owner};
+use crate::config::CoreSettings;
+use crate::ids::{AccountName, Epoch, VmName};
+use crate::message::{Demand, RatesMessage, Unlent};
+use crate::tables::{Bucket, Holder, Lending, Limits, Loan, Takeover, Timer};
+
+/// Pause before members that did not answer are asked again.
+const QUERY_RETRY_US: u64 = 200_000;
+
+/// The first view; no account had an owner before it.
+const FIRST_EPOCH: Epoch = Epoch(1);
+
+/// Takes accounts over and hands accounts over when the view has changed.
+pub(super) fn follow_view(tick: &mut Tick<'_>) {
+    let epoch = tick.tables.view.epoch;
+    let previous = tick.tables.ownership.epoch;
+    if epoch == previous {
+        return;
+    }
+    let ownership = &mut tick.tables.ownership;
+    ownership.epoch = epoch;
+    ownership.learned_us = tick.now_us;
+    ownership.taken_over.clear();
+    ownership.unanswered.clear();
+    ownership.unlent = Default::default();
+    let accounts: Vec<_> = tick
+        .tables
+        .accounts
+        .iter()
+        .map(|(k, _)| k.clone())
+        .collect();
+    let is_next = previous.next() == epoch;
+    let mut handed = HashMap::<VmName, Vec<Unlent>>::new();
+    for account in &accounts {
+        if let Some((successor, unlent)) = leave(tick, account, is_next) {
+            handed.entry(successor).or_default().push(unlent);
+        }
+        ensure_row(tick, account);
+        continue_takeover(tick, account);
+    }
+    for account in &accounts {
+        report_share(tick, account);
+    }
+    // In the order of names, so that the same inputs give the same outputs.
+    let mut handed: Vec<_> = handed.into_iter().collect();
+    handed.sort_by(|a, b| a.0.cmp(&b.0));
+    for (successor, unlent) in handed {
+        tick.send(&successor, RatesMessage::ShareReport { epoch, unlent });
+    }
+    start_query(tick);
+}
+
+/// Gives an account up that this VM may no longer lend; returns what was not lent.
+///
+/// What is not lent is only known if this VM was the owner in the last view.
+fn leave(tick: &mut Tick<'_>, account: &AccountName, is_next: bool) -> Option<(VmName, Unlent)> {
+    tick.tables.loans.get(account)?;
+    let owns = is_owner(tick, account);
+    if owns && is_next {
+        return None;
+    }
+    let mut row = tick.tables.loans.remove(account)?;
+    if owns || !is_next {
+        return None;
+    }
+    row.reserve.refill(tick.now_us);
+    let unlent = Unlent {
+        account: account.clone(),
+        rate_mcalls_per_s: row.reserve.rate_mcalls_per_s,
+        burst_ncalls: row.reserve.burst_ncalls,
+        calls_ncalls: row.reserve.level_ncalls,
+    };
+    let ownership = &mut tick.tables.ownership;
+    ownership.unlent.insert(account.clone(), unlent.clone());
+    let successor = tick.tables.view.account_owner(account)?;
+    Some((successor.clone(), unlent))
+}
+
+/// Returns whether this start of this VM owns an account.
+fn is_owner(tick: &Tick<'_>, account: &AccountName) -> bool {
+    let view = &tick.tables.view;
+    let owner = view
+        .account_owner(account)
+        .filter(|vm| **vm == tick.settings.vm);
+    let member = owner.and_then(|vm| view.member(vm));
+    member.is_some_and(|member| member.incarnation == tick.settings.incarnation)
+}
+
+/// Makes the row of an account that this VM owns; returns whether there is one.
+pub(super) fn ensure_row(tick: &mut Tick<'_>, account: &AccountName) -> bool {
+    if tick.tables.loans.contains_key(account) {
+        return true;
+    }
+    let tables = &*tick.tables;
+    let limits = tables.accounts.get(account).map(|row| row.limits());
+    let Some(limits) = limits.filter(|_| is_owner(tick, account)) else {
+        return false;
+    };
+    let now_us = tick.now_us;
+    let wait_ms = tick.settings.lease_ms + tick.settings.grant_ms;
+    let until_us = tables.ownership.learned_us + CoreSettings::with_margin_us(wait_ms);
+    let mut row = Lending::default();
+    if tables.view.epoch == FIRST_EPOCH || now_us >= until_us {
+        row.reserve = Bucket::full(limits.rate_mcalls_per_s, limits.burst_ncalls, now_us);
+        row.limits = limits;
+    } else {
+        row.reserve.updated_us = now_us;
+        row.takeover = Some(Takeover {
+            until_us,
+            ..Takeover::default()
+        });
+        let timer = Timer::TakeoverEnd(account.clone());
+        tick.tables.timers.set(until_us, timer);
+        let ownership = &mut tick.tables.ownership;
+        ownership.taken_over.push(account.clone());
+    }
+    tick.tables.loans.insert(account.clone(), row);
+    true
+}
+
+/// Keeps a takeover that began in an earlier view among those that are asked about.
+fn continue_takeover(tick: &mut Tick<'_>, account: &AccountName) {
+    let row = tick.tables.loans.get(account);
+    let is_pending = row.is_some_and(|row| row.takeover.is_some());
+    let taken_over = &mut tick.tables.ownership.taken_over;
+    if is_pending && taken_over.last() != Some(account) {
+        taken_over.push(account.clone());
+    }
+}
+
+/// Reports a share to its new owner.
+fn report_share(tick: &mut Tick<'_>, account: &AccountName) {
+    let Some(share) = tick.tables.shares.get_mut(account) else {
+        return;
+    };
+    let before = share.owner.take().map(|(_, owner)| owner);
+    let is_in_use = share.held.is_some() || !share.waiting.is_empty();
+    if is_in_use && holder::owner_of(tick, account) != before {
+        holder::ask(tick, account);
+    }
+}
+
+/// Asks all other members about the accounts that were taken over.
+fn start_query(tick: &mut Tick<'_>) {
+    let tables = &mut *tick.tables;
+    if tables.ownership.taken_over.is_empty() {
+        return;
+    }
+    let others = tables.view.members.iter().map(|member| &member.vm);
+    let others = others.filter(|vm| **vm != tick.settings.vm).cloned();
+    tables.ownership.unanswered = others.collect();
+    query(tick, tick.tables.view.epoch);
+}
+
+/// Asks the members that have not answered.
+pub(super) fn query(tick: &mut Tick<'_>, epoch: Epoch) {
+    let ownership = &tick.tables.ownership;
+    let wait_ms = tick.settings.lease_ms + tick.settings.grant_ms;
+    let until_us = ownership.learned_us + CoreSettings::with_margin_us(wait_ms);
+    let is_over = ownership.epoch != epoch || tick.now_us >= until_us;
+    if is_over || ownership.unanswered.is_empty() {
+        return;
+    }
+    let accounts = ownership.taken_over.clone();
+    for member in ownership.unanswered.clone() {
+        let accounts = accounts.clone();
+        tick.send(&member, RatesMessage::ShareQuery { epoch, accounts });
+    }
+    let due_us = tick.now_us + QUERY_RETRY_US;
+    tick.tables.timers.set(due_us, Timer::ShareQuery(epoch));
+}
+
+/// Answers a new owner.
+pub(super) fn queried(
+    tick: &mut Tick<'_>,
+    sender: &Sender,
+    epoch: Epoch,
+    accounts: &[AccountName],
+) {
+    if tick.tables.view.epoch != epoch {
+        return;
+    }
+    for account in accounts {
+        let share = tick.tables.shares.get(account);
+        if share.is_some_and(|share| share.held.is_some() || !share.waiting.is_empty()) {
+            holder::ask(tick, account);
+        }
+    }
+    let known = &tick.tables.ownership.unlent;
+    let unlent = accounts.iter().filter_map(|account| known.get(account));
+    let unlent = unlent.cloned().collect();
+    tick.send(&sender.vm, RatesMessage::ShareReport { epoch, unlent });
+}
+
+/// Takes in what an earlier owner had not lent.
+pub(super) fn reported(tick: &mut Tick<'_>, sender: Sender, epoch: Epoch, unlent: &[Unlent]) {
+    if tick.tables.view.epoch != epoch {
+        return;
+    }
+    let ownership = &mut tick.tables.ownership;
+    ownership.unanswered.retain(|vm| *vm != sender.vm);
+    let reporter = Holder {
+        vm: sender.vm,
+        incarnation: sender.incarnation,
+    };
+    for unlent in unlent {
+        let Some(takeover) = takeover_of(tick, &unlent.account) else {
+            continue;
+        };
+        if !takeover.reported.insert(reporter.clone()) {
+            continue;
+        }
+        let limits = Limits {
+            rate_mcalls_per_s: unlent.rate_mcalls_per_s,
+            burst_ncalls: unlent.burst_ncalls,
+        };
+        learn(tick, &unlent.account, limits);
+        if let Some(row) = tick.tables.loans.get_mut(&unlent.account) {
+            row.deposit(unlent.calls_ncalls);
+        }
+        owner::queue_due(tick, &unlent.account);
+    }
+}
+
+/// Adopts a share that an earlier owner lent.
+pub(super) fn adopt(tick: &mut Tick<'_>, holder: &Holder, demand: &Demand) {
+    let Some(held) = &demand.held else {
+        return;
+    };
+    let limits = Limits {
+        rate_mcalls_per_s: held.rate_mcalls_per_s,
+        burst_ncalls: held.burst_ncalls,
+    };
+    if let Some(takeover) = takeover_of(tick, &demand.account) {
+        takeover.adopted.insert(held.id);
+    }
+    learn(tick, &demand.account, limits);
+    let margin_us = CoreSettings::with_margin_us(tick.settings.grant_ms);
+    let loan = Loan {
+        expires_us: tick.now_us + margin_us,
+        grant_seq: held.applied_seq,
+        granted: limits,
+        open_grants: smallvec![(held.applied_seq, limits)],
+        moved_ncalls: held.received_ncalls,
+        received_ncalls: held.received_ncalls,
+        returned_ncalls: held.returned_ncalls,
+        recalled_ncalls: held.recalled_ncalls,
+        ..Loan::new(held.id, demand.seq)
+    };
+    owner::insert(tick, &demand.account, holder, loan);
+}
+
+/// Returns the takeover of an account.
+fn takeover_of<'a>(tick: &'a mut Tick<'_>, account: &AccountName) -> Option<&'a mut Takeover> {
+    let row = tick.tables.loans.get_mut(account)?;
+    row.takeover.as_mut()
+}
+
+/// Adds to what is known to be free or adopted.
+fn learn(tick: &mut Tick<'_>, account: &AccountName, limits: Limits) {
+    let tables = &mut *tick.tables;
+    let published = tables.accounts.get(account).map(|row| row.limits());
+    let (Some(published), Some(row)) = (published, tables.loans.get_mut(account)) else {
+        return;
+    };
+    let Some(takeover) = row.takeover.as_mut() else {
+        return;
+    };
+    takeover.known = takeover.known.plus(limits);
+    let limits = takeover.known.lower(published);
+    row.set_limits(limits, tick.now_us);
+}
+
+/// Ends a takeover: all that is not lent is free.
+pub(super) fn end(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let tables = &*tick.tables;
+    let row = tables.loans.get(account);
+    let Some(takeover) = row.and_then(|row| row.takeover.as_ref()) else {
+        return;
+    };
+    let until_us = takeover.until_us;
+    if now_us < until_us || !owner::was_in_force(tick, until_us) {
+        let due_us = until_us.max(now_us + owner::LEASE_RETRY_US);
+        let timer = Timer::TakeoverEnd(account.clone());
+        tick.tables.timers.set(due_us, timer);
+        return;
+    }
+    let tables = &mut *tick.tables;
+    let limits = tables.accounts.get(account).map(|row| row.limits());
+    if let (Some(limits), Some(row)) = (limits, tables.loans.get_mut(account)) {
+        row.takeover = None;
+        row.set_limits(limits, now_us);
+    }
+    owner::queue_due(tick, account);
+}
--- a/crates/core/src/tables/account.rs
+++ b/crates/core/src/tables/account.rs
@@ -1,20 +1,24 @@
 //! Client accounts and their keys.
 
-use std::collections::VecDeque;
-
-use super::Bucket;
+use super::{Limits, NCALLS_PER_CALL};
 use crate::config::AccountConfig;
-use crate::ids::{AccountName, CallId, Secret256};
+use crate::ids::{AccountName, Secret256};
 
 /// A client account.
 #[derive(Debug)]
 pub struct Account {
     /// Its published limits.
     pub config: AccountConfig,
-    /// What this VM may admit.
-    pub bucket: Bucket,
-    /// Calls that wait for the rate, first come first served.
-    pub waiting: VecDeque<CallId>,
+}
+
+impl Account {
+    /// Returns its rate and burst over all VMs.
+    pub fn limits(&self) -> Limits {
+        Limits {
+            rate_mcalls_per_s: self.config.rate_mcalls_per_s,
+            burst_ncalls: self.config.burst_calls * NCALLS_PER_CALL,
+        }
+    }
 }
 
 /// A caller's key.
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -7,8 +7,10 @@
 mod bucket;
 mod call;
 mod lease;
+mod loan;
 mod pool;
 mod program;
+mod share;
 mod table;
 mod timers;
 mod upstream;
@@ -18,8 +20,10 @@
 pub use bucket::{Bucket, NCALLS_PER_CALL};
 pub use call::{Call, Stage};
 pub use lease::Lease;
+pub use loan::{Holder, Lending, Limits, Loan, Ownership, Takeover};
 pub use pool::{Pool, Waiting};
 pub use program::{Program, Turn};
+pub use share::{Held, Meter, Share};
 pub use table::Table;
 pub use timers::{Timer, Timers};
 pub use upstream::{Running, Upstream};
@@ -40,6 +44,12 @@
     pub fleet: Arc<FleetConfig>,
     /// Client accounts.
     pub accounts: Table<AccountName, Account>,
+    /// What this VM may spend of client accounts.
+    pub shares: Table<AccountName, Share>,
+    /// Client accounts that this VM owns.
+    pub loans: Table<AccountName, Lending>,
+    /// The owner's side of the rates beside its rows.
+    pub ownership: Ownership,
     /// Callers' keys.
     pub keys: Table<KeyId, Key>,
     /// Services.
--- /dev/null
+++ b/crates/core/src/tables/share.rs
@@ -0,0 +1,107 @@
+//! Shares of client accounts that this VM holds.
+
+use std::collections::VecDeque;
+
+use super::Bucket;
+use crate::ids::{CallId, Epoch, VmName};
+use crate::message::ShareId;
+
+/// Length of one slot of a meter.
+const METER_SLOT_US: u64 = 1_000_000;
+
+/// Counts arrivals over about the last second.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Meter {
+    slot: u64,
+    current_calls: u64,
+    previous_calls: u64,
+}
+
+impl Meter {
+    /// Counts one arrival.
+    pub fn count(&mut self, now_us: u64) {
+        self.advance(now_us);
+        self.current_calls += 1;
+    }
+
+    /// Returns the rate, weighting the previous slot by its part in the last second.
+    pub fn rate_mcalls_per_s(&mut self, now_us: u64) -> u64 {
+        self.advance(now_us);
+        let rest_us = METER_SLOT_US - now_us % METER_SLOT_US;
+        self.current_calls * 1_000 + self.previous_calls * rest_us / (METER_SLOT_US / 1_000)
+    }
+
+    /// Starts a new slot if the time has come.
+    fn advance(&mut self, now_us: u64) {
+        let slot = now_us / METER_SLOT_US;
+        if slot == self.slot {
+            return;
+        }
+        let is_next = slot == self.slot + 1;
+        self.previous_calls = if is_next { self.current_calls } else { 0 };
+        self.current_calls = 0;
+        self.slot = slot;
+    }
+}
+
+/// A grant in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// The share.
+    pub id: ShareId,
+    /// The last grant that was applied.
+    pub applied_seq: u64,
+    /// When the grant ends, on this VM's clock.
+    pub until_us: u64,
+    /// All calls that were deposited with grants of the share.
+    pub received_ncalls: u64,
+    /// All calls that were given back.
+    pub returned_ncalls: u64,
+    /// All calls that the owner has asked back, as far as answered.
+    pub recalled_ncalls: u64,
+}
+
+/// What this VM may spend of a client account, and the calls that wait for it.
+#[derive(Debug, Clone, Default)]
+pub struct Share {
+    /// What may be admitted; empty without a grant.
+    pub bucket: Bucket,
+    /// The grant in force.
+    pub held: Option<Held>,
+    /// Calls that wait for the rate, first come first served.
+    pub waiting: VecDeque<CallId>,
+    /// Arrivals of the last second.
+    pub offered: Meter,
+    /// When the last call arrived.
+    pub last_call_us: u64,
+    /// The last demand.
+    pub demand_seq: u64,
+    /// When the last demand that asks for a grant was sent.
+    pub asked_us: u64,
+    /// New shares that answer an earlier demand than this are ignored.
+    pub floor_seq: u64,
+    /// Pause before the next demand while calls wait; 0 if none wait.
+    pub retry_us: u64,
+    /// When the next demand is due; 0 if no timer runs.
+    pub ask_due_us: u64,
+    /// When the bucket is looked at again; 0 if no timer runs.
+    pub refill_due_us: u64,
+    /// The owner of the account and the epoch in which it was worked out.
+    pub owner: Option<(Epoch, VmName)>,
+}
+
+impl Share {
+    /// Drops the share; grants that answer earlier demands are ignored from now on.
+    pub fn drop_grant(&mut self) {
+        self.held = None;
+        self.bucket = Bucket::default();
+        self.floor_seq = self.demand_seq + 1;
+    }
+
+    /// Drops the share if its grant has ended.
+    pub fn drop_expired(&mut self, now_us: u64) {
+        if self.held.is_some_and(|held| held.until_us <= now_us) {
+            self.drop_grant();
+        }
+    }
+}
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeSet;
 
-use crate::ids::{AccountName, AttemptId, CallId, PoolKey, ProgramKey};
+use super::Holder;
+use crate::ids::{AccountName, AttemptId, CallId, Epoch, PoolKey, ProgramKey};
+use crate::message::ShareId;
 
 /// What is due at a time.
 ///
@@ -13,6 +15,16 @@
     RateWait(CallId),
     /// An account may have calls for those that wait.
     RateRefill(AccountName),
+    /// A holder has to renew its share or to ask again.
+    ShareAsk(AccountName),
+    /// An owner may have calls for holders that wait.
+    LoanQueue(AccountName),
+    /// The last grant of a loan may have ended.
+    LoanEnd(AccountName, Holder, ShareId),
+    /// All grants of earlier owners of an account may have ended.
+    TakeoverEnd(AccountName),
+    /// Members that did not answer a new owner have to be asked again.
+    ShareQuery(Epoch),
     /// A call has waited long enough for the turn before it.
     TurnWait(CallId),
     /// A program has had no calls for the time of its lease.
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -2,7 +2,10 @@
 //! virtual time, invariants over its traces, and fakes of outside systems.
 
 pub mod invariants;
+pub mod load;
+pub mod measures;
 pub mod mesh;
 mod random;
+pub mod scenario;
 
 pub use random::Random;
--- a/crates/testing/src/mesh/mod.rs
+++ b/crates/testing/src/mesh/mod.rs
@@ -18,9 +18,10 @@
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
+use knapweeddale_core::tables::Member;
 use knapweeddale_core::{
-    AttemptEvent, CallId, Control, CoreSettings, Dispatch, FleetConfig, Incarnation, Input,
-    NewCall, Output, PeerMessage, StoreEvent, StoreRequest, VmName,
+    AttemptEvent, CallId, Control, CoreSettings, Dispatch, DomainName, FleetConfig, Incarnation,
+    Input, NewCall, Output, PeerMessage, StoreEvent, StoreRequest, VmName,
 };
 
 use crate::Random;
@@ -75,6 +76,8 @@
     pub store: ViewStore,
     /// The upstreams.
     pub engines: Engines,
+    /// Messages sent between VMs.
+    pub messages: u64,
     /// What happened so far.
     pub trace: Trace,
 }
@@ -120,6 +123,7 @@
             faults: Faults::default(),
             store: ViewStore::default(),
             engines: Engines::default(),
+            messages: 0,
             trace: Trace::default(),
         };
         for number in 0..vms {
@@ -334,6 +338,7 @@
         let Some(to) = self.vms.iter().position(|vm| vm.name == *to) else {
             return;
         };
+        self.messages += 1;
         if self.blocked.contains(&(from, to)) {
             return;
         }
@@ -440,6 +445,25 @@
         self.vms[vm].control.as_ref()
     }
 
+    /// Returns the VMs that run, as members of a view.
+    pub fn members(&self) -> Vec<Member> {
+        let running = self.vms.iter().filter(|vm| vm.control.is_some());
+        running
+            .map(|vm| Member {
+                vm: vm.name.clone(),
+                incarnation: vm.incarnation,
+                failure_domain: DomainName::from("local"),
+                address: vm.name.to_string(),
+            })
+            .collect()
+    }
+
+    /// Writes a view of the VMs that run, in which each VM holds a lease by itself.
+    pub fn write_view(&mut self) {
+        self.store.every_vm_touches = true;
+        self.store.write_members(self.members());
+    }
+
     /// Returns the number of a VM.
     pub fn index(&self, vm: &VmName) -> Option<usize> {
         self.vms.iter().position(|row| row.name == *vm)
--- a/crates/testing/src/mesh/store.rs
+++ b/crates/testing/src/mesh/store.rs
@@ -3,8 +3,8 @@
 use std::collections::HashSet;
 
 use knapweeddale_core::input::StoredView;
-use knapweeddale_core::tables::View;
-use knapweeddale_core::{StoreEvent, StoreRequest};
+use knapweeddale_core::tables::{Member, View};
+use knapweeddale_core::{Epoch, StoreEvent, StoreRequest};
 
 use crate::Random;
 
@@ -15,6 +15,10 @@
     pub stored: Option<StoredView>,
     /// Whether the store answers nobody.
     pub is_down: bool,
+    /// Whether each VM may touch the present view whatever the version, even while the store is down.
+    ///
+    /// Stands in for leases by heartbeats and promises where a test is about other systems.
+    pub every_vm_touches: bool,
     /// VMs that cannot reach the store.
     pub cut_off: HashSet<usize>,
     /// Answers lost after the write took effect, of 1,000.
@@ -30,6 +34,7 @@
         Self {
             stored: None,
             is_down: false,
+            every_vm_touches: false,
             cut_off: HashSet::new(),
             lost_answers_per_mille: 0,
             timeout_us: 500_000,
@@ -48,6 +53,16 @@
         random: &mut Random,
     ) -> StoreEvent {
         self.requests += 1;
+        if let StoreRequest::Touch { view, .. } = &request
+            && self.every_vm_touches
+            && !self.cut_off.contains(&vm)
+            && let Some(stored) = self.stored.as_ref().filter(|stored| stored.view == *view)
+        {
+            return StoreEvent::ViewTouched {
+                version: stored.version,
+                sent_us,
+            };
+        }
         if self.is_down || self.cut_off.contains(&vm) {
             return StoreEvent::Unavailable;
         }
@@ -75,6 +90,20 @@
         answer
     }
 
+    /// Writes a view with these members, all of them writers, as the next epoch.
+    pub fn write_members(&mut self, members: Vec<Member>) {
+        let (epoch, version) = self.stored.as_ref().map_or_else(
+            || (Epoch(1), 1),
+            |stored| (stored.view.epoch.next(), stored.version + 1),
+        );
+        let view = View {
+            epoch,
+            writers: members.iter().map(|member| member.vm.clone()).collect(),
+            members,
+        };
+        self.stored = Some(StoredView { view, version });
+    }
+
     /// Writes the object if it has the expected version.
     fn put(&mut self, view: View, expected_version: u64) -> Option<StoredView> {
         let version = self.stored.as_ref().map_or(0, |stored| stored.version);
--- /dev/null
+++ b/crates/testing/src/scenario.rs
@@ -0,0 +1,179 @@
+//! Eight VMs and eight accounts, the size of today's fleets.
+
+use std::collections::BTreeMap;
+
+use knapweeddale_core::{AccountName, FleetConfig};
+
+use crate::load::{self, Load};
+use crate::measures::{self, Served};
+use crate::mesh::Mesh;
+use crate::{Random, invariants};
+
+/// VMs of the scenario.
+pub const VMS: usize = 8;
+
+/// Name, rate and burst in calls, offered percent of the rate, weights of the VMs.
+type Account = (&'static str, u64, u64, u64, [u64; VMS]);
+
+const EVEN: [u64; VMS] = [1; VMS];
+
+/// Accounts: two large, one that sends 5 times its rate, and several with skewed arrival.
+pub const ACCOUNTS: [Account; 8] = [
+    ("aller", 60, 120, 85, EVEN),
+    ("bodega", 60, 120, 85, [20, 5, 1, 1, 1, 1, 1, 1]),
+    ("cueca", 10, 20, 500, EVEN),
+    ("danza", 10, 20, 80, [0, 0, 1, 0, 0, 0, 0, 0]),
+    ("estampie", 10, 20, 80, EVEN),
+    ("farruca", 5, 16, 80, [1, 1, 0, 0, 0, 0, 0, 0]),
+    ("gavota", 5, 16, 70, EVEN),
+    ("habanera", 2, 8, 60, [0, 0, 0, 0, 8, 1, 1, 1]),
+];
+
+/// Returns the seeds to run: `KNAPWEEDDALE_SEEDS` of them, or `few`.
+pub fn seeds(few: u64) -> impl Iterator<Item = u64> {
+    let text = std::env::var("KNAPWEEDDALE_SEEDS").unwrap_or_default();
+    1..=text.parse().unwrap_or(few)
+}
+
+/// Returns the configuration of the scenario.
+pub fn fleet() -> FleetConfig {
+    let accounts: Vec<_> = ACCOUNTS.iter().map(|a| (a.0, a.1, a.2)).collect();
+    load::fleet(&accounts)
+}
+
+/// Returns the calls of all accounts, at a part of the rates above.
+pub fn loads(percent: u64) -> Vec<Load> {
+    ACCOUNTS
+        .iter()
+        .map(|&(name, rate, _, offered, weights)| Load {
+            account: AccountName::from(name),
+            offered_mcalls_per_s: rate * offered * percent / 10,
+            weights: weights.to_vec(),
+        })
+        .collect()
+}
+
+/// A mesh of 8 VMs that have a view and leases, with its load.
+#[derive(Debug)]
+pub struct Scenario {
+    /// The VMs.
+    pub mesh: Mesh,
+    /// Chooses arrivals.
+    pub random: Random,
+    /// The calls of all accounts.
+    pub loads: Vec<Load>,
+    seed: u64,
+}
+
+impl Scenario {
+    /// Starts all VMs.
+    pub fn new(seed: u64) -> Self {
+        let mut mesh = Mesh::new(VMS, fleet(), seed);
+        mesh.write_view();
+        mesh.run_ms(100);
+        Self {
+            mesh,
+            // Arrivals do not depend on the faults of the mesh.
+            random: Random::new(!seed),
+            loads: loads(100),
+            seed,
+        }
+    }
+
+    /// Sends calls for some milliseconds.
+    pub fn drive_ms(&mut self, ms: u64) {
+        load::drive(&mut self.mesh, &self.loads, &mut self.random, ms);
+    }
+
+    /// Returns the VM that owns an account.
+    ///
+    /// # Panics
+    ///
+    /// Panics if no view has been written.
+    pub fn owner(&self, account: &str) -> usize {
+        let stored = self.mesh.store.stored.as_ref().expect("a view is written");
+        let owner = stored.view.account_owner(&AccountName::from(account));
+        let owner = owner.expect("the view has members");
+        self.mesh.index(owner).expect("the owner is in the mesh")
+    }
+
+    /// Checks the invariants of rates over the trace.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the seed and the first violation.
+    pub fn check(&self) {
+        let trace = &self.mesh.trace;
+        let result = invariants::rate_and_burst(trace, &fleet())
+            .and_then(|()| invariants::refusal_is_true(trace));
+        if let Err(error) = result {
+            panic!("seed {}: {error}", self.seed);
+        }
+    }
+
+    /// Lets waiting calls end, checks the invariants and returns how accounts were served.
+    pub fn finish(mut self) -> BTreeMap<AccountName, Served> {
+        self.mesh.run_ms(3_000);
+        self.check();
+        measures::served(&self.mesh.trace, &fleet())
+    }
+}
+
+/// How accounts were served, over several seeds.
+#[derive(Debug)]
+pub struct Totals {
+    /// Accounts of which one bucket for all VMs would have admitted every call.
+    pub in_rate: Served,
+    /// The other accounts.
+    pub over_rate: Served,
+    /// The smallest share of an account with one seed.
+    pub worst_share: f64,
+}
+
+impl Default for Totals {
+    fn default() -> Self {
+        Self {
+            in_rate: Served::default(),
+            over_rate: Served::default(),
+            worst_share: 1.0,
+        }
+    }
+}
+
+impl Totals {
+    /// Adds the accounts of one seed and prints those that lost calls.
+    pub fn add(&mut self, seed: u64, results: &BTreeMap<AccountName, Served>) {
+        for (account, served) in results {
+            if served.wrongly_refused > 0 {
+                println!("seed {seed}, {account}: {served:?}");
+            }
+            let sum = if served.is_in_rate() {
+                &mut self.in_rate
+            } else {
+                &mut self.over_rate
+            };
+            *sum = measures::total([&*sum, served]);
+        }
+        self.worst_share = self
+            .worst_share
+            .min(measures::worst_share(results.values()));
+    }
+
+    /// Returns the wrongly refused part of the calls of accounts within their rate.
+    pub fn wrongful_part(&self) -> f64 {
+        self.in_rate.wrongly_refused as f64 / self.in_rate.entitled.max(1) as f64
+    }
+
+    /// Returns the lost calls of all accounts as a part of their entitlement.
+    pub fn lost_part(&self) -> f64 {
+        let all = measures::total([&self.in_rate, &self.over_rate]);
+        all.lost_calls as f64 / all.entitled.max(1) as f64
+    }
+
+    /// Prints the totals.
+    pub fn print(&self, name: &str) {
+        println!("{name}, within the rate: {:?}", self.in_rate);
+        println!("{name}, over the rate: {:?}", self.over_rate);
+        println!("{name}, worst share: {:.4}", self.worst_share);
+    }
+}
