Renew shares more often and test faults of rates

Cause: most shares ended before a new owner could adopt them, because suspicion takes 2 s, the view up to 1 s more, and a share that was renewed a second ago had 2 s left. A holder with nothing before did not confirm the calls that came with a grant, so an account with a burst of one call lost what its rate added meanwhile.

Change: `grant_ms` is 4,000 and shares are renewed 8 times in that time. Holders confirm each grant after which the owner counts too much.

--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -61,7 +61,9 @@
     #[builder(default = 8)]
     pub fan_out: usize,
     /// How long a share of an account's rate is granted for.
-    #[builder(default = 3_000)]
+    ///
+    /// With 3,000, most shares ended before a new owner could adopt them.
+    #[builder(default = 4_000)]
     pub grant_ms: u64,
     /// Longest wait of a call for its account's rate.
     #[builder(default = 2_000)]
--- a/crates/core/src/systems/rates/holder.rs
+++ b/crates/core/src/systems/rates/holder.rs
@@ -9,6 +9,12 @@
 /// Time after the last call for which a share is kept; section 4.5 of `docs/design.md`.
 const IDLE_US: u64 = 5_000_000;
 
+/// Renewals within the time of a grant.
+///
+/// When an owner dies, grants last for at least 7/8 of `grant_ms`: 3.5 s, longer than
+/// suspicion, heartbeats and the write of the next view take together.
+const RENEWALS: u64 = 8;
+
 /// A call that gets its rate from this VM's own bucket within this time sends no demand.
 ///
 /// About two round trips between failure domains, so asking would not be faster.
@@ -59,7 +65,7 @@
 /// Asks for a grant and plans the next demand.
 pub(super) fn ask(tick: &mut Tick<'_>, account: &AccountName) {
     let now_us = tick.now_us;
-    let renew_us = tick.settings.grant_ms * 1_000 / 3;
+    let renew_us = tick.settings.grant_ms * 1_000 / RENEWALS;
     send(tick, account, DemandKind::Ask);
     let Some(share) = tick.tables.shares.get_mut(account) else {
         return;
@@ -186,9 +192,10 @@
     let deposit_ncalls = deposit(share, grant, now_us);
     calls::serve(tick, &grant.account);
     let returned_ncalls = settle(tick, grant, before.burst_ncalls);
+    // The owner counts more than it granted until it hears that the grant was applied.
     let is_smaller = grant.rate_mcalls_per_s < before.rate_mcalls_per_s
-        || grant.burst_ncalls < before.burst_ncalls;
-    if is_smaller || returned_ncalls > 0 || deposit_ncalls > 0 && before.burst_ncalls > 0 {
+        || grant.burst_ncalls < before.burst_ncalls + deposit_ncalls;
+    if is_smaller || returned_ncalls > 0 {
         send(tick, &grant.account, DemandKind::Confirm);
     }
     calls::wait(tick, &grant.account);
--- /dev/null
+++ b/crates/core/tests/cut_off.rs
@@ -0,0 +1,60 @@
+//! Guards against a VM that goes on spending its share after it has lost its owner.
+
+use knapweeddale_core::RefusalKind;
+use knapweeddale_testing::mesh::TraceEvent;
+use knapweeddale_testing::scenario::{Scenario, VMS, seeds};
+
+#[test]
+fn stops_with_grant() {
+    for seed in seeds(3) {
+        let mut scenario = Scenario::new(seed);
+        scenario.drive_ms(5_000);
+        let owner = scenario.owner("aller");
+        let vm = (owner + 1) % VMS;
+        let others: Vec<_> = (0..VMS).filter(|other| *other != vm).collect();
+        scenario.mesh.partition(&[vm], &others);
+        let cut_us = scenario.mesh.now_us();
+        scenario.drive_ms(10_000);
+        scenario.check();
+        let name = scenario.mesh.members()[vm].vm.clone();
+        let grant_us = scenario
+            .mesh
+            .control(vm)
+            .expect("VM runs")
+            .settings()
+            .grant_ms
+            * 1_000;
+        let late = scenario.mesh.trace.events.iter().find(|(at_us, event)| {
+            matches!(event, TraceEvent::Admitted { vm, account, .. }
+                if *vm == name && account.as_str() == "aller" && *at_us > cut_us + grant_us)
+        });
+        assert!(
+            late.is_none(),
+            "seed {seed}: admitted after the grant: {late:?}"
+        );
+        scenario.mesh.heal();
+        scenario.drive_ms(10_000);
+        scenario.check();
+    }
+}
+
+#[test]
+fn refusals_name_a_time() {
+    let mut scenario = Scenario::new(1);
+    scenario.drive_ms(10_000);
+    let refusals = scenario
+        .mesh
+        .trace
+        .events
+        .iter()
+        .filter_map(|(_, event)| match event {
+            TraceEvent::Refused(refusal) => Some(refusal),
+            _ => None,
+        });
+    let refusals: Vec<_> = refusals.collect();
+    assert!(!refusals.is_empty(), "the account over its rate is refused");
+    for refusal in refusals {
+        assert_eq!(refusal.kind, RefusalKind::OverRate);
+        assert!(refusal.retry_after_ms.is_some_and(|ms| ms > 0));
+    }
+}
--- /dev/null
+++ b/crates/core/tests/small_bursts.rs
@@ -0,0 +1,33 @@
+//! Guards against accounts whose burst is too small to be divided.
+
+use knapweeddale_core::AccountName;
+use knapweeddale_testing::load::{self, Load};
+use knapweeddale_testing::mesh::Mesh;
+use knapweeddale_testing::scenario::{VMS, seeds};
+use knapweeddale_testing::{Random, invariants, measures};
+use rstest::rstest;
+
+#[rstest]
+#[case::one_call(2, 1)]
+#[case::fewer_than_vms(5, 4)]
+#[case::as_many_as_vms(10, 8)]
+fn served(#[case] rate: u64, #[case] burst: u64) {
+    let fleet = load::fleet(&[("aller", rate, burst)]);
+    let loads = [Load {
+        account: AccountName::from("aller"),
+        offered_mcalls_per_s: rate * 600,
+        weights: vec![1; VMS],
+    }];
+    for seed in seeds(3) {
+        let mut mesh = Mesh::new(VMS, fleet.clone(), seed);
+        mesh.write_view();
+        mesh.run_ms(100);
+        load::drive(&mut mesh, &loads, &mut Random::new(!seed), 30_000);
+        mesh.run_ms(3_000);
+        invariants::rate_and_burst(&mesh.trace, &fleet).expect("rate");
+        let served = measures::served(&mesh.trace, &fleet);
+        let served = served[&AccountName::from("aller")];
+        assert_eq!(served.wrongly_refused, 0, "seed {seed}: {served:?}");
+        assert!(served.share() >= 0.99, "seed {seed}: {served:?}");
+    }
+}
