Compare shares with a static split and one owner

Change: `rates_report [seed] [seconds]` runs the scenario and serves the same calls from a split and from one bucket that each call asks.

--- /dev/null
+++ b/crates/report/src/bin/rates_report.rs
@@ -0,0 +1,184 @@
+//! Compares shares of an account's rate with a static split and with one owner
+//! that every call asks, on the same calls: `rates_report [seed] [seconds]`.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use knapweeddale_core::AccountName;
+use knapweeddale_core::tables::{Bucket, NCALLS_PER_CALL};
+use knapweeddale_testing::measures::{self, Served};
+use knapweeddale_testing::mesh::{Trace, TraceEvent};
+use knapweeddale_testing::scenario::{Scenario, Totals, VMS, fleet};
+
+/// Longest wait of a call, as `rate_wait_ms`.
+const WAIT_US: u64 = 2_000_000;
+
+/// Time to ask the owner and back.
+const ROUND_TRIP_US: u64 = 2_300;
+
+/// Time from the death of an owner until another one may lend: suspicion and takeover wait.
+const OWNERLESS_US: u64 = 5_300_000;
+
+/// A bucket with calls that wait in line.
+struct Line {
+    bucket: Bucket,
+    waiting: VecDeque<(u64, usize)>,
+}
+
+impl Line {
+    fn new(rate_mcalls_per_s: u64, burst_ncalls: u64) -> Self {
+        Self {
+            bucket: Bucket::full(rate_mcalls_per_s, burst_ncalls, 0),
+            waiting: VecDeque::new(),
+        }
+    }
+
+    /// Admits waiting calls up to a time and marks those that were admitted.
+    fn advance(&mut self, until_us: u64, admitted: &mut [bool]) {
+        while let Some(&(arrived_us, call)) = self.waiting.front() {
+            let from_us = self.bucket.updated_us.max(arrived_us);
+            let ready_us = self.bucket.ready_in_us(from_us).map(|us| from_us + us);
+            let Some(ready_us) = ready_us.filter(|us| *us <= arrived_us + WAIT_US) else {
+                if arrived_us + WAIT_US > until_us {
+                    return;
+                }
+                self.waiting.pop_front();
+                continue;
+            };
+            if ready_us > until_us {
+                return;
+            }
+            admitted[call] = self.bucket.take(ready_us);
+            self.waiting.pop_front();
+        }
+    }
+}
+
+/// A call of a trace.
+struct Arrival {
+    at_us: u64,
+    vm: usize,
+    account: AccountName,
+}
+
+/// Returns the calls of a trace.
+fn arrivals(trace: &Trace, vms: &BTreeMap<String, usize>) -> Vec<Arrival> {
+    let calls = trace.events.iter().filter_map(|(at_us, event)| {
+        let TraceEvent::Arrived { vm, call } = event else {
+            return None;
+        };
+        let key = call.key.as_ref()?;
+        Some(Arrival {
+            at_us: *at_us,
+            vm: *vms.get(vm.as_str())?,
+            account: AccountName::from(key.id.as_str()),
+        })
+    });
+    calls.collect()
+}
+
+/// Serves the calls of each account from lines; `choose` returns the line and the delay.
+fn replay(
+    arrivals: &[Arrival],
+    parts: u64,
+    choose: impl Fn(&Arrival) -> (usize, u64),
+) -> BTreeMap<AccountName, Served> {
+    let fleet = fleet();
+    let mut admitted = vec![false; arrivals.len()];
+    let mut result = BTreeMap::new();
+    for account in &fleet.accounts {
+        let burst_ncalls = account.burst_calls * NCALLS_PER_CALL;
+        let line = || Line::new(account.rate_mcalls_per_s / parts, burst_ncalls / parts);
+        let mut lines: Vec<_> = (0..parts).map(|_| line()).collect();
+        let calls = arrivals.iter().enumerate();
+        let calls: Vec<_> = calls
+            .filter(|(_, call)| call.account == account.name)
+            .collect();
+        for (number, call) in &calls {
+            let (line, delay_us) = choose(call);
+            lines[line].advance(call.at_us, &mut admitted);
+            // A call that cannot be asked for in time is refused.
+            if delay_us < WAIT_US {
+                lines[line]
+                    .waiting
+                    .push_back((call.at_us + delay_us, *number));
+            }
+        }
+        for line in &mut lines {
+            line.advance(u64::MAX / 2, &mut admitted);
+        }
+        let outcomes = calls
+            .iter()
+            .map(|(number, call)| (call.at_us, admitted[*number]));
+        let limits = Bucket::full(account.rate_mcalls_per_s, burst_ncalls, 0);
+        result.insert(account.name.clone(), measures::compare(limits, outcomes));
+    }
+    result
+}
+
+/// Prints one line of the table.
+fn row(name: &str, served: &BTreeMap<AccountName, Served>) {
+    let mut totals = Totals::default();
+    totals.add_quietly(served);
+    println!(
+        "{name:<28} {:>9} {:>9} {:>9} {:>10} {:>8.4}",
+        totals.in_rate.entitled,
+        totals.in_rate.wrongly_refused,
+        totals.over_rate.entitled,
+        totals.over_rate.lost_calls,
+        totals.worst_share,
+    );
+}
+
+/// Runs the scenario, with the owner of the first account dying a third of the way if asked.
+fn compare(seed: u64, seconds: u64, dies: bool) {
+    let mut scenario = Scenario::new(seed);
+    let vms = (0..VMS).map(|vm| (format!("vm-{vm}"), vm)).collect();
+    scenario.drive_ms(seconds * 1_000 / 3);
+    let owner = scenario.owner("aller");
+    let died_us = scenario.mesh.now_us();
+    let owners: BTreeMap<_, _> = fleet()
+        .accounts
+        .iter()
+        .map(|account| (account.name.clone(), scenario.owner(account.name.as_str())))
+        .collect();
+    if dies {
+        scenario.mesh.crash(owner);
+    }
+    scenario.drive_ms(seconds * 1_000 * 2 / 3);
+    let arrivals = arrivals(&scenario.mesh.trace, &vms);
+    let shares = scenario.finish();
+    println!();
+    let title = if dies { "one VM lost" } else { "no faults" };
+    println!("seed {seed}, {seconds} s, {title}");
+    println!(
+        "{:<28} {:>9} {:>9} {:>9} {:>10} {:>8}",
+        "", "in rate", "refused", "over rate", "lost", "worst"
+    );
+    row("shares", &shares);
+    let split = replay(&arrivals, VMS as u64, |call| (call.vm, 0));
+    row("static 1/N split", &split);
+    let central = replay(&arrivals, 1, |call| {
+        let ownerless_until_us = died_us + OWNERLESS_US;
+        let is_ownerless = dies
+            && owners.get(&call.account) == Some(&owner)
+            && (died_us..ownerless_until_us).contains(&call.at_us);
+        let wait_us = if is_ownerless {
+            ownerless_until_us - call.at_us
+        } else {
+            0
+        };
+        (0, wait_us + ROUND_TRIP_US)
+    });
+    row("one owner, every call asks", &central);
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let mut number = |default: u64| {
+        let text = arguments.next();
+        text.and_then(|text| text.parse().ok()).unwrap_or(default)
+    };
+    let (seed, seconds) = (number(1), number(60));
+    compare(seed, seconds, false);
+    compare(seed, seconds, true);
+}
