--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -15,7 +15,7 @@
 };
 pub use membership::{Heartbeat, HeartbeatAnswer, MembershipMessage};
 pub use placement::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
-pub use rates::RatesMessage;
+pub use rates::{Demand, DemandKind, Grant, HeldShare, RatesMessage, ShareId, Unlent};
 
 use derive_more::From;
 
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -11,12 +11,14 @@
 mod homes;
 mod lease;
 mod limit;
+mod loan;
 mod membership;
 mod order;
 mod pool;
 mod program;
 mod queue;
 mod retry;
+mod share;
 mod suspect;
 mod table;
 mod takeover;
@@ -35,6 +37,7 @@
 };
 pub use lease::Lease;
 pub use limit::{Limit, LimitReason};
+pub use loan::{Holder, Lending, Limits, Loan, Ownership, Takeover};
 pub use membership::{
     Departed, Departure, Membership, PastView, Peers, PendingRequest, PlatformList, RequestKind,
     StoreLink, Suspicion, UnresolvedWrite,
@@ -44,6 +47,7 @@
 pub use program::{FinishedTurn, Links, MAX_SERVED, Phase, Program, Turn, UnknownTurn, Usage};
 pub use queue::{Candidates, LaneOrder, Queue, Rank, Waiting};
 pub use retry::RetryBudget;
+pub use share::{Held, Meter, Share};
 pub use suspect::{Quarantine, Suspect};
 pub use table::Table;
 pub use timers::{Timer, Timers};
@@ -72,6 +76,12 @@
     pub config_asked: Option<(Revision, u64)>,
     /// Client accounts.
     pub accounts: Table<AccountName, Account>,
+    /// What this VM may spend of client accounts.
+    pub shares: Table<AccountName, Share>,
+    /// Client accounts that this VM owns.
+    pub loans: Table<AccountName, Lending>,
+    /// The owner's side of the rates beside its rows.
+    pub ownership: Ownership,
     /// Callers' keys.
     pub keys: Table<KeyId, Key>,
     /// Services.
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeSet;
 
-use super::Release;
+use super::{Holder, Release};
 use crate::ids::{
-    AccountName, AttemptId, CallId, ContentDigest, PoolKey, ProgramKey, ServiceName, UpstreamName,
+    AccountName, AttemptId, CallId, ContentDigest, Epoch, PoolKey, ProgramKey, ServiceName,
+    UpstreamName,
 };
+use crate::message::ShareId;
 
 /// What is due at a time.
 ///
@@ -16,6 +18,16 @@
     RateWait(CallId),
     /// An account may have calls for those that wait.
     RateRefill(AccountName),
+    /// A holder has to renew its share or to ask again.
+    ShareAsk(AccountName),
+    /// An owner may have calls for holders that wait.
+    LoanQueue(AccountName),
+    /// The last grant of a loan may have ended.
+    LoanEnd(AccountName, Holder, ShareId),
+    /// All grants of earlier owners of an account may have ended.
+    TakeoverEnd(AccountName),
+    /// Members that did not answer a new owner have to be asked again.
+    ShareQuery(Epoch),
     /// A call has waited long enough for the turn before it.
     TurnWait(CallId),
     /// A `Begin` has to be sent again.
--- /dev/null
+++ b/crates/core/tests/rate_shares.rs
@@ -0,0 +1,36 @@
+//! Guards against shares that add up to more than the account's rate or burst,
+//! and against refusals while another VM has calls to spare.
+
+use knapweeddale_testing::mesh::Faults;
+use knapweeddale_testing::scenario::{Scenario, Totals};
+use knapweeddale_testing::seeds;
+
+#[test]
+fn no_faults() {
+    let mut totals = Totals::default();
+    for seed in seeds() {
+        let mut scenario = Scenario::new(seed);
+        scenario.drive_ms(30_000);
+        totals.add(seed, &scenario.finish());
+    }
+    totals.print("no faults");
+    assert_eq!(totals.wrongful_part(), 0.0);
+    assert!(totals.worst_share >= 0.99);
+}
+
+#[test]
+fn bad_links() {
+    let mut totals = Totals::default();
+    for seed in seeds() {
+        let mut scenario = Scenario::new(seed);
+        scenario.mesh.faults = Faults {
+            min_delay_us: 500,
+            max_delay_us: 60_000,
+            lost_per_mille: 50,
+            doubled_per_mille: 100,
+        };
+        scenario.drive_ms(20_000);
+        totals.add(seed, &scenario.finish());
+    }
+    totals.print("bad links");
+}
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -5,9 +5,12 @@
 pub mod fleet;
 pub mod http;
 pub mod invariants;
+pub mod load;
+pub mod measures;
 pub mod mesh;
 pub mod platform;
 mod random;
+pub mod scenario;
 mod seeds;
 
 pub use random::Random;
