--- a/crates/core/src/systems/homes/witness.rs
+++ b/crates/core/src/systems/homes/witness.rs
@@ -9,7 +9,7 @@
 use crate::ids::{Epoch, ProgramKey, UpstreamName, VmName};
 use crate::input::Continuation;
 use crate::message::{HomesMessage, RunningTurn, Witness};
-use crate::output::{OverReason, TakeoverSource};
+use crate::output::{Execution, OverReason, TakeoverSource};
 use crate::tables::{KeptWitness, Stage, Timer, View};
 
 /// Witnesses in one message, so that it stays far below the limit of 256 KB.
@@ -146,6 +146,8 @@
 type RunningTurns = (SmallVec<[RunningTurn; 1]>, SmallVec<[UpstreamName; 4]>);
 
 /// Returns the turns in progress at this entry VM by program.
+///
+/// A turn whose end no home has confirmed counts, even if its caller has the response.
 fn running_turns(tick: &Tick<'_>) -> BTreeMap<ProgramKey, RunningTurns> {
     let mut running: BTreeMap<ProgramKey, RunningTurns> = BTreeMap::new();
     for (_, call) in tick.tables.calls.iter() {
@@ -157,6 +159,15 @@
             entry.1.extend(settles::upstreams_of(call));
         }
     }
+    for (id, pending) in tick.tables.homes.settles.iter() {
+        let settle = &pending.settle;
+        if settle.ran == Execution::NotRun || tick.tables.calls.contains_key(id) {
+            continue;
+        }
+        let entry = running.entry(settle.state.program.clone()).or_default();
+        entry.0.push(settle.turn.clone());
+        entry.1.extend(settle.upstreams.iter().cloned());
+    }
     running
 }
 
--- a/crates/testing/src/callers.rs
+++ b/crates/testing/src/callers.rs
@@ -382,7 +382,8 @@
             | RefusalKind::HistoryMismatch
             | RefusalKind::ContinuationMissing => agent.end = Some(Err(kind)),
             // A request that was never sent before, or certainly did not run, gets a new permit.
-            RefusalKind::PermitVoid if agent.sends <= 1 || ran == Execution::NotRun => {
+            // Without a send, a permit was asked for and refused: the outcome of the turn is unknown.
+            RefusalKind::PermitVoid if agent.sends == 1 || ran == Execution::NotRun => {
                 agent.permit = None;
                 agent.sends = 0;
             }
