--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -45,6 +45,7 @@
     let id = new.id;
     let admitted = find_route(tick, &new.target).and_then(|route| {
         let account = find_account(tick, new.key.as_ref(), route.open)?;
+        // After the key, so that nobody learns of other callers' contents without one.
         if tick.tables.quarantine.contains_key(&new.digest) {
             return Err(RefusalKind::Quarantined);
         }
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -4,7 +4,7 @@
 
 use super::Release;
 use crate::ids::{
-    AccountName, AttemptId, CallId, ContentDigest, ProgramKey, ServiceName, UpstreamName,
+    AccountName, AttemptId, CallId, ContentDigest, PoolKey, ProgramKey, ServiceName, UpstreamName,
 };
 
 /// What is due at a time.
@@ -44,6 +44,8 @@
     PlaceWait(AttemptId),
     /// The owner of a pool has not confirmed the end of an attempt.
     FinishWait(AttemptId),
+    /// A call has waited for three quarters of the longest wait.
+    QueueAge(PoolKey, AttemptId),
     /// The entry VM of a running attempt is asked whether it still runs.
     RunningCheck(AttemptId),
     /// An upstream may be ready for calls again.
