--- a/crates/core/src/systems/rates/calls.rs
+++ b/crates/core/src/systems/rates/calls.rs
@@ -9,6 +9,11 @@
 /// Time to wait before a resend if the share gives no hint.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Longest wait of a call while the account's owner does not answer.
+///
+/// A takeover after a crash takes suspicion, lease and grant: 2 s + 1.1 x 6 s.
+const OWNER_WAIT_US: u64 = 10_000_000;
+
 /// Takes one call from the account's share or lets the call wait.
 pub(super) fn request(tick: &mut Tick<'_>, id: CallId) {
     let now_us = tick.now_us;
@@ -102,6 +107,10 @@
     let Some(account) = account_of(tick, id) else {
         return;
     };
+    if let Some(due_us) = owner_wait_us(tick, id, &account) {
+        tick.tables.timers.set(due_us, Timer::RateWait(id));
+        return;
+    }
     let retry_after_ms = tick
         .tables
         .shares
@@ -118,6 +127,15 @@
     skip_gone(tick, &account);
 }
 
+/// Returns until when a call waits on for an owner that does not answer.
+///
+/// Without a grant in force, this VM does not know that the account is over its rate.
+fn owner_wait_us(tick: &Tick<'_>, id: CallId, account: &AccountName) -> Option<u64> {
+    let share = tick.tables.shares.get(account)?;
+    let until_us = tick.tables.calls.get(&id)?.arrived_us + OWNER_WAIT_US;
+    (share.held.is_none() && tick.now_us < until_us).then_some(until_us)
+}
+
 /// Removes calls from the head of the queue that were refused or abandoned.
 fn skip_gone(tick: &mut Tick<'_>, account: &AccountName) {
     let tables = &mut *tick.tables;
--- a/crates/core/src/systems/rates/owner.rs
+++ b/crates/core/src/systems/rates/owner.rs
@@ -207,6 +207,11 @@
 
 /// Asks a holder that does not need its calls to give them to the first one that waits.
 fn give_up_spare(row: &mut Lending, holder: &Holder, now_us: u64, granted: &mut Granted) -> bool {
+    // Nothing is free for calls that come back until smaller grants are confirmed:
+    // they would be lost, and a holder on this VM would be asked without end.
+    if row.is_over_limits() {
+        return false;
+    }
     let first = row.queue.front().and_then(|first| row.loans.get(first));
     let Some(first) = first else {
         return false;
@@ -241,6 +246,10 @@
     now_us: u64,
     granted: &mut Granted,
 ) {
+    // As in `give_up_spare`, calls that come back now would be lost.
+    if row.is_over_limits() {
+        return;
+    }
     let first = row.by_filling.iter().map(|(_, other)| other);
     let others: Granted = first
         .filter(|&other| other != holder)
