--- a/crates/core/src/message/rates.rs
+++ b/crates/core/src/message/rates.rs
@@ -128,6 +128,8 @@
     pub moved_ncalls: u64,
     /// All calls that the owner asked back from the share.
     pub recalled_ncalls: u64,
+    /// Whether the owner still waits for the end of what an earlier owner lent.
+    pub is_taking_over: bool,
 }
 
 /// What a previous owner had not lent when it learned of its successor.
--- a/crates/core/src/systems/rates/calls.rs
+++ b/crates/core/src/systems/rates/calls.rs
@@ -9,7 +9,7 @@
 /// Time to wait before a resend if the share gives no hint.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
 
-/// Longest wait of a call while the account's owner does not answer.
+/// Longest wait of a call while the account's owner does not answer or takes over.
 ///
 /// A takeover after a crash takes suspicion, lease and grant: 2 s + 1.1 x 6 s.
 const OWNER_WAIT_US: u64 = 10_000_000;
@@ -127,13 +127,14 @@
     skip_gone(tick, &account);
 }
 
-/// Returns until when a call waits on for an owner that does not answer.
+/// Returns until when a call waits on for an owner that does not answer or takes over.
 ///
-/// Without a grant in force, this VM does not know that the account is over its rate.
+/// Until then, nobody knows that the account is over its rate.
 fn owner_wait_us(tick: &Tick<'_>, id: CallId, account: &AccountName) -> Option<u64> {
     let share = tick.tables.shares.get(account)?;
     let until_us = tick.tables.calls.get(&id)?.arrived_us + OWNER_WAIT_US;
-    (share.held.is_none() && tick.now_us < until_us).then_some(until_us)
+    let is_unknown = share.held.is_none() || share.is_owner_new;
+    (is_unknown && tick.now_us < until_us).then_some(until_us)
 }
 
 /// Removes calls from the head of the queue that were refused or abandoned.
--- a/crates/core/src/systems/rates/holder.rs
+++ b/crates/core/src/systems/rates/holder.rs
@@ -218,6 +218,7 @@
         share.drop_grant();
         share.floor_seq = grant.answers_seq;
     }
+    share.is_owner_new = grant.is_taking_over;
     let bucket = &mut share.bucket;
     bucket.refill(now_us);
     let held = share.held.get_or_insert(Held {
--- a/crates/core/src/systems/rates/owner.rs
+++ b/crates/core/src/systems/rates/owner.rs
@@ -357,6 +357,7 @@
         let Some(row) = tick.tables.loans.get_mut(account) else {
             return;
         };
+        let is_taking_over = row.takeover.is_some();
         let Some(loan) = row.loans.get_mut(&holder) else {
             continue;
         };
@@ -374,6 +375,7 @@
             burst_ncalls: loan.granted.burst_ncalls,
             moved_ncalls: loan.moved_ncalls,
             recalled_ncalls: loan.recalled_ncalls,
+            is_taking_over,
         };
         tick.send(&holder.vm, RatesMessage::Grant(Box::new(grant)));
     }
--- a/crates/core/src/tables/share.rs
+++ b/crates/core/src/tables/share.rs
@@ -86,6 +86,8 @@
     pub ask_due_us: u64,
     /// When the bucket is looked at again; 0 if no timer runs.
     pub refill_due_us: u64,
+    /// Whether the owner still takes the account over and can lend little.
+    pub is_owner_new: bool,
     /// The owner of the account and the epoch in which it was worked out.
     pub owner: Option<(Epoch, VmName)>,
 }
