--- a/crates/entry/src/front/health.rs
+++ b/crates/entry/src/front/health.rs
@@ -1,4 +1,4 @@
-//! `/healthz`, `/readyz` and `/metrics`.
+//! `/healthz`, `/readyz`, `/status` and `/metrics`.
 
 use bytes::Bytes;
 use serde_json::json;
@@ -21,6 +21,20 @@
         Reply::json(status, &body)
     }
 
+    /// Returns what the operator command shows of a VM.
+    pub fn state(&self) -> Reply {
+        let status = self.status.borrow().clone();
+        let members = status.view.members.iter();
+        let body = json!({
+            "vm": self.vm.as_str(),
+            "ready": self.unready_reasons().is_empty(),
+            "epoch": status.view.epoch.0,
+            "revision": status.fleet.revision.0,
+            "members": members.map(|member| member.vm.as_str()).collect::<Vec<_>>(),
+        });
+        Reply::json(200, &body)
+    }
+
     /// Returns all metrics.
     pub fn metrics_text(&self) -> Reply {
         self.metrics.set_peer(&self.peer_counts.snapshot());
--- a/crates/entry/src/front/routes.rs
+++ b/crates/entry/src/front/routes.rs
@@ -40,6 +40,7 @@
     Permit,
     End,
     Health,
+    State,
     Readiness,
     Metrics,
 }
@@ -71,6 +72,7 @@
             Endpoint::End => shared.end_program(id, request).await,
             Endpoint::Models => Ok(Answer::Whole(shared.models())),
             Endpoint::Health => Ok(Answer::Whole(shared.health())),
+            Endpoint::State => Ok(Answer::Whole(shared.state())),
             Endpoint::Readiness => Ok(Answer::Whole(shared.readiness())),
             Endpoint::Metrics => Ok(Answer::Whole(shared.metrics_text())),
         };
@@ -110,6 +112,7 @@
         route(Method::Delete, "/v1/programs/<program>", Endpoint::End),
         route(Method::Get, "/healthz", Endpoint::Health),
         route(Method::Get, "/readyz", Endpoint::Readiness),
+        route(Method::Get, "/status", Endpoint::State),
         route(Method::Get, "/metrics", Endpoint::Metrics),
     ];
     for method in SERVICE_METHODS {
