--- a/crates/config/src/files/service.rs
+++ b/crates/config/src/files/service.rs
@@ -37,9 +37,6 @@
     /// Longest pause within a response; the VM's setting when absent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub token_gap_ms: Option<u64>,
-    /// Which measure placement favours; the VM's setting when absent.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub preset: Option<Preset>,
 }
 
 /// What a service runs.
