--- a/crates/ctl/src/command/keys.rs
+++ b/crates/ctl/src/command/keys.rs
@@ -41,7 +41,7 @@
     let mut file = KeysFile::load_or_new(&path, account)?;
     file.keys.push(KeyFile {
         id: id.to_owned(),
-        sha256: hex(&key.digest().0),
+        sha256: key.digest_hex(),
         withdrawn: false,
     });
     file.save(&path)?;
@@ -108,8 +108,3 @@
     }
     Ok(secret)
 }
-
-/// Formats a digest in hexadecimal.
-fn hex(bytes: &[u8]) -> String {
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/crates/testing/examples/demo.rs
+++ b/crates/testing/examples/demo.rs
@@ -55,7 +55,7 @@
     let mut account = AccountFile::parse("demo.account.yaml", account)?;
     account.keys.push(KeyFile {
         id: key.id().to_string(),
-        sha256: key.digest().0.iter().map(|b| format!("{b:02x}")).collect(),
+        sha256: key.digest_hex(),
         withdrawn: false,
     });
     let chat = format!(
--- a/crates/token/src/key.rs
+++ b/crates/token/src/key.rs
@@ -69,6 +69,12 @@
         Secret256(Sha256::digest(self.text.as_bytes()).into())
     }
 
+    /// Returns the digest in hexadecimal, as account and keys files hold it.
+    pub fn digest_hex(&self) -> String {
+        let digest = self.digest();
+        digest.0.iter().map(|byte| format!("{byte:02x}")).collect()
+    }
+
     /// Returns what the core needs of the key.
     pub fn presented(&self) -> PresentedKey {
         PresentedKey {
