--- a/crates/config/src/document/mod.rs
+++ b/crates/config/src/document/mod.rs
@@ -136,6 +136,7 @@
             revision,
             accounts: self.accounts.iter().map(AccountFile::to_core).collect(),
             services: self.services.iter().map(ServiceFile::to_core).collect(),
+            ..FleetConfig::default()
         }
     }
 
--- a/crates/config/src/files/service.rs
+++ b/crates/config/src/files/service.rs
@@ -130,6 +130,7 @@
             ServiceKindFile::Engine => ServiceKind::Engine(EngineConfig {
                 models: models(&self.models),
                 can_resume: self.can_resume,
+                ..EngineConfig::default()
             }),
             ServiceKindFile::Plain => ServiceKind::Plain,
         };
--- a/crates/core/src/config/fleet.rs
+++ b/crates/core/src/config/fleet.rs
@@ -2,7 +2,10 @@
 
 use bon::Builder;
 
-use crate::ids::{AccountName, KeyId, ModelName, Revision, Secret256, ServiceName, UpstreamName};
+use super::{CallerLimits, HostRoute};
+use crate::ids::{
+    AccountName, DomainName, KeyId, ModelName, Revision, Secret256, ServiceName, UpstreamName,
+};
 
 /// The configuration that operators publish for the whole fleet.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -14,6 +17,12 @@
     pub accounts: Vec<AccountConfig>,
     /// Services with their upstreams and routes.
     pub services: Vec<ServiceConfig>,
+    /// Routes by host and path.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub host_routes: Vec<HostRoute>,
+    /// Bounds of what a caller may send.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub caller_limits: CallerLimits,
 }
 
 /// A client account.
@@ -38,6 +47,9 @@
     /// Time that one program may take.
     #[builder(default = 3_600_000)]
     pub program_wall_ms: u64,
+    /// The rank of the account's calls, in place of that of their route; 0 goes first.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub priority: Option<u32>,
     /// Keys of the account.
     #[builder(default)]
     pub keys: Vec<KeyConfig>,
@@ -96,6 +108,9 @@
     pub models: Vec<ModelName>,
     /// Whether an interrupted stream can be resumed.
     pub can_resume: bool,
+    /// Tokens in one event of a stream; 0 if the upstream states the tokens itself.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub tokens_per_event: u64,
 }
 
 /// An upstream of a service.
@@ -121,6 +136,13 @@
     /// Whether the upstream is leaving and gets no new calls.
     #[builder(default)]
     pub leaving: bool,
+    /// The failure domain, if it is known.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub failure_domain: Option<DomainName>,
+    /// The start of the process in Unix time; 0 if it is not known.
+    #[builder(default)]
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub started_unix_ms: u64,
 }
 
 /// A route of a plain service.
--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -26,6 +26,19 @@
     LowestCost,
 }
 
+/// How the VMs of a fleet agree on what none of them may decide alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Coordination {
+    /// Views and leases name one owner for each account, program and pool.
+    #[default]
+    Owners,
+    /// Each VM decides for its own calls from summaries of the others.
+    ///
+    /// What must be agreed on is written to the platform's store. Calls carry their whole
+    /// prompt, so that programs need no home.
+    Peers,
+}
+
 /// The parts of the placement policy that are on.
 ///
 /// The policy report switches parts off to measure what each contributes.
@@ -89,6 +102,30 @@
     /// The parts of the placement policy that are on.
     #[builder(default)]
     pub policy: PolicyParts,
+    /// How the VMs of the fleet agree.
+    #[builder(default)]
+    pub coordination: Coordination,
+    /// Addresses of VMs whose names are not known yet, as `ip:port`.
+    #[builder(default)]
+    pub seeds: Vec<String>,
+    /// Whether this start is the first of the whole fleet, so that no program ran before it.
+    #[builder(default)]
+    pub is_first_start: bool,
+    /// Interval between two summaries to another VM.
+    #[builder(default = 200)]
+    pub summary_ms: u64,
+    /// Silence after which another VM does not count as one that shares its rates.
+    #[builder(default = 700)]
+    pub peer_silent_ms: u64,
+    /// Silence after which another VM is forgotten.
+    #[builder(default = 10_000)]
+    pub peer_forget_ms: u64,
+    /// Age of the last read of the configuration at which keys are no longer trusted.
+    #[builder(default = 5_000)]
+    pub stale_config_ms: u64,
+    /// Time after a store outage in which upstreams that are missing from the list are kept.
+    #[builder(default = 2_200)]
+    pub relist_ms: u64,
     /// Longest mean time between two tokens before an upstream gets fewer calls.
     #[builder(default = 30)]
     pub token_target_ms: u64,
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -1,10 +1,12 @@
 //! The control value: all tables and the systems that run over them.
 
-use crate::config::CoreSettings;
+use crate::config::{Coordination, CoreSettings};
+use crate::ids::Epoch;
 use crate::input::Input;
+use crate::message::Snapshot;
 use crate::output::Output;
 use crate::systems::{self, Tick, Work};
-use crate::tables::{Tables, Timer};
+use crate::tables::{Member, Tables, Timer, View};
 
 /// How often the systems run over the work lists in one tick.
 ///
@@ -27,7 +29,10 @@
     /// Makes the control value of a VM that has just started.
     pub fn new(settings: CoreSettings) -> Self {
         let mut tables = Tables::default();
-        tables.timers.set(0, Timer::Heartbeat);
+        match settings.coordination {
+            Coordination::Owners => tables.timers.set(0, Timer::Heartbeat),
+            Coordination::Peers => start_alone(&settings, &mut tables),
+        }
         Self {
             settings,
             tables,
@@ -53,6 +58,9 @@
             work: &mut self.work,
             outputs,
         };
+        if tick.tables.source.started_us == 0 {
+            tick.tables.source.started_us = now_us;
+        }
         systems::intake::run(&mut tick, inputs);
         systems::timers::run(&mut tick);
         for _ in 0..MAX_PASSES {
@@ -90,6 +98,11 @@
         self.tables.membership.departure.has_left
     }
 
+    /// Returns the state of this VM for another one that lacks a part of it.
+    pub fn snapshot(&self, now_us: u64, with_programs: bool) -> Snapshot {
+        systems::peers::snapshot(&self.tables, now_us, with_programs)
+    }
+
     /// Returns the tables for reading.
     pub fn tables(&self) -> &Tables {
         &self.tables
@@ -100,3 +113,26 @@
         &self.settings
     }
 }
+
+/// Prepares the tables of a VM that decides for its own calls.
+///
+/// It is the only member of its view and so owns the pools of its own calls.
+fn start_alone(settings: &CoreSettings, tables: &mut Tables) {
+    let mut view = View {
+        epoch: Epoch(1),
+        ..View::default()
+    };
+    view.put(Member {
+        vm: settings.vm.clone(),
+        incarnation: settings.incarnation,
+        failure_domain: settings.failure_domain.clone(),
+        address: settings.address.clone(),
+        leaving: false,
+        joined: view.epoch,
+    });
+    tables.placed_epoch = view.epoch;
+    tables.view = view;
+    tables.source.knows_programs = settings.is_first_start;
+    tables.timers.set(0, Timer::Source);
+    tables.timers.set(0, Timer::Summary);
+}
--- a/crates/core/src/input/call.rs
+++ b/crates/core/src/input/call.rs
@@ -1,7 +1,10 @@
 //! A call as the front end hands it to the core.
 
+use std::sync::Arc;
+
 use bon::Builder;
 
+use super::RelayedCall;
 use crate::ids::{
     CallId, ContentDigest, Epoch, HistoryDigest, Incarnation, KeyId, ModelName, ProgramKey,
     ProgramName, Secret256, ServiceName, VmName,
@@ -32,6 +35,8 @@
     /// Identifies the content across resends.
     #[builder(default)]
     pub digest: ContentDigest,
+    /// What a call states that carries its whole prompt; absent for others.
+    pub relayed: Option<Box<RelayedCall>>,
 }
 
 /// A caller's key, reduced to what the core needs.
@@ -57,6 +62,13 @@
         /// The path below the service, starting with `/`.
         path: String,
     },
+    /// A request that is routed by host and path.
+    Host {
+        /// The host, in lower case.
+        host: Arc<str>,
+        /// The path.
+        path: Arc<str>,
+    },
 }
 
 /// The place of a call in its program.
--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::{AttemptEvent, NewCall, ProgramRequest};
+use super::{AttemptEvent, NewCall, PeerNews, ProgramRequest, SourceEvent};
 use crate::config::FleetConfig;
 use crate::ids::{CallId, FencingToken, Incarnation, ModelName, ProgramKey, UpstreamName, VmName};
 use crate::message::PeerMessage;
@@ -77,6 +77,10 @@
         /// The answer.
         result: OrderResult,
     },
+    /// The store answered a request about configuration, upstreams, VMs or budgets.
+    Source(SourceEvent),
+    /// Another VM said something under `Coordination::Peers`.
+    News(PeerNews),
     /// The process has been asked to stop.
     Drain,
 }
--- a/crates/core/src/input/mod.rs
+++ b/crates/core/src/input/mod.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod call;
 mod event;
+mod relay;
 
 pub use attempt::{AttemptEvent, AttemptOutcome, AttemptProgress, Failure};
 pub use call::{
@@ -10,3 +11,6 @@
     Target,
 };
 pub use event::{Input, OrderResult, ProbeState, StoreEvent, StoredView, VmStatus};
+pub use relay::{
+    ListedUpstream, PeerNews, RegisteredVm, RelayedCall, SourceEvent, SourcePart, UpstreamList,
+};
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -29,8 +29,8 @@
 pub mod tables;
 
 pub use config::{
-    AccountConfig, CoreSettings, EngineConfig, FleetConfig, KeyConfig, RouteConfig, ServiceConfig,
-    ServiceKind, UpstreamConfig,
+    AccountConfig, Backend, CallerLimits, Coordination, CoreSettings, EngineConfig, FleetConfig,
+    HostRoute, KeyConfig, RouteConfig, RouteKind, ServiceConfig, ServiceKind, UpstreamConfig,
 };
 pub use control::Control;
 pub use ids::{
@@ -39,10 +39,12 @@
     UpstreamName, VmName,
 };
 pub use input::{
-    AttemptEvent, Input, NewCall, PresentedKey, ProgramRequest, ProgramRequestKind, ProgramTurn,
-    StoreEvent, Target,
+    AttemptEvent, Input, ListedUpstream, NewCall, PeerNews, PresentedKey, ProgramRequest,
+    ProgramRequestKind, ProgramTurn, RegisteredVm, RelayedCall, SourceEvent, SourcePart,
+    StoreEvent, Target, UpstreamList,
 };
-pub use message::PeerMessage;
+pub use message::{PeerMessage, Snapshot, Summary};
 pub use output::{
-    Answered, Charge, Decision, Dispatch, Execution, Output, Refusal, RefusalKind, StoreRequest,
+    Answered, Charge, Decision, Dispatch, EventForm, Execution, Output, Refusal, RefusalKind,
+    SourceRequest, StoreRequest,
 };
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod placement;
 mod rates;
+mod summary;
 
 pub use config::ConfigMessage;
 pub use homes::{
@@ -16,6 +17,7 @@
 pub use membership::{Heartbeat, HeartbeatAnswer, MembershipMessage};
 pub use placement::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
 pub use rates::{Demand, DemandKind, Grant, HeldShare, RatesMessage, ShareId, Unlent};
+pub use summary::{Echo, ListStamp, ProgramSpent, ProgramUse, Snapshot, Summary};
 
 use derive_more::From;
 
--- a/crates/core/src/message/placement.rs
+++ b/crates/core/src/message/placement.rs
@@ -102,6 +102,10 @@
     pub avoid: SmallVec<[UpstreamName; 2]>,
     /// The end of the attempt before this one, in case its own report is late.
     pub ended: Option<Finish>,
+    /// The rank of a call whose route has one; 0 goes first.
+    pub priority: Option<u32>,
+    /// The only upstream that may run the call, unless it has ended.
+    pub only: Option<UpstreamName>,
 }
 
 /// Reports the end of an attempt.
@@ -138,6 +142,8 @@
     NotConnected,
     /// The upstream failed or refused the request.
     Failed,
+    /// The upstream refused the request because it was full.
+    Full,
     /// The connection broke.
     Lost,
     /// The caller left or the attempt was never sent.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -5,10 +5,10 @@
 
 use super::{Execution, OrderAction, RefusalKind};
 use crate::ids::{
-    AccountName, AttemptId, CallId, ContentDigest, Epoch, FencingToken, ProgramKey, Revision,
-    UpstreamName, VmName,
+    AccountName, AttemptId, CallId, ContentDigest, Epoch, FencingToken, Incarnation, ProgramKey,
+    Revision, UpstreamName, VmName,
 };
-use crate::tables::LimitReason;
+use crate::tables::{Cover, LimitReason};
 
 /// A routing or placement decision.
 ///
@@ -271,6 +271,105 @@
         /// The revision.
         revision: Revision,
     },
+    /// Another VM was heard for the first time, or again.
+    #[display("peers: {vm} is heard, start {incarnation}")]
+    PeerHeard {
+        /// The VM.
+        vm: VmName,
+        /// The start of its process.
+        incarnation: Incarnation,
+    },
+    /// Another VM is not heard any more.
+    #[display("peers: {vm} silent for {silent_ms} ms")]
+    PeerSilent {
+        /// The VM.
+        vm: VmName,
+        /// For how long.
+        silent_ms: u64,
+    },
+    /// A silent VM no longer counts as one that may serve.
+    #[display("peers: {vm} forgotten")]
+    PeerForgotten {
+        /// The VM.
+        vm: VmName,
+    },
+    /// The part of the accounts' rates that the heard VMs use changed.
+    #[display("peers: {heard_vms} of {known_vms} VMs share the rates")]
+    GroupChanged {
+        /// VMs that are heard, this one included.
+        heard_vms: u64,
+        /// VMs that may serve.
+        known_vms: u64,
+    },
+    /// The use of all programs was learned from another VM.
+    #[display("budgets: learned the use of {programs} programs")]
+    ProgramsKnown {
+        /// The number of programs.
+        programs: usize,
+    },
+    /// A turn is covered by its program's budget.
+    #[display(
+        "budgets: call {call} of {program} covered {cover:?}, {known_tokens} of {budget_tokens} tokens known to be used"
+    )]
+    TurnCovered {
+        /// The call.
+        call: CallId,
+        /// The program.
+        program: ProgramKey,
+        /// Tokens known to be used, those of running turns included.
+        known_tokens: u64,
+        /// The budget.
+        budget_tokens: u64,
+        /// What covers it.
+        cover: Cover,
+    },
+    /// The store answered a reservation of tokens, or did not.
+    #[display(
+        "budgets: {program} reserves {}, {reserved_tokens} tokens held",
+        tokens.map_or_else(|| "without an answer".to_owned(), |tokens| format!("{tokens} tokens"))
+    )]
+    BudgetReserved {
+        /// The program.
+        program: ProgramKey,
+        /// The tokens; `None` if the store did not answer.
+        tokens: Option<u64>,
+        /// Tokens that this VM holds and no turn has taken.
+        reserved_tokens: u64,
+    },
+    /// A program has used up its budget.
+    #[display(
+        "budgets: {program} stopped, {known_tokens} of {budget_tokens} tokens known to be used"
+    )]
+    ProgramStopped {
+        /// The program.
+        program: ProgramKey,
+        /// Tokens known to be used.
+        known_tokens: u64,
+        /// The budget.
+        budget_tokens: u64,
+    },
+    /// The store does not answer this VM.
+    #[display(
+        "source: the store does not answer, configuration read {} ago",
+        config_age_ms.map_or_else(|| "never".to_owned(), |ms| format!("{ms} ms"))
+    )]
+    SourceLost {
+        /// Age of the last read of the configuration.
+        config_age_ms: Option<u64>,
+    },
+    /// The store answers this VM again.
+    #[display("source: the store answers again")]
+    SourceBack,
+    /// A list of upstreams came into force.
+    #[display("config: list {revision} in force with {upstreams} upstreams, {leaving} leaving")]
+    ListInForce {
+        /// The revision of the list.
+        revision: u64,
+        /// Upstreams in it.
+        upstreams: usize,
+        /// Upstreams that are leaving.
+        leaving: usize,
+    },
     /// A configuration was ignored.
     #[display("config: ignored revision {offered}, {in_force} is in force")]
     ConfigIgnored {
@@ -345,6 +444,9 @@
         /// Crashes in which it was seen.
         crashes: u32,
     },
+    /// The call ran there before and may run nowhere else.
+    #[display("the only upstream allowed")]
+    OnlyAllowed,
     /// It was chosen before; the first message may be lost.
     #[display("chosen before")]
     Repeated,
@@ -353,6 +455,22 @@
     OwnerSilent,
 }
 
+impl PlacementReason {
+    /// Returns a short name without figures, as a label of metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::LeastRunning => "least_running",
+            Self::InTurn => "in_turn",
+            Self::LowestCost { .. } => "lowest_cost",
+            Self::CachedPrefix { .. } => "cached_prefix",
+            Self::Alone { .. } => "alone",
+            Self::OnlyAllowed => "only_allowed",
+            Self::Repeated => "repeated",
+            Self::OwnerSilent => "owner_silent",
+        }
+    }
+}
+
 /// Why a failed call is or is not tried again.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
 pub enum RetryReason {
@@ -371,6 +489,9 @@
     /// The call failed too often.
     #[display("too many attempts")]
     TooManyAttempts,
+    /// The caller waits no longer.
+    #[display("no time left")]
+    TooLate,
     /// The retry budget is used up.
     #[display("retry budget used up")]
     OverBudget,
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -4,6 +4,7 @@
 mod decision;
 mod order;
 mod refusal;
+mod source;
 
 pub use charge::{Charge, ChargeOutcome};
 pub use decision::{
@@ -11,13 +12,14 @@
 };
 pub use order::{Order, OrderAction};
 pub use refusal::{Execution, Refusal, RefusalKind};
+pub use source::SourceRequest;
 
 use std::sync::Arc;
 
 use crate::ids::{AccountName, ProgramKey};
 use crate::ids::{AttemptId, CallId, UpstreamName, VmName};
 use crate::input::{Continuation, Permit};
-use crate::message::PeerMessage;
+use crate::message::{PeerMessage, Summary};
 use crate::tables::View;
 
 /// An output of the core.
@@ -67,6 +69,22 @@
     },
     /// Ask the store for something.
     Store(StoreRequest),
+    /// Ask the store about configuration, upstreams, VMs or budgets.
+    Source(SourceRequest),
+    /// Send a summary to another VM.
+    SendSummary {
+        /// The receiver's address as `ip:port`.
+        address: Arc<str>,
+        /// The summary.
+        summary: Box<Summary>,
+    },
+    /// Ask another VM for its state and answer with `PeerNews`.
+    AskSnapshot {
+        /// The receiver's address as `ip:port`.
+        address: Arc<str>,
+        /// Whether the programs that it knows are needed as well.
+        with_programs: bool,
+    },
     /// Release the engine memory of a program.
     ReleaseMemory {
         /// The engine.
@@ -106,6 +124,19 @@
     pub account: Option<AccountName>,
     /// The program and its generation, which the engine keeps its cache under.
     pub program: Option<(ProgramKey, u64)>,
+    /// When the attempt has to end, on this VM's clock.
+    pub deadline_us: u64,
+    /// Whether the response is a stream of events, and the tokens in each of them.
+    pub events: Option<EventForm>,
+}
+
+/// What is known of the events of a streamed response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EventForm {
+    /// Tokens in one event.
+    pub tokens_per_event: u64,
+    /// Whether a broken stream may go on after its last event.
+    pub is_resumable: bool,
 }
 
 /// The end of a call that ran.
--- a/crates/core/src/output/refusal.rs
+++ b/crates/core/src/output/refusal.rs
@@ -72,6 +72,10 @@
     KeyWithdrawn = "key_withdrawn", 401, "ask the operator for a new key";
     /// This VM cannot learn about withdrawn keys at present.
     Isolated = "isolated", 503, "resend; the load balancer will choose another VM";
+    /// This VM has no configuration yet.
+    NotConfigured = "not_configured", 503, "resend; the VM has just started";
+    /// The store did not confirm the program's budget.
+    BudgetUnknown = "budget_unknown", 503, "resend after the time in retry-after";
     /// No service offers the model.
     ModelUnknown = "model_unknown", 404, "list the models with GET /v1/models";
     /// The service or route does not exist.
--- /dev/null
+++ b/crates/core/src/output/source.rs
@@ -0,0 +1,23 @@
+//! Requests to the platform's store beyond the view.
+
+use crate::ids::ProgramKey;
+
+/// A request to the platform's store; each is answered by one `SourceEvent`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SourceRequest {
+    /// Read the published configuration; a lagging replica must not answer.
+    Config,
+    /// Read the list of upstreams; a lagging replica must not answer.
+    Upstreams,
+    /// Register this VM and list the registered ones.
+    Vms,
+    /// Reserve tokens of a program's budget with `BudgetRecord::reserve`.
+    Reserve {
+        /// The program.
+        program: ProgramKey,
+        /// The whole budget.
+        budget_tokens: u64,
+        /// The least that helps: the most that one turn may generate.
+        turn_tokens: u64,
+    },
+}
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -1,13 +1,16 @@
 //! Admits calls and moves them on.
 
+use std::sync::Arc;
+
 use smallvec::SmallVec;
 
-use super::{Tick, homes};
+use super::{Tick, budgets, homes};
+use crate::config::{HostRoute, ServiceKind};
 use crate::ids::{AccountName, CallId, PoolKey, ProgramKey};
 use crate::input::{NewCall, PresentedKey, Target};
 use crate::message::PlacementMessage;
 use crate::output::{Decision, Execution, Output, Refusal, RefusalKind};
-use crate::tables::{Call, Stage};
+use crate::tables::{Call, Relay, Stage};
 
 /// What waits for this system.
 #[derive(Debug, Default)]
@@ -38,13 +41,23 @@
     pool: PoolKey,
     idempotent: bool,
     open: bool,
+    /// The route of a relayed call.
+    host: Option<Arc<HostRoute>>,
 }
 
+/// Age of the configuration beyond which it denies nothing.
+///
+/// A route or key that is missing in an older one may have been added since.
+const DENY_CONFIG_US: u64 = 2_000_000;
+
 /// Admits a new call or refuses it.
 fn arrive(tick: &mut Tick<'_>, new: NewCall) {
     let id = new.id;
-    let admitted = find_route(tick, &new.target).and_then(|route| {
-        let account = find_account(tick, new.key.as_ref(), route.open)?;
+    let admitted = find_route(tick, &new).and_then(|route| {
+        // A relayed call on a route open to all may carry any key.
+        let is_keyless = route.open && route.host.is_some();
+        let key = new.key.as_ref().filter(|_| !is_keyless);
+        let account = find_account(tick, key, route.open)?;
         // After the key, so that nobody learns of other callers' contents without one.
         if tick.tables.quarantine.contains_key(&new.digest) {
             return Err(RefusalKind::Quarantined);
@@ -54,6 +67,7 @@
     let (route, account) = match admitted {
         Ok(admitted) => admitted,
         Err(kind) => {
+            let kind = undenied(tick, &new, kind);
             report(tick, id, kind, Execution::NotRun, None);
             return;
         }
@@ -65,7 +79,8 @@
         }),
         _ => None,
     };
-    if !route.idempotent && (program.is_none() || new.permit.is_none()) {
+    let needs_permit = !route.idempotent && route.host.is_none();
+    if needs_permit && (program.is_none() || new.permit.is_none()) {
         report(
             tick,
             id,
@@ -75,6 +90,9 @@
         );
         return;
     }
+    let relay = route
+        .host
+        .map(|host| relay(tick, &new, host, account.as_ref()));
     let call = Call {
         stage: Stage::Rate,
         arrived_us: tick.now_us,
@@ -96,6 +114,7 @@
         used_tokens: None,
         avoid: SmallVec::new(),
         place: Default::default(),
+        relay,
         new,
     };
     let has_account = call.account.is_some();
@@ -107,9 +126,56 @@
     }
 }
 
+/// Turns a denial into a refusal for now if the configuration is too old to deny anything.
+fn undenied(tick: &Tick<'_>, new: &NewCall, kind: RefusalKind) -> RefusalKind {
+    let is_denial = matches!(
+        kind,
+        RefusalKind::RouteUnknown | RefusalKind::ModelUnknown | RefusalKind::KeyUnknown
+    );
+    let age_us = tick.tables.source.config.age_us(tick.now_us);
+    let is_old = age_us.is_none_or(|age_us| age_us > DENY_CONFIG_US);
+    if new.relayed.is_some() && is_denial && is_old {
+        RefusalKind::Isolated
+    } else {
+        kind
+    }
+}
+
+/// Makes what only a relayed call has.
+fn relay(
+    tick: &Tick<'_>,
+    new: &NewCall,
+    route: Arc<HostRoute>,
+    account: Option<&AccountName>,
+) -> Box<Relay> {
+    let relayed = new.relayed.as_deref();
+    let row = account.and_then(|account| tick.tables.accounts.get(account));
+    let priority = row.and_then(|row| row.config.priority);
+    let timeout_us = tick.now_us + route.timeout_ms * 1_000;
+    let program = relayed.and_then(|relayed| relayed.program.clone());
+    let is_stream = route.kind.is_stream();
+    Box::new(Relay {
+        deadline_us: relayed.map_or(timeout_us, |relayed| relayed.deadline_us.min(timeout_us)),
+        priority: priority.unwrap_or(route.priority),
+        program: program.map(|name| ProgramKey {
+            account: account.cloned().unwrap_or_else(|| AccountName::from("")),
+            name,
+        }),
+        budget_tokens: relayed
+            .and_then(|relayed| relayed.budget_tokens)
+            .filter(|_| is_stream),
+        cover: None,
+        passed_tokens: 0,
+        ran_on: SmallVec::new(),
+        only: None,
+        route,
+    })
+}
+
 /// Finds the route of a call.
-fn find_route(tick: &Tick<'_>, target: &Target) -> Result<Route, RefusalKind> {
-    match target {
+fn find_route(tick: &Tick<'_>, new: &NewCall) -> Result<Route, RefusalKind> {
+    match &new.target {
+        Target::Host { host, path } => find_host_route(tick, new, host, path),
         Target::Model(model) => {
             let service = tick.tables.models.get(model);
             let service = service.ok_or(RefusalKind::ModelUnknown)?;
@@ -120,6 +186,7 @@
                 },
                 idempotent: true,
                 open: false,
+                host: None,
             })
         }
         Target::Plain {
@@ -138,11 +205,55 @@
                 },
                 idempotent: route.idempotent,
                 open: route.open,
+                host: None,
             })
         }
     }
 }
 
+/// Finds the route of a relayed call.
+fn find_host_route(
+    tick: &Tick<'_>,
+    new: &NewCall,
+    host: &Arc<str>,
+    path: &str,
+) -> Result<Route, RefusalKind> {
+    let tables = &*tick.tables;
+    if tables.fleet.revision.0 == 0 {
+        return Err(RefusalKind::NotConfigured);
+    }
+    let routes = tables.hosts.get(host).map_or(&[][..], Vec::as_slice);
+    let route = routes
+        .iter()
+        .find(|route| path.starts_with(&*route.path_prefix))
+        .ok_or(RefusalKind::RouteUnknown)?;
+    let relayed = new.relayed.as_deref();
+    let spread = relayed.map_or(0, |relayed| relayed.spread);
+    let service = route.backend(spread).ok_or(RefusalKind::RouteUnknown)?;
+    let config = tables.services.get(service);
+    let config = config.ok_or(RefusalKind::RouteUnknown)?;
+    let model = match &config.kind {
+        ServiceKind::Plain => None,
+        ServiceKind::Engine(engine) => {
+            let asked = relayed.and_then(|relayed| relayed.model.clone());
+            let model = asked.or_else(|| engine.models.first().cloned());
+            Some(model.ok_or(RefusalKind::ModelUnknown)?)
+        }
+    };
+    if model.as_ref().is_some_and(|model| !config.offers(model)) {
+        return Err(RefusalKind::ModelUnknown);
+    }
+    Ok(Route {
+        pool: PoolKey {
+            service: service.clone(),
+            model,
+        },
+        idempotent: route.kind.is_repeatable(),
+        open: route.open,
+        host: Some(route.clone()),
+    })
+}
+
 /// Finds the account of the key that came with a call.
 pub(crate) fn find_account(
     tick: &Tick<'_>,
@@ -175,6 +286,7 @@
         return;
     };
     let stage = match stage {
+        Stage::Home if call.has_budget() => Stage::Budget,
         Stage::Home if call.program.is_none() => Stage::Place,
         // A retry after the turn's validity has to ask the home again.
         Stage::Place if call.valid_until_us <= tick.now_us => Stage::Home,
@@ -186,6 +298,7 @@
             call.begin_tries = 0;
             tick.work.homes.calls.push(id);
         }
+        Stage::Budget => tick.work.budgets.calls.push(id),
         Stage::Place => tick.work.placement.calls.push(id),
         Stage::Rate | Stage::Running | Stage::Settling => {}
     }
@@ -213,6 +326,7 @@
         _ => call.used_tokens.unwrap_or_else(|| call.reserve_tokens()),
     };
     homes::end_turn(tick, &call, own, used_tokens, None);
+    budgets::settle(tick, &call);
     report(tick, id, kind, ran, retry_after_ms);
 }
 
@@ -239,7 +353,7 @@
         return;
     };
     match call.stage {
-        Stage::Rate | Stage::Home => {
+        Stage::Rate | Stage::Home | Stage::Budget => {
             refuse(tick, id, RefusalKind::CallerGone, Execution::NotRun, None);
         }
         Stage::Place => {
--- /dev/null
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -0,0 +1,253 @@
+//! Token budgets of programs whose turns may come through any VM.
+//!
+//! VMs tell each other what they have used. A quarter of a budget may be used on the strength of
+//! that; beyond it, a VM reserves tokens in the program's record in the store before it passes
+//! them on. What was reserved and not used is lost with the VM, so a budget is never exceeded by
+//! VMs that end or do not hear each other.
+
+use super::{Tick, admission};
+use crate::ids::{CallId, Incarnation, ProgramKey, VmName};
+use crate::message::{ProgramSpent, ProgramUse};
+use crate::output::{Decision, Execution, Output, RefusalKind, SourceRequest};
+use crate::tables::{Budget, Call, Stage, Timer, Verdict};
+
+/// Time after which a program whose route states none is forgotten.
+const DEFAULT_KEEP_MS: u64 = 60_000;
+
+/// Time to wait before a resend when the store did not answer.
+const RETRY_AFTER_MS: u64 = 300;
+
+/// What waits for this system.
+#[derive(Debug, Default)]
+pub(crate) struct Work {
+    pub calls: Vec<CallId>,
+    /// Programs with the tokens reserved for them; `None` if the store did not answer.
+    pub reserved: Vec<(ProgramKey, Option<u64>)>,
+    pub due: Vec<Timer>,
+}
+
+impl Work {
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty() && self.reserved.is_empty() && self.due.is_empty()
+    }
+}
+
+/// Runs the system.
+pub(crate) fn run(tick: &mut Tick<'_>) {
+    let work = std::mem::take(&mut tick.work.budgets);
+    for (program, tokens) in work.reserved {
+        reserved(tick, &program, tokens);
+    }
+    for timer in work.due {
+        if let Timer::BudgetIdle(program) = timer {
+            expire(tick, program);
+        }
+    }
+    for call in work.calls {
+        request(tick, call);
+    }
+}
+
+/// Covers a turn by its program's budget, or lets it wait for a reservation.
+fn request(tick: &mut Tick<'_>, id: CallId) {
+    let Some((program, turn_tokens)) = turn_of(tick, id) else {
+        return;
+    };
+    open(tick, id, &program);
+    let Some(row) = tick.tables.budgets.get_mut(&program) else {
+        return;
+    };
+    let known_tokens = row.known_tokens();
+    let budget_tokens = row.budget_tokens;
+    match row.cover(turn_tokens) {
+        Verdict::Covered(cover) => {
+            if let Some(relay) = relay_mut(tick, id) {
+                relay.cover = Some(cover);
+            }
+            tick.decide(Decision::TurnCovered {
+                call: id,
+                program,
+                known_tokens,
+                budget_tokens,
+                cover,
+            });
+            admission::enter(tick, id, Stage::Place);
+        }
+        Verdict::NeedsReservation => {
+            row.waiting.push(id);
+            if !std::mem::replace(&mut row.is_reserving, true) {
+                tick.outputs.push(Output::Source(SourceRequest::Reserve {
+                    program,
+                    budget_tokens,
+                    turn_tokens,
+                }));
+            }
+        }
+        Verdict::UsedUp => stop(tick, &program, id),
+    }
+}
+
+/// Returns the program of a turn and the most that the turn may generate.
+fn turn_of(tick: &Tick<'_>, id: CallId) -> Option<(ProgramKey, u64)> {
+    let call = tick.tables.calls.get(&id)?;
+    let program = call.relay.as_ref()?.program.clone()?;
+    Some((program, call.new.max_tokens))
+}
+
+/// Returns what only a relayed call has.
+fn relay_mut<'a>(tick: &'a mut Tick<'_>, id: CallId) -> Option<&'a mut crate::tables::Relay> {
+    tick.tables.calls.get_mut(&id)?.relay.as_deref_mut()
+}
+
+/// Makes the row of a program that is not known yet, and notes its use.
+fn open(tick: &mut Tick<'_>, id: CallId, program: &ProgramKey) {
+    let now_us = tick.now_us;
+    let relay = tick
+        .tables
+        .calls
+        .get(&id)
+        .and_then(|call| call.relay.as_ref());
+    let Some(relay) = relay else {
+        return;
+    };
+    let budget_tokens = relay.budget_tokens.unwrap_or_default();
+    let keep_us = relay.route.program_keep_ms.unwrap_or(DEFAULT_KEEP_MS) * 1_000;
+    let row = touch(tick, program, keep_us);
+    row.used_us = now_us;
+    if row.budget_tokens == 0 {
+        row.budget_tokens = budget_tokens;
+    }
+}
+
+/// Returns the row of a program, making it if it is missing.
+fn touch<'a>(tick: &'a mut Tick<'_>, program: &ProgramKey, keep_us: u64) -> &'a mut Budget {
+    let now_us = tick.now_us;
+    if !tick.tables.budgets.contains_key(program) {
+        let timer = Timer::BudgetIdle(program.clone());
+        tick.tables.timers.set(now_us + keep_us, timer);
+        let source = &tick.tables.source;
+        // After its retention, a program that ran before this VM started is forgotten anyway.
+        let is_young = now_us < source.started_us + keep_us;
+        let row = Budget {
+            keep_us,
+            used_us: now_us,
+            is_unknown: !source.knows_programs && is_young,
+            ..Budget::default()
+        };
+        tick.tables.budgets.insert(program.clone(), row);
+    }
+    tick.tables
+        .budgets
+        .get_or_insert_with(program, Budget::default)
+}
+
+/// Goes on with the turns that waited for a reservation.
+fn reserved(tick: &mut Tick<'_>, program: &ProgramKey, tokens: Option<u64>) {
+    let Some(row) = tick.tables.budgets.get_mut(program) else {
+        return;
+    };
+    row.is_reserving = false;
+    let waiting = std::mem::take(&mut row.waiting);
+    row.reserved_tokens += tokens.unwrap_or_default();
+    let reserved_tokens = row.reserved_tokens;
+    tick.decide(Decision::BudgetReserved {
+        program: program.clone(),
+        tokens,
+        reserved_tokens,
+    });
+    for id in waiting {
+        let waits = |call: &Call| call.stage == Stage::Budget;
+        if !tick.tables.calls.get(&id).is_some_and(waits) {
+            continue;
+        }
+        match tokens {
+            Some(0) => stop(tick, program, id),
+            Some(_) => request(tick, id),
+            None => {
+                let retry = Some(RETRY_AFTER_MS);
+                let kind = RefusalKind::BudgetUnknown;
+                admission::refuse(tick, id, kind, Execution::NotRun, retry);
+            }
+        }
+    }
+}
+
+/// Refuses a turn that the budget does not hold; the program stays stopped.
+fn stop(tick: &mut Tick<'_>, program: &ProgramKey, id: CallId) {
+    let round = tick.tables.peering.next_round();
+    if let Some(row) = tick.tables.budgets.get_mut(program)
+        && !std::mem::replace(&mut row.is_stopped, true)
+    {
+        row.changed_round = round;
+        let known_tokens = row.known_tokens();
+        let budget_tokens = row.budget_tokens;
+        tick.decide(Decision::ProgramStopped {
+            program: program.clone(),
+            known_tokens,
+            budget_tokens,
+        });
+    }
+    admission::refuse(tick, id, RefusalKind::OverBudget, Execution::NotRun, None);
+}
+
+/// Takes note of the end of a turn of this VM.
+pub(crate) fn settle(tick: &mut Tick<'_>, call: &Call) {
+    let Some(relay) = &call.relay else {
+        return;
+    };
+    let (Some(cover), Some(program)) = (relay.cover, &relay.program) else {
+        return;
+    };
+    let now_us = tick.now_us;
+    let round = tick.tables.peering.next_round();
+    let (vm, incarnation) = (&tick.settings.vm, tick.settings.incarnation);
+    let Some(row) = tick.tables.budgets.get_mut(program) else {
+        return;
+    };
+    row.settle(cover, call.new.max_tokens, relay.passed_tokens);
+    let spent = row.spent_by(vm, incarnation) + relay.passed_tokens;
+    row.set_spent(vm, incarnation, spent);
+    row.used_us = now_us;
+    row.changed_round = round;
+    if let Some(upstream) = &call.upstream {
+        let tokens = call.new.prompt_tokens + relay.passed_tokens;
+        row.cached = Some((upstream.clone(), tokens));
+    }
+}
+
+/// Learns what another VM has used.
+pub(crate) fn learn(tick: &mut Tick<'_>, vm: &VmName, incarnation: Incarnation, used: &ProgramUse) {
+    let now_us = tick.now_us;
+    let row = touch(tick, &used.program, DEFAULT_KEEP_MS * 1_000);
+    row.set_spent(vm, incarnation, used.tokens);
+    row.is_stopped |= used.is_stopped;
+    row.used_us = now_us;
+    if let Some((upstream, tokens)) = &used.cached {
+        super::placement::note_cached(tick, &used.program, upstream, *tokens);
+    }
+}
+
+/// Takes over a program from the state of another VM.
+pub(crate) fn adopt(tick: &mut Tick<'_>, program: &ProgramSpent) {
+    let row = touch(tick, &program.program, DEFAULT_KEEP_MS * 1_000);
+    row.budget_tokens = row.budget_tokens.max(program.budget_tokens);
+    row.is_stopped |= program.is_stopped;
+    row.is_unknown = false;
+    for (vm, incarnation, tokens) in &program.spent {
+        row.set_spent(vm, *incarnation, *tokens);
+    }
+}
+
+/// Forgets a program that has had no turns for its retention.
+fn expire(tick: &mut Tick<'_>, program: ProgramKey) {
+    let Some(row) = tick.tables.budgets.get(&program) else {
+        return;
+    };
+    let due_us = row.used_us + row.keep_us;
+    if due_us <= tick.now_us && row.waiting.is_empty() {
+        tick.tables.budgets.remove(&program);
+    } else {
+        let due_us = due_us.max(tick.now_us + 1_000_000);
+        tick.tables.timers.set(due_us, Timer::BudgetIdle(program));
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/config/listing.rs
@@ -0,0 +1,112 @@
+//! Puts the list in force that upstreams keep of themselves.
+
+use std::collections::HashSet;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+
+use super::super::Tick;
+use crate::config::ServiceConfig;
+use crate::ids::UpstreamName;
+use crate::input::{ListedUpstream, UpstreamList};
+use crate::message::ListStamp;
+use crate::output::Decision;
+
+/// Puts a list in force that this VM has read from the store.
+///
+/// Entries may lapse while the store is away although their upstreams live. They are kept until
+/// the upstreams have had time to write them again.
+pub(crate) fn adopt_read_list(tick: &mut Tick<'_>, list: &UpstreamList) {
+    if list.revision < tick.tables.source.stamp.revision {
+        return;
+    }
+    let mut effective = list.clone();
+    if may_have_lapsed(tick) {
+        let listed: HashSet<&UpstreamName> =
+            list.upstreams.iter().map(|row| &row.config.name).collect();
+        let in_force = tick.tables.source.upstreams.upstreams.iter();
+        let missing = in_force.filter(|row| !listed.contains(&row.config.name));
+        effective.upstreams.extend(missing.cloned());
+        effective
+            .upstreams
+            .sort_by(|a, b| a.config.name.cmp(&b.config.name));
+    }
+    put_in_force(tick, Arc::new(effective));
+}
+
+/// Returns whether entries may be missing because the store was away.
+fn may_have_lapsed(tick: &Tick<'_>) -> bool {
+    let relist_us = tick.settings.relist_ms * 1_000;
+    let returned_us = tick.tables.source.returned_us;
+    returned_us.is_some_and(|returned_us| tick.now_us < returned_us + relist_us)
+}
+
+/// Puts a list in force that another VM has in force.
+pub(crate) fn adopt_list(tick: &mut Tick<'_>, list: Arc<UpstreamList>, read_us: Option<u64>) {
+    if list.revision < tick.tables.source.stamp.revision || list.revision == 0 {
+        return;
+    }
+    put_in_force(tick, list);
+    if let Some(read_us) = read_us {
+        tick.tables.source.list.note(read_us);
+    }
+}
+
+/// Puts a list in force and tells the other VMs if it differs from the one before.
+fn put_in_force(tick: &mut Tick<'_>, list: Arc<UpstreamList>) {
+    let digest = digest(&list.upstreams);
+    let before = tick.tables.source.stamp;
+    let stamp = ListStamp {
+        revision: list.revision,
+        digest,
+    };
+    tick.tables.source.stamp = stamp;
+    if before.digest == digest {
+        return;
+    }
+    tick.tables.source.upstreams = list;
+    let fleet = tick.tables.fleet.clone();
+    let services = services(tick, &fleet.services);
+    super::replace_services(tick, &services);
+    let upstreams = &tick.tables.source.upstreams.upstreams;
+    let leaving = upstreams.iter().filter(|row| row.config.leaving).count();
+    let upstreams = upstreams.len();
+    tick.decide(Decision::ListInForce {
+        revision: stamp.revision,
+        upstreams,
+        leaving,
+    });
+    tick.work.peers.announce = true;
+}
+
+/// Returns services with the upstreams that are listed for them.
+pub(super) fn services(tick: &Tick<'_>, services: &[ServiceConfig]) -> Vec<ServiceConfig> {
+    let listed = &tick.tables.source.upstreams.upstreams;
+    let with_upstreams = |service: &ServiceConfig| {
+        let mut service = service.clone();
+        let rows = listed.iter().filter(|row| row.service == service.name);
+        service.upstreams = rows.map(|row| row.config.clone()).collect();
+        service
+    };
+    services.iter().map(with_upstreams).collect()
+}
+
+/// Returns a digest of what matters in a list.
+fn digest(upstreams: &[ListedUpstream]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    for row in upstreams {
+        let config = &row.config;
+        (
+            row.service.as_str(),
+            config.name.as_str(),
+            &config.address,
+            config.leaving,
+            config.started_unix_ms,
+            config.max_running_calls,
+        )
+            .hash(&mut hasher);
+        for model in &config.models {
+            model.as_str().hash(&mut hasher);
+        }
+    }
+    hasher.finish()
+}
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -1,10 +1,18 @@
 //! Puts published configurations in force.
+//!
+//! [`listing`] does the same for the list of upstreams.
+
+mod listing;
+
+pub(crate) use listing::{adopt_list, adopt_read_list};
 
 use std::collections::HashSet;
 use std::sync::Arc;
 
 use super::{Sender, Tick};
-use crate::config::{AccountConfig, FleetConfig, ServiceConfig, ServiceKind};
+use crate::config::{
+    AccountConfig, Coordination, FleetConfig, HostRoute, ServiceConfig, ServiceKind,
+};
 use crate::ids::{PoolKey, Revision, UpstreamName, VmName};
 use crate::message::ConfigMessage;
 use crate::output::Decision;
@@ -74,7 +82,7 @@
 }
 
 /// Puts a configuration in force if it is newer.
-fn offer(tick: &mut Tick<'_>, fleet: Arc<FleetConfig>) {
+pub(crate) fn offer(tick: &mut Tick<'_>, fleet: Arc<FleetConfig>) {
     let in_force = tick.tables.fleet.revision;
     if fleet.revision <= in_force {
         if fleet.revision < in_force {
@@ -86,7 +94,13 @@
         return;
     }
     replace_accounts(tick, &fleet.accounts);
-    replace_services(tick, &fleet.services);
+    if tick.settings.coordination == Coordination::Peers {
+        replace_services(tick, &listing::services(tick, &fleet.services));
+        replace_hosts(tick, &fleet.host_routes);
+        tick.work.peers.announce = true;
+    } else {
+        replace_services(tick, &fleet.services);
+    }
     tick.decide(Decision::ConfigInForce {
         revision: fleet.revision,
     });
@@ -96,6 +110,19 @@
     tick.work.membership.announce = true;
 }
 
+/// Replaces the routes by host.
+fn replace_hosts(tick: &mut Tick<'_>, routes: &[HostRoute]) {
+    let hosts = &mut tick.tables.hosts;
+    *hosts = Table::default();
+    for route in routes {
+        let rows = hosts.get_or_insert_with(&route.host, Vec::new);
+        rows.push(Arc::new(route.clone()));
+    }
+    for (_, rows) in hosts.iter_mut() {
+        rows.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+    }
+}
+
 /// Replaces accounts and keys; `rates` brings shares and loans up to date.
 fn replace_accounts(tick: &mut Tick<'_>, accounts: &[AccountConfig]) {
     let tables = &mut *tick.tables;
@@ -137,6 +164,9 @@
             let row = tables
                 .upstreams
                 .get_or_insert_with(&upstream.name, || Upstream::new(upstream.clone()));
+            if row.config.started_unix_ms != upstream.started_unix_ms {
+                row.restarted(tick.now_us);
+            }
             row.configure(upstream.clone());
         }
         for pool in pools_of(service) {
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -1,6 +1,7 @@
 //! Sorts inputs and messages into the work lists of the systems.
 
 use super::{Sender, Tick, Work};
+use crate::config::Coordination;
 use crate::input::Input;
 use crate::message::PeerMessage;
 use crate::output::Decision;
@@ -10,7 +11,7 @@
 pub(crate) fn run(tick: &mut Tick<'_>, inputs: impl IntoIterator<Item = Input>) {
     for input in inputs {
         if !is_from_former_start(tick, &input) {
-            sort(tick.work, input);
+            sort(tick.work, tick.settings.coordination, input);
         }
     }
 }
@@ -43,7 +44,7 @@
 }
 
 /// Puts one input on the work list of its system.
-fn sort(work: &mut Work, input: Input) {
+fn sort(work: &mut Work, coordination: Coordination, input: Input) {
     match input {
         Input::CallArrived(call) => work.admission.arrived.push(*call),
         Input::Program(request) => work.homes.requests.push(*request),
@@ -92,7 +93,12 @@
             token,
             result,
         } => work.orders.results.push((upstream, token, result)),
-        Input::Drain => work.membership.drain = true,
+        Input::Source(event) => work.source.events.push(event),
+        Input::News(news) => work.peers.news.push(news),
+        Input::Drain => match coordination {
+            Coordination::Owners => work.membership.drain = true,
+            Coordination::Peers => work.peers.drain = true,
+        },
     }
 }
 
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -4,6 +4,7 @@
 //! order is that of [`run_pass`].
 
 pub(crate) mod admission;
+pub(crate) mod budgets;
 pub(crate) mod charges;
 pub(crate) mod config;
 pub(crate) mod homes;
@@ -11,8 +12,10 @@
 pub(crate) mod membership;
 pub(crate) mod orders;
 pub(crate) mod outcomes;
+pub(crate) mod peers;
 pub(crate) mod placement;
 pub(crate) mod rates;
+pub(crate) mod source;
 pub(crate) mod timers;
 
 use crate::config::CoreSettings;
@@ -42,10 +45,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct Work {
     pub membership: membership::Work,
+    pub peers: peers::Work,
+    pub source: source::Work,
     pub config: config::Work,
     pub outcomes: outcomes::Work,
     pub homes: homes::Work,
     pub rates: rates::Work,
+    pub budgets: budgets::Work,
     pub admission: admission::Work,
     pub placement: placement::Work,
     pub orders: orders::Work,
@@ -60,6 +66,9 @@
     /// Returns whether no system has anything to do.
     pub fn is_empty(&self) -> bool {
         self.membership.is_empty()
+            && self.peers.is_empty()
+            && self.source.is_empty()
+            && self.budgets.is_empty()
             && self.config.is_empty()
             && self.outcomes.is_empty()
             && self.homes.is_empty()
@@ -98,10 +107,13 @@
 /// Runs every system once.
 pub(crate) fn run_pass(tick: &mut Tick<'_>) {
     membership::run(tick);
+    peers::run(tick);
+    source::run(tick);
     config::run(tick);
     outcomes::run(tick);
     homes::run(tick);
     rates::run(tick);
+    budgets::run(tick);
     admission::run(tick);
     placement::run(tick);
     orders::run(tick);
--- a/crates/core/src/systems/outcomes/ejection.rs
+++ b/crates/core/src/systems/outcomes/ejection.rs
@@ -34,6 +34,17 @@
     upstream_failed(tick, upstream);
 }
 
+/// Keeps calls away from an upstream that was full until some may have ended.
+pub(crate) fn upstream_full(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
+        return;
+    };
+    let until_us = row.health.rest_full(tick.now_us);
+    let timer = Timer::UpstreamReady(upstream.clone());
+    tick.tables.timers.set(until_us, timer);
+    placement::list(tick, upstream);
+}
+
 /// Keeps calls away from an upstream for a moment.
 pub(super) fn rest(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
--- a/crates/core/src/systems/outcomes/mod.rs
+++ b/crates/core/src/systems/outcomes/mod.rs
@@ -6,7 +6,7 @@
 mod retries;
 mod suspects;
 
-pub(crate) use ejection::{upstream_failed, upstream_refused};
+pub(crate) use ejection::{upstream_failed, upstream_full, upstream_refused};
 pub(crate) use quarantine::quarantine;
 pub(crate) use results::answer;
 pub(crate) use suspects::{carry_crashes, clear_suspect, connection_lost};
--- a/crates/core/src/systems/outcomes/results.rs
+++ b/crates/core/src/systems/outcomes/results.rs
@@ -1,6 +1,6 @@
 //! Complete responses, charge records and the end of turns.
 
-use super::super::{Tick, homes, placement};
+use super::super::{Tick, budgets, homes, placement};
 use crate::ids::{AttemptId, CallId};
 use crate::input::{AttemptOutcome, Continuation, Permit};
 use crate::message::{AttemptResult, Finish};
@@ -14,6 +14,9 @@
         return;
     };
     call.stage = Stage::Settling;
+    if let Some(relay) = &mut call.relay {
+        relay.passed_tokens += outcome.answer_tokens;
+    }
     let tokens = (outcome.prompt_tokens, outcome.answer_tokens);
     let charge = charge_for(call, attempt, tokens, ChargeOutcome::Complete);
     tick.work.charges.charges.extend(charge);
@@ -39,7 +42,8 @@
     continuation: Option<Continuation>,
     permit: Option<Permit>,
 ) {
-    if tick.tables.calls.remove(&id).is_some() {
+    if let Some(call) = tick.tables.calls.remove(&id) {
+        budgets::settle(tick, &call);
         tick.outputs.push(Output::Answered(Box::new(Answered {
             call: id,
             continuation,
@@ -90,7 +94,7 @@
     Some(Charge {
         attempt,
         account: call.account.clone(),
-        program: call.program.clone().map(|key| (key, turn)),
+        program: call.any_program().cloned().map(|key| (key, turn)),
         upstream: call.upstream.clone()?,
         prompt_tokens,
         answer_tokens,
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -2,7 +2,7 @@
 
 use super::super::{Tick, admission};
 use super::results;
-use crate::ids::AttemptId;
+use crate::ids::{AttemptId, UpstreamName};
 use crate::input::{AttemptOutcome, Failure};
 use crate::message::AttemptResult;
 use crate::output::{ChargeOutcome, Decision, Execution, RefusalKind, RetryReason};
@@ -35,6 +35,9 @@
         return;
     };
     call.may_have_run |= !failure.is_not_run();
+    if let Some(relay) = &mut call.relay {
+        relay.passed_tokens += failure.answer_tokens();
+    }
     match failure {
         Failure::ConnectionLost { .. } => call.place.losses += 1,
         Failure::CallerGone { answer_tokens } => {
@@ -46,7 +49,10 @@
     let Some(upstream) = call.upstream.clone() else {
         return;
     };
-    let verdict = judge(call, &failure);
+    let verdict = judge(call, &failure, tick.now_us);
+    if !failure.is_not_run() {
+        confine(call, &upstream);
+    }
     let needs_budget = needs_budget(call, &failure);
     let verdict = verdict.and_then(|reason| {
         if needs_budget && !take_budget(tick, attempt) {
@@ -91,6 +97,9 @@
         Failure::RefusedByUpstream { status } if *status < 500 && *status != 429 => {
             AttemptResult::Unused
         }
+        Failure::RefusedByUpstream { .. } if call.is_some_and(|call| call.relay.is_some()) => {
+            AttemptResult::Full
+        }
         Failure::RefusedByUpstream { .. }
         | Failure::UpstreamError { .. }
         | Failure::Silent { .. } => AttemptResult::Failed,
@@ -100,10 +109,16 @@
 }
 
 /// Decides whether a call may be tried again, apart from the budget.
-fn judge(call: &Call, failure: &Failure) -> Result<RetryReason, RetryReason> {
-    if failure.is_forwarded() {
+fn judge(call: &Call, failure: &Failure, now_us: u64) -> Result<RetryReason, RetryReason> {
+    let is_gone = matches!(failure, Failure::CallerGone { .. });
+    let is_resumable = call.relay.is_some() && call.idempotent && !is_gone;
+    if failure.is_forwarded() && !is_resumable {
         return Err(RetryReason::Forwarded);
     }
+    let deadline_us = call.relay.as_ref().map(|relay| relay.deadline_us);
+    if deadline_us.is_some_and(|deadline_us| now_us >= deadline_us) {
+        return Err(RetryReason::TooLate);
+    }
     let reason = match (failure.is_not_run(), call.idempotent) {
         (true, _) => RetryReason::NotRun,
         (false, true) => RetryReason::Idempotent,
@@ -115,12 +130,26 @@
     Ok(reason)
 }
 
+/// Confines a call that may have run on as many upstreams as its route allows to the last one.
+fn confine(call: &mut Call, upstream: &UpstreamName) {
+    let Some(relay) = &mut call.relay else {
+        return;
+    };
+    if !relay.ran_on.contains(upstream) {
+        relay.ran_on.push(upstream.clone());
+    }
+    let max_attempts = relay.route.max_attempts.max(1) as usize;
+    relay.only = (relay.ran_on.len() >= max_attempts).then(|| upstream.clone());
+}
+
 /// Returns whether a retry takes from the retry budget.
 fn needs_budget(call: &Call, failure: &Failure) -> bool {
     match failure {
         Failure::ConnectionLost { .. } => call.place.losses > FREE_LOSSES,
         // The upstream rests after a refused connection, which bounds these.
         Failure::NotSent => false,
+        // The rest of a full upstream bounds these.
+        Failure::RefusedByUpstream { .. } => call.relay.is_none(),
         _ => true,
     }
 }
--- /dev/null
+++ b/crates/core/src/systems/peers/group.rs
@@ -0,0 +1,99 @@
+//! Which VMs share the rates of accounts.
+//!
+//! A VM that is not heard may serve calls out of sight. The heard ones use only their part of
+//! each rate until the silent one has been silent for so long that its keys have gone stale and
+//! it refuses its calls.
+
+use super::super::{Tick, placement, rates};
+use crate::ids::{UpstreamName, VmName};
+use crate::output::Decision;
+use crate::tables::Peer;
+
+/// Finds VMs that have gone silent and counts the others.
+pub(super) fn review(tick: &mut Tick<'_>) {
+    let now_us = tick.now_us;
+    let silent_us = tick.settings.peer_silent_ms * 1_000;
+    let forget_us = tick.settings.peer_forget_ms * 1_000;
+    let mut silenced: Vec<VmName> = Vec::new();
+    let mut forgotten: Vec<VmName> = Vec::new();
+    for (vm, peer) in tick.tables.peering.peers.iter() {
+        let silence_us = now_us.saturating_sub(peer.last_us());
+        if silence_us > forget_us {
+            forgotten.push(vm.clone());
+        }
+        if peer.is_heard && silence_us > silent_us {
+            silenced.push(vm.clone());
+        }
+    }
+    for vm in silenced {
+        silence(tick, &vm);
+    }
+    for vm in forgotten {
+        tick.tables.peering.peers.remove(&vm);
+        tick.decide(Decision::PeerForgotten { vm });
+    }
+    count(tick);
+}
+
+/// Drops what a silent VM was known to run.
+fn silence(tick: &mut Tick<'_>, vm: &VmName) {
+    let now_us = tick.now_us;
+    let Some(peer) = tick.tables.peering.peers.get_mut(vm) else {
+        return;
+    };
+    peer.is_heard = false;
+    let silent_ms = now_us.saturating_sub(peer.last_us()) / 1_000;
+    tick.decide(Decision::PeerSilent {
+        vm: vm.clone(),
+        silent_ms,
+    });
+    replace_running(tick, vm, Vec::new());
+}
+
+/// Replaces the calls that another VM runs on upstreams.
+pub(super) fn replace_running(tick: &mut Tick<'_>, vm: &VmName, running: Vec<(UpstreamName, u32)>) {
+    let tables = &mut *tick.tables;
+    let Some(peer) = tables.peering.peers.get_mut(vm) else {
+        return;
+    };
+    let before = std::mem::replace(&mut peer.running, running.clone());
+    if before == running {
+        return;
+    }
+    for (name, calls) in &before {
+        if let Some(row) = tables.upstreams.get_mut(name) {
+            row.foreign_calls = row.foreign_calls.saturating_sub(*calls);
+        }
+    }
+    for (name, calls) in &running {
+        if let Some(row) = tables.upstreams.get_mut(name) {
+            row.foreign_calls += calls;
+        }
+    }
+    for (name, _) in before.iter().chain(&running) {
+        placement::wake(tick, name);
+    }
+}
+
+/// Counts the VMs that are heard and known, and finds this VM's position among them.
+pub(super) fn count(tick: &mut Tick<'_>) {
+    let me = &tick.settings.vm;
+    let peering = &mut tick.tables.peering;
+    let before = peering.part();
+    let peers = || peering.peers.iter();
+    // A VM that has said that it leaves, and is silent since, has ended.
+    let known = peers().filter(|(_, peer)| peer.is_heard || !peer.is_leaving);
+    let known_vms = 1 + known.count() as u64;
+    let heard_vms = 1 + peers().filter(|(_, peer)| peer.is_heard).count() as u64;
+    let is_before = |vm: &VmName, peer: &Peer| peer.is_heard && !peer.is_leaving && vm < me;
+    let rank = peers().filter(|(vm, peer)| is_before(vm, peer)).count() as u64;
+    (peering.known_vms, peering.heard_vms, peering.rank) = (known_vms, heard_vms, rank);
+    if peering.part() != before {
+        rates::rescale(tick);
+        let (heard_vms, known_vms) = tick.tables.peering.part();
+        tick.decide(Decision::GroupChanged {
+            heard_vms,
+            known_vms,
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -0,0 +1,190 @@
+//! Learns from the summaries of other VMs.
+
+use super::super::{Tick, budgets, config, outcomes, rates};
+use super::{ask_snapshot, group};
+use crate::ids::VmName;
+use crate::input::{PeerNews, RegisteredVm};
+use crate::message::{Snapshot, Summary};
+use crate::output::Decision;
+use crate::tables::{NCALLS_PER_CALL, Peer};
+
+/// Handles what another VM said.
+pub(super) fn handle(tick: &mut Tick<'_>, news: PeerNews) {
+    match news {
+        PeerNews::Summary(summary) => learn(tick, *summary),
+        PeerNews::Snapshot { asked_us, snapshot } => adopt(tick, asked_us, *snapshot),
+        PeerNews::NoSnapshot => tick.tables.peering.asked_snapshot_us = None,
+    }
+}
+
+/// Adds VMs that have registered in the store.
+pub(crate) fn learn_vms(tick: &mut Tick<'_>, vms: Vec<RegisteredVm>) {
+    for row in vms {
+        learn_vm(tick, &row.vm, &row.address);
+    }
+    group::count(tick);
+}
+
+/// Adds a VM that is not known yet.
+fn learn_vm(tick: &mut Tick<'_>, vm: &VmName, address: &str) {
+    let now_us = tick.now_us;
+    if *vm == tick.settings.vm {
+        return;
+    }
+    tick.tables
+        .peering
+        .peers
+        .get_or_insert_with(vm, || Peer::new(address, now_us));
+}
+
+/// Learns from a summary.
+fn learn(tick: &mut Tick<'_>, summary: Summary) {
+    if summary.from == tick.settings.vm || !accept(tick, &summary) {
+        return;
+    }
+    let vm = summary.from.clone();
+    note_reads(tick, &summary);
+    note_admitted(tick, &summary);
+    group::replace_running(tick, &vm, summary.running);
+    for program in &summary.programs {
+        budgets::learn(tick, &vm, summary.incarnation, program);
+    }
+    for (digest, crashes) in &summary.suspects {
+        outcomes::carry_crashes(tick, *digest, *crashes);
+    }
+    for (digest, for_ms) in &summary.quarantined {
+        if !tick.tables.quarantine.contains_key(digest) {
+            outcomes::quarantine(tick, *digest, *for_ms);
+        }
+    }
+    for (other, address) in &summary.others {
+        learn_vm(tick, other, address);
+    }
+    group::count(tick);
+    fetch(tick, &vm, summary.knows_programs);
+}
+
+/// Brings the row of the sender up to date; returns whether the summary is new.
+fn accept(tick: &mut Tick<'_>, summary: &Summary) -> bool {
+    let now_us = tick.now_us;
+    let me = tick.settings.incarnation;
+    let tables = &mut *tick.tables;
+    let peer = tables
+        .peering
+        .peers
+        .get_or_insert_with(&summary.from, || Peer::new(&summary.address, now_us));
+    if peer.incarnation > Some(summary.incarnation) {
+        return false;
+    }
+    let is_restarted = peer.incarnation != Some(summary.incarnation);
+    if is_restarted {
+        peer.incarnation = Some(summary.incarnation);
+        peer.round = 0;
+        peer.acked_round = 0;
+        peer.admitted = Default::default();
+    } else if summary.round <= peer.round {
+        return false;
+    }
+    if *peer.address != *summary.address {
+        peer.address = summary.address.as_str().into();
+    }
+    peer.round = summary.round;
+    peer.heard_us = Some(now_us);
+    peer.is_leaving = summary.is_leaving;
+    peer.revision = summary.revision;
+    peer.list = summary.list;
+    if let Some(echo) = summary.echo.filter(|echo| echo.incarnation == me) {
+        peer.acked_round = peer.acked_round.max(echo.round);
+    }
+    let was_heard = std::mem::replace(&mut peer.is_heard, true);
+    if !was_heard || is_restarted {
+        tick.decide(Decision::PeerHeard {
+            vm: summary.from.clone(),
+            incarnation: summary.incarnation,
+        });
+    }
+    true
+}
+
+/// Takes over the age of the sender's reads.
+///
+/// The sender wrote the summary after it had received the echoed one. The time at which that
+/// one was sent is therefore a lower bound for when the ages were true, however long the
+/// summary was under way.
+fn note_reads(tick: &mut Tick<'_>, summary: &Summary) {
+    let echo = summary
+        .echo
+        .filter(|echo| echo.incarnation == tick.settings.incarnation);
+    let tables = &mut *tick.tables;
+    let Some(true_us) = echo.and_then(|echo| tables.peering.sent_us(echo.round)) else {
+        return;
+    };
+    let read_us = |age_us: Option<u64>| age_us.and_then(|age_us| true_us.checked_sub(age_us));
+    if summary.revision <= tables.fleet.revision
+        && let Some(read_us) = read_us(summary.config_age_us)
+    {
+        tables.source.config.note(read_us);
+    }
+    if summary.list == tables.source.stamp
+        && let Some(read_us) = read_us(summary.list_age_us)
+    {
+        tables.source.list.note(read_us);
+    }
+}
+
+/// Takes calls that the sender has admitted from this VM's copies of the buckets.
+fn note_admitted(tick: &mut Tick<'_>, summary: &Summary) {
+    for (account, total) in &summary.admitted {
+        let peers = &mut tick.tables.peering.peers;
+        let Some(peer) = peers.get_mut(&summary.from) else {
+            return;
+        };
+        let known = peer.admitted.get_or_insert_with(account, || 0);
+        let calls = total.saturating_sub(*known);
+        *known = (*known).max(*total);
+        rates::spend(tick, account, calls * NCALLS_PER_CALL);
+    }
+}
+
+/// Asks the sender for what it has and this VM lacks.
+fn fetch(tick: &mut Tick<'_>, vm: &VmName, knows_programs: bool) {
+    let tables = &*tick.tables;
+    let Some(peer) = tables.peering.peers.get(vm) else {
+        return;
+    };
+    let lacks_programs = knows_programs && !tables.source.knows_programs;
+    let is_newer = peer.revision > tables.fleet.revision
+        || (peer.list.revision > tables.source.stamp.revision
+            && peer.list.digest != tables.source.stamp.digest);
+    if is_newer || lacks_programs {
+        let address = peer.address.clone();
+        ask_snapshot(tick, address, lacks_programs);
+    }
+}
+
+/// Adopts what is newer in the state of another VM.
+fn adopt(tick: &mut Tick<'_>, asked_us: u64, snapshot: Snapshot) {
+    tick.tables.peering.asked_snapshot_us = None;
+    // The sender answered after it was asked, so its ages were true at that time or later.
+    let read_us = |age_us: Option<u64>| age_us.and_then(|age_us| asked_us.checked_sub(age_us));
+    if let Some(fleet) = snapshot.fleet {
+        let revision = fleet.revision;
+        config::offer(tick, fleet);
+        if revision >= tick.tables.fleet.revision
+            && let Some(read_us) = read_us(snapshot.config_age_us)
+        {
+            tick.tables.source.config.note(read_us);
+        }
+    }
+    let list_us = read_us(snapshot.list_age_us);
+    config::adopt_list(tick, snapshot.list, list_us);
+    if snapshot.knows_programs && !tick.tables.source.knows_programs {
+        for program in &snapshot.programs {
+            budgets::adopt(tick, program);
+        }
+        tick.tables.source.knows_programs = true;
+        tick.decide(Decision::ProgramsKnown {
+            programs: snapshot.programs.len(),
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/peers/sending.rs
@@ -0,0 +1,158 @@
+//! Writes summaries and snapshots.
+
+use std::sync::Arc;
+
+use super::super::Tick;
+use crate::config::CoreSettings;
+use crate::ids::VmName;
+use crate::input::UpstreamList;
+use crate::message::{Echo, ProgramSpent, ProgramUse, Snapshot, Summary};
+use crate::output::Output;
+use crate::tables::{Peer, Tables};
+
+/// Rows of one kind in one summary, so that it fits into a datagram.
+const MAX_ROWS: usize = 48;
+
+/// Rounds between two summaries to a VM that is not heard.
+const SILENT_ROUNDS: u64 = 5;
+
+/// Sends a round of summaries.
+pub(super) fn send(tick: &mut Tick<'_>) {
+    let now_us = tick.now_us;
+    let round = tick.tables.peering.start_round(now_us);
+    let common = common(tick.settings, tick.tables, now_us);
+    postpone(tick.tables, round);
+    let tables = &*tick.tables;
+    let mut known: Vec<&str> = Vec::new();
+    for (vm, peer) in tables.peering.peers.iter() {
+        known.push(&peer.address);
+        if !peer.is_heard && round % SILENT_ROUNDS != 0 && peer.heard_us.is_some() {
+            continue;
+        }
+        let summary = for_peer(tick.settings, tables, &common, (vm, peer));
+        tick.outputs.push(Output::SendSummary {
+            address: peer.address.clone(),
+            summary: Box::new(summary),
+        });
+    }
+    for seed in &tick.settings.seeds {
+        if *seed != tick.settings.address && !known.contains(&seed.as_str()) {
+            tick.outputs.push(Output::SendSummary {
+                address: seed.as_str().into(),
+                summary: Box::new(common.clone()),
+            });
+        }
+    }
+}
+
+/// Writes what a summary says to everyone.
+fn common(settings: &CoreSettings, tables: &Tables, now_us: u64) -> Summary {
+    let running = tables.upstreams.iter();
+    let running = running.filter(|(_, row)| row.own_calls > 0);
+    let suspects = tables.suspects.iter().filter(|(_, row)| row.crashes > 0);
+    let quarantined = tables.quarantine.iter().take(MAX_ROWS);
+    Summary {
+        from: settings.vm.clone(),
+        incarnation: settings.incarnation,
+        address: settings.address.clone(),
+        round: tables.peering.round,
+        echo: None,
+        is_leaving: tables.membership.departure.is_draining,
+        knows_programs: tables.source.knows_programs,
+        revision: tables.fleet.revision,
+        config_age_us: tables.source.config.age_us(now_us),
+        list: tables.source.stamp,
+        list_age_us: tables.source.list.age_us(now_us),
+        admitted: Vec::new(),
+        running: running
+            .map(|(name, row)| (name.clone(), row.own_calls))
+            .collect(),
+        programs: Vec::new(),
+        suspects: suspects
+            .take(MAX_ROWS)
+            .map(|(digest, row)| (*digest, row.crashes))
+            .collect(),
+        quarantined: quarantined
+            .map(|(digest, row)| (*digest, row.until_us.saturating_sub(now_us) / 1_000))
+            .collect(),
+        others: Vec::new(),
+    }
+}
+
+/// Adds what one VM has not confirmed yet.
+fn for_peer(
+    settings: &CoreSettings,
+    tables: &Tables,
+    common: &Summary,
+    (vm, peer): (&VmName, &Peer),
+) -> Summary {
+    let mut summary = common.clone();
+    summary.echo = peer.incarnation.map(|incarnation| Echo {
+        incarnation,
+        round: peer.round,
+    });
+    let admitted = tables.peering.admitted.iter();
+    summary.admitted = admitted
+        .filter(|(_, (_, changed))| *changed > peer.acked_round)
+        .map(|(account, (calls, _))| (account.clone(), *calls))
+        .collect();
+    let programs = tables.budgets.iter();
+    summary.programs = programs
+        .filter(|(_, row)| {
+            row.changed_round > peer.acked_round && row.changed_round <= common.round
+        })
+        .map(|(program, row)| ProgramUse {
+            program: program.clone(),
+            tokens: row.spent_by(&settings.vm, settings.incarnation),
+            is_stopped: row.is_stopped,
+            cached: row.cached.clone(),
+        })
+        .collect();
+    if peer.acked_round == 0 {
+        let others = tables.peering.peers.iter();
+        summary.others = others
+            .filter(|(other, _)| *other != vm)
+            .take(MAX_ROWS)
+            .map(|(other, peer)| (other.clone(), peer.address.to_string()))
+            .collect();
+    }
+    summary
+}
+
+/// Moves changes of programs that do not fit into this round to the next one.
+fn postpone(tables: &mut Tables, round: u64) {
+    let due = |changed_round: u64| changed_round == round;
+    let rows = tables.budgets.iter_mut();
+    let changed = rows.filter(|(_, row)| due(row.changed_round));
+    for (_, row) in changed.skip(MAX_ROWS) {
+        row.changed_round = round + 1;
+    }
+}
+
+/// Writes the state of this VM for another one.
+pub(crate) fn snapshot(tables: &Tables, now_us: u64, with_programs: bool) -> Snapshot {
+    let has_fleet = tables.fleet.revision.0 > 0;
+    let programs = tables.budgets.iter().filter(|_| with_programs);
+    Snapshot {
+        fleet: has_fleet.then(|| tables.fleet.clone()),
+        config_age_us: tables.source.config.age_us(now_us),
+        list: Arc::new(UpstreamList {
+            revision: tables.source.stamp.revision,
+            upstreams: tables.source.upstreams.upstreams.clone(),
+        }),
+        list_age_us: tables.source.list.age_us(now_us),
+        programs: programs
+            .map(|(program, row)| ProgramSpent {
+                program: program.clone(),
+                budget_tokens: row.budget_tokens,
+                spent: row
+                    .spent
+                    .iter()
+                    .map(|spent| (spent.vm.clone(), spent.incarnation, spent.tokens))
+                    .collect(),
+                is_stopped: row.is_stopped,
+            })
+            .collect(),
+        knows_programs: with_programs && tables.source.knows_programs,
+    }
+}
--- a/crates/core/src/systems/placement/choice.rs
+++ b/crates/core/src/systems/placement/choice.rs
@@ -21,6 +21,9 @@
 /// load pile up on one upstream.
 const READ_WEIGHT: u64 = 16;
 
+/// Cost of an upstream in another failure domain: the way there and back, and the traffic.
+const FAR_US: u64 = 4_000;
+
 /// What happens to a waiting call.
 #[derive(Debug)]
 pub(super) enum Choice {
@@ -51,6 +54,13 @@
     let Some(pool) = tick.tables.pools.get(key) else {
         return Choice::Wait;
     };
+    if let Some(only) = only(tick, pool, waiting) {
+        let is_open = tick.tables.upstreams.get(only);
+        if is_open.is_none_or(|row| row.listed.is_none()) {
+            return Choice::Wait;
+        }
+        return chosen(&mut std::iter::once(only), PlacementReason::OnlyAllowed);
+    }
     let ignores_avoid = avoids_all(tick, pool, waiting);
     let is_allowed = |name: &UpstreamName| ignores_avoid || !waiting.place.avoid.contains(name);
     match tick.settings.policy.upstream_choice {
@@ -60,6 +70,14 @@
     }
 }
 
+/// Returns the only upstream that may run a call, unless it has ended since.
+fn only<'a>(tick: &Tick<'_>, pool: &Pool, waiting: &'a Waiting) -> Option<&'a UpstreamName> {
+    let only = waiting.place.only.as_ref()?;
+    let row = tick.tables.upstreams.get(only)?;
+    let has_ended = row.health.has_crashed_lately(tick.now_us);
+    (pool.upstreams.contains(only) && !row.config.leaving && !has_ended).then_some(only)
+}
+
 /// Returns whether a call avoids every upstream that could run it.
 fn avoids_all(tick: &Tick<'_>, pool: &Pool, waiting: &Waiting) -> bool {
     let avoid = &waiting.place.avoid;
@@ -203,7 +221,10 @@
     // A fuller batch decodes more slowly; a full one about doubles the time of a call.
     let batch_us = row.hold_us * u64::from(row.running_calls()) / u64::from(limit_calls) / 2;
     let read_tokens = waiting.place.prompt_tokens.saturating_sub(cached_tokens);
-    wait_us + batch_us + READ_WEIGHT * read_us(row, read_tokens)
+    let is_far = row.config.failure_domain.as_ref();
+    let is_far = is_far.is_some_and(|domain| *domain != tick.settings.failure_domain);
+    let far_us = if is_far { FAR_US } else { 0 };
+    wait_us + batch_us + far_us + READ_WEIGHT * read_us(row, read_tokens)
 }
 
 /// Returns the time to read tokens of a prompt.
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -3,9 +3,12 @@
 use smallvec::SmallVec;
 
 use super::super::{Tick, admission};
+use crate::config::{HostRoute, RouteKind, ServiceConfig, ServiceKind};
 use crate::ids::{AttemptId, CallId, PoolKey, UpstreamName};
 use crate::message::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
-use crate::output::{Decision, Dispatch, Execution, Output, PlacementReason, RefusalKind};
+use crate::output::{
+    Decision, Dispatch, EventForm, Execution, Output, PlacementReason, RefusalKind,
+};
 use crate::tables::{Call, Stage, Timer};
 
 /// Unanswered requests after which the owner of a pool counts as failed.
@@ -14,6 +17,21 @@
 /// Interval at which a waiting call is confirmed, in timeouts of a request.
 const CONFIRM_TIMEOUTS: u64 = 5;
 
+/// Objectives of an idempotent route for which its upstream may be silent.
+const IDEMPOTENT_OBJECTIVES: u64 = 5;
+
+/// Objectives of a stream for which its upstream may be silent.
+const STREAM_OBJECTIVES: u64 = 4;
+
+/// Shortest silence of an idempotent call; a loaded upstream answers within it.
+const MIN_SILENCE_MS: u64 = 400;
+
+/// Shortest silence before the first event; a long prompt is read within it.
+const MIN_FIRST_EVENT_MS: u64 = 1_000;
+
+/// Shortest silence between two events.
+const MIN_EVENT_GAP_MS: u64 = 800;
+
 /// The upstream chosen for an attempt, the reason and the next best upstreams.
 type Assignment = (UpstreamName, PlacementReason, SmallVec<[UpstreamName; 2]>);
 
@@ -29,6 +47,8 @@
     call.place.unanswered = 0;
     call.place.first_token_us = 0;
     let due_us = now_us + tick.settings.queue_ms * 1_000;
+    let deadline_us = call.relay.as_ref().map(|relay| relay.deadline_us);
+    let due_us = deadline_us.map_or(due_us, |deadline_us| due_us.min(deadline_us));
     call.place.queue_until_us = due_us;
     let attempt = call.attempt();
     let pool = call.pool.clone();
@@ -71,7 +91,7 @@
         pool: call.pool.clone(),
         attempt: call.attempt(),
         account: call.account.clone(),
-        program: call.program.clone(),
+        program: call.any_program().cloned(),
         spent_tokens: continuation.map_or(0, |continuation| continuation.spent_tokens),
         prompt_tokens: call.new.prompt_tokens,
         max_tokens: call.new.max_tokens,
@@ -79,6 +99,8 @@
         crashes: call.place.crashes,
         avoid: call.avoid.clone(),
         ended: None,
+        priority: call.relay.as_ref().map(|relay| relay.priority),
+        only: call.relay.as_ref().and_then(|relay| relay.only.clone()),
     }
 }
 
@@ -264,8 +286,16 @@
     };
     row.own_calls += 1;
     let service = tick.tables.services.get(&call.pool.service);
-    let first_token_ms = service.and_then(|service| service.first_token_ms);
-    let token_gap_ms = service.and_then(|service| service.token_gap_ms);
+    let relay = call.relay.as_deref();
+    let limits = relay.map(|relay| silence_limits(&relay.route));
+    let first_token_ms = limits
+        .map(|limits| limits.first_ms)
+        .or(service.and_then(|service| service.first_token_ms));
+    let token_gap_ms = limits
+        .map(|limits| limits.gap_ms)
+        .or(service.and_then(|service| service.token_gap_ms));
+    let events = relay.and_then(|relay| event_form(&relay.route, service));
+    let deadline_us = relay.map_or(u64::MAX, |relay| relay.deadline_us);
     call.stage = Stage::Running;
     call.upstream = Some(upstream.clone());
     call.place.dispatched_us = tick.now_us;
@@ -278,10 +308,12 @@
         token_gap_ms: token_gap_ms.unwrap_or(tick.settings.token_gap_ms),
         account: call.account.clone(),
         program: call.program.clone().map(|key| (key, call.generation)),
+        deadline_us,
+        events,
     };
     let decision = Decision::Placed {
         attempt,
-        program: call.program.clone(),
+        program: call.any_program().cloned(),
         account: call.account.clone(),
         upstream,
         reason,
@@ -291,6 +323,54 @@
     tick.decide(decision);
 }
 
+/// How long an upstream may say nothing before its connection counts as silent.
+#[derive(Debug, Clone, Copy)]
+struct SilenceLimits {
+    first_ms: u64,
+    gap_ms: u64,
+}
+
+/// Returns the silence after which a relayed call is worth another attempt.
+///
+/// A call that may not be repeated waits for as long as its caller does.
+fn silence_limits(route: &HostRoute) -> SilenceLimits {
+    match route.kind {
+        RouteKind::NonIdempotent | RouteKind::Stream { resumable: false } => SilenceLimits {
+            first_ms: route.timeout_ms,
+            gap_ms: route.timeout_ms,
+        },
+        RouteKind::Idempotent => {
+            let first_ms = (route.objective_ms * IDEMPOTENT_OBJECTIVES).max(MIN_SILENCE_MS);
+            SilenceLimits {
+                first_ms,
+                gap_ms: first_ms,
+            }
+        }
+        RouteKind::Stream { resumable: true } => {
+            let gap_ms = route.event_gap_ms.unwrap_or(MIN_EVENT_GAP_MS);
+            SilenceLimits {
+                first_ms: (route.objective_ms * STREAM_OBJECTIVES).max(MIN_FIRST_EVENT_MS),
+                gap_ms: (gap_ms * STREAM_OBJECTIVES).max(MIN_EVENT_GAP_MS),
+            }
+        }
+    }
+}
+
+/// Returns what is known of the events of a response.
+fn event_form(route: &HostRoute, service: Option<&ServiceConfig>) -> Option<EventForm> {
+    let RouteKind::Stream { resumable } = route.kind else {
+        return None;
+    };
+    let tokens_per_event = match service.map(|service| &service.kind) {
+        Some(ServiceKind::Engine(engine)) => engine.tokens_per_event,
+        _ => 0,
+    };
+    Some(EventForm {
+        tokens_per_event,
+        is_resumable: resumable,
+    })
+}
+
 /// Removes the timers of a call that no longer waits; at a high rate of calls
 /// they would fill the timers for as long as a call may wait.
 fn cancel_waits(tick: &mut Tick<'_>, attempt: AttemptId) {
--- a/crates/core/src/systems/placement/hints.rs
+++ b/crates/core/src/systems/placement/hints.rs
@@ -1,6 +1,7 @@
 //! Cache hints and attained service of programs.
 
 use super::super::Tick;
+use crate::config::Coordination;
 use crate::ids::{ProgramKey, UpstreamName};
 use crate::message::{Finish, Place};
 use crate::tables::{Footprint, Hint, Running, Timer};
@@ -56,6 +57,22 @@
     measure(tick, running, finish);
 }
 
+/// Notes that another VM ran a turn of a program on an engine.
+pub(crate) fn note_cached(
+    tick: &mut Tick<'_>,
+    program: &ProgramKey,
+    upstream: &UpstreamName,
+    tokens: u64,
+) {
+    let now_us = tick.now_us;
+    let hint = Hint {
+        upstream: upstream.clone(),
+        tokens,
+        at_us: now_us,
+    };
+    touch(tick, program).note(hint);
+}
+
 /// Notes the tokens that a program had used before this VM knew it.
 pub(super) fn carry(tick: &mut Tick<'_>, place: &Place) {
     let Some(program) = place.program.as_ref().filter(|_| place.spent_tokens > 0) else {
@@ -68,7 +85,9 @@
 
 /// Learns how far the hints of an upstream can be trusted.
 fn measure(tick: &mut Tick<'_>, running: &Running, finish: &Finish) {
-    if running.expected_cached_tokens < MEASURED_TOKENS {
+    // Upstreams of relayed calls do not state what they found.
+    let is_stated = tick.settings.coordination == Coordination::Owners;
+    if running.expected_cached_tokens < MEASURED_TOKENS || !is_stated {
         return;
     }
     let Some(row) = tick.tables.upstreams.get_mut(&finish.upstream) else {
--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -11,6 +11,7 @@
 mod owner;
 
 pub(crate) use entry::{end_attempt, resend_finish};
+pub(crate) use hints::note_cached;
 pub(crate) use listing::{list, release_held, wake};
 
 use super::{Sender, Tick};
--- a/crates/core/src/systems/placement/order.rs
+++ b/crates/core/src/systems/placement/order.rs
@@ -46,6 +46,13 @@
 /// with each call. A call that has waited for three quarters of the longest wait goes
 /// first, or a long program would be refused under load.
 pub(super) fn rank(tick: &Tick<'_>, place: &Place, arrived_us: u64) -> Rank {
+    if let Some(priority) = place.priority {
+        return Rank {
+            attained: u64::from(priority),
+            arrived_us,
+            attempt: place.attempt,
+        };
+    }
     let is_old = tick.now_us >= aged_us(tick, arrived_us);
     let attained = if tick.settings.policy.least_attained && !is_old {
         level(attained_tokens(tick, place))
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -351,6 +351,7 @@
         AttemptResult::Failed => outcomes::upstream_failed(tick, &finish.upstream),
         AttemptResult::NotConnected => outcomes::upstream_refused(tick, &finish.upstream),
         AttemptResult::Lost => outcomes::connection_lost(tick, finish.attempt, running),
+        AttemptResult::Full => outcomes::upstream_full(tick, &finish.upstream),
         AttemptResult::Unused => {}
     }
 }
--- a/crates/core/src/systems/rates/calls.rs
+++ b/crates/core/src/systems/rates/calls.rs
@@ -59,7 +59,7 @@
             return;
         };
         share.drop_expired(now_us);
-        if !share.bucket.take(now_us) {
+        if !share.take(now_us) {
             return;
         }
         share.waiting.pop_front();
@@ -77,7 +77,8 @@
         share.retry_us = 0;
         return;
     }
-    let ready_us = share.bucket.ready_in_us(now_us).map(|us| now_us + us);
+    let is_owned = share.pooled.is_none();
+    let ready_us = share.ready_in_us(now_us).map(|us| now_us + us);
     if let Some(ready_us) = ready_us
         && (share.refill_due_us == 0 || ready_us < share.refill_due_us)
     {
@@ -85,12 +86,15 @@
         let timer = Timer::RateRefill(account.clone());
         tick.tables.timers.set(ready_us, timer);
     }
-    holder::starve(tick, account, ready_us);
+    if is_owned {
+        holder::starve(tick, account, ready_us);
+    }
 }
 
 /// Moves an admitted call on.
 fn admit(tick: &mut Tick<'_>, id: CallId, account: &AccountName) {
     let arrived_us = tick.tables.calls.get(&id).map_or(0, |call| call.arrived_us);
+    tick.tables.peering.count_admitted(account);
     tick.decide(Decision::Admitted {
         call: id,
         account: account.clone(),
@@ -115,7 +119,7 @@
         .tables
         .shares
         .get(&account)
-        .and_then(|share| share.bucket.ready_in_us(tick.now_us))
+        .and_then(|share| share.ready_in_us(tick.now_us))
         .map_or(DEFAULT_RETRY_AFTER_MS, |us| us.div_ceil(1_000).max(1));
     admission::refuse(
         tick,
@@ -133,6 +137,9 @@
 fn owner_wait_us(tick: &Tick<'_>, id: CallId, account: &AccountName) -> Option<u64> {
     let share = tick.tables.shares.get(account)?;
     let until_us = tick.tables.calls.get(&id)?.arrived_us + OWNER_WAIT_US;
+    if share.pooled.is_some() {
+        return None;
+    }
     let is_unknown = share.held.is_none() || share.is_owner_new;
     (is_unknown && tick.now_us < until_us).then_some(until_us)
 }
--- a/crates/core/src/systems/rates/mod.rs
+++ b/crates/core/src/systems/rates/mod.rs
@@ -8,9 +8,13 @@
 mod division;
 mod holder;
 mod owner;
+mod pooled;
 mod takeover;
 
+pub(crate) use pooled::{rescale, spend};
+
 use super::{Sender, Tick};
+use crate::config::Coordination;
 use crate::ids::{AccountName, CallId};
 use crate::message::RatesMessage;
 use crate::tables::Timer;
@@ -35,11 +39,18 @@
 
 /// Runs the system.
 pub(crate) fn run(tick: &mut Tick<'_>) {
-    takeover::follow_view(tick);
+    let is_owned = tick.settings.coordination == Coordination::Owners;
+    if is_owned {
+        takeover::follow_view(tick);
+    }
     let work = std::mem::take(&mut tick.work.rates);
     for account in work.accounts {
-        holder::limits_changed(tick, &account);
-        owner::limits_changed(tick, &account);
+        if is_owned {
+            holder::limits_changed(tick, &account);
+            owner::limits_changed(tick, &account);
+        } else {
+            pooled::limits_changed(tick, &account);
+        }
     }
     for (sender, message) in work.messages {
         handle(tick, sender, message);
--- /dev/null
+++ b/crates/core/src/systems/rates/pooled.rs
@@ -0,0 +1,79 @@
+//! Rates of accounts without an owner: each VM keeps a copy of the bucket of each account.
+//!
+//! The copies start empty, so that a VM, or all of them, can be restarted without a second
+//! burst. The VMs that hear each other use their part of the rate; see `systems::peers`.
+
+use super::super::Tick;
+use super::calls;
+use crate::ids::AccountName;
+use crate::tables::{Bucket, NCALLS_PER_CALL, Pooled, Share};
+
+/// Part of the burst below which each VM keeps to its part of the rate: one in this many.
+const RESERVE_PART: u64 = 4;
+
+/// Calls that a VM may take at once from its part of the rate, in time of that part.
+const PACE_BURST_US: u64 = 250_000;
+
+/// Brings the copy of an account's bucket in line with its published limits.
+pub(super) fn limits_changed(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let Some(limits) = tick.tables.accounts.get(account).map(|row| row.limits()) else {
+        return;
+    };
+    let (heard, known) = tick.tables.peering.part();
+    // An account of the first configuration may have used its burst at VMs that this one does
+    // not know of; one that comes later is new to all.
+    let starts_full = tick.settings.is_first_start || tick.tables.fleet.revision.0 > 0;
+    let shares = &mut tick.tables.shares;
+    let is_new = !shares.contains_key(account);
+    let share = shares.get_or_insert_with(account, Share::default);
+    share.bucket.refill(now_us);
+    let rate_mcalls_per_s = limits.rate_mcalls_per_s * heard / known;
+    let burst_ncalls = limits.burst_ncalls / known * heard;
+    let level_ncalls = match is_new {
+        true if starts_full => burst_ncalls,
+        true => 0,
+        false => share.bucket.level_ncalls.min(burst_ncalls),
+    };
+    share.bucket = Bucket {
+        rate_mcalls_per_s,
+        burst_ncalls,
+        level_ncalls,
+        updated_us: now_us,
+    };
+    let before = share.pooled.unwrap_or_default();
+    let pace_rate = rate_mcalls_per_s / heard.max(1);
+    let pace_burst = (pace_rate * PACE_BURST_US).max(NCALLS_PER_CALL);
+    share.pooled = Some(Pooled {
+        reserve_ncalls: burst_ncalls / RESERVE_PART,
+        debt_ncalls: before.debt_ncalls,
+        pace: Bucket {
+            rate_mcalls_per_s: pace_rate,
+            burst_ncalls: pace_burst,
+            level_ncalls: before.pace.level_ncalls.min(pace_burst),
+            updated_us: before.pace.updated_us.max(now_us),
+        },
+    });
+}
+
+/// Takes calls that another VM has admitted from the copy of an account's bucket.
+pub(crate) fn spend(tick: &mut Tick<'_>, account: &AccountName, ncalls: u64) {
+    let now_us = tick.now_us;
+    let Some(share) = tick.tables.shares.get_mut(account) else {
+        return;
+    };
+    if let Some(pooled) = &mut share.pooled {
+        pooled.pay_back(&mut share.bucket, now_us);
+        pooled.spend(&mut share.bucket, ncalls);
+    }
+}
+
+/// Brings all copies in line with the number of VMs that share the rates.
+pub(crate) fn rescale(tick: &mut Tick<'_>) {
+    let accounts = tick.tables.accounts.iter();
+    let accounts: Vec<AccountName> = accounts.map(|(account, _)| account.clone()).collect();
+    for account in accounts {
+        limits_changed(tick, &account);
+        calls::serve(tick, &account);
+    }
+}
--- /dev/null
+++ b/crates/core/src/systems/source/mod.rs
@@ -0,0 +1,189 @@
+//! Decides when this VM reads from the platform's store.
+//!
+//! Reads that one VM has made serve all: each VM reads for itself only when what it knows is
+//! older than a limit that grows with its position among the VMs that are heard. So one VM reads
+//! in the ordinary case, and the next one takes over when it cannot.
+
+use super::{Tick, config, peers};
+use crate::input::{SourceEvent, SourcePart};
+use crate::output::{Decision, Output, SourceRequest};
+use crate::tables::{Reading, Timer};
+
+/// Age at which the first VM reads again.
+const FIRST_READ_US: u64 = 450_000;
+
+/// Age at which the second VM reads.
+const SECOND_READ_US: u64 = 900_000;
+
+/// Added for each further position, so that VMs do not read all at once.
+const READ_STEP_US: u64 = 80_000;
+
+/// Positions that differ in their age; the VMs after them read at the same age.
+const READ_STEPS: u64 = 4;
+
+/// Pause after the first failure; it doubles with each further one.
+const RETRY_US: u64 = 100_000;
+
+/// Longest pause after a failure.
+const MAX_RETRY_US: u64 = 400_000;
+
+/// Pause between two readings of the registered VMs.
+const VMS_US: u64 = 20_000_000;
+
+/// A pause between two reads of the list after which the store counts as having been away.
+const AWAY_US: u64 = 1_600_000;
+
+/// Time after which a request without an answer counts as lost.
+const GIVE_UP_US: u64 = 2_000_000;
+
+/// What waits for this system.
+#[derive(Debug, Default)]
+pub(crate) struct Work {
+    pub events: Vec<SourceEvent>,
+    pub due: bool,
+}
+
+impl Work {
+    pub fn is_empty(&self) -> bool {
+        self.events.is_empty() && !self.due
+    }
+}
+
+/// Runs the system.
+pub(crate) fn run(tick: &mut Tick<'_>) {
+    let work = std::mem::take(&mut tick.work.source);
+    if work.is_empty() {
+        return;
+    }
+    for event in work.events {
+        handle(tick, event);
+    }
+    read(tick);
+}
+
+/// Handles an answer of the store.
+fn handle(tick: &mut Tick<'_>, event: SourceEvent) {
+    match event {
+        SourceEvent::Config { asked_us, fleet } => {
+            answered(tick, &SourcePart::Config);
+            if let Some(fleet) = fleet {
+                config::offer(tick, fleet);
+            }
+            tick.tables.source.config.note(asked_us);
+        }
+        SourceEvent::Upstreams { asked_us, list } => {
+            answered(tick, &SourcePart::Upstreams);
+            note_return(tick);
+            config::adopt_read_list(tick, &list);
+            tick.tables.source.list.note(asked_us);
+        }
+        SourceEvent::Vms(vms) => {
+            answered(tick, &SourcePart::Vms);
+            let now_us = tick.now_us;
+            tick.tables.source.vms.note(now_us);
+            peers::learn_vms(tick, vms);
+            tick.work.peers.announce = true;
+        }
+        SourceEvent::Reserved { program, tokens } => {
+            tick.work.budgets.reserved.push((program, Some(tokens)));
+        }
+        SourceEvent::Failed(SourcePart::Budget(program)) => {
+            tick.work.budgets.reserved.push((program, None));
+        }
+        SourceEvent::Failed(part) => failed(tick, &part),
+    }
+}
+
+/// Returns the reading that a part is about.
+fn reading<'a>(tick: &'a mut Tick<'_>, part: &SourcePart) -> Option<&'a mut Reading> {
+    let source = &mut tick.tables.source;
+    match part {
+        SourcePart::Config => Some(&mut source.config),
+        SourcePart::Upstreams => Some(&mut source.list),
+        SourcePart::Vms => Some(&mut source.vms),
+        SourcePart::Budget(_) => None,
+    }
+}
+
+/// Takes note of an answer.
+fn answered(tick: &mut Tick<'_>, part: &SourcePart) {
+    if let Some(reading) = reading(tick, part) {
+        reading.asked_us = None;
+        reading.failures = 0;
+        reading.retry_us = 0;
+    }
+    if std::mem::take(&mut tick.tables.source.is_lost) {
+        tick.decide(Decision::SourceBack);
+    }
+}
+
+/// Takes note of a request without an answer.
+fn failed(tick: &mut Tick<'_>, part: &SourcePart) {
+    let now_us = tick.now_us;
+    if let Some(reading) = reading(tick, part) {
+        let pause_us = (RETRY_US << reading.failures.min(4)).min(MAX_RETRY_US);
+        reading.asked_us = None;
+        reading.failures += 1;
+        reading.retry_us = now_us + pause_us;
+    }
+    if !std::mem::replace(&mut tick.tables.source.is_lost, true) {
+        let age_us = tick.tables.source.config.age_us(now_us);
+        tick.decide(Decision::SourceLost {
+            config_age_ms: age_us.map(|age_us| age_us / 1_000),
+        });
+    }
+}
+
+/// Notes when the store is back after a pause in which entries may have lapsed.
+fn note_return(tick: &mut Tick<'_>) {
+    let now_us = tick.now_us;
+    let source = &mut tick.tables.source;
+    if source
+        .list
+        .age_us(now_us)
+        .is_some_and(|age_us| age_us > AWAY_US)
+    {
+        source.returned_us = Some(now_us);
+    }
+}
+
+/// Reads what is old, and plans the next look.
+fn read(tick: &mut Tick<'_>) {
+    let now_us = tick.now_us;
+    let age_us = read_age_us(tick.tables.peering.rank);
+    let parts = [
+        (SourcePart::Config, SourceRequest::Config, age_us),
+        (SourcePart::Upstreams, SourceRequest::Upstreams, age_us),
+        (SourcePart::Vms, SourceRequest::Vms, VMS_US),
+    ];
+    let mut next_us = u64::MAX;
+    for (part, request, age_us) in parts {
+        let Some(reading) = reading(tick, &part) else {
+            continue;
+        };
+        let due_us = due_us(reading, age_us);
+        if due_us > now_us {
+            next_us = next_us.min(due_us);
+            continue;
+        }
+        reading.asked_us = Some(now_us);
+        next_us = next_us.min(now_us + GIVE_UP_US);
+        tick.outputs.push(Output::Source(request));
+    }
+    tick.tables.timers.set(next_us, Timer::Source);
+}
+
+/// Returns the age at which a VM at a position reads again.
+fn read_age_us(rank: u64) -> u64 {
+    match rank {
+        0 => FIRST_READ_US,
+        rank => SECOND_READ_US + READ_STEP_US * (rank - 1).min(READ_STEPS),
+    }
+}
+
+/// Returns when something has to be read.
+fn due_us(reading: &Reading, age_us: u64) -> u64 {
+    let old_us = reading.read_us.map_or(0, |read_us| read_us + age_us);
+    let answer_us = reading.asked_us.map_or(0, |asked_us| asked_us + GIVE_UP_US);
+    old_us.max(reading.retry_us).max(answer_us)
+}
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -37,6 +37,9 @@
                 work.outcomes.due.push(timer);
             }
             Timer::OrdersReview(_) => work.orders.due.push(timer),
+            Timer::Summary => work.peers.due = true,
+            Timer::Source => work.source.due = true,
+            Timer::BudgetIdle(_) => work.budgets.due.push(timer),
             Timer::Heartbeat | Timer::Store => work.membership.due.push(timer),
         }
     }
--- /dev/null
+++ b/crates/core/src/tables/budget.rs
@@ -0,0 +1,186 @@
+//! Token budgets of programs whose turns may come through any VM.
+
+use smallvec::SmallVec;
+
+use crate::ids::{CallId, Incarnation, UpstreamName, VmName};
+
+/// Part of a budget that may be used without a record in the store: one in this many.
+const FREE_PART: u64 = 4;
+
+/// Part of a budget that a new record counts as used: one in this many.
+///
+/// VMs learn of each other's use with the delay of a summary, so that more than the free part
+/// can be used before the first record; a record covers twice the free part.
+const UNRECORDED_PART: u64 = 2;
+
+/// Turns for which tokens are reserved at once.
+const RESERVED_TURNS: u64 = 3;
+
+/// Tokens that one process has passed to callers.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Spent {
+    /// The VM.
+    pub vm: VmName,
+    /// The start of its process.
+    pub incarnation: Incarnation,
+    /// The tokens.
+    pub tokens: u64,
+}
+
+/// What this VM knows of the use of a program's budget.
+#[derive(Debug, Clone, Default)]
+pub struct Budget {
+    /// Tokens that all turns may generate.
+    pub budget_tokens: u64,
+    /// How long the row is kept after the last turn.
+    pub keep_us: u64,
+    /// When the row was last used.
+    pub used_us: u64,
+    /// Tokens passed to callers, by process.
+    pub spent: SmallVec<[Spent; 2]>,
+    /// The most that turns running on this VM without a reservation may generate.
+    pub running_tokens: u64,
+    /// Tokens reserved by this VM and not taken by a turn.
+    pub reserved_tokens: u64,
+    /// Whether turns may have run that this VM knows nothing of.
+    pub is_unknown: bool,
+    /// Whether the budget is used up.
+    pub is_stopped: bool,
+    /// Whether a reservation is under way.
+    pub is_reserving: bool,
+    /// Turns that wait for a reservation.
+    pub waiting: SmallVec<[CallId; 2]>,
+    /// The round of summaries that tells others of the last change.
+    pub changed_round: u64,
+    /// The engine of the last turn on this VM and the tokens it may have cached.
+    pub cached: Option<(UpstreamName, u64)>,
+}
+
+/// How a turn is covered by its program's budget.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cover {
+    /// By the part that needs no record.
+    Free,
+    /// By tokens reserved in the store.
+    Reserved,
+}
+
+/// What a budget says to one more turn.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It is covered.
+    Covered(Cover),
+    /// Tokens have to be reserved first.
+    NeedsReservation,
+    /// The budget does not hold it.
+    UsedUp,
+}
+
+impl Budget {
+    /// Returns the tokens that are known to be used or may be used by running turns.
+    pub fn known_tokens(&self) -> u64 {
+        let spent: u64 = self.spent.iter().map(|row| row.tokens).sum();
+        spent + self.running_tokens
+    }
+
+    /// Covers one more turn, taking its tokens if there are enough.
+    pub fn cover(&mut self, turn_tokens: u64) -> Verdict {
+        let known = self.known_tokens();
+        if self.is_stopped || turn_tokens > self.budget_tokens {
+            return Verdict::UsedUp;
+        }
+        if !self.is_unknown && known <= self.budget_tokens / FREE_PART {
+            if known + turn_tokens > self.budget_tokens {
+                return Verdict::UsedUp;
+            }
+            self.running_tokens += turn_tokens;
+            return Verdict::Covered(Cover::Free);
+        }
+        if self.reserved_tokens < turn_tokens {
+            return Verdict::NeedsReservation;
+        }
+        self.reserved_tokens -= turn_tokens;
+        Verdict::Covered(Cover::Reserved)
+    }
+
+    /// Takes note of the end of a turn on this VM.
+    pub fn settle(&mut self, cover: Cover, turn_tokens: u64, used_tokens: u64) {
+        match cover {
+            Cover::Free => self.running_tokens = self.running_tokens.saturating_sub(turn_tokens),
+            Cover::Reserved => self.reserved_tokens += turn_tokens.saturating_sub(used_tokens),
+        }
+    }
+
+    /// Sets the tokens that a process has passed to callers; totals never fall.
+    pub fn set_spent(&mut self, vm: &VmName, incarnation: Incarnation, tokens: u64) {
+        let known = self
+            .spent
+            .iter_mut()
+            .find(|row| row.vm == *vm && row.incarnation == incarnation);
+        match known {
+            Some(row) => row.tokens = row.tokens.max(tokens),
+            None => self.spent.push(Spent {
+                vm: vm.clone(),
+                incarnation,
+                tokens,
+            }),
+        }
+    }
+
+    /// Returns the tokens that a process has passed to callers.
+    pub fn spent_by(&self, vm: &VmName, incarnation: Incarnation) -> u64 {
+        self.spent
+            .iter()
+            .find(|row| row.vm == *vm && row.incarnation == incarnation)
+            .map_or(0, |row| row.tokens)
+    }
+}
+
+/// The record of a program's budget in the store.
+///
+/// It is changed by conditional writes only, so that no token is reserved twice.
+///
+/// # Examples
+///
+/// ```
+/// use knapweeddale_core::tables::BudgetRecord;
+///
+/// let mut record = BudgetRecord::new(1_000);
+/// assert_eq!(record.reserve(100), 300);
+/// assert_eq!(record.reserve(100), 200);
+/// assert_eq!(record.reserve(100), 0);
+/// assert!(record.is_stopped);
+/// ```
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct BudgetRecord {
+    /// Tokens that all turns may generate.
+    pub budget_tokens: u64,
+    /// Tokens that have been reserved or count as used.
+    pub taken_tokens: u64,
+    /// Whether the budget is used up.
+    pub is_stopped: bool,
+}
+
+impl BudgetRecord {
+    /// Makes the record of a program that has passed the part which needs none.
+    pub fn new(budget_tokens: u64) -> Self {
+        Self {
+            budget_tokens,
+            taken_tokens: budget_tokens / UNRECORDED_PART,
+            is_stopped: false,
+        }
+    }
+
+    /// Reserves tokens for a few turns and returns them; 0 if one more turn does not fit.
+    pub fn reserve(&mut self, turn_tokens: u64) -> u64 {
+        let left = self.budget_tokens.saturating_sub(self.taken_tokens);
+        if self.is_stopped || left < turn_tokens {
+            self.is_stopped = true;
+            return 0;
+        }
+        let tokens = left.min(turn_tokens * RESERVED_TURNS);
+        self.taken_tokens += tokens;
+        tokens
+    }
+}
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -1,7 +1,11 @@
 //! Calls that arrived at this VM.
 
+use std::sync::Arc;
+
 use smallvec::SmallVec;
 
+use super::Cover;
+use crate::config::HostRoute;
 use crate::ids::{AccountName, AttemptId, PoolKey, ProgramKey, UpstreamName};
 use crate::input::{Continuation, NewCall};
 use crate::output::Execution;
@@ -13,6 +17,8 @@
     Rate,
     /// Waits for the home of its program.
     Home,
+    /// Waits for its program's budget.
+    Budget,
     /// Waits for an upstream.
     Place,
     /// Runs on an upstream.
@@ -66,6 +72,31 @@
     pub avoid: SmallVec<[UpstreamName; 2]>,
     /// Placement and retries.
     pub place: PlaceState,
+    /// What only relayed calls have.
+    pub relay: Option<Box<Relay>>,
+}
+
+/// What only relayed calls have.
+#[derive(Debug, Clone)]
+pub struct Relay {
+    /// The route.
+    pub route: Arc<HostRoute>,
+    /// When the call has to be answered.
+    pub deadline_us: u64,
+    /// The rank; 0 goes first.
+    pub priority: u32,
+    /// The program, for its budget and for the cache of its engine.
+    pub program: Option<ProgramKey>,
+    /// The program's budget, if the call is a turn.
+    pub budget_tokens: Option<u64>,
+    /// How the budget covers the call.
+    pub cover: Option<Cover>,
+    /// Tokens passed to the caller.
+    pub passed_tokens: u64,
+    /// Upstreams on which the call may have run.
+    pub ran_on: SmallVec<[UpstreamName; 2]>,
+    /// The only upstream that may run the call again, unless it has ended.
+    pub only: Option<UpstreamName>,
 }
 
 /// Placement and retries of a call.
@@ -113,11 +144,23 @@
     /// never left for an upstream.
     pub fn own_execution(&self, ran: Execution) -> Execution {
         match self.stage {
-            Stage::Rate | Stage::Home if !self.may_have_run => Execution::NotRun,
+            Stage::Rate | Stage::Home | Stage::Budget if !self.may_have_run => Execution::NotRun,
             _ => ran,
         }
     }
 
+    /// Returns whether the call has to be covered by a budget that no home keeps.
+    pub fn has_budget(&self) -> bool {
+        let relay = self.relay.as_ref();
+        relay.is_some_and(|relay| relay.budget_tokens.is_some() && relay.program.is_some())
+    }
+
+    /// Returns the program, whether a home keeps it or not.
+    pub fn any_program(&self) -> Option<&ProgramKey> {
+        let relayed = || self.relay.as_ref()?.program.as_ref();
+        self.program.as_ref().or_else(relayed)
+    }
+
     /// Returns the highest number of tokens that the call can use.
     pub fn reserve_tokens(&self) -> u64 {
         self.new.prompt_tokens.saturating_add(self.new.max_tokens)
--- a/crates/core/src/tables/health.rs
+++ b/crates/core/src/tables/health.rs
@@ -19,6 +19,12 @@
 /// Time without calls after a crash or a refused connection.
 const REST_US: u64 = 1_000_000;
 
+/// Time for which a crash is remembered; longer than any call lasts.
+const CRASHED_US: u64 = 10_000_000;
+
+/// Time without calls after a refusal because the upstream was full.
+const FULL_US: u64 = 20_000;
+
 /// Failures of an upstream, as seen by the owner of its pool.
 #[derive(Debug, Clone, Default)]
 pub struct Health {
@@ -32,6 +38,8 @@
     pub ejected_until_us: u64,
     /// When the rest after a crash or a refused connection ends.
     pub rest_until_us: u64,
+    /// When it last crashed or refused a connection; 0 if never.
+    pub crashed_us: u64,
     /// Prefixes cached before this time are lost.
     pub cache_from_us: u64,
     /// Contents whose connection broke and whose cause is examined.
@@ -57,6 +65,17 @@
         now_us >= self.ejected_until_us && now_us >= self.rest_until_us && self.lost.is_empty()
     }
 
+    /// Returns whether it crashed or refused a connection so lately that what ran there is lost.
+    pub fn has_crashed_lately(&self, now_us: u64) -> bool {
+        self.crashed_us > 0 && now_us < self.crashed_us + CRASHED_US
+    }
+
+    /// Keeps calls away for a moment because it was full.
+    pub fn rest_full(&mut self, now_us: u64) -> u64 {
+        self.rest_until_us = self.rest_until_us.max(now_us + FULL_US);
+        self.rest_until_us
+    }
+
     /// Counts a success.
     pub fn succeeded(&mut self) {
         self.failures = 0;
@@ -88,6 +107,7 @@
     pub fn rest(&mut self, now_us: u64) -> u64 {
         let rest_us = REST_US << self.failures.min(2);
         self.rest_until_us = self.rest_until_us.max(now_us + rest_us);
+        self.crashed_us = now_us;
         self.rest_until_us
     }
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -5,6 +5,7 @@
 
 mod account;
 mod bucket;
+mod budget;
 mod call;
 mod footprint;
 mod health;
@@ -14,11 +15,13 @@
 mod loan;
 mod membership;
 mod order;
+mod peer;
 mod pool;
 mod program;
 mod queue;
 mod retry;
 mod share;
+mod source;
 mod suspect;
 mod table;
 mod takeover;
@@ -29,7 +32,8 @@
 
 pub use account::{Account, Key};
 pub use bucket::{Bucket, NCALLS_PER_CALL};
-pub use call::{Call, PlaceState, Stage};
+pub use budget::{Budget, BudgetRecord, Cover, Spent, Verdict};
+pub use call::{Call, PlaceState, Relay, Stage};
 pub use footprint::{Footprint, Hint};
 pub use health::{Health, LostAttempt};
 pub use homes::{
@@ -43,11 +47,13 @@
     StoreLink, Suspicion, UnresolvedWrite,
 };
 pub use order::{OpenOrder, OrderBook};
+pub use peer::{Peer, Peering};
 pub use pool::Pool;
 pub use program::{FinishedTurn, Links, MAX_SERVED, Phase, Program, Turn, UnknownTurn, Usage};
 pub use queue::{Candidates, LaneOrder, Queue, Rank, Waiting};
 pub use retry::RetryBudget;
-pub use share::{Held, Meter, Share};
+pub use share::{Held, Meter, Pooled, Share};
+pub use source::{Reading, Source};
 pub use suspect::{Quarantine, Suspect};
 pub use table::Table;
 pub use timers::{Timer, Timers};
@@ -58,7 +64,7 @@
 
 use std::sync::Arc;
 
-use crate::config::{FleetConfig, ServiceConfig};
+use crate::config::{FleetConfig, HostRoute, ServiceConfig};
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, Epoch, KeyId, ModelName, PoolKey, ProgramKey,
     Revision, ServiceName, UpstreamName, VmName,
@@ -124,4 +130,12 @@
     pub lease: Lease,
     /// Due times.
     pub timers: Timers,
+    /// Routes by host, longest prefix first.
+    pub hosts: Table<Arc<str>, Vec<Arc<HostRoute>>>,
+    /// Budgets of programs that have no home.
+    pub budgets: Table<ProgramKey, Budget>,
+    /// The other VMs under `Coordination::Peers`.
+    pub peering: Peering,
+    /// What was read from the platform's store, and when.
+    pub source: Source,
 }
--- a/crates/core/src/tables/queue.rs
+++ b/crates/core/src/tables/queue.rs
@@ -9,13 +9,13 @@
 use crate::message::Place;
 
 /// Accounts considered for one assignment.
-const LANES_CONSIDERED: usize = 2;
+const LANES_CONSIDERED: usize = 4;
 
 /// Calls of one account considered for one assignment.
 ///
 /// A call that waits for the upstream with its cache must not block the calls
 /// behind it, and a bound keeps the cost of an assignment constant.
-const CALLS_CONSIDERED: usize = 2;
+const CALLS_CONSIDERED: usize = 4;
 
 /// Calls considered for one assignment, best first.
 pub type Candidates = SmallVec<[AttemptId; LANES_CONSIDERED * CALLS_CONSIDERED]>;
--- a/crates/core/src/tables/share.rs
+++ b/crates/core/src/tables/share.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::Bucket;
+use super::{Bucket, NCALLS_PER_CALL};
 use crate::ids::{CallId, Epoch, VmName};
 use crate::message::ShareId;
 
@@ -90,9 +90,87 @@
     pub is_owner_new: bool,
     /// The owner of the account and the epoch in which it was worked out.
     pub owner: Option<(Epoch, VmName)>,
+    /// How the bucket is shared with other VMs, if no owner divides it.
+    pub pooled: Option<Pooled>,
+}
+
+/// How a VM takes from a bucket of which each VM keeps a copy.
+///
+/// The copies learn of each other's calls with the delay of a summary. While the level is high,
+/// calls are taken freely; below the reserve, each VM keeps to its part of the rate, so that the
+/// VMs together do not take the same calls twice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Pooled {
+    /// Level below which each VM keeps to its part.
+    pub reserve_ncalls: u64,
+    /// Calls that were taken beyond the level; they are paid back from the rate.
+    pub debt_ncalls: u64,
+    /// This VM's part of the rate.
+    pub pace: Bucket,
+}
+
+impl Pooled {
+    /// Takes one call from this VM's copy of the bucket; returns whether there was one.
+    fn take(&mut self, bucket: &mut Bucket, now_us: u64) -> bool {
+        self.pay_back(bucket, now_us);
+        let is_ample =
+            self.debt_ncalls == 0 && bucket.level_ncalls >= self.reserve_ncalls + NCALLS_PER_CALL;
+        let is_paced = self.pace.take(now_us);
+        if is_ample || is_paced {
+            self.spend(bucket, NCALLS_PER_CALL);
+        }
+        is_ample || is_paced
+    }
+
+    /// Takes calls of another VM from this VM's copy of the bucket.
+    pub fn spend(&mut self, bucket: &mut Bucket, ncalls: u64) {
+        let taken = bucket.level_ncalls.min(ncalls);
+        bucket.level_ncalls -= taken;
+        self.debt_ncalls += ncalls - taken;
+    }
+
+    /// Refills the copy, paying debt back first.
+    pub fn pay_back(&mut self, bucket: &mut Bucket, now_us: u64) {
+        bucket.refill(now_us);
+        let paid = bucket.level_ncalls.min(self.debt_ncalls);
+        bucket.level_ncalls -= paid;
+        self.debt_ncalls -= paid;
+    }
+
+    /// Returns the time until one call can be taken; `None` if that never happens.
+    fn ready_in_us(&self, bucket: &Bucket, now_us: u64) -> Option<u64> {
+        let mut full = *bucket;
+        full.refill(now_us);
+        let needed = self.reserve_ncalls + self.debt_ncalls + NCALLS_PER_CALL;
+        let missing = needed.saturating_sub(full.level_ncalls);
+        let ample_us = match bucket.rate_mcalls_per_s {
+            0 => None,
+            rate => Some(missing.div_ceil(rate)),
+        };
+        match (ample_us, self.pace.ready_in_us(now_us)) {
+            (Some(ample_us), Some(paced_us)) => Some(ample_us.min(paced_us)),
+            (ample_us, paced_us) => ample_us.or(paced_us),
+        }
+    }
 }
 
 impl Share {
+    /// Takes one call; returns whether there was one.
+    pub fn take(&mut self, now_us: u64) -> bool {
+        match &mut self.pooled {
+            Some(pooled) => pooled.take(&mut self.bucket, now_us),
+            None => self.bucket.take(now_us),
+        }
+    }
+
+    /// Returns the time until one call can be taken; `None` if that never happens.
+    pub fn ready_in_us(&self, now_us: u64) -> Option<u64> {
+        match &self.pooled {
+            Some(pooled) => pooled.ready_in_us(&self.bucket, now_us),
+            None => self.bucket.ready_in_us(now_us),
+        }
+    }
+
     /// Drops the share; grants that answer earlier demands are ignored from now on.
     pub fn drop_grant(&mut self) {
         self.held = None;
--- /dev/null
+++ b/crates/core/src/tables/source.rs
@@ -0,0 +1,54 @@
+//! What a VM knows of the age of what it read from the platform's store.
+
+use std::sync::Arc;
+
+use crate::input::UpstreamList;
+use crate::message::ListStamp;
+
+/// One thing that is read from the store at intervals.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Reading {
+    /// When the latest answered request for it was sent, by any VM.
+    pub read_us: Option<u64>,
+    /// When the request that is under way was sent.
+    pub asked_us: Option<u64>,
+    /// Requests of this VM in a row without an answer.
+    pub failures: u32,
+    /// When it may be read again after a failure.
+    pub retry_us: u64,
+}
+
+impl Reading {
+    /// Takes note that an answer reflects the store at a moment or later.
+    pub fn note(&mut self, read_us: u64) {
+        self.read_us = self.read_us.max(Some(read_us));
+    }
+
+    /// Returns the age of what was read.
+    pub fn age_us(&self, now_us: u64) -> Option<u64> {
+        self.read_us.map(|read_us| now_us.saturating_sub(read_us))
+    }
+}
+
+/// State of the reads from the platform's store.
+#[derive(Debug, Default)]
+pub struct Source {
+    /// The published configuration.
+    pub config: Reading,
+    /// The list of upstreams.
+    pub list: Reading,
+    /// The registration of this VM and the list of the others.
+    pub vms: Reading,
+    /// Whether the last request of this VM had no answer.
+    pub is_lost: bool,
+    /// When the list was read again after a long pause.
+    pub returned_us: Option<u64>,
+    /// The list of upstreams in force.
+    pub upstreams: Arc<UpstreamList>,
+    /// Tells it apart from others.
+    pub stamp: ListStamp,
+    /// Whether all programs that have run within their retention are known.
+    pub knows_programs: bool,
+    /// When this VM started.
+    pub started_us: u64,
+}
--- a/crates/core/src/tables/takeover.rs
+++ b/crates/core/src/tables/takeover.rs
@@ -1,7 +1,7 @@
 //! From when a VM may act for what it took over.
 
 use super::{Member, Tables, View};
-use crate::config::CoreSettings;
+use crate::config::{Coordination, CoreSettings};
 use crate::ids::VmName;
 
 /// # Takeover
@@ -68,8 +68,14 @@
 
     /// Returns whether this VM can no longer learn of withdrawn keys.
     pub fn is_isolated(&self, settings: &CoreSettings, now_us: u64) -> bool {
-        let limit_us = (settings.lease_ms + settings.isolation_ms) * 1_000;
-        self.lease.age_us(now_us).is_none_or(|age| age > limit_us)
+        let (age_us, limit_ms) = match settings.coordination {
+            Coordination::Owners => (
+                self.lease.age_us(now_us),
+                settings.lease_ms + settings.isolation_ms,
+            ),
+            Coordination::Peers => (self.source.config.age_us(now_us), settings.stale_config_ms),
+        };
+        age_us.is_none_or(|age_us| age_us > limit_ms * 1_000)
     }
 
     /// Returns the end of the wait for one VM, counted from a view change.
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -76,6 +76,12 @@
     Heartbeat,
     /// The store may have to be asked for something.
     Store,
+    /// Summaries have to be sent.
+    Summary,
+    /// The configuration, the list of upstreams or the VMs may have to be read.
+    Source,
+    /// A program may have had no turns for the time that its budget is kept.
+    BudgetIdle(ProgramKey),
 }
 
 /// Due times, earliest first.
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -89,6 +89,13 @@
         self.config = config;
     }
 
+    /// Forgets what a former start of its process held.
+    pub fn restarted(&mut self, now_us: u64) {
+        self.health = Health::default();
+        self.health.cache_from_us = now_us;
+        self.prefill_until_us = 0;
+    }
+
     /// Returns whether calls of a model can run on it.
     pub fn has_loaded(&self, model: &ModelName) -> bool {
         let is_loaded = |loaded: &Vec<ModelName>| loaded.contains(model);
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -147,6 +147,8 @@
         crashes: 0,
         avoid: Default::default(),
         ended: None,
+        priority: None,
+        only: None,
     };
     Waiting {
         vm: VmName::from("vm-0"),
--- a/crates/core/tests/isolated_calls.rs
+++ b/crates/core/tests/isolated_calls.rs
@@ -42,6 +42,7 @@
         revision: Revision(revision),
         accounts: vec![account],
         services: vec![service],
+        ..FleetConfig::default()
     }
 }
 
--- a/crates/core/tests/whole_call.rs
+++ b/crates/core/tests/whole_call.rs
@@ -31,6 +31,7 @@
         .kind(ServiceKind::Engine(EngineConfig {
             models: vec![model],
             can_resume: false,
+            ..EngineConfig::default()
         }))
         .upstreams(vec![upstream])
         .build();
@@ -38,6 +39,7 @@
         revision: Revision(1),
         accounts: vec![account],
         services: vec![service],
+        ..FleetConfig::default()
     }
 }
 
--- a/crates/entry/src/call/attempt.rs
+++ b/crates/entry/src/call/attempt.rs
@@ -11,11 +11,11 @@
 
 use super::reply::{Reply, ReplyPart};
 use super::task::CallKind;
-use crate::clock::Clock;
 use crate::front::Shared;
 use crate::upstream::{
     Completion, EventError, EventReader, Step, UpstreamRequest, UpstreamTimes, returnable,
 };
+use knapweeddale_runtime::Clock;
 
 /// Longest wait for a caller to read. A caller that reads more slowly than an
 /// engine generates for this long has stopped reading.
--- a/crates/entry/src/call/describe.rs
+++ b/crates/entry/src/call/describe.rs
@@ -9,6 +9,8 @@
         RefusalKind::KeyUnknown => "the key is not known",
         RefusalKind::KeyWithdrawn => "the key has been withdrawn",
         RefusalKind::Isolated => "this VM cannot learn about withdrawn keys at present",
+        RefusalKind::NotConfigured => "this VM has no configuration yet",
+        RefusalKind::BudgetUnknown => "the store did not confirm the program's budget",
         RefusalKind::ModelUnknown => "no service offers the model",
         RefusalKind::RouteUnknown => "the service or its route does not exist",
         RefusalKind::Quarantined => "the same request crashed several upstreams",
--- a/crates/entry/src/call/mod.rs
+++ b/crates/entry/src/call/mod.rs
@@ -3,13 +3,11 @@
 mod answers;
 mod attempt;
 mod describe;
-mod ids;
 mod in_flight;
 mod reply;
 mod task;
 
 pub(crate) use answers::KeptAnswers;
-pub(crate) use ids::{CallIds, random_u64};
 pub(crate) use in_flight::{InFlight, InFlightGuard};
 pub(crate) use reply::{EVENT_STREAM, Reply, ReplyPart};
 pub(crate) use task::{CallKind, CallTask, NewTask};
--- a/crates/entry/src/call/task.rs
+++ b/crates/entry/src/call/task.rs
@@ -16,10 +16,10 @@
 use super::attempt::{Attempt, Finished, Progress, SLOW_CALLER, report};
 use super::in_flight::InFlightGuard;
 use super::reply::{EVENT_STREAM, Reply, ReplyPart, Tokens, error_body, last_event};
-use crate::clock::Clock;
 use crate::control::CallOutput;
 use crate::front::Shared;
 use crate::upstream::UpstreamRequest;
+use knapweeddale_runtime::Clock;
 
 /// What differs between calls to engines and to plain services.
 #[derive(Debug, Clone)]
--- a/crates/entry/src/control/outlets.rs
+++ b/crates/entry/src/control/outlets.rs
@@ -15,7 +15,7 @@
 use knapweeddale_peer::Peers;
 use tokio::sync::{mpsc, watch};
 
-use super::input::CallOutput;
+use super::input::{CallOutput, Message};
 use super::status::Status;
 use crate::metrics::Metrics;
 use crate::store::ViewOrder;
@@ -79,7 +79,7 @@
 /// # Outputs
 impl Outlets {
     /// Carries one output to its receiver.
-    pub fn carry(&mut self, output: Output, control: &Control, now_us: u64) {
+    fn hand_over(&mut self, output: Output, control: &Control, now_us: u64) {
         match output {
             Output::Dispatch(dispatch) => {
                 self.hand(dispatch.attempt.call, CallOutput::Dispatch(dispatch));
@@ -136,6 +136,8 @@
                     generation,
                 });
             }
+            // Only under `Coordination::Peers`, which this daemon does not use.
+            Output::Source(_) | Output::SendSummary { .. } | Output::AskSnapshot { .. } => {}
             Output::Probe(upstream) => self.probe(upstream, control),
             Output::Order(order) => self.order(*order),
             Output::Charge(charge) => self.charge(charge),
@@ -186,7 +188,7 @@
     }
 
     /// Publishes what traffic threads may know.
-    pub fn refresh(&mut self, control: &Control, now_us: u64) {
+    fn publish(&mut self, control: &Control, now_us: u64) {
         let remaining_us = control.tables().lease.remaining_us(now_us);
         let until_us = if remaining_us == 0 {
             0
@@ -207,19 +209,58 @@
 }
 
 /// # Loop
-impl Outlets {
-    /// Returns whether inputs follow from earlier outputs.
-    pub fn has_echo(&self) -> bool {
+impl knapweeddale_runtime::Outlets for Outlets {
+    type Message = Message;
+
+    fn accept(
+        &mut self,
+        message: Message,
+        _control: &Control,
+        _now_us: u64,
+        inputs: &mut Vec<Input>,
+    ) -> bool {
+        match message {
+            Message::Input(input) => inputs.push(input),
+            Message::Open {
+                call,
+                input,
+                outputs,
+            } => {
+                self.open(call, outputs);
+                inputs.push(input);
+            }
+            Message::Delivery(delivery) => {
+                self.learn_address(&delivery.from, &delivery.address);
+                let (from, incarnation) = (delivery.from, delivery.incarnation);
+                let messages = delivery.messages.into_iter().map(|message| Input::Peer {
+                    from: from.clone(),
+                    incarnation,
+                    message,
+                });
+                inputs.extend(messages);
+            }
+            Message::Stop => return false,
+        }
+        true
+    }
+
+    fn carry(&mut self, output: Output, control: &Control, now_us: u64) {
+        self.hand_over(output, control, now_us);
+    }
+
+    fn refresh(&mut self, control: &Control, now_us: u64) {
+        self.publish(control, now_us);
+    }
+
+    fn has_echo(&self) -> bool {
         !self.echo.is_empty()
     }
 
-    /// Takes the inputs that follow from earlier outputs.
-    pub fn take_echo(&mut self) -> Vec<Input> {
+    fn take_echo(&mut self) -> Vec<Input> {
         std::mem::take(&mut self.echo)
     }
 
-    /// Counts a tick.
-    pub fn count_tick(&self, inputs: usize, took: Duration) {
+    fn count_tick(&self, inputs: usize, took: Duration) {
         self.metrics.count_tick(inputs, took, self.calls.len());
     }
 }
--- a/crates/entry/src/daemon/background.rs
+++ b/crates/entry/src/daemon/background.rs
@@ -10,13 +10,13 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 
-use crate::clock::Clock;
 use crate::front::Shared;
 use crate::known_peers::ask_known_peers;
 use crate::store::{ViewOrder, poll_vms, serve_views, watch_config};
 use crate::upstream::{
     ProbeOrder, ReleaseOrder, poll_loads, serve_orders, serve_probes, serve_releases,
 };
+use knapweeddale_runtime::Clock;
 
 /// Time between two updates of the counts of store calls.
 const COUNTS_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/entry/src/daemon/links.rs
+++ b/crates/entry/src/daemon/links.rs
@@ -9,9 +9,9 @@
 use tokio::sync::{mpsc, watch};
 
 use super::background::Orders;
-use crate::clock::Clock;
 use crate::control::{Outlets, Status};
 use crate::front::Shared;
+use knapweeddale_runtime::Clock;
 
 /// Orders about the view that may wait; the core has few of them at a time.
 const VIEW_ORDERS: usize = 32;
--- a/crates/entry/src/daemon/mod.rs
+++ b/crates/entry/src/daemon/mod.rs
@@ -13,10 +13,10 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::thread::JoinHandle;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use knapweeddale_config::Settings;
-use knapweeddale_core::{Control, CoreSettings, Incarnation, StoreRequest};
+use knapweeddale_core::{Control, CoreSettings, StoreRequest};
 use knapweeddale_peer::{PeerOptions, PeerServer};
 use knapweeddale_store::{Counted, ObjectApi};
 use knapweeddale_token::{Signer, derive_secret};
@@ -25,14 +25,14 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
-use crate::call::{CallIds, InFlight, KeptAnswers, random_u64};
-use crate::clock::Clock;
-use crate::control::{self, InputSender, Status, StatusReader, input_queue};
+use crate::call::{InFlight, KeptAnswers};
+use crate::control::{InputSender, Status, StatusReader};
 use crate::front::Shared;
 use crate::inbox::Inbox;
 use crate::metrics::Metrics;
 use crate::store::{ChargeWriter, ViewOrder};
 use crate::upstream::{LastAlive, UpstreamClient};
+use knapweeddale_runtime::{CallIds, Clock, input_queue, new_incarnation, spawn};
 use links::Links;
 use server::Server;
 
@@ -101,7 +101,7 @@
             settings.data_folder.clone(),
             Arc::clone(&shared.metrics),
         );
-        let control = control::spawn(Control::new(core), queue, links.outlets, clock)?;
+        let control = spawn(Control::new(core), queue, links.outlets, clock)?;
         let peers = PeerServer::start(
             listener,
             shared.peer_options.clone(),
@@ -161,13 +161,6 @@
     }))
 }
 
-/// Returns the number of this start: the time in seconds and a random part.
-fn new_incarnation() -> Incarnation {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    let seconds = elapsed.map(|time| time.as_secs()).unwrap_or_default();
-    Incarnation((seconds << 32) | (random_u64() >> 32))
-}
-
 /// # Observation
 impl<C: Clock> Daemon<C> {
     /// Returns the address that callers reach.
--- a/crates/entry/src/daemon/server.rs
+++ b/crates/entry/src/daemon/server.rs
@@ -11,8 +11,8 @@
 use tokio::time::timeout;
 
 use super::StartError;
-use crate::clock::Clock;
 use crate::front::{self, Shared};
+use knapweeddale_runtime::Clock;
 
 /// Longest wait for the server to close its connections.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
--- a/crates/entry/src/daemon/stop.rs
+++ b/crates/entry/src/daemon/stop.rs
@@ -9,8 +9,8 @@
 
 use super::Daemon;
 use crate::call::InFlight;
-use crate::clock::Clock;
 use crate::control::{Message, StatusReader};
+use knapweeddale_runtime::Clock;
 
 /// Longest wait for the last charge records when the process ends.
 const CHARGES_TIMEOUT: Duration = Duration::from_secs(5);
--- a/crates/entry/src/front/completions.rs
+++ b/crates/entry/src/front/completions.rs
@@ -16,8 +16,8 @@
 use super::services::read_body;
 use super::shared::Shared;
 use crate::call::{CallKind, NewTask};
-use crate::clock::Clock;
 use crate::upstream::UpstreamRequest;
+use knapweeddale_runtime::Clock;
 
 /// The path of completions, at knapweeddale and at engines.
 pub(crate) const PATH: &str = "/v1/chat/completions";
--- a/crates/entry/src/front/headers.rs
+++ b/crates/entry/src/front/headers.rs
@@ -8,9 +8,9 @@
 
 use super::refuse::FrontError;
 use super::shared::Shared;
-use crate::call::random_u64;
-use crate::clock::Clock;
 use crate::upstream::forwardable;
+use knapweeddale_runtime::Clock;
+use knapweeddale_runtime::random_u64;
 
 /// Largest sum of all headers. Continuation and permit take 1 KB at most.
 const MAX_HEADER_BYTES: usize = 16 * 1024;
--- a/crates/entry/src/front/health.rs
+++ b/crates/entry/src/front/health.rs
@@ -5,7 +5,7 @@
 
 use super::shared::Shared;
 use crate::call::Reply;
-use crate::clock::Clock;
+use knapweeddale_runtime::Clock;
 
 impl<C: Clock> Shared<C> {
     /// Says that the process answers requests.
--- a/crates/entry/src/front/models.rs
+++ b/crates/entry/src/front/models.rs
@@ -5,7 +5,7 @@
 
 use super::shared::Shared;
 use crate::call::Reply;
-use crate::clock::Clock;
+use knapweeddale_runtime::Clock;
 
 impl<C: Clock> Shared<C> {
     /// Lists the models of the configuration in force.
--- a/crates/entry/src/front/open.rs
+++ b/crates/entry/src/front/open.rs
@@ -9,8 +9,8 @@
 use super::respond::Answer;
 use super::shared::Shared;
 use crate::call::{CallTask, NewTask, ReplyPart};
-use crate::clock::Clock;
 use crate::control::{CallOutput, Message};
+use knapweeddale_runtime::Clock;
 
 /// Outputs that may wait for a call's task: a dispatch and a cancellation for
 /// each of the core's eight attempts, the end, and as many again to be safe.
--- a/crates/entry/src/front/programs.rs
+++ b/crates/entry/src/front/programs.rs
@@ -14,8 +14,8 @@
 use super::services::read_body;
 use super::shared::Shared;
 use crate::call::Reply;
-use crate::clock::Clock;
 use crate::control::{CallOutput, Message};
+use knapweeddale_runtime::Clock;
 
 /// Largest body of a request about a program.
 const MAX_BODY_BYTES: u64 = 4_096;
--- a/crates/entry/src/front/refuse.rs
+++ b/crates/entry/src/front/refuse.rs
@@ -4,7 +4,7 @@
 
 use super::shared::Shared;
 use crate::call::Reply;
-use crate::clock::Clock;
+use knapweeddale_runtime::Clock;
 
 /// Why the front end refuses a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/entry/src/front/routes.rs
+++ b/crates/entry/src/front/routes.rs
@@ -18,7 +18,7 @@
 use super::respond::Answer;
 use super::shared::Shared;
 use crate::call::Reply;
-use crate::clock::Clock;
+use knapweeddale_runtime::Clock;
 
 /// The methods of plain services.
 const SERVICE_METHODS: [Method; 7] = [
--- a/crates/entry/src/front/services.rs
+++ b/crates/entry/src/front/services.rs
@@ -14,8 +14,8 @@
 use super::respond::Answer;
 use super::shared::Shared;
 use crate::call::{CallKind, NewTask};
-use crate::clock::Clock;
 use crate::upstream::UpstreamRequest;
+use knapweeddale_runtime::Clock;
 
 /// The start of the paths of plain services.
 const PREFIX: &str = "/services/";
--- a/crates/entry/src/front/shared.rs
+++ b/crates/entry/src/front/shared.rs
@@ -7,11 +7,13 @@
 use knapweeddale_peer::{PeerCounts, PeerOptions};
 use knapweeddale_token::Signer;
 
-use crate::call::{CallIds, InFlight, KeptAnswers};
-use crate::clock::Clock;
+use knapweeddale_runtime::CallIds;
+
+use crate::call::{InFlight, KeptAnswers};
 use crate::control::{InputSender, StatusReader};
 use crate::metrics::Metrics;
 use crate::upstream::{LastAlive, UpstreamClient};
+use knapweeddale_runtime::Clock;
 
 /// The label of services that are not in the configuration.
 const UNKNOWN_SERVICE: &str = "unknown";
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -5,9 +5,9 @@
 use knapweeddale_core::{CallId, ContentDigest};
 use knapweeddale_peer::{Delivery, KeptAnswer, PeerHandler};
 
-use crate::clock::Clock;
 use crate::control::Message;
 use crate::front::Shared;
+use knapweeddale_runtime::Clock;
 
 /// Hands requests of other VMs to the control thread.
 pub(crate) struct Inbox<C>(pub Arc<Shared<C>>);
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -5,7 +5,6 @@
 //! The binary `knapweeddale-entry` is a thin wrapper around it.
 
 mod call;
-mod clock;
 mod control;
 mod daemon;
 mod front;
@@ -17,7 +16,7 @@
 mod store;
 mod upstream;
 
-pub use clock::{Clock, MonotonicClock};
 pub use daemon::{CutList, Daemon, StartError, read_secret};
+pub use knapweeddale_runtime::{Clock, MonotonicClock};
 pub use metrics::Metrics;
 pub use options::Options;
--- a/crates/entry/src/upstream/orders.rs
+++ b/crates/entry/src/upstream/orders.rs
@@ -9,8 +9,8 @@
 use tokio::sync::mpsc;
 
 use super::UpstreamClient;
-use crate::clock::Clock;
 use crate::control::InputSender;
+use knapweeddale_runtime::Clock;
 
 /// Sends orders until the control thread ends.
 ///
--- /dev/null
+++ b/crates/relay/src/call/attempt.rs
@@ -0,0 +1,377 @@
+//! One attempt of a call on an upstream.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::response;
+use http::{HeaderMap, Response, StatusCode, header};
+use knapweeddale_core::input::{AttemptOutcome, Failure};
+use knapweeddale_core::{Dispatch, EventForm};
+use knapweeddale_runtime::Clock;
+use tokio::time::{Instant, timeout_at};
+
+use super::reply::{RelayBody, Reply};
+use super::request;
+use crate::adapter::{AnswerHead, CallHead, Dialect, Forward};
+use crate::front::Shared;
+use crate::metrics::Stage;
+use crate::upstream::{Connection, EventReader, ReadError, ResponseHead};
+
+/// Longest response that is passed on as a whole.
+const MAX_WHOLE_BYTES: usize = 16 * 1024 * 1024;
+
+/// Responses to other requests that are passed over on one connection.
+const MAX_FOREIGN_RESPONSES: usize = 2;
+
+/// What a call has passed to its caller, over all attempts.
+#[derive(Debug, Default)]
+pub(super) struct Progress {
+    /// Tokens passed on by the present attempt.
+    pub tokens: u64,
+    /// The last event that the caller has.
+    pub last_event_id: Option<u64>,
+    /// Whether any event was passed on.
+    pub is_started: bool,
+    /// Time that upstreams took.
+    pub upstream: Duration,
+}
+
+/// One attempt of a call on an upstream.
+pub(super) struct Attempt<'a, D, C> {
+    pub shared: &'a Shared<D, C>,
+    pub parts: &'a Parts,
+    pub body: &'a Bytes,
+    pub head: &'a CallHead,
+    pub dispatch: &'a Dispatch,
+    pub is_repeatable: bool,
+    pub reply: &'a mut Reply,
+    pub progress: &'a mut Progress,
+}
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub(super) enum AttemptEnd {
+    /// The response is complete; one that is no stream has still to be given to the caller.
+    Finished(AttemptOutcome, Option<Response<RelayBody>>),
+    /// There is no complete response; an error of the upstream may be passed on if nothing
+    /// better follows.
+    Failed(Failure, Option<Response<RelayBody>>),
+}
+
+impl From<Failure> for AttemptEnd {
+    fn from(failure: Failure) -> Self {
+        Self::Failed(failure, None)
+    }
+}
+
+impl<D: Dialect, C: Clock> Attempt<'_, D, C> {
+    /// Runs the attempt.
+    pub async fn run(mut self) -> AttemptEnd {
+        let left_us = self
+            .dispatch
+            .deadline_us
+            .saturating_sub(self.shared.clock.now_us());
+        if left_us < 1_000 {
+            return Failure::NotSent.into();
+        }
+        let started = Instant::now();
+        let deadline = started + Duration::from_micros(left_us);
+        let address = &self.dispatch.address;
+        let pool = &self.shared.pool;
+        let taken = pool.take(address, self.is_repeatable, &self.shared.metrics);
+        let mut connection = match timeout_at(deadline, taken).await {
+            Ok(Ok(connection)) => connection,
+            Ok(Err(error)) => {
+                let upstream = &self.dispatch.upstream;
+                tracing::info!(%upstream, "upstream: no connection ({error})");
+                return Failure::NotSent.into();
+            }
+            Err(_) => return Failure::NotSent.into(),
+        };
+        let sent = Instant::now();
+        self.shared
+            .metrics
+            .note(Stage::Connect, sent.duration_since(started));
+        let end = self.exchange(&mut connection, deadline).await;
+        self.progress.upstream += sent.elapsed();
+        match end {
+            Ok((end, keep_alive_s)) => {
+                if let Some(keep_alive_s) = keep_alive_s {
+                    pool.keep(address, connection, keep_alive_s.0);
+                }
+                end
+            }
+            Err(failure) => failure.into(),
+        }
+    }
+
+    /// Sends the request and passes its response on.
+    ///
+    /// Returns how the attempt ended, and for a connection that can be used again how long the
+    /// upstream keeps it.
+    async fn exchange(
+        &mut self,
+        connection: &mut Connection,
+        deadline: Instant,
+    ) -> Result<(AttemptEnd, Option<KeepAlive>), Failure> {
+        let left_ms = deadline.duration_since(Instant::now()).as_millis();
+        let headers = self.shared.dialect.forward(
+            self.parts,
+            Forward {
+                time_left_ms: u64::try_from(left_ms).unwrap_or(u64::MAX),
+                upstream: &self.dispatch.upstream,
+                account: self.dispatch.account.as_ref(),
+                last_event_id: self.progress.last_event_id.or(self.head.last_event_id),
+            },
+        );
+        let request = request::write(self.parts, &headers, self.body);
+        let sent = Instant::now();
+        let first = sent + Duration::from_millis(self.dispatch.first_token_ms);
+        let limit = deadline.min(first);
+        let exchange = timeout_at(limit, connection.exchange(&request)).await;
+        let exchange = exchange.map_err(|_| self.silent())?;
+        let exchange = exchange.map_err(|error| self.lost(&error))?;
+        let mut head = exchange.head;
+        let mut answer = self.shared.dialect.answer(head.status, &head.headers);
+        for _ in 0..MAX_FOREIGN_RESPONSES {
+            if !self.is_foreign(&answer) {
+                break;
+            }
+            head = self.skip(connection, &head, limit).await?;
+            answer = self.shared.dialect.answer(head.status, &head.headers);
+        }
+        if self.is_foreign(&answer) {
+            return Err(self.garbled("only responses to other requests"));
+        }
+        let is_reusable = exchange.is_sent && head.is_keep_alive;
+        let end = match self.dispatch.events {
+            Some(form) if head.status.is_success() && is_genuine(&head, &answer) => {
+                let end = self
+                    .stream(connection, &head, form, (sent, deadline))
+                    .await?;
+                (end, true)
+            }
+            _ => {
+                let whole = self.whole(connection, &head, deadline).await?;
+                (self.judge(&head, &answer, whole.0), whole.1)
+            }
+        };
+        let keep = (is_reusable && end.1).then_some(KeepAlive(answer.keep_alive_s));
+        Ok((end.0, keep))
+    }
+
+    /// Returns whether a response belongs to another request.
+    fn is_foreign(&self, answer: &AnswerHead) -> bool {
+        match (&answer.request_id, &self.head.request_id) {
+            (Some(answered), Some(asked)) => answered != asked,
+            _ => false,
+        }
+    }
+
+    /// Reads a response to another request to its end, and the head of the next one.
+    async fn skip(
+        &self,
+        connection: &mut Connection,
+        head: &ResponseHead,
+        limit: Instant,
+    ) -> Result<ResponseHead, Failure> {
+        let upstream = &self.dispatch.upstream;
+        tracing::warn!(%upstream, "upstream: response to another request passed over");
+        let next = async {
+            let mut body = connection.body(&self.parts.method, head)?;
+            body.collect(MAX_WHOLE_BYTES).await?;
+            connection.read_head().await
+        };
+        let next = timeout_at(limit, next).await.map_err(|_| self.silent())?;
+        next.map_err(|error| self.lost(&error))
+    }
+
+    /// Reads a response as a whole; returns whether its connection can be used again.
+    async fn whole(
+        &self,
+        connection: &mut Connection,
+        head: &ResponseHead,
+        deadline: Instant,
+    ) -> Result<(Bytes, bool), Failure> {
+        let read = async {
+            let mut body = connection.body(&self.parts.method, head)?;
+            let bytes = body.collect(MAX_WHOLE_BYTES).await?;
+            Ok((bytes, body.is_clean()))
+        };
+        let gap = Duration::from_millis(self.dispatch.token_gap_ms);
+        let limit = deadline.min(Instant::now() + gap);
+        let read = timeout_at(limit, read).await.map_err(|_| self.silent())?;
+        read.map_err(|error| self.lost(&error))
+    }
+
+    /// Decides what a whole response means.
+    fn judge(&self, head: &ResponseHead, answer: &AnswerHead, body: Bytes) -> AttemptEnd {
+        let status = head.status;
+        let refuses = answer.is_not_run && (status.is_server_error() || is_promise(status));
+        if refuses || status == StatusCode::MISDIRECTED_REQUEST {
+            let status = status.as_u16();
+            return Failure::RefusedByUpstream { status }.into();
+        }
+        if status.is_success() && !is_genuine(head, answer) {
+            return self.garbled("a success without signature").into();
+        }
+        if status.is_server_error() || is_promise(status) {
+            // A status that says "not run" would be untrue without the upstream's word.
+            let held = (!is_promise(status)).then(|| response_of(head, body));
+            let status = status.as_u16();
+            return AttemptEnd::Failed(Failure::UpstreamError { status }, held);
+        }
+        AttemptEnd::Finished(self.outcome(), Some(response_of(head, body)))
+    }
+
+    /// Passes a stream on, event by event.
+    async fn stream(
+        &mut self,
+        connection: &mut Connection,
+        head: &ResponseHead,
+        form: EventForm,
+        (sent, deadline): (Instant, Instant),
+    ) -> Result<AttemptEnd, Failure> {
+        let mut last = sent;
+        let mut is_first = true;
+        let mut events = EventReader::default();
+        let body = connection.body(&self.parts.method, head);
+        let mut body = body.map_err(|error| self.lost(&error))?;
+        loop {
+            let limit_ms = if is_first {
+                self.dispatch.first_token_ms
+            } else {
+                self.dispatch.token_gap_ms
+            };
+            let limit = deadline.min(last + Duration::from_millis(limit_ms));
+            let read = timeout_at(limit, body.next()).await;
+            let bytes = match read {
+                Err(_) => return Err(self.silent()),
+                Ok(Err(error)) => return Err(self.lost(&error)),
+                Ok(Ok(Some(bytes))) => bytes,
+                Ok(Ok(None)) if events.has_rest() => return Err(self.lost(&ReadError::Ended)),
+                Ok(Ok(None)) => break,
+            };
+            events.push(&bytes);
+            while let Some(event) = events.next() {
+                let stage = if is_first {
+                    Stage::FirstByte
+                } else {
+                    Stage::EventGap
+                };
+                let now = Instant::now();
+                self.shared.metrics.note(stage, now.duration_since(last));
+                (last, is_first) = (now, false);
+                // A resumed stream may begin with an event that the caller has.
+                if event.id.is_some() && event.id <= self.progress.last_event_id {
+                    continue;
+                }
+                self.progress.last_event_id = event.id.or(self.progress.last_event_id);
+                self.progress.tokens += form.tokens_per_event;
+                self.progress.is_started = true;
+                self.reply.event(|| stream_head(head), event.bytes).await;
+            }
+        }
+        let outcome = self.outcome();
+        if self.progress.is_started {
+            self.reply.finish();
+            return Ok(AttemptEnd::Finished(outcome, None));
+        }
+        let empty = response_of(head, Bytes::new());
+        Ok(AttemptEnd::Finished(outcome, Some(empty)))
+    }
+
+    /// Describes a complete response.
+    fn outcome(&self) -> AttemptOutcome {
+        AttemptOutcome {
+            prompt_tokens: self.head.prompt_tokens,
+            answer_tokens: self.progress.tokens,
+            ..AttemptOutcome::default()
+        }
+    }
+
+    /// Describes an upstream that said nothing for too long.
+    fn silent(&self) -> Failure {
+        Failure::Silent {
+            answer_tokens: self.progress.tokens,
+            forwarded: self.progress.is_started,
+        }
+    }
+
+    /// Describes a response that broke off.
+    fn lost(&self, error: &ReadError) -> Failure {
+        if let ReadError::Malformed { reason } = error {
+            return self.garbled(reason);
+        }
+        let upstream = &self.dispatch.upstream;
+        let attempt = self.dispatch.attempt;
+        tracing::info!(%attempt, %upstream, "upstream: response lost ({error})");
+        Failure::ConnectionLost {
+            answer_tokens: self.progress.tokens,
+            forwarded: self.progress.is_started,
+        }
+    }
+
+    /// Describes bytes that are no response to the request.
+    fn garbled(&self, reason: &str) -> Failure {
+        let upstream = &self.dispatch.upstream;
+        let attempt = self.dispatch.attempt;
+        tracing::warn!(%attempt, %upstream, "upstream: response cannot be used ({reason})");
+        Failure::UpstreamError {
+            status: StatusCode::BAD_GATEWAY.as_u16(),
+        }
+    }
+}
+
+/// How long an upstream keeps an idle connection, if it says so.
+#[derive(Debug, Clone, Copy)]
+struct KeepAlive(Option<u64>);
+
+/// Returns whether a status promises that the request did not run.
+fn is_promise(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+            | StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+    )
+}
+
+/// Returns whether a success is the upstream's own.
+fn is_genuine(head: &ResponseHead, answer: &AnswerHead) -> bool {
+    answer.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING)
+}
+
+/// Makes the response for the caller from that of an upstream.
+fn response_of(head: &ResponseHead, body: Bytes) -> Response<RelayBody> {
+    Response::from_parts(stream_head(head), RelayBody::whole(body))
+}
+
+/// Makes the head for the caller from that of an upstream.
+///
+/// Headers that concern the connection to the upstream, and its framing, are left out.
+fn stream_head(head: &ResponseHead) -> response::Parts {
+    let (mut parts, ()) = Response::new(()).into_parts();
+    parts.status = head.status;
+    parts.headers = end_to_end(&head.headers);
+    parts
+}
+
+/// Returns the headers that do not concern one connection.
+fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let mut kept = headers.clone();
+    for name in [
+        header::CONNECTION,
+        header::CONTENT_LENGTH,
+        header::TRANSFER_ENCODING,
+        header::TRAILER,
+        header::UPGRADE,
+        header::TE,
+    ] {
+        kept.remove(name);
+    }
+    kept.remove("keep-alive");
+    kept
+}
--- /dev/null
+++ b/crates/relay/src/charges/writer.rs
@@ -0,0 +1,149 @@
+//! Sends charge records to VMs with a disk.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jsonrpsee::http_client::HttpClient;
+use tokio::sync::{mpsc, watch};
+use tokio::time::{Instant, sleep_until};
+
+use super::{ChargeBatch, ChargeRecord, ChargeRpcClient};
+use crate::metrics::Metrics;
+
+/// Interval between two batches while records wait.
+const INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Longest wait for a batch to be kept.
+const TIMEOUT: Duration = Duration::from_millis(800);
+
+/// Records in one batch.
+const BATCH_RECORDS: usize = 2_000;
+
+/// Records that wait in memory while no VM with a disk answers.
+const KEPT_RECORDS: usize = 50_000;
+
+/// Sends charge records to VMs with a disk.
+#[derive(Debug)]
+pub(crate) struct ChargeWriter {
+    sender: String,
+    records: mpsc::Receiver<ChargeRecord>,
+    /// Addresses of VMs with a disk, nearest first.
+    keepers: watch::Receiver<Vec<String>>,
+    metrics: Arc<Metrics>,
+    waiting: VecDeque<ChargeRecord>,
+    /// The batch that has been sent and not confirmed.
+    open: Option<ChargeBatch>,
+    number: u64,
+    /// Position of the keeper that is used.
+    at: usize,
+    is_lost: bool,
+}
+
+impl ChargeWriter {
+    /// Makes a writer.
+    pub fn new(
+        sender: String,
+        records: mpsc::Receiver<ChargeRecord>,
+        keepers: watch::Receiver<Vec<String>>,
+        metrics: Arc<Metrics>,
+    ) -> Self {
+        Self {
+            sender,
+            records,
+            keepers,
+            metrics,
+            waiting: VecDeque::new(),
+            open: None,
+            number: 0,
+            at: 0,
+            is_lost: false,
+        }
+    }
+
+    /// Sends records until the control thread ends, and then what is left, once.
+    pub async fn run(mut self) {
+        let mut due = Instant::now() + INTERVAL;
+        loop {
+            let has_work = self.open.is_some() || !self.waiting.is_empty();
+            tokio::select! {
+                record = self.records.recv() => match record {
+                    Some(record) => {
+                        if !has_work {
+                            due = Instant::now() + INTERVAL;
+                        }
+                        self.add(record);
+                    }
+                    None => break,
+                },
+                () = sleep_until(due), if has_work => {
+                    self.send().await;
+                    due = Instant::now() + INTERVAL;
+                }
+            }
+        }
+        for _ in 0..2 {
+            self.send().await;
+        }
+        let left = self.waiting.len() + self.open.map_or(0, |open| open.records.len());
+        if left > 0 {
+            tracing::error!("charges: {left} records lost at the end of the process");
+        }
+    }
+
+    /// Adds a record, dropping the oldest one when there are too many.
+    fn add(&mut self, record: ChargeRecord) {
+        if self.waiting.len() >= KEPT_RECORDS && self.waiting.pop_front().is_some() {
+            self.metrics.count_lost_charge();
+            tracing::error!("charges: record lost, no VM with a disk answers");
+        }
+        self.waiting.push_back(record);
+    }
+
+    /// Sends one batch; the next keeper is used after a failure.
+    async fn send(&mut self) {
+        let keepers = self.keepers.borrow().clone();
+        let Some(batch) = self.next_batch().filter(|_| !keepers.is_empty()) else {
+            return;
+        };
+        let keeper = &keepers[self.at % keepers.len()];
+        let records = batch.records.len();
+        match keep(keeper, batch).await {
+            Ok(()) => {
+                self.open = None;
+                if std::mem::take(&mut self.is_lost) {
+                    tracing::info!(keeper, "charges: a VM with a disk answers again");
+                }
+                tracing::debug!(keeper, records, "charges: batch kept");
+            }
+            Err(error) => {
+                self.at += 1;
+                if !std::mem::replace(&mut self.is_lost, true) {
+                    tracing::warn!(keeper, records, "charges: batch not kept ({error})");
+                }
+            }
+        }
+    }
+
+    /// Returns the batch that has to be sent next.
+    fn next_batch(&mut self) -> Option<ChargeBatch> {
+        if self.open.is_none() && !self.waiting.is_empty() {
+            let count = self.waiting.len().min(BATCH_RECORDS);
+            self.number += 1;
+            self.open = Some(ChargeBatch {
+                sender: self.sender.clone(),
+                number: self.number,
+                records: self.waiting.drain(..count).collect(),
+            });
+        }
+        self.open.clone()
+    }
+}
+
+/// Sends a batch to a VM with a disk.
+async fn keep(keeper: &str, batch: ChargeBatch) -> Result<(), jsonrpsee::core::ClientError> {
+    let client = HttpClient::builder()
+        .request_timeout(TIMEOUT)
+        .build(format!("http://{keeper}"))?;
+    client.keep(batch).await
+}
--- /dev/null
+++ b/crates/relay/src/control.rs
@@ -0,0 +1,404 @@
+//! The messages to the control thread, and the receivers of its outputs.
+
+use std::collections::HashMap;
+use std::net::UdpSocket;
+use std::sync::Arc;
+use std::time::Duration;
+
+use knapweeddale_core::input::{AttemptProgress, Failure, ProbeState};
+use knapweeddale_core::{
+    AccountName, AttemptEvent, CallId, Charge, Control, Decision, Dispatch, Input, Output, Refusal,
+    Snapshot, SourceRequest, UpstreamName,
+};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use crate::charges::ChargeRecord;
+use crate::metrics::Metrics;
+
+/// A message to the control thread.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// An input of the core.
+    Input(Input),
+    /// An input that opens a call, with the receiver of its outputs.
+    Open {
+        /// The call.
+        call: CallId,
+        /// The caller's identity of the request.
+        request: Arc<str>,
+        /// The input.
+        input: Input,
+        /// Where the outputs for the call go.
+        outputs: mpsc::Sender<CallOutput>,
+    },
+    /// Another VM asks for the state of this one.
+    Snapshot {
+        /// Whether programs are needed as well.
+        with_programs: bool,
+        /// Where the state goes.
+        answer: oneshot::Sender<Box<Snapshot>>,
+    },
+    /// The process ends.
+    Stop,
+}
+
+impl From<Input> for Message {
+    fn from(input: Input) -> Self {
+        Self::Input(input)
+    }
+}
+
+/// The traffic side of the queue.
+pub(crate) type InputSender = knapweeddale_runtime::InputSender<Message>;
+
+/// An output of the core for one call.
+#[derive(Debug)]
+pub(crate) enum CallOutput {
+    /// Run an attempt.
+    Dispatch(Dispatch),
+    /// The call ran.
+    Answered,
+    /// The call is refused.
+    Refused(Refusal),
+}
+
+/// What traffic threads may know of the control state.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Status {
+    /// Whether the load balancer may send calls to this VM.
+    pub is_ready: bool,
+    /// Longest body of a request; 0 without a configuration.
+    pub body_bytes: usize,
+    /// Longest head of a request; 0 without a configuration.
+    pub header_bytes: usize,
+    /// Longest time that a connection stays open without a request.
+    pub idle_timeout_ms: u64,
+}
+
+/// A request for the state of another VM.
+#[derive(Debug)]
+pub(crate) struct SnapshotOrder {
+    pub address: Arc<str>,
+    pub with_programs: bool,
+    pub asked_us: u64,
+}
+
+/// An upstream to connect to after a connection broke.
+#[derive(Debug)]
+pub(crate) struct ProbeOrder {
+    pub upstream: UpstreamName,
+    pub address: Arc<str>,
+}
+
+/// A call that is open.
+#[derive(Debug)]
+struct OpenCall {
+    request: Arc<str>,
+    outputs: mpsc::Sender<CallOutput>,
+}
+
+/// The receivers of outputs. Each has a bounded queue, and none is waited for.
+#[derive(Debug)]
+pub(crate) struct Outlets {
+    pub source: mpsc::Sender<SourceRequest>,
+    pub snapshots: mpsc::Sender<SnapshotOrder>,
+    pub probes: mpsc::Sender<ProbeOrder>,
+    pub charges: mpsc::Sender<ChargeRecord>,
+    pub datagrams: UdpSocket,
+    pub status: watch::Sender<Status>,
+    pub metrics: Arc<Metrics>,
+    calls: HashMap<CallId, OpenCall>,
+    /// Calls that ended in this tick; outputs that follow may still name them.
+    ended: Vec<CallId>,
+    /// Inputs that follow from outputs which could not be handed over.
+    echo: Vec<Input>,
+}
+
+/// The queues that an [`Outlets`] value fills.
+#[derive(Debug)]
+pub(crate) struct Queues {
+    pub source: mpsc::Receiver<SourceRequest>,
+    pub snapshots: mpsc::Receiver<SnapshotOrder>,
+    pub probes: mpsc::Receiver<ProbeOrder>,
+    pub charges: mpsc::Receiver<ChargeRecord>,
+    pub status: watch::Receiver<Status>,
+}
+
+/// Requests to the store, for snapshots and probes that may wait.
+const ORDERS: usize = 1_024;
+
+/// Charge records that may wait for the writer.
+const CHARGES: usize = 65_536;
+
+/// # Construction
+impl Outlets {
+    /// Makes the outlets and the ends of their queues.
+    pub fn new(datagrams: UdpSocket, metrics: Arc<Metrics>) -> (Self, Queues) {
+        let (source, source_queue) = mpsc::channel(ORDERS);
+        let (snapshots, snapshot_queue) = mpsc::channel(ORDERS);
+        let (probes, probe_queue) = mpsc::channel(ORDERS);
+        let (charges, charge_queue) = mpsc::channel(CHARGES);
+        let (status, status_reader) = watch::channel(Status::default());
+        let outlets = Self {
+            source,
+            snapshots,
+            probes,
+            charges,
+            datagrams,
+            status,
+            metrics,
+            calls: HashMap::new(),
+            ended: Vec::new(),
+            echo: Vec::new(),
+        };
+        let queues = Queues {
+            source: source_queue,
+            snapshots: snapshot_queue,
+            probes: probe_queue,
+            charges: charge_queue,
+            status: status_reader,
+        };
+        (outlets, queues)
+    }
+}
+
+/// # Calls
+impl Outlets {
+    /// Hands an output to a call, which never has more outputs waiting than its channel holds.
+    fn hand(&mut self, call: CallId, output: CallOutput) {
+        let Some(open) = self.calls.get(&call) else {
+            return;
+        };
+        let Err(error) = open.outputs.try_send(output) else {
+            return;
+        };
+        self.calls.remove(&call);
+        if let CallOutput::Dispatch(dispatch) = error.into_inner() {
+            self.echo.push(Input::Attempt(AttemptEvent {
+                attempt: dispatch.attempt,
+                progress: AttemptProgress::Failed(Failure::NotSent),
+            }));
+        }
+    }
+
+    /// Hands the last output to a call.
+    fn close(&mut self, call: CallId, output: CallOutput) {
+        self.hand(call, output);
+        self.ended.push(call);
+    }
+
+    /// Returns the caller's identity of a call that is open.
+    fn request_of(&self, call: CallId) -> &str {
+        self.calls.get(&call).map_or("-", |open| &open.request)
+    }
+}
+
+/// # Outputs
+impl Outlets {
+    /// Orders a probe; an upstream that cannot be probed counts as alive.
+    fn probe(&mut self, upstream: UpstreamName, control: &Control) {
+        let row = control.tables().upstreams.get(&upstream);
+        let order = row.map(|row| ProbeOrder {
+            upstream: upstream.clone(),
+            address: Arc::clone(&row.address),
+        });
+        if order.is_none_or(|order| self.probes.try_send(order).is_err()) {
+            let state = ProbeState::Up;
+            self.echo.push(Input::Probed { upstream, state });
+        }
+    }
+
+    /// Keeps a charge record.
+    fn charge(&mut self, charge: Charge) {
+        let request = self.request_of(charge.attempt.call);
+        let record = ChargeRecord::new(request, &charge);
+        self.metrics.count_charge(&record);
+        if self.charges.try_send(record).is_err() {
+            self.metrics.count_lost_charge();
+            tracing::error!(attempt = %charge.attempt, "charges: record lost, the queue is full");
+        }
+    }
+
+    /// Sends a summary; one that cannot be sent is followed by the next.
+    fn summary(&self, address: &str, summary: &knapweeddale_core::Summary) {
+        let bytes = match postcard::to_stdvec(summary) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!("peers: summary cannot be encoded ({error})");
+                return;
+            }
+        };
+        match self.datagrams.send_to(&bytes, address) {
+            Ok(sent) => self.metrics.count_summary(sent),
+            Err(error) => {
+                self.metrics.count_unsent_summary();
+                tracing::debug!(address, "peers: summary not sent ({error})");
+            }
+        }
+    }
+
+    /// Logs a decision with what it was based on.
+    fn log(&self, decision: &Decision, control: &Control, now_us: u64) {
+        self.metrics.count_decision(decision);
+        let tables = control.tables();
+        let revision = tables.fleet.revision.0;
+        let config_age_ms = age_ms(tables.source.config.age_us(now_us));
+        let list_age_ms = age_ms(tables.source.list.age_us(now_us));
+        match call_of(decision) {
+            Some(call) => tracing::info!(
+                request = self.request_of(call),
+                call = %call,
+                revision,
+                config_age_ms,
+                list_age_ms,
+                "{decision}"
+            ),
+            None => tracing::info!(revision, config_age_ms, list_age_ms, "{decision}"),
+        }
+    }
+}
+
+/// Returns an age in milliseconds, -1 if it is not known.
+fn age_ms(age_us: Option<u64>) -> i64 {
+    age_us.map_or(-1, |age_us| {
+        i64::try_from(age_us / 1_000).unwrap_or(i64::MAX)
+    })
+}
+
+/// Returns the call that a decision is about.
+fn call_of(decision: &Decision) -> Option<CallId> {
+    match decision {
+        Decision::Refused { call, .. }
+        | Decision::Admitted { call, .. }
+        | Decision::TurnCovered { call, .. }
+        | Decision::Retry { call, .. }
+        | Decision::NoRetry { call, .. } => Some(*call),
+        Decision::Placed { attempt, .. } => Some(attempt.call),
+        _ => None,
+    }
+}
+
+impl knapweeddale_runtime::Outlets for Outlets {
+    type Message = Message;
+
+    fn accept(
+        &mut self,
+        message: Message,
+        control: &Control,
+        now_us: u64,
+        inputs: &mut Vec<Input>,
+    ) -> bool {
+        match message {
+            Message::Input(input) => inputs.push(input),
+            Message::Open {
+                call,
+                request,
+                input,
+                outputs,
+            } => {
+                self.calls.insert(call, OpenCall { request, outputs });
+                inputs.push(input);
+            }
+            Message::Snapshot {
+                with_programs,
+                answer,
+            } => {
+                let snapshot = control.snapshot(now_us, with_programs);
+                if answer.send(Box::new(snapshot)).is_err() {
+                    tracing::debug!("peers: the VM that asked for a snapshot has left");
+                }
+            }
+            Message::Stop => return false,
+        }
+        true
+    }
+
+    fn carry(&mut self, output: Output, control: &Control, now_us: u64) {
+        match output {
+            Output::Dispatch(dispatch) => {
+                self.hand(dispatch.attempt.call, CallOutput::Dispatch(dispatch));
+            }
+            Output::Answered(answered) => self.close(answered.call, CallOutput::Answered),
+            Output::Refused(refusal) => self.close(refusal.call, CallOutput::Refused(refusal)),
+            Output::Source(request) => {
+                if self.source.try_send(request).is_err() {
+                    tracing::error!("source: request dropped, the queue is full");
+                }
+            }
+            Output::SendSummary { address, summary } => self.summary(&address, &summary),
+            Output::AskSnapshot {
+                address,
+                with_programs,
+            } => {
+                let order = SnapshotOrder {
+                    address,
+                    with_programs,
+                    asked_us: now_us,
+                };
+                if self.snapshots.try_send(order).is_err() {
+                    tracing::error!("peers: snapshot request dropped, the queue is full");
+                }
+            }
+            Output::Probe(upstream) => self.probe(upstream, control),
+            Output::Charge(charge) => self.charge(charge),
+            Output::Decision(decision) => self.log(&decision, control, now_us),
+            // Only under `Coordination::Owners`, or for calls that have a home.
+            Output::CancelAttempt(_)
+            | Output::Replay { .. }
+            | Output::PermitIssued { .. }
+            | Output::ProgramEnded { .. }
+            | Output::Send { .. }
+            | Output::Store(_)
+            | Output::ReleaseMemory { .. }
+            | Output::Order(_) => {}
+        }
+    }
+
+    fn refresh(&mut self, control: &Control, now_us: u64) {
+        for call in self.ended.drain(..) {
+            self.calls.remove(&call);
+        }
+        let fleet = &control.tables().fleet;
+        let has_fleet = fleet.revision.0 > 0;
+        let limits = fleet.caller_limits;
+        let has_upstreams = !control.tables().source.upstreams.upstreams.is_empty();
+        let status = Status {
+            is_ready: control.is_ready(now_us) && has_upstreams,
+            body_bytes: if has_fleet { limits.body_bytes } else { 0 },
+            header_bytes: if has_fleet { limits.header_bytes } else { 0 },
+            idle_timeout_ms: limits.idle_timeout_ms,
+        };
+        self.status.send_if_modified(|known| {
+            let is_changed = *known != status;
+            if known.is_ready != status.is_ready {
+                let config_age_ms = age_ms(control.tables().source.config.age_us(now_us));
+                tracing::info!(
+                    ready = status.is_ready,
+                    revision = fleet.revision.0,
+                    config_age_ms,
+                    "control: readiness changed"
+                );
+            }
+            *known = status;
+            is_changed
+        });
+        self.metrics.set_ages(control, now_us);
+    }
+
+    fn has_echo(&self) -> bool {
+        !self.echo.is_empty()
+    }
+
+    fn take_echo(&mut self) -> Vec<Input> {
+        std::mem::take(&mut self.echo)
+    }
+
+    fn count_tick(&self, inputs: usize, took: Duration) {
+        self.metrics.count_tick(inputs, took, self.calls.len());
+    }
+}
+
+/// Returns the label of an account.
+pub(crate) fn account_label(account: Option<&AccountName>) -> &str {
+    account.map_or("-", |name| name.as_str())
+}
--- /dev/null
+++ b/crates/relay/src/daemon.rs
@@ -0,0 +1,254 @@
+//! The daemon of a VM that relays calls: starts all parts and stops them without cutting calls.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use jsonrpsee::server::{Server, ServerHandle};
+use knapweeddale_core::{Control, Input};
+use knapweeddale_runtime::{CallIds, Clock, input_queue, spawn};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, interval, sleep, sleep_until};
+
+use crate::adapter::{Dialect, FleetStore};
+use crate::charges::ChargeWriter;
+use crate::control::{Message, Outlets, Queues};
+use crate::front::{Door, Doors, Shared, serve};
+use crate::metrics::Metrics;
+use crate::peers::{SnapshotServer, StateRpcServer, fetch, receive};
+use crate::settings::RelaySettings;
+use crate::store::{Registration, Role, Source};
+use crate::upstream::{Pool, probe};
+
+/// Interval at which idle connections to upstreams are looked through.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval at which a process that stops looks whether its calls have ended.
+const STOP_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time kept for the end of a process within its grace.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
+
+/// A daemon cannot start.
+#[derive(Debug, Display, Error, From)]
+pub enum StartError {
+    /// A listener or thread cannot be made.
+    #[display("a listener cannot be opened ({source}); check addresses and limits")]
+    System {
+        /// The error of the system.
+        source: std::io::Error,
+    },
+    /// Two metrics have the same name.
+    #[display("the metrics cannot be set up ({source}); give each metric a name of its own")]
+    Metrics {
+        /// The error of the metrics.
+        source: prometheus::Error,
+    },
+}
+
+/// A running daemon that relays calls.
+#[derive(Debug)]
+pub struct Relay<D, C> {
+    shared: Arc<Shared<D, C>>,
+    address: SocketAddr,
+    ready_address: SocketAddr,
+    control: JoinHandle<()>,
+    charges: tokio::task::JoinHandle<()>,
+    _peers: ServerHandle,
+    /// Tasks that end with the process.
+    background: JoinSet<()>,
+    doors: Doors,
+    closing: watch::Sender<bool>,
+    grace: Duration,
+    drain_notice: Duration,
+}
+
+/// # Start
+impl<D: Dialect, C: Clock> Relay<D, C> {
+    /// Starts all parts.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a listener cannot be opened.
+    pub async fn start<S: FleetStore>(
+        settings: RelaySettings,
+        dialect: D,
+        store: S,
+        clock: C,
+    ) -> Result<Self, StartError> {
+        let metrics = Arc::new(Metrics::new()?);
+        let front = TcpListener::bind(settings.listen).await?;
+        let ready = TcpListener::bind(settings.ready_listen).await?;
+        let (address, ready_address) = (front.local_addr()?, ready.local_addr()?);
+        let (datagrams, receiver) = datagram_sockets(settings.peer_listen)?;
+        let mut core = settings.core.clone();
+        core.address = receiver.local_addr()?.to_string();
+        let (inputs, queue) = input_queue(settings.input_queue_len);
+        let peers = Server::builder().build(receiver.local_addr()?).await?;
+        let snapshots = SnapshotServer {
+            inputs: inputs.clone(),
+        };
+        let peers = peers.start(snapshots.into_rpc());
+        let registration = Registration {
+            vm: core.vm.to_string(),
+            address: core.address.clone(),
+            role: Role::Entry,
+            failure_domain: core.failure_domain.to_string(),
+        };
+        let (keepers, keeper_list) = watch::channel(Vec::new());
+        let (outlets, queues) = Outlets::new(datagrams, Arc::clone(&metrics));
+        let Queues {
+            source,
+            snapshots,
+            probes,
+            charges,
+            status,
+        } = queues;
+        let shared = Arc::new(Shared {
+            dialect,
+            clock: clock.clone(),
+            inputs: inputs.clone(),
+            ids: CallIds::new(core.incarnation),
+            pool: Arc::new(Pool::default()),
+            metrics: Arc::clone(&metrics),
+            status,
+            is_draining: AtomicBool::new(false),
+            max_body_bytes: settings.max_body_bytes,
+        });
+        let (closing, is_closing) = watch::channel(false);
+        let doors = Doors {
+            open: Arc::new(AtomicUsize::new(0)),
+            closing: is_closing,
+        };
+        let sender = format!("{}@{}", core.vm, core.incarnation);
+        let vm = core.vm.clone();
+        let writer = ChargeWriter::new(sender, charges, keeper_list, Arc::clone(&metrics));
+        let control = spawn(Control::new(core), queue, outlets, clock.clone())?;
+        let runner = Source {
+            store: Arc::new(store),
+            clock,
+            inputs: inputs.clone(),
+            metrics: Arc::clone(&metrics),
+            registration,
+            keepers,
+        };
+        let mut background = JoinSet::new();
+        background.spawn(runner.run(source));
+        background.spawn(fetch(snapshots, inputs.clone()));
+        let pool = Arc::clone(&shared.pool);
+        background.spawn(probe(probes, pool, inputs.clone(), Arc::clone(&metrics)));
+        background.spawn(receive(receiver, inputs, metrics));
+        background.spawn(expire(Arc::clone(&shared.pool)));
+        let mut serve = |listener, door| {
+            background.spawn(serve(listener, door, Arc::clone(&shared), doors.clone()));
+        };
+        serve(front, Door::Calls);
+        serve(ready, Door::Readiness);
+        if let Some(address) = settings.metrics_listen {
+            match TcpListener::bind(address).await {
+                Ok(listener) => serve(listener, Door::Readiness),
+                Err(error) => tracing::warn!(%address, "metrics: not served there ({error})"),
+            }
+        }
+        tracing::info!(%vm, %address, "start: relays calls");
+        Ok(Self {
+            shared,
+            address,
+            ready_address,
+            control,
+            charges: tokio::spawn(writer.run()),
+            _peers: peers,
+            background,
+            doors,
+            closing,
+            grace: settings.grace,
+            drain_notice: settings.drain_notice,
+        })
+    }
+}
+
+/// Makes the socket for summaries, once for each thread that uses it.
+fn datagram_sockets(
+    address: SocketAddr,
+) -> std::io::Result<(std::net::UdpSocket, tokio::net::UdpSocket)> {
+    let socket = std::net::UdpSocket::bind(address)?;
+    socket.set_nonblocking(true)?;
+    let receiver = tokio::net::UdpSocket::from_std(socket.try_clone()?)?;
+    Ok((socket, receiver))
+}
+
+/// Closes idle connections to upstreams when their time is over.
+async fn expire(pool: Arc<Pool>) {
+    let mut ticks = interval(EXPIRE_INTERVAL);
+    loop {
+        ticks.tick().await;
+        pool.expire();
+    }
+}
+
+/// # Observation
+impl<D, C> Relay<D, C> {
+    /// Returns the address that callers reach.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address that the load balancer asks.
+    pub fn ready_address(&self) -> SocketAddr {
+        self.ready_address
+    }
+
+    /// Waits until this VM is ready for calls.
+    pub async fn ready(&self) {
+        let mut status = self.shared.status.clone();
+        // The control thread holds the other end for as long as it runs.
+        let _ = status.wait_for(|status| status.is_ready).await;
+    }
+}
+
+/// # Stop
+impl<D: Dialect, C: Clock> Relay<D, C> {
+    /// Ends the daemon without cutting calls, within its grace.
+    ///
+    /// Calls are served until the load balancer has noticed that this VM is not ready. After
+    /// that, connections close with their next response.
+    pub async fn stop(mut self) {
+        let deadline = Instant::now() + self.grace.saturating_sub(STOP_MARGIN);
+        tracing::info!(connections = self.open(), "stop: asked to stop");
+        self.shared.is_draining.store(true, Ordering::Relaxed);
+        self.shared.inputs.input(Input::Drain).await;
+        sleep(self.drain_notice).await;
+        self.closing.send_replace(true);
+        tokio::select! {
+            () = self.wait_idle() => {}
+            () = sleep_until(deadline) => {}
+        }
+        tracing::info!(connections = self.open(), "stop: ends");
+        // The control thread ends with this message or has ended before.
+        let _ = self.shared.inputs.send(Message::Stop).await;
+        self.background.abort_all();
+        if let Err(error) = (&mut self.charges).await {
+            tracing::error!("charges: the writer failed ({error})");
+        }
+        if self.control.join().is_err() {
+            tracing::error!("stop: the control thread panicked");
+        }
+    }
+
+    /// Waits until no connection is open.
+    async fn wait_idle(&self) {
+        while self.open() > 0 {
+            sleep(STOP_INTERVAL).await;
+        }
+    }
+
+    /// Returns the number of open connections.
+    fn open(&self) -> usize {
+        self.doors.open.load(Ordering::Relaxed)
+    }
+}
--- /dev/null
+++ b/crates/relay/src/front/service.rs
@@ -0,0 +1,229 @@
+//! Answers one request.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use knapweeddale_core::{
+    CallId, ContentDigest, Execution, Input, NewCall, Refusal, RefusalKind, RelayedCall, Target,
+};
+use knapweeddale_runtime::Clock;
+use sha2::{Digest, Sha256};
+use tokio::sync::mpsc;
+
+use super::Shared;
+use crate::adapter::{CallHead, Dialect};
+use crate::call::{CallTask, NewTask, Outcome, RelayBody, Reply, caller, own_response};
+use crate::control::Message;
+
+/// Outputs that a call may have waiting.
+const CALL_OUTPUTS: usize = 8;
+
+/// How long a caller waits that does not say so.
+const DEFAULT_TIMEOUT_MS: u64 = 30_000;
+
+/// Time kept for the way of an answer to the caller.
+const ANSWER_MARGIN_MS: u64 = 20;
+
+/// The path at which metrics are served.
+const METRICS_PATH: &str = "/metrics";
+
+/// Who calls at a listener.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Door {
+    /// Callers.
+    Calls,
+    /// The load balancer, and the reader of metrics.
+    Readiness,
+}
+
+/// Answers one request.
+pub(super) async fn answer<D: Dialect, C: Clock>(
+    shared: Arc<Shared<D, C>>,
+    door: Door,
+    request: Request<Incoming>,
+) -> Result<Response<RelayBody>, Infallible> {
+    Ok(match door {
+        Door::Readiness => readiness(&shared, request.uri().path()),
+        Door::Calls => relay(shared, request).await,
+    })
+}
+
+/// Tells the load balancer whether this VM may get calls.
+fn readiness<D: Dialect, C>(shared: &Shared<D, C>, path: &str) -> Response<RelayBody> {
+    if path == METRICS_PATH {
+        return metrics(shared);
+    }
+    let is_draining = shared.is_draining.load(Ordering::Relaxed);
+    let is_ready = shared.status.borrow().is_ready && !is_draining;
+    let status = match (shared.dialect.is_readiness(path), is_ready) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    plain(status, Bytes::new())
+}
+
+/// Serves the metrics as text.
+fn metrics<D, C>(shared: &Shared<D, C>) -> Response<RelayBody> {
+    match shared.metrics.to_text() {
+        Ok(text) => plain(StatusCode::OK, Bytes::from(text)),
+        Err(error) => {
+            tracing::error!("metrics: cannot be written ({error})");
+            plain(StatusCode::INTERNAL_SERVER_ERROR, Bytes::new())
+        }
+    }
+}
+
+/// Makes a response without headers.
+fn plain(status: StatusCode, body: Bytes) -> Response<RelayBody> {
+    let mut response = Response::new(RelayBody::whole(body));
+    *response.status_mut() = status;
+    response
+}
+
+/// Relays a call of a caller.
+async fn relay<D: Dialect, C: Clock>(
+    shared: Arc<Shared<D, C>>,
+    request: Request<Incoming>,
+) -> Response<RelayBody> {
+    shared.metrics.count_request();
+    let arrived_us = shared.clock.now_us();
+    let call = shared.ids.next();
+    let (parts, body) = request.into_parts();
+    let head = match shared.dialect.decode(&parts) {
+        Ok(head) => head,
+        Err(error) => {
+            tracing::info!(%call, "front: request refused ({error})");
+            return refuse(&shared, call, RefusalKind::Malformed);
+        }
+    };
+    let body = match read_body(body, shared.body_limit()).await {
+        Ok(body) => body,
+        Err(kind) => {
+            let request = head.request_id.as_deref().unwrap_or("-");
+            tracing::info!(request, %call, "front: body refused as {kind}");
+            return refuse(&shared, call, kind);
+        }
+    };
+    let (outputs_sender, outputs) = mpsc::channel(CALL_OUTPUTS);
+    let open = Message::Open {
+        call,
+        request: head.request_id.clone().unwrap_or_else(|| "-".into()),
+        input: Input::CallArrived(Box::new(describe(call, arrived_us, &parts, &head, &body))),
+        outputs: outputs_sender,
+    };
+    if shared.inputs.try_send(open).is_err() {
+        tracing::warn!(%call, "front: request refused, the input queue is full");
+        return refuse(&shared, call, RefusalKind::Overloaded);
+    }
+    let (reply, outcome) = Reply::new();
+    let (guard, gone) = caller();
+    let task = NewTask {
+        call,
+        parts,
+        body,
+        head,
+        outputs,
+        reply,
+        gone,
+    };
+    tokio::spawn(CallTask::new(Arc::clone(&shared), task).run());
+    match outcome.await {
+        Ok(Outcome::Whole(response)) => response,
+        Ok(Outcome::Stream(head, events)) => {
+            let body = RelayBody::Events {
+                events,
+                _guard: guard,
+            };
+            Response::from_parts(*head, body)
+        }
+        Err(_) => {
+            tracing::error!(%call, "call: ended without an answer");
+            plain(StatusCode::BAD_GATEWAY, Bytes::new())
+        }
+    }
+}
+
+/// Reads the body of a request as a whole.
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, RefusalKind> {
+    match Limited::new(body, limit).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(RefusalKind::TooLarge),
+        Err(_) => Err(RefusalKind::Malformed),
+    }
+}
+
+/// Describes a call to the core.
+fn describe(
+    call: CallId,
+    arrived_us: u64,
+    parts: &Parts,
+    head: &CallHead,
+    body: &Bytes,
+) -> NewCall {
+    let timeout_ms = head.timeout_ms.unwrap_or(DEFAULT_TIMEOUT_MS);
+    let relayed = RelayedCall::builder()
+        .deadline_us(arrived_us + timeout_ms.saturating_sub(ANSWER_MARGIN_MS) * 1_000)
+        .spread(spread_of(head))
+        .maybe_model(head.model.clone())
+        .maybe_program(head.program.clone())
+        .maybe_budget_tokens(head.budget_tokens)
+        .build();
+    NewCall::builder()
+        .id(call)
+        .maybe_key(head.key.clone())
+        .target(Target::Host {
+            host: Arc::clone(&head.host),
+            path: Arc::clone(&head.path),
+        })
+        .prompt_tokens(head.prompt_tokens)
+        .max_tokens(head.max_tokens)
+        .digest(content_digest(parts, head, body))
+        .relayed(Box::new(relayed))
+        .build()
+}
+
+/// Returns a number that spreads requests over the backends of a route.
+fn spread_of(head: &CallHead) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    head.request_id.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// Identifies the content of a request across resends of its caller.
+fn content_digest(parts: &Parts, head: &CallHead, body: &Bytes) -> ContentDigest {
+    let mut hasher = Sha256::new();
+    hasher.update(parts.method.as_str());
+    hasher.update(parts.uri.path_and_query().map_or("/", |path| path.as_str()));
+    if let Some(key) = &head.key {
+        hasher.update(key.id.as_str());
+    }
+    hasher.update(body);
+    let sha256 = hasher.finalize();
+    let mut digest = ContentDigest::default();
+    let len = digest.0.len();
+    digest.0.copy_from_slice(&sha256[..len]);
+    digest
+}
+
+/// Refuses a call that the core has not seen.
+fn refuse<D: Dialect, C>(
+    shared: &Shared<D, C>,
+    call: CallId,
+    kind: RefusalKind,
+) -> Response<RelayBody> {
+    shared.metrics.count_refusal(kind);
+    own_response(shared.dialect.refuse(&Refusal {
+        call,
+        kind,
+        ran: Execution::NotRun,
+        retry_after_ms: None,
+    }))
+}
--- /dev/null
+++ b/crates/relay/src/front/shared.rs
@@ -0,0 +1,37 @@
+//! What all requests share.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use knapweeddale_runtime::CallIds;
+use tokio::sync::watch;
+
+use crate::control::{InputSender, Status};
+use crate::metrics::Metrics;
+use crate::upstream::Pool;
+
+/// What all requests share.
+#[derive(Debug)]
+pub(crate) struct Shared<D, C> {
+    pub dialect: D,
+    pub clock: C,
+    pub inputs: InputSender,
+    pub ids: CallIds,
+    pub pool: Arc<Pool>,
+    pub metrics: Arc<Metrics>,
+    pub status: watch::Receiver<Status>,
+    /// Whether the process was asked to stop.
+    pub is_draining: AtomicBool,
+    /// Longest body of a request while no configuration states it.
+    pub max_body_bytes: usize,
+}
+
+impl<D, C> Shared<D, C> {
+    /// Returns the longest body of a request.
+    pub fn body_limit(&self) -> usize {
+        match self.status.borrow().body_bytes {
+            0 => self.max_body_bytes,
+            bytes => bytes,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/metrics.rs
@@ -0,0 +1,289 @@
+//! Counters and histograms of a VM that relays calls.
+
+use std::time::Duration;
+
+use knapweeddale_core::{Control, Decision, RefusalKind};
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
+};
+
+use crate::charges::ChargeRecord;
+
+/// Upper bounds of the buckets of durations, in seconds.
+const SECONDS: [f64; 14] = [
+    0.000_1, 0.000_3, 0.001, 0.003, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0,
+];
+
+/// Counters and histograms of a VM that relays calls.
+#[derive(Debug)]
+pub struct Metrics {
+    registry: Registry,
+    requests: IntCounter,
+    refusals: IntCounterVec,
+    admitted: IntCounterVec,
+    placements: IntCounterVec,
+    charges: IntCounterVec,
+    charged_tokens: IntCounterVec,
+    lost_charges: IntCounter,
+    retries: IntCounterVec,
+    connections: IntCounterVec,
+    summaries: IntCounterVec,
+    summary_bytes: IntCounter,
+    store_calls: IntCounterVec,
+    store_s: HistogramVec,
+    stage_s: HistogramVec,
+    tick_s: Histogram,
+    tick_inputs: IntCounter,
+    open_calls: IntGauge,
+    age_ms: IntGaugeVec,
+    revision: IntGauge,
+    shared: IntGaugeVec,
+    dropped_lines: IntGauge,
+}
+
+/// Makes a metric and registers it.
+fn register<M: prometheus::core::Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: prometheus::Result<M>,
+) -> prometheus::Result<M> {
+    let metric = metric?;
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+/// # Construction
+impl Metrics {
+    /// Makes all metrics at 0.
+    ///
+    /// # Errors
+    ///
+    /// Fails if two metrics have the same name.
+    pub fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new();
+        let counters = |name: &str, help: &str, label: &str| {
+            let counters = IntCounterVec::new(Opts::new(name, help), &[label]);
+            register(&registry, counters)
+        };
+        let counter = |name: &str, help: &str| register(&registry, IntCounter::new(name, help));
+        let gauge = |name: &str, help: &str| register(&registry, IntGauge::new(name, help));
+        let gauges = |name: &str, help: &str, label: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]);
+            register(&registry, gauges)
+        };
+        let times = |name: &str, help: &str, label: &str| {
+            let options = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+            register(&registry, HistogramVec::new(options, &[label]))
+        };
+        let tick_options = HistogramOpts::new("kwd_tick_seconds", "Time of one control tick.");
+        let tick_s = Histogram::with_opts(tick_options.buckets(SECONDS.to_vec()));
+        Ok(Self {
+            requests: counter("kwd_requests_total", "Requests received.")?,
+            refusals: counters("kwd_refusals_total", "Refusals by kind.", "kind")?,
+            admitted: counters("kwd_admitted_total", "Calls admitted.", "account")?,
+            placements: counters("kwd_placements_total", "Placements by reason.", "reason")?,
+            charges: counters("kwd_charges_total", "Charge records.", "account")?,
+            charged_tokens: counters(
+                "kwd_charged_tokens_total",
+                "Generated tokens in charge records.",
+                "account",
+            )?,
+            lost_charges: counter("kwd_lost_charges_total", "Charge records lost.")?,
+            retries: counters(
+                "kwd_retries_total",
+                "Failed attempts by verdict.",
+                "verdict",
+            )?,
+            connections: counters(
+                "kwd_upstream_connections_total",
+                "Connections to upstreams, new and used again.",
+                "kind",
+            )?,
+            summaries: counters("kwd_summaries_total", "Summaries between VMs.", "kind")?,
+            summary_bytes: counter("kwd_summary_bytes_total", "Bytes of summaries sent.")?,
+            store_calls: counters("kwd_store_calls_total", "Requests to the store.", "purpose")?,
+            store_s: times(
+                "kwd_store_seconds",
+                "Time of requests to the store.",
+                "outcome",
+            )?,
+            stage_s: times(
+                "kwd_stage_seconds",
+                "Time of the stages of a call.",
+                "stage",
+            )?,
+            tick_s: register(&registry, tick_s)?,
+            tick_inputs: counter("kwd_inputs_total", "Inputs of the control thread.")?,
+            open_calls: gauge("kwd_open_calls", "Calls that are not answered yet.")?,
+            age_ms: gauges("kwd_age_milliseconds", "Age of what was read last.", "what")?,
+            revision: gauge("kwd_revision", "Revision of the configuration in force.")?,
+            shared: gauges("kwd_vms", "VMs that share the rates of accounts.", "kind")?,
+            dropped_lines: gauge("kwd_dropped_log_lines", "Log lines left out.")?,
+            registry,
+        })
+    }
+
+    /// Formats all metrics as text.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a metric is inconsistent.
+    pub fn to_text(&self) -> prometheus::Result<String> {
+        self.dropped_lines
+            .set(gauge_value(crate::logs::dropped_lines()));
+        let mut text = Vec::new();
+        TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
+        Ok(String::from_utf8_lossy(&text).into_owned())
+    }
+}
+
+/// A part of the time of a call.
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Stage {
+    /// From arrival to the choice of an upstream.
+    Queue,
+    /// Until a connection to the upstream is at hand.
+    Connect,
+    /// From the request to the first byte or event of the response.
+    FirstByte,
+    /// Between two events of a stream.
+    EventGap,
+    /// From arrival to the end of the response.
+    Whole,
+    /// From arrival to the end, less the time of the upstream.
+    Added,
+}
+
+impl Stage {
+    fn label(self) -> &'static str {
+        match self {
+            Self::Queue => "queue",
+            Self::Connect => "connect",
+            Self::FirstByte => "first_byte",
+            Self::EventGap => "event_gap",
+            Self::Whole => "whole",
+            Self::Added => "added",
+        }
+    }
+}
+
+/// # Calls
+impl Metrics {
+    /// Counts a request.
+    pub(crate) fn count_request(&self) {
+        self.requests.inc();
+    }
+
+    /// Counts a refusal of the front end.
+    pub(crate) fn count_refusal(&self, kind: RefusalKind) {
+        let kind = kind.to_string();
+        self.refusals.with_label_values(&[kind.as_str()]).inc();
+    }
+
+    /// Notes the time of a stage.
+    pub(crate) fn note(&self, stage: Stage, took: Duration) {
+        let times = self.stage_s.with_label_values(&[stage.label()]);
+        times.observe(took.as_secs_f64());
+    }
+
+    /// Counts a connection to an upstream.
+    pub(crate) fn count_connection(&self, is_new: bool) {
+        let kind = if is_new { "new" } else { "kept" };
+        self.connections.with_label_values(&[kind]).inc();
+    }
+
+    /// Counts a decision of the core.
+    pub(crate) fn count_decision(&self, decision: &Decision) {
+        match decision {
+            Decision::Refused { kind, .. } => self.count_refusal(*kind),
+            Decision::Admitted { account, .. } => {
+                self.admitted.with_label_values(&[account.as_str()]).inc();
+            }
+            Decision::Placed { reason, .. } => {
+                let reason = reason.label();
+                self.placements.with_label_values(&[reason]).inc();
+            }
+            Decision::Retry { .. } => self.retries.with_label_values(&["retried"]).inc(),
+            Decision::NoRetry { .. } => self.retries.with_label_values(&["ended"]).inc(),
+            _ => {}
+        }
+    }
+
+    /// Counts a charge record.
+    pub(crate) fn count_charge(&self, charge: &ChargeRecord) {
+        let account = charge.account.as_str();
+        self.charges.with_label_values(&[account]).inc();
+        let tokens = self.charged_tokens.with_label_values(&[account]);
+        tokens.inc_by(charge.answer_tokens);
+    }
+
+    /// Counts a charge record that could not be kept.
+    pub(crate) fn count_lost_charge(&self) {
+        self.lost_charges.inc();
+    }
+}
+
+/// # Control and fleet
+impl Metrics {
+    /// Counts a tick of the control thread.
+    pub(crate) fn count_tick(&self, inputs: usize, took: Duration, open_calls: usize) {
+        self.tick_s.observe(took.as_secs_f64());
+        self.tick_inputs.inc_by(inputs as u64);
+        self.open_calls.set(gauge_value(open_calls as u64));
+    }
+
+    /// Sets the ages of what was read and the VMs that share the rates.
+    pub(crate) fn set_ages(&self, control: &Control, now_us: u64) {
+        let tables = control.tables();
+        let readings = [
+            ("config", tables.source.config.age_us(now_us)),
+            ("upstreams", tables.source.list.age_us(now_us)),
+        ];
+        for (what, age_us) in readings {
+            let value = age_us.map_or(-1, |age_us| gauge_value(age_us / 1_000));
+            self.age_ms.with_label_values(&[what]).set(value);
+        }
+        self.revision.set(gauge_value(tables.fleet.revision.0));
+        let (heard, known) = tables.peering.part();
+        self.shared
+            .with_label_values(&["heard"])
+            .set(gauge_value(heard));
+        self.shared
+            .with_label_values(&["known"])
+            .set(gauge_value(known));
+    }
+
+    /// Counts a summary that was sent.
+    pub(crate) fn count_summary(&self, bytes: usize) {
+        self.summaries.with_label_values(&["sent"]).inc();
+        self.summary_bytes.inc_by(bytes as u64);
+    }
+
+    /// Counts a summary that could not be sent.
+    pub(crate) fn count_unsent_summary(&self) {
+        self.summaries.with_label_values(&["unsent"]).inc();
+    }
+
+    /// Counts a summary that arrived.
+    pub(crate) fn count_received(&self, is_readable: bool) {
+        let kind = if is_readable {
+            "received"
+        } else {
+            "unreadable"
+        };
+        self.summaries.with_label_values(&[kind]).inc();
+    }
+
+    /// Counts a request to the store.
+    pub(crate) fn count_store(&self, purpose: &str, is_answered: bool, took: Duration) {
+        self.store_calls.with_label_values(&[purpose]).inc();
+        let outcome = if is_answered { "answered" } else { "failed" };
+        let times = self.store_s.with_label_values(&[outcome]);
+        times.observe(took.as_secs_f64());
+    }
+}
+
+/// Converts a count to the type of a gauge.
+fn gauge_value(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/relay/src/peers/datagrams.rs
@@ -0,0 +1,38 @@
+//! Receives summaries of other VMs.
+
+use std::sync::Arc;
+
+use knapweeddale_core::{Input, PeerNews, Summary};
+use tokio::net::UdpSocket;
+
+use crate::control::{InputSender, Message};
+use crate::metrics::Metrics;
+
+/// Longest datagram.
+const MAX_DATAGRAM_BYTES: usize = 65_536;
+
+/// Receives summaries until the socket fails.
+pub(crate) async fn receive(socket: UdpSocket, inputs: InputSender, metrics: Arc<Metrics>) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let received = match socket.recv_from(&mut buffer).await {
+            Ok((received, _)) => received,
+            Err(error) => {
+                // A former datagram was refused by its receiver, which says nothing of this one.
+                tracing::debug!("peers: receiving failed ({error})");
+                continue;
+            }
+        };
+        let summary = postcard::from_bytes::<Summary>(&buffer[..received]);
+        metrics.count_received(summary.is_ok());
+        match summary {
+            Ok(summary) => {
+                let news = PeerNews::Summary(Box::new(summary));
+                if inputs.try_send(Message::Input(Input::News(news))).is_err() {
+                    tracing::debug!("peers: summary dropped, the input queue is full");
+                }
+            }
+            Err(error) => tracing::debug!("peers: summary cannot be read ({error})"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/peers/mod.rs
@@ -0,0 +1,7 @@
+//! The exchange between VMs: summaries as datagrams, state on request.
+
+mod datagrams;
+mod snapshots;
+
+pub(crate) use datagrams::receive;
+pub(crate) use snapshots::{SnapshotServer, StateRpcServer, fetch};
