--- /dev/null
+++ b/crates/relay/src/storage.rs
@@ -0,0 +1,272 @@
+//! The daemon of a VM with a disk: keeps charge records.
+
+use std::collections::HashMap;
+use std::fs::{File, OpenOptions};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::http_client::HttpClient;
+use jsonrpsee::server::{Server, ServerHandle};
+use jsonrpsee::types::ErrorObjectOwned;
+use knapweeddale_core::VmName;
+use knapweeddale_store::StoreError;
+use tokio::task::{JoinHandle, spawn_blocking};
+use tokio::time::{sleep, timeout};
+
+use crate::adapter::FleetStore;
+use crate::charges::{ChargeBatch, ChargeRecord, ChargeRpcClient, ChargeRpcServer};
+use crate::daemon::StartError;
+use crate::settings::StorageSettings;
+use crate::store::{Registration, Role, list_keepers, register};
+
+/// The file of charge records, one JSON object a line.
+const FILE_NAME: &str = "charges.jsonl";
+
+/// Longest wait for an answer of the store.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Longest wait for another VM to take records over.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+/// Pause after a failure of the store.
+const RETRY_PAUSE: Duration = Duration::from_millis(700);
+
+/// The code of an error that goes away by itself.
+const FAILED_CODE: i32 = -32_001;
+
+/// A file of charge records.
+#[derive(Debug)]
+struct Ledger {
+    file: File,
+    path: PathBuf,
+    /// The last batch that was kept, by sender.
+    kept: HashMap<String, u64>,
+}
+
+impl Ledger {
+    /// Opens the file of a folder, which may be empty.
+    fn open(folder: &Path) -> io::Result<Self> {
+        std::fs::create_dir_all(folder)?;
+        let path = folder.join(FILE_NAME);
+        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        file.sync_all()?;
+        // The name of a new file lasts only once its folder has been synced.
+        File::open(folder)?.sync_all()?;
+        Ok(Self {
+            file,
+            path,
+            kept: HashMap::new(),
+        })
+    }
+
+    /// Keeps a batch unless it was kept before.
+    fn keep(&mut self, batch: &ChargeBatch) -> io::Result<()> {
+        let last = self.kept.get(&batch.sender).copied().unwrap_or_default();
+        if batch.number <= last {
+            return Ok(());
+        }
+        let mut lines = Vec::new();
+        for record in &batch.records {
+            serde_json::to_writer(&mut lines, record)?;
+            lines.push(b'\n');
+        }
+        self.file.write_all(&lines)?;
+        self.file.sync_data()?;
+        self.kept.insert(batch.sender.clone(), batch.number);
+        Ok(())
+    }
+
+    /// Reads all records; a line that a power loss has torn is left out.
+    fn read(&self) -> io::Result<Vec<ChargeRecord>> {
+        let text = std::fs::read(&self.path)?;
+        let lines = text.split(|byte| *byte == b'\n');
+        Ok(lines
+            .filter_map(|line| serde_json::from_slice(line).ok())
+            .collect())
+    }
+}
+
+/// Answers VMs that relay calls.
+#[derive(Debug, Clone)]
+struct Keeper {
+    ledger: Arc<Mutex<Ledger>>,
+}
+
+#[jsonrpsee::core::async_trait]
+impl ChargeRpcServer for Keeper {
+    async fn keep(&self, batch: ChargeBatch) -> RpcResult<()> {
+        let ledger = Arc::clone(&self.ledger);
+        let kept = spawn_blocking(move || {
+            let mut ledger = ledger.lock().unwrap_or_else(PoisonError::into_inner);
+            ledger.keep(&batch)
+        });
+        let kept = kept
+            .await
+            .unwrap_or_else(|error| Err(io::Error::other(error)));
+        kept.map_err(|error| {
+            tracing::error!("charges: batch not kept ({error})");
+            ErrorObjectOwned::owned(FAILED_CODE, error.to_string(), None::<()>)
+        })
+    }
+}
+
+/// A running daemon that keeps charge records.
+#[derive(Debug)]
+pub struct Storage {
+    server: ServerHandle,
+    background: JoinHandle<()>,
+}
+
+impl Storage {
+    /// Starts the daemon.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be used or the listener cannot be opened.
+    pub async fn start<S: FleetStore>(
+        settings: StorageSettings,
+        failure_domain: &str,
+        store: S,
+    ) -> Result<Self, StartError> {
+        let ledger = Arc::new(Mutex::new(Ledger::open(&settings.data_folder)?));
+        let server = Server::builder().build(settings.peer_listen).await?;
+        let address = server.local_addr()?;
+        let keeper = Keeper {
+            ledger: Arc::clone(&ledger),
+        };
+        let server = server.start(keeper.into_rpc());
+        let registration = Registration {
+            vm: settings.vm.clone(),
+            address: address.to_string(),
+            role: Role::Storage,
+            failure_domain: failure_domain.to_owned(),
+        };
+        tracing::info!(vm = settings.vm, %address, "start: keeps charge records");
+        let duties = Duties {
+            settings,
+            store,
+            registration,
+            ledger,
+        };
+        Ok(Self {
+            server,
+            background: tokio::spawn(duties.run()),
+        })
+    }
+
+    /// Ends the daemon; what it has confirmed is on the disk.
+    pub async fn stop(self) {
+        tracing::info!("stop: asked to stop");
+        self.background.abort();
+        // Fails only if the server has stopped before.
+        let _ = self.server.stop();
+        self.server.stopped().await;
+        tracing::info!("stop: ends");
+    }
+}
+
+/// What the daemon does besides answering.
+struct Duties<S> {
+    settings: StorageSettings,
+    store: S,
+    registration: Registration,
+    ledger: Arc<Mutex<Ledger>>,
+}
+
+impl<S: FleetStore> Duties<S> {
+    /// Registers this VM, and empties it when the operator asks for that.
+    async fn run(self) {
+        let mut is_lost = false;
+        while let Err(error) = self.register().await {
+            if !std::mem::replace(&mut is_lost, true) {
+                tracing::warn!("source: this VM is not registered ({error})");
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        loop {
+            match self.review().await {
+                Ok(()) if std::mem::take(&mut is_lost) => {
+                    tracing::info!("source: the store answers again");
+                }
+                Ok(()) => {}
+                Err(error) if !std::mem::replace(&mut is_lost, true) => {
+                    tracing::warn!("source: the store does not answer ({error})");
+                }
+                Err(_) => {}
+            }
+            sleep(self.settings.retirement_interval).await;
+        }
+    }
+
+    /// Registers this VM and returns all registered ones.
+    async fn register(&self) -> Result<Vec<Registration>, StoreError> {
+        within(register(&self.store, &self.registration)).await
+    }
+
+    /// Looks whether this VM has to be emptied, and empties it.
+    async fn review(&self) -> Result<(), StoreError> {
+        let me = VmName::from(self.settings.vm.as_str());
+        let retirements = within(self.store.retirements()).await?;
+        let mine = retirements.iter().find(|row| row.vm == me);
+        if mine.is_none_or(|row| row.is_done) {
+            return Ok(());
+        }
+        tracing::info!("storage: asked to be emptied");
+        within(self.store.report_retirement(&me, false)).await?;
+        self.hand_over().await?;
+        within(self.store.report_retirement(&me, true)).await?;
+        tracing::info!("storage: emptied");
+        Ok(())
+    }
+
+    /// Copies all records to another VM with a disk.
+    async fn hand_over(&self) -> Result<(), StoreError> {
+        let records = {
+            let ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
+            ledger.read()
+        };
+        let records = records.map_err(|error| unavailable(&error.to_string()))?;
+        let mut others = self.register().await?;
+        others.retain(|row| row.vm != self.settings.vm);
+        let batch = ChargeBatch {
+            sender: format!("emptied {}", self.settings.vm),
+            number: 1,
+            records,
+        };
+        for keeper in list_keepers(&others, &self.registration) {
+            match send(&keeper, batch.clone()).await {
+                Ok(()) => {
+                    let records = batch.records.len();
+                    tracing::info!(keeper, records, "storage: records handed over");
+                    return Ok(());
+                }
+                Err(error) => tracing::warn!(keeper, "storage: records not taken ({error})"),
+            }
+        }
+        Err(unavailable("no other VM with a disk takes the records"))
+    }
+}
+
+/// Sends a batch to another VM with a disk.
+async fn send(keeper: &str, batch: ChargeBatch) -> Result<(), jsonrpsee::core::ClientError> {
+    let client = HttpClient::builder()
+        .request_timeout(HAND_OVER_TIMEOUT)
+        .build(format!("http://{keeper}"))?;
+    client.keep(batch).await
+}
+
+/// Bounds the wait for the store.
+async fn within<T>(answer: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
+    let answer = timeout(STORE_TIMEOUT, answer).await;
+    answer.unwrap_or_else(|_| Err(unavailable("no answer in time")))
+}
+
+/// Describes why something could not be done now.
+fn unavailable(reason: &str) -> StoreError {
+    StoreError::Unavailable {
+        reason: reason.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/store/mod.rs
@@ -0,0 +1,122 @@
+//! Carries out the core's requests to the platform's store.
+
+mod budgets;
+mod registry;
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use knapweeddale_core::{Input, SourceEvent, SourcePart, SourceRequest};
+use knapweeddale_runtime::Clock;
+use knapweeddale_store::StoreError;
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
+
+use crate::adapter::FleetStore;
+use crate::control::InputSender;
+use crate::metrics::Metrics;
+
+pub(crate) use registry::{Registration, Role, list_keepers, register};
+
+/// Longest wait for an answer; a slow store answers within a quarter of a second.
+const TIMEOUT: Duration = Duration::from_millis(900);
+
+/// Carries out requests to the store.
+#[derive(Debug)]
+pub(crate) struct Source<S, C> {
+    pub store: Arc<S>,
+    pub clock: C,
+    pub inputs: InputSender,
+    pub metrics: Arc<Metrics>,
+    pub registration: Registration,
+    /// Addresses of VMs with a disk.
+    pub keepers: watch::Sender<Vec<String>>,
+}
+
+impl<S: FleetStore, C: Clock> Source<S, C> {
+    /// Carries out requests until the control thread ends.
+    pub async fn run(self, mut requests: mpsc::Receiver<SourceRequest>) {
+        let source = Arc::new(self);
+        while let Some(request) = requests.recv().await {
+            let source = Arc::clone(&source);
+            tokio::spawn(async move { source.answer(request).await });
+        }
+    }
+
+    /// Carries out one request and hands the answer to the core.
+    async fn answer(&self, request: SourceRequest) {
+        let part = part_of(&request);
+        let purpose = purpose_of(&part);
+        let asked_us = self.clock.now_us();
+        let started = Instant::now();
+        let answer = timeout(TIMEOUT, self.ask(request, asked_us)).await;
+        let took = started.elapsed();
+        let event = match answer {
+            Ok(Ok(event)) => {
+                self.metrics.count_store(purpose, true, took);
+                event
+            }
+            Ok(Err(error)) => {
+                self.metrics.count_store(purpose, false, took);
+                tracing::debug!(purpose, "source: request failed ({error})");
+                SourceEvent::Failed(part)
+            }
+            Err(_) => {
+                self.metrics.count_store(purpose, false, took);
+                tracing::debug!(purpose, "source: request had no answer");
+                SourceEvent::Failed(part)
+            }
+        };
+        self.inputs.input(Input::Source(event)).await;
+    }
+
+    /// Asks the store.
+    async fn ask(&self, request: SourceRequest, asked_us: u64) -> Result<SourceEvent, StoreError> {
+        match request {
+            SourceRequest::Config => Ok(SourceEvent::Config {
+                asked_us,
+                fleet: self.store.fleet().await?,
+            }),
+            SourceRequest::Upstreams => Ok(SourceEvent::Upstreams {
+                asked_us,
+                list: self.store.upstreams().await?,
+            }),
+            SourceRequest::Vms => {
+                let registered = register(&*self.store, &self.registration).await?;
+                self.keepers
+                    .send_replace(list_keepers(&registered, &self.registration));
+                let vms = registered.into_iter().filter(|vm| vm.role == Role::Entry);
+                Ok(SourceEvent::Vms(vms.map(Registration::into_vm).collect()))
+            }
+            SourceRequest::Reserve {
+                program,
+                budget_tokens,
+                turn_tokens,
+            } => {
+                let tokens =
+                    budgets::reserve(&*self.store, &program, budget_tokens, turn_tokens).await?;
+                Ok(SourceEvent::Reserved { program, tokens })
+            }
+        }
+    }
+}
+
+/// Returns what a request is about.
+fn part_of(request: &SourceRequest) -> SourcePart {
+    match request {
+        SourceRequest::Config => SourcePart::Config,
+        SourceRequest::Upstreams => SourcePart::Upstreams,
+        SourceRequest::Vms => SourcePart::Vms,
+        SourceRequest::Reserve { program, .. } => SourcePart::Budget(program.clone()),
+    }
+}
+
+/// Returns the label of a request in metrics.
+fn purpose_of(part: &SourcePart) -> &'static str {
+    match part {
+        SourcePart::Config => "config",
+        SourcePart::Upstreams => "upstreams",
+        SourcePart::Vms => "vms",
+        SourcePart::Budget(_) => "budget",
+    }
+}
--- /dev/null
+++ b/crates/relay/src/store/registry.rs
@@ -0,0 +1,86 @@
+//! VMs register in the store, so that they find each other.
+
+use knapweeddale_core::{RegisteredVm, VmName};
+use knapweeddale_store::{ObjectApi, StoreError};
+use serde::{Deserialize, Serialize};
+
+/// The kind of the objects in which VMs register.
+const PREFIX: &str = "knapweeddale-vms/";
+
+/// What a VM does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Role {
+    /// It relays calls.
+    Entry,
+    /// It keeps charge records.
+    Storage,
+}
+
+/// The registration of a VM.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Registration {
+    /// The name.
+    pub vm: String,
+    /// The address at which other VMs reach it.
+    pub address: String,
+    /// What it does.
+    pub role: Role,
+    /// Its failure domain.
+    pub failure_domain: String,
+}
+
+impl Registration {
+    /// Returns the form of the core.
+    pub fn into_vm(self) -> RegisteredVm {
+        RegisteredVm {
+            vm: VmName::from(self.vm),
+            address: self.address,
+        }
+    }
+
+    fn key(&self) -> String {
+        format!("{PREFIX}{}", self.vm)
+    }
+}
+
+/// Registers a VM if it is not registered as it is, and returns all registered VMs.
+pub(crate) async fn register<S: ObjectApi>(
+    store: &S,
+    me: &Registration,
+) -> Result<Vec<Registration>, StoreError> {
+    let key = me.key();
+    let entries = store.entries(PREFIX).await?;
+    let mine = entries.iter().find(|(name, _)| *name == key);
+    let version = mine.map_or(0, |(_, object)| object.version);
+    let mut registered: Vec<Registration> = Vec::new();
+    for (name, object) in &entries {
+        match serde_json::from_slice(&object.value) {
+            Ok(row) => registered.push(row),
+            Err(error) => tracing::warn!(name, "source: registration ignored ({error})"),
+        }
+    }
+    if !registered.contains(me) {
+        registered.retain(|row| row.vm != me.vm);
+        registered.push(me.clone());
+        let value = serde_json::to_vec(me).map_err(|error| StoreError::Unavailable {
+            reason: format!("registration cannot be written: {error}"),
+        })?;
+        match store.put(&key, value, version).await {
+            // An earlier write whose answer was lost has registered this VM.
+            Ok(_) | Err(StoreError::Conflict { .. }) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Ok(registered)
+}
+
+/// Returns the addresses of VMs with a disk, those in the same failure domain first.
+pub(crate) fn list_keepers(registered: &[Registration], me: &Registration) -> Vec<String> {
+    let mut keepers: Vec<&Registration> = registered
+        .iter()
+        .filter(|row| row.role == Role::Storage)
+        .collect();
+    keepers.sort_by_key(|row| (row.failure_domain != me.failure_domain, row.vm.clone()));
+    keepers.into_iter().map(|row| row.address.clone()).collect()
+}
--- /dev/null
+++ b/crates/relay/src/upstream/body.rs
@@ -0,0 +1,207 @@
+//! The body of a response in its framing.
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, header};
+
+use super::{Connection, ReadError, ResponseHead};
+
+/// How much of a body is left.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Left {
+    /// This many bytes.
+    Length(u64),
+    /// Chunks: bytes left of the present one, with the line end after it.
+    Chunk(u64),
+    /// A chunk begins with its length.
+    ChunkHead,
+    /// Trailers, up to an empty line.
+    Trailers,
+    /// All bytes up to the end of the connection.
+    UntilEnd,
+    /// Nothing.
+    Nothing,
+}
+
+/// The body of a response.
+#[derive(Debug)]
+pub(crate) struct Body<'a> {
+    connection: &'a mut Connection,
+    left: Left,
+    is_until_end: bool,
+}
+
+impl<'a> Body<'a> {
+    /// Finds the framing of a body.
+    pub fn new(
+        connection: &'a mut Connection,
+        method: &Method,
+        head: &ResponseHead,
+    ) -> Result<Self, ReadError> {
+        let left = framing(method, head)?;
+        Ok(Self {
+            connection,
+            left,
+            is_until_end: left == Left::UntilEnd,
+        })
+    }
+
+    /// Returns whether the connection can be used again after the body was read.
+    ///
+    /// Bytes after the body belong to no request and spoil the connection.
+    pub fn is_clean(&self) -> bool {
+        self.left == Left::Nothing && !self.is_until_end && self.connection.buffer.is_empty()
+    }
+
+    /// Reads the next bytes; `None` at the end of the body.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, ReadError> {
+        loop {
+            match self.left {
+                Left::Nothing => return Ok(None),
+                Left::Length(0) => self.left = Left::Nothing,
+                Left::Length(bytes) => {
+                    let part = self.part(bytes).await?;
+                    self.left = Left::Length(bytes - part.len() as u64);
+                    return Ok(Some(part));
+                }
+                Left::UntilEnd => return self.until_end().await,
+                Left::ChunkHead => self.chunk_head().await?,
+                Left::Chunk(0) => self.line_end().await?,
+                Left::Chunk(bytes) => {
+                    let part = self.part(bytes).await?;
+                    self.left = Left::Chunk(bytes - part.len() as u64);
+                    return Ok(Some(part));
+                }
+                Left::Trailers => self.trailer().await?,
+            }
+        }
+    }
+
+    /// Reads a body as a whole, up to a limit.
+    pub async fn collect(&mut self, max_bytes: usize) -> Result<Bytes, ReadError> {
+        let Some(first) = self.next().await? else {
+            return Ok(Bytes::new());
+        };
+        let mut whole: Option<Vec<u8>> = None;
+        while let Some(part) = self.next().await? {
+            let whole = whole.get_or_insert_with(|| first.to_vec());
+            whole.extend_from_slice(&part);
+            if whole.len() > max_bytes {
+                return Err(ReadError::malformed("the body is too long"));
+            }
+        }
+        Ok(whole.map_or(first, Bytes::from))
+    }
+
+    /// Returns bytes that have come, at most this many.
+    async fn part(&mut self, most: u64) -> Result<Bytes, ReadError> {
+        if self.connection.buffer.is_empty() && self.connection.fill().await? == 0 {
+            return Err(ReadError::Ended);
+        }
+        let most = usize::try_from(most).unwrap_or(usize::MAX);
+        let bytes = self.connection.buffer.len().min(most);
+        Ok(self.connection.buffer.split_to(bytes).freeze())
+    }
+
+    /// Returns the next bytes of a body that ends with its connection.
+    async fn until_end(&mut self) -> Result<Option<Bytes>, ReadError> {
+        if self.connection.buffer.is_empty() && self.connection.fill().await? == 0 {
+            self.left = Left::Nothing;
+            return Ok(None);
+        }
+        Ok(Some(self.connection.buffer.split().freeze()))
+    }
+
+    /// Reads the length of a chunk.
+    async fn chunk_head(&mut self) -> Result<(), ReadError> {
+        loop {
+            let parsed = httparse::parse_chunk_size(&self.connection.buffer);
+            let parsed = parsed.map_err(|_| ReadError::malformed("a chunk has no length"))?;
+            if let httparse::Status::Complete((head, bytes)) = parsed {
+                let _ = self.connection.buffer.split_to(head);
+                self.left = if bytes == 0 {
+                    Left::Trailers
+                } else {
+                    Left::Chunk(bytes)
+                };
+                return Ok(());
+            }
+            if self.connection.fill().await? == 0 {
+                return Err(ReadError::Ended);
+            }
+        }
+    }
+
+    /// Reads the line end after a chunk.
+    async fn line_end(&mut self) -> Result<(), ReadError> {
+        let line = self.line().await?;
+        if !line.is_empty() {
+            return Err(ReadError::malformed("a chunk is longer than it says"));
+        }
+        self.left = Left::ChunkHead;
+        Ok(())
+    }
+
+    /// Reads one trailer, or the empty line at the end.
+    async fn trailer(&mut self) -> Result<(), ReadError> {
+        if self.line().await?.is_empty() {
+            self.left = Left::Nothing;
+        }
+        Ok(())
+    }
+
+    /// Reads a line without its end.
+    async fn line(&mut self) -> Result<Bytes, ReadError> {
+        loop {
+            let at = self
+                .connection
+                .buffer
+                .windows(2)
+                .position(|end| end == b"\r\n");
+            if let Some(at) = at {
+                let line = self.connection.buffer.split_to(at).freeze();
+                let _ = self.connection.buffer.split_to(2);
+                return Ok(line);
+            }
+            if self.connection.fill().await? == 0 {
+                return Err(ReadError::Ended);
+            }
+        }
+    }
+}
+
+/// Finds the framing of a body.
+fn framing(method: &Method, head: &ResponseHead) -> Result<Left, ReadError> {
+    let has_none = method == Method::HEAD
+        || head.status == StatusCode::NO_CONTENT
+        || head.status == StatusCode::NOT_MODIFIED;
+    if has_none {
+        return Ok(Left::Nothing);
+    }
+    if let Some(coding) = head.headers.get(header::TRANSFER_ENCODING) {
+        if coding.as_bytes().eq_ignore_ascii_case(b"chunked") {
+            return Ok(Left::ChunkHead);
+        }
+        return Err(ReadError::malformed("the transfer coding is not known"));
+    }
+    match content_length(&head.headers)? {
+        Some(bytes) => Ok(Left::Length(bytes)),
+        None => Ok(Left::UntilEnd),
+    }
+}
+
+/// Returns the length that a response states.
+fn content_length(headers: &HeaderMap) -> Result<Option<u64>, ReadError> {
+    let mut length = None;
+    for value in headers.get_all(header::CONTENT_LENGTH) {
+        let bytes = value
+            .to_str()
+            .ok()
+            .and_then(|text| text.parse::<u64>().ok());
+        let bytes = bytes.ok_or(ReadError::malformed("the length is no number"))?;
+        if length.is_some_and(|known| known != bytes) {
+            return Err(ReadError::malformed("there are two lengths"));
+        }
+        length = Some(bytes);
+    }
+    Ok(length)
+}
--- /dev/null
+++ b/crates/relay/src/upstream/events.rs
@@ -0,0 +1,65 @@
+//! Divides a stream into whole events.
+
+use bytes::{Bytes, BytesMut};
+
+/// One whole event of a stream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Event {
+    /// Its bytes, with the empty line at its end.
+    pub bytes: Bytes,
+    /// Its identity, if it states one.
+    pub id: Option<u64>,
+}
+
+/// Divides a stream into whole events, so that a broken one is never passed on.
+#[derive(Debug, Default)]
+pub(crate) struct EventReader {
+    buffer: BytesMut,
+    /// Bytes at the start of the buffer that hold no end of an event.
+    searched: usize,
+}
+
+impl EventReader {
+    /// Adds bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Returns the next whole event.
+    pub fn next(&mut self) -> Option<Event> {
+        let end = self.find_end()?;
+        self.searched = 0;
+        let bytes = self.buffer.split_to(end).freeze();
+        let id = id_of(&bytes);
+        Some(Event { bytes, id })
+    }
+
+    /// Returns whether the stream has ended within an event.
+    pub fn has_rest(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Finds the end of the first event: an empty line.
+    fn find_end(&mut self) -> Option<usize> {
+        let from = self.searched.saturating_sub(3);
+        let rest = &self.buffer[from..];
+        let at = rest.iter().enumerate().find_map(|(at, byte)| {
+            let after = &rest[at + 1..];
+            match (byte, after) {
+                (b'\n', [b'\n', ..]) => Some(at + 2),
+                (b'\n', [b'\r', b'\n', ..]) => Some(at + 3),
+                _ => None,
+            }
+        });
+        self.searched = self.buffer.len();
+        at.map(|at| from + at)
+    }
+}
+
+/// Returns the identity that an event states.
+fn id_of(event: &[u8]) -> Option<u64> {
+    event.split(|byte| *byte == b'\n').find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        std::str::from_utf8(value).ok()?.trim().parse().ok()
+    })
+}
--- a/crates/entry/src/control/thread.rs
+++ b/crates/runtime/src/control_loop.rs
@@ -7,19 +7,54 @@
 
 use knapweeddale_core::{Control, Input, Output};
 
-use super::input::{Envelope, InputQueue, Message};
-use super::outlets::Outlets;
 use crate::clock::Clock;
+use crate::queue::{Envelope, InputQueue};
 
 /// Messages handled in one tick. A larger batch delays the first call in it;
 /// at 10 us for a call this many take 2.5 ms.
 const MAX_BATCH: usize = 256;
 
+/// Hands the outputs of the core to those who carry them out.
+///
+/// The control thread owns it; nothing in it may block.
+pub trait Outlets: Send + 'static {
+    /// What the traffic side sends to the control thread.
+    type Message: From<Input> + Send + 'static;
+
+    /// Takes a message, adding the inputs that it holds; returns whether the thread goes on.
+    fn accept(
+        &mut self,
+        message: Self::Message,
+        control: &Control,
+        now_us: u64,
+        inputs: &mut Vec<Input>,
+    ) -> bool;
+
+    /// Carries one output to its receiver.
+    fn carry(&mut self, output: Output, control: &Control, now_us: u64);
+
+    /// Publishes what traffic threads may know, after each tick.
+    fn refresh(&mut self, control: &Control, now_us: u64);
+
+    /// Returns whether inputs follow from outputs that could not be handed over.
+    fn has_echo(&self) -> bool;
+
+    /// Takes these inputs.
+    fn take_echo(&mut self) -> Vec<Input>;
+
+    /// Counts a tick.
+    fn count_tick(&self, inputs: usize, took: Duration);
+}
+
 /// Starts the control thread.
-pub(crate) fn spawn<C: Clock>(
+///
+/// # Errors
+///
+/// Fails if the system has no room for another thread.
+pub fn spawn<C: Clock, O: Outlets>(
     control: Control,
-    queue: InputQueue,
-    outlets: Outlets,
+    queue: InputQueue<O::Message>,
+    outlets: O,
     clock: C,
 ) -> io::Result<JoinHandle<()>> {
     let control_loop = ControlLoop {
@@ -36,16 +71,16 @@
 }
 
 /// What the control thread owns.
-struct ControlLoop<C> {
+struct ControlLoop<C, O: Outlets> {
     control: Control,
-    queue: InputQueue,
-    outlets: Outlets,
+    queue: InputQueue<O::Message>,
+    outlets: O,
     clock: C,
     inputs: Vec<Input>,
     outputs: Vec<Output>,
 }
 
-impl<C: Clock> ControlLoop<C> {
+impl<C: Clock, O: Outlets> ControlLoop<C, O> {
     /// Handles messages and deadlines until the process ends.
     fn run(mut self) {
         loop {
@@ -71,7 +106,7 @@
     }
 
     /// Blocks until the next message or deadline.
-    fn wait(&self) -> Result<Envelope, RecvTimeoutError> {
+    fn wait(&self) -> Result<Envelope<O::Message>, RecvTimeoutError> {
         let has_echo = self.outlets.has_echo();
         let due_us = if has_echo {
             Some(0)
@@ -89,31 +124,11 @@
     }
 
     /// Takes a message; returns whether the thread goes on.
-    fn accept(&mut self, envelope: Envelope) -> bool {
-        match envelope.message {
-            Message::Input(input) => self.inputs.push(input),
-            Message::Open {
-                call,
-                input,
-                outputs,
-            } => {
-                self.outlets.open(call, outputs);
-                self.inputs.push(input);
-            }
-            Message::Delivery(delivery) => {
-                self.outlets
-                    .learn_address(&delivery.from, &delivery.address);
-                let (from, incarnation) = (delivery.from, delivery.incarnation);
-                let inputs = delivery.messages.into_iter().map(|message| Input::Peer {
-                    from: from.clone(),
-                    incarnation,
-                    message,
-                });
-                self.inputs.extend(inputs);
-            }
-            Message::Stop => return false,
-        }
-        true
+    fn accept(&mut self, envelope: Envelope<O::Message>) -> bool {
+        let now_us = self.clock.now_us();
+        let message = envelope.message;
+        self.outlets
+            .accept(message, &self.control, now_us, &mut self.inputs)
     }
 
     /// Runs the systems and hands out what they put out.
--- /dev/null
+++ b/crates/runtime/src/lib.rs
@@ -0,0 +1,15 @@
+//! The control thread of a daemon, without the front end and the clients around it.
+//!
+//! One thread owns the core's [`Control`](knapweeddale_core::Control) value. Traffic threads
+//! reach it over a bounded [queue](input_queue), and an implementation of [`Outlets`] hands its
+//! outputs to those who carry them out.
+
+mod clock;
+mod control_loop;
+mod ids;
+mod queue;
+
+pub use clock::{BootClock, Clock, MonotonicClock};
+pub use control_loop::{Outlets, spawn};
+pub use ids::{CallIds, new_incarnation, random_u64};
+pub use queue::{Envelope, InputQueue, InputSender, QueueFull, input_queue};
--- /dev/null
+++ b/crates/runtime/src/queue.rs
@@ -0,0 +1,89 @@
+//! The queue into the control thread.
+
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+
+use derive_more::{Display, Error};
+use knapweeddale_core::Input;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// A message with its place in the queue.
+#[derive(Debug)]
+pub struct Envelope<M> {
+    pub(crate) message: M,
+    _room: OwnedSemaphorePermit,
+}
+
+/// The traffic side of the queue.
+///
+/// The semaphore has as many permits as the channel has places, and a permit
+/// travels with each message. So a send never blocks a traffic thread, calls
+/// are refused at once when the queue is full, and events of running attempts
+/// wait for room without polling.
+#[derive(Debug)]
+pub struct InputSender<M> {
+    channel: SyncSender<Envelope<M>>,
+    room: Arc<Semaphore>,
+}
+
+/// The control thread's side of the queue.
+pub type InputQueue<M> = Receiver<Envelope<M>>;
+
+impl<M> Clone for InputSender<M> {
+    fn clone(&self) -> Self {
+        Self {
+            channel: self.channel.clone(),
+            room: Arc::clone(&self.room),
+        }
+    }
+}
+
+/// Makes a queue with this many places.
+pub fn input_queue<M>(len: usize) -> (InputSender<M>, InputQueue<M>) {
+    let (channel, queue) = sync_channel(len);
+    let room = Arc::new(Semaphore::new(len));
+    (InputSender { channel, room }, queue)
+}
+
+/// The queue is full, or the control thread has ended.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+#[display("the control thread has no room for another input; try again later")]
+pub struct QueueFull;
+
+impl<M: From<Input>> InputSender<M> {
+    /// Queues a message if there is room.
+    ///
+    /// # Errors
+    ///
+    /// Fails if there is no room or the control thread has ended.
+    pub fn try_send(&self, message: M) -> Result<(), QueueFull> {
+        let room = Arc::clone(&self.room).try_acquire_owned();
+        let room = room.map_err(|_| QueueFull)?;
+        self.push(message, room)
+    }
+
+    /// Queues a message, waiting for room.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the control thread has ended.
+    pub async fn send(&self, message: M) -> Result<(), QueueFull> {
+        let room = Arc::clone(&self.room).acquire_owned().await;
+        let room = room.map_err(|_| QueueFull)?;
+        self.push(message, room)
+    }
+
+    /// Queues an input, waiting for room.
+    pub async fn input(&self, input: Input) {
+        // Fails only when the control thread has ended, and then nobody needs the input.
+        let _ = self.send(input.into()).await;
+    }
+
+    fn push(&self, message: M, room: OwnedSemaphorePermit) -> Result<(), QueueFull> {
+        let envelope = Envelope {
+            message,
+            _room: room,
+        };
+        self.channel.try_send(envelope).map_err(|_| QueueFull)
+    }
+}
--- a/crates/store/src/api/mod.rs
+++ b/crates/store/src/api/mod.rs
@@ -70,6 +70,28 @@
         prefix: &str,
     ) -> impl Future<Output = Result<Vec<ObjectMeta>, StoreError>> + Send;
 
+    /// Reads the objects whose key starts with a prefix.
+    ///
+    /// Objects that are removed in the meantime may be missing.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StoreError::Unavailable`] if there was no answer.
+    fn entries(
+        &self,
+        prefix: &str,
+    ) -> impl Future<Output = Result<Vec<(String, Object)>, StoreError>> + Send {
+        async move {
+            let mut entries = Vec::new();
+            for meta in self.list(prefix).await? {
+                if let Some(object) = self.get(&meta.key).await? {
+                    entries.push((meta.key, object));
+                }
+            }
+            Ok(entries)
+        }
+    }
+
     /// Waits until an object is newer than a version; `None` after `wait` without a change.
     ///
     /// # Errors
--- a/crates/testing/src/callers.rs
+++ b/crates/testing/src/callers.rs
@@ -51,6 +51,7 @@
         .kind(ServiceKind::Engine(EngineConfig {
             models: vec![model.clone()],
             can_resume: false,
+            ..EngineConfig::default()
         }))
         .upstreams(
             engines
@@ -74,6 +75,7 @@
         revision: Revision(1),
         accounts: vec![account],
         services: vec![chat, pages],
+        ..FleetConfig::default()
     }
 }
 
--- a/crates/testing/src/fleet.rs
+++ b/crates/testing/src/fleet.rs
@@ -29,6 +29,7 @@
         .kind(ServiceKind::Engine(EngineConfig {
             models: vec![model.clone()],
             can_resume: false,
+            ..EngineConfig::default()
         }))
         .upstreams(upstreams.collect())
         .build();
@@ -36,6 +37,7 @@
         revision: Revision(1),
         accounts: (0..accounts).map(account).collect(),
         services: vec![service],
+        ..FleetConfig::default()
     }
 }
 
--- a/crates/testing/src/invariants/programs.rs
+++ b/crates/testing/src/invariants/programs.rs
@@ -125,7 +125,7 @@
     let carried = place.and_then(|place| place.continuation.as_ref());
     let expected = match call.target {
         Target::Model(_) => Some(history_after(call)),
-        Target::Plain { .. } => carried.map(|carried| carried.history),
+        Target::Plain { .. } | Target::Host { .. } => carried.map(|carried| carried.history),
     };
     let is_right = Some(&state.program) == *key
         && Some(state.turn) == place.map(|place| place.turn)
--- a/crates/testing/src/load.rs
+++ b/crates/testing/src/load.rs
@@ -36,6 +36,7 @@
         .kind(ServiceKind::Engine(EngineConfig {
             models: vec![model],
             can_resume: false,
+            ..EngineConfig::default()
         }))
         .upstreams(vec![upstream])
         .build();
@@ -55,6 +56,7 @@
         revision: Revision(1),
         accounts: accounts.iter().map(account).collect(),
         services: vec![service],
+        ..FleetConfig::default()
     }
 }
 
