--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -147,6 +147,9 @@
     /// How long a share of an account's rate is granted for.
     #[builder(default = 3_000)]
     pub grant_ms: u64,
+    /// The window over which the rate and burst of an account are counted; 0 for all windows.
+    #[builder(default)]
+    pub rate_window_ms: u64,
     /// Longest wait of a call for its account's rate.
     #[builder(default = 2_000)]
     pub rate_wait_ms: u64,
--- a/crates/core/src/input/relay.rs
+++ b/crates/core/src/input/relay.rs
@@ -22,6 +22,8 @@
     pub model: Option<ModelName>,
     /// The program that it belongs to.
     pub program: Option<ProgramName>,
+    /// The line of turns that it belongs to; the sub-agents of a program have lines of their own.
+    pub line: Option<u64>,
     /// Tokens that all turns of the program may generate; absent if the call is no turn.
     pub budget_tokens: Option<u64>,
 }
--- a/crates/core/src/message/summary.rs
+++ b/crates/core/src/message/summary.rs
@@ -77,6 +77,8 @@
 pub struct ProgramUse {
     /// The program.
     pub program: ProgramKey,
+    /// The line of turns that the program began with.
+    pub main_line: Option<u64>,
     /// Tokens that the sender has passed to callers, as a total.
     pub tokens: u64,
     /// Whether the budget is used up.
@@ -111,6 +113,8 @@
     pub program: ProgramKey,
     /// Its budget.
     pub budget_tokens: u64,
+    /// The line of turns that it began with.
+    pub main_line: Option<u64>,
     /// Tokens passed to callers by each process.
     pub spent: Vec<(VmName, Incarnation, u64)>,
     /// Whether the budget is used up.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -35,6 +35,24 @@
         /// How long it waited.
         waited_us: u64,
     },
+    /// A call had no room in its account's rate within the time that it may wait.
+    #[display(
+        "rates: no room for call {call} of {account}, level {level_mcalls} and debt {debt_mcalls} of a burst of {burst_mcalls} thousandths of a call, rate {rate_mcalls_per_s} a second"
+    )]
+    NoRoom {
+        /// The call.
+        call: CallId,
+        /// The account.
+        account: AccountName,
+        /// What this VM's bucket holds.
+        level_mcalls: u64,
+        /// What was taken beyond it.
+        debt_mcalls: u64,
+        /// What it can hold.
+        burst_mcalls: u64,
+        /// How fast it fills.
+        rate_mcalls_per_s: u64,
+    },
     /// The home let a turn begin.
     #[display(
         "homes: turn {turn} of {program} begins for call {call}, {reserved_tokens} tokens reserved"
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -124,8 +124,11 @@
     pub account: Option<AccountName>,
     /// The program and its generation, which the engine keeps its cache under.
     pub program: Option<(ProgramKey, u64)>,
-    /// When the attempt has to end, on this VM's clock.
+    /// When the response has to begin, on this VM's clock; one that is no stream has to be
+    /// complete by then.
     pub deadline_us: u64,
+    /// When a stream that has begun has to end, on this VM's clock.
+    pub stream_deadline_us: u64,
     /// Whether the response is a stream of events, and the tokens in each of them.
     pub events: Option<EventForm>,
 }
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -45,6 +45,9 @@
     host: Option<Arc<HostRoute>>,
 }
 
+/// Time beyond the limit of its route for which a stream that has begun may go on.
+const STREAM_GRACE_US: u64 = 200_000;
+
 /// Age of the configuration beyond which it denies nothing.
 ///
 /// A route or key that is missing in an older one may have been added since.
@@ -93,6 +96,7 @@
     let relay = route
         .host
         .map(|host| relay(tick, &new, host, account.as_ref()));
+    let begins_program = begins_program(tick, relay.as_deref());
     let call = Call {
         stage: Stage::Rate,
         arrived_us: tick.now_us,
@@ -114,6 +118,7 @@
         used_tokens: None,
         avoid: SmallVec::new(),
         place: Default::default(),
+        begins_program,
         relay,
         new,
     };
@@ -141,6 +146,16 @@
     }
 }
 
+/// Returns whether a relayed call is the first turn of a program.
+fn begins_program(tick: &Tick<'_>, relay: Option<&Relay>) -> bool {
+    let Some(relay) = relay.filter(|relay| relay.budget_tokens.is_some()) else {
+        return false;
+    };
+    let program = relay.program.as_ref();
+    let row = program.and_then(|program| tick.tables.budgets.get(program));
+    row.is_none_or(|row| row.spent.is_empty() && row.running_tokens == 0)
+}
+
 /// Makes what only a relayed call has.
 fn relay(
     tick: &Tick<'_>,
@@ -152,15 +167,18 @@
     let row = account.and_then(|account| tick.tables.accounts.get(account));
     let priority = row.and_then(|row| row.config.priority);
     let timeout_us = tick.now_us + route.timeout_ms * 1_000;
+    let caller_us = relayed.map_or(u64::MAX, |relayed| relayed.deadline_us);
     let program = relayed.and_then(|relayed| relayed.program.clone());
     let is_stream = route.kind.is_stream();
     Box::new(Relay {
-        deadline_us: relayed.map_or(timeout_us, |relayed| relayed.deadline_us.min(timeout_us)),
+        deadline_us: caller_us.min(timeout_us),
+        stream_deadline_us: caller_us.min(timeout_us + STREAM_GRACE_US),
         priority: priority.unwrap_or(route.priority),
         program: program.map(|name| ProgramKey {
             account: account.cloned().unwrap_or_else(|| AccountName::from("")),
             name,
         }),
+        line: relayed.and_then(|relayed| relayed.line),
         budget_tokens: relayed
             .and_then(|relayed| relayed.budget_tokens)
             .filter(|_| is_stream),
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -50,16 +50,16 @@
 
 /// Covers a turn by its program's budget, or lets it wait for a reservation.
 fn request(tick: &mut Tick<'_>, id: CallId) {
-    let Some((program, turn_tokens)) = turn_of(tick, id) else {
+    let Some((program, line, turn_tokens)) = turn_of(tick, id) else {
         return;
     };
-    open(tick, id, &program);
+    open(tick, id, &program, line);
     let Some(row) = tick.tables.budgets.get_mut(&program) else {
         return;
     };
     let known_tokens = row.known_tokens();
     let budget_tokens = row.budget_tokens;
-    match row.cover(turn_tokens) {
+    match row.cover(line, turn_tokens) {
         Verdict::Covered(cover) => {
             if let Some(relay) = relay_mut(tick, id) {
                 relay.cover = Some(cover);
@@ -87,11 +87,11 @@
     }
 }
 
-/// Returns the program of a turn and the most that the turn may generate.
-fn turn_of(tick: &Tick<'_>, id: CallId) -> Option<(ProgramKey, u64)> {
+/// Returns the program and line of a turn and the most that the turn may generate.
+fn turn_of(tick: &Tick<'_>, id: CallId) -> Option<(ProgramKey, Option<u64>, u64)> {
     let call = tick.tables.calls.get(&id)?;
-    let program = call.relay.as_ref()?.program.clone()?;
-    Some((program, call.new.max_tokens))
+    let relay = call.relay.as_ref()?;
+    Some((relay.program.clone()?, relay.line, call.new.max_tokens))
 }
 
 /// Returns what only a relayed call has.
@@ -100,7 +100,10 @@
 }
 
 /// Makes the row of a program that is not known yet, and notes its use.
-fn open(tick: &mut Tick<'_>, id: CallId, program: &ProgramKey) {
+///
+/// The others hear of a new program at once, so that they can tell its sub-agents from its main
+/// line of turns.
+fn open(tick: &mut Tick<'_>, id: CallId, program: &ProgramKey, line: Option<u64>) {
     let now_us = tick.now_us;
     let relay = tick
         .tables
@@ -112,10 +115,17 @@
     };
     let budget_tokens = relay.budget_tokens.unwrap_or_default();
     let keep_us = relay.route.program_keep_ms.unwrap_or(DEFAULT_KEEP_MS) * 1_000;
+    let round = tick.tables.peering.next_round();
     let row = touch(tick, program, keep_us);
     row.used_us = now_us;
-    if row.budget_tokens == 0 {
-        row.budget_tokens = budget_tokens;
+    if row.budget_tokens > 0 {
+        return;
+    }
+    row.budget_tokens = budget_tokens;
+    if row.main_line.is_none() {
+        row.main_line = line;
+        row.changed_round = round;
+        tick.work.peers.announce = true;
     }
 }
 
@@ -220,6 +230,7 @@
     let now_us = tick.now_us;
     let row = touch(tick, &used.program, DEFAULT_KEEP_MS * 1_000);
     row.set_spent(vm, incarnation, used.tokens);
+    row.main_line = row.main_line.or(used.main_line);
     row.is_stopped |= used.is_stopped;
     row.used_us = now_us;
     if let Some((upstream, tokens)) = &used.cached {
@@ -231,6 +242,7 @@
 pub(crate) fn adopt(tick: &mut Tick<'_>, program: &ProgramSpent) {
     let row = touch(tick, &program.program, DEFAULT_KEEP_MS * 1_000);
     row.budget_tokens = row.budget_tokens.max(program.budget_tokens);
+    row.main_line = row.main_line.or(program.main_line);
     row.is_stopped |= program.is_stopped;
     row.is_unknown = false;
     for (vm, incarnation, tokens) in &program.spent {
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -115,7 +115,11 @@
     if failure.is_forwarded() && !is_resumable {
         return Err(RetryReason::Forwarded);
     }
-    let deadline_us = call.relay.as_ref().map(|relay| relay.deadline_us);
+    let is_started = failure.is_forwarded();
+    let deadline_us = call.relay.as_ref().map(|relay| match is_started {
+        true => relay.stream_deadline_us,
+        false => relay.deadline_us,
+    });
     if deadline_us.is_some_and(|deadline_us| now_us >= deadline_us) {
         return Err(RetryReason::TooLate);
     }
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -103,6 +103,7 @@
         })
         .map(|(program, row)| ProgramUse {
             program: program.clone(),
+            main_line: row.main_line,
             tokens: row.spent_by(&settings.vm, settings.incarnation),
             is_stopped: row.is_stopped,
             cached: row.cached.clone(),
@@ -145,6 +146,7 @@
             .map(|(program, row)| ProgramSpent {
                 program: program.clone(),
                 budget_tokens: row.budget_tokens,
+                main_line: row.main_line,
                 spent: row
                     .spent
                     .iter()
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -296,6 +296,7 @@
         .or(service.and_then(|service| service.token_gap_ms));
     let events = relay.and_then(|relay| event_form(&relay.route, service));
     let deadline_us = relay.map_or(u64::MAX, |relay| relay.deadline_us);
+    let stream_deadline_us = relay.map_or(u64::MAX, |relay| relay.stream_deadline_us);
     call.stage = Stage::Running;
     call.upstream = Some(upstream.clone());
     call.place.dispatched_us = tick.now_us;
@@ -309,6 +310,7 @@
         account: call.account.clone(),
         program: call.program.clone().map(|key| (key, call.generation)),
         deadline_us,
+        stream_deadline_us,
         events,
     };
     let decision = Decision::Placed {
--- a/crates/core/src/systems/rates/calls.rs
+++ b/crates/core/src/systems/rates/calls.rs
@@ -6,9 +6,18 @@
 use crate::output::{Decision, Execution, RefusalKind};
 use crate::tables::{Stage, Timer};
 
+/// Billionths of a call in a thousandth.
+const NCALLS_PER_MCALL: u64 = 1_000_000;
+
 /// Time to wait before a resend if the share gives no hint.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Part of its objective that a call which begins a program waits for its rate at most.
+const BEGIN_WAIT_PART: u64 = 5;
+
+/// Part of the time of a relayed call that it waits for its rate at most: one in this many.
+const RELAY_WAIT_PART: u64 = 4;
+
 /// Longest wait of a call while the account's owner does not answer or takes over.
 ///
 /// A takeover after a crash takes suspicion, lease and grant: 2 s + 1.1 x 6 s.
@@ -20,15 +29,20 @@
     let Some(account) = account_of(tick, id) else {
         return;
     };
-    let Some(share) = tick.tables.shares.get_mut(&account) else {
+    let tables = &mut *tick.tables;
+    let Some(share) = tables.shares.get_mut(&account) else {
         return;
     };
     share.offered.count(now_us);
     share.last_call_us = now_us;
-    share.waiting.push_back(id);
+    let begins = tables
+        .calls
+        .get(&id)
+        .is_some_and(|call| call.begins_program);
+    share.queue_mut(begins).push_back(id);
     serve(tick, &account);
     if is_waiting(tick, id) {
-        let due_us = now_us + tick.settings.rate_wait_ms * 1_000;
+        let due_us = wait_end_us(tick, id);
         tick.tables.timers.set(due_us, Timer::RateWait(id));
         wait(tick, &account);
     }
@@ -47,22 +61,56 @@
     wait(tick, account);
 }
 
-/// Admits waiting calls while the share holds calls.
+/// Returns when a call has waited for long enough.
+///
+/// A relayed call is refused early enough for its caller to ask again.
+fn wait_end_us(tick: &Tick<'_>, id: CallId) -> u64 {
+    let wait_us = tick.settings.rate_wait_ms * 1_000;
+    let relay = tick
+        .tables
+        .calls
+        .get(&id)
+        .and_then(|call| call.relay.as_ref());
+    let left_us = relay.map(|relay| relay.deadline_us.saturating_sub(tick.now_us));
+    let call = tick.tables.calls.get(&id);
+    let begins = call.is_some_and(|call| call.begins_program);
+    // The caller of a program that has not begun may as well come back later.
+    let begin_us = relay.map_or(u64::MAX, |relay| {
+        relay.route.objective_ms * 1_000 / BEGIN_WAIT_PART
+    });
+    let wait_us = if begins {
+        wait_us.min(begin_us)
+    } else {
+        wait_us
+    };
+    tick.now_us + left_us.map_or(wait_us, |left_us| wait_us.min(left_us / RELAY_WAIT_PART))
+}
+
+/// Admits waiting calls while the share holds calls; those that begin a program come last.
 pub(super) fn serve(tick: &mut Tick<'_>, account: &AccountName) {
+    serve_queue(tick, account, false);
+    let others = tick.tables.shares.get(account);
+    if others.is_some_and(|share| share.waiting.is_empty()) {
+        serve_queue(tick, account, true);
+    }
+}
+
+/// Admits calls of one queue while the share holds calls.
+fn serve_queue(tick: &mut Tick<'_>, account: &AccountName, begins: bool) {
     let now_us = tick.now_us;
     loop {
-        skip_gone(tick, account);
+        skip_gone(tick, account, begins);
         let Some(share) = tick.tables.shares.get_mut(account) else {
             return;
         };
-        let Some(&id) = share.waiting.front() else {
+        let Some(&id) = share.queue_mut(begins).front() else {
             return;
         };
         share.drop_expired(now_us);
-        if !share.take(now_us) {
+        if !share.take(begins, now_us) {
             return;
         }
-        share.waiting.pop_front();
+        share.queue_mut(begins).pop_front();
         admit(tick, id, account);
     }
 }
@@ -73,12 +121,13 @@
     let Some(share) = tick.tables.shares.get_mut(account) else {
         return;
     };
-    if share.waiting.is_empty() {
+    let begins = share.waiting.is_empty();
+    if begins && share.beginning.is_empty() {
         share.retry_us = 0;
         return;
     }
     let is_owned = share.pooled.is_none();
-    let ready_us = share.ready_in_us(now_us).map(|us| now_us + us);
+    let ready_us = share.ready_in_us(begins, now_us).map(|us| now_us + us);
     if let Some(ready_us) = ready_us
         && (share.refill_due_us == 0 || ready_us < share.refill_due_us)
     {
@@ -115,11 +164,14 @@
         tick.tables.timers.set(due_us, Timer::RateWait(id));
         return;
     }
+    report_no_room(tick, id, &account);
+    let call = tick.tables.calls.get(&id);
+    let begins = call.is_some_and(|call| call.begins_program);
     let retry_after_ms = tick
         .tables
         .shares
         .get(&account)
-        .and_then(|share| share.ready_in_us(tick.now_us))
+        .and_then(|share| share.ready_in_us(begins, tick.now_us))
         .map_or(DEFAULT_RETRY_AFTER_MS, |us| us.div_ceil(1_000).max(1));
     admission::refuse(
         tick,
@@ -128,7 +180,26 @@
         Execution::NotRun,
         Some(retry_after_ms),
     );
-    skip_gone(tick, &account);
+    skip_gone(tick, &account, begins);
+}
+
+/// Logs what the bucket held when it had no room for a call.
+fn report_no_room(tick: &mut Tick<'_>, call: CallId, account: &AccountName) {
+    let now_us = tick.now_us;
+    let Some(share) = tick.tables.shares.get(account) else {
+        return;
+    };
+    let mut bucket = share.bucket;
+    bucket.refill(now_us);
+    let debt_ncalls = share.pooled.map_or(0, |pooled| pooled.debt_ncalls);
+    tick.decide(Decision::NoRoom {
+        call,
+        account: account.clone(),
+        level_mcalls: bucket.level_ncalls / NCALLS_PER_MCALL,
+        debt_mcalls: debt_ncalls / NCALLS_PER_MCALL,
+        burst_mcalls: bucket.burst_ncalls / NCALLS_PER_MCALL,
+        rate_mcalls_per_s: bucket.rate_mcalls_per_s,
+    });
 }
 
 /// Returns until when a call waits on for an owner that does not answer or takes over.
@@ -145,17 +216,17 @@
 }
 
 /// Removes calls from the head of the queue that were refused or abandoned.
-fn skip_gone(tick: &mut Tick<'_>, account: &AccountName) {
+fn skip_gone(tick: &mut Tick<'_>, account: &AccountName, begins: bool) {
     let tables = &mut *tick.tables;
     let Some(share) = tables.shares.get_mut(account) else {
         return;
     };
-    while let Some(id) = share.waiting.front() {
+    while let Some(id) = share.queue_mut(begins).front() {
         let call = tables.calls.get(id);
         if call.is_some_and(|call| call.stage == Stage::Rate) {
             return;
         }
-        share.waiting.pop_front();
+        share.queue_mut(begins).pop_front();
     }
 }
 
--- a/crates/core/src/systems/rates/pooled.rs
+++ b/crates/core/src/systems/rates/pooled.rs
@@ -1,15 +1,26 @@
 //! Rates of accounts without an owner: each VM keeps a copy of the bucket of each account.
 //!
-//! The copies start empty, so that a VM, or all of them, can be restarted without a second
-//! burst. The VMs that hear each other use their part of the rate; see `systems::peers`.
+//! The copies start with little in them, so that a VM, or all of them, can be restarted without
+//! a second burst. The VMs that hear each other use their part of the rate; see `systems::peers`.
 
 use super::super::Tick;
 use super::calls;
 use crate::ids::AccountName;
-use crate::tables::{Bucket, NCALLS_PER_CALL, Pooled, Share};
+use crate::tables::{Bucket, Limits, NCALLS_PER_CALL, Pooled, Share};
 
 /// Part of the burst below which each VM keeps to its part of the rate: one in this many.
-const RESERVE_PART: u64 = 4;
+const RESERVE_PART: u64 = 10;
+
+/// Part of the burst below which no program begins, in percent.
+///
+/// The programs under way need several calls each, and one that is refused loses them all.
+const BEGIN_PERCENT: u64 = 40;
+
+/// Part of the burst that an account may use at once after a start: one in this many.
+const START_PART: u64 = 4;
+
+/// What an account may use at once after a start, in time of its rate.
+const START_US: u64 = 500_000;
 
 /// Calls that a VM may take at once from its part of the rate, in time of that part.
 const PACE_BURST_US: u64 = 250_000;
@@ -28,11 +39,12 @@
     let is_new = !shares.contains_key(account);
     let share = shares.get_or_insert_with(account, Share::default);
     share.bucket.refill(now_us);
+    let limits = within_window(limits, tick.settings.rate_window_ms);
     let rate_mcalls_per_s = limits.rate_mcalls_per_s * heard / known;
     let burst_ncalls = limits.burst_ncalls / known * heard;
     let level_ncalls = match is_new {
         true if starts_full => burst_ncalls,
-        true => 0,
+        true => (burst_ncalls / START_PART).min(rate_mcalls_per_s * START_US),
         false => share.bucket.level_ncalls.min(burst_ncalls),
     };
     share.bucket = Bucket {
@@ -46,6 +58,7 @@
     let pace_burst = (pace_rate * PACE_BURST_US).max(NCALLS_PER_CALL);
     share.pooled = Some(Pooled {
         reserve_ncalls: burst_ncalls / RESERVE_PART,
+        begin_ncalls: burst_ncalls * BEGIN_PERCENT / 100,
         debt_ncalls: before.debt_ncalls,
         pace: Bucket {
             rate_mcalls_per_s: pace_rate,
@@ -56,6 +69,22 @@
     });
 }
 
+/// Divides the burst of an account whose calls are counted over one window.
+///
+/// Half of the burst may be taken at once; the other half is spread over the window. No window
+/// holds more calls than with the whole burst at once, and an account that stays at its limit
+/// gets the calls of its burst in each window.
+fn within_window(limits: Limits, window_ms: u64) -> Limits {
+    if window_ms == 0 {
+        return limits;
+    }
+    let spread_ncalls = limits.burst_ncalls / 2;
+    Limits {
+        rate_mcalls_per_s: limits.rate_mcalls_per_s + spread_ncalls / (window_ms * 1_000),
+        burst_ncalls: limits.burst_ncalls - spread_ncalls,
+    }
+}
+
 /// Takes calls that another VM has admitted from the copy of an account's bucket.
 pub(crate) fn spend(tick: &mut Tick<'_>, account: &AccountName, ncalls: u64) {
     let now_us = tick.now_us;
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -7,14 +7,20 @@
 /// Part of a budget that may be used without a record in the store: one in this many.
 const FREE_PART: u64 = 4;
 
-/// Part of a budget that a new record counts as used: one in this many.
-///
-/// VMs learn of each other's use with the delay of a summary, so that more than the free part
-/// can be used before the first record; a record covers twice the free part.
+/// Part of a budget that a new record counts as used at least: one in this many.
 const UNRECORDED_PART: u64 = 2;
 
-/// Turns for which tokens are reserved at once.
-const RESERVED_TURNS: u64 = 3;
+/// Turns that one line may run before all VMs know of the first of them.
+const UNSEEN_TURNS: u64 = 2;
+
+/// Turns that the lines of a program may run together before all VMs know of them.
+const UNSEEN_PARALLEL_TURNS: u64 = 10;
+
+/// Turns in a budget from which sub-agents need no reservation either.
+const AMPLE_TURNS: u64 = 16;
+
+/// Part of what is left in a record that is reserved at once: one in this many.
+const RESERVED_PART: u64 = 8;
 
 /// Tokens that one process has passed to callers.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -36,6 +42,8 @@
     pub keep_us: u64,
     /// When the row was last used.
     pub used_us: u64,
+    /// The line of turns that the program began with.
+    pub main_line: Option<u64>,
     /// Tokens passed to callers, by process.
     pub spent: SmallVec<[Spent; 2]>,
     /// The most that turns running on this VM without a reservation may generate.
@@ -83,13 +91,31 @@
         spent + self.running_tokens
     }
 
+    /// Returns whether the record of such a budget has room for one turn at all.
+    pub fn is_recordable(budget_tokens: u64, turn_tokens: u64) -> bool {
+        let record = BudgetRecord::new(budget_tokens, turn_tokens);
+        record.taken_tokens + turn_tokens <= budget_tokens
+    }
+
+    /// Returns whether a turn of a line may go on the strength of what is known.
+    ///
+    /// The turns of one line follow each other, so that few of them are unseen. Sub-agents start
+    /// at once on several VMs, and only an ample budget holds as many unseen turns.
+    fn is_free(&self, line: Option<u64>, turn_tokens: u64) -> bool {
+        let is_main = line == self.main_line;
+        let is_ample = self.budget_tokens >= AMPLE_TURNS * turn_tokens;
+        !self.is_unknown
+            && (is_main || is_ample)
+            && self.known_tokens() <= self.budget_tokens / FREE_PART
+    }
+
     /// Covers one more turn, taking its tokens if there are enough.
-    pub fn cover(&mut self, turn_tokens: u64) -> Verdict {
+    pub fn cover(&mut self, line: Option<u64>, turn_tokens: u64) -> Verdict {
         let known = self.known_tokens();
         if self.is_stopped || turn_tokens > self.budget_tokens {
             return Verdict::UsedUp;
         }
-        if !self.is_unknown && known <= self.budget_tokens / FREE_PART {
+        if self.is_free(line, turn_tokens) {
             if known + turn_tokens > self.budget_tokens {
                 return Verdict::UsedUp;
             }
@@ -97,7 +123,10 @@
             return Verdict::Covered(Cover::Free);
         }
         if self.reserved_tokens < turn_tokens {
-            return Verdict::NeedsReservation;
+            return match Self::is_recordable(self.budget_tokens, turn_tokens) {
+                true => Verdict::NeedsReservation,
+                false => Verdict::UsedUp,
+            };
         }
         self.reserved_tokens -= turn_tokens;
         Verdict::Covered(Cover::Reserved)
@@ -145,10 +174,10 @@
 /// ```
 /// use knapweeddale_core::tables::BudgetRecord;
 ///
-/// let mut record = BudgetRecord::new(1_000);
-/// assert_eq!(record.reserve(100), 300);
-/// assert_eq!(record.reserve(100), 200);
-/// assert_eq!(record.reserve(100), 0);
+/// let mut record = BudgetRecord::new(1_000, 200);
+/// assert_eq!(record.reserve(200), 200);
+/// assert_eq!(record.reserve(200), 200);
+/// assert_eq!(record.reserve(200), 0);
 /// assert!(record.is_stopped);
 /// ```
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -164,22 +193,34 @@
 
 impl BudgetRecord {
     /// Makes the record of a program that has passed the part which needs none.
-    pub fn new(budget_tokens: u64) -> Self {
+    ///
+    /// It counts the free part as used, and the turns that may run before all VMs know that it
+    /// is used, less the one turn by which a budget may be exceeded.
+    pub fn new(budget_tokens: u64, turn_tokens: u64) -> Self {
+        let is_ample = budget_tokens >= AMPLE_TURNS * turn_tokens;
+        let unseen_turns = if is_ample {
+            UNSEEN_PARALLEL_TURNS
+        } else {
+            UNSEEN_TURNS
+        };
+        let unrecorded = budget_tokens / FREE_PART + (unseen_turns - 1) * turn_tokens;
         Self {
             budget_tokens,
-            taken_tokens: budget_tokens / UNRECORDED_PART,
+            taken_tokens: unrecorded
+                .max(budget_tokens / UNRECORDED_PART)
+                .min(budget_tokens),
             is_stopped: false,
         }
     }
 
-    /// Reserves tokens for a few turns and returns them; 0 if one more turn does not fit.
+    /// Reserves tokens for a turn or more and returns them; 0 if one more turn does not fit.
     pub fn reserve(&mut self, turn_tokens: u64) -> u64 {
         let left = self.budget_tokens.saturating_sub(self.taken_tokens);
         if self.is_stopped || left < turn_tokens {
             self.is_stopped = true;
             return 0;
         }
-        let tokens = left.min(turn_tokens * RESERVED_TURNS);
+        let tokens = turn_tokens.max(left / RESERVED_PART);
         self.taken_tokens += tokens;
         tokens
     }
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -72,6 +72,8 @@
     pub avoid: SmallVec<[UpstreamName; 2]>,
     /// Placement and retries.
     pub place: PlaceState,
+    /// Whether it begins a program, as far as this VM knows.
+    pub begins_program: bool,
     /// What only relayed calls have.
     pub relay: Option<Box<Relay>>,
 }
@@ -83,10 +85,14 @@
     pub route: Arc<HostRoute>,
     /// When the call has to be answered.
     pub deadline_us: u64,
+    /// When a stream that has begun has to end.
+    pub stream_deadline_us: u64,
     /// The rank; 0 goes first.
     pub priority: u32,
     /// The program, for its budget and for the cache of its engine.
     pub program: Option<ProgramKey>,
+    /// The line of turns within the program.
+    pub line: Option<u64>,
     /// The program's budget, if the call is a turn.
     pub budget_tokens: Option<u64>,
     /// How the budget covers the call.
--- a/crates/core/src/tables/share.rs
+++ b/crates/core/src/tables/share.rs
@@ -70,6 +70,8 @@
     pub held: Option<Held>,
     /// Calls that wait for the rate, first come first served.
     pub waiting: VecDeque<CallId>,
+    /// Calls that begin a program; they wait until no other call does.
+    pub beginning: VecDeque<CallId>,
     /// Arrivals of the last second.
     pub offered: Meter,
     /// When the last call arrived.
@@ -103,6 +105,8 @@
 pub struct Pooled {
     /// Level below which each VM keeps to its part.
     pub reserve_ncalls: u64,
+    /// Level below which no call that begins a program is admitted.
+    pub begin_ncalls: u64,
     /// Calls that were taken beyond the level; they are paid back from the rate.
     pub debt_ncalls: u64,
     /// This VM's part of the rate.
@@ -111,17 +115,26 @@
 
 impl Pooled {
     /// Takes one call from this VM's copy of the bucket; returns whether there was one.
-    fn take(&mut self, bucket: &mut Bucket, now_us: u64) -> bool {
+    fn take(&mut self, bucket: &mut Bucket, begins: bool, now_us: u64) -> bool {
         self.pay_back(bucket, now_us);
-        let is_ample =
-            self.debt_ncalls == 0 && bucket.level_ncalls >= self.reserve_ncalls + NCALLS_PER_CALL;
-        let is_paced = self.pace.take(now_us);
+        let needed_ncalls = self.floor_ncalls(begins) + NCALLS_PER_CALL;
+        let is_ample = self.debt_ncalls == 0 && bucket.level_ncalls >= needed_ncalls;
+        let is_paced = !begins && self.pace.take(now_us);
         if is_ample || is_paced {
             self.spend(bucket, NCALLS_PER_CALL);
         }
         is_ample || is_paced
     }
 
+    /// Returns the level that a call has to leave, apart from a VM's own part of the rate.
+    fn floor_ncalls(&self, begins: bool) -> u64 {
+        if begins {
+            self.begin_ncalls
+        } else {
+            self.reserve_ncalls
+        }
+    }
+
     /// Takes calls of another VM from this VM's copy of the bucket.
     pub fn spend(&mut self, bucket: &mut Bucket, ncalls: u64) {
         let taken = bucket.level_ncalls.min(ncalls);
@@ -138,16 +151,17 @@
     }
 
     /// Returns the time until one call can be taken; `None` if that never happens.
-    fn ready_in_us(&self, bucket: &Bucket, now_us: u64) -> Option<u64> {
+    fn ready_in_us(&self, bucket: &Bucket, begins: bool, now_us: u64) -> Option<u64> {
         let mut full = *bucket;
         full.refill(now_us);
-        let needed = self.reserve_ncalls + self.debt_ncalls + NCALLS_PER_CALL;
+        let needed = self.floor_ncalls(begins) + self.debt_ncalls + NCALLS_PER_CALL;
         let missing = needed.saturating_sub(full.level_ncalls);
         let ample_us = match bucket.rate_mcalls_per_s {
             0 => None,
             rate => Some(missing.div_ceil(rate)),
         };
-        match (ample_us, self.pace.ready_in_us(now_us)) {
+        let paced_us = self.pace.ready_in_us(now_us).filter(|_| !begins);
+        match (ample_us, paced_us) {
             (Some(ample_us), Some(paced_us)) => Some(ample_us.min(paced_us)),
             (ample_us, paced_us) => ample_us.or(paced_us),
         }
@@ -156,21 +170,32 @@
 
 impl Share {
     /// Takes one call; returns whether there was one.
-    pub fn take(&mut self, now_us: u64) -> bool {
+    ///
+    /// A call that begins a program is admitted only while there is room for those that go on.
+    pub fn take(&mut self, begins: bool, now_us: u64) -> bool {
         match &mut self.pooled {
-            Some(pooled) => pooled.take(&mut self.bucket, now_us),
+            Some(pooled) => pooled.take(&mut self.bucket, begins, now_us),
             None => self.bucket.take(now_us),
         }
     }
 
     /// Returns the time until one call can be taken; `None` if that never happens.
-    pub fn ready_in_us(&self, now_us: u64) -> Option<u64> {
+    pub fn ready_in_us(&self, begins: bool, now_us: u64) -> Option<u64> {
         match &self.pooled {
-            Some(pooled) => pooled.ready_in_us(&self.bucket, now_us),
+            Some(pooled) => pooled.ready_in_us(&self.bucket, begins, now_us),
             None => self.bucket.ready_in_us(now_us),
         }
     }
 
+    /// Returns the queue of calls that begin a program, or that of the others.
+    pub fn queue_mut(&mut self, begins: bool) -> &mut VecDeque<CallId> {
+        if begins {
+            &mut self.beginning
+        } else {
+            &mut self.waiting
+        }
+    }
+
     /// Drops the share; grants that answer earlier demands are ignored from now on.
     pub fn drop_grant(&mut self) {
         self.held = None;
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -32,6 +32,8 @@
     pub max_tokens: u64,
     /// The program that the request belongs to.
     pub program: Option<ProgramName>,
+    /// The line of turns within the program.
+    pub line: Option<u64>,
     /// Tokens that all turns of the program may generate.
     pub budget_tokens: Option<u64>,
     /// The last event that the caller has, if it resumes a stream.
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -68,10 +68,13 @@
 impl<D: Dialect, C: Clock> Attempt<'_, D, C> {
     /// Runs the attempt.
     pub async fn run(mut self) -> AttemptEnd {
-        let left_us = self
-            .dispatch
-            .deadline_us
-            .saturating_sub(self.shared.clock.now_us());
+        let now_us = self.shared.clock.now_us();
+        let limit_us = if self.progress.is_started {
+            self.dispatch.stream_deadline_us
+        } else {
+            self.dispatch.deadline_us
+        };
+        let left_us = limit_us.saturating_sub(now_us);
         if left_us < 1_000 {
             return Failure::NotSent.into();
         }
@@ -234,6 +237,8 @@
         (sent, deadline): (Instant, Instant),
     ) -> Result<AttemptEnd, Failure> {
         let mut last = sent;
+        let grace_us = self.dispatch.stream_deadline_us - self.dispatch.deadline_us;
+        let stream_deadline = deadline + Duration::from_micros(grace_us);
         let mut is_first = true;
         let mut events = EventReader::default();
         let body = connection.body(&self.parts.method, head);
@@ -244,6 +249,11 @@
             } else {
                 self.dispatch.token_gap_ms
             };
+            let deadline = if self.progress.is_started {
+                stream_deadline
+            } else {
+                deadline
+            };
             let limit = deadline.min(last + Duration::from_millis(limit_ms));
             let read = timeout_at(limit, body.next()).await;
             let bytes = match read {
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -270,6 +270,7 @@
     match decision {
         Decision::Refused { call, .. }
         | Decision::Admitted { call, .. }
+        | Decision::NoRoom { call, .. }
         | Decision::TurnCovered { call, .. }
         | Decision::Retry { call, .. }
         | Decision::NoRetry { call, .. } => Some(*call),
--- a/crates/relay/src/front/service.rs
+++ b/crates/relay/src/front/service.rs
@@ -173,6 +173,7 @@
         .spread(spread_of(head))
         .maybe_model(head.model.clone())
         .maybe_program(head.program.clone())
+        .maybe_line(head.line)
         .maybe_budget_tokens(head.budget_tokens)
         .build();
     NewCall::builder()
--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -23,7 +23,7 @@
     for _ in 0..MAX_CONFLICTS {
         let (mut record, version) = match &known {
             Some(object) => (read(&key, object)?, object.version),
-            None => (BudgetRecord::new(budget_tokens), 0),
+            None => (BudgetRecord::new(budget_tokens, turn_tokens), 0),
         };
         let before = record.clone();
         let tokens = record.reserve(turn_tokens);
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -54,6 +54,7 @@
         let event = match answer {
             Ok(Ok(event)) => {
                 self.metrics.count_store(purpose, true, took);
+                tracing::debug!(purpose, "source: answered");
                 event
             }
             Ok(Err(error)) => {
