Count losses of the memory of all VMs, so that budgets begin anew once

Now a loss is counted in the store, records are read once, and the free part of a budget may be used a second time.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -6,7 +6,7 @@
 use crate::message::Snapshot;
 use crate::output::Output;
 use crate::systems::{self, Tick, Work};
-use crate::tables::{Member, Tables, Timer, View};
+use crate::tables::{Knowledge, Member, Tables, Timer, View};
 
 /// How often the systems run over the work lists in one tick.
 ///
@@ -132,7 +132,12 @@
     });
     tables.placed_epoch = view.epoch;
     tables.view = view;
-    tables.source.knows_programs = settings.is_first_start;
+    if settings.is_first_start {
+        tables.source.knowledge = Knowledge::Since {
+            losses: 0,
+            counted_us: 0,
+        };
+    }
     tables.timers.set(0, Timer::Source);
     tables.timers.set(0, Timer::Summary);
 }
--- a/crates/core/src/input/relay.rs
+++ b/crates/core/src/input/relay.rs
@@ -7,6 +7,7 @@
 use crate::config::{FleetConfig, UpstreamConfig};
 use crate::ids::{ModelName, ProgramKey, ProgramName, ServiceName, VmName};
 use crate::message::{Snapshot, Summary};
+use crate::tables::BudgetRecord;
 
 /// What a relayed call states beside its target.
 ///
@@ -86,6 +87,13 @@
         /// The tokens; 0 if the budget does not hold one more turn.
         tokens: u64,
     },
+    /// What is known of budgets after this VM and all others have lost their memory.
+    Losses {
+        /// How often that has happened within the retention of programs.
+        losses: u32,
+        /// The records of budgets.
+        records: Vec<BudgetRecord>,
+    },
     /// A request has had no usable answer.
     Failed(SourcePart),
 }
@@ -99,6 +107,8 @@
     Upstreams,
     /// The registration of this VM and the list of the others.
     Vms,
+    /// Losses of memory, and the records of budgets.
+    Losses,
     /// The budget of a program.
     Budget(ProgramKey),
 }
--- a/crates/core/src/message/summary.rs
+++ b/crates/core/src/message/summary.rs
@@ -83,6 +83,8 @@
     pub tokens: u64,
     /// Whether the budget is used up.
     pub is_stopped: bool,
+    /// Whether the program has a record in the store.
+    pub has_record: bool,
     /// The engine that ran the last turn at the sender, and the tokens it may have cached.
     pub cached: Option<(UpstreamName, u64)>,
 }
@@ -101,8 +103,8 @@
     pub list_age_us: Option<u64>,
     /// Programs that have run within their retention.
     pub programs: Vec<ProgramSpent>,
-    /// Whether `programs` is complete.
-    pub knows_programs: bool,
+    /// Losses of memory since which `programs` is complete; `None` if it is not.
+    pub losses: Option<u32>,
 }
 
 /// What all VMs have used of a program's budget.
@@ -115,8 +117,12 @@
     pub budget_tokens: u64,
     /// The line of turns that it began with.
     pub main_line: Option<u64>,
+    /// Losses of memory since which it is known.
+    pub losses: u32,
     /// Tokens passed to callers by each process.
     pub spent: Vec<(VmName, Incarnation, u64)>,
     /// Whether the budget is used up.
     pub is_stopped: bool,
+    /// Whether the program has a record in the store.
+    pub has_record: bool,
 }
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -319,9 +319,11 @@
         /// VMs that may serve.
         known_vms: u64,
     },
-    /// The use of all programs was learned from another VM.
-    #[display("budgets: learned the use of {programs} programs")]
+    /// The use of all programs was learned from another VM or from the store.
+    #[display("budgets: learned the use of {programs} programs, memory lost {losses} times")]
     ProgramsKnown {
+        /// Losses of the memory of all VMs within the retention of programs.
+        losses: u32,
         /// The number of programs.
         programs: usize,
     },
--- a/crates/core/src/output/source.rs
+++ b/crates/core/src/output/source.rs
@@ -11,12 +11,16 @@
     Upstreams,
     /// Register this VM and list the registered ones.
     Vms,
+    /// Count a loss of the memory of all VMs, and read the records of budgets.
+    Losses,
     /// Reserve tokens of a program's budget with `BudgetRecord::reserve`.
     Reserve {
         /// The program.
         program: ProgramKey,
         /// The whole budget.
         budget_tokens: u64,
+        /// Losses of memory after which the program was met.
+        losses: u32,
         /// The least that helps: the most that one turn may generate.
         turn_tokens: u64,
     },
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -9,7 +9,7 @@
 use crate::ids::{CallId, Incarnation, ProgramKey, VmName};
 use crate::message::{ProgramSpent, ProgramUse};
 use crate::output::{Decision, Execution, Output, RefusalKind, SourceRequest};
-use crate::tables::{Budget, Call, Stage, Timer, Verdict};
+use crate::tables::{Budget, BudgetRecord, Call, Knowledge, Relay, Stage, Timer, Verdict};
 
 /// Time after which a program whose route states none is forgotten.
 const DEFAULT_KEEP_MS: u64 = 60_000;
@@ -43,13 +43,42 @@
             expire(tick, program);
         }
     }
+    if tick.tables.source.knowledge == Knowledge::Pending {
+        tick.tables.source.waiting.extend(work.calls);
+        return;
+    }
     for call in work.calls {
         request(tick, call);
     }
 }
 
+/// Takes note of what is known of programs, and goes on with the turns that waited for it.
+pub(crate) fn know(tick: &mut Tick<'_>, losses: u32, programs: usize) {
+    let source = &mut tick.tables.source;
+    source.knowledge = Knowledge::Since {
+        losses,
+        counted_us: if losses > 0 { tick.now_us } else { 0 },
+    };
+    let waiting = std::mem::take(&mut source.waiting);
+    tick.work.budgets.calls.extend(waiting);
+    tick.work.peers.announce = true;
+    tick.decide(Decision::ProgramsKnown { programs, losses });
+}
+
+/// Takes over the record of a program after a loss of memory.
+pub(crate) fn adopt_record(tick: &mut Tick<'_>, record: &BudgetRecord) {
+    let row = touch(tick, &record.program, DEFAULT_KEEP_MS * 1_000);
+    row.budget_tokens = record.budget_tokens;
+    row.has_record = true;
+    row.is_stopped |= record.is_stopped;
+}
+
 /// Covers a turn by its program's budget, or lets it wait for a reservation.
 fn request(tick: &mut Tick<'_>, id: CallId) {
+    let is_waiting = |call: &Call| call.stage == Stage::Budget;
+    if !tick.tables.calls.get(&id).is_some_and(is_waiting) {
+        return;
+    }
     let Some((program, line, turn_tokens)) = turn_of(tick, id) else {
         return;
     };
@@ -75,10 +104,12 @@
         }
         Verdict::NeedsReservation => {
             row.waiting.push(id);
+            let losses = row.losses;
             if !std::mem::replace(&mut row.is_reserving, true) {
                 tick.outputs.push(Output::Source(SourceRequest::Reserve {
                     program,
                     budget_tokens,
+                    losses,
                     turn_tokens,
                 }));
             }
@@ -95,7 +126,7 @@
 }
 
 /// Returns what only a relayed call has.
-fn relay_mut<'a>(tick: &'a mut Tick<'_>, id: CallId) -> Option<&'a mut crate::tables::Relay> {
+fn relay_mut<'a>(tick: &'a mut Tick<'_>, id: CallId) -> Option<&'a mut Relay> {
     tick.tables.calls.get_mut(&id)?.relay.as_deref_mut()
 }
 
@@ -135,13 +166,11 @@
     if !tick.tables.budgets.contains_key(program) {
         let timer = Timer::BudgetIdle(program.clone());
         tick.tables.timers.set(now_us + keep_us, timer);
-        let source = &tick.tables.source;
-        // After its retention, a program that ran before this VM started is forgotten anyway.
-        let is_young = now_us < source.started_us + keep_us;
+        let knowledge = tick.tables.source.knowledge;
         let row = Budget {
             keep_us,
             used_us: now_us,
-            is_unknown: !source.knows_programs && is_young,
+            losses: knowledge.losses(keep_us, now_us).unwrap_or(u32::MAX),
             ..Budget::default()
         };
         tick.tables.budgets.insert(program.clone(), row);
@@ -153,10 +182,13 @@
 
 /// Goes on with the turns that waited for a reservation.
 fn reserved(tick: &mut Tick<'_>, program: &ProgramKey, tokens: Option<u64>) {
+    let round = tick.tables.peering.next_round();
     let Some(row) = tick.tables.budgets.get_mut(program) else {
         return;
     };
     row.is_reserving = false;
+    row.has_record |= tokens.is_some();
+    row.changed_round = round;
     let waiting = std::mem::take(&mut row.waiting);
     row.reserved_tokens += tokens.unwrap_or_default();
     let reserved_tokens = row.reserved_tokens;
@@ -232,6 +264,7 @@
     row.set_spent(vm, incarnation, used.tokens);
     row.main_line = row.main_line.or(used.main_line);
     row.is_stopped |= used.is_stopped;
+    row.has_record |= used.has_record;
     row.used_us = now_us;
     if let Some((upstream, tokens)) = &used.cached {
         super::placement::note_cached(tick, &used.program, upstream, *tokens);
@@ -244,7 +277,8 @@
     row.budget_tokens = row.budget_tokens.max(program.budget_tokens);
     row.main_line = row.main_line.or(program.main_line);
     row.is_stopped |= program.is_stopped;
-    row.is_unknown = false;
+    row.has_record |= program.has_record;
+    row.losses = program.losses;
     for (vm, incarnation, tokens) in &program.spent {
         row.set_spent(vm, *incarnation, *tokens);
     }
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -6,7 +6,7 @@
 use crate::input::{PeerNews, RegisteredVm};
 use crate::message::{Snapshot, Summary};
 use crate::output::Decision;
-use crate::tables::{NCALLS_PER_CALL, Peer};
+use crate::tables::{Knowledge, NCALLS_PER_CALL, Peer};
 
 /// Handles what another VM said.
 pub(super) fn handle(tick: &mut Tick<'_>, news: PeerNews) {
@@ -152,7 +152,8 @@
     let Some(peer) = tables.peering.peers.get(vm) else {
         return;
     };
-    let lacks_programs = knows_programs && !tables.source.knows_programs;
+    let is_pending = tables.source.knowledge == Knowledge::Pending;
+    let lacks_programs = knows_programs && is_pending;
     let is_newer = peer.revision > tables.fleet.revision
         || (peer.list.revision > tables.source.stamp.revision
             && peer.list.digest != tables.source.stamp.digest);
@@ -178,13 +179,12 @@
     }
     let list_us = read_us(snapshot.list_age_us);
     config::adopt_list(tick, snapshot.list, list_us);
-    if snapshot.knows_programs && !tick.tables.source.knows_programs {
+    if let Some(losses) = snapshot.losses
+        && tick.tables.source.knowledge == Knowledge::Pending
+    {
         for program in &snapshot.programs {
             budgets::adopt(tick, program);
         }
-        tick.tables.source.knows_programs = true;
-        tick.decide(Decision::ProgramsKnown {
-            programs: snapshot.programs.len(),
-        });
+        budgets::know(tick, losses, snapshot.programs.len());
     }
 }
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -8,11 +8,14 @@
 use crate::input::UpstreamList;
 use crate::message::{Echo, ProgramSpent, ProgramUse, Snapshot, Summary};
 use crate::output::Output;
-use crate::tables::{Peer, Tables};
+use crate::tables::{Knowledge, Peer, Tables};
 
 /// Rows of one kind in one summary, so that it fits into a datagram.
 const MAX_ROWS: usize = 48;
 
+/// Time after which a loss of memory no longer counts for programs.
+const KEEP_US: u64 = 60_000_000;
+
 /// Rounds between two summaries to a VM that is not heard.
 const SILENT_ROUNDS: u64 = 5;
 
@@ -58,7 +61,7 @@
         round: tables.peering.round,
         echo: None,
         is_leaving: tables.membership.departure.is_draining,
-        knows_programs: tables.source.knows_programs,
+        knows_programs: tables.source.knowledge != Knowledge::Pending,
         revision: tables.fleet.revision,
         config_age_us: tables.source.config.age_us(now_us),
         list: tables.source.stamp,
@@ -106,6 +109,7 @@
             main_line: row.main_line,
             tokens: row.spent_by(&settings.vm, settings.incarnation),
             is_stopped: row.is_stopped,
+            has_record: row.has_record,
             cached: row.cached.clone(),
         })
         .collect();
@@ -152,9 +156,15 @@
                     .iter()
                     .map(|spent| (spent.vm.clone(), spent.incarnation, spent.tokens))
                     .collect(),
+                losses: row.losses,
                 is_stopped: row.is_stopped,
+                has_record: row.has_record,
             })
             .collect(),
-        knows_programs: with_programs && tables.source.knows_programs,
+        losses: tables
+            .source
+            .knowledge
+            .losses(KEEP_US, now_us)
+            .filter(|_| with_programs),
     }
 }
--- a/crates/core/src/systems/source/mod.rs
+++ b/crates/core/src/systems/source/mod.rs
@@ -4,10 +4,10 @@
 //! older than a limit that grows with its position among the VMs that are heard. So one VM reads
 //! in the ordinary case, and the next one takes over when it cannot.
 
-use super::{Tick, config, peers};
+use super::{Tick, budgets, config, peers};
 use crate::input::{SourceEvent, SourcePart};
 use crate::output::{Decision, Output, SourceRequest};
-use crate::tables::{Reading, Timer};
+use crate::tables::{Knowledge, Reading, Timer};
 
 /// Age at which the first VM reads again.
 const FIRST_READ_US: u64 = 450_000;
@@ -33,6 +33,9 @@
 /// A pause between two reads of the list after which the store counts as having been away.
 const AWAY_US: u64 = 1_600_000;
 
+/// Time that other VMs have to say what they know of programs.
+const LOSSES_US: u64 = 700_000;
+
 /// Time after which a request without an answer counts as lost.
 const GIVE_UP_US: u64 = 2_000_000;
 
@@ -84,6 +87,15 @@
             peers::learn_vms(tick, vms);
             tick.work.peers.announce = true;
         }
+        SourceEvent::Losses { losses, records } => {
+            answered(tick, &SourcePart::Losses);
+            if tick.tables.source.knowledge == Knowledge::Pending {
+                for record in &records {
+                    budgets::adopt_record(tick, record);
+                }
+                budgets::know(tick, losses, records.len());
+            }
+        }
         SourceEvent::Reserved { program, tokens } => {
             tick.work.budgets.reserved.push((program, Some(tokens)));
         }
@@ -95,19 +107,20 @@
 }
 
 /// Returns the reading that a part is about.
-fn reading<'a>(tick: &'a mut Tick<'_>, part: &SourcePart) -> Option<&'a mut Reading> {
+fn reading_of<'a>(tick: &'a mut Tick<'_>, part: &SourcePart) -> Option<&'a mut Reading> {
     let source = &mut tick.tables.source;
     match part {
         SourcePart::Config => Some(&mut source.config),
         SourcePart::Upstreams => Some(&mut source.list),
         SourcePart::Vms => Some(&mut source.vms),
+        SourcePart::Losses => Some(&mut source.losses),
         SourcePart::Budget(_) => None,
     }
 }
 
 /// Takes note of an answer.
 fn answered(tick: &mut Tick<'_>, part: &SourcePart) {
-    if let Some(reading) = reading(tick, part) {
+    if let Some(reading) = reading_of(tick, part) {
         reading.asked_us = None;
         reading.failures = 0;
         reading.retry_us = 0;
@@ -120,7 +133,7 @@
 /// Takes note of a request without an answer.
 fn failed(tick: &mut Tick<'_>, part: &SourcePart) {
     let now_us = tick.now_us;
-    if let Some(reading) = reading(tick, part) {
+    if let Some(reading) = reading_of(tick, part) {
         let pause_us = (RETRY_US << reading.failures.min(4)).min(MAX_RETRY_US);
         reading.asked_us = None;
         reading.failures += 1;
@@ -155,10 +168,11 @@
         (SourcePart::Config, SourceRequest::Config, age_us),
         (SourcePart::Upstreams, SourceRequest::Upstreams, age_us),
         (SourcePart::Vms, SourceRequest::Vms, VMS_US),
+        (SourcePart::Losses, SourceRequest::Losses, 0),
     ];
     let mut next_us = u64::MAX;
     for (part, request, age_us) in parts {
-        let Some(reading) = reading(tick, &part) else {
+        let Some(reading) = reading_of(tick, &part) else {
             continue;
         };
         let due_us = due_us(reading, age_us);
@@ -166,6 +180,13 @@
             next_us = next_us.min(due_us);
             continue;
         }
+        if part == SourcePart::Losses && !asks_losses(tick) {
+            next_us = next_us.min(now_us + LOSSES_US);
+            continue;
+        }
+        let Some(reading) = reading_of(tick, &part) else {
+            continue;
+        };
         reading.asked_us = Some(now_us);
         next_us = next_us.min(now_us + GIVE_UP_US);
         tick.outputs.push(Output::Source(request));
@@ -173,6 +194,17 @@
     tick.tables.timers.set(next_us, Timer::Source);
 }
 
+/// Returns whether the store has to be asked for losses of memory.
+///
+/// That is the case when other VMs have had time to say what they know, and none has.
+fn asks_losses(tick: &Tick<'_>) -> bool {
+    let source = &tick.tables.source;
+    let is_pending = source.knowledge == Knowledge::Pending;
+    let has_waited = tick.now_us >= source.started_us + LOSSES_US;
+    let is_heard = source.vms.read_us.is_some();
+    is_pending && is_heard && has_waited && tick.tables.peering.asked_snapshot_us.is_none()
+}
+
 /// Returns the age at which a VM at a position reads again.
 fn read_age_us(rank: u64) -> u64 {
     match rank {
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use crate::ids::{CallId, Incarnation, UpstreamName, VmName};
+use crate::ids::{CallId, Incarnation, ProgramKey, UpstreamName, VmName};
 
 /// Part of a budget that may be used without a record in the store: one in this many.
 const FREE_PART: u64 = 4;
@@ -19,6 +19,11 @@
 /// Turns in a budget from which sub-agents need no reservation either.
 const AMPLE_TURNS: u64 = 16;
 
+/// Losses of memory after which the free part may still be used anew.
+///
+/// Programs use a quarter of their budget in the mean, so that two free parts leave room.
+const MAX_LOSSES: u32 = 1;
+
 /// Part of what is left in a record that is reserved at once: one in this many.
 const RESERVED_PART: u64 = 8;
 
@@ -50,8 +55,10 @@
     pub running_tokens: u64,
     /// Tokens reserved by this VM and not taken by a turn.
     pub reserved_tokens: u64,
-    /// Whether turns may have run that this VM knows nothing of.
-    pub is_unknown: bool,
+    /// Losses of memory since which the program is known; turns before them are not.
+    pub losses: u32,
+    /// Whether the program has a record in the store.
+    pub has_record: bool,
     /// Whether the budget is used up.
     pub is_stopped: bool,
     /// Whether a reservation is under way.
@@ -91,10 +98,10 @@
         spent + self.running_tokens
     }
 
-    /// Returns whether the record of such a budget has room for one turn at all.
-    pub fn is_recordable(budget_tokens: u64, turn_tokens: u64) -> bool {
-        let record = BudgetRecord::new(budget_tokens, turn_tokens);
-        record.taken_tokens + turn_tokens <= budget_tokens
+    /// Returns whether a new record of the budget would have room for one turn.
+    fn is_recordable(&self, turn_tokens: u64) -> bool {
+        let taken = unrecorded_tokens(self.budget_tokens, turn_tokens, self.losses);
+        taken + turn_tokens <= self.budget_tokens
     }
 
     /// Returns whether a turn of a line may go on the strength of what is known.
@@ -104,7 +111,8 @@
     fn is_free(&self, line: Option<u64>, turn_tokens: u64) -> bool {
         let is_main = line == self.main_line;
         let is_ample = self.budget_tokens >= AMPLE_TURNS * turn_tokens;
-        !self.is_unknown
+        self.losses <= MAX_LOSSES
+            && !self.has_record
             && (is_main || is_ample)
             && self.known_tokens() <= self.budget_tokens / FREE_PART
     }
@@ -123,7 +131,7 @@
             return Verdict::Covered(Cover::Free);
         }
         if self.reserved_tokens < turn_tokens {
-            return match Self::is_recordable(self.budget_tokens, turn_tokens) {
+            return match self.has_record || self.is_recordable(turn_tokens) {
                 true => Verdict::NeedsReservation,
                 false => Verdict::UsedUp,
             };
@@ -165,6 +173,25 @@
     }
 }
 
+/// Returns the tokens that may have been used without a record.
+///
+/// That is the free part, and the turns that may run before all VMs know that it is used, less
+/// the one turn by which a budget may be exceeded; after a loss of memory, all of it again.
+fn unrecorded_tokens(budget_tokens: u64, turn_tokens: u64, losses: u32) -> u64 {
+    let is_ample = budget_tokens >= AMPLE_TURNS * turn_tokens;
+    let unseen_turns = if is_ample {
+        UNSEEN_PARALLEL_TURNS
+    } else {
+        UNSEEN_TURNS
+    };
+    let free_tokens = budget_tokens / FREE_PART;
+    let unseen_tokens = (unseen_turns - 1) * turn_tokens;
+    let again_tokens = u64::from(losses) * (free_tokens + turn_tokens);
+    (free_tokens + unseen_tokens + again_tokens)
+        .max(budget_tokens / UNRECORDED_PART)
+        .min(budget_tokens)
+}
+
 /// The record of a program's budget in the store.
 ///
 /// It is changed by conditional writes only, so that no token is reserved twice.
@@ -173,8 +200,13 @@
 ///
 /// ```
 /// use knapweeddale_core::tables::BudgetRecord;
+/// use knapweeddale_core::{AccountName, ProgramKey, ProgramName};
 ///
-/// let mut record = BudgetRecord::new(1_000, 200);
+/// let program = ProgramKey {
+///     account: AccountName::from("norte"),
+///     name: ProgramName::from("tour"),
+/// };
+/// let mut record = BudgetRecord::new(program, 1_000, 200, 0);
 /// assert_eq!(record.reserve(200), 200);
 /// assert_eq!(record.reserve(200), 200);
 /// assert_eq!(record.reserve(200), 0);
@@ -183,6 +215,8 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
 pub struct BudgetRecord {
+    /// The program.
+    pub program: ProgramKey,
     /// Tokens that all turns may generate.
     pub budget_tokens: u64,
     /// Tokens that have been reserved or count as used.
@@ -193,22 +227,11 @@
 
 impl BudgetRecord {
     /// Makes the record of a program that has passed the part which needs none.
-    ///
-    /// It counts the free part as used, and the turns that may run before all VMs know that it
-    /// is used, less the one turn by which a budget may be exceeded.
-    pub fn new(budget_tokens: u64, turn_tokens: u64) -> Self {
-        let is_ample = budget_tokens >= AMPLE_TURNS * turn_tokens;
-        let unseen_turns = if is_ample {
-            UNSEEN_PARALLEL_TURNS
-        } else {
-            UNSEEN_TURNS
-        };
-        let unrecorded = budget_tokens / FREE_PART + (unseen_turns - 1) * turn_tokens;
+    pub fn new(program: ProgramKey, budget_tokens: u64, turn_tokens: u64, losses: u32) -> Self {
         Self {
+            program,
             budget_tokens,
-            taken_tokens: unrecorded
-                .max(budget_tokens / UNRECORDED_PART)
-                .min(budget_tokens),
+            taken_tokens: unrecorded_tokens(budget_tokens, turn_tokens, losses),
             is_stopped: false,
         }
     }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -53,7 +53,7 @@
 pub use queue::{Candidates, LaneOrder, Queue, Rank, Waiting};
 pub use retry::RetryBudget;
 pub use share::{Held, Meter, Pooled, Share};
-pub use source::{Reading, Source};
+pub use source::{Knowledge, Reading, Source};
 pub use suspect::{Quarantine, Suspect};
 pub use table::Table;
 pub use timers::{Timer, Timers};
--- a/crates/core/src/tables/source.rs
+++ b/crates/core/src/tables/source.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::ids::CallId;
 use crate::input::UpstreamList;
 use crate::message::ListStamp;
 
@@ -30,6 +31,33 @@
     }
 }
 
+/// What a VM knows of programs that ran before it started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Knowledge {
+    /// Nothing yet; turns wait until another VM or the store has been asked.
+    #[default]
+    Pending,
+    /// All that has run since the memory of all VMs was lost this often within the retention of
+    /// programs.
+    Since {
+        /// The number of losses.
+        losses: u32,
+        /// When the last one was counted; 0 if there was none.
+        counted_us: u64,
+    },
+}
+
+impl Knowledge {
+    /// Returns the losses that count for a program which is met now, if anything is known.
+    pub fn losses(self, keep_us: u64, now_us: u64) -> Option<u32> {
+        match self {
+            Self::Pending => None,
+            Self::Since { counted_us, .. } if counted_us + keep_us < now_us => Some(0),
+            Self::Since { losses, .. } => Some(losses),
+        }
+    }
+}
+
 /// State of the reads from the platform's store.
 #[derive(Debug, Default)]
 pub struct Source {
@@ -39,6 +67,8 @@
     pub list: Reading,
     /// The registration of this VM and the list of the others.
     pub vms: Reading,
+    /// The count of losses of memory.
+    pub losses: Reading,
     /// Whether the last request of this VM had no answer.
     pub is_lost: bool,
     /// When the list was read again after a long pause.
@@ -47,8 +77,10 @@
     pub upstreams: Arc<UpstreamList>,
     /// Tells it apart from others.
     pub stamp: ListStamp,
-    /// Whether all programs that have run within their retention are known.
-    pub knows_programs: bool,
+    /// What is known of programs that ran before this VM started.
+    pub knowledge: Knowledge,
+    /// Turns that wait until something is known of programs.
+    pub waiting: Vec<CallId>,
     /// When this VM started.
     pub started_us: u64,
 }
--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -3,6 +3,21 @@
 use knapweeddale_core::ProgramKey;
 use knapweeddale_core::tables::BudgetRecord;
 use knapweeddale_store::{Object, ObjectApi, StoreError};
+use serde::{Deserialize, Serialize};
+
+use super::unix_ms;
+
+/// The kind of the records.
+const PREFIX: &str = "knapweeddale-budgets/";
+
+/// The count of losses of memory.
+const LOSSES_KEY: &str = "knapweeddale-fleet/losses";
+
+/// VMs that restart within this time count the same loss.
+const SAME_LOSS_MS: u64 = 4_000;
+
+/// Time after which a loss no longer matters to any program.
+const FORGET_LOSS_MS: u64 = 90_000;
 
 /// Conflicts with other VMs after which a reservation is given up.
 const MAX_CONFLICTS: usize = 6;
@@ -14,8 +29,8 @@
 pub(super) async fn reserve<S: ObjectApi>(
     store: &S,
     program: &ProgramKey,
-    budget_tokens: u64,
-    turn_tokens: u64,
+    (budget_tokens, turn_tokens): (u64, u64),
+    losses: u32,
 ) -> Result<u64, StoreError> {
     let key = key_of(program);
     // Most programs that get here have no record yet, so that the first read can be spared.
@@ -23,7 +38,11 @@
     for _ in 0..MAX_CONFLICTS {
         let (mut record, version) = match &known {
             Some(object) => (read(&key, object)?, object.version),
-            None => (BudgetRecord::new(budget_tokens, turn_tokens), 0),
+            None => {
+                let program = program.clone();
+                let record = BudgetRecord::new(program, budget_tokens, turn_tokens, losses);
+                (record, 0)
+            }
         };
         let before = record.clone();
         let tokens = record.reserve(turn_tokens);
@@ -54,7 +73,7 @@
             }
         })
         .collect();
-    format!("knapweeddale-budgets/{name}")
+    format!("{PREFIX}{name}")
 }
 
 /// Reads a record.
@@ -68,3 +87,70 @@
         reason: format!("record {key} cannot be used: {error}"),
     }
 }
+
+/// The count of losses of the memory of all VMs.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+struct Losses {
+    /// Losses that matter.
+    losses: u32,
+    /// When the last one was counted.
+    counted_unix_ms: u64,
+}
+
+impl Losses {
+    /// Counts a loss at a time, unless another VM has counted the same one.
+    fn count(self, now_unix_ms: u64) -> Self {
+        let age_ms = now_unix_ms.abs_diff(self.counted_unix_ms);
+        if age_ms < SAME_LOSS_MS {
+            return self;
+        }
+        let before = if age_ms > FORGET_LOSS_MS {
+            0
+        } else {
+            self.losses
+        };
+        Self {
+            losses: before + 1,
+            counted_unix_ms: now_unix_ms,
+        }
+    }
+}
+
+/// Counts a loss of memory and reads all records.
+pub(super) async fn recover<S: ObjectApi>(
+    store: &S,
+) -> Result<(u32, Vec<BudgetRecord>), StoreError> {
+    let losses = count_loss(store).await?;
+    let entries = store.entries(PREFIX).await?;
+    let mut records = Vec::with_capacity(entries.len());
+    for (key, object) in &entries {
+        records.push(read(key, object)?);
+    }
+    Ok((losses, records))
+}
+
+/// Counts a loss of memory and returns how many matter.
+async fn count_loss<S: ObjectApi>(store: &S) -> Result<u32, StoreError> {
+    for _ in 0..MAX_CONFLICTS {
+        let object = store.get(LOSSES_KEY).await?;
+        let version = object.as_ref().map_or(0, |object| object.version);
+        let known: Losses = match &object {
+            Some(object) => serde_json::from_slice(&object.value)
+                .map_err(|error| unreadable(LOSSES_KEY, &error))?,
+            None => Losses::default(),
+        };
+        let counted = known.count(unix_ms());
+        if counted.counted_unix_ms == known.counted_unix_ms {
+            return Ok(known.losses);
+        }
+        let value = serde_json::to_vec(&counted).map_err(|error| unreadable(LOSSES_KEY, &error))?;
+        match store.put(LOSSES_KEY, value, version).await {
+            Ok(_) => return Ok(counted.losses),
+            Err(StoreError::Conflict { .. }) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Err(StoreError::Unavailable {
+        reason: format!("{MAX_CONFLICTS} conflicting writes to {LOSSES_KEY}"),
+    })
+}
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -4,7 +4,7 @@
 mod registry;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use knapweeddale_core::{Input, SourceEvent, SourcePart, SourceRequest};
 use knapweeddale_runtime::Clock;
@@ -89,25 +89,38 @@
                 let vms = registered.into_iter().filter(|vm| vm.role == Role::Entry);
                 Ok(SourceEvent::Vms(vms.map(Registration::into_vm).collect()))
             }
+            SourceRequest::Losses => {
+                let (losses, records) = budgets::recover(&*self.store).await?;
+                Ok(SourceEvent::Losses { losses, records })
+            }
             SourceRequest::Reserve {
                 program,
                 budget_tokens,
+                losses,
                 turn_tokens,
             } => {
-                let tokens =
-                    budgets::reserve(&*self.store, &program, budget_tokens, turn_tokens).await?;
+                let budget = (budget_tokens, turn_tokens);
+                let tokens = budgets::reserve(&*self.store, &program, budget, losses).await?;
                 Ok(SourceEvent::Reserved { program, tokens })
             }
         }
     }
 }
 
+/// Returns the time of day in milliseconds.
+fn unix_ms() -> u64 {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
+    let ms = elapsed.map_or(0, |elapsed| elapsed.as_millis());
+    u64::try_from(ms).unwrap_or(u64::MAX)
+}
+
 /// Returns what a request is about.
 fn part_of(request: &SourceRequest) -> SourcePart {
     match request {
         SourceRequest::Config => SourcePart::Config,
         SourceRequest::Upstreams => SourcePart::Upstreams,
         SourceRequest::Vms => SourcePart::Vms,
+        SourceRequest::Losses => SourcePart::Losses,
         SourceRequest::Reserve { program, .. } => SourcePart::Budget(program.clone()),
     }
 }
@@ -118,6 +131,7 @@
         SourcePart::Config => "config",
         SourcePart::Upstreams => "upstreams",
         SourcePart::Vms => "vms",
+        SourcePart::Losses => "losses",
         SourcePart::Budget(_) => "budget",
     }
 }
