Record stopped programs, and let a loss of memory count for the life of a program

A program that is stopped now leaves a record, so that losses matter only for programs that were under way.

--- a/crates/core/src/output/source.rs
+++ b/crates/core/src/output/source.rs
@@ -2,7 +2,7 @@
 
 use crate::ids::ProgramKey;
 
-/// A request to the platform's store; each is answered by one `SourceEvent`.
+/// A request to the platform's store; each but `Stop` is answered by one `SourceEvent`.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum SourceRequest {
     /// Read the published configuration; a lagging replica must not answer.
@@ -13,6 +13,13 @@
     Vms,
     /// Count a loss of the memory of all VMs, and read the records of budgets.
     Losses,
+    /// Record that a program has used up its budget; there is no answer to wait for.
+    Stop {
+        /// The program.
+        program: ProgramKey,
+        /// The whole budget.
+        budget_tokens: u64,
+    },
     /// Reserve tokens of a program's budget with `BudgetRecord::reserve`.
     Reserve {
         /// The program.
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -170,7 +170,7 @@
         let row = Budget {
             keep_us,
             used_us: now_us,
-            losses: knowledge.losses(keep_us, now_us).unwrap_or(u32::MAX),
+            losses: knowledge.losses(now_us).unwrap_or(u32::MAX),
             ..Budget::default()
         };
         tick.tables.budgets.insert(program.clone(), row);
@@ -223,6 +223,14 @@
         row.changed_round = round;
         let known_tokens = row.known_tokens();
         let budget_tokens = row.budget_tokens;
+        if !std::mem::replace(&mut row.has_record, true) {
+            // A stopped program must stay so even if all VMs lose their memory.
+            tick.outputs.push(Output::Source(SourceRequest::Stop {
+                program: program.clone(),
+                budget_tokens,
+            }));
+        }
+        tick.work.peers.announce = true;
         tick.decide(Decision::ProgramStopped {
             program: program.clone(),
             known_tokens,
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -107,7 +107,7 @@
     let tables = &mut *tick.tables;
     tables.newest_revision = tables.newest_revision.max(fleet.revision);
     tables.fleet = fleet;
-    tick.work.membership.announce = true;
+    tick.work.membership.announce = tick.settings.coordination == Coordination::Owners;
 }
 
 /// Replaces the routes by host.
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -13,9 +13,6 @@
 /// Rows of one kind in one summary, so that it fits into a datagram.
 const MAX_ROWS: usize = 48;
 
-/// Time after which a loss of memory no longer counts for programs.
-const KEEP_US: u64 = 60_000_000;
-
 /// Rounds between two summaries to a VM that is not heard.
 const SILENT_ROUNDS: u64 = 5;
 
@@ -164,7 +161,7 @@
         losses: tables
             .source
             .knowledge
-            .losses(KEEP_US, now_us)
+            .losses(now_us)
             .filter(|_| with_programs),
     }
 }
--- a/crates/core/src/systems/source/mod.rs
+++ b/crates/core/src/systems/source/mod.rs
@@ -34,7 +34,7 @@
 const AWAY_US: u64 = 1_600_000;
 
 /// Time that other VMs have to say what they know of programs.
-const LOSSES_US: u64 = 700_000;
+const LOSSES_US: u64 = 450_000;
 
 /// Time after which a request without an answer counts as lost.
 const GIVE_UP_US: u64 = 2_000_000;
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -19,11 +19,6 @@
 /// Turns in a budget from which sub-agents need no reservation either.
 const AMPLE_TURNS: u64 = 16;
 
-/// Losses of memory after which the free part may still be used anew.
-///
-/// Programs use a quarter of their budget in the mean, so that two free parts leave room.
-const MAX_LOSSES: u32 = 1;
-
 /// Part of what is left in a record that is reserved at once: one in this many.
 const RESERVED_PART: u64 = 8;
 
@@ -101,7 +96,7 @@
     /// Returns whether a new record of the budget would have room for one turn.
     fn is_recordable(&self, turn_tokens: u64) -> bool {
         let taken = unrecorded_tokens(self.budget_tokens, turn_tokens, self.losses);
-        taken + turn_tokens <= self.budget_tokens
+        taken.saturating_add(turn_tokens) <= self.budget_tokens
     }
 
     /// Returns whether a turn of a line may go on the strength of what is known.
@@ -111,8 +106,10 @@
     fn is_free(&self, line: Option<u64>, turn_tokens: u64) -> bool {
         let is_main = line == self.main_line;
         let is_ample = self.budget_tokens >= AMPLE_TURNS * turn_tokens;
-        self.losses <= MAX_LOSSES
-            && !self.has_record
+        let unrecorded = unrecorded_tokens(self.budget_tokens, turn_tokens, self.losses);
+        !self.has_record
+            // A budget may be exceeded by one turn.
+            && unrecorded <= self.budget_tokens + turn_tokens
             && (is_main || is_ample)
             && self.known_tokens() <= self.budget_tokens / FREE_PART
     }
@@ -186,10 +183,10 @@
     };
     let free_tokens = budget_tokens / FREE_PART;
     let unseen_tokens = (unseen_turns - 1) * turn_tokens;
-    let again_tokens = u64::from(losses) * (free_tokens + turn_tokens);
-    (free_tokens + unseen_tokens + again_tokens)
+    let again_tokens = u64::from(losses).saturating_mul(free_tokens + turn_tokens);
+    (free_tokens + unseen_tokens)
+        .saturating_add(again_tokens)
         .max(budget_tokens / UNRECORDED_PART)
-        .min(budget_tokens)
 }
 
 /// The record of a program's budget in the store.
@@ -231,11 +228,21 @@
         Self {
             program,
             budget_tokens,
-            taken_tokens: unrecorded_tokens(budget_tokens, turn_tokens, losses),
+            taken_tokens: unrecorded_tokens(budget_tokens, turn_tokens, losses).min(budget_tokens),
             is_stopped: false,
         }
     }
 
+    /// Makes the record of a program that has used up its budget without one.
+    pub fn stopped(program: ProgramKey, budget_tokens: u64) -> Self {
+        Self {
+            program,
+            budget_tokens,
+            taken_tokens: budget_tokens,
+            is_stopped: true,
+        }
+    }
+
     /// Reserves tokens for a turn or more and returns them; 0 if one more turn does not fit.
     pub fn reserve(&mut self, turn_tokens: u64) -> u64 {
         let left = self.budget_tokens.saturating_sub(self.taken_tokens);
--- a/crates/core/src/tables/source.rs
+++ b/crates/core/src/tables/source.rs
@@ -31,6 +31,9 @@
     }
 }
 
+/// Longest life of a program that is not stopped.
+const PROGRAM_LIFE_US: u64 = 15_000_000;
+
 /// What a VM knows of programs that ran before it started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Knowledge {
@@ -49,10 +52,13 @@
 
 impl Knowledge {
     /// Returns the losses that count for a program which is met now, if anything is known.
-    pub fn losses(self, keep_us: u64, now_us: u64) -> Option<u32> {
+    ///
+    /// A program that was stopped has a record, and the others do not live for long. One that is
+    /// met later than that after a loss has begun after it.
+    pub fn losses(self, now_us: u64) -> Option<u32> {
         match self {
             Self::Pending => None,
-            Self::Since { counted_us, .. } if counted_us + keep_us < now_us => Some(0),
+            Self::Since { counted_us, .. } if counted_us + PROGRAM_LIFE_US < now_us => Some(0),
             Self::Since { losses, .. } => Some(losses),
         }
     }
--- /dev/null
+++ b/crates/core/tests/listed_upstreams.rs
@@ -0,0 +1,100 @@
+//! Upstreams that list themselves in the store.
+
+use knapweeddale_core::UpstreamName;
+use knapweeddale_testing::relays::{RelayCall, RelayFleet, account, fleet, listed, upstreams};
+use rstest::rstest;
+
+/// Starts VMs with one account.
+fn start() -> RelayFleet {
+    let config = fleet(1, vec![account("bus", 1_000, 1_000)]);
+    let mut relays = RelayFleet::new(4, config, upstreams(1), 1);
+    relays.run_ms(3_000);
+    relays
+}
+
+/// Sends calls to a VM and returns the upstreams that they ran on.
+fn used(relays: &mut RelayFleet, vm: usize) -> Vec<String> {
+    let before = relays.runs.len();
+    for _ in 0..6 {
+        relays.call(vm, RelayCall::tool("bus"));
+        relays.run_ms(2);
+    }
+    let runs = &relays.runs[before..];
+    let mut names: Vec<String> = runs.iter().map(|run| run.upstream.clone()).collect();
+    names.sort();
+    names.dedup();
+    names
+}
+
+/// Guards against calls to an upstream that says it leaves.
+#[rstest]
+fn leaving() {
+    let mut relays = start();
+    let mut list = upstreams(2);
+    list.upstreams[2].config.leaving = true;
+    relays.store.list(list);
+    relays.run_ms(1_500);
+    for vm in 0..4 {
+        assert_eq!(used(&mut relays, vm), ["tool-2"]);
+    }
+}
+
+/// Guards against calls to an upstream that has gone without a word.
+#[rstest]
+fn gone() {
+    let mut relays = start();
+    let mut list = upstreams(2);
+    list.upstreams.remove(2);
+    relays.store.list(list);
+    relays.run_ms(1_500);
+    for vm in 0..4 {
+        assert_eq!(used(&mut relays, vm), ["tool-2"]);
+    }
+}
+
+/// Guards against upstreams dropped because their entries lapsed while the store was away.
+#[rstest]
+fn lapsed_entries() {
+    let mut relays = start();
+    relays.store.set_down(true);
+    relays.run_ms(4_000);
+    let mut list = upstreams(2);
+    list.upstreams.truncate(2);
+    relays.store.list(list);
+    relays.store.set_down(false);
+    relays.run_ms(1_000);
+    assert_eq!(used(&mut relays, 0), ["tool-1", "tool-2"]);
+    // One of them has written its entry again, the other has gone.
+    let mut list = upstreams(3);
+    list.upstreams.remove(3);
+    relays.store.list(list);
+    relays.run_ms(3_000);
+    for vm in 0..4 {
+        assert_eq!(used(&mut relays, vm), ["tool-1"]);
+    }
+}
+
+/// Guards against a new upstream that gets no calls.
+#[rstest]
+fn arrived() {
+    let mut relays = start();
+    let mut list = upstreams(2);
+    list.upstreams = vec![listed("engine-1", "models"), listed("tool-9", "tools")];
+    relays.store.list(list);
+    relays.run_ms(1_500);
+    assert_eq!(used(&mut relays, 3), ["tool-9"]);
+}
+
+/// Guards against memory of an upstream that has started again under its name.
+#[rstest]
+fn reborn() {
+    let mut relays = start();
+    let mut list = upstreams(2);
+    list.upstreams[0].config.started_unix_ms = 99;
+    relays.store.list(list);
+    relays.run_ms(1_500);
+    let name = UpstreamName::from("engine-1");
+    let row = relays.control(0).tables().upstreams.get(&name);
+    let row = row.expect("listed upstream");
+    assert!(row.health.cache_from_us > 0);
+}
--- /dev/null
+++ b/crates/core/tests/program_tokens.rs
@@ -0,0 +1,146 @@
+//! Budgets of programs whose turns come through any VM.
+
+use knapweeddale_core::RefusalKind;
+use knapweeddale_testing::relays::{RelayCall, RelayFleet, account, fleet, upstreams};
+use knapweeddale_testing::seeds;
+use rstest::rstest;
+
+/// The most that one turn generates.
+const MOST: u64 = 100;
+
+/// Starts VMs with an account whose rate never binds.
+fn start(seed: u64) -> RelayFleet {
+    let config = fleet(1, vec![account("bus", 100_000, 100_000)]);
+    let mut relays = RelayFleet::new(8, config, upstreams(1), seed);
+    relays.run_ms(3_000);
+    relays
+}
+
+/// Makes a turn that generates as much as it may.
+fn turn(program: &str, budget: u64, line: u64) -> RelayCall {
+    let mut call = RelayCall::turn("bus", program, budget, MOST);
+    call.tokens = MOST;
+    if let Some((.., known)) = &mut call.turn {
+        *known = line;
+    }
+    call
+}
+
+/// Runs a program that loops without end, with sub-agents on all VMs at once.
+fn run_away(relays: &mut RelayFleet, program: &str, budget: u64, rounds: u64) {
+    for round in 0..rounds {
+        relays.call(0, turn(program, budget, 1));
+        relays.run_ms(150);
+        for agent in 0..10 {
+            let vm = relays.draw(8) as usize;
+            relays.call(vm, turn(program, budget, 100 + round * 10 + agent));
+        }
+        relays.run_ms(150);
+    }
+}
+
+/// Guards against sub-agents that overdraw a budget through several VMs at once.
+#[rstest]
+fn parallel_agents(#[values(200, 300, 900, 1_500, 4_000)] budget: u64) {
+    for seed in seeds() {
+        let mut relays = start(seed);
+        run_away(&mut relays, "loop", budget, 12);
+        relays.run_ms(2_000);
+        let passed = relays.passed_tokens("loop");
+        assert!(passed <= budget + MOST, "seed {seed}: {passed} of {budget}");
+    }
+}
+
+/// Guards against a budget that is used again after all VMs have lost their memory.
+#[rstest]
+fn killed_together(#[values(300, 900, 4_000)] budget: u64) {
+    for seed in seeds() {
+        let mut relays = start(seed);
+        run_away(&mut relays, "loop", budget, 2);
+        for _ in 0..2 {
+            (0..8).for_each(|vm| relays.kill(vm));
+            relays.run_ms(400);
+            (0..8).for_each(|vm| relays.restart(vm));
+            relays.run_ms(2_000);
+            run_away(&mut relays, "loop", budget, 6);
+        }
+        relays.run_ms(2_000);
+        let passed = relays.passed_tokens("loop");
+        assert!(passed <= budget + MOST, "seed {seed}: {passed} of {budget}");
+    }
+}
+
+/// Guards against refusals of ordinary programs, which use a part of their budget.
+#[rstest]
+fn ordinary_program() {
+    let mut relays = start(1);
+    // Four turns with a budget of half more than their most.
+    for vm in [0, 3, 3, 5] {
+        let mut call = turn("tour", 600, 1);
+        call.tokens = 25;
+        let id = relays.call(vm, call);
+        relays.run_ms(200);
+        assert!(relays.has_run(id), "{:?}", relays.refusal(id));
+    }
+}
+
+/// Guards against ordinary programs that end with the memory of all VMs.
+#[rstest]
+fn program_after_loss() {
+    let mut relays = start(1);
+    relays.call(0, turn("tour", 600, 1));
+    relays.run_ms(300);
+    (0..8).for_each(|vm| relays.kill(vm));
+    relays.run_ms(500);
+    (0..8).for_each(|vm| relays.restart(vm));
+    relays.run_ms(1_500);
+    let id = relays.call(4, turn("tour", 600, 1));
+    relays.run_ms(300);
+    assert!(relays.has_run(id), "{:?}", relays.refusal(id));
+}
+
+/// Guards against a stopped program that goes on through another VM.
+#[rstest]
+fn stays_stopped() {
+    let mut relays = start(1);
+    run_away(&mut relays, "loop", 300, 8);
+    relays.run_ms(1_000);
+    let passed = relays.passed_tokens("loop");
+    for vm in 0..8 {
+        let id = relays.call(vm, turn("loop", 300, 999));
+        relays.run_ms(50);
+        assert_eq!(relays.refusal(id), Some(RefusalKind::OverBudget));
+    }
+    assert_eq!(relays.passed_tokens("loop"), passed);
+}
+
+/// Guards against turns that run without a reservation while the store is away.
+#[rstest]
+fn store_away() {
+    let mut relays = start(1);
+    relays.store.set_down(true);
+    run_away(&mut relays, "loop", 900, 4);
+    relays.run_ms(1_000);
+    let passed = relays.passed_tokens("loop");
+    assert!(passed <= 900 / 4 + 2 * MOST, "{passed}");
+    let unknown = RefusalKind::BudgetUnknown;
+    assert!(relays.refusals.iter().any(|(_, row)| row.kind == unknown));
+}
+
+/// Guards against a VM that forgets what its restart has cost a program.
+#[rstest]
+fn one_restart() {
+    let mut relays = start(1);
+    for vm in [0, 0, 0] {
+        relays.call(vm, turn("loop", 900, 1));
+        relays.run_ms(250);
+    }
+    relays.kill(0);
+    relays.run_ms(300);
+    relays.restart(0);
+    relays.run_ms(1_500);
+    run_away(&mut relays, "loop", 900, 8);
+    relays.run_ms(1_000);
+    let passed = relays.passed_tokens("loop");
+    assert!(passed <= 900 + MOST, "{passed}");
+}
--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -1,9 +1,12 @@
 //! Reserves tokens of a program's budget in the store.
 
+use std::time::Duration;
+
 use knapweeddale_core::ProgramKey;
 use knapweeddale_core::tables::BudgetRecord;
 use knapweeddale_store::{Object, ObjectApi, StoreError};
 use serde::{Deserialize, Serialize};
+use tokio::time::sleep;
 
 use super::unix_ms;
 
@@ -17,7 +20,13 @@
 const SAME_LOSS_MS: u64 = 4_000;
 
 /// Time after which a loss no longer matters to any program.
-const FORGET_LOSS_MS: u64 = 90_000;
+const FORGET_LOSS_MS: u64 = 15_000;
+
+/// Tries to record that a program was stopped.
+const MAX_STOP_TRIES: usize = 40;
+
+/// Pause between two of them.
+const STOP_PAUSE: Duration = Duration::from_millis(500);
 
 /// Conflicts with other VMs after which a reservation is given up.
 const MAX_CONFLICTS: usize = 6;
@@ -61,6 +70,40 @@
     })
 }
 
+/// Records that a program has used up its budget, trying again while the store is away.
+pub(super) async fn stop<S: ObjectApi>(store: &S, program: &ProgramKey, budget_tokens: u64) {
+    for _ in 0..MAX_STOP_TRIES {
+        match try_stop(store, program, budget_tokens).await {
+            Ok(()) => return,
+            Err(error) => tracing::debug!(%program, "budgets: stop not recorded yet ({error})"),
+        }
+        sleep(STOP_PAUSE).await;
+    }
+    tracing::error!(%program, "budgets: stop not recorded, the store was away for too long");
+}
+
+/// Records once that a program has used up its budget.
+async fn try_stop<S: ObjectApi>(
+    store: &S,
+    program: &ProgramKey,
+    budget_tokens: u64,
+) -> Result<(), StoreError> {
+    let key = key_of(program);
+    let stopped = BudgetRecord::stopped(program.clone(), budget_tokens);
+    let value = serde_json::to_vec(&stopped).map_err(|error| unreadable(&key, &error))?;
+    match store.put(&key, value.clone(), 0).await {
+        Err(StoreError::Conflict { .. }) => {}
+        other => return other.map(|_| ()),
+    }
+    let Some(known) = store.get(&key).await? else {
+        return Ok(());
+    };
+    if read(&key, &known)?.is_stopped {
+        return Ok(());
+    }
+    store.put(&key, value, known.version).await.map(|_| ())
+}
+
 /// Returns the key of a program's record.
 fn key_of(program: &ProgramKey) -> String {
     let name: String = format!("{}.{}", program.account, program.name)
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -45,6 +45,14 @@
 
     /// Carries out one request and hands the answer to the core.
     async fn answer(&self, request: SourceRequest) {
+        if let SourceRequest::Stop {
+            program,
+            budget_tokens,
+        } = &request
+        {
+            budgets::stop(&*self.store, program, *budget_tokens).await;
+            return;
+        }
         let part = part_of(&request);
         let purpose = purpose_of(&part);
         let asked_us = self.clock.now_us();
@@ -89,6 +97,10 @@
                 let vms = registered.into_iter().filter(|vm| vm.role == Role::Entry);
                 Ok(SourceEvent::Vms(vms.map(Registration::into_vm).collect()))
             }
+            // Carried out without an answer.
+            SourceRequest::Stop { program, .. } => {
+                Ok(SourceEvent::Failed(SourcePart::Budget(program)))
+            }
             SourceRequest::Losses => {
                 let (losses, records) = budgets::recover(&*self.store).await?;
                 Ok(SourceEvent::Losses { losses, records })
@@ -121,7 +133,9 @@
         SourceRequest::Upstreams => SourcePart::Upstreams,
         SourceRequest::Vms => SourcePart::Vms,
         SourceRequest::Losses => SourcePart::Losses,
-        SourceRequest::Reserve { program, .. } => SourcePart::Budget(program.clone()),
+        SourceRequest::Reserve { program, .. } | SourceRequest::Stop { program, .. } => {
+            SourcePart::Budget(program.clone())
+        }
     }
 }
 
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod mesh;
 pub mod platform;
 mod random;
+pub mod relays;
 pub mod scenario;
 mod seeds;
 
--- /dev/null
+++ b/crates/testing/src/relays/carry.rs
@@ -0,0 +1,114 @@
+//! Carries the outputs of relays to their receivers.
+
+use knapweeddale_core::input::{AttemptOutcome, AttemptProgress, ProbeState};
+use knapweeddale_core::{AttemptEvent, Dispatch, Input, Output, PeerNews, SourceRequest, Summary};
+
+use super::{Passed, RelayFleet, Run};
+
+/// One way between two VMs.
+const LINK_US: u64 = 1_000;
+
+/// The store's time for an answer.
+const STORE_US: u64 = 5_000;
+
+/// # Outputs
+impl RelayFleet {
+    /// Carries an output of a VM to its receiver.
+    ///
+    /// # Panics
+    ///
+    /// Panics on an output that only owners of something give.
+    pub(super) fn carry(&mut self, vm: usize, output: Output) {
+        assert!(
+            !Self::is_foreign(&output),
+            "vm-{vm} acts as an owner: {output:?}"
+        );
+        match output {
+            Output::Source(request) => self.ask(vm, request),
+            Output::SendSummary { address, summary } => self.send(vm, &address, *summary),
+            Output::AskSnapshot {
+                address,
+                with_programs,
+            } => self.snapshot(vm, &address, with_programs),
+            Output::Dispatch(dispatch) => self.dispatch(vm, dispatch),
+            Output::Refused(refusal) => {
+                self.open.remove(&refusal.call);
+                self.refusals.push((self.now_us, refusal));
+            }
+            Output::Probe(upstream) => {
+                let state = ProbeState::Up;
+                self.deliver(vm, LINK_US, Input::Probed { upstream, state });
+            }
+            _ => {}
+        }
+    }
+
+    /// Asks the store.
+    fn ask(&mut self, vm: usize, request: SourceRequest) {
+        let name = self.vms[vm].name.clone();
+        if let Some(event) = self.store.answer((vm, &name), request, self.now_us) {
+            self.deliver(vm, STORE_US, Input::Source(event));
+        }
+    }
+
+    /// Returns the VM at an address that another one reaches.
+    fn reached(&self, vm: usize, address: &str) -> Option<usize> {
+        let to = self
+            .vms
+            .iter()
+            .position(|row| row.name.as_str() == address)?;
+        let is_up = self.vms[to].control.is_some();
+        (is_up && !self.cut.contains(&(vm, to))).then_some(to)
+    }
+
+    /// Sends a summary.
+    fn send(&mut self, vm: usize, address: &str, summary: Summary) {
+        if let Some(to) = self.reached(vm, address) {
+            let news = PeerNews::Summary(Box::new(summary));
+            self.deliver(to, LINK_US, Input::News(news));
+        }
+    }
+
+    /// Asks another VM for its state.
+    fn snapshot(&mut self, vm: usize, address: &str, with_programs: bool) {
+        let asked_us = self.now_us;
+        let news = match self.reached(vm, address) {
+            Some(to) => PeerNews::Snapshot {
+                asked_us,
+                snapshot: Box::new(self.control(to).snapshot(asked_us, with_programs)),
+            },
+            None => PeerNews::NoSnapshot,
+        };
+        self.deliver(vm, 2 * LINK_US, Input::News(news));
+    }
+
+    /// Runs an attempt to its end.
+    fn dispatch(&mut self, vm: usize, dispatch: Dispatch) {
+        let call = dispatch.attempt.call;
+        let Some(open) = self.open.get(&call).cloned() else {
+            return;
+        };
+        self.runs.push(Run {
+            at_us: self.now_us,
+            vm,
+            call,
+            account: open.account.clone(),
+            upstream: dispatch.upstream.to_string(),
+        });
+        if let Some((program, ..)) = &open.turn {
+            self.passed.push(Passed {
+                at_us: self.now_us,
+                program: program.clone(),
+                tokens: open.tokens,
+            });
+        }
+        let event = AttemptEvent {
+            attempt: dispatch.attempt,
+            progress: AttemptProgress::Finished(AttemptOutcome {
+                answer_tokens: open.tokens,
+                ..AttemptOutcome::default()
+            }),
+        };
+        self.deliver(vm, open.run_ms * 1_000, Input::Attempt(event));
+    }
+}
--- /dev/null
+++ b/crates/testing/src/relays/parts.rs
@@ -0,0 +1,220 @@
+//! Calls, configurations and results of a fleet of relays.
+
+use std::sync::Arc;
+
+use knapweeddale_core::config::{Backend, HostRoute, RouteKind};
+use knapweeddale_core::{
+    AccountConfig, AccountName, CallId, ContentDigest, EngineConfig, FleetConfig, KeyConfig, KeyId,
+    ListedUpstream, ModelName, NewCall, PresentedKey, ProgramName, RelayedCall, Revision,
+    Secret256, ServiceConfig, ServiceKind, ServiceName, Target, UpstreamConfig, UpstreamList,
+    UpstreamName,
+};
+use smallvec::smallvec;
+
+/// The host of all routes.
+const HOST: &str = "north.example";
+
+/// A call that was sent to an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Run {
+    /// When.
+    pub at_us: u64,
+    /// The VM.
+    pub vm: usize,
+    /// The call.
+    pub call: CallId,
+    /// Its account.
+    pub account: String,
+    /// The upstream.
+    pub upstream: String,
+}
+
+/// Tokens that a turn passed to its caller.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Passed {
+    /// When the turn ended.
+    pub at_us: u64,
+    /// The program.
+    pub program: String,
+    /// The tokens.
+    pub tokens: u64,
+}
+
+/// A call with what it does on its upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RelayCall {
+    /// The account, whose key has the same name.
+    pub account: String,
+    /// The path.
+    pub path: String,
+    /// The program, with its budget, the most of one turn and the line of turns.
+    pub turn: Option<(String, u64, u64, u64)>,
+    /// Tokens that the turn generates.
+    pub tokens: u64,
+    /// How long it runs.
+    pub run_ms: u64,
+    /// How long its caller waits.
+    pub timeout_ms: u64,
+    /// Identifies its content.
+    pub content: u8,
+}
+
+impl RelayCall {
+    /// Makes a call of a plain service.
+    pub fn tool(account: &str) -> Self {
+        Self {
+            account: account.to_owned(),
+            path: "/tool/x".to_owned(),
+            turn: None,
+            tokens: 0,
+            run_ms: 10,
+            timeout_ms: 1_200,
+            content: 0,
+        }
+    }
+
+    /// Makes a turn of a program.
+    pub fn turn(account: &str, program: &str, budget: u64, most: u64) -> Self {
+        Self {
+            path: "/chat/x".to_owned(),
+            turn: Some((program.to_owned(), budget, most, 1)),
+            tokens: most / 4,
+            run_ms: 100,
+            timeout_ms: 3_000,
+            ..Self::tool(account)
+        }
+    }
+
+    /// Describes the call to the core.
+    pub(super) fn describe(&self, id: CallId, now_us: u64) -> NewCall {
+        let turn = self.turn.as_ref();
+        let relayed = RelayedCall::builder()
+            .deadline_us(now_us + self.timeout_ms * 1_000)
+            .spread(id.seq)
+            .maybe_model(turn.map(|_| ModelName::from("m")))
+            .maybe_program(turn.map(|(program, ..)| ProgramName::from(program.as_str())))
+            .maybe_budget_tokens(turn.map(|(_, budget, ..)| *budget))
+            .maybe_line(turn.map(|(.., line)| *line))
+            .build();
+        let mut digest = ContentDigest::default();
+        digest.0[0] = self.content;
+        NewCall::builder()
+            .id(id)
+            .key(key(&self.account))
+            .target(Target::Host {
+                host: Arc::from(HOST),
+                path: Arc::from(self.path.as_str()),
+            })
+            .prompt_tokens(turn.map_or(0, |_| 1_000))
+            .max_tokens(turn.map_or(0, |(_, _, most, _)| *most))
+            .digest(digest)
+            .relayed(Box::new(relayed))
+            .build()
+    }
+}
+
+/// Returns the key of an account.
+fn key(account: &str) -> PresentedKey {
+    let mut sha256 = [0; 32];
+    for (byte, text) in sha256.iter_mut().zip(account.bytes()) {
+        *byte = text;
+    }
+    PresentedKey {
+        id: KeyId::from(account),
+        sha256: Secret256(sha256),
+    }
+}
+
+/// Makes an account with a rate and a burst.
+pub fn account(name: &str, rate_per_s: u64, burst: u64) -> AccountConfig {
+    let key = key(name);
+    AccountConfig::builder()
+        .name(AccountName::from(name))
+        .rate_mcalls_per_s(rate_per_s * 1_000)
+        .burst_calls(burst)
+        .keys(vec![KeyConfig {
+            id: key.id,
+            sha256: key.sha256,
+            withdrawn: false,
+        }])
+        .build()
+}
+
+/// Makes a configuration with an engine service, a plain service and a route to each.
+///
+/// The streams of `/chat/` are resumable; requests to `/pay/` may not be repeated.
+pub fn fleet(revision: u64, accounts: Vec<AccountConfig>) -> FleetConfig {
+    let route = |prefix: &str, service: &str, kind: RouteKind| {
+        HostRoute::builder()
+            .name(Arc::from(prefix))
+            .host(Arc::from(HOST))
+            .path_prefix(Arc::from(prefix))
+            .kind(kind)
+            .backends(smallvec![Backend {
+                service: ServiceName::from(service),
+                weight: 1,
+            }])
+            .timeout_ms(3_000)
+            .objective_ms(200)
+            .max_attempts(if kind == RouteKind::Idempotent { 3 } else { 1 })
+            .build()
+    };
+    let engine = ServiceKind::Engine(EngineConfig {
+        models: vec![ModelName::from("m")],
+        tokens_per_event: 11,
+        ..EngineConfig::default()
+    });
+    let service = |name: &str, kind: ServiceKind| {
+        ServiceConfig::builder()
+            .name(ServiceName::from(name))
+            .kind(kind)
+            .build()
+    };
+    FleetConfig {
+        revision: Revision(revision),
+        accounts,
+        services: vec![
+            service("models", engine),
+            service("tools", ServiceKind::Plain),
+        ],
+        host_routes: vec![
+            route("/chat/", "models", RouteKind::Stream { resumable: true }),
+            route("/tool/", "tools", RouteKind::Idempotent),
+            route("/pay/", "tools", RouteKind::NonIdempotent),
+        ],
+        ..FleetConfig::default()
+    }
+}
+
+/// Makes an entry of the list of upstreams.
+pub fn listed(name: &str, service: &str) -> ListedUpstream {
+    let models = if service == "models" {
+        vec!["m"]
+    } else {
+        Vec::new()
+    };
+    let config = UpstreamConfig::builder()
+        .name(UpstreamName::from(name))
+        .address(format!("{name}:80"))
+        .models(models.into_iter().map(ModelName::from).collect())
+        .max_running_calls(64)
+        .started_unix_ms(1)
+        .build();
+    ListedUpstream {
+        service: ServiceName::from(service),
+        config,
+    }
+}
+
+/// Makes a list with two engines and two plain upstreams.
+pub fn upstreams(revision: u64) -> UpstreamList {
+    UpstreamList {
+        revision,
+        upstreams: vec![
+            listed("engine-1", "models"),
+            listed("engine-2", "models"),
+            listed("tool-1", "tools"),
+            listed("tool-2", "tools"),
+        ],
+    }
+}
--- /dev/null
+++ b/crates/testing/src/relays/store.rs
@@ -0,0 +1,150 @@
+//! The platform's store, as far as a fleet of relays asks it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use knapweeddale_core::tables::BudgetRecord;
+use knapweeddale_core::{
+    FleetConfig, ProgramKey, RegisteredVm, SourceEvent, SourcePart, SourceRequest, UpstreamList,
+    VmName,
+};
+
+/// VMs that restart within this time count the same loss of memory.
+const SAME_LOSS_US: u64 = 4_000_000;
+
+/// The state of the store.
+#[derive(Debug)]
+pub struct StoreState {
+    config: Arc<FleetConfig>,
+    list: Arc<UpstreamList>,
+    vms: BTreeMap<usize, VmName>,
+    budgets: BTreeMap<ProgramKey, BudgetRecord>,
+    losses: (u32, u64),
+    is_down: bool,
+    unreachable: BTreeSet<usize>,
+    /// Requests that were answered, by what they were about.
+    pub calls: BTreeMap<&'static str, u64>,
+}
+
+impl StoreState {
+    pub(super) fn new(config: FleetConfig, list: UpstreamList) -> Self {
+        Self {
+            config: Arc::new(config),
+            list: Arc::new(list),
+            vms: BTreeMap::new(),
+            budgets: BTreeMap::new(),
+            losses: (0, 0),
+            is_down: false,
+            unreachable: BTreeSet::new(),
+            calls: BTreeMap::new(),
+        }
+    }
+
+    /// Publishes a configuration.
+    pub fn publish(&mut self, config: FleetConfig) {
+        self.config = Arc::new(config);
+    }
+
+    /// Replaces the list of upstreams.
+    pub fn list(&mut self, list: UpstreamList) {
+        self.list = Arc::new(list);
+    }
+
+    /// Lets the store answer nobody, or everybody again.
+    pub fn set_down(&mut self, is_down: bool) {
+        self.is_down = is_down;
+    }
+
+    /// Lets the store answer a VM or not.
+    pub fn set_reachable(&mut self, vm: usize, is_reachable: bool) {
+        if is_reachable {
+            self.unreachable.remove(&vm);
+        } else {
+            self.unreachable.insert(vm);
+        }
+    }
+
+    pub(super) fn config(&self) -> Arc<FleetConfig> {
+        Arc::clone(&self.config)
+    }
+
+    /// Answers a request of a VM.
+    pub(super) fn answer(
+        &mut self,
+        (vm, name): (usize, &VmName),
+        request: SourceRequest,
+        now_us: u64,
+    ) -> Option<SourceEvent> {
+        let (part, label) = part_of(&request);
+        if self.is_down || self.unreachable.contains(&vm) {
+            return Some(SourceEvent::Failed(part));
+        }
+        *self.calls.entry(label).or_default() += 1;
+        Some(match request {
+            SourceRequest::Config => SourceEvent::Config {
+                asked_us: now_us,
+                fleet: Some(Arc::clone(&self.config)),
+            },
+            SourceRequest::Upstreams => SourceEvent::Upstreams {
+                asked_us: now_us,
+                list: Arc::clone(&self.list),
+            },
+            SourceRequest::Vms => {
+                self.vms.insert(vm, name.clone());
+                let vms = self.vms.values();
+                SourceEvent::Vms(
+                    vms.map(|vm| RegisteredVm {
+                        vm: vm.clone(),
+                        address: vm.to_string(),
+                    })
+                    .collect(),
+                )
+            }
+            SourceRequest::Stop {
+                program,
+                budget_tokens,
+            } => {
+                let record = self
+                    .budgets
+                    .entry(program.clone())
+                    .or_insert_with(|| BudgetRecord::stopped(program, budget_tokens));
+                record.is_stopped = true;
+                return None;
+            }
+            SourceRequest::Losses => {
+                if self.losses.0 == 0 || now_us > self.losses.1 + SAME_LOSS_US {
+                    self.losses = (self.losses.0 + 1, now_us);
+                }
+                SourceEvent::Losses {
+                    losses: self.losses.0,
+                    records: self.budgets.values().cloned().collect(),
+                }
+            }
+            SourceRequest::Reserve {
+                program,
+                budget_tokens,
+                losses,
+                turn_tokens,
+            } => {
+                let record = self.budgets.entry(program.clone()).or_insert_with(|| {
+                    BudgetRecord::new(program.clone(), budget_tokens, turn_tokens, losses)
+                });
+                let tokens = record.reserve(turn_tokens);
+                SourceEvent::Reserved { program, tokens }
+            }
+        })
+    }
+}
+
+/// Returns what a request is about.
+fn part_of(request: &SourceRequest) -> (SourcePart, &'static str) {
+    match request {
+        SourceRequest::Config => (SourcePart::Config, "config"),
+        SourceRequest::Upstreams => (SourcePart::Upstreams, "upstreams"),
+        SourceRequest::Vms => (SourcePart::Vms, "vms"),
+        SourceRequest::Losses => (SourcePart::Losses, "losses"),
+        SourceRequest::Reserve { program, .. } | SourceRequest::Stop { program, .. } => {
+            (SourcePart::Budget(program.clone()), "budget")
+        }
+    }
+}
