Reserve only what a turn lacks, and keep agents out of a budget that a loss has shrunk

Cause: a VM reserved the most of a turn while it still held unused tokens, so that small budgets were all reserved and ordinary programs ended with 402; after a loss of memory, ample budgets had no free part at all.

--- a/crates/core/src/output/source.rs
+++ b/crates/core/src/output/source.rs
@@ -28,7 +28,9 @@
         budget_tokens: u64,
         /// Losses of memory after which the program was met.
         losses: u32,
-        /// The least that helps: the most that one turn may generate.
+        /// The most that one turn may generate.
         turn_tokens: u64,
+        /// The least that helps.
+        needed_tokens: u64,
     },
 }
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -102,7 +102,7 @@
             });
             admission::enter(tick, id, Stage::Place);
         }
-        Verdict::NeedsReservation => {
+        Verdict::NeedsReservation { needed_tokens } => {
             row.waiting.push(id);
             let losses = row.losses;
             if !std::mem::replace(&mut row.is_reserving, true) {
@@ -111,6 +111,7 @@
                     budget_tokens,
                     losses,
                     turn_tokens,
+                    needed_tokens,
                 }));
             }
         }
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -81,7 +81,10 @@
     /// It is covered.
     Covered(Cover),
     /// Tokens have to be reserved first.
-    NeedsReservation,
+    NeedsReservation {
+        /// The least that helps.
+        needed_tokens: u64,
+    },
     /// The budget does not hold it.
     UsedUp,
 }
@@ -93,24 +96,19 @@
         spent + self.running_tokens
     }
 
-    /// Returns whether a new record of the budget would have room for one turn.
-    fn is_recordable(&self, turn_tokens: u64) -> bool {
-        let taken = unrecorded_tokens(self.budget_tokens, turn_tokens, self.losses);
-        taken.saturating_add(turn_tokens) <= self.budget_tokens
+    /// Returns whether a new record of the budget would have room for some tokens.
+    fn is_recordable(&self, turn_tokens: u64, needed_tokens: u64) -> bool {
+        let free = FreePart::of(self.budget_tokens, turn_tokens, self.losses);
+        free.unrecorded_tokens.saturating_add(needed_tokens) <= self.budget_tokens
     }
 
     /// Returns whether a turn of a line may go on the strength of what is known.
-    ///
-    /// The turns of one line follow each other, so that few of them are unseen. Sub-agents start
-    /// at once on several VMs, and only an ample budget holds as many unseen turns.
     fn is_free(&self, line: Option<u64>, turn_tokens: u64) -> bool {
+        let free = FreePart::of(self.budget_tokens, turn_tokens, self.losses);
         let is_main = line == self.main_line;
-        let is_ample = self.budget_tokens >= AMPLE_TURNS * turn_tokens;
-        let unrecorded = unrecorded_tokens(self.budget_tokens, turn_tokens, self.losses);
         !self.has_record
-            // A budget may be exceeded by one turn.
-            && unrecorded <= self.budget_tokens + turn_tokens
-            && (is_main || is_ample)
+            && free.is_usable
+            && (is_main || free.holds_agents)
             && self.known_tokens() <= self.budget_tokens / FREE_PART
     }
 
@@ -128,10 +126,11 @@
             return Verdict::Covered(Cover::Free);
         }
         if self.reserved_tokens < turn_tokens {
-            return match self.has_record || self.is_recordable(turn_tokens) {
-                true => Verdict::NeedsReservation,
-                false => Verdict::UsedUp,
-            };
+            let needed_tokens = turn_tokens - self.reserved_tokens;
+            if !self.has_record && !self.is_recordable(turn_tokens, needed_tokens) {
+                return Verdict::UsedUp;
+            }
+            return Verdict::NeedsReservation { needed_tokens };
         }
         self.reserved_tokens -= turn_tokens;
         Verdict::Covered(Cover::Reserved)
@@ -170,23 +169,54 @@
     }
 }
 
-/// Returns the tokens that may have been used without a record.
-///
-/// That is the free part, and the turns that may run before all VMs know that it is used, less
-/// the one turn by which a budget may be exceeded; after a loss of memory, all of it again.
-fn unrecorded_tokens(budget_tokens: u64, turn_tokens: u64, losses: u32) -> u64 {
-    let is_ample = budget_tokens >= AMPLE_TURNS * turn_tokens;
-    let unseen_turns = if is_ample {
-        UNSEEN_PARALLEL_TURNS
-    } else {
-        UNSEEN_TURNS
-    };
-    let free_tokens = budget_tokens / FREE_PART;
-    let unseen_tokens = (unseen_turns - 1) * turn_tokens;
-    let again_tokens = u64::from(losses).saturating_mul(free_tokens + turn_tokens);
-    (free_tokens + unseen_tokens)
-        .saturating_add(again_tokens)
-        .max(budget_tokens / UNRECORDED_PART)
+/// The part of a budget that may be used without a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct FreePart {
+    /// Whether there is one at all.
+    is_usable: bool,
+    /// Whether sub-agents may use it too.
+    ///
+    /// The turns of one line follow each other, so that few of them are unseen. Sub-agents start
+    /// at once on several VMs, and only an ample budget holds as many unseen turns.
+    holds_agents: bool,
+    /// Tokens that may have been used without a record.
+    unrecorded_tokens: u64,
+}
+
+impl FreePart {
+    /// Works out the free part of a budget.
+    fn of(budget_tokens: u64, turn_tokens: u64, losses: u32) -> Self {
+        // A budget may be exceeded by one turn.
+        let most_tokens = budget_tokens + turn_tokens;
+        let is_ample = budget_tokens >= AMPLE_TURNS * turn_tokens;
+        let parallel = Self::unrecorded(budget_tokens, turn_tokens, losses, UNSEEN_PARALLEL_TURNS);
+        if is_ample && parallel <= most_tokens {
+            return Self {
+                is_usable: true,
+                holds_agents: true,
+                unrecorded_tokens: parallel,
+            };
+        }
+        let unrecorded_tokens = Self::unrecorded(budget_tokens, turn_tokens, losses, UNSEEN_TURNS);
+        Self {
+            is_usable: unrecorded_tokens <= most_tokens,
+            holds_agents: false,
+            unrecorded_tokens,
+        }
+    }
+
+    /// Returns the tokens that may have been used without a record.
+    ///
+    /// That is the free part, and the turns that may run before all VMs know that it is used,
+    /// less the one turn by which a budget may be exceeded; after a loss of memory, all of it
+    /// again.
+    fn unrecorded(budget_tokens: u64, turn_tokens: u64, losses: u32, unseen_turns: u64) -> u64 {
+        let free_tokens = budget_tokens / FREE_PART;
+        let again_tokens = u64::from(losses).saturating_mul(free_tokens + turn_tokens);
+        (free_tokens + (unseen_turns - 1) * turn_tokens)
+            .saturating_add(again_tokens)
+            .max(budget_tokens / UNRECORDED_PART)
+    }
 }
 
 /// The record of a program's budget in the store.
@@ -228,7 +258,9 @@
         Self {
             program,
             budget_tokens,
-            taken_tokens: unrecorded_tokens(budget_tokens, turn_tokens, losses).min(budget_tokens),
+            taken_tokens: FreePart::of(budget_tokens, turn_tokens, losses)
+                .unrecorded_tokens
+                .min(budget_tokens),
             is_stopped: false,
         }
     }
@@ -243,14 +275,14 @@
         }
     }
 
-    /// Reserves tokens for a turn or more and returns them; 0 if one more turn does not fit.
-    pub fn reserve(&mut self, turn_tokens: u64) -> u64 {
+    /// Reserves tokens, at least those that are needed, and returns them; 0 if they do not fit.
+    pub fn reserve(&mut self, needed_tokens: u64) -> u64 {
         let left = self.budget_tokens.saturating_sub(self.taken_tokens);
-        if self.is_stopped || left < turn_tokens {
+        if self.is_stopped || left < needed_tokens {
             self.is_stopped = true;
             return 0;
         }
-        let tokens = turn_tokens.max(left / RESERVED_PART);
+        let tokens = needed_tokens.max(left / RESERVED_PART);
         self.taken_tokens += tokens;
         tokens
     }
--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -31,30 +31,25 @@
 /// Conflicts with other VMs after which a reservation is given up.
 const MAX_CONFLICTS: usize = 6;
 
-/// Reserves tokens for the next turns of a program; 0 if its budget does not hold one more.
+/// Reserves tokens for the next turns of a program; 0 if its budget does not hold them.
 ///
-/// A write whose answer is lost may have taken effect. Its tokens then stay unused, which is on
-/// the safe side of the budget.
+/// `new` is the record of a program that has none yet. A write whose answer is lost may have
+/// taken effect. Its tokens then stay unused, which is on the safe side of the budget.
 pub(super) async fn reserve<S: ObjectApi>(
     store: &S,
-    program: &ProgramKey,
-    (budget_tokens, turn_tokens): (u64, u64),
-    losses: u32,
+    new: BudgetRecord,
+    needed_tokens: u64,
 ) -> Result<u64, StoreError> {
-    let key = key_of(program);
+    let key = key_of(&new.program);
     // Most programs that get here have no record yet, so that the first read can be spared.
     let mut known: Option<Object> = None;
     for _ in 0..MAX_CONFLICTS {
         let (mut record, version) = match &known {
             Some(object) => (read(&key, object)?, object.version),
-            None => {
-                let program = program.clone();
-                let record = BudgetRecord::new(program, budget_tokens, turn_tokens, losses);
-                (record, 0)
-            }
+            None => (new.clone(), 0),
         };
         let before = record.clone();
-        let tokens = record.reserve(turn_tokens);
+        let tokens = record.reserve(needed_tokens);
         if record == before {
             return Ok(tokens);
         }
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use knapweeddale_core::tables::BudgetRecord;
 use knapweeddale_core::{Input, SourceEvent, SourcePart, SourceRequest};
 use knapweeddale_runtime::Clock;
 use knapweeddale_store::StoreError;
@@ -110,9 +111,10 @@
                 budget_tokens,
                 losses,
                 turn_tokens,
+                needed_tokens,
             } => {
-                let budget = (budget_tokens, turn_tokens);
-                let tokens = budgets::reserve(&*self.store, &program, budget, losses).await?;
+                let new = BudgetRecord::new(program.clone(), budget_tokens, turn_tokens, losses);
+                let tokens = budgets::reserve(&*self.store, new, needed_tokens).await?;
                 Ok(SourceEvent::Reserved { program, tokens })
             }
         }
--- a/crates/testing/src/relays/store.rs
+++ b/crates/testing/src/relays/store.rs
@@ -125,11 +125,12 @@
                 budget_tokens,
                 losses,
                 turn_tokens,
+                needed_tokens,
             } => {
                 let record = self.budgets.entry(program.clone()).or_insert_with(|| {
                     BudgetRecord::new(program.clone(), budget_tokens, turn_tokens, losses)
                 });
-                let tokens = record.reserve(turn_tokens);
+                let tokens = record.reserve(needed_tokens);
                 SourceEvent::Reserved { program, tokens }
             }
         })
