--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -26,7 +26,7 @@
     let mut known: Vec<&str> = Vec::new();
     for (vm, peer) in tables.peering.peers.iter() {
         known.push(&peer.address);
-        if !peer.is_heard && round % SILENT_ROUNDS != 0 && peer.heard_us.is_some() {
+        if !peer.is_heard && !round.is_multiple_of(SILENT_ROUNDS) && peer.heard_us.is_some() {
             continue;
         }
         let summary = for_peer(tick.settings, tables, &common, (vm, peer));
--- a/crates/core/src/systems/placement/alone.rs
+++ b/crates/core/src/systems/placement/alone.rs
@@ -6,7 +6,7 @@
 use super::choice::Chosen;
 use super::{listing, owner};
 use crate::ids::{PoolKey, UpstreamName};
-use crate::output::PlacementReason;
+use crate::output::{PlacementReason, RefusalKind};
 use crate::tables::Waiting;
 
 /// Starts calls that have to run alone, as far as upstreams can be kept free.
@@ -23,7 +23,7 @@
     let digest = waiting.place.digest;
     if tick.tables.quarantine.contains_key(&digest) {
         let waiting = tick.tables.pools.get_mut(pool)?.alone.pop_front()?;
-        owner::refuse(tick, waiting);
+        owner::refuse(tick, waiting, RefusalKind::Quarantined);
         return next(tick, pool);
     }
     let suspect = tick.tables.suspects.get(&digest).copied();
--- a/crates/core/src/systems/placement/choice.rs
+++ b/crates/core/src/systems/placement/choice.rs
@@ -31,6 +31,8 @@
     Run(Chosen),
     /// It waits for an upstream that suits it better, or for any.
     Wait,
+    /// The only upstream that may run it gets no calls for longer than the call may wait.
+    Never,
 }
 
 /// The upstream chosen for a call.
@@ -55,8 +57,11 @@
         return Choice::Wait;
     };
     if let Some(only) = only(tick, pool, waiting) {
-        let is_open = tick.tables.upstreams.get(only);
-        if is_open.is_none_or(|row| row.listed.is_none()) {
+        let row = tick.tables.upstreams.get(only);
+        if row.is_some_and(|row| row.health.ejected_until_us > tick.now_us) {
+            return Choice::Never;
+        }
+        if row.is_none_or(|row| row.listed.is_none()) {
             return Choice::Wait;
         }
         return chosen(&mut std::iter::once(only), PlacementReason::OnlyAllowed);
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -122,13 +122,18 @@
         let Some(waiting) = row.and_then(|row| row.queue.get(&attempt)) else {
             continue;
         };
-        if let Choice::Run(chosen) = choice::choose(tick, pool, waiting) {
-            let row = tick.tables.pools.get_mut(pool);
-            if let Some(waiting) = row.and_then(|row| row.queue.remove(attempt)) {
-                place(tick, waiting, chosen, false);
-            }
-            return true;
+        let choice = choice::choose(tick, pool, waiting);
+        if matches!(choice, Choice::Wait) {
+            continue;
+        }
+        let row = tick.tables.pools.get_mut(pool);
+        let waiting = row.and_then(|row| row.queue.remove(attempt));
+        match (choice, waiting) {
+            (Choice::Run(chosen), Some(waiting)) => place(tick, waiting, chosen, false),
+            (_, Some(waiting)) => refuse(tick, waiting, RefusalKind::UpstreamFailed),
+            (_, None) => {}
         }
+        return true;
     }
     false
 }
@@ -155,7 +160,7 @@
         return false;
     };
     if is_quarantined {
-        refuse(tick, waiting);
+        refuse(tick, waiting, RefusalKind::Quarantined);
     } else if is_held {
         row.held.entry(digest).or_default().push_back(waiting);
     } else {
@@ -165,11 +170,11 @@
     true
 }
 
-/// Tells the entry VM of a call that its content is quarantined.
-pub(super) fn refuse(tick: &mut Tick<'_>, waiting: Waiting) {
+/// Tells the entry VM of a call that it gets no upstream.
+pub(super) fn refuse(tick: &mut Tick<'_>, waiting: Waiting, kind: RefusalKind) {
     let unplaced = PlacementMessage::Unplaced {
         attempt: waiting.place.attempt,
-        kind: RefusalKind::Quarantined,
+        kind,
     };
     tick.send(&waiting.vm, unplaced);
 }
--- a/crates/testing/src/http/connection.rs
+++ b/crates/testing/src/http/connection.rs
@@ -82,6 +82,15 @@
         Ok(Some(request))
     }
 
+    /// Sends bytes as they are.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection breaks.
+    pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.stream.write_all(bytes).await
+    }
+
     /// Sends a complete response.
     ///
     /// # Errors
