--- a/crates/core/src/tables/source.rs
+++ b/crates/core/src/tables/source.rs
@@ -32,7 +32,7 @@
 }
 
 /// Longest life of a program that is not stopped.
-const PROGRAM_LIFE_US: u64 = 15_000_000;
+const PROGRAM_LIFE_US: u64 = 10_000_000;
 
 /// What a VM knows of programs that ran before it started.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -20,7 +20,7 @@
 const SAME_LOSS_MS: u64 = 4_000;
 
 /// Time after which a loss no longer matters to any program.
-const FORGET_LOSS_MS: u64 = 15_000;
+const FORGET_LOSS_MS: u64 = 10_000;
 
 /// Tries to record that a program was stopped.
 const MAX_STOP_TRIES: usize = 40;
@@ -126,31 +126,28 @@
     }
 }
 
-/// The count of losses of the memory of all VMs.
-#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+/// The losses of the memory of all VMs.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Losses {
-    /// Losses that matter.
-    losses: u32,
-    /// When the last one was counted.
-    counted_unix_ms: u64,
+    /// When those were counted that may still matter.
+    counted_unix_ms: Vec<u64>,
 }
 
 impl Losses {
     /// Counts a loss at a time, unless another VM has counted the same one.
-    fn count(self, now_unix_ms: u64) -> Self {
-        let age_ms = now_unix_ms.abs_diff(self.counted_unix_ms);
-        if age_ms < SAME_LOSS_MS {
-            return self;
-        }
-        let before = if age_ms > FORGET_LOSS_MS {
-            0
-        } else {
-            self.losses
-        };
-        Self {
-            losses: before + 1,
-            counted_unix_ms: now_unix_ms,
+    fn count(&mut self, now_unix_ms: u64) {
+        let age_ms = |counted: &u64| now_unix_ms.abs_diff(*counted);
+        let same = |counted: &u64| age_ms(counted) < SAME_LOSS_MS;
+        if !self.counted_unix_ms.iter().any(same) {
+            self.counted_unix_ms.push(now_unix_ms);
         }
+        self.counted_unix_ms
+            .retain(|counted| age_ms(counted) < FORGET_LOSS_MS);
+    }
+
+    /// Returns the number of losses.
+    fn number(&self) -> u32 {
+        u32::try_from(self.counted_unix_ms.len()).unwrap_or(u32::MAX)
     }
 }
 
@@ -172,18 +169,19 @@
     for _ in 0..MAX_CONFLICTS {
         let object = store.get(LOSSES_KEY).await?;
         let version = object.as_ref().map_or(0, |object| object.version);
-        let known: Losses = match &object {
+        let mut losses: Losses = match &object {
             Some(object) => serde_json::from_slice(&object.value)
                 .map_err(|error| unreadable(LOSSES_KEY, &error))?,
             None => Losses::default(),
         };
-        let counted = known.count(unix_ms());
-        if counted.counted_unix_ms == known.counted_unix_ms {
-            return Ok(known.losses);
+        let before = losses.clone();
+        losses.count(unix_ms());
+        if losses == before {
+            return Ok(losses.number());
         }
-        let value = serde_json::to_vec(&counted).map_err(|error| unreadable(LOSSES_KEY, &error))?;
+        let value = serde_json::to_vec(&losses).map_err(|error| unreadable(LOSSES_KEY, &error))?;
         match store.put(LOSSES_KEY, value, version).await {
-            Ok(_) => return Ok(counted.losses),
+            Ok(_) => return Ok(losses.number()),
             Err(StoreError::Conflict { .. }) => {}
             Err(error) => return Err(error),
         }
