Let one VM read the list of upstreams for all, and remember own budget records

Cause: the stamp of a list held the store's revision, which each worker moves about once a second, so that no VM took over the age of another one's read.

--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -125,9 +125,12 @@
     {
         tables.source.config.note(read_us);
     }
-    if summary.list == tables.source.stamp
+    // The store's revision grows all the time, but lists with the same upstreams are the same.
+    let stamp = &mut tables.source.stamp;
+    if summary.list.digest == stamp.digest
         && let Some(read_us) = read_us(summary.list_age_us)
     {
+        stamp.revision = stamp.revision.max(summary.list.revision);
         tables.source.list.note(read_us);
     }
 }
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::peers::{SnapshotServer, StateRpcServer, fetch, receive};
 use crate::settings::RelaySettings;
-use crate::store::{Registration, Role, Source};
+use crate::store::{KnownRecords, Registration, Role, Source};
 use crate::upstream::{Pool, probe};
 
 /// Interval at which idle connections to upstreams are looked through.
@@ -135,6 +135,7 @@
             inputs: inputs.clone(),
             metrics: Arc::clone(&metrics),
             registration,
+            records: KnownRecords::default(),
             keepers,
         };
         let mut background = JoinSet::new();
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -44,6 +44,6 @@
     /// The folder for charge records.
     pub data_folder: PathBuf,
     /// Interval between two looks at the requests to empty this VM.
-    #[builder(default = Duration::from_millis(1_500))]
+    #[builder(default = Duration::from_millis(2_500))]
     pub retirement_interval: Duration,
 }
--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -1,5 +1,7 @@
 //! Reserves tokens of a program's budget in the store.
 
+use std::collections::HashMap;
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 use knapweeddale_core::ProgramKey;
@@ -22,6 +24,9 @@
 /// Time after which a loss no longer matters to any program.
 const FORGET_LOSS_MS: u64 = 10_000;
 
+/// Records that are remembered; they only spare reads.
+const MAX_KNOWN_RECORDS: usize = 4_096;
+
 /// Tries to record that a program was stopped.
 const MAX_STOP_TRIES: usize = 40;
 
@@ -39,10 +44,12 @@
     store: &S,
     new: BudgetRecord,
     needed_tokens: u64,
+    records: &KnownRecords,
 ) -> Result<u64, StoreError> {
     let key = key_of(&new.program);
-    // Most programs that get here have no record yet, so that the first read can be spared.
-    let mut known: Option<Object> = None;
+    // Most programs that get here have no record yet, or one that this VM has written last, so
+    // that the first read can be spared.
+    let mut known = records.get(&key);
     for _ in 0..MAX_CONFLICTS {
         let (mut record, version) = match &known {
             Some(object) => (read(&key, object)?, object.version),
@@ -54,8 +61,11 @@
             return Ok(tokens);
         }
         let value = serde_json::to_vec(&record).map_err(|error| unreadable(&key, &error))?;
-        match store.put(&key, value, version).await {
-            Ok(_) => return Ok(tokens),
+        match store.put(&key, value.clone(), version).await {
+            Ok(version) => {
+                records.set(key, Object { version, value });
+                return Ok(tokens);
+            }
             Err(StoreError::Conflict { .. }) => known = store.get(&key).await?,
             Err(error) => return Err(error),
         }
@@ -65,6 +75,25 @@
     })
 }
 
+/// Records as this VM has written them last; others may have written them since.
+#[derive(Debug, Default)]
+pub(crate) struct KnownRecords(Mutex<HashMap<String, Object>>);
+
+impl KnownRecords {
+    fn get(&self, key: &str) -> Option<Object> {
+        let records = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        records.get(key).cloned()
+    }
+
+    fn set(&self, key: String, object: Object) {
+        let mut records = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if records.len() >= MAX_KNOWN_RECORDS {
+            records.clear();
+        }
+        records.insert(key, object);
+    }
+}
+
 /// Records that a program has used up its budget, trying again while the store is away.
 pub(super) async fn stop<S: ObjectApi>(store: &S, program: &ProgramKey, budget_tokens: u64) {
     for _ in 0..MAX_STOP_TRIES {
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -17,6 +17,7 @@
 use crate::control::InputSender;
 use crate::metrics::Metrics;
 
+pub(crate) use budgets::KnownRecords;
 pub(crate) use registry::{Registration, Role, list_keepers, register};
 
 /// Longest wait for an answer; a slow store answers within a quarter of a second.
@@ -30,6 +31,8 @@
     pub inputs: InputSender,
     pub metrics: Arc<Metrics>,
     pub registration: Registration,
+    /// Records of budgets that this VM has written.
+    pub records: KnownRecords,
     /// Addresses of VMs with a disk.
     pub keepers: watch::Sender<Vec<String>>,
 }
@@ -114,7 +117,8 @@
                 needed_tokens,
             } => {
                 let new = BudgetRecord::new(program.clone(), budget_tokens, turn_tokens, losses);
-                let tokens = budgets::reserve(&*self.store, new, needed_tokens).await?;
+                let tokens =
+                    budgets::reserve(&*self.store, new, needed_tokens, &self.records).await?;
                 Ok(SourceEvent::Reserved { program, tokens })
             }
         }
