--- a/crates/core/src/systems/placement/choice.rs
+++ b/crates/core/src/systems/placement/choice.rs
@@ -22,7 +22,13 @@
 const READ_WEIGHT: u64 = 16;
 
 /// Cost of an upstream in another failure domain: the way there and back, and the traffic.
-const FAR_US: u64 = 4_000;
+const FAR_US: u64 = 8_000;
+
+/// Cost of sending one token of a prompt to another failure domain.
+///
+/// Traffic between failure domains is dear; a prompt of 1,000 tokens is worth a third of a
+/// batch more in the same one.
+const FAR_TOKEN_NS: u64 = 25_000;
 
 /// What happens to a waiting call.
 #[derive(Debug)]
@@ -228,7 +234,11 @@
     let read_tokens = waiting.place.prompt_tokens.saturating_sub(cached_tokens);
     let is_far = row.config.failure_domain.as_ref();
     let is_far = is_far.is_some_and(|domain| *domain != tick.settings.failure_domain);
-    let far_us = if is_far { FAR_US } else { 0 };
+    let far_us = if is_far {
+        FAR_US + waiting.place.prompt_tokens * FAR_TOKEN_NS / 1_000
+    } else {
+        0
+    };
     wait_us + batch_us + far_us + READ_WEIGHT * read_us(row, read_tokens)
 }
 
