--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::{Tick, budgets, homes};
+use super::{Tick, budgets, homes, rates};
 use crate::config::{HostRoute, ServiceKind};
 use crate::ids::{AccountName, CallId, PoolKey, ProgramKey};
 use crate::input::{NewCall, PresentedKey, Target};
@@ -96,6 +96,10 @@
     let relay = route
         .host
         .map(|host| relay(tick, &new, host, account.as_ref()));
+    if is_stopped(tick, relay.as_deref()) {
+        report(tick, id, RefusalKind::OverBudget, Execution::NotRun, None);
+        return;
+    }
     let begins_program = begins_program(tick, relay.as_deref());
     let call = Call {
         stage: Stage::Rate,
@@ -146,6 +150,16 @@
     }
 }
 
+/// Returns whether a relayed call is a turn of a program that has used up its budget.
+///
+/// Such a turn takes nothing from its account's rate.
+fn is_stopped(tick: &Tick<'_>, relay: Option<&Relay>) -> bool {
+    let turn = relay.filter(|relay| relay.budget_tokens.is_some());
+    let program = turn.and_then(|relay| relay.program.as_ref());
+    let row = program.and_then(|program| tick.tables.budgets.get(program));
+    row.is_some_and(|row| row.is_stopped)
+}
+
 /// Returns whether a relayed call is the first turn of a program.
 fn begins_program(tick: &Tick<'_>, relay: Option<&Relay>) -> bool {
     let Some(relay) = relay.filter(|relay| relay.budget_tokens.is_some()) else {
@@ -345,6 +359,13 @@
     };
     homes::end_turn(tick, &call, own, used_tokens, None);
     budgets::settle(tick, &call);
+    let was_admitted = matches!(call.stage, Stage::Budget | Stage::Place);
+    if was_admitted
+        && own == Execution::NotRun
+        && let Some(account) = call.account.as_ref().filter(|_| call.relay.is_some())
+    {
+        rates::give_back(tick, account);
+    }
     report(tick, id, kind, ran, retry_after_ms);
 }
 
--- a/crates/core/src/systems/rates/mod.rs
+++ b/crates/core/src/systems/rates/mod.rs
@@ -11,7 +11,7 @@
 mod pooled;
 mod takeover;
 
-pub(crate) use pooled::{rescale, spend};
+pub(crate) use pooled::{give_back, rescale, spend};
 
 use super::{Sender, Tick};
 use crate::config::Coordination;
--- a/crates/core/src/systems/rates/pooled.rs
+++ b/crates/core/src/systems/rates/pooled.rs
@@ -97,6 +97,22 @@
     }
 }
 
+/// Gives back a call that was admitted and did not run.
+pub(crate) fn give_back(tick: &mut Tick<'_>, account: &AccountName) {
+    let now_us = tick.now_us;
+    let Some(share) = tick.tables.shares.get_mut(account) else {
+        return;
+    };
+    let Some(pooled) = &mut share.pooled else {
+        return;
+    };
+    let bucket = &mut share.bucket;
+    bucket.refill(now_us);
+    bucket.level_ncalls = (bucket.level_ncalls + NCALLS_PER_CALL).min(bucket.burst_ncalls);
+    pooled.pay_back(bucket, now_us);
+    tick.tables.peering.uncount_admitted(account);
+}
+
 /// Brings all copies in line with the number of VMs that share the rates.
 pub(crate) fn rescale(tick: &mut Tick<'_>) {
     let accounts = tick.tables.accounts.iter();
--- a/crates/core/src/tables/peer.rs
+++ b/crates/core/src/tables/peer.rs
@@ -114,6 +114,14 @@
         *row = (row.0 + 1, round);
     }
 
+    /// Takes back the count of an admitted call that did not run.
+    pub fn uncount_admitted(&mut self, account: &AccountName) {
+        let round = self.next_round();
+        if let Some(row) = self.admitted.get_mut(account) {
+            *row = (row.0.saturating_sub(1), round);
+        }
+    }
+
     /// Returns the part of an account's rate that the heard VMs may use, as a fraction.
     pub fn part(&self) -> (u64, u64) {
         let known = self.known_vms.max(1);
