--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -145,7 +145,12 @@
         let known = peer.admitted.get_or_insert_with(account, || 0);
         let calls = total.saturating_sub(*known);
         *known = (*known).max(*total);
-        rates::spend(tick, account, calls * NCALLS_PER_CALL);
+        if peer.is_counted {
+            rates::spend(tick, account, calls * NCALLS_PER_CALL);
+        }
+    }
+    if let Some(peer) = tick.tables.peering.peers.get_mut(&summary.from) {
+        peer.is_counted = true;
     }
 }
 
--- a/crates/core/src/tables/peer.rs
+++ b/crates/core/src/tables/peer.rs
@@ -37,6 +37,8 @@
     pub running: Vec<(UpstreamName, u32)>,
     /// Calls of accounts that it has admitted.
     pub admitted: Table<AccountName, u64>,
+    /// Whether `admitted` holds its totals; those of its first summary are no new calls.
+    pub is_counted: bool,
 }
 
 impl Peer {
@@ -55,6 +57,7 @@
             list: ListStamp::default(),
             running: Vec::new(),
             admitted: Table::default(),
+            is_counted: false,
         }
     }
 
--- a/crates/core/tests/shared_rates.rs
+++ b/crates/core/tests/shared_rates.rs
@@ -113,6 +113,21 @@
     assert_eq!(relays.refusal(new), Some(RefusalKind::OverRate));
 }
 
+/// Guards against a restarted VM that takes all calls since the start of the others for new ones.
+#[rstest]
+fn restarted_vm() {
+    let mut relays = start(50, 50, 1);
+    offer(&mut relays, 40, 10_000, 8);
+    relays.kill(3);
+    relays.restart(3);
+    relays.run_ms(1_500);
+    for _ in 0..20 {
+        let id = relays.call(3, RelayCall::tool("bus"));
+        relays.run_ms(100);
+        assert!(relays.has_run(id), "{:?}", relays.refusal(id));
+    }
+}
+
 /// Guards against VMs that share a rate with one that has ended for good.
 #[rstest]
 fn lost_vm() {
