--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -343,6 +343,20 @@
         /// What covers it.
         cover: Cover,
     },
+    /// A turn is not covered by its program's budget.
+    #[display(
+        "budgets: call {call} of {program} not covered, {known_tokens} of {budget_tokens} tokens known to be used"
+    )]
+    TurnUncovered {
+        /// The call.
+        call: CallId,
+        /// The program.
+        program: ProgramKey,
+        /// Tokens known to be used, those of running turns included.
+        known_tokens: u64,
+        /// The budget.
+        budget_tokens: u64,
+    },
     /// The store answered a reservation of tokens, or did not.
     #[display(
         "budgets: {program} reserves {}, {reserved_tokens} tokens held",
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -96,7 +96,8 @@
     let relay = route
         .host
         .map(|host| relay(tick, &new, host, account.as_ref()));
-    if is_stopped(tick, relay.as_deref()) {
+    if let Some(program) = stopped_program(tick, relay.as_deref()) {
+        budgets::report_uncovered(tick, &program, id);
         report(tick, id, RefusalKind::OverBudget, Execution::NotRun, None);
         return;
     }
@@ -150,14 +151,14 @@
     }
 }
 
-/// Returns whether a relayed call is a turn of a program that has used up its budget.
+/// Returns the program of a turn if it has used up its budget.
 ///
 /// Such a turn takes nothing from its account's rate.
-fn is_stopped(tick: &Tick<'_>, relay: Option<&Relay>) -> bool {
-    let turn = relay.filter(|relay| relay.budget_tokens.is_some());
-    let program = turn.and_then(|relay| relay.program.as_ref());
-    let row = program.and_then(|program| tick.tables.budgets.get(program));
-    row.is_some_and(|row| row.is_stopped)
+fn stopped_program(tick: &Tick<'_>, relay: Option<&Relay>) -> Option<ProgramKey> {
+    let turn = relay.filter(|relay| relay.budget_tokens.is_some())?;
+    let program = turn.program.as_ref()?;
+    let row = tick.tables.budgets.get(program)?;
+    row.is_stopped.then(|| program.clone())
 }
 
 /// Returns whether a relayed call is the first turn of a program.
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -215,8 +215,22 @@
     }
 }
 
+/// Logs that a turn is not covered by its program's budget.
+pub(crate) fn report_uncovered(tick: &mut Tick<'_>, program: &ProgramKey, call: CallId) {
+    let row = tick.tables.budgets.get(program);
+    let known_tokens = row.map_or(0, Budget::known_tokens);
+    let budget_tokens = row.map_or(0, |row| row.budget_tokens);
+    tick.decide(Decision::TurnUncovered {
+        call,
+        program: program.clone(),
+        known_tokens,
+        budget_tokens,
+    });
+}
+
 /// Refuses a turn that the budget does not hold; the program stays stopped.
 fn stop(tick: &mut Tick<'_>, program: &ProgramKey, id: CallId) {
+    report_uncovered(tick, program, id);
     let round = tick.tables.peering.next_round();
     if let Some(row) = tick.tables.budgets.get_mut(program)
         && !std::mem::replace(&mut row.is_stopped, true)
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -91,7 +91,11 @@
         pool: call.pool.clone(),
         attempt: call.attempt(),
         account: call.account.clone(),
-        program: call.any_program().cloned(),
+        // Only engines cache the prompts of programs.
+        program: call
+            .any_program()
+            .filter(|_| call.relay.is_none() || call.pool.model.is_some())
+            .cloned(),
         spent_tokens: continuation.map_or(0, |continuation| continuation.spent_tokens),
         prompt_tokens: call.new.prompt_tokens,
         max_tokens: call.new.max_tokens,
--- a/crates/core/src/systems/placement/hints.rs
+++ b/crates/core/src/systems/placement/hints.rs
@@ -30,7 +30,9 @@
     let hints = footprint.map_or(&[][..], |footprint| &footprint.hints);
     hints.iter().filter_map(|hint| {
         let row = tick.tables.upstreams.get(&hint.upstream)?;
-        if hint.at_us < row.health.cache_from_us {
+        // A program's calls of tools go to other upstreams than its turns.
+        let is_in_pool = row.pools.contains(&place.pool);
+        if !is_in_pool || hint.at_us < row.health.cache_from_us {
             return None;
         }
         let half_life_us = tick.settings.cache_half_life_ms * 1_000;
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -272,6 +272,7 @@
         | Decision::Admitted { call, .. }
         | Decision::NoRoom { call, .. }
         | Decision::TurnCovered { call, .. }
+        | Decision::TurnUncovered { call, .. }
         | Decision::Retry { call, .. }
         | Decision::NoRetry { call, .. } => Some(*call),
         Decision::Placed { attempt, .. } => Some(attempt.call),
--- /dev/null
+++ b/crates/relay/src/explain.rs
@@ -0,0 +1,126 @@
+//! Gathers what the logs of several VMs say about one request.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::path::Path;
+
+use derive_more::{Display, Error};
+use serde::Deserialize;
+
+/// A log cannot be read.
+#[derive(Debug, Display, Error)]
+#[display("the log {file} cannot be read ({source}); give the path of a file with JSON lines")]
+pub struct ExplainError {
+    /// The file.
+    pub file: String,
+    /// The error of the system.
+    pub source: io::Error,
+}
+
+/// One line of a log.
+#[derive(Debug, Clone, Deserialize)]
+struct Line {
+    timestamp: Option<String>,
+    message: Option<String>,
+    request: Option<String>,
+    call: Option<String>,
+    attempt: Option<String>,
+    #[serde(skip)]
+    text: String,
+}
+
+/// What the logs say about one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Explanation {
+    /// The lines in the order of their time.
+    pub lines: Vec<String>,
+    /// What became of the request, in a sentence.
+    pub summary: String,
+}
+
+/// Reads logs and gathers what they say about a request.
+///
+/// # Errors
+///
+/// Fails if a log cannot be read.
+pub fn explain(request: &str, files: &[impl AsRef<Path>]) -> Result<Explanation, ExplainError> {
+    let mut logs = Vec::new();
+    for file in files {
+        let text = std::fs::read(file.as_ref()).map_err(|source| ExplainError {
+            file: file.as_ref().display().to_string(),
+            source,
+        })?;
+        logs.push(String::from_utf8_lossy(&text).into_owned());
+    }
+    Ok(explain_logs(request, logs.iter().map(String::as_str)))
+}
+
+/// Gathers what logs say about a request.
+pub fn explain_logs<'a>(request: &str, logs: impl IntoIterator<Item = &'a str>) -> Explanation {
+    let all: Vec<Line> = logs
+        .into_iter()
+        .flat_map(|log| log.lines().filter_map(parse))
+        .collect();
+    let named = all
+        .iter()
+        .filter(|line| line.request.as_deref() == Some(request));
+    let calls: BTreeSet<&str> = named.filter_map(|line| line.call.as_deref()).collect();
+    let is_about = |line: &&Line| {
+        let attempt = line.attempt.as_deref();
+        let of_attempt = attempt.and_then(|attempt| attempt.rsplit_once('.'));
+        line.request.as_deref() == Some(request)
+            || line
+                .call
+                .as_deref()
+                .is_some_and(|call| calls.contains(call))
+            || of_attempt.is_some_and(|(call, _)| calls.contains(call))
+    };
+    let mut lines: Vec<&Line> = all.iter().filter(is_about).collect();
+    lines.sort_by(|a, b| a.timestamp.cmp(&b.timestamp));
+    let messages: Vec<&str> = lines
+        .iter()
+        .filter_map(|line| line.message.as_deref())
+        .collect();
+    Explanation {
+        summary: summarize(request, &messages),
+        lines: lines.iter().map(|line| line.text.clone()).collect(),
+    }
+}
+
+/// Parses a line, which may stand behind other text.
+fn parse(text: &str) -> Option<Line> {
+    let json = &text[text.find('{')?..];
+    let mut line: Line = serde_json::from_str(json).ok()?;
+    line.text = json.to_owned();
+    Some(line)
+}
+
+/// Says in a sentence what became of a request.
+fn summarize(request: &str, messages: &[&str]) -> String {
+    let last = |part: &str| messages.iter().rfind(|message| message.contains(part));
+    let count = |part: &str| {
+        messages
+            .iter()
+            .filter(|message| message.contains(part))
+            .count()
+    };
+    if messages.is_empty() {
+        return format!("No log names request {request}: it reached none of these VMs.");
+    }
+    let attempts = count("placement: attempt");
+    let fate = if last("call: answered").is_some() {
+        "was answered by its upstream".to_owned()
+    } else if let Some(refused) = last("admission: refused") {
+        let (_, reason) = refused.split_once(" as ").unwrap_or(("", refused));
+        format!("was refused as {reason}")
+    } else {
+        "has no recorded end: its caller left or the VM ended".to_owned()
+    };
+    let causes = ["rates: no room", "budgets: ", "retry: call"];
+    let cause = causes.iter().find_map(|cause| last(cause));
+    let cause = cause.map(|cause| format!(" Last cause: {cause}."));
+    format!(
+        "Request {request} {fate} after {attempts} attempts.{}",
+        cause.unwrap_or_default()
+    )
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -14,6 +14,7 @@
 mod charges;
 mod control;
 mod daemon;
+mod explain;
 mod front;
 pub mod logs;
 mod metrics;
@@ -28,6 +29,7 @@
 };
 pub use charges::ChargeRecord;
 pub use daemon::{Relay, StartError};
+pub use explain::{ExplainError, Explanation, explain, explain_logs};
 pub use metrics::Metrics;
 pub use settings::{RelaySettings, StorageSettings};
 pub use storage::Storage;
--- a/crates/testing/src/relays/parts.rs
+++ b/crates/testing/src/relays/parts.rs
@@ -49,6 +49,8 @@
     pub path: String,
     /// The program, with its budget, the most of one turn and the line of turns.
     pub turn: Option<(String, u64, u64, u64)>,
+    /// The program of a call that is no turn.
+    pub program: Option<String>,
     /// Tokens that the turn generates.
     pub tokens: u64,
     /// How long it runs.
@@ -66,6 +68,7 @@
             account: account.to_owned(),
             path: "/tool/x".to_owned(),
             turn: None,
+            program: None,
             tokens: 0,
             run_ms: 10,
             timeout_ms: 1_200,
@@ -88,11 +91,12 @@
     /// Describes the call to the core.
     pub(super) fn describe(&self, id: CallId, now_us: u64) -> NewCall {
         let turn = self.turn.as_ref();
+        let program = turn.map(|(program, ..)| program).or(self.program.as_ref());
         let relayed = RelayedCall::builder()
             .deadline_us(now_us + self.timeout_ms * 1_000)
             .spread(id.seq)
             .maybe_model(turn.map(|_| ModelName::from("m")))
-            .maybe_program(turn.map(|(program, ..)| ProgramName::from(program.as_str())))
+            .maybe_program(program.map(|program| ProgramName::from(program.as_str())))
             .maybe_budget_tokens(turn.map(|(_, budget, ..)| *budget))
             .maybe_line(turn.map(|(.., line)| *line))
             .build();
