--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -4,10 +4,10 @@
 
 use crate::ids::{CallId, Incarnation, ProgramKey, UpstreamName, VmName};
 
-/// Part of a budget that may be used without a record in the store: one in this many.
+/// Part of a budget that may always be used without a record in the store: one in this many.
 const FREE_PART: u64 = 4;
 
-/// Part of a budget that a new record counts as used at least: one in this many.
+/// Part of a budget that may be used without a record, unseen turns included: one in this many.
 const UNRECORDED_PART: u64 = 2;
 
 /// Turns that one line may run before all VMs know of the first of them.
@@ -109,7 +109,7 @@
         !self.has_record
             && free.is_usable
             && (is_main || free.holds_agents)
-            && self.known_tokens() <= self.budget_tokens / FREE_PART
+            && self.known_tokens() <= free.tokens
     }
 
     /// Covers one more turn, taking its tokens if there are enough.
@@ -179,6 +179,8 @@
     /// The turns of one line follow each other, so that few of them are unseen. Sub-agents start
     /// at once on several VMs, and only an ample budget holds as many unseen turns.
     holds_agents: bool,
+    /// Known tokens up to which another turn needs no reservation.
+    tokens: u64,
     /// Tokens that may have been used without a record.
     unrecorded_tokens: u64,
 }
@@ -189,33 +191,41 @@
         // A budget may be exceeded by one turn.
         let most_tokens = budget_tokens + turn_tokens;
         let is_ample = budget_tokens >= AMPLE_TURNS * turn_tokens;
-        let parallel = Self::unrecorded(budget_tokens, turn_tokens, losses, UNSEEN_PARALLEL_TURNS);
-        if is_ample && parallel <= most_tokens {
+        let parallel = Self::with_unseen(budget_tokens, turn_tokens, losses, UNSEEN_PARALLEL_TURNS);
+        if is_ample && parallel.unrecorded_tokens <= most_tokens {
             return Self {
-                is_usable: true,
                 holds_agents: true,
-                unrecorded_tokens: parallel,
+                ..parallel
             };
         }
-        let unrecorded_tokens = Self::unrecorded(budget_tokens, turn_tokens, losses, UNSEEN_TURNS);
+        let line = Self::with_unseen(budget_tokens, turn_tokens, losses, UNSEEN_TURNS);
         Self {
-            is_usable: unrecorded_tokens <= most_tokens,
-            holds_agents: false,
-            unrecorded_tokens,
+            is_usable: line.unrecorded_tokens <= most_tokens,
+            ..line
         }
     }
 
-    /// Returns the tokens that may have been used without a record.
+    /// Works out the free part with some turns that may run before all VMs know that it is used,
+    /// less the one turn by which a budget may be exceeded.
     ///
-    /// That is the free part, and the turns that may run before all VMs know that it is used,
-    /// less the one turn by which a budget may be exceeded; after a loss of memory, all of it
-    /// again.
-    fn unrecorded(budget_tokens: u64, turn_tokens: u64, losses: u32, unseen_turns: u64) -> u64 {
-        let free_tokens = budget_tokens / FREE_PART;
-        let again_tokens = u64::from(losses).saturating_mul(free_tokens + turn_tokens);
-        (free_tokens + (unseen_turns - 1) * turn_tokens)
-            .saturating_add(again_tokens)
-            .max(budget_tokens / UNRECORDED_PART)
+    /// After a loss of memory, a smaller part may be used once more.
+    fn with_unseen(budget_tokens: u64, turn_tokens: u64, losses: u32, unseen_turns: u64) -> Self {
+        let unseen_tokens = (unseen_turns - 1) * turn_tokens;
+        let again_tokens = budget_tokens / FREE_PART;
+        let first_tokens = (budget_tokens / UNRECORDED_PART)
+            .saturating_sub(unseen_tokens)
+            .max(again_tokens);
+        let lost_tokens = u64::from(losses).saturating_mul(again_tokens + turn_tokens);
+        Self {
+            is_usable: true,
+            holds_agents: false,
+            tokens: if losses == 0 {
+                first_tokens
+            } else {
+                again_tokens
+            },
+            unrecorded_tokens: (first_tokens + unseen_tokens).saturating_add(lost_tokens),
+        }
     }
 }
 
