--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -207,6 +207,7 @@
             Some(0) => stop(tick, program, id),
             Some(_) => request(tick, id),
             None => {
+                report_uncovered(tick, program, id);
                 let retry = Some(RETRY_AFTER_MS);
                 let kind = RefusalKind::BudgetUnknown;
                 admission::refuse(tick, id, kind, Execution::NotRun, retry);
