--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -4,10 +4,10 @@
 
 use crate::ids::{CallId, Incarnation, ProgramKey, UpstreamName, VmName};
 
-/// Part of a budget that may always be used without a record in the store: one in this many.
+/// Part of a budget that may be used without a record in the store: one in this many.
 const FREE_PART: u64 = 4;
 
-/// Part of a budget that may be used without a record, unseen turns included: one in this many.
+/// Part of a budget that a new record counts as used at least: one in this many.
 const UNRECORDED_PART: u64 = 2;
 
 /// Turns that one line may run before all VMs know of the first of them.
@@ -208,23 +208,18 @@
     /// Works out the free part with some turns that may run before all VMs know that it is used,
     /// less the one turn by which a budget may be exceeded.
     ///
-    /// After a loss of memory, a smaller part may be used once more.
+    /// After a loss of memory, it may be used once more.
     fn with_unseen(budget_tokens: u64, turn_tokens: u64, losses: u32, unseen_turns: u64) -> Self {
+        let tokens = budget_tokens / FREE_PART;
         let unseen_tokens = (unseen_turns - 1) * turn_tokens;
-        let again_tokens = budget_tokens / FREE_PART;
-        let first_tokens = (budget_tokens / UNRECORDED_PART)
-            .saturating_sub(unseen_tokens)
-            .max(again_tokens);
-        let lost_tokens = u64::from(losses).saturating_mul(again_tokens + turn_tokens);
+        let again_tokens = u64::from(losses).saturating_mul(tokens + turn_tokens);
         Self {
             is_usable: true,
             holds_agents: false,
-            tokens: if losses == 0 {
-                first_tokens
-            } else {
-                again_tokens
-            },
-            unrecorded_tokens: (first_tokens + unseen_tokens).saturating_add(lost_tokens),
+            tokens,
+            unrecorded_tokens: (tokens + unseen_tokens)
+                .saturating_add(again_tokens)
+                .max(budget_tokens / UNRECORDED_PART),
         }
     }
 }
