--- a/crates/core/src/systems/source/mod.rs
+++ b/crates/core/src/systems/source/mod.rs
@@ -28,7 +28,7 @@
 const MAX_RETRY_US: u64 = 400_000;
 
 /// Pause between two readings of the registered VMs.
-const VMS_US: u64 = 20_000_000;
+const VMS_US: u64 = 60_000_000;
 
 /// A pause between two reads of the list after which the store counts as having been away.
 const AWAY_US: u64 = 1_600_000;
