--- a/crates/core/src/systems/rates/calls.rs
+++ b/crates/core/src/systems/rates/calls.rs
@@ -12,6 +12,9 @@
 /// Time to wait before a resend if the share gives no hint.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
 
+/// Shortest time to wait before a relayed call is sent again; its caller does so only once.
+const RELAY_RETRY_AFTER_MS: u64 = 300;
+
 /// Part of its objective that a call which begins a program waits for its rate at most.
 const BEGIN_WAIT_PART: u64 = 5;
 
@@ -173,6 +176,12 @@
         .get(&account)
         .and_then(|share| share.ready_in_us(begins, tick.now_us))
         .map_or(DEFAULT_RETRY_AFTER_MS, |us| us.div_ceil(1_000).max(1));
+    let is_relayed = call_is_relayed(tick, id);
+    let retry_after_ms = if is_relayed {
+        retry_after_ms.max(RELAY_RETRY_AFTER_MS)
+    } else {
+        retry_after_ms
+    };
     admission::refuse(
         tick,
         id,
@@ -183,6 +192,12 @@
     skip_gone(tick, &account, begins);
 }
 
+/// Returns whether a call is a relayed one.
+fn call_is_relayed(tick: &Tick<'_>, id: CallId) -> bool {
+    let call = tick.tables.calls.get(&id);
+    call.is_some_and(|call| call.relay.is_some())
+}
+
 /// Logs what the bucket held when it had no room for a call.
 fn report_no_room(tick: &mut Tick<'_>, call: CallId, account: &AccountName) {
     let now_us = tick.now_us;
