--- a/crates/core/src/systems/peers/mod.rs
+++ b/crates/core/src/systems/peers/mod.rs
@@ -14,6 +14,14 @@
 use crate::input::PeerNews;
 use crate::tables::Timer;
 
+/// VMs from which a fleet sends summaries less often, since their number grows with its square.
+const LARGE_FLEET_VMS: u64 = 24;
+
+/// Interval of summaries in a large fleet, in percent of the ordinary one.
+///
+/// Two of them still arrive before a VM counts as silent.
+const LARGE_FLEET_PERCENT: u64 = 150;
+
 /// Pause before a snapshot is asked for again.
 const ASK_AGAIN_US: u64 = 400_000;
 
@@ -49,7 +57,9 @@
     }
     if work.due {
         group::review(tick);
-        let due_us = tick.now_us + tick.settings.summary_ms * 1_000;
+        let is_large = tick.tables.peering.known_vms > LARGE_FLEET_VMS;
+        let percent = if is_large { LARGE_FLEET_PERCENT } else { 100 };
+        let due_us = tick.now_us + tick.settings.summary_ms * 10 * percent;
         tick.tables.timers.set(due_us, Timer::Summary);
     }
     if work.due || work.announce || work.drain {
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -13,6 +13,9 @@
 /// Rows of one kind in one summary, so that it fits into a datagram.
 const MAX_ROWS: usize = 48;
 
+/// Rounds after which a row that is not confirmed is sent again.
+const RESEND_ROUNDS: u64 = 3;
+
 /// Rounds between two summaries to a VM that is not heard.
 const SILENT_ROUNDS: u64 = 5;
 
@@ -93,14 +96,12 @@
     });
     let admitted = tables.peering.admitted.iter();
     summary.admitted = admitted
-        .filter(|(_, (_, changed))| *changed > peer.acked_round)
+        .filter(|(_, (_, changed))| is_due(*changed, peer, common.round))
         .map(|(account, (calls, _))| (account.clone(), *calls))
         .collect();
     let programs = tables.budgets.iter();
     summary.programs = programs
-        .filter(|(_, row)| {
-            row.changed_round > peer.acked_round && row.changed_round <= common.round
-        })
+        .filter(|(_, row)| is_due(row.changed_round, peer, common.round))
         .map(|(program, row)| ProgramUse {
             program: program.clone(),
             main_line: row.main_line,
@@ -121,6 +122,16 @@
     summary
 }
 
+/// Returns whether a row has to be sent to a VM in a round.
+///
+/// It is sent when it has changed, and again when a confirmation is late. A VM that has
+/// confirmed nothing yet gets all rows.
+fn is_due(changed_round: u64, peer: &Peer, round: u64) -> bool {
+    let is_open = changed_round > peer.acked_round && changed_round <= round;
+    let is_late = round - changed_round.min(round) >= RESEND_ROUNDS;
+    is_open && (changed_round == round || is_late || peer.acked_round == 0)
+}
+
 /// Moves changes of programs that do not fit into this round to the next one.
 fn postpone(tables: &mut Tables, round: u64) {
     let due = |changed_round: u64| changed_round == round;
