--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -3,14 +3,14 @@
 mod charge;
 mod decision;
 mod order;
+mod reason;
 mod refusal;
 mod source;
 
 pub use charge::{Charge, ChargeOutcome};
-pub use decision::{
-    CrashEvidence, Decision, OverReason, PlacementReason, RetryReason, TakeoverSource,
-};
+pub use decision::Decision;
 pub use order::{Order, OrderAction};
+pub use reason::{CrashEvidence, OverReason, PlacementReason, RetryReason, TakeoverSource};
 pub use refusal::{Execution, Refusal, RefusalKind};
 pub use source::SourceRequest;
 
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -7,6 +7,7 @@
 
 use knapweeddale_core::{Charge, Decision, Epoch, RefusalKind, Revision};
 use knapweeddale_peer::CountsSnapshot;
+use knapweeddale_runtime::{gauge_value, register};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -41,16 +42,6 @@
     lost_deliveries: IntCounter,
 }
 
-/// Makes a metric and registers it.
-fn register<M: prometheus::core::Collector + Clone + 'static>(
-    registry: &Registry,
-    metric: prometheus::Result<M>,
-) -> prometheus::Result<M> {
-    let metric = metric?;
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
-
 /// # Construction
 impl Metrics {
     /// Makes all metrics at 0.
@@ -243,8 +234,3 @@
         }
     }
 }
-
-/// Converts a count to the type of a gauge.
-fn gauge_value(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
-}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use knapweeddale_core::{Control, Decision, RefusalKind};
+use knapweeddale_runtime::{gauge_value, register};
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -42,16 +43,6 @@
     dropped_lines: IntGauge,
 }
 
-/// Makes a metric and registers it.
-fn register<M: prometheus::core::Collector + Clone + 'static>(
-    registry: &Registry,
-    metric: prometheus::Result<M>,
-) -> prometheus::Result<M> {
-    let metric = metric?;
-    registry.register(Box::new(metric.clone()))?;
-    Ok(metric)
-}
-
 /// # Construction
 impl Metrics {
     /// Makes all metrics at 0.
@@ -282,8 +273,3 @@
         times.observe(took.as_secs_f64());
     }
 }
-
-/// Converts a count to the type of a gauge.
-fn gauge_value(value: u64) -> i64 {
-    i64::try_from(value).unwrap_or(i64::MAX)
-}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,14 +2,16 @@
 //!
 //! One thread owns the core's [`Control`](knapweeddale_core::Control) value. Traffic threads
 //! reach it over a bounded [queue](input_queue), and an implementation of [`Outlets`] hands its
-//! outputs to those who carry them out.
+//! outputs to those who carry them out. Helpers for metrics are here as well.
 
 mod clock;
 mod control_loop;
 mod ids;
+mod metrics;
 mod queue;
 
 pub use clock::{BootClock, Clock, MonotonicClock};
 pub use control_loop::{Outlets, spawn};
 pub use ids::{CallIds, new_incarnation, random_u64};
+pub use metrics::{gauge_value, register};
 pub use queue::{Envelope, InputQueue, InputSender, QueueFull, input_queue};
