--- a/crates/core/src/systems/peers/mod.rs
+++ b/crates/core/src/systems/peers/mod.rs
@@ -10,8 +10,11 @@
 pub(crate) use receiving::learn_vms;
 pub(crate) use sending::snapshot;
 
+use std::sync::Arc;
+
 use super::Tick;
 use crate::input::PeerNews;
+use crate::output::Output;
 use crate::tables::Timer;
 
 /// VMs from which a fleet sends summaries less often, since their number grows with its square.
@@ -68,14 +71,14 @@
 }
 
 /// Asks another VM for the parts of its state that this one lacks.
-fn ask_snapshot(tick: &mut Tick<'_>, address: std::sync::Arc<str>, with_programs: bool) {
+fn ask_snapshot(tick: &mut Tick<'_>, address: Arc<str>, with_programs: bool) {
     let now_us = tick.now_us;
     let asked = &mut tick.tables.peering.asked_snapshot_us;
     if asked.is_some_and(|asked_us| now_us < asked_us + ASK_AGAIN_US) {
         return;
     }
     *asked = Some(now_us);
-    tick.outputs.push(crate::output::Output::AskSnapshot {
+    tick.outputs.push(Output::AskSnapshot {
         address,
         with_programs,
     });
--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -83,9 +83,14 @@
     fn read(&self) -> io::Result<Vec<ChargeRecord>> {
         let text = std::fs::read(&self.path)?;
         let lines = text.split(|byte| *byte == b'\n');
-        Ok(lines
-            .filter_map(|line| serde_json::from_slice(line).ok())
-            .collect())
+        let mut records = Vec::new();
+        for line in lines.filter(|line| !line.is_empty()) {
+            match serde_json::from_slice(line) {
+                Ok(record) => records.push(record),
+                Err(error) => tracing::warn!("charges: torn record left out ({error})"),
+            }
+        }
+        Ok(records)
     }
 }
 
