--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -51,7 +51,15 @@
     fn open(folder: &Path) -> io::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let path = folder.join(FILE_NAME);
-        let file = OpenOptions::new().create(true).append(true).open(&path)?;
+        let mut file = OpenOptions::new().create(true).append(true).open(&path)?;
+        // A record after a line that a power loss has torn would be lost with it.
+        if std::fs::read(&path)?
+            .last()
+            .is_some_and(|last| *last != b'\n')
+        {
+            tracing::warn!("charges: the last record is torn");
+            file.write_all(b"\n")?;
+        }
         file.sync_all()?;
         // The name of a new file lasts only once its folder has been synced.
         File::open(folder)?.sync_all()?;
--- a/crates/relay/src/store/registry.rs
+++ b/crates/relay/src/store/registry.rs
@@ -1,7 +1,7 @@
 //! VMs register in the store, so that they find each other.
 
 use knapweeddale_core::{RegisteredVm, VmName};
-use knapweeddale_store::{ObjectApi, StoreError};
+use knapweeddale_store::{Object, ObjectApi, StoreError};
 use serde::{Deserialize, Serialize};
 
 /// The kind of the objects in which VMs register.
@@ -51,28 +51,33 @@
 ) -> Result<Vec<Registration>, StoreError> {
     let key = me.key();
     let entries = store.entries(PREFIX).await?;
+    let registered = decode(&entries);
+    if registered.contains(me) {
+        return Ok(registered);
+    }
     let mine = entries.iter().find(|(name, _)| *name == key);
     let version = mine.map_or(0, |(_, object)| object.version);
-    let mut registered: Vec<Registration> = Vec::new();
-    for (name, object) in &entries {
-        match serde_json::from_slice(&object.value) {
-            Ok(row) => registered.push(row),
-            Err(error) => tracing::warn!(name, "source: registration ignored ({error})"),
-        }
-    }
-    if !registered.contains(me) {
-        registered.retain(|row| row.vm != me.vm);
-        registered.push(me.clone());
-        let value = serde_json::to_vec(me).map_err(|error| StoreError::Unavailable {
-            reason: format!("registration cannot be written: {error}"),
-        })?;
-        match store.put(&key, value, version).await {
-            // An earlier write whose answer was lost has registered this VM.
-            Ok(_) | Err(StoreError::Conflict { .. }) => {}
-            Err(error) => return Err(error),
-        }
+    let value = serde_json::to_vec(me).map_err(|error| StoreError::Unavailable {
+        reason: format!("registration cannot be written: {error}"),
+    })?;
+    match store.put(&key, value, version).await {
+        // An earlier write whose answer was lost has registered this VM.
+        Ok(_) | Err(StoreError::Conflict { .. }) => {}
+        Err(error) => return Err(error),
     }
-    Ok(registered)
+    // Of two VMs that register at the same time, at least the later one has to see the other.
+    let entries = store.entries(PREFIX).await?;
+    Ok(decode(&entries))
+}
+
+/// Decodes registrations; one that cannot be read is left out.
+fn decode(entries: &[(String, Object)]) -> Vec<Registration> {
+    let decoded = entries.iter().filter_map(|(name, object)| {
+        let row = serde_json::from_slice(&object.value);
+        row.inspect_err(|error| tracing::warn!(name, "source: registration ignored ({error})"))
+            .ok()
+    });
+    decoded.collect()
 }
 
 /// Returns the addresses of VMs with a disk, those in the same failure domain first.
