Charge and send records to the end of a process

At its end a process sent two batches; the first two tries went to a VM with a disk that was down and one whose disk was slow, and the rest was lost. It now tries the others for 600 ms of its grace, and goes to the next VM 100 ms after a failure instead of 1 s. - A request that still ran when the grace was over left no record. The process now ends its open calls first: those that run leave a record with the outcome unknown, or interrupted once a stream has begun. - The message about lost records was itself lost, with all lines of the last 25 ms. The log is finished before the process ends.

A caller that left before any answer is charged as unknown: the request may not have reached its upstream.

--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -83,6 +83,8 @@
     News(PeerNews),
     /// The process has been asked to stop.
     Drain,
+    /// The process ends now; calls that are still open end with it.
+    Halt,
 }
 
 /// The answer to an order.
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -17,11 +17,12 @@
 pub(crate) struct Work {
     pub arrived: Vec<NewCall>,
     pub abandoned: Vec<CallId>,
+    pub halt: bool,
 }
 
 impl Work {
     pub fn is_empty(&self) -> bool {
-        self.arrived.is_empty() && self.abandoned.is_empty()
+        self.arrived.is_empty() && self.abandoned.is_empty() && !self.halt
     }
 }
 
@@ -34,6 +35,9 @@
     for call in work.abandoned {
         abandon(tick, call);
     }
+    if work.halt {
+        halt(tick);
+    }
 }
 
 /// The route that a call takes.
@@ -391,6 +395,27 @@
     tick.decide(Decision::Refused { call, kind, ran });
 }
 
+/// Ends all calls, since the process ends.
+///
+/// A call that runs on an upstream is charged as far as is known of it.
+fn halt(tick: &mut Tick<'_>) {
+    let open: Vec<CallId> = tick.tables.calls.iter().map(|(id, _)| *id).collect();
+    for id in open {
+        let Some(call) = tick.tables.calls.get_mut(&id) else {
+            continue;
+        };
+        let ran = match call.stage {
+            Stage::Running => {
+                call.note_halted_run();
+                Execution::MayHaveRun
+            }
+            Stage::Settling => continue,
+            _ => call.execution(),
+        };
+        refuse(tick, id, RefusalKind::Draining, ran, None);
+    }
+}
+
 /// Ends a waiting call whose caller disconnected.
 fn abandon(tick: &mut Tick<'_>, id: CallId) {
     let Some(call) = tick.tables.calls.get(&id) else {
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -99,6 +99,7 @@
             Coordination::Owners => work.membership.drain = true,
             Coordination::Peers => work.peers.drain = true,
         },
+        Input::Halt => work.admission.halt = true,
     }
 }
 
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -173,6 +173,8 @@
 /// Returns what the charge record says of an attempt that may have run.
 fn charge_outcome(failure: &Failure) -> ChargeOutcome {
     match failure {
+        // Without any answer, the request may not have reached its upstream.
+        Failure::CallerGone { answer_tokens: 0 } => ChargeOutcome::Unknown,
         Failure::CallerGone { .. } => ChargeOutcome::Abandoned,
         Failure::UpstreamError { status } if !is_of_gateway(*status) => ChargeOutcome::Failed,
         failure if failure.is_forwarded() => ChargeOutcome::Interrupted,
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -150,6 +150,23 @@
         }
     }
 
+    /// Keeps the running attempt as one whose end this VM will not see.
+    pub fn note_halted_run(&mut self) {
+        let outcome = if self.place.first_token_us > 0 {
+            ChargeOutcome::Interrupted
+        } else {
+            ChargeOutcome::Unknown
+        };
+        self.last_run = self.upstream.clone().map(|upstream| {
+            Box::new(LastRun {
+                attempt: self.attempt(),
+                upstream,
+                answer_tokens: 0,
+                outcome,
+            })
+        });
+    }
+
     /// Returns what is known about an execution of a call that waits.
     pub fn execution(&self) -> Execution {
         if self.may_have_run {
--- a/crates/relay/src/charges/writer.rs
+++ b/crates/relay/src/charges/writer.rs
@@ -6,7 +6,7 @@
 
 use jsonrpsee::http_client::HttpClient;
 use tokio::sync::{mpsc, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::{ChargeBatch, ChargeRecord, ChargeRpcClient};
 use crate::metrics::Metrics;
@@ -14,9 +14,23 @@
 /// Interval between two batches while records wait.
 const INTERVAL: Duration = Duration::from_millis(1_000);
 
+/// Pause before a batch that was not kept goes to the next VM.
+const RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time in which the records that are left are sent when the process ends.
+///
+/// Less than what the daemon keeps of its grace for its end.
+const END_LIMIT: Duration = Duration::from_millis(600);
+
 /// Longest wait for a batch to be kept.
 const TIMEOUT: Duration = Duration::from_millis(800);
 
+/// Longest wait for a batch to be kept while the process ends.
+const END_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause after a failure while the process ends.
+const END_PAUSE: Duration = Duration::from_millis(20);
+
 /// Records in one batch.
 const BATCH_RECORDS: usize = 2_000;
 
@@ -77,13 +91,16 @@
                     None => break,
                 },
                 () = sleep_until(due), if has_work => {
-                    self.send().await;
-                    due = Instant::now() + INTERVAL;
+                    let is_kept = self.send(TIMEOUT).await;
+                    due = Instant::now() + if is_kept { INTERVAL } else { RETRY_INTERVAL };
                 }
             }
         }
-        for _ in 0..2 {
-            self.send().await;
+        let end = Instant::now() + END_LIMIT;
+        while (self.open.is_some() || !self.waiting.is_empty()) && Instant::now() < end {
+            if !self.send(END_TIMEOUT).await {
+                sleep(END_PAUSE).await;
+            }
         }
         let left = self.waiting.len() + self.open.map_or(0, |open| open.records.len());
         if left > 0 {
@@ -100,15 +117,17 @@
         self.waiting.push_back(record);
     }
 
-    /// Sends one batch; the next keeper is used after a failure.
-    async fn send(&mut self) {
+    /// Sends one batch and returns whether it was kept; the next keeper is used after a failure.
+    async fn send(&mut self, limit: Duration) -> bool {
         let keepers = self.keepers.borrow().clone();
         let Some(batch) = self.next_batch().filter(|_| !keepers.is_empty()) else {
-            return;
+            return false;
         };
         let keeper = &keepers[self.at % keepers.len()];
         let records = batch.records.len();
-        match keep(keeper, batch).await {
+        let kept = keep(keeper, batch, limit).await;
+        let is_kept = kept.is_ok();
+        match kept {
             Ok(()) => {
                 self.open = None;
                 if std::mem::take(&mut self.is_lost) {
@@ -123,6 +142,7 @@
                 }
             }
         }
+        is_kept
     }
 
     /// Returns the batch that has to be sent next.
@@ -141,9 +161,13 @@
 }
 
 /// Sends a batch to a VM with a disk.
-async fn keep(keeper: &str, batch: ChargeBatch) -> Result<(), jsonrpsee::core::ClientError> {
+async fn keep(
+    keeper: &str,
+    batch: ChargeBatch,
+    limit: Duration,
+) -> Result<(), jsonrpsee::core::ClientError> {
     let client = HttpClient::builder()
-        .request_timeout(TIMEOUT)
+        .request_timeout(limit)
         .build(format!("http://{keeper}"))?;
     client.keep(batch).await
 }
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -230,6 +230,7 @@
             () = sleep_until(deadline) => {}
         }
         tracing::info!(connections = self.open(), "stop: ends");
+        self.shared.inputs.input(Input::Halt).await;
         // The control thread ends with this message or has ended before.
         let _ = self.shared.inputs.send(Message::Stop).await;
         self.background.abort_all();
--- a/crates/relay/src/logs/mod.rs
+++ b/crates/relay/src/logs/mod.rs
@@ -37,11 +37,13 @@
 
 /// Writes the log of the process to standard output.
 ///
+/// The returned writer has to be finished before the process ends, or its last lines are lost.
+///
 /// # Errors
 ///
 /// Fails if the filter cannot be read, the writing thread cannot be started, or the process has
 /// a log already.
-pub fn init(filter: &str) -> Result<(), LogError> {
+pub fn init(filter: &str) -> Result<LineWriter, LogError> {
     let parsed = EnvFilter::try_new(filter).map_err(|source| LogError::Filter {
         filter: filter.to_owned(),
         source,
@@ -55,7 +57,8 @@
         .with_span_list(false)
         .with_target(false)
         .with_env_filter(parsed)
-        .with_writer(writer)
+        .with_writer(writer.clone())
         .finish();
-    set_global_default(subscriber).map_err(|source| LogError::Twice { source })
+    set_global_default(subscriber).map_err(|source| LogError::Twice { source })?;
+    Ok(writer)
 }
--- a/crates/relay/src/logs/writer.rs
+++ b/crates/relay/src/logs/writer.rs
@@ -21,6 +21,9 @@
 /// Pause between two writes, so that lines are written together.
 const WRITE_INTERVAL: Duration = Duration::from_millis(25);
 
+/// Longest wait for the last lines at the end of the process.
+const FINISH_LIMIT: Duration = Duration::from_millis(200);
+
 /// Interval between two lines that state how many were left out.
 const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -37,10 +40,19 @@
 /// Warnings and errors are only left out when the writing thread itself is behind.
 #[derive(Debug, Clone)]
 pub struct LineWriter {
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Entry>,
     allowance: Arc<Mutex<Allowance>>,
 }
 
+/// What the writing thread is given.
+#[derive(Debug)]
+enum Entry {
+    /// A line.
+    Line(Vec<u8>),
+    /// A request to say when all lines before it are written.
+    Mark(SyncSender<()>),
+}
+
 /// How many lines may be written now.
 #[derive(Debug)]
 struct Allowance {
@@ -84,15 +96,27 @@
     }
 }
 
+impl LineWriter {
+    /// Waits until the lines so far are written, for a short time at most.
+    pub fn finish(&self) {
+        let (done, is_done) = sync_channel(1);
+        if self.lines.try_send(Entry::Mark(done)).is_ok() {
+            // A reader that does not take the lines must not keep the process from ending.
+            let _ = is_done.recv_timeout(FINISH_LIMIT);
+        }
+    }
+}
+
 /// Writes lines as they come, several at a time.
-fn write_lines<W: Write>(queue: &Receiver<Vec<u8>>, mut output: W) {
+fn write_lines<W: Write>(queue: &Receiver<Entry>, mut output: W) {
     let mut reported = (Instant::now(), 0);
     let mut text = Vec::new();
-    while let Ok(line) = queue.recv() {
-        text.extend_from_slice(&line);
+    let mut marks = Vec::new();
+    while let Ok(entry) = queue.recv() {
+        take(entry, &mut text, &mut marks);
         std::thread::sleep(WRITE_INTERVAL);
-        while let Ok(line) = queue.try_recv() {
-            text.extend_from_slice(&line);
+        while let Ok(entry) = queue.try_recv() {
+            take(entry, &mut text, &mut marks);
         }
         let dropped = dropped_lines();
         if dropped > reported.1 && reported.0.elapsed() >= REPORT_INTERVAL {
@@ -106,6 +130,17 @@
         // There is nowhere to report that the log cannot be written.
         let _ = output.write_all(&text).and_then(|()| output.flush());
         text.clear();
+        for mark in marks.drain(..) {
+            let _ = mark.try_send(());
+        }
+    }
+}
+
+/// Adds an entry to what is written next.
+fn take(entry: Entry, text: &mut Vec<u8>, marks: &mut Vec<SyncSender<()>>) {
+    match entry {
+        Entry::Line(line) => text.extend_from_slice(&line),
+        Entry::Mark(mark) => marks.push(mark),
     }
 }
 
@@ -134,7 +169,7 @@
             return;
         }
         let line = std::mem::take(&mut self.text);
-        if !self.is_allowed || self.writer.lines.try_send(line).is_err() {
+        if !self.is_allowed || self.writer.lines.try_send(Entry::Line(line)).is_err() {
             DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
         }
     }
--- a/crates/runtime/src/control_loop.rs
+++ b/crates/runtime/src/control_loop.rs
@@ -81,13 +81,13 @@
 }
 
 impl<C: Clock, O: Outlets> ControlLoop<C, O> {
-    /// Handles messages and deadlines until the process ends.
+    /// Handles messages and deadlines until the process ends, the inputs before its end included.
     fn run(mut self) {
         loop {
             match self.wait() {
                 Ok(envelope) => {
                     if !self.accept(envelope) {
-                        return;
+                        return self.tick();
                     }
                 }
                 Err(RecvTimeoutError::Timeout) => {}
@@ -98,7 +98,7 @@
                     break;
                 };
                 if !self.accept(envelope) {
-                    return;
+                    return self.tick();
                 }
             }
             self.tick();
