Tell VMs where records are kept without the store

The VM had started while its way to the store was cut, so it knew no VM with a disk and had sent none of its records. A VM that started before the first VM with a disk had registered did not look again for 60 s either.

Test: charge_records store_away, which failed before.

Registrations are listed a second time only by VMs whose settings name no others; those that do hear of each other from them.

--- a/crates/core/src/input/mod.rs
+++ b/crates/core/src/input/mod.rs
@@ -12,5 +12,6 @@
 };
 pub use event::{Input, OrderResult, ProbeState, StoreEvent, StoredView, VmStatus};
 pub use relay::{
-    ListedUpstream, PeerNews, RegisteredVm, RelayedCall, SourceEvent, SourcePart, UpstreamList,
+    ListedUpstream, PeerNews, RecordKeeper, RegisteredVm, RelayedCall, SourceEvent, SourcePart,
+    UpstreamList,
 };
--- a/crates/core/src/input/relay.rs
+++ b/crates/core/src/input/relay.rs
@@ -5,7 +5,7 @@
 use bon::Builder;
 
 use crate::config::{FleetConfig, UpstreamConfig};
-use crate::ids::{ModelName, ProgramKey, ProgramName, ServiceName, VmName};
+use crate::ids::{DomainName, ModelName, ProgramKey, ProgramName, ServiceName, VmName};
 use crate::message::{Snapshot, Summary};
 use crate::tables::BudgetRecord;
 
@@ -58,6 +58,18 @@
     pub address: String,
 }
 
+/// A VM with a disk, which keeps charge records.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct RecordKeeper {
+    /// The name.
+    pub vm: VmName,
+    /// The address at which it takes records, as `ip:port`.
+    pub address: String,
+    /// Its failure domain.
+    pub failure_domain: DomainName,
+}
+
 /// What the platform's store answered.
 ///
 /// Each answer carries when its request was sent: what the store has acknowledged before that
@@ -79,7 +91,12 @@
         list: Arc<UpstreamList>,
     },
     /// The registered VMs; this VM is one of them.
-    Vms(Vec<RegisteredVm>),
+    Vms {
+        /// Those that relay calls.
+        relays: Vec<RegisteredVm>,
+        /// Those with a disk.
+        keepers: Vec<RecordKeeper>,
+    },
     /// Tokens were reserved for a program.
     Reserved {
         /// The program.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,8 +40,8 @@
 };
 pub use input::{
     AttemptEvent, Input, ListedUpstream, NewCall, PeerNews, PresentedKey, ProgramRequest,
-    ProgramRequestKind, ProgramTurn, RegisteredVm, RelayedCall, SourceEvent, SourcePart,
-    StoreEvent, Target, UpstreamList,
+    ProgramRequestKind, ProgramTurn, RecordKeeper, RegisteredVm, RelayedCall, SourceEvent,
+    SourcePart, StoreEvent, Target, UpstreamList,
 };
 pub use message::{PeerMessage, Snapshot, Summary};
 pub use output::{
--- a/crates/core/src/message/summary.rs
+++ b/crates/core/src/message/summary.rs
@@ -9,7 +9,7 @@
 use crate::ids::{
     AccountName, ContentDigest, Incarnation, ProgramKey, Revision, UpstreamName, VmName,
 };
-use crate::input::UpstreamList;
+use crate::input::{RecordKeeper, UpstreamList};
 
 /// What a VM tells another one about itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -29,6 +29,8 @@
     pub is_leaving: bool,
     /// Whether the sender knows all programs that have run within their retention.
     pub knows_programs: bool,
+    /// Whether the sender knows of VMs with a disk.
+    pub knows_keepers: bool,
     /// The revision in force at the sender.
     pub revision: Revision,
     /// Age of the last read of the configuration that the sender knows of.
@@ -105,6 +107,8 @@
     pub programs: Vec<ProgramSpent>,
     /// Losses of memory since which `programs` is complete; `None` if it is not.
     pub losses: Option<u32>,
+    /// VMs with a disk.
+    pub keepers: Arc<Vec<RecordKeeper>>,
 }
 
 /// What all VMs have used of a program's budget.
--- a/crates/core/src/output/source.rs
+++ b/crates/core/src/output/source.rs
@@ -32,5 +32,7 @@
         turn_tokens: u64,
         /// The least that helps.
         needed_tokens: u64,
+        /// Whether the program is known to have a record, so that it is read first.
+        has_record: bool,
     },
 }
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -104,7 +104,7 @@
         }
         Verdict::NeedsReservation { needed_tokens } => {
             row.waiting.push(id);
-            let losses = row.losses;
+            let (losses, has_record) = (row.losses, row.has_record);
             if !std::mem::replace(&mut row.is_reserving, true) {
                 tick.outputs.push(Output::Source(SourceRequest::Reserve {
                     program,
@@ -112,6 +112,7 @@
                     losses,
                     turn_tokens,
                     needed_tokens,
+                    has_record,
                 }));
             }
         }
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -61,7 +61,7 @@
         learn_vm(tick, other, address);
     }
     group::count(tick);
-    fetch(tick, &vm, summary.knows_programs);
+    fetch(tick, &vm, (summary.knows_programs, summary.knows_keepers));
 }
 
 /// Brings the row of the sender up to date; returns whether the summary is new.
@@ -155,7 +155,7 @@
 }
 
 /// Asks the sender for what it has and this VM lacks.
-fn fetch(tick: &mut Tick<'_>, vm: &VmName, knows_programs: bool) {
+fn fetch(tick: &mut Tick<'_>, vm: &VmName, (knows_programs, knows_keepers): (bool, bool)) {
     let tables = &*tick.tables;
     let Some(peer) = tables.peering.peers.get(vm) else {
         return;
@@ -165,7 +165,8 @@
     let is_newer = peer.revision > tables.fleet.revision
         || (peer.list.revision > tables.source.stamp.revision
             && peer.list.digest != tables.source.stamp.digest);
-    if is_newer || lacks_programs {
+    let lacks_keepers = knows_keepers && tables.source.keepers.is_empty();
+    if is_newer || lacks_programs || lacks_keepers {
         let address = peer.address.clone();
         ask_snapshot(tick, address, lacks_programs);
     }
@@ -185,6 +186,11 @@
             tick.tables.source.config.note(read_us);
         }
     }
+    let source = &mut tick.tables.source;
+    if source.keepers.is_empty() {
+        // The store may be away for as long as this VM runs, and records have to go somewhere.
+        source.keepers = snapshot.keepers;
+    }
     let list_us = read_us(snapshot.list_age_us);
     config::adopt_list(tick, snapshot.list, list_us);
     if let Some(losses) = snapshot.losses
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -62,6 +62,7 @@
         echo: None,
         is_leaving: tables.membership.departure.is_draining,
         knows_programs: tables.source.knowledge != Knowledge::Pending,
+        knows_keepers: !tables.source.keepers.is_empty(),
         revision: tables.fleet.revision,
         config_age_us: tables.source.config.age_us(now_us),
         list: tables.source.stamp,
@@ -174,5 +175,6 @@
             .knowledge
             .losses(now_us)
             .filter(|_| with_programs),
+        keepers: Arc::clone(&tables.source.keepers),
     }
 }
--- a/crates/core/src/systems/source/mod.rs
+++ b/crates/core/src/systems/source/mod.rs
@@ -4,6 +4,8 @@
 //! older than a limit that grows with its position among the VMs that are heard. So one VM reads
 //! in the ordinary case, and the next one takes over when it cannot.
 
+use std::sync::Arc;
+
 use super::{Tick, budgets, config, peers};
 use crate::input::{SourceEvent, SourcePart};
 use crate::output::{Decision, Output, SourceRequest};
@@ -30,6 +32,12 @@
 /// Pause between two readings of the registered VMs.
 const VMS_US: u64 = 60_000_000;
 
+/// The same while this VM has just started and knows no VM with a disk.
+const FIRST_VMS_US: u64 = 3_000_000;
+
+/// Time for which a VM counts as just started.
+const YOUNG_US: u64 = 10_000_000;
+
 /// A pause between two reads of the list after which the store counts as having been away.
 const AWAY_US: u64 = 1_600_000;
 
@@ -80,11 +88,12 @@
             config::adopt_read_list(tick, &list);
             tick.tables.source.list.note(asked_us);
         }
-        SourceEvent::Vms(vms) => {
+        SourceEvent::Vms { relays, keepers } => {
             answered(tick, &SourcePart::Vms);
             let now_us = tick.now_us;
             tick.tables.source.vms.note(now_us);
-            peers::learn_vms(tick, vms);
+            tick.tables.source.keepers = Arc::new(keepers);
+            peers::learn_vms(tick, relays);
             tick.work.peers.announce = true;
         }
         SourceEvent::Losses { losses, records } => {
@@ -167,7 +176,7 @@
     let parts = [
         (SourcePart::Config, SourceRequest::Config, age_us),
         (SourcePart::Upstreams, SourceRequest::Upstreams, age_us),
-        (SourcePart::Vms, SourceRequest::Vms, VMS_US),
+        (SourcePart::Vms, SourceRequest::Vms, vms_age_us(tick)),
         (SourcePart::Losses, SourceRequest::Losses, 0),
     ];
     let mut next_us = u64::MAX;
@@ -194,6 +203,19 @@
     tick.tables.timers.set(next_us, Timer::Source);
 }
 
+/// Returns the age at which the registered VMs are read again.
+///
+/// VMs with a disk may register a little later than this one.
+fn vms_age_us(tick: &Tick<'_>) -> u64 {
+    let source = &tick.tables.source;
+    let is_young = tick.now_us < source.started_us + YOUNG_US;
+    if source.keepers.is_empty() && is_young {
+        FIRST_VMS_US
+    } else {
+        VMS_US
+    }
+}
+
 /// Returns whether the store has to be asked for losses of memory.
 ///
 /// That is the case when other VMs have had time to say what they know, and none has.
--- a/crates/core/src/tables/source.rs
+++ b/crates/core/src/tables/source.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use crate::ids::CallId;
-use crate::input::UpstreamList;
+use crate::input::{RecordKeeper, UpstreamList};
 use crate::message::ListStamp;
 
 /// One thing that is read from the store at intervals.
@@ -73,6 +73,8 @@
     pub list: Reading,
     /// The registration of this VM and the list of the others.
     pub vms: Reading,
+    /// VMs with a disk, as the store or another VM has named them.
+    pub keepers: Arc<Vec<RecordKeeper>>,
     /// The count of losses of memory.
     pub losses: Reading,
     /// Whether the last request of this VM had no answer.
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -7,13 +7,14 @@
 
 use knapweeddale_core::input::{AttemptProgress, Failure, ProbeState};
 use knapweeddale_core::{
-    AccountName, AttemptEvent, CallId, Charge, Control, Decision, Dispatch, Input, Output, Refusal,
-    Snapshot, SourceRequest, UpstreamName,
+    AccountName, AttemptEvent, CallId, Charge, Control, Decision, Dispatch, Input, Output,
+    RecordKeeper, Refusal, Snapshot, SourceRequest, UpstreamName,
 };
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::charges::ChargeRecord;
 use crate::metrics::Metrics;
+use crate::store::list_keepers;
 
 /// A message to the control thread.
 #[derive(Debug)]
@@ -106,6 +107,9 @@
     pub charges: mpsc::Sender<ChargeRecord>,
     pub datagrams: UdpSocket,
     pub status: watch::Sender<Status>,
+    keepers: watch::Sender<Vec<String>>,
+    /// What `keepers` was made of.
+    known_keepers: Arc<Vec<RecordKeeper>>,
     pub metrics: Arc<Metrics>,
     calls: HashMap<CallId, OpenCall>,
     /// Calls that ended in this tick; outputs that follow may still name them.
@@ -121,6 +125,8 @@
     pub snapshots: mpsc::Receiver<SnapshotOrder>,
     pub probes: mpsc::Receiver<ProbeOrder>,
     pub charges: mpsc::Receiver<ChargeRecord>,
+    /// Addresses of VMs with a disk, nearest first.
+    pub keepers: watch::Receiver<Vec<String>>,
     pub status: watch::Receiver<Status>,
 }
 
@@ -139,6 +145,7 @@
         let (probes, probe_queue) = mpsc::channel(ORDERS);
         let (charges, charge_queue) = mpsc::channel(CHARGES);
         let (status, status_reader) = watch::channel(Status::default());
+        let (keepers, keeper_reader) = watch::channel(Vec::new());
         let outlets = Self {
             source,
             snapshots,
@@ -146,6 +153,8 @@
             charges,
             datagrams,
             status,
+            keepers,
+            known_keepers: Arc::default(),
             metrics,
             calls: HashMap::new(),
             ended: Vec::new(),
@@ -156,6 +165,7 @@
             snapshots: snapshot_queue,
             probes: probe_queue,
             charges: charge_queue,
+            keepers: keeper_reader,
             status: status_reader,
         };
         (outlets, queues)
@@ -369,6 +379,12 @@
         for call in self.ended.drain(..) {
             self.calls.remove(&call);
         }
+        let keepers = &control.tables().source.keepers;
+        if !Arc::ptr_eq(keepers, &self.known_keepers) {
+            self.known_keepers = Arc::clone(keepers);
+            let nearest = &control.settings().failure_domain;
+            self.keepers.send_replace(list_keepers(keepers, nearest));
+        }
         let fleet = &control.tables().fleet;
         let has_fleet = fleet.revision.0 > 0;
         let limits = fleet.caller_limits;
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -100,13 +100,13 @@
             role: Role::Entry,
             failure_domain: core.failure_domain.to_string(),
         };
-        let (keepers, keeper_list) = watch::channel(Vec::new());
         let (outlets, queues) = Outlets::new(datagrams, Arc::clone(&metrics));
         let Queues {
             source,
             snapshots,
             probes,
             charges,
+            keepers,
             status,
         } = queues;
         let shared = Arc::new(Shared {
@@ -126,8 +126,8 @@
             closing: is_closing,
         };
         let sender = format!("{}@{}", core.vm, core.incarnation);
-        let vm = core.vm.clone();
-        let writer = ChargeWriter::new(sender, charges, keeper_list, Arc::clone(&metrics));
+        let (vm, has_seeds) = (core.vm.clone(), !core.seeds.is_empty());
+        let writer = ChargeWriter::new(sender, charges, keepers, Arc::clone(&metrics));
         let control = spawn(Control::new(core), queue, outlets, clock.clone())?;
         let runner = Source {
             store: Arc::new(store),
@@ -135,8 +135,8 @@
             inputs: inputs.clone(),
             metrics: Arc::clone(&metrics),
             registration,
+            has_seeds,
             records: KnownRecords::default(),
-            keepers,
         };
         let mut background = JoinSet::new();
         background.spawn(runner.run(source));
--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -11,7 +11,7 @@
 use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::server::{Server, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
-use knapweeddale_core::VmName;
+use knapweeddale_core::{DomainName, RecordKeeper, VmName};
 use knapweeddale_store::StoreError;
 use tokio::task::{JoinHandle, spawn_blocking};
 use tokio::time::{sleep, timeout};
@@ -216,7 +216,7 @@
 
     /// Registers this VM and returns all registered ones.
     async fn register(&self) -> Result<Vec<Registration>, StoreError> {
-        within(register(&self.store, &self.registration)).await
+        within(register(&self.store, &self.registration, true)).await
     }
 
     /// Looks whether this VM has to be emptied, and empties it.
@@ -242,14 +242,19 @@
             ledger.read()
         };
         let records = records.map_err(|error| unavailable(&error.to_string()))?;
-        let mut others = self.register().await?;
-        others.retain(|row| row.vm != self.settings.vm);
+        let others = self.register().await?;
+        let others: Vec<RecordKeeper> = others
+            .into_iter()
+            .filter(|row| row.role == Role::Storage && row.vm != self.settings.vm)
+            .map(Registration::into_keeper)
+            .collect();
+        let nearest = DomainName::from(self.registration.failure_domain.as_str());
         let batch = ChargeBatch {
             sender: format!("emptied {}", self.settings.vm),
             number: 1,
             records,
         };
-        for keeper in list_keepers(&others, &self.registration) {
+        for keeper in list_keepers(&others, &nearest) {
             match send(&keeper, batch.clone()).await {
                 Ok(()) => {
                     let records = batch.records.len();
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -10,7 +10,7 @@
 use knapweeddale_core::{Input, SourceEvent, SourcePart, SourceRequest};
 use knapweeddale_runtime::Clock;
 use knapweeddale_store::StoreError;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use crate::adapter::FleetStore;
@@ -34,10 +34,10 @@
     pub inputs: InputSender,
     pub metrics: Arc<Metrics>,
     pub registration: Registration,
+    /// Whether the settings name other VMs.
+    pub has_seeds: bool,
     /// Records of budgets that this VM has written.
     pub records: KnownRecords,
-    /// Addresses of VMs with a disk.
-    pub keepers: watch::Sender<Vec<String>>,
 }
 
 impl<S: FleetStore, C: Clock> Source<S, C> {
@@ -102,11 +102,14 @@
                 list: self.store.upstreams().await?,
             }),
             SourceRequest::Vms => {
-                let registered = register(&*self.store, &self.registration).await?;
-                self.keepers
-                    .send_replace(list_keepers(&registered, &self.registration));
-                let vms = registered.into_iter().filter(|vm| vm.role == Role::Entry);
-                Ok(SourceEvent::Vms(vms.map(Registration::into_vm).collect()))
+                let registered = register(&*self.store, &self.registration, self.has_seeds).await?;
+                let (keepers, relays): (Vec<_>, Vec<_>) = registered
+                    .into_iter()
+                    .partition(|vm| vm.role == Role::Storage);
+                Ok(SourceEvent::Vms {
+                    relays: relays.into_iter().map(Registration::into_vm).collect(),
+                    keepers: keepers.into_iter().map(Registration::into_keeper).collect(),
+                })
             }
             // Carried out without an answer.
             SourceRequest::Stop { program, .. } => {
@@ -122,10 +125,14 @@
                 losses,
                 turn_tokens,
                 needed_tokens,
+                has_record,
             } => {
                 let new = BudgetRecord::new(program.clone(), budget_tokens, turn_tokens, losses);
+                let known = budgets::known(&*self.store, &program, has_record, &self.records);
+                let known = known.await?;
                 let tokens =
-                    budgets::reserve(&*self.store, new, needed_tokens, &self.records).await?;
+                    budgets::reserve(&*self.store, new, known, needed_tokens, &self.records);
+                let tokens = tokens.await?;
                 Ok(SourceEvent::Reserved { program, tokens })
             }
         }
--- a/crates/relay/src/store/registry.rs
+++ b/crates/relay/src/store/registry.rs
@@ -1,6 +1,6 @@
 //! VMs register in the store, so that they find each other.
 
-use knapweeddale_core::{RegisteredVm, VmName};
+use knapweeddale_core::{DomainName, RecordKeeper, RegisteredVm, VmName};
 use knapweeddale_store::{Object, ObjectApi, StoreError};
 use serde::{Deserialize, Serialize};
 
@@ -39,19 +39,32 @@
         }
     }
 
+    /// Returns the form of the core of a VM with a disk.
+    pub fn into_keeper(self) -> RecordKeeper {
+        RecordKeeper {
+            vm: VmName::from(self.vm),
+            address: self.address,
+            failure_domain: DomainName::from(self.failure_domain),
+        }
+    }
+
     fn key(&self) -> String {
         format!("{PREFIX}{}", self.vm)
     }
 }
 
 /// Registers a VM if it is not registered as it is, and returns all registered VMs.
+///
+/// Of two VMs that register at the same time, at least the later one has to see the other, unless
+/// both learn of each other from VMs that they know already.
 pub(crate) async fn register<S: ObjectApi>(
     store: &S,
     me: &Registration,
+    knows_others: bool,
 ) -> Result<Vec<Registration>, StoreError> {
     let key = me.key();
     let entries = store.entries(PREFIX).await?;
-    let registered = decode(&entries);
+    let mut registered = decode(&entries);
     if registered.contains(me) {
         return Ok(registered);
     }
@@ -65,9 +78,13 @@
         Ok(_) | Err(StoreError::Conflict { .. }) => {}
         Err(error) => return Err(error),
     }
-    // Of two VMs that register at the same time, at least the later one has to see the other.
-    let entries = store.entries(PREFIX).await?;
-    Ok(decode(&entries))
+    if !knows_others {
+        let entries = store.entries(PREFIX).await?;
+        return Ok(decode(&entries));
+    }
+    registered.retain(|row| row.vm != me.vm);
+    registered.push(me.clone());
+    Ok(registered)
 }
 
 /// Decodes registrations; one that cannot be read is left out.
@@ -80,12 +97,9 @@
     decoded.collect()
 }
 
-/// Returns the addresses of VMs with a disk, those in the same failure domain first.
-pub(crate) fn list_keepers(registered: &[Registration], me: &Registration) -> Vec<String> {
-    let mut keepers: Vec<&Registration> = registered
-        .iter()
-        .filter(|row| row.role == Role::Storage)
-        .collect();
-    keepers.sort_by_key(|row| (row.failure_domain != me.failure_domain, row.vm.clone()));
+/// Returns the addresses of VMs with a disk, those in the given failure domain first.
+pub(crate) fn list_keepers(keepers: &[RecordKeeper], nearest: &DomainName) -> Vec<String> {
+    let mut keepers: Vec<&RecordKeeper> = keepers.iter().collect();
+    keepers.sort_by_key(|row| (row.failure_domain != *nearest, row.vm.clone()));
     keepers.into_iter().map(|row| row.address.clone()).collect()
 }
--- a/crates/testing/src/relays/store.rs
+++ b/crates/testing/src/relays/store.rs
@@ -92,13 +92,14 @@
             SourceRequest::Vms => {
                 self.vms.insert(vm, name.clone());
                 let vms = self.vms.values();
-                SourceEvent::Vms(
-                    vms.map(|vm| RegisteredVm {
-                        vm: vm.clone(),
-                        address: vm.to_string(),
-                    })
-                    .collect(),
-                )
+                let relays = vms.map(|vm| RegisteredVm {
+                    vm: vm.clone(),
+                    address: vm.to_string(),
+                });
+                SourceEvent::Vms {
+                    relays: relays.collect(),
+                    keepers: Vec::new(),
+                }
             }
             SourceRequest::Stop {
                 program,
@@ -126,6 +127,7 @@
                 losses,
                 turn_tokens,
                 needed_tokens,
+                ..
             } => {
                 let record = self.budgets.entry(program.clone()).or_insert_with(|| {
                     BudgetRecord::new(program.clone(), budget_tokens, turn_tokens, losses)
