--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -23,9 +23,6 @@
 /// Longest wait for an answer; a slow store answers within a quarter of a second.
 const TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Longest wait for a reservation, for which a turn is held up.
-const BUDGET_TIMEOUT: Duration = Duration::from_millis(400);
-
 /// Carries out requests to the store.
 #[derive(Debug)]
 pub(crate) struct Source<S, C> {
@@ -64,11 +61,7 @@
         let purpose = purpose_of(&part);
         let asked_us = self.clock.now_us();
         let started = Instant::now();
-        let limit = match part {
-            SourcePart::Budget(_) => BUDGET_TIMEOUT,
-            _ => TIMEOUT,
-        };
-        let answer = timeout(limit, self.ask(request, asked_us)).await;
+        let answer = timeout(TIMEOUT, self.ask(request, asked_us)).await;
         let took = started.elapsed();
         let event = match answer {
             Ok(Ok(event)) => {
