--- a/crates/relay/src/charges/mod.rs
+++ b/crates/relay/src/charges/mod.rs
@@ -12,13 +12,12 @@
 pub(crate) use rpc::{ChargeBatch, ChargeRpcClient, ChargeRpcServer};
 pub(crate) use writer::ChargeWriter;
 
-use std::time::{SystemTime, UNIX_EPOCH};
-
 use knapweeddale_core::Charge;
 use knapweeddale_core::output::ChargeOutcome;
 use serde::{Deserialize, Serialize};
 
 use crate::control::account_label;
+use crate::wall_clock::unix_ms;
 
 /// A request that ran, or may have run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,11 +66,3 @@
         self.outcome != ChargeOutcome::Unknown.label()
     }
 }
-
-/// Returns the time of this VM's wall clock; one before 1970 counts as 0.
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.map_or(0, |since| {
-        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
-    })
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod storage;
 mod store;
 mod upstream;
+mod wall_clock;
 
 pub use adapter::{
     AnswerHead, BadRequest, CallHead, Dialect, FleetStore, Forward, OwnAnswer, Retirement,
--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::fs::{File, OpenOptions};
-use std::io::{self, Write};
+use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -53,10 +53,7 @@
         let path = folder.join(FILE_NAME);
         let mut file = OpenOptions::new().create(true).append(true).open(&path)?;
         // A record after a line that a power loss has torn would be lost with it.
-        if std::fs::read(&path)?
-            .last()
-            .is_some_and(|last| *last != b'\n')
-        {
+        if ends_torn(&path)? {
             tracing::warn!("charges: the last record is torn");
             file.write_all(b"\n")?;
         }
@@ -102,6 +99,18 @@
     }
 }
 
+/// Returns whether a file ends within a line.
+fn ends_torn(path: &Path) -> io::Result<bool> {
+    let mut file = File::open(path)?;
+    if file.seek(SeekFrom::End(0))? == 0 {
+        return Ok(false);
+    }
+    file.seek(SeekFrom::End(-1))?;
+    let mut last = [0];
+    file.read_exact(&mut last)?;
+    Ok(last != *b"\n")
+}
+
 /// Answers VMs that relay calls.
 #[derive(Debug, Clone)]
 struct Keeper {
--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::sleep;
 
-use super::unix_ms;
+use crate::wall_clock::unix_ms;
 
 /// The kind of the records.
 const PREFIX: &str = "knapweeddale-budgets/";
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -4,7 +4,7 @@
 mod registry;
 
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use knapweeddale_core::tables::BudgetRecord;
 use knapweeddale_core::{Input, SourceEvent, SourcePart, SourceRequest};
@@ -132,13 +132,6 @@
     }
 }
 
-/// Returns the time of day in milliseconds.
-fn unix_ms() -> u64 {
-    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    let ms = elapsed.map_or(0, |elapsed| elapsed.as_millis());
-    u64::try_from(ms).unwrap_or(u64::MAX)
-}
-
 /// Returns what a request is about.
 fn part_of(request: &SourceRequest) -> SourcePart {
     match request {
