Make one piece of code serve where the change had several

- The storage role and the writer of charge records sent batches with functions of their own; both call charges::keep.
- The record of an attempt that has ended was built in three places; it is Call::run_ended.
- Both daemons had a type and a function to order a probe; the runtime has them.
- A reservation derived the key of its record twice, in two functions.
- The wait of a call for its rate looked the call up twice.

No behaviour changes; the tests keep their assertions.

--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -9,7 +9,7 @@
 use crate::ids::{AccountName, CallId, PoolKey, ProgramKey};
 use crate::input::{NewCall, PresentedKey, Target};
 use crate::message::PlacementMessage;
-use crate::output::{Decision, Execution, Output, Refusal, RefusalKind};
+use crate::output::{ChargeOutcome, Decision, Execution, Output, Refusal, RefusalKind};
 use crate::tables::{Call, Relay, Stage};
 
 /// What waits for this system.
@@ -406,7 +406,12 @@
         };
         let ran = match call.stage {
             Stage::Running => {
-                call.note_halted_run();
+                let outcome = if call.place.first_token_us > 0 {
+                    ChargeOutcome::Interrupted
+                } else {
+                    ChargeOutcome::Unknown
+                };
+                call.last_run = call.run_ended(0, outcome).map(Box::new);
                 Execution::MayHaveRun
             }
             Stage::Settling => continue,
--- a/crates/core/src/systems/outcomes/results.rs
+++ b/crates/core/src/systems/outcomes/results.rs
@@ -18,16 +18,9 @@
         relay.passed_tokens += outcome.answer_tokens;
     }
     let tokens = (outcome.prompt_tokens, outcome.answer_tokens);
-    if let Some(upstream) = call.upstream.clone() {
-        let run = LastRun {
-            attempt,
-            upstream,
-            answer_tokens: outcome.answer_tokens,
-            outcome: ChargeOutcome::Complete,
-        };
-        let charge = charge_for(call, run, outcome.prompt_tokens);
-        tick.work.charges.charges.push(charge);
-    }
+    let run = call.run_ended(outcome.answer_tokens, ChargeOutcome::Complete);
+    let charge = run.map(|run| charge_for(call, run, outcome.prompt_tokens));
+    tick.work.charges.charges.extend(charge);
     if call.program.is_none() {
         answer(tick, attempt.call, None, None);
         return;
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -6,7 +6,7 @@
 use crate::input::{AttemptOutcome, Failure};
 use crate::message::AttemptResult;
 use crate::output::{ChargeOutcome, Decision, Execution, RefusalKind, RetryReason};
-use crate::tables::{Call, LastRun, Stage};
+use crate::tables::{Call, Stage};
 
 /// Attempts of a call, the first included.
 ///
@@ -51,12 +51,8 @@
     };
     let verdict = judge(call, &failure, tick.now_us);
     if !failure.is_not_run() {
-        call.last_run = Some(Box::new(LastRun {
-            attempt,
-            upstream: upstream.clone(),
-            answer_tokens: failure.answer_tokens(),
-            outcome: charge_outcome(&failure),
-        }));
+        let run = call.run_ended(failure.answer_tokens(), charge_outcome(&failure));
+        call.last_run = run.map(Box::new);
         confine(call, &upstream);
     }
     let needs_budget = needs_budget(call, &failure);
--- a/crates/core/src/systems/rates/calls.rs
+++ b/crates/core/src/systems/rates/calls.rs
@@ -71,25 +71,17 @@
 ///
 /// A relayed call is refused early enough for its caller to ask again.
 fn wait_end_us(tick: &Tick<'_>, id: CallId) -> u64 {
-    let wait_us = tick.settings.rate_wait_ms * 1_000;
-    let relay = tick
-        .tables
-        .calls
-        .get(&id)
-        .and_then(|call| call.relay.as_ref());
-    let left_us = relay.map(|relay| relay.deadline_us.saturating_sub(tick.now_us));
+    let mut wait_us = tick.settings.rate_wait_ms * 1_000;
     let call = tick.tables.calls.get(&id);
-    let begins = call.is_some_and(|call| call.begins_program);
-    // The caller of a program that has not begun may as well come back later.
-    let begin_us = relay.map_or(u64::MAX, |relay| {
-        relay.route.objective_ms * 1_000 / BEGIN_WAIT_PART
-    });
-    let wait_us = if begins {
-        wait_us.min(begin_us)
-    } else {
-        wait_us
-    };
-    tick.now_us + left_us.map_or(wait_us, |left_us| wait_us.min(left_us / RELAY_WAIT_PART))
+    if let Some((call, relay)) = call.and_then(|call| Some((call, call.relay.as_ref()?))) {
+        let left_us = relay.deadline_us.saturating_sub(tick.now_us);
+        wait_us = wait_us.min(left_us / RELAY_WAIT_PART);
+        // The caller of a program that has not begun may as well come back later.
+        if call.begins_program {
+            wait_us = wait_us.min(relay.route.objective_ms * 1_000 / BEGIN_WAIT_PART);
+        }
+    }
+    tick.now_us + wait_us
 }
 
 /// Admits waiting calls while the share holds calls; those that begin a program come last.
@@ -174,13 +166,13 @@
     report_no_room(tick, id, &account);
     let call = tick.tables.calls.get(&id);
     let begins = call.is_some_and(|call| call.begins_program);
+    let is_relayed = call.is_some_and(|call| call.relay.is_some());
     let retry_after_ms = tick
         .tables
         .shares
         .get(&account)
         .and_then(|share| share.ready_in_us(begins, tick.now_us))
         .map_or(DEFAULT_RETRY_AFTER_MS, |us| us.div_ceil(1_000).max(1));
-    let is_relayed = call_is_relayed(tick, id);
     let retry_after_ms = if is_relayed {
         retry_after_ms.max(RELAY_RETRY_AFTER_MS)
     } else {
@@ -196,12 +188,6 @@
     skip_gone(tick, &account, begins);
 }
 
-/// Returns whether a call is a relayed one.
-fn call_is_relayed(tick: &Tick<'_>, id: CallId) -> bool {
-    let call = tick.tables.calls.get(&id);
-    call.is_some_and(|call| call.relay.is_some())
-}
-
 /// Logs what the bucket held when it had no room for a call.
 fn report_no_room(tick: &mut Tick<'_>, call: CallId, account: &AccountName) {
     let now_us = tick.now_us;
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -80,7 +80,7 @@
     pub relay: Option<Box<Relay>>,
 }
 
-/// An attempt that ended without a complete response and may have run.
+/// An attempt that has ended and ran or may have run.
 #[derive(Debug, Clone)]
 pub struct LastRun {
     /// The attempt.
@@ -150,21 +150,14 @@
         }
     }
 
-    /// Keeps the running attempt as one whose end this VM will not see.
-    pub fn note_halted_run(&mut self) {
-        let outcome = if self.place.first_token_us > 0 {
-            ChargeOutcome::Interrupted
-        } else {
-            ChargeOutcome::Unknown
-        };
-        self.last_run = self.upstream.clone().map(|upstream| {
-            Box::new(LastRun {
-                attempt: self.attempt(),
-                upstream,
-                answer_tokens: 0,
-                outcome,
-            })
-        });
+    /// Describes how the present attempt ended.
+    pub fn run_ended(&self, answer_tokens: u64, outcome: ChargeOutcome) -> Option<LastRun> {
+        Some(LastRun {
+            attempt: self.attempt(),
+            upstream: self.upstream.clone()?,
+            answer_tokens,
+            outcome,
+        })
     }
 
     /// Returns what is known about an execution of a call that waits.
--- a/crates/entry/src/control/outlets.rs
+++ b/crates/entry/src/control/outlets.rs
@@ -5,21 +5,21 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
-use knapweeddale_core::input::{AttemptProgress, Failure, OrderResult, ProbeState};
+use knapweeddale_core::input::{AttemptProgress, Failure, OrderResult};
 use knapweeddale_core::output::Order;
 use knapweeddale_core::tables::View;
 use knapweeddale_core::{
-    AttemptEvent, CallId, Charge, Control, Decision, Input, Output, StoreEvent, UpstreamName,
-    VmName,
+    AttemptEvent, CallId, Charge, Control, Decision, Input, Output, StoreEvent, VmName,
 };
 use knapweeddale_peer::Peers;
+use knapweeddale_runtime::{ProbeOrder, order_probe};
 use tokio::sync::{mpsc, watch};
 
 use super::input::{CallOutput, Message};
 use super::status::Status;
 use crate::metrics::Metrics;
 use crate::store::ViewOrder;
-use crate::upstream::{ProbeOrder, ReleaseOrder};
+use crate::upstream::ReleaseOrder;
 
 /// Addresses of VMs that are in no view; more than join or leave at once.
 const MAX_STRANGERS: usize = 64;
@@ -138,27 +138,16 @@
             }
             // Only under `Coordination::Peers`, which this daemon does not use.
             Output::Source(_) | Output::SendSummary { .. } | Output::AskSnapshot { .. } => {}
-            Output::Probe(upstream) => self.probe(upstream, control),
+            Output::Probe(upstream) => {
+                self.echo
+                    .extend(order_probe(&self.probes, upstream, control));
+            }
             Output::Order(order) => self.order(*order),
             Output::Charge(charge) => self.charge(charge),
             Output::Decision(decision) => self.log(&decision),
         }
     }
 
-    /// Orders a probe. An upstream that cannot be probed counts as alive, so
-    /// that nobody is suspected without evidence.
-    fn probe(&mut self, upstream: UpstreamName, control: &Control) {
-        let row = control.tables().upstreams.get(&upstream);
-        let order = row.map(|row| ProbeOrder {
-            upstream: upstream.clone(),
-            address: Arc::clone(&row.address),
-        });
-        if order.is_none_or(|order| self.probes.try_send(order).is_err()) {
-            let state = ProbeState::Up;
-            self.echo.push(Input::Probed { upstream, state });
-        }
-    }
-
     /// Sends an order on its way; one that cannot be sent counts as unanswered.
     fn order(&mut self, order: Order) {
         if let Err(error) = self.orders.try_send(order) {
--- a/crates/entry/src/daemon/background.rs
+++ b/crates/entry/src/daemon/background.rs
@@ -5,6 +5,7 @@
 
 use knapweeddale_config::Settings;
 use knapweeddale_core::output::Order;
+use knapweeddale_runtime::{Clock, ProbeOrder};
 use knapweeddale_store::{Counted, ObjectApi};
 use tokio::sync::mpsc;
 use tokio::task::JoinSet;
@@ -13,10 +14,7 @@
 use crate::front::Shared;
 use crate::known_peers::ask_known_peers;
 use crate::store::{ViewOrder, poll_vms, serve_views, watch_config};
-use crate::upstream::{
-    ProbeOrder, ReleaseOrder, poll_loads, serve_orders, serve_probes, serve_releases,
-};
-use knapweeddale_runtime::Clock;
+use crate::upstream::{ReleaseOrder, poll_loads, serve_orders, serve_probes, serve_releases};
 
 /// Time between two updates of the counts of store calls.
 const COUNTS_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/entry/src/upstream/mod.rs
+++ b/crates/entry/src/upstream/mod.rs
@@ -15,5 +15,5 @@
 pub(crate) use headers::{forwardable, returnable};
 pub(crate) use loads::poll_loads;
 pub(crate) use orders::serve_orders;
-pub(crate) use probe::{LastAlive, ProbeOrder, serve_probes};
+pub(crate) use probe::{LastAlive, serve_probes};
 pub(crate) use release::{ReleaseOrder, serve_releases};
--- a/crates/entry/src/upstream/probe.rs
+++ b/crates/entry/src/upstream/probe.rs
@@ -6,6 +6,7 @@
 
 use knapweeddale_core::input::ProbeState;
 use knapweeddale_core::{Input, UpstreamName};
+use knapweeddale_runtime::ProbeOrder;
 use serde::Deserialize;
 use tokio::sync::mpsc;
 
@@ -15,15 +16,6 @@
 /// Longest wait for the answer to a probe. The suspects of a crash wait for it.
 const TIMEOUT: Duration = Duration::from_millis(500);
 
-/// The order to probe an upstream.
-#[derive(Debug)]
-pub(crate) struct ProbeOrder {
-    /// The upstream.
-    pub upstream: UpstreamName,
-    /// Its address as `ip:port`.
-    pub address: Arc<str>,
-}
-
 /// When each upstream was last known to be alive.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct LastAlive(Arc<Mutex<HashMap<UpstreamName, Instant>>>);
--- a/crates/relay/src/charges/rpc.rs
+++ b/crates/relay/src/charges/rpc.rs
@@ -1,6 +1,9 @@
 //! The exchange of charge records between VMs.
 
-use jsonrpsee::core::RpcResult;
+use std::time::Duration;
+
+use jsonrpsee::core::{ClientError, RpcResult};
+use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::proc_macros::rpc;
 use serde::{Deserialize, Serialize};
 
@@ -24,3 +27,15 @@
     #[method(name = "keep")]
     async fn keep(&self, batch: ChargeBatch) -> RpcResult<()>;
 }
+
+/// Sends a batch to the VM with a disk at an address.
+pub(crate) async fn keep(
+    address: &str,
+    batch: ChargeBatch,
+    limit: Duration,
+) -> Result<(), ClientError> {
+    let client = HttpClient::builder()
+        .request_timeout(limit)
+        .build(format!("http://{address}"))?;
+    client.keep(batch).await
+}
--- a/crates/relay/src/charges/writer.rs
+++ b/crates/relay/src/charges/writer.rs
@@ -4,11 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use jsonrpsee::http_client::HttpClient;
 use tokio::sync::{mpsc, watch};
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{ChargeBatch, ChargeRecord, ChargeRpcClient};
+use super::{ChargeBatch, ChargeRecord, keep};
 use crate::metrics::Metrics;
 
 /// Interval between two batches while records wait.
@@ -159,15 +158,3 @@
         self.open.clone()
     }
 }
-
-/// Sends a batch to a VM with a disk.
-async fn keep(
-    keeper: &str,
-    batch: ChargeBatch,
-    limit: Duration,
-) -> Result<(), jsonrpsee::core::ClientError> {
-    let client = HttpClient::builder()
-        .request_timeout(limit)
-        .build(format!("http://{keeper}"))?;
-    client.keep(batch).await
-}
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -5,11 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use knapweeddale_core::input::{AttemptProgress, Failure, ProbeState};
+use knapweeddale_core::input::{AttemptProgress, Failure};
 use knapweeddale_core::{
     AccountName, AttemptEvent, CallId, Charge, Control, Decision, Dispatch, Input, Output,
-    RecordKeeper, Refusal, Snapshot, SourceRequest, UpstreamName,
+    RecordKeeper, Refusal, Snapshot, SourceRequest,
 };
+use knapweeddale_runtime::{ProbeOrder, order_probe};
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::charges::ChargeRecord;
@@ -84,13 +85,6 @@
     pub asked_us: u64,
 }
 
-/// An upstream to connect to after a connection broke.
-#[derive(Debug)]
-pub(crate) struct ProbeOrder {
-    pub upstream: UpstreamName,
-    pub address: Arc<str>,
-}
-
 /// A call that is open.
 #[derive(Debug)]
 struct OpenCall {
@@ -205,19 +199,6 @@
 
 /// # Outputs
 impl Outlets {
-    /// Orders a probe; an upstream that cannot be probed counts as alive.
-    fn probe(&mut self, upstream: UpstreamName, control: &Control) {
-        let row = control.tables().upstreams.get(&upstream);
-        let order = row.map(|row| ProbeOrder {
-            upstream: upstream.clone(),
-            address: Arc::clone(&row.address),
-        });
-        if order.is_none_or(|order| self.probes.try_send(order).is_err()) {
-            let state = ProbeState::Up;
-            self.echo.push(Input::Probed { upstream, state });
-        }
-    }
-
     /// Keeps a charge record.
     fn charge(&mut self, charge: Charge) {
         let request = self.request_of(charge.attempt.call);
@@ -360,7 +341,10 @@
                     tracing::error!("peers: snapshot request dropped, the queue is full");
                 }
             }
-            Output::Probe(upstream) => self.probe(upstream, control),
+            Output::Probe(upstream) => {
+                self.echo
+                    .extend(order_probe(&self.probes, upstream, control));
+            }
             Output::Charge(charge) => self.charge(charge),
             Output::Decision(decision) => self.log(&decision, control, now_us),
             // Only under `Coordination::Owners`, or for calls that have a home.
--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use jsonrpsee::core::RpcResult;
-use jsonrpsee::http_client::HttpClient;
 use jsonrpsee::server::{Server, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
 use knapweeddale_core::{DomainName, RecordKeeper, VmName};
@@ -17,7 +16,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::adapter::FleetStore;
-use crate::charges::{ChargeBatch, ChargeRecord, ChargeRpcClient, ChargeRpcServer};
+use crate::charges::{ChargeBatch, ChargeRecord, ChargeRpcServer, keep};
 use crate::daemon::StartError;
 use crate::settings::StorageSettings;
 use crate::store::{Registration, Role, list_keepers, register};
@@ -264,7 +263,7 @@
             records,
         };
         for keeper in list_keepers(&others, &nearest) {
-            match send(&keeper, batch.clone()).await {
+            match keep(&keeper, batch.clone(), HAND_OVER_TIMEOUT).await {
                 Ok(()) => {
                     let records = batch.records.len();
                     tracing::info!(keeper, records, "storage: records handed over");
@@ -277,14 +276,6 @@
     }
 }
 
-/// Sends a batch to another VM with a disk.
-async fn send(keeper: &str, batch: ChargeBatch) -> Result<(), jsonrpsee::core::ClientError> {
-    let client = HttpClient::builder()
-        .request_timeout(HAND_OVER_TIMEOUT)
-        .build(format!("http://{keeper}"))?;
-    client.keep(batch).await
-}
-
 /// Bounds the wait for the store.
 async fn within<T>(answer: impl Future<Output = Result<T, StoreError>>) -> Result<T, StoreError> {
     let answer = timeout(STORE_TIMEOUT, answer).await;
--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -36,23 +36,6 @@
 /// Conflicts with other VMs after which a reservation is given up.
 const MAX_CONFLICTS: usize = 6;
 
-/// Returns the record of a program as far as a write needs it.
-///
-/// Most programs have no record yet, or one that this VM has written last, and are not read. One
-/// that another VM has written is, since a write without its version fails and has to read too.
-pub(super) async fn known<S: ObjectApi>(
-    store: &S,
-    program: &ProgramKey,
-    has_record: bool,
-    records: &KnownRecords,
-) -> Result<Option<Object>, StoreError> {
-    let key = key_of(program);
-    match records.get(&key) {
-        None if has_record => store.get(&key).await,
-        known => Ok(known),
-    }
-}
-
 /// Reserves tokens for the next turns of a program; 0 if its budget does not hold them.
 ///
 /// `new` is the record of a program that has none yet. A write whose answer is lost may have
@@ -60,11 +43,17 @@
 pub(super) async fn reserve<S: ObjectApi>(
     store: &S,
     new: BudgetRecord,
-    mut known: Option<Object>,
+    has_record: bool,
     needed_tokens: u64,
     records: &KnownRecords,
 ) -> Result<u64, StoreError> {
     let key = key_of(&new.program);
+    // Most programs have no record yet, or one that this VM has written last, and need no read.
+    // One that another VM has written does, since a write without its version fails.
+    let mut known = match records.get(&key) {
+        None if has_record => store.get(&key).await?,
+        known => known,
+    };
     for _ in 0..MAX_CONFLICTS {
         let (mut record, version) = match &known {
             Some(object) => (read(&key, object)?, object.version),
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -121,11 +121,9 @@
                 has_record,
             } => {
                 let new = BudgetRecord::new(program.clone(), budget_tokens, turn_tokens, losses);
-                let known = budgets::known(&*self.store, &program, has_record, &self.records);
-                let known = known.await?;
+                let records = &self.records;
                 let tokens =
-                    budgets::reserve(&*self.store, new, known, needed_tokens, &self.records);
-                let tokens = tokens.await?;
+                    budgets::reserve(&*self.store, new, has_record, needed_tokens, records).await?;
                 Ok(SourceEvent::Reserved { program, tokens })
             }
         }
--- a/crates/relay/src/upstream/pool.rs
+++ b/crates/relay/src/upstream/pool.rs
@@ -7,13 +7,14 @@
 use derive_more::{Display, Error};
 use knapweeddale_core::Input;
 use knapweeddale_core::input::ProbeState;
+use knapweeddale_runtime::ProbeOrder;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
 use super::Connection;
-use crate::control::{InputSender, ProbeOrder};
+use crate::control::InputSender;
 use crate::metrics::Metrics;
 
 /// Longest wait for a new connection.
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -8,10 +8,12 @@
 mod control_loop;
 mod ids;
 mod metrics;
+mod probe;
 mod queue;
 
 pub use clock::{BootClock, Clock, MonotonicClock};
 pub use control_loop::{Outlets, spawn};
 pub use ids::{CallIds, new_incarnation, random_u64};
 pub use metrics::{gauge_value, register};
+pub use probe::{ProbeOrder, order_probe};
 pub use queue::{Envelope, InputQueue, InputSender, QueueFull, input_queue};
