Install the signal handlers before a daemon reads its settings

The entry daemon never handled SIGHUP at all.

Change: Signals in the runtime crate is installed first, by both daemons, and keeps signals that arrive early. The soak sends SIGHUP only to a process that has its handlers: before that the kernel's default action applies, and the new tests show that the handlers come before anything else.

--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! One thread owns the core's [`Control`](knapweeddale_core::Control) value. Traffic threads
 //! reach it over a bounded [queue](input_queue), and an implementation of [`OutputHandler`]
-//! dispatches its outputs. The crate also has helpers for IDs, clocks, probes and metrics.
+//! dispatches its outputs. The crate also has helpers for IDs, clocks, signals, probes and metrics.
 
 mod clock;
 mod control_loop;
@@ -10,6 +10,7 @@
 mod metrics;
 mod probe;
 mod queue;
+mod signals;
 
 pub use clock::{BootClock, Clock, MonotonicClock};
 pub use control_loop::{OutputHandler, spawn_control_loop};
@@ -17,3 +18,4 @@
 pub use metrics::{gauge_value, register};
 pub use probe::{ProbeRequest, request_probe};
 pub use queue::{Envelope, InputQueue, InputSender, QueueFull, input_queue};
+pub use signals::{SignalRequest, Signals};
--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod measures;
 pub mod mesh;
 pub mod platform;
+pub mod process;
 mod random;
 pub mod relays;
 pub mod scenario;
