Tell reset connections from a crash of their upstream

Cause: an upstream counted as crashed as soon as two of its attempts lost their connections, although the probe had just been accepted; a connect timeout and a local error counted as a refused connection. The time limit of an earlier examination could end a later one, and an examination whose upstream left the list held its contents for ever.

Change: examinations are a table of their own. A refused connection, another process at the address (421) or a restart is a crash; an accepted connection is none, however many were lost; no answer is one after two probes and 600 ms. A confined call waits meanwhile, and ends honestly if its upstream is leaving. A silent connection is examined too and counts as one failure.

A call that is no stream now runs at most as often as its route allows upstreams, and twice on a route of one.

--- a/crates/core/src/input/attempt.rs
+++ b/crates/core/src/input/attempt.rs
@@ -40,8 +40,12 @@
 /// Why an attempt ended without a complete response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
-    /// No byte of the request was sent to the upstream.
+    /// No byte of the request was sent, for a reason that says nothing about the upstream.
     NotSent,
+    /// The upstream refused the connection, as it does when its process has ended.
+    ConnectionRefused,
+    /// The upstream did not accept a connection in time.
+    Unreachable,
     /// The upstream explicitly refused the request and did not run it.
     RefusedByUpstream {
         /// The HTTP status of the refusal.
@@ -76,7 +80,15 @@
 impl Failure {
     /// Returns whether the request certainly did not run.
     pub fn did_not_run(&self) -> bool {
-        matches!(self, Self::NotSent | Self::RefusedByUpstream { .. })
+        !self.is_connected() || matches!(self, Self::RefusedByUpstream { .. })
+    }
+
+    /// Returns whether there was a connection over which the request was sent.
+    pub fn is_connected(&self) -> bool {
+        !matches!(
+            self,
+            Self::NotSent | Self::ConnectionRefused | Self::Unreachable
+        )
     }
 
     /// Returns whether any part of the response reached the caller.
@@ -84,7 +96,7 @@
         match self {
             Self::ConnectionLost { forwarded, .. } | Self::Silent { forwarded, .. } => *forwarded,
             Self::CallerGone { .. } => true,
-            Self::NotSent | Self::RefusedByUpstream { .. } | Self::UpstreamError { .. } => false,
+            _ => false,
         }
     }
 
@@ -94,7 +106,7 @@
             Self::ConnectionLost { answer_tokens, .. }
             | Self::Silent { answer_tokens, .. }
             | Self::CallerGone { answer_tokens } => *answer_tokens,
-            Self::NotSent | Self::RefusedByUpstream { .. } | Self::UpstreamError { .. } => 0,
+            _ => 0,
         }
     }
 }
--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -105,8 +105,10 @@
     Up,
     /// The upstream accepts connections and its process has restarted.
     Restarted,
-    /// The upstream accepts no connection.
+    /// The upstream refuses connections: no process listens at its address.
     Down,
+    /// The upstream did not answer in time.
+    Silent,
 }
 
 /// An answer of the platform's object API about the view.
--- a/crates/core/src/message/placement.rs
+++ b/crates/core/src/message/placement.rs
@@ -148,6 +148,12 @@
     Lost,
     /// The caller disconnected or the attempt was never sent.
     Unused,
+    /// The upstream did not accept a connection in time.
+    Unreachable,
+    /// The upstream accepted the request and then sent nothing for too long.
+    Silent,
+    /// Another process listens at the address of the upstream.
+    Replaced,
 }
 
 /// A running attempt, reported to a new owner of its pool.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -177,11 +177,13 @@
         /// Why this counts as a crash.
         evidence: CrashEvidence,
     },
-    /// A connection broke although the upstream did not crash.
-    #[display("retry: connection to {upstream} broke, {evidence}")]
+    /// Connections broke or fell silent although the upstream did not crash.
+    #[display("retry: {lost} connections to {upstream} broke, {evidence}")]
     ConnectionBroke {
         /// The upstream at the other end.
         upstream: UpstreamName,
+        /// Attempts that lost their connection; 0 if the upstream was only silent.
+        lost: usize,
         /// Why this does not count as a crash.
         evidence: CrashEvidence,
     },
--- a/crates/core/src/output/reason.rs
+++ b/crates/core/src/output/reason.rs
@@ -128,13 +128,10 @@
     /// The upstream's process has restarted.
     #[display("process restarted")]
     Restarted,
-    /// Several attempts on the upstream lost their connections at once.
-    #[display("several attempts lost at once")]
-    SeveralLost,
-    /// The upstream did not answer the probe.
-    #[display("probe without answer")]
+    /// The upstream did not accept a connection while it was examined.
+    #[display("probes without answer")]
     ProbeSilent,
-    /// The upstream accepts new connections and no other attempt was lost.
+    /// The upstream accepts new connections.
     #[display("new connections work")]
     Answering,
 }
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -211,6 +211,7 @@
             .filter(|_| is_stream),
         cover: None,
         forwarded_tokens: 0,
+        runs: 0,
         ran_on: SmallVec::new(),
         only: None,
         route,
--- a/crates/core/src/systems/outcomes/ejection.rs
+++ b/crates/core/src/systems/outcomes/ejection.rs
@@ -1,9 +1,8 @@
 //! Ejects upstreams after consecutive failures and backs off from them.
 
 use super::super::{Tick, placement};
-use super::suspects;
 use crate::ids::UpstreamName;
-use crate::output::{CrashEvidence, Decision};
+use crate::output::Decision;
 use crate::tables::Timer;
 
 /// Counts a failure of an upstream and ejects it after too many consecutive ones.
@@ -25,15 +24,6 @@
     eject(tick, upstream, failures);
 }
 
-/// Backs off from an upstream that refused a connection.
-///
-/// If a lost connection to it is being examined, the refusal proves a crash.
-pub(crate) fn record_connection_refused(tick: &mut Tick<'_>, upstream: &UpstreamName) {
-    suspects::conclude_crash(tick, upstream, CrashEvidence::Refused);
-    back_off(tick, upstream);
-    record_failure(tick, upstream);
-}
-
 /// Sends no calls to a full upstream until some of its calls may have ended.
 pub(crate) fn back_off_full(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
--- /dev/null
+++ b/crates/core/src/systems/outcomes/examination.rs
@@ -0,0 +1,260 @@
+//! Examines whether an upstream crashed or only its connections broke.
+//!
+//! A broken connection is no crash, and neither are many at once: a network fault may reset all
+//! connections of this VM while the upstream goes on. While an upstream is examined it gets no
+//! calls, and calls that are confined to it wait. It crashed if new connections are refused, if
+//! its process has restarted, or if it accepts no connection for [`EXAMINATION_US`], in which two
+//! probes are sent. A connection that it accepts proves that it runs.
+
+use std::collections::BTreeSet;
+
+use super::super::{Tick, placement};
+use super::{ejection, quarantine, suspects};
+use crate::ids::{AttemptId, CallId, ContentDigest, UpstreamName, VmName};
+use crate::input::ProbeState;
+use crate::message::PlacementMessage;
+use crate::output::{CrashEvidence, Decision, Output};
+use crate::tables::{Examination, LostAttempt, RunningAttempt, Timer};
+
+/// Time after which an upstream that has accepted no connection counts as crashed.
+const EXAMINATION_US: u64 = 600_000;
+
+/// Probes in one examination; a full accept queue may drop the first one.
+const MAX_PROBES: u32 = 2;
+
+/// Records a lost connection and examines the upstream.
+pub(crate) fn record_lost_connection(
+    tick: &mut Tick<'_>,
+    attempt: AttemptId,
+    running: &RunningAttempt,
+) {
+    if running.is_counted_in_crash {
+        return;
+    }
+    begin(tick, &running.upstream);
+    let Some(row) = tick.tables.examinations.get_mut(&running.upstream) else {
+        return;
+    };
+    row.lost.push(LostAttempt {
+        call: attempt.call,
+        vm: running.vm.clone(),
+        digest: running.digest,
+        is_exclusive: running.is_exclusive,
+    });
+    suspects::touch_suspect(tick, running.digest).pending_examinations += 1;
+}
+
+/// Examines an upstream that sent nothing for too long.
+///
+/// Its failure is counted when the examination ends, once for all connections that fell silent.
+pub(crate) fn record_silence(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    begin(tick, upstream);
+}
+
+/// Backs off from an upstream that did not accept a connection in time, and examines it.
+pub(crate) fn record_unreachable(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    begin(tick, upstream);
+    ejection::back_off(tick, upstream);
+}
+
+/// Backs off from an upstream that refused a connection, which proves that its process has ended.
+pub(crate) fn record_connection_refused(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    conclude_crash(tick, upstream, CrashEvidence::Refused);
+    record_crash(tick, upstream);
+    ejection::record_failure(tick, upstream);
+}
+
+/// Backs off from an upstream at whose address another process listens.
+pub(crate) fn record_replaced(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    conclude_crash(tick, upstream, CrashEvidence::Restarted);
+    record_crash(tick, upstream);
+}
+
+/// Starts the examination of a listed upstream, unless it is being examined already.
+fn begin(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let tables = &mut *tick.tables;
+    let Some(row) = tables.upstreams.get_mut(upstream) else {
+        return;
+    };
+    if tables.examinations.contains_key(upstream) {
+        return;
+    }
+    row.health.is_examined = true;
+    let until_us = tick.now_us + EXAMINATION_US;
+    let examination = Examination {
+        until_us,
+        probes: 1,
+        ..Examination::default()
+    };
+    tables.examinations.insert(upstream.clone(), examination);
+    tables
+        .timers
+        .set(until_us, Timer::CrashDecision(upstream.clone()));
+    tick.outputs.push(Output::Probe(upstream.clone()));
+    placement::refresh_availability(tick, upstream);
+}
+
+/// Concludes the examination of an upstream from the result of a probe, or probes it once more.
+pub(super) fn handle_probe_result(tick: &mut Tick<'_>, upstream: &UpstreamName, state: ProbeState) {
+    let Some(row) = tick.tables.examinations.get_mut(upstream) else {
+        return;
+    };
+    match state {
+        ProbeState::Up => conclude_connection_loss(tick, upstream),
+        ProbeState::Down => conclude_crash(tick, upstream, CrashEvidence::Refused),
+        ProbeState::Restarted => conclude_crash(tick, upstream, CrashEvidence::Restarted),
+        ProbeState::Silent if row.probes < MAX_PROBES => {
+            row.probes += 1;
+            tick.outputs.push(Output::Probe(upstream.clone()));
+        }
+        // The end of the examination decides.
+        ProbeState::Silent => {}
+    }
+}
+
+/// Concludes that an upstream crashed because it accepted no connection in time.
+pub(super) fn handle_timeout(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let row = tick.tables.examinations.get(upstream);
+    // The timer may belong to an earlier examination.
+    if row.is_some_and(|row| tick.now_us >= row.until_us) {
+        conclude_crash(tick, upstream, CrashEvidence::ProbeSilent);
+    }
+}
+
+/// Concludes the examination of an upstream as broken or silent connections.
+fn conclude_connection_loss(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let Some(lost) = end(tick, upstream) else {
+        return;
+    };
+    tick.log(Decision::ConnectionBroke {
+        upstream: upstream.clone(),
+        evidence: CrashEvidence::Answering,
+        lost: lost.len(),
+    });
+    for attempt in &lost {
+        suspects::remove_if_cleared(tick, &attempt.digest);
+    }
+    ejection::record_failure(tick, upstream);
+    resume_assignment(tick, upstream, lost.iter().map(|lost| lost.digest));
+}
+
+/// Concludes the examination of an upstream, if there is one, as a crash.
+///
+/// If attempts were lost, all contents that were running there become suspects, and the content of
+/// a lost attempt that ran alone is quarantined.
+fn conclude_crash(tick: &mut Tick<'_>, upstream: &UpstreamName, evidence: CrashEvidence) {
+    let Some(lost) = end(tick, upstream) else {
+        return;
+    };
+    let digests = if lost.is_empty() {
+        BTreeSet::new()
+    } else {
+        suspect_all(tick, upstream, &lost)
+    };
+    tick.log(Decision::Crashed {
+        upstream: upstream.clone(),
+        suspects: digests.len(),
+        evidence,
+    });
+    if let Some(lost) = lost.iter().find(|lost| lost.is_exclusive) {
+        quarantine::quarantine_on_all_vms(tick, lost.digest);
+    }
+    if let Some(row) = tick.tables.upstreams.get_mut(upstream) {
+        row.health.cache_valid_from_us = tick.now_us + 1;
+        row.prefill_until_us = 0;
+    }
+    record_crash(tick, upstream);
+    resume_assignment(tick, upstream, digests.into_iter());
+}
+
+/// Counts a crash for the contents that were running on an upstream, and returns them.
+fn suspect_all(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+    lost: &[LostAttempt],
+) -> BTreeSet<ContentDigest> {
+    let mut running: Vec<(CallId, VmName, ContentDigest)> = lost
+        .iter()
+        .map(|lost| (lost.call, lost.vm.clone(), lost.digest))
+        .collect();
+    running.extend(mark_running_counted(tick, upstream));
+    let digests: BTreeSet<ContentDigest> = running.iter().map(|(.., digest)| *digest).collect();
+    for digest in &digests {
+        suspects::touch_suspect(tick, *digest).crashes += 1;
+    }
+    recount_running(tick, &digests);
+    for (call, vm, digest) in running {
+        let suspect = tick.tables.suspects.get(&digest);
+        let crashes = suspect.map_or(0, |row| row.crashes);
+        tick.send(&vm, PlacementMessage::Suspected { call, crashes });
+    }
+    digests
+}
+
+/// Records a crash of an upstream and backs off from it.
+fn record_crash(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    if let Some(row) = tick.tables.upstreams.get_mut(upstream) {
+        row.health.record_crash(tick.now_us);
+    }
+    ejection::back_off(tick, upstream);
+}
+
+/// Ends the examination of an upstream and returns its lost attempts; `None` if there is none.
+fn end(tick: &mut Tick<'_>, upstream: &UpstreamName) -> Option<Vec<LostAttempt>> {
+    let lost = tick.tables.examinations.remove(upstream)?.lost.into_vec();
+    if let Some(row) = tick.tables.upstreams.get_mut(upstream) {
+        row.health.is_examined = false;
+    }
+    for attempt in &lost {
+        if let Some(suspect) = tick.tables.suspects.get_mut(&attempt.digest) {
+            suspect.pending_examinations = suspect.pending_examinations.saturating_sub(1);
+        }
+    }
+    Some(lost)
+}
+
+/// Marks the attempts still recorded on a crashed upstream as counted and returns them.
+fn mark_running_counted(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+) -> Vec<(CallId, VmName, ContentDigest)> {
+    let attempts = tick.tables.upstreams.get(upstream);
+    let attempts = attempts.map(|row| row.attempts.clone()).unwrap_or_default();
+    let mut counted = Vec::new();
+    for attempt in attempts {
+        if let Some(running) = tick.tables.running.get_mut(&attempt) {
+            running.is_counted_in_crash = true;
+            counted.push((attempt.call, running.vm.clone(), running.digest));
+        }
+    }
+    counted
+}
+
+/// Recounts the running copies of contents; crashes are rare enough for a full scan.
+fn recount_running(tick: &mut Tick<'_>, digests: &BTreeSet<ContentDigest>) {
+    for digest in digests {
+        if let Some(suspect) = tick.tables.suspects.get_mut(digest) {
+            suspect.running = 0;
+        }
+    }
+    let tables = &mut *tick.tables;
+    for (_, running) in tables.running.iter() {
+        if digests.contains(&running.digest)
+            && let Some(suspect) = tables.suspects.get_mut(&running.digest)
+        {
+            suspect.running += 1;
+        }
+    }
+}
+
+/// Requeues held calls in the pools of an upstream and resumes assignment.
+fn resume_assignment(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+    digests: impl Iterator<Item = ContentDigest>,
+) {
+    for digest in digests {
+        placement::requeue_held_everywhere(tick, &digest);
+    }
+    placement::refresh_and_assign(tick, upstream);
+}
--- a/crates/core/src/systems/outcomes/mod.rs
+++ b/crates/core/src/systems/outcomes/mod.rs
@@ -1,15 +1,20 @@
 //! Handles results of attempts: responses, charges, retries and upstream failures.
 
 mod ejection;
+mod examination;
 mod quarantine;
 mod results;
 mod retries;
 mod suspects;
 
-pub(crate) use ejection::{back_off_full, record_connection_refused, record_failure};
+pub(crate) use ejection::{back_off_full, record_failure};
+pub(crate) use examination::{
+    record_connection_refused, record_lost_connection, record_replaced, record_silence,
+    record_unreachable,
+};
 pub(crate) use quarantine::quarantine_content;
 pub(crate) use results::{answer_call, charge_last_run};
-pub(crate) use suspects::{clear_crash_count, raise_crash_count, record_lost_connection};
+pub(crate) use suspects::{clear_crash_count, raise_crash_count};
 
 use super::Tick;
 use crate::ids::UpstreamName;
@@ -37,11 +42,11 @@
         handle_event(tick, event);
     }
     for (upstream, state) in work.probe_results {
-        suspects::handle_probe_result(tick, &upstream, state);
+        examination::handle_probe_result(tick, &upstream, state);
     }
     for timer in work.due_timers {
         match timer {
-            Timer::CrashDecision(upstream) => suspects::handle_probe_timeout(tick, &upstream),
+            Timer::CrashDecision(upstream) => examination::handle_timeout(tick, &upstream),
             Timer::SuspectIdle(digest) => suspects::expire_suspect(tick, digest),
             Timer::QuarantineEnd(digest) => quarantine::expire_quarantine(tick, digest),
             _ => {}
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -2,6 +2,7 @@
 
 use super::super::{Tick, admission};
 use super::results;
+use crate::config::RouteKind;
 use crate::ids::{AttemptId, UpstreamName};
 use crate::input::{AttemptOutcome, Failure};
 use crate::message::AttemptResult;
@@ -17,12 +18,19 @@
 /// Failed attempts after which a call ends; lost or refused connections don't count.
 const MAX_FAILURES: u32 = 3;
 
+/// Runs of a relayed call that are allowed on any route; the second one uses the same upstream if
+/// the route allows only one.
+const MIN_RUNS: u32 = 2;
+
 /// Lost connections of a call that are retried without using the retry budget.
 ///
 /// A request that crashes its upstream fails other calls with it at most three
 /// times, which must not cost them retry budget.
 const MAX_UNBUDGETED_LOSSES: u32 = 3;
 
+/// The status with which another process than the expected one refuses a request.
+const MISDIRECTED_REQUEST: u16 = 421;
+
 /// Retries or ends a call whose attempt failed.
 pub(super) fn handle_failure(tick: &mut Tick<'_>, attempt: AttemptId, failure: Failure) {
     let outcome = AttemptOutcome {
@@ -34,16 +42,18 @@
     let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
     };
-    call.may_have_run |= !failure.did_not_run();
+    let may_have_run = !failure.did_not_run();
+    call.may_have_run |= may_have_run;
     if let Some(relay) = &mut call.relay {
         relay.forwarded_tokens += failure.answer_tokens();
+        relay.runs += u32::from(may_have_run);
     }
     match failure {
         Failure::ConnectionLost { .. } => call.placement.lost_connections += 1,
         Failure::CallerGone { answer_tokens } => {
             call.used_tokens = Some(call.request.prompt_tokens + answer_tokens);
         }
-        Failure::NotSent => {}
+        failure if !failure.is_connected() => {}
         _ => call.placement.failures += 1,
     }
     let Some(upstream) = call.upstream.clone() else {
@@ -91,17 +101,23 @@
 fn attempt_result(tick: &Tick<'_>, attempt: AttemptId, failure: &Failure) -> AttemptResult {
     let call = tick.tables.calls.get(&attempt.call);
     let is_late = call.is_some_and(|call| tick.now_us >= call.valid_until_us);
+    let is_relayed = call.is_some_and(|call| call.relay.is_some());
     match failure {
         // The attempt was not sent in time, which is no failure of the upstream.
         Failure::NotSent if is_late => AttemptResult::Unused,
-        Failure::NotSent => AttemptResult::NotConnected,
+        // A pause keeps a call from using up its attempts at once.
+        Failure::NotSent => AttemptResult::Full,
+        Failure::ConnectionRefused => AttemptResult::NotConnected,
+        Failure::Unreachable => AttemptResult::Unreachable,
+        Failure::RefusedByUpstream { status } if *status == MISDIRECTED_REQUEST => {
+            AttemptResult::Replaced
+        }
         // A refusal of the request (4xx) is no failure of the upstream.
         Failure::RefusedByUpstream { status } if *status < 500 && *status != 429 => {
             AttemptResult::Unused
         }
-        Failure::RefusedByUpstream { .. } if call.is_some_and(|call| call.relay.is_some()) => {
-            AttemptResult::Full
-        }
+        Failure::RefusedByUpstream { .. } if is_relayed => AttemptResult::Full,
+        Failure::Silent { .. } if is_relayed => AttemptResult::Silent,
         Failure::RefusedByUpstream { .. }
         | Failure::UpstreamError { .. }
         | Failure::Silent { .. } => AttemptResult::Failed,
@@ -130,12 +146,24 @@
         (false, true) => RetryReason::Idempotent,
         (false, false) => return Err(RetryReason::NotIdempotent),
     };
-    if call.attempts >= MAX_ATTEMPTS || call.placement.failures >= MAX_FAILURES {
+    let is_used_up = call.attempts >= MAX_ATTEMPTS || call.placement.failures >= MAX_FAILURES;
+    if is_used_up || has_run_often(call) {
         return Err(RetryReason::TooManyAttempts);
     }
     Ok(reason)
 }
 
+/// Returns whether a call that is no stream has run as often as its route allows.
+///
+/// A stream goes on where it broke off, so each of its runs brings it further.
+fn has_run_often(call: &Call) -> bool {
+    let Some(relay) = &call.relay else {
+        return false;
+    };
+    let is_stream = matches!(relay.route.kind, RouteKind::Stream { .. });
+    !is_stream && relay.runs >= relay.route.max_attempts.max(MIN_RUNS)
+}
+
 /// Pins a call to its last upstream once it may have run on as many as its route allows.
 fn pin_to_upstream(call: &mut Call, upstream: &UpstreamName) {
     let Some(relay) = &mut call.relay else {
@@ -152,8 +180,8 @@
 fn needs_budget(call: &Call, failure: &Failure) -> bool {
     match failure {
         Failure::ConnectionLost { .. } => call.placement.lost_connections > MAX_UNBUDGETED_LOSSES,
-        // The backoff after a refused connection limits these retries.
-        Failure::NotSent => false,
+        // The backoff after a failed connection limits these retries.
+        failure if !failure.is_connected() => false,
         // For relayed calls, the backoff of a full upstream limits these retries.
         Failure::RefusedByUpstream { .. } => call.relay.is_none(),
         _ => true,
--- a/crates/core/src/systems/placement/availability.rs
+++ b/crates/core/src/systems/placement/availability.rs
@@ -63,8 +63,23 @@
     }
 }
 
+/// Moves the calls that were held for a content back to the queues of all pools and assigns them.
+///
+/// Only few pools hold calls, and few contents are held, so that all pools are scanned.
+pub(crate) fn requeue_held_everywhere(tick: &mut Tick<'_>, digest: &ContentDigest) {
+    let pools = tick.tables.pools.iter();
+    let holding: Vec<PoolKey> = pools
+        .filter(|(_, row)| row.held.contains_key(digest))
+        .map(|(key, _)| key.clone())
+        .collect();
+    for pool in &holding {
+        requeue_held(tick, pool, digest);
+        owner::assign(tick, pool);
+    }
+}
+
 /// Moves the calls that were held for a content back to the queue.
-pub(crate) fn requeue_held(tick: &mut Tick<'_>, pool: &PoolKey, digest: &ContentDigest) {
+pub(super) fn requeue_held(tick: &mut Tick<'_>, pool: &PoolKey, digest: &ContentDigest) {
     let Some(row) = tick.tables.pools.get_mut(pool) else {
         return;
     };
--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -13,7 +13,7 @@
 mod reconfigure;
 mod selection;
 
-pub(crate) use availability::{refresh_and_assign, refresh_availability, requeue_held};
+pub(crate) use availability::{refresh_and_assign, refresh_availability, requeue_held_everywhere};
 pub(crate) use entry::{end_attempt, resend_finish};
 pub(crate) use hints::record_cached_prefix;
 
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -370,6 +370,9 @@
         AttemptResult::Lost => outcomes::record_lost_connection(tick, finish.attempt, running),
         AttemptResult::Full => outcomes::back_off_full(tick, &finish.upstream),
         AttemptResult::Unused => {}
+        AttemptResult::Unreachable => outcomes::record_unreachable(tick, &finish.upstream),
+        AttemptResult::Silent => outcomes::record_silence(tick, &finish.upstream),
+        AttemptResult::Replaced => outcomes::record_replaced(tick, &finish.upstream),
     }
 }
 
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -64,14 +64,7 @@
         return Selection::Wait;
     };
     if let Some(pinned) = pinned_upstream(tick, pool, waiting) {
-        let row = tick.tables.upstreams.get(pinned);
-        if row.is_some_and(|row| row.health.ejected_until_us > tick.now_us) {
-            return Selection::Refuse;
-        }
-        if row.is_none_or(|row| row.open_load_permille.is_none()) {
-            return Selection::Wait;
-        }
-        return select_first(&mut std::iter::once(pinned), PlacementReason::OnlyAllowed);
+        return select_pinned(tick, pinned);
     }
     let ignores_avoid = avoids_all(tick, pool, waiting);
     let is_allowed = |name: &UpstreamName| ignores_avoid || !waiting.place.avoid.contains(name);
@@ -82,10 +75,27 @@
     }
 }
 
+/// Selects the only upstream that a call may use, once it is known to run and has room.
+fn select_pinned(tick: &Tick<'_>, pinned: &UpstreamName) -> Selection {
+    let Some(row) = tick.tables.upstreams.get(pinned) else {
+        return Selection::Wait;
+    };
+    if row.health.is_examined {
+        return Selection::Wait;
+    }
+    // One that is leaving still runs what it has begun, but takes no new calls.
+    if row.config.leaving || row.health.ejected_until_us > tick.now_us {
+        return Selection::Refuse;
+    }
+    if row.open_load_permille.is_none() {
+        return Selection::Wait;
+    }
+    select_first(&mut std::iter::once(pinned), PlacementReason::OnlyAllowed)
+}
+
 /// Returns the upstream that a call is pinned to.
 ///
-/// Returns `None` if the upstream left the pool, is leaving, or crashed or
-/// refused a connection recently.
+/// Returns `None` if the upstream left the pool, or if it crashed recently and so lost the call.
 fn pinned_upstream<'a>(
     tick: &Tick<'_>,
     pool: &Pool,
@@ -94,7 +104,7 @@
     let pinned = waiting.place.only.as_ref()?;
     let row = tick.tables.upstreams.get(pinned)?;
     let has_crashed = row.health.has_crashed_recently(tick.now_us);
-    (pool.upstreams.contains(pinned) && !row.config.leaving && !has_crashed).then_some(pinned)
+    (pool.upstreams.contains(pinned) && !has_crashed).then_some(pinned)
 }
 
 /// Returns whether a call avoids every usable upstream of a pool small enough to check.
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -114,6 +114,8 @@
     pub cover: Option<Coverage>,
     /// Tokens passed to the caller by all attempts.
     pub forwarded_tokens: u64,
+    /// Attempts that may have run.
+    pub runs: u32,
     /// Upstreams on which the call may have run.
     pub ran_on: SmallVec<[UpstreamName; 2]>,
     /// The only upstream that may run the call again, unless its process has ended.
--- /dev/null
+++ b/crates/core/src/tables/examination.rs
@@ -0,0 +1,32 @@
+//! Examinations of upstreams whose connections broke.
+
+use smallvec::SmallVec;
+
+use crate::ids::{CallId, ContentDigest, VmName};
+
+/// The examination of an upstream: whether it crashed or only its connections broke.
+///
+/// It is kept apart from the row of the upstream, so that it ends also if the upstream leaves the
+/// list meanwhile.
+#[derive(Debug, Clone, Default)]
+pub struct Examination {
+    /// Time at which it ends without an answer.
+    pub until_us: u64,
+    /// Probes that were sent.
+    pub probes: u32,
+    /// Attempts whose connection broke.
+    pub lost: SmallVec<[LostAttempt; 2]>,
+}
+
+/// An attempt whose connection broke.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LostAttempt {
+    /// Call of the attempt.
+    pub call: CallId,
+    /// Entry VM of the call.
+    pub vm: VmName,
+    /// Digest of the content that was running.
+    pub digest: ContentDigest,
+    /// Whether it ran as the only call on the upstream.
+    pub is_exclusive: bool,
+}
--- a/crates/core/src/tables/health.rs
+++ b/crates/core/src/tables/health.rs
@@ -1,9 +1,5 @@
 //! Failure detection for an upstream: ejection and backoff.
 
-use smallvec::SmallVec;
-
-use crate::ids::{CallId, ContentDigest, VmName};
-
 /// Consecutive failures after which an upstream is ejected.
 const EJECTION_FAILURES: u32 = 5;
 
@@ -16,7 +12,7 @@
 /// Consecutive successes after which the duration of ejections starts at `BASE_EJECTION_US` again.
 const EJECTION_RESET_SUCCESSES: u32 = 10;
 
-/// Shortest backoff after a crash or a refused connection.
+/// Shortest backoff after a crash or a failed connection.
 const MIN_BACKOFF_US: u64 = 1_000_000;
 
 /// Time for which a crash counts as recent; longer than any call lasts.
@@ -36,35 +32,29 @@
     ejections: u32,
     /// End of the ejection; in the past if the upstream is not ejected.
     pub ejected_until_us: u64,
-    /// End of the backoff after a crash, a refused connection or a refusal because it was full.
+    /// End of the backoff after a crash, a failed connection or a refusal because it was full.
     pub backoff_until_us: u64,
     /// Time of the last crash or refused connection; 0 if there was none.
     pub last_crash_us: u64,
     /// Prefixes that were cached before this time are lost.
     pub cache_valid_from_us: u64,
-    /// Attempts whose connection broke while the cause is still being examined.
-    pub lost_attempts: SmallVec<[LostAttempt; 2]>,
-}
-
-/// An attempt whose connection broke.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct LostAttempt {
-    /// Call of the attempt.
-    pub call: CallId,
-    /// Entry VM of the call.
-    pub vm: VmName,
-    /// Digest of the content that was running.
-    pub digest: ContentDigest,
-    /// Whether it ran as the only call on the upstream.
-    pub is_exclusive: bool,
+    /// Whether it is being examined, see [`Examination`](super::Examination).
+    pub is_examined: bool,
 }
 
 impl Health {
-    /// Returns whether the upstream may get calls: no ejection, no backoff and no open examination.
+    /// Returns the health of a restarted upstream; an examination of it goes on.
+    pub fn after_restart(&self, now_us: u64) -> Self {
+        Self {
+            cache_valid_from_us: now_us,
+            is_examined: self.is_examined,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether the upstream may get calls: no ejection, no backoff and no examination.
     pub fn is_ready(&self, now_us: u64) -> bool {
-        now_us >= self.ejected_until_us
-            && now_us >= self.backoff_until_us
-            && self.lost_attempts.is_empty()
+        now_us >= self.ejected_until_us && now_us >= self.backoff_until_us && !self.is_examined
     }
 
     /// Returns whether it crashed or refused a connection so recently that its calls are lost.
@@ -109,7 +99,11 @@
     pub fn back_off(&mut self, now_us: u64) -> u64 {
         let backoff_us = MIN_BACKOFF_US << self.failures.min(2);
         self.backoff_until_us = self.backoff_until_us.max(now_us + backoff_us);
-        self.last_crash_us = now_us;
         self.backoff_until_us
     }
+
+    /// Records that it crashed or refused a connection.
+    pub fn record_crash(&mut self, now_us: u64) {
+        self.last_crash_us = now_us;
+    }
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -7,6 +7,7 @@
 mod bucket;
 mod budget;
 mod call;
+mod examination;
 mod health;
 mod homes;
 mod lease;
@@ -34,7 +35,8 @@
 pub use bucket::{Bucket, NCALLS_PER_CALL};
 pub use budget::{Budget, BudgetDecision, BudgetRecord, Coverage, ProcessUsage};
 pub use call::{Call, LastRun, PlacementState, RelayState, Stage};
-pub use health::{Health, LostAttempt};
+pub use examination::{Examination, LostAttempt};
+pub use health::Health;
 pub use homes::{
     HandOverProgress, Homes, PendingProgramRequest, PendingSettle, Release, Tombstone, Transfer,
     WaitingCall, WitnessRecord,
@@ -113,6 +115,8 @@
     pub finishing: Table<AttemptId, Finish>,
     /// Earlier placement of programs, recorded by this VM as owner of pools.
     pub placement_histories: Table<ProgramKey, PlacementHistory>,
+    /// Upstreams of which it is being examined whether they crashed.
+    pub examinations: Table<UpstreamName, Examination>,
     /// Contents that were running when an upstream crashed.
     pub suspects: Table<ContentDigest, Suspect>,
     /// Contents that no VM runs, because upstreams crashed with them.
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -91,8 +91,7 @@
 
     /// Resets what no longer holds after a restart of its process.
     pub fn reset_after_restart(&mut self, now_us: u64) {
-        self.health = Health::default();
-        self.health.cache_valid_from_us = now_us;
+        self.health = self.health.after_restart(now_us);
         self.prefill_until_us = 0;
     }
 
--- a/crates/entry/src/upstream/client.rs
+++ b/crates/entry/src/upstream/client.rs
@@ -131,11 +131,32 @@
 ///
 /// Only a connection that was never established proves that nothing was sent.
 fn classify_error(error: &reqwest::Error) -> Failure {
-    if error.is_connect() || error.is_builder() {
+    if error.is_builder() {
         return Failure::NotSent;
     }
+    if error.is_connect() {
+        return match is_refused(error) {
+            true => Failure::ConnectionRefused,
+            false => Failure::Unreachable,
+        };
+    }
     Failure::ConnectionLost {
         answer_tokens: 0,
         forwarded: false,
     }
 }
+
+/// Returns whether a connection failed because no process listens at the address.
+pub(super) fn is_refused(error: &reqwest::Error) -> bool {
+    let mut source = std::error::Error::source(error);
+    while let Some(error) = source {
+        let kind = error
+            .downcast_ref::<std::io::Error>()
+            .map(std::io::Error::kind);
+        if kind == Some(std::io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        source = error.source();
+    }
+    false
+}
--- a/crates/entry/src/upstream/probe.rs
+++ b/crates/entry/src/upstream/probe.rs
@@ -11,6 +11,7 @@
 use tokio::sync::mpsc;
 
 use super::UpstreamClient;
+use super::client::is_refused;
 use crate::control::InputSender;
 
 /// Timeout for a probe. The calls suspected of causing a crash wait for its result.
@@ -71,7 +72,8 @@
     let sent = client.http_client().get(url).timeout(TIMEOUT).send().await;
     let response = match sent {
         Ok(response) => response,
-        Err(error) if error.is_connect() => return ProbeState::Down,
+        Err(error) if is_refused(&error) => return ProbeState::Down,
+        Err(error) if error.is_connect() => return ProbeState::Silent,
         Err(_) => return ProbeState::Up,
     };
     let uptime = response
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -91,7 +91,7 @@
             Ok(Err(error)) => {
                 let upstream = &self.dispatch.upstream;
                 tracing::info!(%upstream, "upstream: connection failed ({error})");
-                return Failure::NotSent.into();
+                return Failure::from(&error).into();
             }
             Err(_) => return Failure::NotSent.into(),
         };
--- a/crates/relay/src/upstream/pool.rs
+++ b/crates/relay/src/upstream/pool.rs
@@ -1,12 +1,13 @@
 //! The pool of idle connections to upstreams, and probes of upstreams.
 
 use std::collections::HashMap;
+use std::io;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use derive_more::{Display, Error};
 use knapweeddale_core::Input;
-use knapweeddale_core::input::ProbeState;
+use knapweeddale_core::input::{Failure, ProbeState};
 use knapweeddale_runtime::ProbeRequest;
 use socket2::SockRef;
 use tokio::net::TcpStream;
@@ -35,18 +36,59 @@
 /// Limit for idle connections to one upstream.
 const MAX_IDLE_PER_UPSTREAM: usize = 24;
 
+/// Timeout for opening a connection to an upstream that is being examined, which allows for a
+/// second try before the examination ends.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A connection to an upstream could not be opened.
 #[derive(Debug, Display, Error)]
 pub(crate) enum ConnectError {
-    /// The connection was refused or failed at once.
-    #[display("the upstream refused the connection ({source})")]
-    Refused {
-        /// The I/O error.
-        source: std::io::Error,
-    },
-    /// The upstream did not respond within the connect timeout.
+    /// No process listens at the address.
+    #[display("the upstream refused the connection")]
+    Refused,
+    /// The upstream cannot be reached, or did not respond within the timeout.
     #[display("the upstream did not answer in time")]
     TimedOut,
+    /// The connection failed for a reason that says nothing about the upstream's process, such as
+    /// a limit of this process or a reset by an upstream with too many connections.
+    #[display("the connection failed ({source})")]
+    Other {
+        /// The I/O error.
+        source: io::Error,
+    },
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(source: io::Error) -> Self {
+        match source.kind() {
+            io::ErrorKind::ConnectionRefused => Self::Refused,
+            io::ErrorKind::TimedOut
+            | io::ErrorKind::HostUnreachable
+            | io::ErrorKind::NetworkUnreachable => Self::TimedOut,
+            _ => Self::Other { source },
+        }
+    }
+}
+
+impl From<&ConnectError> for Failure {
+    fn from(error: &ConnectError) -> Self {
+        match error {
+            ConnectError::Refused => Self::ConnectionRefused,
+            ConnectError::TimedOut => Self::Unreachable,
+            ConnectError::Other { .. } => Self::NotSent,
+        }
+    }
+}
+
+impl From<&ConnectError> for ProbeState {
+    fn from(error: &ConnectError) -> Self {
+        match error {
+            ConnectError::Refused => Self::Down,
+            ConnectError::TimedOut => Self::Silent,
+            // Without evidence against it, the upstream counts as alive.
+            ConnectError::Other { .. } => Self::Up,
+        }
+    }
 }
 
 /// A connection in the pool.
@@ -76,7 +118,7 @@
             return Ok(connection);
         }
         metrics.count_connection(true);
-        connect(address).await
+        connect(address, CONNECT_TIMEOUT).await
     }
 
     /// Removes and returns the last added connection that appears to be usable.
@@ -127,13 +169,10 @@
     }
 }
 
-/// Opens a connection to an upstream.
-async fn connect(address: &str) -> Result<Connection, ConnectError> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(source)) => return Err(ConnectError::Refused { source }),
-        Err(_) => return Err(ConnectError::TimedOut),
-    };
+/// Opens a connection to an upstream within `limit`.
+async fn connect(address: &str, limit: Duration) -> Result<Connection, ConnectError> {
+    let connected = timeout(limit, TcpStream::connect(address)).await;
+    let stream = connected.map_err(|_| ConnectError::TimedOut)??;
     if let Err(error) = stream.set_nodelay(true) {
         tracing::debug!(address, "upstream: cannot set TCP_NODELAY ({error})");
     }
@@ -156,7 +195,7 @@
         let metrics = Arc::clone(&metrics);
         tokio::spawn(async move {
             metrics.count_connection(true);
-            let state = match connect(&request.address).await {
+            let state = match connect(&request.address, PROBE_TIMEOUT).await {
                 Ok(connection) => {
                     pool.put_idle(&request.address, connection, None);
                     ProbeState::Up
@@ -164,7 +203,7 @@
                 Err(error) => {
                     let upstream = &request.upstream;
                     tracing::info!(%upstream, "upstream: probe failed ({error})");
-                    ProbeState::Down
+                    ProbeState::from(&error)
                 }
             };
             let upstream = request.upstream;
--- a/crates/testing/src/mesh/engine.rs
+++ b/crates/testing/src/mesh/engine.rs
@@ -94,7 +94,11 @@
         let down_until_us = self.down_until_us.get(&dispatch.upstream);
         let is_down = down_until_us.is_some_and(|&until_us| now_us < until_us);
         if is_down || local_us >= dispatch.valid_until_us {
-            let progress = AttemptProgress::Failed(Failure::NotSent);
+            let failure = match is_down {
+                true => Failure::ConnectionRefused,
+                false => Failure::NotSent,
+            };
+            let progress = AttemptProgress::Failed(failure);
             return RunResult {
                 executed: false,
                 events: vec![(now_us + 200, attempt, progress)],
--- /dev/null
+++ b/crates/testing/src/relays/attempts.rs
@@ -0,0 +1,176 @@
+//! Simulates the upstreams that run the relays' attempts, and faults of their connections.
+
+use knapweeddale_core::input::{AttemptOutcome, AttemptProgress, Failure, ProbeState};
+use knapweeddale_core::{AttemptEvent, AttemptId, Dispatch, Input, UpstreamName};
+
+use super::outputs::LINK_US;
+use super::{EventKey, ForwardedTokens, RelayFleet, Run};
+
+/// Time after which a VM gives up connecting to an upstream that does not answer.
+const CONNECT_TIMEOUT_US: u64 = 500_000;
+
+/// Time after which a probe gives up.
+const PROBE_TIMEOUT_US: u64 = 250_000;
+
+/// Part of an attempt's run time after which its first event has been forwarded, as a divisor.
+const FIRST_EVENT_DIVISOR: u64 = 4;
+
+/// How an upstream treats connections.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UpstreamState {
+    /// Its process has ended: its connections are reset and new ones are refused.
+    Crashed,
+    /// It is cut off: its connections stay open without an answer, and new ones are not accepted.
+    Silent,
+}
+
+/// A running attempt and the event that ends it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct RunningEvent {
+    /// VM that sent the attempt.
+    vm: usize,
+    /// Key of the event that delivers its end.
+    end: EventKey,
+    /// Time at which its first event reaches the caller.
+    first_event_us: u64,
+}
+
+/// # Attempts
+impl RelayFleet {
+    /// Records an attempt as run and schedules its end; ignores refused calls.
+    pub(super) fn run_attempt(&mut self, vm: usize, dispatch: Dispatch) {
+        let call = dispatch.attempt.call;
+        let Some(open) = self.open.get(&call).cloned() else {
+            return;
+        };
+        match self.upstream_states.get(dispatch.upstream.as_str()) {
+            Some(UpstreamState::Crashed) => {
+                let failure = Failure::ConnectionRefused;
+                return self.fail_attempt(vm, LINK_US, dispatch.attempt, failure);
+            }
+            Some(UpstreamState::Silent) => {
+                let delay_us = CONNECT_TIMEOUT_US;
+                return self.fail_attempt(vm, delay_us, dispatch.attempt, Failure::Unreachable);
+            }
+            None => {}
+        }
+        self.runs.push(Run {
+            at_us: self.now_us,
+            vm,
+            call,
+            account: open.account.clone(),
+            upstream: dispatch.upstream.to_string(),
+        });
+        if let Some((program, ..)) = &open.turn {
+            self.forwarded.push(ForwardedTokens {
+                at_us: self.now_us,
+                program: program.clone(),
+                tokens: open.tokens,
+            });
+        }
+        let event = AttemptEvent {
+            attempt: dispatch.attempt,
+            progress: AttemptProgress::Finished(AttemptOutcome {
+                answer_tokens: open.tokens,
+                ..AttemptOutcome::default()
+            }),
+        };
+        let run_us = open.run_ms * 1_000;
+        let running = RunningEvent {
+            vm,
+            end: self.deliver(vm, run_us, Input::Attempt(event)),
+            first_event_us: self.now_us + run_us / FIRST_EVENT_DIVISOR,
+        };
+        self.running.insert(dispatch.attempt, running);
+    }
+
+    /// Reports the failure of an attempt to its VM.
+    fn fail_attempt(&mut self, vm: usize, delay_us: u64, attempt: AttemptId, failure: Failure) {
+        let progress = AttemptProgress::Failed(failure);
+        let event = AttemptEvent { attempt, progress };
+        self.deliver(vm, delay_us, Input::Attempt(event));
+    }
+
+    /// Answers a probe of an upstream.
+    pub(super) fn probe_upstream(&mut self, vm: usize, upstream: UpstreamName) {
+        let (delay_us, state) = match self.upstream_states.get(upstream.as_str()) {
+            None => (LINK_US, ProbeState::Up),
+            Some(UpstreamState::Crashed) => (LINK_US, ProbeState::Down),
+            Some(UpstreamState::Silent) => (PROBE_TIMEOUT_US, ProbeState::Silent),
+        };
+        self.deliver(vm, delay_us, Input::Probed { upstream, state });
+    }
+}
+
+/// # Faults of upstreams
+impl RelayFleet {
+    /// Resets the connections of all attempts that a VM runs on an upstream, or on any one.
+    ///
+    /// Of each 100 attempts, `percent` are reset. The upstream goes on running.
+    pub fn reset_connections(&mut self, vm: usize, upstream: Option<&str>, percent: u64) {
+        for attempt in self.running_attempts(Some(vm), upstream) {
+            if self.draw(100) < percent {
+                self.end_attempt(attempt, |forwarded| Failure::ConnectionLost {
+                    answer_tokens: 0,
+                    forwarded,
+                });
+            }
+        }
+    }
+
+    /// Lets the attempts that a VM runs on an upstream end without a response.
+    pub fn silence_connections(&mut self, vm: usize, upstream: Option<&str>) {
+        for attempt in self.running_attempts(Some(vm), upstream) {
+            self.end_attempt(attempt, |forwarded| Failure::Silent {
+                answer_tokens: 0,
+                forwarded,
+            });
+        }
+    }
+
+    /// Ends the process of an upstream, which resets its connections.
+    pub fn crash_upstream(&mut self, upstream: &str) {
+        self.set_upstream_state(upstream, Some(UpstreamState::Crashed));
+        for attempt in self.running_attempts(None, Some(upstream)) {
+            self.end_attempt(attempt, |forwarded| Failure::ConnectionLost {
+                answer_tokens: 0,
+                forwarded,
+            });
+        }
+    }
+
+    /// Sets how an upstream treats new connections; `None` if it runs normally.
+    pub fn set_upstream_state(&mut self, upstream: &str, state: Option<UpstreamState>) {
+        match state {
+            Some(state) => self.upstream_states.insert(upstream.to_owned(), state),
+            None => self.upstream_states.remove(upstream),
+        };
+    }
+
+    /// Returns the attempts that are running, of one VM or all, on one upstream or all.
+    fn running_attempts(&self, vm: Option<usize>, upstream: Option<&str>) -> Vec<AttemptId> {
+        let is_due = |row: &RunningEvent| self.events.contains_key(&row.end);
+        let is_on = |attempt: &AttemptId| {
+            let mut runs = self.runs.iter().rev();
+            let run = runs.find(|run| run.call == attempt.call);
+            run.is_some_and(|run| upstream.is_none_or(|upstream| run.upstream == upstream))
+        };
+        let rows = self.running.iter();
+        rows.filter(|(attempt, row)| {
+            vm.is_none_or(|vm| row.vm == vm) && is_due(row) && is_on(attempt)
+        })
+        .map(|(attempt, _)| *attempt)
+        .collect()
+    }
+
+    /// Replaces the end of an attempt by a failure, which depends on whether the caller has
+    /// received an event.
+    fn end_attempt(&mut self, attempt: AttemptId, failure: impl FnOnce(bool) -> Failure) {
+        let Some(row) = self.running.remove(&attempt) else {
+            return;
+        };
+        self.events.remove(&row.end);
+        let failure = failure(self.now_us >= row.first_event_us);
+        self.fail_attempt(row.vm, LINK_US, attempt, failure);
+    }
+}
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -2,8 +2,10 @@
 //!
 //! A [`RelayFleet`] runs the core of several VMs under `Coordination::Peers` and simulates the
 //! summaries between them, their requests to the store and their attempts. VMs can be killed and
-//! isolated, and the store can be unavailable to all or some of them.
+//! isolated, the store can be unavailable to all or some of them, and upstreams can crash or lose
+//! their connections.
 
+mod attempts;
 mod fixtures;
 mod outputs;
 mod store;
@@ -13,13 +15,15 @@
 
 use knapweeddale_core::config::{Coordination, PolicyFeatures};
 use knapweeddale_core::{
-    CallId, Control, CoreSettings, DomainName, FleetConfig, Incarnation, Input, Output, Refusal,
-    RefusalKind, UpstreamList, VmName,
+    AttemptId, CallId, Control, CoreSettings, DomainName, FleetConfig, Incarnation, Input, Output,
+    Refusal, RefusalKind, UpstreamList, VmName,
 };
 
+pub use attempts::UpstreamState;
 pub use fixtures::{ForwardedTokens, RelayCall, Run, account, fleet, listed_upstream, upstreams};
 pub use store::StoreState;
 
+use self::attempts::RunningEvent;
 use crate::Random;
 
 /// A simulated VM.
@@ -41,13 +45,16 @@
     input: Input,
 }
 
+/// Delivery time of an event in microseconds, and its number in the order of sending.
+type EventKey = (u64, u64);
+
 /// A fleet of VMs that each schedule their own calls, run in virtual time.
 #[derive(Debug)]
 pub struct RelayFleet {
     now_us: u64,
     vms: Vec<Vm>,
     /// Inputs in flight, by delivery time and then in the order in which they were sent.
-    events: BTreeMap<(u64, u64), Event>,
+    events: BTreeMap<EventKey, Event>,
     next_event: u64,
     random: Random,
     /// The simulated store of the platform.
@@ -56,10 +63,16 @@
     interrupted_links: BTreeSet<(usize, usize)>,
     /// All calls but the refused ones, with their behaviour on the upstream; finished calls stay.
     open: BTreeMap<CallId, RelayCall>,
+    /// Attempts that are running, with the key of the event that ends them.
+    running: BTreeMap<AttemptId, RunningEvent>,
+    /// Upstreams that do not run normally.
+    upstream_states: BTreeMap<String, UpstreamState>,
     /// Every attempt sent to an upstream, in order of time.
     pub runs: Vec<Run>,
     /// Tokens forwarded to callers, one entry per turn.
     pub forwarded: Vec<ForwardedTokens>,
+    /// Calls that were answered completely.
+    answered: BTreeSet<CallId>,
     /// Refused calls, with the time of each refusal in microseconds.
     pub refusals: Vec<(u64, Refusal)>,
 }
@@ -77,8 +90,11 @@
             store: StoreState::new(config, list),
             interrupted_links: BTreeSet::new(),
             open: BTreeMap::new(),
+            running: BTreeMap::new(),
+            upstream_states: BTreeMap::new(),
             runs: Vec::new(),
             forwarded: Vec::new(),
+            answered: BTreeSet::new(),
             refusals: Vec::new(),
         };
         for number in 0..vms {
@@ -218,16 +234,17 @@
         }
     }
 
-    /// Schedules an input for the current incarnation of a VM.
-    fn deliver(&mut self, vm: usize, delay_us: u64, input: Input) {
+    /// Schedules an input for the current incarnation of a VM; returns the key of the event.
+    fn deliver(&mut self, vm: usize, delay_us: u64, input: Input) -> EventKey {
         let event = Event {
             vm,
             incarnation: self.vms[vm].incarnation,
             input,
         };
         self.next_event += 1;
-        self.events
-            .insert((self.now_us + delay_us, self.next_event), event);
+        let key = (self.now_us + delay_us, self.next_event);
+        self.events.insert(key, event);
+        key
     }
 
     /// Sends a call to a VM and returns its id.
@@ -252,6 +269,17 @@
         self.runs.iter().any(|run| run.call == call)
     }
 
+    /// Returns the upstreams to which a call was sent, in order of time.
+    pub fn upstreams_of(&self, call: CallId) -> Vec<&str> {
+        let runs = self.runs.iter().filter(|run| run.call == call);
+        runs.map(|run| run.upstream.as_str()).collect()
+    }
+
+    /// Returns whether a call was answered completely.
+    pub fn is_answered(&self, call: CallId) -> bool {
+        self.answered.contains(&call)
+    }
+
     /// Returns why a call was refused; `None` if it was not.
     pub fn refusal(&self, call: CallId) -> Option<RefusalKind> {
         let refusals = self.refusals.iter();
--- a/crates/testing/src/relays/outputs.rs
+++ b/crates/testing/src/relays/outputs.rs
@@ -1,12 +1,11 @@
-//! Simulates the network, the store and the upstreams that receive the relays' outputs.
+//! Simulates the network and the store that receive the relays' outputs.
 
-use knapweeddale_core::input::{AttemptOutcome, AttemptProgress, ProbeState};
-use knapweeddale_core::{AttemptEvent, Dispatch, Input, Output, PeerEvent, SourceRequest, Summary};
+use knapweeddale_core::{Input, Output, PeerEvent, SourceRequest, Summary};
 
-use super::{ForwardedTokens, RelayFleet, Run};
+use super::RelayFleet;
 
-/// One-way latency between two VMs.
-const LINK_US: u64 = 1_000;
+/// One-way latency between two VMs, and between a VM and an upstream.
+pub(super) const LINK_US: u64 = 1_000;
 
 /// Time from a request to the store's response.
 const STORE_US: u64 = 5_000;
@@ -35,10 +34,10 @@
                 self.open.remove(&refusal.call);
                 self.refusals.push((self.now_us, refusal));
             }
-            Output::Probe(upstream) => {
-                let state = ProbeState::Up;
-                self.deliver(vm, LINK_US, Input::Probed { upstream, state });
+            Output::Answered(answered) => {
+                self.answered.insert(answered.call);
             }
+            Output::Probe(upstream) => self.probe_upstream(vm, upstream),
             _ => {}
         }
     }
@@ -81,34 +80,4 @@
         };
         self.deliver(vm, 2 * LINK_US, Input::PeerEvent(event));
     }
-
-    /// Records an attempt as run and schedules its end; ignores refused calls.
-    fn run_attempt(&mut self, vm: usize, dispatch: Dispatch) {
-        let call = dispatch.attempt.call;
-        let Some(open) = self.open.get(&call).cloned() else {
-            return;
-        };
-        self.runs.push(Run {
-            at_us: self.now_us,
-            vm,
-            call,
-            account: open.account.clone(),
-            upstream: dispatch.upstream.to_string(),
-        });
-        if let Some((program, ..)) = &open.turn {
-            self.forwarded.push(ForwardedTokens {
-                at_us: self.now_us,
-                program: program.clone(),
-                tokens: open.tokens,
-            });
-        }
-        let event = AttemptEvent {
-            attempt: dispatch.attempt,
-            progress: AttemptProgress::Finished(AttemptOutcome {
-                answer_tokens: open.tokens,
-                ..AttemptOutcome::default()
-            }),
-        };
-        self.deliver(vm, open.run_ms * 1_000, Input::Attempt(event));
-    }
 }
