--- a/crates/core/src/config/host_route.rs
+++ b/crates/core/src/config/host_route.rs
@@ -83,6 +83,8 @@
     pub open: bool,
     /// How long the token use of a program is kept after its last turn; if absent, 60 s.
     pub program_keep_ms: Option<u64>,
+    /// How long the system keeps a turn after its end; if absent, turns carry their whole prompt.
+    pub history_ms: Option<u64>,
 }
 
 impl HostRoute {
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -9,7 +9,8 @@
 
 pub use digest::{ContentDigest, HistoryDigest, Secret256};
 pub use name::{
-    AccountName, DomainName, KeyId, ModelName, ProgramName, ServiceName, UpstreamName, VmName,
+    AccountName, DomainName, KeyId, ModelName, ProgramName, ServiceName, TurnId, UpstreamName,
+    VmName,
 };
 pub use number::{AttemptId, CallId, Epoch, FencingToken, Incarnation, Revision};
 pub use program::{PoolKey, ProgramKey};
--- a/crates/core/src/ids/name.rs
+++ b/crates/core/src/ids/name.rs
@@ -59,6 +59,8 @@
     ProgramName,
     /// The name of a service.
     ServiceName,
+    /// The caller's ID of a turn that the system keeps.
+    TurnId,
     /// The name of an upstream.
     UpstreamName,
     /// The name of a VM.
--- a/crates/core/src/input/attempt.rs
+++ b/crates/core/src/input/attempt.rs
@@ -46,6 +46,17 @@
     ConnectionRefused,
     /// The upstream did not accept a connection in time.
     Unreachable,
+    /// The turn that the request goes on from certainly does not exist.
+    HistoryUnknown,
+    /// The turn that the request goes on from cannot be read at present.
+    HistoryUnavailable,
+    /// The request with the turns before it is too large.
+    HistoryTooLarge,
+    /// The response is complete, but the turn could not be stored.
+    HistoryNotStored {
+        /// Tokens that reached the caller.
+        answer_tokens: u64,
+    },
     /// The upstream explicitly refused the request and did not run it.
     RefusedByUpstream {
         /// The HTTP status of the refusal.
@@ -87,7 +98,23 @@
     pub fn is_connected(&self) -> bool {
         !matches!(
             self,
-            Self::NotSent | Self::ConnectionRefused | Self::Unreachable
+            Self::NotSent
+                | Self::ConnectionRefused
+                | Self::Unreachable
+                | Self::HistoryUnknown
+                | Self::HistoryUnavailable
+                | Self::HistoryTooLarge
+        )
+    }
+
+    /// Returns whether it concerns the turns that the system keeps, not the upstream.
+    pub fn is_history(&self) -> bool {
+        matches!(
+            self,
+            Self::HistoryUnknown
+                | Self::HistoryUnavailable
+                | Self::HistoryTooLarge
+                | Self::HistoryNotStored { .. }
         )
     }
 
@@ -95,7 +122,7 @@
     pub fn is_forwarded(&self) -> bool {
         match self {
             Self::ConnectionLost { forwarded, .. } | Self::Silent { forwarded, .. } => *forwarded,
-            Self::CallerGone { .. } => true,
+            Self::CallerGone { .. } | Self::HistoryNotStored { .. } => true,
             _ => false,
         }
     }
@@ -105,7 +132,8 @@
         match self {
             Self::ConnectionLost { answer_tokens, .. }
             | Self::Silent { answer_tokens, .. }
-            | Self::CallerGone { answer_tokens } => *answer_tokens,
+            | Self::CallerGone { answer_tokens }
+            | Self::HistoryNotStored { answer_tokens } => *answer_tokens,
             _ => 0,
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod output;
 mod systems;
 pub mod tables;
+pub mod turns;
 
 pub use config::{
     AccountConfig, Backend, CallerLimits, Coordination, CoreSettings, EngineConfig, FleetConfig,
@@ -35,7 +36,7 @@
 pub use control::Control;
 pub use ids::{
     AccountName, AttemptId, CallId, ContentDigest, DomainName, Epoch, HistoryDigest, Incarnation,
-    KeyId, ModelName, PoolKey, ProgramKey, ProgramName, Revision, Secret256, ServiceName,
+    KeyId, ModelName, PoolKey, ProgramKey, ProgramName, Revision, Secret256, ServiceName, TurnId,
     UpstreamName, VmName,
 };
 pub use input::{
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -131,6 +131,8 @@
     pub stream_deadline_us: u64,
     /// How the response is streamed; `None` if it is not a stream of events.
     pub events: Option<StreamFormat>,
+    /// How long the system keeps the turn; `None` if the request carries its whole prompt.
+    pub history_ms: Option<u64>,
 }
 
 /// Properties of a response that is streamed as events.
--- a/crates/core/src/output/reason.rs
+++ b/crates/core/src/output/reason.rs
@@ -114,6 +114,9 @@
     /// The call's deadline has passed.
     #[display("no time left")]
     TooLate,
+    /// The turns before this one, or its own, cannot be read or stored.
+    #[display("history not usable")]
+    History,
     /// The pool's retry budget is used up.
     #[display("retry budget used up")]
     OverBudget,
--- a/crates/core/src/output/refusal.rs
+++ b/crates/core/src/output/refusal.rs
@@ -92,6 +92,10 @@
     StaleContinuation = "stale_continuation", 409, "use the continuation of the last response";
     /// The messages do not match the continuation.
     HistoryMismatch = "history_mismatch", 409, "send the messages of the last turn unchanged";
+    /// The turn that the call goes on from does not exist, or belongs to another account.
+    TurnUnknown = "turn_unknown", 404, "start the program again; the turn that it names does not exist";
+    /// The turns before this one cannot be read at present, or this one cannot be stored.
+    HistoryUnavailable = "history_unavailable", 503, "resend after the time in retry-after";
     /// The program needs a continuation and the call carried none.
     ContinuationMissing = "continuation_missing", 409, "send the header kwd-continuation of the last response";
     /// The program has used up its budget of tokens, turns or wall time.
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -103,6 +103,7 @@
     let is_late = call.is_some_and(|call| tick.now_us >= call.valid_until_us);
     let is_relayed = call.is_some_and(|call| call.relay.is_some());
     match failure {
+        failure if failure.is_history() => AttemptResult::Unused,
         // The attempt was not sent in time, which is no failure of the upstream.
         Failure::NotSent if is_late => AttemptResult::Unused,
         // A pause keeps a call from using up its attempts at once.
@@ -122,12 +123,15 @@
         | Failure::UpstreamError { .. }
         | Failure::Silent { .. } => AttemptResult::Failed,
         Failure::ConnectionLost { .. } => AttemptResult::Lost,
-        Failure::CallerGone { .. } => AttemptResult::Unused,
+        _ => AttemptResult::Unused,
     }
 }
 
 /// Returns the reason to retry a call or not to, regardless of the retry budget.
 fn check_retry(call: &Call, failure: &Failure, now_us: u64) -> Result<RetryReason, RetryReason> {
+    if failure.is_history() {
+        return Err(RetryReason::History);
+    }
     let is_caller_gone = matches!(failure, Failure::CallerGone { .. });
     let is_resumable = call.relay.is_some() && call.idempotent && !is_caller_gone;
     if failure.is_forwarded() && !is_resumable {
@@ -227,6 +231,11 @@
     };
     let kind = match failure {
         Failure::Silent { .. } => RefusalKind::UpstreamSilent,
+        Failure::HistoryUnknown => RefusalKind::TurnUnknown,
+        Failure::HistoryTooLarge => RefusalKind::TooLarge,
+        Failure::HistoryUnavailable | Failure::HistoryNotStored { .. } => {
+            RefusalKind::HistoryUnavailable
+        }
         Failure::CallerGone { .. } => RefusalKind::CallerGone,
         _ => RefusalKind::UpstreamFailed,
     };
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -302,6 +302,7 @@
         .map(|limits| limits.gap_ms)
         .or(service.and_then(|service| service.token_gap_ms));
     let events = relay.and_then(|relay| event_form(&relay.route, service));
+    let history_ms = relay.and_then(|relay| relay.route.history_ms);
     let deadline_us = relay.map_or(u64::MAX, |relay| relay.deadline_us);
     let stream_deadline_us = relay.map_or(u64::MAX, |relay| relay.stream_deadline_us);
     call.stage = Stage::Running;
@@ -319,6 +320,7 @@
         deadline_us,
         stream_deadline_us,
         events,
+        history_ms,
     };
     let decision = Decision::Placed {
         attempt,
--- /dev/null
+++ b/crates/core/src/turns/copies.rs
@@ -0,0 +1,86 @@
+//! Which VMs get a copy of a turn.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+/// Copies that are made beside the needed ones; they make up for a VM that is removed for good.
+const SPARE_COPIES: usize = 1;
+
+/// What to do next for the copies of a turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum CopyStep {
+    /// Send the turn to the VM at this address as well.
+    Send(Arc<str>),
+    /// Wait for the answers that are open.
+    Wait,
+    /// Enough VMs have the turn on their disks.
+    Stored,
+    /// Too few VMs accept the turn.
+    Failed,
+}
+
+/// The copies of one turn.
+///
+/// If `tolerated_losses` VMs may lose their disks at the same time, one more has to hold the turn.
+#[derive(Debug, Clone)]
+pub struct CopyPlan {
+    needed: usize,
+    stored: usize,
+    open: usize,
+    /// VMs that have not been asked, in order of preference.
+    waiting: VecDeque<Arc<str>>,
+}
+
+impl CopyPlan {
+    /// Plans the copies on the VMs at these addresses, the preferred ones first.
+    pub fn new(addresses: impl IntoIterator<Item = Arc<str>>, tolerated_losses: usize) -> Self {
+        Self {
+            needed: tolerated_losses + 1,
+            stored: 0,
+            open: 0,
+            waiting: addresses.into_iter().collect(),
+        }
+    }
+
+    /// Returns the VMs that get the turn at once.
+    pub fn start(&mut self) -> Vec<Arc<str>> {
+        let count = self.waiting.len().min(self.needed + SPARE_COPIES);
+        self.open += count;
+        self.waiting.drain(..count).collect()
+    }
+
+    /// Records the answer of a VM and returns the next step.
+    pub fn record(&mut self, is_stored: bool) -> CopyStep {
+        self.open = self.open.saturating_sub(1);
+        if is_stored {
+            self.stored += 1;
+        }
+        if self.stored >= self.needed {
+            return CopyStep::Stored;
+        }
+        if self.stored + self.open >= self.needed {
+            return CopyStep::Wait;
+        }
+        self.send_more()
+    }
+
+    /// Returns the next step if the open answers are late.
+    pub fn hedge(&mut self) -> CopyStep {
+        if self.waiting.is_empty() {
+            return CopyStep::Wait;
+        }
+        self.send_more()
+    }
+
+    /// Selects one more VM.
+    fn send_more(&mut self) -> CopyStep {
+        match self.waiting.pop_front() {
+            Some(address) => {
+                self.open += 1;
+                CopyStep::Send(address)
+            }
+            None if self.open > 0 && self.stored + self.open >= self.needed => CopyStep::Wait,
+            None => CopyStep::Failed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/turns/mod.rs
@@ -0,0 +1,18 @@
+//! Decisions about turns that the system keeps, free of input and output.
+//!
+//! On some routes a turn brings only its new input and names the turn before it. The system keeps
+//! each turn for a while after its end, and gives an upstream the whole chain of turns. Turns are
+//! immutable and named by their callers, so that their copies need no agreement: a turn has to be
+//! on the disks of enough VMs before its response ends, and to be found again later.
+//!
+//! - [`StoredTurns`] is the table of a VM with a disk: its turns, their chains and their expiry.
+//! - [`CopyPlan`] decides which VMs get a copy of a turn and when it has enough.
+//! - [`TurnLookup`] decides which VMs are asked for a turn and when it certainly does not exist.
+
+mod copies;
+mod lookup;
+mod stored;
+
+pub use copies::{CopyPlan, CopyStep};
+pub use lookup::{LookupStep, TurnAnswer, TurnLookup};
+pub use stored::{RejectedTurn, StoredTurn, StoredTurns, TurnKey};
--- /dev/null
+++ b/crates/core/src/turns/stored.rs
@@ -0,0 +1,282 @@
+//! The turns on the disk of a VM.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use derive_more::{Display, Error};
+use smallvec::SmallVec;
+
+use crate::ids::{AccountName, TurnId};
+use crate::tables::Table;
+
+/// Turns in a chain that a lookup follows; more can only be a loop.
+const MAX_CHAIN_TURNS: usize = 10_000;
+
+/// Identifies a turn: callers choose its ID, so that it counts within their account only.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct TurnKey {
+    /// The account of the turn; `None` on routes that need no key.
+    pub account: Option<AccountName>,
+    /// The caller's ID of the turn.
+    pub id: TurnId,
+}
+
+/// A turn that was answered completely.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct StoredTurn {
+    /// Which turn it is.
+    pub key: TurnKey,
+    /// The turn before it; `None` if the content begins the chain.
+    pub previous: Option<TurnId>,
+    /// What it adds to the prompt of the next turn: its input and its output.
+    pub content: Arc<[u8]>,
+    /// How long it is kept after its end, together with its chain.
+    pub retention_ms: u64,
+    /// Addresses of the VMs that were to get a copy.
+    pub copies: SmallVec<[Arc<str>; 4]>,
+}
+
+impl StoredTurn {
+    /// Returns the key of the turn before it.
+    fn previous_key(&self) -> Option<TurnKey> {
+        let id = self.previous.clone()?;
+        let account = self.key.account.clone();
+        Some(TurnKey { account, id })
+    }
+}
+
+/// Why a turn is not stored.
+#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
+pub enum RejectedTurn {
+    /// The turn before it is not stored here; send that one with its whole chain first.
+    #[display("the turn before it is not stored here")]
+    LacksPrevious,
+    /// Another turn with the same ID is stored.
+    #[display("another turn has the same ID")]
+    Conflict,
+    /// The memory for turns is used up.
+    #[display("the memory for turns is used up")]
+    Full,
+}
+
+/// A stored turn with its place on the disk.
+#[derive(Debug, Clone)]
+struct Row {
+    turn: StoredTurn,
+    /// Position in the order in which turns were stored.
+    number: u64,
+    /// Number of the log segment that holds it.
+    segment: u64,
+    keep_until_us: u64,
+}
+
+/// The turns that a VM with a disk holds, each with its whole chain.
+#[derive(Debug, Default)]
+pub struct StoredTurns {
+    rows: Table<TurnKey, Row>,
+    /// Turns in the order in which they were stored, so that a turn follows the one before it.
+    order: BTreeMap<u64, TurnKey>,
+    /// Turns by the time until which they are kept.
+    expiry: BTreeSet<(u64, TurnKey)>,
+    /// Number of turns in each log segment.
+    segments: BTreeMap<u64, usize>,
+    next_number: u64,
+    bytes: usize,
+    max_bytes: usize,
+}
+
+impl StoredTurns {
+    /// Creates an empty table that holds turns of up to `max_bytes` bytes together.
+    pub fn new(max_bytes: usize) -> Self {
+        Self {
+            max_bytes,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the number of turns.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns whether no turn is stored.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Returns the size of all turns in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// Checks whether a turn can be stored; returns `false` if it is stored already.
+    ///
+    /// `batch` holds turns that will be stored before it.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the turn before it is missing, if another turn has the same ID or if there is no
+    /// room.
+    pub fn check(&self, turn: &StoredTurn, batch: &[StoredTurn]) -> Result<bool, RejectedTurn> {
+        if let Some(row) = self.rows.get(&turn.key) {
+            return match is_same(&row.turn, turn) {
+                true => Ok(false),
+                false => Err(RejectedTurn::Conflict),
+            };
+        }
+        let is_known = |key: &TurnKey| {
+            self.rows.contains_key(key) || batch.iter().any(|turn| turn.key == *key)
+        };
+        if turn.previous_key().is_some_and(|key| !is_known(&key)) {
+            return Err(RejectedTurn::LacksPrevious);
+        }
+        let batch_bytes: usize = batch.iter().map(|turn| turn.content.len()).sum();
+        if self.bytes + batch_bytes + turn.content.len() > self.max_bytes {
+            return Err(RejectedTurn::Full);
+        }
+        Ok(true)
+    }
+
+    /// Stores a turn that is on the disk, and keeps its chain as long as the turn itself.
+    ///
+    /// A turn that is stored already is only kept for longer.
+    pub fn insert(&mut self, turn: StoredTurn, segment: u64, now_us: u64) {
+        let keep_until_us = now_us + turn.retention_ms * 1_000;
+        let key = turn.key.clone();
+        if !self.rows.contains_key(&key) {
+            self.bytes += turn.content.len();
+            *self.segments.entry(segment).or_default() += 1;
+            let number = self.next_number;
+            self.next_number += 1;
+            self.order.insert(number, key.clone());
+            let row = Row {
+                turn,
+                number,
+                segment,
+                keep_until_us: 0,
+            };
+            self.rows.insert(key.clone(), row);
+        }
+        self.keep_chain(key, keep_until_us);
+    }
+
+    /// Keeps a turn and all turns before it at least until the given time.
+    fn keep_chain(&mut self, key: TurnKey, keep_until_us: u64) {
+        let mut next = Some(key);
+        for _ in 0..MAX_CHAIN_TURNS {
+            let Some(key) = next.take() else {
+                return;
+            };
+            let Some(row) = self.rows.get_mut(&key) else {
+                return;
+            };
+            // A turn is never kept for longer than the ones before it.
+            if row.keep_until_us >= keep_until_us {
+                return;
+            }
+            self.expiry.remove(&(row.keep_until_us, key.clone()));
+            row.keep_until_us = keep_until_us;
+            next = row.turn.previous_key();
+            self.expiry.insert((keep_until_us, key));
+        }
+    }
+
+    /// Returns the contents of a turn's chain, the oldest first; `None` if it is not stored.
+    pub fn chain(&self, key: &TurnKey) -> Option<Vec<Arc<[u8]>>> {
+        let mut contents = Vec::new();
+        let mut next = Some(key.clone());
+        while let Some(key) = next {
+            let row = self.rows.get(&key)?;
+            if contents.len() == MAX_CHAIN_TURNS {
+                return None;
+            }
+            contents.push(Arc::clone(&row.turn.content));
+            next = row.turn.previous_key();
+        }
+        contents.reverse();
+        Some(contents)
+    }
+
+    /// Returns turns for a VM that has lost its disk: those of which it had a copy, and the turns
+    /// before them, in the order in which they can be stored.
+    ///
+    /// Starts at position `from` and stops after about `max_bytes`; also returns the position at
+    /// which to go on, or `None` at the end.
+    pub fn copies_of(
+        &self,
+        address: &str,
+        from: u64,
+        max_bytes: usize,
+    ) -> (Vec<StoredTurn>, Option<u64>) {
+        let is_copy = |row: &Row| row.turn.copies.iter().any(|copy| **copy == *address);
+        let mut wanted = BTreeSet::new();
+        for (_, row) in self.rows.iter().filter(|(_, row)| is_copy(row)) {
+            let mut next = Some(row);
+            while let Some(row) = next.filter(|row| wanted.insert(row.number)) {
+                let previous = row.turn.previous_key();
+                next = previous.and_then(|key| self.rows.get(&key));
+            }
+        }
+        let mut turns = Vec::new();
+        let mut bytes = 0;
+        for number in wanted.range(from..) {
+            if bytes >= max_bytes {
+                return (turns, Some(*number));
+            }
+            let row = self.order.get(number).and_then(|key| self.rows.get(key));
+            if let Some(row) = row {
+                bytes += row.turn.content.len();
+                turns.push(row.turn.clone());
+            }
+        }
+        (turns, None)
+    }
+
+    /// Returns all turns in the order in which they can be stored, to hand them over.
+    pub fn all(&self) -> Vec<StoredTurn> {
+        let rows = self.order.values().filter_map(|key| self.rows.get(key));
+        rows.map(|row| row.turn.clone()).collect()
+    }
+
+    /// Removes the turns that are no longer kept; returns the log segments that hold none any more.
+    pub fn expire(&mut self, now_us: u64) -> Vec<u64> {
+        let mut unused = Vec::new();
+        while let Some((due_us, _)) = self.expiry.first()
+            && *due_us <= now_us
+        {
+            let Some((_, key)) = self.expiry.pop_first() else {
+                break;
+            };
+            let Some(row) = self.rows.remove(&key) else {
+                continue;
+            };
+            self.order.remove(&row.number);
+            self.bytes -= row.turn.content.len();
+            if let Some(count) = self.segments.get_mut(&row.segment) {
+                *count -= 1;
+                if *count == 0 {
+                    self.segments.remove(&row.segment);
+                    unused.push(row.segment);
+                }
+            }
+        }
+        unused
+    }
+
+    /// Returns whether a log segment holds a turn that is kept.
+    pub fn uses_segment(&self, segment: u64) -> bool {
+        self.segments.contains_key(&segment)
+    }
+}
+
+/// Returns whether a turn is the stored one; it may begin at another turn of the same chain.
+fn is_same(stored: &StoredTurn, turn: &StoredTurn) -> bool {
+    match (&stored.previous, &turn.previous) {
+        // One of them has the contents of the turns before it in its own.
+        (None, Some(_)) => stored.content.ends_with(&turn.content),
+        (Some(_), None) => turn.content.ends_with(&stored.content),
+        (a, b) => a == b && stored.content == turn.content,
+    }
+}
--- a/crates/entry/src/call/describe.rs
+++ b/crates/entry/src/call/describe.rs
@@ -19,6 +19,8 @@
         RefusalKind::DuplicateTurn => "the turn is running or has ended",
         RefusalKind::StaleContinuation => "the continuation is older than the program",
         RefusalKind::HistoryMismatch => "the messages do not match the continuation",
+        RefusalKind::TurnUnknown => "the turn that the call names does not exist",
+        RefusalKind::HistoryUnavailable => "the turns before this one cannot be read or stored",
         RefusalKind::ContinuationMissing => "the turn needs the continuation of the one before",
         RefusalKind::OverBudget => "the program has used its tokens, turns or time",
         RefusalKind::ProgramEnded => "the program has ended",
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -6,7 +6,7 @@
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
 use knapweeddale_core::{
-    AccountName, FleetConfig, ModelName, PresentedKey, ProgramName, Refusal, UpstreamList,
+    AccountName, FleetConfig, ModelName, PresentedKey, ProgramName, Refusal, TurnId, UpstreamList,
     UpstreamName, VmName,
 };
 use knapweeddale_store::{ObjectApi, StoreError};
@@ -38,6 +38,8 @@
     pub budget_tokens: Option<u64>,
     /// ID of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// The turn that the request goes on from, if the system keeps the turns of its route.
+    pub previous_turn: Option<TurnId>,
 }
 
 /// Values of the headers that are added to a request for an upstream.
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::response;
 use http::{HeaderMap, Response, StatusCode, header};
@@ -37,6 +37,10 @@
     pub may_be_sent: bool,
     /// Time from sending a request to the end of its response, summed over all attempts.
     pub upstream_time: Duration,
+    /// Contents of the turns before this one, once they were read.
+    pub earlier_turns: Option<Bytes>,
+    /// The data of the forwarded events, if the system keeps the turn.
+    pub kept_output: BytesMut,
 }
 
 /// One attempt of a call on the upstream that the core selected.
@@ -83,6 +87,10 @@
         }
         let started = Instant::now();
         let deadline = started + Duration::from_micros(left_us);
+        let prompt = match self.load_prompt(deadline).await {
+            Ok(prompt) => prompt,
+            Err(failure) => return failure.into(),
+        };
         let address = &self.dispatch.address;
         let pool = &self.shared.pool;
         let acquired = pool.acquire(address, self.is_repeatable, &self.shared.metrics);
@@ -99,7 +107,7 @@
         self.shared
             .metrics
             .observe_stage(Stage::Connect, sent.duration_since(started));
-        let end = self.exchange(&mut connection, deadline).await;
+        let end = self.exchange(&mut connection, &prompt, deadline).await;
         self.progress.upstream_time += sent.elapsed();
         match end {
             Ok((end, keep_alive_s)) => {
@@ -119,6 +127,7 @@
     async fn exchange(
         &mut self,
         connection: &mut Connection,
+        prompt: &Bytes,
         deadline: Instant,
     ) -> Result<(AttemptEnd, Option<KeepAlive>), Failure> {
         let left_ms = deadline.duration_since(Instant::now()).as_millis();
@@ -131,7 +140,7 @@
                 last_event_id: self.progress.last_event_id.or(self.head.last_event_id),
             },
         );
-        let request = request::encode_request(self.parts, &headers, self.body);
+        let request = request::encode_request(self.parts, &headers, prompt);
         let sent = Instant::now();
         let first_deadline = sent + Duration::from_millis(self.dispatch.first_token_ms);
         let limit = deadline.min(first_deadline);
@@ -305,11 +314,13 @@
                 self.progress.last_event_id = event.id.or(self.progress.last_event_id);
                 self.progress.forwarded_tokens += form.tokens_per_event;
                 self.progress.is_stream_started = true;
+                self.keep_output(&event);
                 self.reply
                     .send_event(|| to_caller_head(head), event.bytes)
                     .await;
             }
         }
+        self.store_turn().await?;
         let outcome = self.attempt_outcome();
         if self.progress.is_stream_started {
             self.reply.finish();
--- /dev/null
+++ b/crates/relay/src/call/history.rs
@@ -0,0 +1,125 @@
+//! Turns that the system keeps, as part of an attempt: their prompts and their storage.
+
+use std::sync::Arc;
+
+use bytes::{Bytes, BytesMut};
+use knapweeddale_core::TurnId;
+use knapweeddale_core::input::Failure;
+use knapweeddale_core::turns::{StoredTurn, TurnKey};
+use knapweeddale_runtime::Clock;
+use smallvec::SmallVec;
+use tokio::time::{Instant, timeout_at};
+
+use super::attempt::Attempt;
+use crate::adapter::Dialect;
+use crate::metrics::Stage;
+use crate::turns::HistoryError;
+use crate::upstream::Event;
+
+/// Maximum size of a prompt together with the turns before it.
+const MAX_PROMPT_BYTES: usize = 4 * 1024 * 1024;
+
+impl<D: Dialect, C: Clock> Attempt<'_, D, C> {
+    /// Returns the body for the upstream: that of the caller, after the turns before it if the
+    /// system keeps them.
+    pub(super) async fn load_prompt(&mut self, deadline: Instant) -> Result<Bytes, Failure> {
+        let previous = self.head.previous_turn.as_ref();
+        let Some(previous) = previous.filter(|_| self.dispatch.history_ms.is_some()) else {
+            return Ok(self.body.clone());
+        };
+        let earlier = match &self.progress.earlier_turns {
+            Some(earlier) => earlier.clone(),
+            None => self.find_turns(previous, deadline).await?,
+        };
+        self.progress.earlier_turns = Some(earlier.clone());
+        let prompt_bytes = earlier.len() + self.body.len();
+        if prompt_bytes > MAX_PROMPT_BYTES {
+            return Err(Failure::HistoryTooLarge);
+        }
+        let mut prompt = BytesMut::with_capacity(prompt_bytes);
+        prompt.extend_from_slice(&earlier);
+        prompt.extend_from_slice(self.body);
+        Ok(prompt.freeze())
+    }
+
+    /// Reads the turns up to `previous`.
+    async fn find_turns(&self, previous: &TurnId, deadline: Instant) -> Result<Bytes, Failure> {
+        let key = TurnKey {
+            account: self.dispatch.account.clone(),
+            id: previous.clone(),
+        };
+        let found = timeout_at(deadline, self.shared.turns.find(&key)).await;
+        let found = found.unwrap_or(Err(HistoryError::Unavailable));
+        found.map_err(|error| {
+            let request = self.head.request_id.as_deref().unwrap_or("-");
+            tracing::info!(request, call = %self.dispatch.attempt.call, %previous,
+                "history: not read ({error})");
+            match error {
+                HistoryError::Unknown => Failure::HistoryUnknown,
+                HistoryError::Unavailable => Failure::HistoryUnavailable,
+            }
+        })
+    }
+
+    /// Adds the data of a forwarded event to the output of a turn that is kept.
+    pub(super) fn keep_output(&mut self, event: &Event) {
+        if self.dispatch.history_ms.is_none() {
+            return;
+        }
+        let output = &mut self.progress.kept_output;
+        for line in event.data() {
+            output.extend_from_slice(line);
+            output.extend_from_slice(b"\n");
+        }
+    }
+
+    /// Stores a turn whose stream is complete, before its response ends.
+    ///
+    /// A turn without an ID cannot be named later, and of a stream that its caller has resumed the
+    /// first part is not known, so neither is kept.
+    pub(super) async fn store_turn(&mut self) -> Result<(), Failure> {
+        let Some(retention_ms) = self.dispatch.history_ms else {
+            return Ok(());
+        };
+        let call = self.dispatch.attempt.call;
+        let Some(id) = self.head.request_id.as_deref() else {
+            tracing::warn!(%call, "history: turn without an ID is not kept");
+            return Ok(());
+        };
+        if self.head.last_event_id.is_some() {
+            tracing::warn!(request = id, %call, "history: resumed turn is not kept");
+            return Ok(());
+        }
+        let mut content = Vec::with_capacity(self.body.len() + self.progress.kept_output.len());
+        content.extend_from_slice(self.body);
+        content.extend_from_slice(&self.progress.kept_output);
+        let turn = StoredTurn {
+            key: TurnKey {
+                account: self.dispatch.account.clone(),
+                id: TurnId::from(id),
+            },
+            previous: self.head.previous_turn.clone(),
+            content: Arc::from(content),
+            retention_ms,
+            copies: SmallVec::new(),
+        };
+        let earlier = self.progress.earlier_turns.clone().unwrap_or_default();
+        let started = Instant::now();
+        let stored = self.shared.turns.store(turn, earlier).await;
+        let took = started.elapsed();
+        self.shared.metrics.observe_stage(Stage::StoreTurn, took);
+        let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        match stored {
+            Ok(()) => {
+                tracing::info!(request = id, %call, took_us, "history: turn stored");
+                Ok(())
+            }
+            Err(error) => {
+                tracing::warn!(request = id, %call, took_us, "history: turn not stored ({error})");
+                Err(Failure::HistoryNotStored {
+                    answer_tokens: self.progress.forwarded_tokens,
+                })
+            }
+        }
+    }
+}
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -1,6 +1,7 @@
 //! The traffic side of a call: one task that relays it from arrival to the last byte.
 
 mod attempt;
+mod history;
 mod reply;
 mod request;
 mod task;
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -23,6 +23,7 @@
 use crate::peers::{SnapshotServer, StateRpcServer, fetch_snapshots, receive_summaries};
 use crate::settings::RelaySettings;
 use crate::store::{RecordCache, Registration, Role, SourceClient};
+use crate::turns::TurnClient;
 use crate::upstream::{Pool, run_probes};
 
 /// Interval at which idle connections to upstreams are checked for expiry.
@@ -118,6 +119,11 @@
             inputs: inputs.clone(),
             call_ids: CallIds::new(core.incarnation),
             pool: Arc::new(Pool::default()),
+            turns: Arc::new(TurnClient::new(
+                keepers.clone(),
+                settings.tolerated_losses,
+                Arc::clone(&metrics),
+            )),
             metrics: Arc::clone(&metrics),
             status,
             is_draining: AtomicBool::new(false),
--- a/crates/relay/src/front/shared.rs
+++ b/crates/relay/src/front/shared.rs
@@ -8,6 +8,7 @@
 
 use crate::control::{InputSender, Status};
 use crate::metrics::Metrics;
+use crate::turns::TurnClient;
 use crate::upstream::Pool;
 
 /// State shared by all requests of a process.
@@ -18,6 +19,7 @@
     pub inputs: InputSender,
     pub call_ids: CallIds,
     pub pool: Arc<Pool>,
+    pub turns: Arc<TurnClient>,
     pub metrics: Arc<Metrics>,
     pub status: watch::Receiver<Status>,
     /// Whether the process was asked to stop.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod settings;
 mod storage;
 mod store;
+mod turns;
 mod upstream;
 mod wall_clock;
 
@@ -36,3 +37,4 @@
 pub use metrics::Metrics;
 pub use settings::{RelaySettings, StorageSettings};
 pub use storage::Storage;
+pub use turns::{TurnList, list_turns};
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -27,6 +27,7 @@
     charges: IntCounterVec,
     charged_tokens: IntCounterVec,
     lost_charges: IntCounter,
+    turns: IntCounterVec,
     retries: IntCounterVec,
     connections: IntCounterVec,
     summaries: IntCounterVec,
@@ -80,6 +81,7 @@
                 "account",
             )?,
             lost_charges: counter("kwd_lost_charges_total", "Charge records lost.")?,
+            turns: counters("kwd_turns_total", "Kept turns by result.", "result")?,
             retries: counters(
                 "kwd_retries_total",
                 "Failed attempts by verdict.",
@@ -143,6 +145,8 @@
     Whole,
     /// From arrival to the end of the response, less the time spent on the upstream.
     Added,
+    /// From the last event of a kept turn until the turn is stored.
+    StoreTurn,
 }
 
 impl Stage {
@@ -154,6 +158,7 @@
             Self::EventGap => "event_gap",
             Self::Whole => "whole",
             Self::Added => "added",
+            Self::StoreTurn => "store_turn",
         }
     }
 }
@@ -208,6 +213,11 @@
         tokens.inc_by(charge.answer_tokens);
     }
 
+    /// Counts a kept turn that was stored or looked up, by result.
+    pub(crate) fn count_turn(&self, result: &str) {
+        self.turns.with_label_values(&[result]).inc();
+    }
+
     /// Counts a charge record that was lost.
     pub(crate) fn count_lost_charge(&self) {
         self.lost_charges.inc();
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -26,6 +26,9 @@
     /// Time that the load balancer needs to notice that this VM is not ready.
     #[builder(default = Duration::from_millis(2_500))]
     pub drain_notice: Duration,
+    /// VMs with a disk that may lose it at the same time; each kept turn has one copy more.
+    #[builder(default = 1)]
+    pub tolerated_losses: usize,
     /// Capacity of the control thread's input queue.
     #[builder(default = 4_096)]
     pub input_queue_len: usize,
@@ -34,15 +37,18 @@
     pub max_body_bytes: usize,
 }
 
-/// Settings of a VM that stores charge records.
+/// Settings of a VM that stores charge records and kept turns.
 #[derive(Debug, Clone, Builder)]
 pub struct StorageSettings {
     /// The name of the VM.
     pub vm: String,
     /// Address for other VMs.
     pub peer_listen: SocketAddr,
-    /// The folder for charge records.
+    /// The folder for charge records and kept turns.
     pub data_folder: PathBuf,
+    /// Whether this is the first start of the whole system, so that the disk lacks nothing.
+    #[builder(default)]
+    pub is_first_start: bool,
     /// Interval at which the store is polled for a request to retire this VM.
     #[builder(default = Duration::from_millis(2_500))]
     pub retirement_interval: Duration,
--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -1,4 +1,4 @@
-//! The daemon of a VM with a disk: stores charge records.
+//! The daemon of a VM with a disk: stores charge records and kept turns.
 
 use std::collections::HashMap;
 use std::fs::{File, OpenOptions};
@@ -8,22 +8,35 @@
 use std::time::Duration;
 
 use jsonrpsee::core::RpcResult;
-use jsonrpsee::server::{Server, ServerHandle};
+use jsonrpsee::server::{Methods, Server, ServerHandle};
 use jsonrpsee::types::ErrorObjectOwned;
-use knapweeddale_core::{DomainName, StorageVm, VmName};
+use knapweeddale_core::{StorageVm, VmName};
 use knapweeddale_store::StoreError;
-use tokio::task::{JoinHandle, spawn_blocking};
-use tokio::time::{sleep, timeout};
+use tokio::task::{JoinSet, spawn_blocking};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::adapter::FleetStore;
 use crate::charges::{ChargeBatch, ChargeRecord, ChargeRpcServer, send_batch};
 use crate::daemon::StartError;
 use crate::settings::StorageSettings;
-use crate::store::{Registration, Role, keeper_addresses, register};
+use crate::store::{Registration, Role, register};
+use crate::turns::{TurnRpcServer, TurnServer, TurnStore, hand_over, recover};
 
 /// Name of the file of charge records, which has one JSON object per line.
 const FILE_NAME: &str = "charges.jsonl";
 
+/// Name of the folder of kept turns.
+const TURN_FOLDER: &str = "turns";
+
+/// Interval at which expired turns are removed.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Longest time for which routes keep turns; a lost disk lacks nothing after that time.
+const MAX_RETENTION: Duration = Duration::from_secs(600);
+
+/// VMs to which the turns of a retired VM are handed over.
+const HAND_OVER_COPIES: usize = 2;
+
 /// Time limit for a request to the store.
 const STORE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -143,7 +156,7 @@
 #[derive(Debug)]
 pub struct Storage {
     server: ServerHandle,
-    background: JoinHandle<()>,
+    background: JoinSet<()>,
 }
 
 impl Storage {
@@ -163,30 +176,47 @@
         let charge_server = ChargeServer {
             ledger: Arc::clone(&ledger),
         };
-        let server = server.start(charge_server.into_rpc());
+        let turns = TurnStore::open(
+            &settings.data_folder.join(TURN_FOLDER),
+            settings.is_first_start,
+        )
+        .map_err(io::Error::other)?;
+        let turns = Arc::new(turns);
+        let turn_server = TurnServer {
+            store: Arc::clone(&turns),
+        };
+        let mut methods = Methods::from(charge_server.into_rpc());
+        methods
+            .merge(turn_server.into_rpc())
+            .map_err(io::Error::other)?;
+        let server = server.start(methods);
         let registration = Registration {
             vm: settings.vm.clone(),
             address: address.to_string(),
             role: Role::Storage,
             failure_domain: failure_domain.to_owned(),
         };
-        tracing::info!(vm = settings.vm, %address, "start: stores charge records");
+        tracing::info!(vm = settings.vm, %address, "start: stores charge records and kept turns");
         let background = BackgroundTask {
             settings,
             store,
             registration,
             ledger,
+            turns: Arc::clone(&turns),
         };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(background.run());
+        tasks.spawn(expire_turns(turns));
         Ok(Self {
             server,
-            background: tokio::spawn(background.run()),
+            background: tasks,
         })
     }
 
     /// Stops the daemon. Confirmed batches are already synced to the disk.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         tracing::info!("stop: shutting down");
-        self.background.abort();
+        self.background.abort_all();
         // Fails only if the server has already stopped.
         let _ = self.server.stop();
         self.server.stopped().await;
@@ -200,6 +230,7 @@
     store: S,
     registration: Registration,
     ledger: Arc<Mutex<Ledger>>,
+    turns: Arc<TurnStore>,
 }
 
 impl<S: FleetStore> BackgroundTask<S> {
@@ -212,6 +243,9 @@
             }
             sleep(RETRY_INTERVAL).await;
         }
+        if !self.turns.is_complete() {
+            self.recover_turns().await;
+        }
         loop {
             match self.handle_retirement().await {
                 Ok(()) if std::mem::take(&mut has_failed) => {
@@ -227,6 +261,53 @@
         }
     }
 
+    /// Gets the turns of which this VM had a copy back from the other VMs with a disk.
+    ///
+    /// Ends when all of them have answered, or when every turn of before has expired.
+    async fn recover_turns(&self) {
+        let end = Instant::now() + MAX_RETENTION;
+        let mut missing = None;
+        while Instant::now() < end && missing != Some(0) {
+            let Ok(others) = self.others().await else {
+                sleep(RETRY_INTERVAL).await;
+                continue;
+            };
+            let own = &self.registration.address;
+            let mut failed = 0;
+            for other in others {
+                match recover(&self.turns, own, &other.address).await {
+                    Ok(turns) => {
+                        tracing::info!(vm = %other.vm, turns, "turns: copies received");
+                    }
+                    Err(error) => {
+                        failed += 1;
+                        tracing::warn!(vm = %other.vm, "turns: copies not received ({error})");
+                    }
+                }
+            }
+            missing = Some(failed);
+            if failed > 0 {
+                sleep(RETRY_INTERVAL).await;
+            }
+        }
+        match self.turns.mark_complete() {
+            Ok(()) => tracing::info!("turns: folder complete"),
+            Err(error) => tracing::error!("turns: folder not marked as complete ({error})"),
+        }
+    }
+
+    /// Returns the other VMs with a disk, the nearest first.
+    async fn others(&self) -> Result<Vec<StorageVm>, StoreError> {
+        let registered = self.register().await?;
+        let others = registered
+            .into_iter()
+            .filter(|row| row.role == Role::Storage && row.vm != self.settings.vm);
+        let mut others: Vec<StorageVm> = others.map(Registration::into_keeper).collect();
+        let own = &self.registration.failure_domain;
+        others.sort_by_key(|row| (row.failure_domain.as_str() != own, row.vm.clone()));
+        Ok(others)
+    }
+
     /// Registers this VM and returns all registered ones.
     async fn register(&self) -> Result<Vec<Registration>, StoreError> {
         with_timeout(register(&self.store, &self.registration, true)).await
@@ -242,33 +323,28 @@
         }
         tracing::info!("storage: retirement requested, handing records over");
         with_timeout(self.store.report_retirement(&own_name, false)).await?;
-        self.hand_over_records().await?;
+        let others = self.others().await?;
+        self.hand_over_records(&others).await?;
+        self.hand_over_turns(&others).await?;
         with_timeout(self.store.report_retirement(&own_name, true)).await?;
         tracing::info!("storage: retirement complete");
         Ok(())
     }
 
     /// Copies all records to the nearest other VM with a disk that accepts them.
-    async fn hand_over_records(&self) -> Result<(), StoreError> {
+    async fn hand_over_records(&self, others: &[StorageVm]) -> Result<(), StoreError> {
         let records = {
             let ledger = self.ledger.lock().unwrap_or_else(PoisonError::into_inner);
             ledger.read_records()
         };
         let records = records.map_err(|error| unavailable(&error.to_string()))?;
-        let others = self.register().await?;
-        let others: Vec<StorageVm> = others
-            .into_iter()
-            .filter(|row| row.role == Role::Storage && row.vm != self.settings.vm)
-            .map(Registration::into_keeper)
-            .collect();
-        let nearest = DomainName::from(self.registration.failure_domain.as_str());
         let batch = ChargeBatch {
             sender: format!("emptied {}", self.settings.vm),
             number: 1,
             records,
         };
-        for keeper in keeper_addresses(&others, &nearest) {
-            match send_batch(&keeper, batch.clone(), HAND_OVER_TIMEOUT).await {
+        for keeper in others.iter().map(|row| &row.address) {
+            match send_batch(keeper, batch.clone(), HAND_OVER_TIMEOUT).await {
                 Ok(()) => {
                     let records = batch.records.len();
                     tracing::info!(keeper, records, "storage: records handed over");
@@ -279,6 +355,40 @@
         }
         Err(unavailable("no other VM with a disk accepts the records"))
     }
+
+    /// Copies all kept turns to the nearest other VMs with a disk that accept them.
+    async fn hand_over_turns(&self, others: &[StorageVm]) -> Result<(), StoreError> {
+        if self.turns.turns().is_empty() {
+            return Ok(());
+        }
+        let mut copies = 0;
+        for other in others {
+            if copies == HAND_OVER_COPIES {
+                break;
+            }
+            match hand_over(&self.turns, &other.address).await {
+                Ok(turns) => {
+                    copies += 1;
+                    tracing::info!(vm = %other.vm, turns, "storage: turns handed over");
+                }
+                Err(error) => {
+                    tracing::warn!(vm = %other.vm, "storage: turns not accepted ({error})");
+                }
+            }
+        }
+        if copies == 0 {
+            return Err(unavailable("no other VM with a disk accepts the turns"));
+        }
+        Ok(())
+    }
+}
+
+/// Removes expired turns until it is aborted.
+async fn expire_turns(turns: Arc<TurnStore>) {
+    loop {
+        sleep(EXPIRE_INTERVAL).await;
+        turns.expire().await;
+    }
 }
 
 /// Limits a request to the store to [`STORE_TIMEOUT`].
--- /dev/null
+++ b/crates/relay/src/turns/rpc.rs
@@ -0,0 +1,123 @@
+//! The RPC interface of a VM with a disk for kept turns.
+
+use std::sync::Arc;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::proc_macros::rpc;
+use knapweeddale_core::turns::{StoredTurn, TurnKey};
+use knapweeddale_core::{AccountName, TurnId};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use smallvec::SmallVec;
+
+/// Bytes that are Base64 text in JSON.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Content(pub Bytes);
+
+impl Serialize for Content {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.serialize_str(&STANDARD.encode(&self.0))
+    }
+}
+
+impl<'de> Deserialize<'de> for Content {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(deserializer)?;
+        let bytes = STANDARD.decode(text).map_err(de::Error::custom)?;
+        Ok(Self(Bytes::from(bytes)))
+    }
+}
+
+/// A turn as it is sent between VMs.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WireTurn {
+    /// The account of the turn.
+    pub account: Option<AccountName>,
+    /// The caller's ID of the turn.
+    pub id: TurnId,
+    /// The turn before it; `None` if the content begins the chain.
+    pub previous: Option<TurnId>,
+    /// Its input and output.
+    pub content: Content,
+    /// How long it is kept after its end.
+    pub retention_ms: u64,
+    /// Addresses of the VMs that were to get a copy.
+    pub copies: SmallVec<[Arc<str>; 4]>,
+}
+
+impl From<WireTurn> for StoredTurn {
+    fn from(turn: WireTurn) -> Self {
+        Self {
+            key: TurnKey {
+                account: turn.account,
+                id: turn.id,
+            },
+            previous: turn.previous,
+            content: Arc::from(&*turn.content.0),
+            retention_ms: turn.retention_ms,
+            copies: turn.copies,
+        }
+    }
+}
+
+impl From<&StoredTurn> for WireTurn {
+    fn from(turn: &StoredTurn) -> Self {
+        Self {
+            account: turn.key.account.clone(),
+            id: turn.key.id.clone(),
+            previous: turn.previous.clone(),
+            content: Content(Bytes::copy_from_slice(&turn.content)),
+            retention_ms: turn.retention_ms,
+            copies: turn.copies.clone(),
+        }
+    }
+}
+
+/// The answer to a request to store turns.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum AppendAnswer {
+    /// All turns are on the disk.
+    Stored,
+    /// A turn that one of them goes on from is not stored.
+    LacksPrevious,
+}
+
+/// The answer to a request for the chain of a turn.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum FetchAnswer {
+    /// The contents of all turns up to this one, the oldest first.
+    Found(Content),
+    /// The turn was never stored here, or has expired.
+    Absent,
+    /// The turn is not stored here, but may have been before the disk was lost.
+    Unknown,
+}
+
+/// A part of the turns of which a VM had a copy.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct TurnPage {
+    /// The turns, in the order in which they can be stored.
+    pub turns: Vec<WireTurn>,
+    /// Where the next page starts; `None` at the end.
+    pub next: Option<u64>,
+}
+
+/// The RPC interface of a VM with a disk.
+#[rpc(client, server, namespace = "turns")]
+pub(crate) trait TurnRpc {
+    /// Stores turns, each after the one it goes on from; returns once they are synced to the disk.
+    #[method(name = "append")]
+    async fn append(&self, turns: Vec<WireTurn>) -> RpcResult<AppendAnswer>;
+
+    /// Returns the chain of a turn.
+    #[method(name = "fetch")]
+    async fn fetch(&self, account: Option<AccountName>, id: TurnId) -> RpcResult<FetchAnswer>;
+
+    /// Returns turns of which the VM at `address` had a copy, from a position on.
+    #[method(name = "copies")]
+    async fn copies(&self, address: String, from: u64) -> RpcResult<TurnPage>;
+}
--- /dev/null
+++ b/crates/relay/src/turns/server.rs
@@ -0,0 +1,59 @@
+//! The RPC server of a VM with a disk for kept turns.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use jsonrpsee::core::RpcResult;
+use jsonrpsee::types::ErrorObjectOwned;
+use knapweeddale_core::turns::{RejectedTurn, StoredTurn, TurnAnswer, TurnKey};
+use knapweeddale_core::{AccountName, TurnId};
+
+use super::rpc::{AppendAnswer, Content, FetchAnswer, TurnPage, TurnRpcServer, WireTurn};
+use super::store::{AppendError, TurnStore};
+
+/// JSON-RPC error code for turns that were not stored; the sender may use another VM.
+const NOT_STORED_CODE: i32 = -32_002;
+
+/// Size of a page of turns for a VM that has lost its disk.
+const PAGE_BYTES: usize = 1024 * 1024;
+
+/// Serves the turns of this VM to others.
+#[derive(Clone)]
+pub(crate) struct TurnServer {
+    pub store: Arc<TurnStore>,
+}
+
+#[jsonrpsee::core::async_trait]
+impl TurnRpcServer for TurnServer {
+    async fn append(&self, turns: Vec<WireTurn>) -> RpcResult<AppendAnswer> {
+        let turns = turns.into_iter().map(StoredTurn::from).collect();
+        match self.store.append(turns).await {
+            Ok(()) => Ok(AppendAnswer::Stored),
+            Err(AppendError::Rejected(RejectedTurn::LacksPrevious)) => {
+                Ok(AppendAnswer::LacksPrevious)
+            }
+            Err(error) => {
+                tracing::warn!("turns: not stored ({error})");
+                let text = error.to_string();
+                Err(ErrorObjectOwned::owned(NOT_STORED_CODE, text, None::<()>))
+            }
+        }
+    }
+
+    async fn fetch(&self, account: Option<AccountName>, id: TurnId) -> RpcResult<FetchAnswer> {
+        let (answer, contents) = self.store.find(&TurnKey { account, id });
+        Ok(match answer {
+            TurnAnswer::Found => FetchAnswer::Found(Content(Bytes::from(contents.concat()))),
+            TurnAnswer::Absent => FetchAnswer::Absent,
+            TurnAnswer::Unknown => FetchAnswer::Unknown,
+        })
+    }
+
+    async fn copies(&self, address: String, from: u64) -> RpcResult<TurnPage> {
+        let (turns, next) = self.store.turns().copies_of(&address, from, PAGE_BYTES);
+        Ok(TurnPage {
+            turns: turns.iter().map(WireTurn::from).collect(),
+            next,
+        })
+    }
+}
--- /dev/null
+++ b/crates/relay/src/turns/store.rs
@@ -0,0 +1,262 @@
+//! The kept turns on the disk of a VM.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use derive_more::{Display, Error, From};
+use knapweeddale_core::turns::{RejectedTurn, StoredTurn, StoredTurns, TurnAnswer, TurnKey};
+use knapweeddale_log::{Log, LogError, Record, SegmentId};
+use knapweeddale_runtime::{BootClock, Clock};
+use tokio::sync::oneshot;
+use tokio::task::spawn_blocking;
+
+/// Memory for the contents of turns.
+const MAX_TURN_BYTES: usize = 48 * 1024 * 1024;
+
+/// Name of the file that shows that the disk has lost no turn.
+const COMPLETE_FILE: &str = "complete";
+
+/// Why turns were not stored.
+#[derive(Debug, Display, Error, From)]
+pub(crate) enum AppendError {
+    /// A turn cannot be stored.
+    #[display("{_0}")]
+    Rejected(RejectedTurn),
+    /// The disk could not be written.
+    #[display("the turns could not be written to the disk ({reason})")]
+    #[from(ignore)]
+    NotWritten {
+        /// What failed.
+        reason: String,
+    },
+}
+
+/// Turns that wait to be written, and whom to tell.
+struct QueuedWrite {
+    payloads: Vec<Vec<u8>>,
+    written: oneshot::Sender<Result<SegmentId, String>>,
+}
+
+/// The turns of a VM with a disk.
+///
+/// Turns that arrive while the disk is being synced are written together with one sync.
+pub(crate) struct TurnStore {
+    turns: Mutex<StoredTurns>,
+    log: Mutex<Log>,
+    queued: Mutex<Vec<QueuedWrite>>,
+    /// Held while the log is written.
+    writing: tokio::sync::Mutex<()>,
+    /// Segments without kept turns that are not removed yet.
+    unused: Mutex<Vec<u64>>,
+    /// Whether the disk holds every turn that was ever stored on it.
+    is_complete: AtomicBool,
+    folder: PathBuf,
+    clock: BootClock,
+}
+
+/// # Start
+impl TurnStore {
+    /// Opens the turns in a folder, creating it if needed.
+    ///
+    /// A folder without its marker was lost, unless the whole system starts for the first time.
+    /// Turns that were stored before the start are kept as if they had just ended, since the
+    /// clock of an earlier process cannot be compared.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the folder cannot be used.
+    pub fn open(folder: &Path, is_first_start: bool) -> Result<Self, LogError> {
+        let clock = BootClock;
+        let (log, recovered) = Log::open(folder)?;
+        let mut turns = StoredTurns::new(MAX_TURN_BYTES);
+        for record in &recovered.records {
+            match postcard::from_bytes::<StoredTurn>(&record.payload) {
+                Ok(turn) => turns.insert(turn, record.segment.0, clock.now_us()),
+                Err(error) => tracing::error!("turns: record cannot be decoded ({error})"),
+            }
+        }
+        for torn in &recovered.torn {
+            let segment = torn.segment.0;
+            tracing::warn!(segment, lost_bytes = torn.lost_bytes, "turns: segment torn");
+        }
+        let is_complete = is_first_start || folder.join(COMPLETE_FILE).exists();
+        tracing::info!(turns = turns.len(), is_complete, "turns: folder opened");
+        let unused = unused_segments(&turns, &recovered.records);
+        let store = Self {
+            turns: Mutex::new(turns),
+            log: Mutex::new(log),
+            queued: Mutex::default(),
+            writing: tokio::sync::Mutex::default(),
+            unused: Mutex::new(unused),
+            is_complete: AtomicBool::new(false),
+            folder: folder.to_owned(),
+            clock,
+        };
+        if is_complete {
+            store.mark_complete()?;
+        }
+        Ok(store)
+    }
+
+    /// Records that the disk holds every turn of which it had a copy.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the marker cannot be written.
+    pub fn mark_complete(&self) -> Result<(), LogError> {
+        let path = self.folder.join(COMPLETE_FILE);
+        let written = fs::File::create(&path)
+            .and_then(|file| file.sync_all())
+            .and_then(|()| fs::File::open(&self.folder)?.sync_all());
+        written.map_err(|source| LogError::Io { path, source })?;
+        self.is_complete.store(true, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Returns whether the disk holds every turn of which it had a copy.
+    pub fn is_complete(&self) -> bool {
+        self.is_complete.load(Ordering::Relaxed)
+    }
+}
+
+/// # Turns
+impl TurnStore {
+    /// Stores turns, each after the one it goes on from, and returns once they are on the disk.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a turn cannot be stored or the disk cannot be written.
+    pub async fn append(self: &Arc<Self>, turns: Vec<StoredTurn>) -> Result<(), AppendError> {
+        let mut new: Vec<StoredTurn> = Vec::with_capacity(turns.len());
+        let mut known = Vec::new();
+        {
+            let table = self.turns();
+            for turn in turns {
+                if table.check(&turn, &new)? {
+                    new.push(turn);
+                } else {
+                    known.push(turn);
+                }
+            }
+        }
+        let segment = if new.is_empty() {
+            SegmentId(0)
+        } else {
+            self.write(&new).await?
+        };
+        let now_us = self.clock.now_us();
+        let mut table = self.turns();
+        for turn in known.into_iter().chain(new) {
+            table.insert(turn, segment.0, now_us);
+        }
+        Ok(())
+    }
+
+    /// Returns the content of a turn's chain, if it is stored, and what its absence means.
+    pub fn find(&self, key: &TurnKey) -> (TurnAnswer, Vec<Arc<[u8]>>) {
+        match self.turns().chain(key) {
+            Some(contents) => (TurnAnswer::Found, contents),
+            None if self.is_complete() => (TurnAnswer::Absent, Vec::new()),
+            None => (TurnAnswer::Unknown, Vec::new()),
+        }
+    }
+
+    /// Returns the table of turns.
+    pub fn turns(&self) -> MutexGuard<'_, StoredTurns> {
+        self.turns.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// # Disk
+impl TurnStore {
+    /// Writes turns to the log.
+    async fn write(self: &Arc<Self>, turns: &[StoredTurn]) -> Result<SegmentId, AppendError> {
+        let failed = |reason: String| AppendError::NotWritten { reason };
+        let payloads: Result<Vec<_>, _> = turns.iter().map(postcard::to_allocvec).collect();
+        let (written, is_written) = oneshot::channel();
+        let queued = QueuedWrite {
+            payloads: payloads.map_err(|error| failed(error.to_string()))?,
+            written,
+        };
+        lock(&self.queued).push(queued);
+        // A task of its own, since the writes of others must not end with this request.
+        tokio::spawn(Arc::clone(self).write_queued());
+        let written = is_written.await;
+        written
+            .unwrap_or_else(|_| Err("the write was cancelled".to_owned()))
+            .map_err(failed)
+    }
+
+    /// Writes all queued turns with one sync.
+    async fn write_queued(self: Arc<Self>) {
+        let _writing = self.writing.lock().await;
+        let batch = std::mem::take(&mut *lock(&self.queued));
+        if batch.is_empty() {
+            return;
+        }
+        let (payloads, waiting): (Vec<_>, Vec<_>) = batch
+            .into_iter()
+            .map(|write| (write.payloads, write.written))
+            .unzip();
+        let store = Arc::clone(&self);
+        let task = spawn_blocking(move || lock(&store.log).append(&payloads.concat()));
+        let result = match task.await {
+            Ok(result) => result.map_err(|error| error.to_string()),
+            Err(error) => Err(error.to_string()),
+        };
+        if let Err(error) = &result {
+            tracing::error!("turns: not written ({error})");
+        }
+        for written in waiting {
+            // Fails if the request was cancelled; the turn is stored nevertheless.
+            let _ = written.send(result.clone());
+        }
+    }
+
+    /// Removes expired turns, and the segments that hold none any more.
+    pub async fn expire(self: &Arc<Self>) {
+        let expired = self.turns().expire(self.clock.now_us());
+        let mut segments = std::mem::take(&mut *lock(&self.unused));
+        segments.extend(expired);
+        if segments.is_empty() {
+            return;
+        }
+        let store = Arc::clone(self);
+        let task = spawn_blocking(move || store.remove_segments(segments));
+        if let Err(error) = task.await {
+            tracing::error!("turns: segments not removed ({error})");
+        }
+    }
+
+    /// Removes segments; those in use or not removable are tried again later.
+    fn remove_segments(&self, segments: Vec<u64>) {
+        let mut log = lock(&self.log);
+        for segment in segments {
+            let id = SegmentId(segment);
+            if self.turns().uses_segment(segment) {
+                continue;
+            }
+            if log.active_segment() == Some(id) {
+                lock(&self.unused).push(segment);
+            } else if let Err(error) = log.remove(id) {
+                tracing::warn!(segment, "turns: segment not removed ({error})");
+                lock(&self.unused).push(segment);
+            }
+        }
+    }
+}
+
+/// Returns the segments of which no turn is kept.
+fn unused_segments(turns: &StoredTurns, records: &[Record]) -> Vec<u64> {
+    let mut segments: Vec<u64> = records.iter().map(|record| record.segment.0).collect();
+    segments.dedup();
+    segments.retain(|segment| !turns.uses_segment(*segment));
+    segments
+}
+
+/// Locks a mutex; a panic while it was held leaves its content usable.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/relay/src/upstream/events.rs
+++ b/crates/relay/src/upstream/events.rs
@@ -11,6 +11,18 @@
     pub id: Option<u64>,
 }
 
+impl Event {
+    /// Returns the values of the event's `data` fields.
+    pub fn data(&self) -> impl Iterator<Item = &[u8]> {
+        let lines = self.bytes.split(|byte| *byte == b'\n');
+        lines.filter_map(|line| {
+            let value = line.strip_prefix(b"data:")?;
+            let value = value.strip_prefix(b" ").unwrap_or(value);
+            Some(value.strip_suffix(b"\r").unwrap_or(value))
+        })
+    }
+}
+
 /// Splits a stream into complete events, so that a partial one is never forwarded.
 #[derive(Debug, Default)]
 pub(crate) struct EventReader {
--- a/crates/relay/src/upstream/mod.rs
+++ b/crates/relay/src/upstream/mod.rs
@@ -11,5 +11,5 @@
 
 pub(crate) use body::Body;
 pub(crate) use connection::{Connection, ReadError, ResponseHead};
-pub(crate) use events::EventReader;
+pub(crate) use events::{Event, EventReader};
 pub(crate) use pool::{Pool, run_probes};
