Cover the first turn of a program with a small budget after a loss of memory

Cause: after all processes had been killed once, a program that nobody had seen counted as if it had used its free part before the loss; a budget of one turn and a little more then held no turn at all, and its first turn got 402.

Change: if the free part does not fit a second time, the first turn of a program is still covered without a record, which stays within the budget and one turn.

--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -195,26 +195,37 @@
         // A budget may be exceeded by one turn.
         let max_tokens = budget_tokens + turn_tokens;
         let is_ample = budget_tokens >= MIN_TURNS_FOR_AGENTS * turn_tokens;
-        let parallel = Self::for_unseen_turns(
-            budget_tokens,
-            turn_tokens,
-            losses,
-            MAX_UNSEEN_PARALLEL_TURNS,
-        );
+        let free_tokens = budget_tokens / FREE_DIVISOR;
+        let with = |free_tokens, unseen_turns| {
+            Self::for_unseen_turns(
+                budget_tokens,
+                turn_tokens,
+                losses,
+                free_tokens,
+                unseen_turns,
+            )
+        };
+        let parallel = with(free_tokens, MAX_UNSEEN_PARALLEL_TURNS);
         if is_ample && parallel.unrecorded_tokens <= max_tokens {
             return Self {
                 allows_agents: true,
                 ..parallel
             };
         }
-        let line = Self::for_unseen_turns(budget_tokens, turn_tokens, losses, MAX_UNSEEN_TURNS);
+        let line = with(free_tokens, MAX_UNSEEN_TURNS);
+        if line.unrecorded_tokens <= max_tokens {
+            return line;
+        }
+        // After a loss, a small budget still covers the first turn of a program.
+        let first_turn = with(0, MAX_UNSEEN_TURNS);
         Self {
-            is_usable: line.unrecorded_tokens <= max_tokens,
-            ..line
+            is_usable: first_turn.unrecorded_tokens <= max_tokens,
+            ..first_turn
         }
     }
 
-    /// Computes the free part if `unseen_turns` turns may run before all VMs know that it is used.
+    /// Computes the free part if turns may start until `tokens` are known to be used, and
+    /// `unseen_turns` turns may run before all VMs know that.
     ///
     /// One of these turns is not counted, because a budget may be exceeded by one turn. After each
     /// loss of memory, the free part may be used once more.
@@ -222,9 +233,9 @@
         budget_tokens: u64,
         turn_tokens: u64,
         losses: u32,
+        tokens: u64,
         unseen_turns: u64,
     ) -> Self {
-        let tokens = budget_tokens / FREE_DIVISOR;
         let unseen_tokens = (unseen_turns - 1) * turn_tokens;
         let reused_tokens = u64::from(losses).saturating_mul(tokens + turn_tokens);
         Self {
--- a/crates/core/tests/program_tokens.rs
+++ b/crates/core/tests/program_tokens.rs
@@ -106,6 +106,40 @@
     assert!(relays.has_run(id), "{:?}", relays.refusal(id));
 }
 
+/// Guards against the refusal of a new program whose small budget holds one turn, after all
+/// processes were killed at once.
+#[rstest]
+fn small_program_after_loss(#[values(100, 105, 130, 180)] budget: u64) {
+    let mut relays = start(1);
+    (0..8).for_each(|vm| relays.kill(vm));
+    relays.run_ms(500);
+    (0..8).for_each(|vm| relays.restart(vm));
+    relays.run_ms(1_500);
+    let id = relays.call(4, turn("new", budget, 1));
+    relays.run_ms(300);
+    assert!(relays.has_run(id), "{:?}", relays.refusal(id));
+}
+
+/// Guards against a small budget that is exceeded when a program goes on after a loss.
+#[rstest]
+fn small_program_over_loss(#[values(100, 105, 130, 180)] budget: u64) {
+    for seed in seeds() {
+        let mut relays = start(seed);
+        run_endless_program(&mut relays, "loop", budget, 2);
+        (0..8).for_each(|vm| relays.kill(vm));
+        relays.run_ms(400);
+        (0..8).for_each(|vm| relays.restart(vm));
+        relays.run_ms(2_000);
+        run_endless_program(&mut relays, "loop", budget, 4);
+        relays.run_ms(2_000);
+        let passed = relays.forwarded_tokens("loop");
+        assert!(
+            passed <= budget + MAX_TURN_TOKENS,
+            "seed {seed}: {passed} of {budget}"
+        );
+    }
+}
+
 /// Guards against a stopped program that goes on through another VM.
 #[rstest]
 fn stays_stopped() {
