Bound what is read of a response that never becomes an answer

Cause: a worker or the store in trouble may send bytes without end. Interim responses, the size line of a chunk, trailers, an event, comments between events and the bodies of the store were read and kept without a limit, and comments passed for the progress of a stream.

Change: each of these has a limit; a body whose stated length exceeds the limit is refused at once; blocks without data are neither forwarded nor progress. The store's clients share one bounded reader of bodies.

--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -296,7 +296,7 @@
                 Ok(Ok(None)) => break,
             };
             events.push(&bytes);
-            while let Some(event) = events.next() {
+            while let Some(event) = events.next().map_err(|error| self.failure(&error))? {
                 let stage = if is_first {
                     Stage::FirstByte
                 } else {
--- a/crates/relay/src/upstream/body.rs
+++ b/crates/relay/src/upstream/body.rs
@@ -5,6 +5,12 @@
 
 use super::{Connection, ReadError, ResponseHead};
 
+/// Limit for the size line of a chunk, and for a trailer.
+const MAX_LINE_BYTES: usize = 8 * 1024;
+
+/// Limit for the number of trailers.
+const MAX_TRAILERS: usize = 64;
+
 /// The part of a body that is still to be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Remaining {
@@ -28,6 +34,7 @@
     connection: &'a mut Connection,
     remaining: Remaining,
     is_close_delimited: bool,
+    trailers: usize,
 }
 
 impl<'a> Body<'a> {
@@ -42,6 +49,7 @@
             connection,
             remaining,
             is_close_delimited: remaining == Remaining::UntilClose,
+            trailers: 0,
         })
     }
 
@@ -80,18 +88,24 @@
 
     /// Reads the whole body, up to a limit.
     pub async fn collect(&mut self, max_bytes: usize) -> Result<Bytes, ReadError> {
+        let is_too_long = match self.remaining {
+            Remaining::Length(bytes) => bytes > max_bytes as u64,
+            _ => false,
+        };
+        let too_long = || ReadError::malformed("the body exceeds the limit for buffered responses");
+        if is_too_long {
+            return Err(too_long());
+        }
         let Some(first) = self.next().await? else {
             return Ok(Bytes::new());
         };
         let mut whole: Option<Vec<u8>> = None;
         while let Some(part) = self.next().await? {
             let whole = whole.get_or_insert_with(|| first.to_vec());
-            whole.extend_from_slice(&part);
-            if whole.len() > max_bytes {
-                return Err(ReadError::malformed(
-                    "the body exceeds the limit for buffered responses",
-                ));
+            if whole.len() + part.len() > max_bytes {
+                return Err(too_long());
             }
+            whole.extend_from_slice(&part);
         }
         Ok(whole.map_or(first, Bytes::from))
     }
@@ -129,9 +143,18 @@
                 };
                 return Ok(());
             }
-            if self.connection.fill().await? == 0 {
-                return Err(ReadError::Ended);
-            }
+            self.fill_line().await?;
+        }
+    }
+
+    /// Reads more of a line that has no end yet.
+    async fn fill_line(&mut self) -> Result<(), ReadError> {
+        if self.connection.buffer.len() > MAX_LINE_BYTES {
+            return Err(ReadError::malformed("a line exceeds the limit"));
+        }
+        match self.connection.fill().await? {
+            0 => Err(ReadError::Ended),
+            _ => Ok(()),
         }
     }
 
@@ -151,6 +174,11 @@
     async fn read_trailer(&mut self) -> Result<(), ReadError> {
         if self.read_line().await?.is_empty() {
             self.remaining = Remaining::Nothing;
+            return Ok(());
+        }
+        self.trailers += 1;
+        if self.trailers > MAX_TRAILERS {
+            return Err(ReadError::malformed("there are too many trailers"));
         }
         Ok(())
     }
@@ -168,9 +196,7 @@
                 let _ = self.connection.buffer.split_to(2);
                 return Ok(line);
             }
-            if self.connection.fill().await? == 0 {
-                return Err(ReadError::Ended);
-            }
+            self.fill_line().await?;
         }
     }
 }
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -14,6 +14,9 @@
 /// Limit for the number of headers in a response.
 const MAX_HEADERS: usize = 96;
 
+/// Limit for the number of interim (1xx) responses before the final one.
+const MAX_INTERIM_RESPONSES: usize = 8;
+
 /// Buffer space reserved for each read.
 const READ_BUFFER_BYTES: usize = 16_384;
 
@@ -123,13 +126,17 @@
 
     /// Reads the head of the next response.
     pub async fn read_head(&mut self) -> Result<ResponseHead, ReadError> {
+        let mut interim_responses = 0;
         loop {
             if let Some((head, bytes)) = parse_head(&self.buffer)? {
                 let _ = self.buffer.split_to(bytes);
-                // Interim (1xx) responses precede the final one.
                 if !head.status.is_informational() {
                     return Ok(head);
                 }
+                interim_responses += 1;
+                if interim_responses > MAX_INTERIM_RESPONSES {
+                    return Err(ReadError::malformed("there are too many interim responses"));
+                }
                 continue;
             }
             if self.buffer.len() > MAX_HEAD_BYTES {
--- a/crates/relay/src/upstream/events.rs
+++ b/crates/relay/src/upstream/events.rs
@@ -2,6 +2,11 @@
 
 use bytes::{Bytes, BytesMut};
 
+use super::ReadError;
+
+/// Limit for one event, and for what lies between two events.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// One complete event of a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Event {
@@ -29,6 +34,8 @@
     buffer: BytesMut,
     /// Bytes at the start of the buffer that contain no end of an event.
     searched_len: usize,
+    /// Bytes of comments since the last event.
+    comment_bytes: usize,
 }
 
 impl EventReader {
@@ -37,13 +44,30 @@
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Removes and returns the next complete event.
-    pub fn next(&mut self) -> Option<Event> {
-        let end = self.find_event_end()?;
-        self.searched_len = 0;
-        let bytes = self.buffer.split_to(end).freeze();
-        let id = parse_event_id(&bytes);
-        Some(Event { bytes, id })
+    /// Removes and returns the next complete event, if there is one.
+    ///
+    /// Blocks without data, such as comments that keep a connection open, are dropped: they must
+    /// not pass for progress.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an event, or the comments between two events, exceed the limit.
+    pub fn next(&mut self) -> Result<Option<Event>, ReadError> {
+        while let Some(end) = self.find_event_end() {
+            self.searched_len = 0;
+            let bytes = self.buffer.split_to(end).freeze();
+            let id = parse_event_id(&bytes);
+            let event = Event { bytes, id };
+            if event.data().next().is_some() {
+                self.comment_bytes = 0;
+                return Ok(Some(event));
+            }
+            self.comment_bytes += event.bytes.len();
+        }
+        if self.buffer.len() + self.comment_bytes > MAX_EVENT_BYTES {
+            return Err(ReadError::malformed("an event exceeds the limit"));
+        }
+        Ok(None)
     }
 
     /// Returns whether bytes of an incomplete event are left.
--- a/crates/store/src/http/mod.rs
+++ b/crates/store/src/http/mod.rs
@@ -1,11 +1,14 @@
 //! HTTP client for the platform's object API.
 
+mod body;
+
 use std::time::Duration;
 
 use bon::bon;
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 
+pub use self::body::{read_body, read_json};
 use crate::{Object, ObjectApi, ObjectMeta, StoreError, VmEntry};
 
 /// Default timeout of a request; a watch adds its wait to it.
@@ -108,10 +111,7 @@
         if response.status() != StatusCode::OK {
             return Err(status_error(prefix, response.status()));
         }
-        response
-            .json()
-            .await
-            .map_err(|error| unavailable_error(&error))
+        read_json(response).await
     }
 
     async fn watch(
@@ -138,10 +138,7 @@
         if response.status() != StatusCode::OK {
             return Err(status_error("vms", response.status()));
         }
-        response
-            .json()
-            .await
-            .map_err(|error| unavailable_error(&error))
+        read_json(response).await
     }
 }
 
@@ -157,14 +154,8 @@
                 .ok_or_else(|| StoreError::Unavailable {
                     reason: "the response has no valid `version` header".to_owned(),
                 })?;
-            let value = response
-                .bytes()
-                .await
-                .map_err(|error| unavailable_error(&error))?;
-            Ok(Some(Object {
-                version,
-                value: value.to_vec(),
-            }))
+            let value = read_body(response).await?;
+            Ok(Some(Object { version, value }))
         }
         status => Err(status_error(key, status)),
     }
@@ -172,10 +163,7 @@
 
 /// Reads the version from the response to a write.
 async fn read_version(response: Response) -> Result<u64, StoreError> {
-    let response: WriteResponse = response
-        .json()
-        .await
-        .map_err(|error| unavailable_error(&error))?;
+    let response: WriteResponse = read_json(response).await?;
     Ok(response.version)
 }
 
@@ -193,7 +181,7 @@
 }
 
 /// Converts an error of the HTTP client.
-fn unavailable_error(error: &reqwest::Error) -> StoreError {
+fn unavailable_error(error: &dyn std::error::Error) -> StoreError {
     StoreError::Unavailable {
         reason: error.to_string(),
     }
