--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -1,6 +1,6 @@
 //! The daemon of a VM with a disk: stores charge records and kept turns.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fs::{File, OpenOptions};
 use std::io::{self, Read, Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
@@ -46,6 +46,9 @@
 /// Delay before a failed registration is repeated.
 const RETRY_INTERVAL: Duration = Duration::from_millis(700);
 
+/// Longest delay before VMs that have not answered are asked for lost copies again.
+const MAX_RETRY_INTERVAL: Duration = Duration::from_secs(6);
+
 /// JSON-RPC error code for a batch that could not be written; the sender may retry.
 const WRITE_FAILED_CODE: i32 = -32_001;
 
@@ -263,32 +266,27 @@
 
     /// Gets the turns of which this VM had a copy back from the other VMs with a disk.
     ///
-    /// Ends when all of them have answered, or when every turn of before has expired.
+    /// Ends when each of them has answered once, or when every turn of before has expired.
     async fn recover_turns(&self) {
         let end = Instant::now() + MAX_RETENTION;
-        let mut missing = None;
-        while Instant::now() < end && missing != Some(0) {
-            let Ok(others) = self.others().await else {
-                sleep(RETRY_INTERVAL).await;
-                continue;
-            };
-            let own = &self.registration.address;
-            let mut failed = 0;
-            for other in others {
-                match recover(&self.turns, own, &other.address).await {
-                    Ok(turns) => {
-                        tracing::info!(vm = %other.vm, turns, "turns: copies received");
-                    }
-                    Err(error) => {
-                        failed += 1;
-                        tracing::warn!(vm = %other.vm, "turns: copies not received ({error})");
-                    }
-                }
+        let mut answered = HashSet::new();
+        let mut delay = RETRY_INTERVAL;
+        while Instant::now() < end {
+            let others = self.others().await.ok();
+            let missing = others.map(|mut others| {
+                others.retain(|other| !answered.contains(&other.address));
+                others
+            });
+            if missing.as_ref().is_some_and(Vec::is_empty) {
+                break;
             }
-            missing = Some(failed);
-            if failed > 0 {
-                sleep(RETRY_INTERVAL).await;
+            for other in missing.into_iter().flatten() {
+                if self.recover_from(&other).await {
+                    answered.insert(other.address);
+                }
             }
+            sleep(delay).await;
+            delay = (delay * 2).min(MAX_RETRY_INTERVAL);
         }
         match self.turns.mark_complete() {
             Ok(()) => tracing::info!("turns: folder complete"),
@@ -296,6 +294,16 @@
         }
     }
 
+    /// Gets the turns of which this VM had a copy from another VM; returns whether it answered.
+    async fn recover_from(&self, other: &StorageVm) -> bool {
+        let result = recover(&self.turns, &self.registration.address, &other.address).await;
+        match &result {
+            Ok(turns) => tracing::info!(vm = %other.vm, turns, "turns: copies received"),
+            Err(error) => tracing::warn!(vm = %other.vm, "turns: copies not received ({error})"),
+        }
+        result.is_ok()
+    }
+
     /// Returns the other VMs with a disk, the nearest first.
     async fn others(&self) -> Result<Vec<StorageVm>, StoreError> {
         let registered = self.register().await?;
--- a/crates/runtime/src/ids.rs
+++ b/crates/runtime/src/ids.rs
@@ -37,10 +37,21 @@
     RandomState::new().hash_one(std::process::id())
 }
 
-/// Returns a new incarnation: the Unix time in seconds in the upper half and random bits in the
-/// lower.
+/// Bits of an incarnation that hold the milliseconds within a second.
+const MILLISECOND_BITS: u32 = 10;
+
+/// Bits of an incarnation that are random.
+const RANDOM_BITS: u32 = 22;
+
+/// Returns a new incarnation: the Unix time in seconds in the upper half, then the milliseconds,
+/// then random bits.
+///
+/// The milliseconds make it higher than the one of a process that was started and ended within the
+/// same second; other VMs ignore a lower one.
 pub fn new_incarnation() -> Incarnation {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
-    let seconds = elapsed.map(|time| time.as_secs()).unwrap_or_default();
-    Incarnation((seconds << 32) | (random_u64() >> 32))
+    let elapsed = elapsed.unwrap_or_default();
+    let seconds = elapsed.as_secs() << (MILLISECOND_BITS + RANDOM_BITS);
+    let milliseconds = u64::from(elapsed.subsec_millis()) << RANDOM_BITS;
+    Incarnation(seconds | milliseconds | (random_u64() >> (u64::BITS - RANDOM_BITS)))
 }
