--- a/crates/core/src/turns/copies.rs
+++ b/crates/core/src/turns/copies.rs
@@ -24,9 +24,9 @@
 /// If `tolerated_losses` VMs may lose their disks at the same time, one more has to hold the turn.
 #[derive(Debug, Clone)]
 pub struct CopyPlan {
-    needed: usize,
-    stored: usize,
-    open: usize,
+    needed_copies: usize,
+    stored_copies: usize,
+    open_requests: usize,
     /// VMs that have not been asked, in order of preference.
     waiting: VecDeque<Arc<str>>,
 }
@@ -35,30 +35,30 @@
     /// Plans the copies on the VMs at these addresses, the preferred ones first.
     pub fn new(addresses: impl IntoIterator<Item = Arc<str>>, tolerated_losses: usize) -> Self {
         Self {
-            needed: tolerated_losses + 1,
-            stored: 0,
-            open: 0,
+            needed_copies: tolerated_losses + 1,
+            stored_copies: 0,
+            open_requests: 0,
             waiting: addresses.into_iter().collect(),
         }
     }
 
     /// Returns the VMs that get the turn at once.
     pub fn start(&mut self) -> Vec<Arc<str>> {
-        let count = self.waiting.len().min(self.needed + SPARE_COPIES);
-        self.open += count;
+        let count = self.waiting.len().min(self.needed_copies + SPARE_COPIES);
+        self.open_requests += count;
         self.waiting.drain(..count).collect()
     }
 
     /// Records the answer of a VM and returns the next step.
     pub fn record(&mut self, is_stored: bool) -> CopyStep {
-        self.open = self.open.saturating_sub(1);
+        self.open_requests = self.open_requests.saturating_sub(1);
         if is_stored {
-            self.stored += 1;
+            self.stored_copies += 1;
         }
-        if self.stored >= self.needed {
+        if self.stored_copies >= self.needed_copies {
             return CopyStep::Stored;
         }
-        if self.stored + self.open >= self.needed {
+        if self.stored_copies + self.open_requests >= self.needed_copies {
             return CopyStep::Wait;
         }
         self.send_more()
@@ -76,10 +76,14 @@
     fn send_more(&mut self) -> CopyStep {
         match self.waiting.pop_front() {
             Some(address) => {
-                self.open += 1;
+                self.open_requests += 1;
                 CopyStep::Send(address)
             }
-            None if self.open > 0 && self.stored + self.open >= self.needed => CopyStep::Wait,
+            None if self.open_requests > 0
+                && self.stored_copies + self.open_requests >= self.needed_copies =>
+            {
+                CopyStep::Wait
+            }
             None => CopyStep::Failed,
         }
     }
--- a/crates/core/src/turns/lookup.rs
+++ b/crates/core/src/turns/lookup.rs
@@ -36,7 +36,7 @@
 /// had it. One VM that may have had it leaves the question open.
 #[derive(Debug, Clone)]
 pub struct TurnLookup {
-    open: usize,
+    open_requests: usize,
     is_certain: bool,
     /// VMs that have not been asked, in order of preference.
     waiting: VecDeque<Arc<str>>,
@@ -50,7 +50,7 @@
     pub fn new(addresses: impl IntoIterator<Item = Arc<str>>, needed_copies: usize) -> Self {
         let waiting: VecDeque<Arc<str>> = addresses.into_iter().collect();
         Self {
-            open: 0,
+            open_requests: 0,
             is_certain: waiting.len() >= needed_copies,
             waiting,
         }
@@ -61,13 +61,13 @@
         let Some(first) = self.waiting.pop_front() else {
             return LookupStep::Unavailable;
         };
-        self.open = 1;
+        self.open_requests = 1;
         LookupStep::Ask(vec![first])
     }
 
     /// Records the answer of a VM and returns the next step.
     pub fn record(&mut self, answer: TurnAnswer) -> LookupStep {
-        self.open = self.open.saturating_sub(1);
+        self.open_requests = self.open_requests.saturating_sub(1);
         match answer {
             TurnAnswer::Found => return LookupStep::Found,
             TurnAnswer::Absent => {}
@@ -76,7 +76,7 @@
         if !self.waiting.is_empty() {
             return self.ask_all();
         }
-        if self.open > 0 {
+        if self.open_requests > 0 {
             return LookupStep::Wait;
         }
         if self.is_certain {
@@ -97,7 +97,7 @@
 
     /// Asks all VMs that have not been asked.
     fn ask_all(&mut self) -> LookupStep {
-        self.open += self.waiting.len();
+        self.open_requests += self.waiting.len();
         LookupStep::Ask(self.waiting.drain(..).collect())
     }
 }
