Cover the first turn after a loss on routes that keep turns only

After a loss of memory each VM takes the first line that it sees for the main one, so the cover of a first turn was given on many VMs at once.

Change: only routes that keep turns have it, where a refusal would lose kept turns after a final fault.

--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -151,10 +151,12 @@
         return;
     };
     let budget_tokens = relay.budget_tokens.unwrap_or_default();
+    let keeps_turns = relay.route.history_ms.is_some();
     let retention_us = relay.route.program_keep_ms.unwrap_or(DEFAULT_RETENTION_MS) * 1_000;
     let round = tick.tables.peering.next_round();
     let row = get_or_create_row(tick, program, retention_us);
     row.last_used_us = now_us;
+    row.keeps_turns = keeps_turns;
     if row.budget_tokens > 0 {
         return;
     }
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -57,6 +57,8 @@
     pub losses: u32,
     /// Whether the program has a record in the store.
     pub has_record: bool,
+    /// Whether the system keeps the program's turns.
+    pub keeps_turns: bool,
     /// Whether the budget is used up.
     pub is_stopped: bool,
     /// Whether a reservation in the store is in flight.
@@ -115,13 +117,29 @@
             && self.known_tokens() <= free.tokens
     }
 
+    /// Returns whether the first known turn of a program on a route that keeps turns may run,
+    /// although the free part may have been used before a loss of memory.
+    ///
+    /// New programs go on from kept turns right after such a loss. A budget may be exceeded by one
+    /// turn, so one turn before each loss and one after it fit if those before it are no more than
+    /// the budget.
+    fn covers_first_turn(&self, line: Option<u64>, turn_tokens: u64) -> bool {
+        let lost_tokens = u64::from(self.losses).saturating_mul(turn_tokens);
+        self.keeps_turns
+            && !self.has_record
+            && line == self.main_line
+            && self.known_tokens() == 0
+            && lost_tokens <= self.budget_tokens
+    }
+
     /// Takes the tokens of one more turn from the budget if there are enough.
     pub fn cover(&mut self, line: Option<u64>, turn_tokens: u64) -> BudgetDecision {
         let known = self.known_tokens();
         if self.is_stopped || turn_tokens > self.budget_tokens {
             return BudgetDecision::Exhausted;
         }
-        if self.needs_no_reservation(line, turn_tokens) {
+        if self.needs_no_reservation(line, turn_tokens) || self.covers_first_turn(line, turn_tokens)
+        {
             if known + turn_tokens > self.budget_tokens {
                 return BudgetDecision::Exhausted;
             }
@@ -213,14 +231,9 @@
             };
         }
         let line = with(free_tokens, MAX_UNSEEN_TURNS);
-        if line.unrecorded_tokens <= max_tokens {
-            return line;
-        }
-        // After a loss, a small budget still covers the first turn of a program.
-        let first_turn = with(0, MAX_UNSEEN_TURNS);
         Self {
-            is_usable: first_turn.unrecorded_tokens <= max_tokens,
-            ..first_turn
+            is_usable: line.unrecorded_tokens <= max_tokens,
+            ..line
         }
     }
 
--- a/crates/testing/src/relays/fixtures.rs
+++ b/crates/testing/src/relays/fixtures.rs
@@ -147,7 +147,8 @@
 
 /// Creates a configuration with an engine service, a plain service and a route to each.
 ///
-/// The streams of `/chat/` are resumable; requests to `/pay/` are not idempotent.
+/// The streams of `/chat/` and `/talk/` are resumable, and the system keeps the turns of `/talk/`;
+/// requests to `/pay/` are not idempotent.
 pub fn fleet(revision: u64, accounts: Vec<AccountConfig>) -> FleetConfig {
     let route = |prefix: &str, service: &str, kind: RouteKind| {
         HostRoute::builder()
@@ -183,6 +184,10 @@
             service("tools", ServiceKind::Plain),
         ],
         host_routes: vec![
+            HostRoute {
+                history_ms: Some(60_000),
+                ..route("/talk/", "models", RouteKind::Stream { resumable: true })
+            },
             route("/chat/", "models", RouteKind::Stream { resumable: true }),
             route("/tool/", "tools", RouteKind::Idempotent),
             route("/pay/", "tools", RouteKind::NonIdempotent),
