--- a/crates/log/src/log.rs
+++ b/crates/log/src/log.rs
@@ -24,7 +24,7 @@
 /// A segment that ends with bytes that are no complete record.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TornSegment {
-    /// The segment.
+    /// The segment whose end is torn.
     pub segment: SegmentId,
     /// Number of bytes after the last complete record.
     pub lost_bytes: u64,
