--- a/crates/testing/src/http/connection.rs
+++ b/crates/testing/src/http/connection.rs
@@ -1,7 +1,9 @@
 //! Server side of one HTTP/1.1 connection.
 
 use std::io;
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -135,6 +137,15 @@
         self.stream.write_all(b"0\r\n\r\n").await
     }
 
+    /// Makes the connection end with a reset instead of an orderly close when it is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the socket option cannot be set.
+    pub fn reset_on_close(&self) -> io::Result<()> {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+    }
+
     /// Waits until the client closes the connection or it breaks.
     pub async fn wait_closed(&mut self) {
         while !matches!(self.stream.read_buf(&mut self.buffer).await, Ok(0) | Err(_)) {}
