Count and log streams that end before they are complete

The logs could not tell why a caller's stream broke off: an upstream's silence left no line of its own, and the end of the stream neither. A stream that ends early now logs why and after which event and counts in kwd_broken_streams_total, and silence beyond the limit is logged with the attempt.

--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -339,8 +339,12 @@
         }
     }
 
-    /// Returns the failure of an upstream that sent nothing before its time limit.
+    /// Logs that an upstream sent nothing before its time limit and returns the failure.
     fn timeout_failure(&self) -> Failure {
+        let upstream = &self.dispatch.upstream;
+        let attempt = self.dispatch.attempt;
+        let is_stream_started = self.progress.is_stream_started;
+        tracing::info!(%attempt, %upstream, is_stream_started, "upstream: silent for too long");
         Failure::Silent {
             answer_tokens: self.progress.forwarded_tokens,
             forwarded: self.progress.is_stream_started,
--- a/crates/relay/src/call/task.rs
+++ b/crates/relay/src/call/task.rs
@@ -168,8 +168,24 @@
         );
     }
 
+    /// Records the metric and the log line of a stream that ends before it is complete.
+    fn record_broken_stream(&self, kind: RefusalKind) {
+        self.shared.metrics.count_broken_stream(kind);
+        let whole = self.arrived.elapsed();
+        tracing::warn!(
+            request = self.context.head.request_id.as_deref().unwrap_or("-"),
+            call = %self.context.call,
+            whole_us = u64::try_from(whole.as_micros()).unwrap_or(u64::MAX),
+            last_event = self.progress.last_event_id,
+            "call: stream broken off as {kind}"
+        );
+    }
+
     /// Sends the refusal, or the last upstream's error response if the call failed with it.
     async fn send_refusal(&mut self, refusal: &Refusal) {
+        if self.progress.is_stream_started && !self.is_disconnected {
+            self.record_broken_stream(refusal.kind);
+        }
         let is_upstream_error = refusal.kind == RefusalKind::UpstreamFailed;
         let response = match self.error_response.take().filter(|_| is_upstream_error) {
             Some(response) => response,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -27,6 +27,7 @@
     charges: IntCounterVec,
     charged_tokens: IntCounterVec,
     lost_charges: IntCounter,
+    broken_streams: IntCounterVec,
     turns: IntCounterVec,
     retries: IntCounterVec,
     connections: IntCounterVec,
@@ -81,6 +82,11 @@
                 "account",
             )?,
             lost_charges: counter("kwd_lost_charges_total", "Charge records lost.")?,
+            broken_streams: counters(
+                "kwd_broken_streams_total",
+                "Streams that ended before they were complete.",
+                "kind",
+            )?,
             turns: counters("kwd_turns_total", "Kept turns by result.", "result")?,
             retries: counters(
                 "kwd_retries_total",
@@ -176,6 +182,14 @@
         self.refusals.with_label_values(&[kind.as_str()]).inc();
     }
 
+    /// Counts a stream that ended before it was complete.
+    pub(crate) fn count_broken_stream(&self, kind: RefusalKind) {
+        let kind = kind.to_string();
+        self.broken_streams
+            .with_label_values(&[kind.as_str()])
+            .inc();
+    }
+
     /// Records the duration of a stage.
     pub(crate) fn observe_stage(&self, stage: Stage, took: Duration) {
         let times = self.stage_s.with_label_values(&[stage.label()]);
