Keep a call at a silent upstream unless it can go on elsewhere

All streams of a worker that pauses reach the limit together, so the retry budget (20% of the calls, 3 at least) was used up at once, five silent connections ejected the worker, and calls confined to it were refused. One that is leaving refused them as well.

Now silence is reported and the attempt goes on. The core cancels it only if another attempt may follow: the retry is allowed, taken from the budget, and an upstream that the call may use accepts calls. Otherwise the attempt goes on until the deadline of the call. A retry that was granted this way is not checked again. An output that ends a call while an attempt runs (at the end of the grace period) now reaches its caller, too.

--- a/crates/core/src/input/attempt.rs
+++ b/crates/core/src/input/attempt.rs
@@ -18,6 +18,11 @@
     Sent,
     /// The first token or byte of the response has arrived.
     FirstToken,
+    /// Nothing has arrived within the limit for silence; the attempt goes on unless it is cancelled.
+    Silent {
+        /// Whether any part of the response reached the caller.
+        forwarded: bool,
+    },
     /// The response is complete.
     Finished(AttemptOutcome),
     /// The attempt ended without a complete response.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -167,6 +167,14 @@
         /// Why it is not retried.
         reason: RetryReason,
     },
+    /// An upstream is silent, but the call stays there, since it could not go on elsewhere.
+    #[display("retry: call {call} waits for {upstream}, which is silent")]
+    SilenceTolerated {
+        /// The call that waits.
+        call: CallId,
+        /// The upstream that sends nothing.
+        upstream: UpstreamName,
+    },
     /// An upstream crashed.
     #[display("retry: {upstream} crashed with {suspects} contents running, {evidence}")]
     Crashed {
--- a/crates/core/src/systems/outcomes/mod.rs
+++ b/crates/core/src/systems/outcomes/mod.rs
@@ -5,6 +5,7 @@
 mod quarantine;
 mod results;
 mod retries;
+mod silence;
 mod suspects;
 
 pub(crate) use ejection::{back_off_full, record_failure};
@@ -67,6 +68,7 @@
     match event.progress {
         AttemptProgress::Sent => call.sent = true,
         AttemptProgress::FirstToken => call.placement.first_token_us = now_us,
+        AttemptProgress::Silent { forwarded } => silence::handle_silence(tick, attempt, forwarded),
         AttemptProgress::Finished(outcome) => results::complete_call(tick, attempt, outcome),
         AttemptProgress::Failed(failure) => retries::handle_failure(tick, attempt, failure),
     }
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -42,30 +42,24 @@
     let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
     };
-    let may_have_run = !failure.did_not_run();
-    call.may_have_run |= may_have_run;
-    if let Some(relay) = &mut call.relay {
-        relay.forwarded_tokens += failure.answer_tokens();
-        relay.runs += u32::from(may_have_run);
-    }
-    match failure {
-        Failure::ConnectionLost { .. } => call.placement.lost_connections += 1,
-        Failure::CallerGone { answer_tokens } => {
-            call.used_tokens = Some(call.request.prompt_tokens + answer_tokens);
-        }
-        failure if !failure.is_connected() => {}
-        _ => call.placement.failures += 1,
-    }
+    count_failure(call, &failure);
     let Some(upstream) = call.upstream.clone() else {
         return;
     };
-    let verdict = check_retry(call, &failure, tick.now_us);
+    // A cancelled attempt has its retry already, see `silence`.
+    let is_cancelled = std::mem::take(&mut call.placement.is_cancelled)
+        && matches!(failure, Failure::Silent { .. });
+    let verdict = if is_cancelled {
+        Ok(RetryReason::Idempotent)
+    } else {
+        check_retry(call, &failure, tick.now_us)
+    };
     if !failure.did_not_run() {
         let run = call.to_last_run(failure.answer_tokens(), charge_outcome(&failure));
         call.last_run = run.map(Box::new);
         pin_to_upstream(call, &upstream);
     }
-    let needs_budget = needs_budget(call, &failure);
+    let needs_budget = !is_cancelled && needs_budget(call, &failure);
     let verdict = verdict.and_then(|reason| {
         if needs_budget && !take_retry_budget(tick, attempt) {
             return Err(RetryReason::OverBudget);
@@ -97,6 +91,24 @@
     }
 }
 
+/// Counts a failed attempt of a call.
+pub(super) fn count_failure(call: &mut Call, failure: &Failure) {
+    let may_have_run = !failure.did_not_run();
+    call.may_have_run |= may_have_run;
+    if let Some(relay) = &mut call.relay {
+        relay.forwarded_tokens += failure.answer_tokens();
+        relay.runs += u32::from(may_have_run);
+    }
+    match failure {
+        Failure::ConnectionLost { .. } => call.placement.lost_connections += 1,
+        Failure::CallerGone { answer_tokens } => {
+            call.used_tokens = Some(call.request.prompt_tokens + answer_tokens);
+        }
+        failure if !failure.is_connected() => {}
+        _ => call.placement.failures += 1,
+    }
+}
+
 /// Returns the result of an attempt as it counts for the health of its upstream.
 fn attempt_result(tick: &Tick<'_>, attempt: AttemptId, failure: &Failure) -> AttemptResult {
     let call = tick.tables.calls.get(&attempt.call);
@@ -128,7 +140,11 @@
 }
 
 /// Returns the reason to retry a call or not to, regardless of the retry budget.
-fn check_retry(call: &Call, failure: &Failure, now_us: u64) -> Result<RetryReason, RetryReason> {
+pub(super) fn check_retry(
+    call: &Call,
+    failure: &Failure,
+    now_us: u64,
+) -> Result<RetryReason, RetryReason> {
     if failure.is_history() {
         return Err(RetryReason::History);
     }
@@ -169,7 +185,7 @@
 }
 
 /// Pins a call to its last upstream once it may have run on as many as its route allows.
-fn pin_to_upstream(call: &mut Call, upstream: &UpstreamName) {
+pub(super) fn pin_to_upstream(call: &mut Call, upstream: &UpstreamName) {
     let Some(relay) = &mut call.relay else {
         return;
     };
@@ -211,7 +227,7 @@
 }
 
 /// Takes one retry from the budget of the call's pool; returns whether one was left.
-fn take_retry_budget(tick: &mut Tick<'_>, attempt: AttemptId) -> bool {
+pub(super) fn take_retry_budget(tick: &mut Tick<'_>, attempt: AttemptId) -> bool {
     let (now_us, percent) = (tick.now_us, tick.settings.retry_percent);
     let call = tick.tables.calls.get(&attempt.call);
     call.map(|call| call.pool.clone())
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -139,6 +139,8 @@
     pub lost_connections: u32,
     /// Attempts that failed otherwise after they may have run.
     pub failures: u32,
+    /// Whether the running attempt was cancelled and another one may follow.
+    pub is_cancelled: bool,
     /// Crashes of upstreams during which the content ran, as reported by the owner of the pool.
     pub crashes: u32,
 }
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -13,6 +13,7 @@
 
 use super::reply::{RelayBody, Reply};
 use super::request;
+use super::silence::SilenceLimit;
 use crate::adapter::{CallHead, Dialect, ForwardContext, ResponseInfo};
 use crate::front::SharedState;
 use crate::metrics::Stage;
@@ -43,6 +44,16 @@
     pub kept_output: BytesMut,
 }
 
+impl Progress {
+    /// Returns the failure of an attempt whose upstream sent nothing for too long.
+    pub fn silent_failure(&self) -> Failure {
+        Failure::Silent {
+            answer_tokens: self.forwarded_tokens,
+            forwarded: self.is_stream_started,
+        }
+    }
+}
+
 /// One attempt of a call on the upstream that the core selected.
 pub(super) struct Attempt<'a, D, C> {
     pub shared: &'a SharedState<D, C>,
@@ -142,11 +153,13 @@
         );
         let request = request::encode_request(self.parts, &headers, prompt);
         let sent = Instant::now();
-        let first_deadline = sent + Duration::from_millis(self.dispatch.first_token_ms);
-        let limit = deadline.min(first_deadline);
+        let silence = SilenceLimit {
+            since: sent,
+            limit_ms: self.dispatch.first_token_ms,
+        };
         self.progress.may_be_sent = true;
-        let exchange = timeout_at(limit, connection.exchange(&request)).await;
-        let exchange = exchange.map_err(|_| self.timeout_failure())?;
+        let exchange = connection.exchange(&request);
+        let exchange = self.wait_for(exchange, silence, deadline).await?;
         let exchange = exchange.map_err(|error| self.failure(&error))?;
         let mut head = exchange.head;
         let mut info = self
@@ -157,7 +170,9 @@
             if !self.is_mismatched(&info) {
                 break;
             }
-            head = self.skip_response(connection, &head, limit).await?;
+            head = self
+                .skip_response(connection, &head, silence, deadline)
+                .await?;
             info = self
                 .shared
                 .dialect
@@ -196,7 +211,8 @@
         &self,
         connection: &mut Connection,
         head: &ResponseHead,
-        limit: Instant,
+        silence: SilenceLimit,
+        deadline: Instant,
     ) -> Result<ResponseHead, Failure> {
         let upstream = &self.dispatch.upstream;
         tracing::warn!(%upstream, "upstream: skipped a response to another request");
@@ -205,9 +221,7 @@
             body.collect(MAX_BUFFERED_BODY_BYTES).await?;
             connection.read_head().await
         };
-        let next = timeout_at(limit, next)
-            .await
-            .map_err(|_| self.timeout_failure())?;
+        let next = self.wait_for(next, silence, deadline).await?;
         next.map_err(|error| self.failure(&error))
     }
 
@@ -223,11 +237,11 @@
             let bytes = body.collect(MAX_BUFFERED_BODY_BYTES).await?;
             Ok((bytes, body.allows_reuse()))
         };
-        let gap = Duration::from_millis(self.dispatch.token_gap_ms);
-        let limit = deadline.min(Instant::now() + gap);
-        let read = timeout_at(limit, read)
-            .await
-            .map_err(|_| self.timeout_failure())?;
+        let silence = SilenceLimit {
+            since: Instant::now(),
+            limit_ms: self.dispatch.token_gap_ms,
+        };
+        let read = self.wait_for(read, silence, deadline).await?;
         read.map_err(|error| self.failure(&error))
     }
 
@@ -286,14 +300,16 @@
             } else {
                 deadline
             };
-            let limit = deadline.min(last + Duration::from_millis(limit_ms));
-            let read = timeout_at(limit, body.next()).await;
+            let silence = SilenceLimit {
+                since: last,
+                limit_ms,
+            };
+            let read = self.wait_for(body.next(), silence, deadline).await?;
             let bytes = match read {
-                Err(_) => return Err(self.timeout_failure()),
-                Ok(Err(error)) => return Err(self.failure(&error)),
-                Ok(Ok(Some(bytes))) => bytes,
-                Ok(Ok(None)) if events.has_partial() => return Err(self.failure(&ReadError::Ended)),
-                Ok(Ok(None)) => break,
+                Err(error) => return Err(self.failure(&error)),
+                Ok(Some(bytes)) => bytes,
+                Ok(None) if events.has_partial() => return Err(self.failure(&ReadError::Ended)),
+                Ok(None) => break,
             };
             events.push(&bytes);
             while let Some(event) = events.next().map_err(|error| self.failure(&error))? {
@@ -339,18 +355,6 @@
         }
     }
 
-    /// Logs that an upstream sent nothing before its time limit and returns the failure.
-    fn timeout_failure(&self) -> Failure {
-        let upstream = &self.dispatch.upstream;
-        let attempt = self.dispatch.attempt;
-        let is_stream_started = self.progress.is_stream_started;
-        tracing::info!(%attempt, %upstream, is_stream_started, "upstream: silent for too long");
-        Failure::Silent {
-            answer_tokens: self.progress.forwarded_tokens,
-            forwarded: self.progress.is_stream_started,
-        }
-    }
-
     /// Logs a response that could not be read to its end and returns the failure.
     fn failure(&self, error: &ReadError) -> Failure {
         if let ReadError::Malformed { reason } = error {
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -4,6 +4,7 @@
 mod history;
 mod reply;
 mod request;
+mod silence;
 mod task;
 
 pub(crate) use reply::{CallerResponse, RelayBody, Reply, caller_guard};
--- a/crates/relay/src/call/task.rs
+++ b/crates/relay/src/call/task.rs
@@ -36,6 +36,8 @@
     progress: Progress,
     arrived: Instant,
     is_disconnected: bool,
+    /// An output that arrived while an attempt ran and ended it.
+    pending_output: Option<CallOutput>,
     /// Error response of the last failed attempt, sent to the caller if the call ends with it.
     error_response: Option<Response<RelayBody>>,
 }
@@ -49,6 +51,7 @@
             progress: Progress::default(),
             arrived: Instant::now(),
             is_disconnected: false,
+            pending_output: None,
             error_response: None,
         }
     }
@@ -58,6 +61,8 @@
         while let Some(output) = self.next_output().await {
             match output {
                 CallOutput::Dispatch(dispatch) => self.run_attempt(&dispatch).await,
+                // The attempt has ended meanwhile.
+                CallOutput::Cancel => {}
                 CallOutput::Answered => return,
                 CallOutput::Refused(refusal) => {
                     self.send_refusal(&refusal).await;
@@ -77,6 +82,9 @@
 
     /// Waits for the next output; reports once if the caller disconnects meanwhile.
     async fn next_output(&mut self) -> Option<CallOutput> {
+        if let Some(output) = self.pending_output.take() {
+            return Some(output);
+        }
         if self.is_disconnected {
             return self.context.outputs.recv().await;
         }
@@ -115,6 +123,10 @@
         } else {
             tokio::select! {
                 end = attempt.run() => end,
+                output = self.context.outputs.recv() => {
+                    self.pending_output = output;
+                    AttemptEnd::from(self.progress.silent_failure())
+                }
                 _ = &mut self.context.disconnected => {
                     self.is_disconnected = true;
                     let answer_tokens = self.progress.forwarded_tokens;
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -58,6 +58,8 @@
 pub(crate) enum CallOutput {
     /// Run an attempt.
     Dispatch(Dispatch),
+    /// Stop the running attempt, since the call goes on in another one.
+    Cancel,
     /// The call is complete.
     Answered,
     /// The call is refused.
@@ -277,7 +279,8 @@
         | Decision::TurnCovered { call, .. }
         | Decision::TurnUncovered { call, .. }
         | Decision::Retry { call, .. }
-        | Decision::NoRetry { call, .. } => Some(*call),
+        | Decision::NoRetry { call, .. }
+        | Decision::SilenceTolerated { call, .. } => Some(*call),
         Decision::Placed { attempt, .. } => Some(attempt.call),
         _ => None,
     }
@@ -323,6 +326,7 @@
             Output::Dispatch(dispatch) => {
                 self.send_to_call(dispatch.attempt.call, CallOutput::Dispatch(dispatch));
             }
+            Output::CancelAttempt(attempt) => self.send_to_call(attempt.call, CallOutput::Cancel),
             Output::Answered(answered) => self.close_call(answered.call, CallOutput::Answered),
             Output::Refused(refusal) => self.close_call(refusal.call, CallOutput::Refused(refusal)),
             Output::Source(request) => {
@@ -351,8 +355,7 @@
             Output::Charge(charge) => self.record_charge(charge),
             Output::Decision(decision) => self.log_decision(&decision, control, now_us),
             // Emitted only under `Coordination::Owners`, or for calls that have a home.
-            Output::CancelAttempt(_)
-            | Output::Replay { .. }
+            Output::Replay { .. }
             | Output::PermitIssued { .. }
             | Output::ProgramEnded { .. }
             | Output::Send { .. }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -215,6 +215,9 @@
             }
             Decision::Retry { .. } => self.retries.with_label_values(&["retried"]).inc(),
             Decision::NoRetry { .. } => self.retries.with_label_values(&["ended"]).inc(),
+            Decision::SilenceTolerated { .. } => {
+                self.retries.with_label_values(&["tolerated"]).inc();
+            }
             _ => {}
         }
     }
--- a/crates/testing/src/relays/attempts.rs
+++ b/crates/testing/src/relays/attempts.rs
@@ -128,6 +128,31 @@
         }
     }
 
+    /// Lets an upstream pause: the attempts that a VM runs there are reported as silent, and end as
+    /// they would have unless they are cancelled.
+    pub fn pause_upstream(&mut self, vm: usize, upstream: Option<&str>) {
+        for attempt in self.running_attempts(Some(vm), upstream) {
+            let Some(row) = self.running.get(&attempt) else {
+                continue;
+            };
+            let forwarded = self.now_us >= row.first_event_us;
+            let progress = AttemptProgress::Silent { forwarded };
+            self.deliver(
+                vm,
+                LINK_US,
+                Input::Attempt(AttemptEvent { attempt, progress }),
+            );
+        }
+    }
+
+    /// Ends a cancelled attempt.
+    pub(super) fn cancel_attempt(&mut self, attempt: AttemptId) {
+        self.end_attempt(attempt, |forwarded| Failure::Silent {
+            answer_tokens: 0,
+            forwarded,
+        });
+    }
+
     /// Ends the process of an upstream, which resets its connections.
     pub fn crash_upstream(&mut self, upstream: &str) {
         self.set_upstream_state(upstream, Some(UpstreamState::Crashed));
--- a/crates/testing/src/relays/outputs.rs
+++ b/crates/testing/src/relays/outputs.rs
@@ -30,6 +30,7 @@
                 with_programs,
             } => self.request_snapshot(vm, &address, with_programs),
             Output::Dispatch(dispatch) => self.run_attempt(vm, dispatch),
+            Output::CancelAttempt(attempt) => self.cancel_attempt(attempt),
             Output::Refused(refusal) => {
                 self.open.remove(&refusal.call);
                 self.refusals.push((self.now_us, refusal));
