Limit the wait of a turn for its program's budget

A turn whose VM had restarted got neither an answer nor a refusal if the store failed before it had told the VM which programs ran before.

Cause: such turns, and those that wait for a reservation, waited for an event that resumes them and had no timer. A wait now ends after 1.5 s, or at the deadline of the call, with 503: not run, come back after 0.3 s. The caller has time left to do so.

--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -19,6 +19,9 @@
 /// `retry-after` of a turn that is refused because the store did not answer.
 const RETRY_AFTER_MS: u64 = 300;
 
+/// Longest wait of a turn for its program's budget; its caller has time left to come back.
+const MAX_WAIT_US: u64 = 1_500_000;
+
 /// Input collected for this system since its last run.
 #[derive(Debug, Default)]
 pub(crate) struct Work {
@@ -43,12 +46,17 @@
         handle_reservation(tick, &program, tokens);
     }
     for timer in work.due_timers {
-        if let Timer::BudgetIdle(program) = timer {
-            expire_program(tick, program);
+        match timer {
+            Timer::BudgetWait(call) => expire_wait(tick, call),
+            Timer::BudgetIdle(program) => expire_program(tick, program),
+            _ => {}
         }
     }
     if tick.tables.source.knowledge == ProgramKnowledge::Pending {
-        tick.tables.source.waiting.extend(work.calls);
+        for call in work.calls {
+            schedule_wait_end(tick, call);
+            tick.tables.source.waiting.push(call);
+        }
         return;
     }
     for call in work.calls {
@@ -56,6 +64,37 @@
     }
 }
 
+/// Limits the wait of a turn for its budget, at most until its deadline.
+fn schedule_wait_end(tick: &mut Tick<'_>, id: CallId) {
+    let call = tick.tables.calls.get(&id);
+    let Some(relay) = call.and_then(|call| call.relay.as_ref()) else {
+        return;
+    };
+    let due_us = relay.deadline_us.min(tick.now_us + MAX_WAIT_US);
+    tick.tables.timers.set(due_us, Timer::BudgetWait(id));
+}
+
+/// Refuses a turn that still waits for its budget.
+fn expire_wait(tick: &mut Tick<'_>, id: CallId) {
+    let Some(call) = tick.tables.calls.get(&id) else {
+        return;
+    };
+    if call.stage != Stage::Budget {
+        return;
+    }
+    refuse_uncovered(tick, id);
+}
+
+/// Refuses a turn because it is not known what is left of its program's budget.
+fn refuse_uncovered(tick: &mut Tick<'_>, id: CallId) {
+    if let Some((program, ..)) = turn_of(tick, id) {
+        report_uncovered(tick, &program, id);
+    }
+    let kind = RefusalKind::BudgetUnknown;
+    let retry_after_ms = Some(RETRY_AFTER_MS);
+    admission::refuse(tick, id, kind, Execution::NotRun, retry_after_ms);
+}
+
 /// Records that earlier programs are known and resumes the turns that waited for this.
 pub(crate) fn mark_programs_known(tick: &mut Tick<'_>, losses: u32, programs: usize) {
     let source = &mut tick.tables.source;
@@ -119,6 +158,7 @@
                     has_record,
                 }));
             }
+            schedule_wait_end(tick, id);
         }
         BudgetDecision::Exhausted => stop_program(tick, &program, id),
     }
@@ -217,12 +257,7 @@
         match tokens {
             Some(0) => stop_program(tick, program, id),
             Some(_) => cover_turn(tick, id),
-            None => {
-                report_uncovered(tick, program, id);
-                let retry = Some(RETRY_AFTER_MS);
-                let kind = RefusalKind::BudgetUnknown;
-                admission::refuse(tick, id, kind, Execution::NotRun, retry);
-            }
+            None => refuse_uncovered(tick, id),
         }
     }
 }
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -80,6 +80,8 @@
     Summary,
     /// A read of the configuration, the list of upstreams or the list of VMs may be due.
     Source,
+    /// The longest wait of a turn for its program's budget has ended.
+    BudgetWait(CallId),
     /// The budget of a program may have expired.
     BudgetIdle(ProgramKey),
 }
