Ignore registrations of VMs without a usable address

A VM would have stopped answering for as long as a name lookup takes, in each round of summaries: the address of a registered VM went to the socket as text, and a host name in it was looked up on the control thread. Other invalid addresses made every round fail to send.

Registrations are used only with the ip:port of one host and names of 256 bytes at most. The control thread parses the address of a summary and never looks it up, since other VMs pass addresses on as well.

--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -1,7 +1,7 @@
 //! The messages to the control thread and the dispatch of its outputs.
 
 use std::collections::HashMap;
-use std::net::UdpSocket;
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -223,7 +223,15 @@
     }
 
     /// Sends a summary. A failure is not retried, since the next summary follows.
+    ///
+    /// An address that another VM passed on may be no `ip:port`. It is not looked up, since that
+    /// would block the control thread.
     fn send_summary(&self, address: &str, summary: &knapweeddale_core::Summary) {
+        let Ok(receiver) = address.parse::<SocketAddr>() else {
+            self.metrics.count_unsent_summary();
+            tracing::debug!(address, "peers: summary not sent, the address is not valid");
+            return;
+        };
         let bytes = match postcard::to_stdvec(summary) {
             Ok(bytes) => bytes,
             Err(error) => {
@@ -231,7 +239,7 @@
                 return;
             }
         };
-        match self.datagrams.send_to(&bytes, address) {
+        match self.datagrams.send_to(&bytes, receiver) {
             Ok(sent) => self.metrics.count_summary(sent),
             Err(error) => {
                 self.metrics.count_unsent_summary();
--- a/crates/relay/src/store/registry.rs
+++ b/crates/relay/src/store/registry.rs
@@ -1,9 +1,13 @@
 //! Registration of VMs in the store, through which they find each other.
 
+use knapweeddale_core::input::is_host_address;
 use knapweeddale_core::{DomainName, RegisteredVm, StorageVm, VmName};
 use knapweeddale_store::{Object, ObjectApi, StoreError};
 use serde::{Deserialize, Serialize};
 
+/// Limit for the length of a name, which other VMs send in datagrams.
+const MAX_NAME_BYTES: usize = 256;
+
 /// Key prefix of the registrations.
 const PREFIX: &str = "knapweeddale-vms/";
 
@@ -51,6 +55,12 @@
     fn key(&self) -> String {
         format!("{PREFIX}{}", self.vm)
     }
+
+    /// Returns whether the VM has a usable name and address.
+    fn is_usable(&self) -> bool {
+        let is_named = (1..=MAX_NAME_BYTES).contains(&self.vm.len());
+        is_named && self.failure_domain.len() <= MAX_NAME_BYTES && is_host_address(&self.address)
+    }
 }
 
 /// Registers a VM unless its registration is up to date, and returns all registered VMs.
@@ -91,9 +101,19 @@
 /// Decodes registrations, skipping invalid ones.
 fn decode_registrations(entries: &[(String, Object)]) -> Vec<Registration> {
     let decoded = entries.iter().filter_map(|(name, object)| {
-        let row = serde_json::from_slice(&object.value);
-        row.inspect_err(|error| tracing::warn!(name, "source: registration ignored ({error})"))
-            .ok()
+        let row: Option<Registration> = serde_json::from_slice(&object.value)
+            .inspect_err(|error| tracing::warn!(name, "source: registration ignored ({error})"))
+            .ok();
+        row.filter(|row| {
+            let is_usable = row.is_usable();
+            if !is_usable {
+                tracing::warn!(
+                    name,
+                    "source: registration without a usable address ignored"
+                );
+            }
+            is_usable
+        })
     });
     decoded.collect()
 }
