Cover turns although a record of budgets is not valid

Callers got no answer at all: after one invalid budget record or an invalid record of losses, a VM that started without its memory held every turn, past the time limit of its caller, since reading the budgets of earlier programs failed each time.

A budget record that is not valid is now left out when the records are read. Turns of its program are still refused when they need a reservation, so that the budget holds. A budget over the bound of tokens counts as not valid, since sums of it overflow on the control thread. A record of losses that is not valid counts as one earlier loss and is replaced.

--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use knapweeddale_core::ProgramKey;
+use knapweeddale_core::input::MAX_TOKENS;
 use knapweeddale_core::tables::BudgetRecord;
 use knapweeddale_store::{Object, ObjectApi, StoreError};
 use serde::{Deserialize, Serialize};
@@ -149,7 +150,14 @@
 
 /// Decodes a record.
 fn decode_record(key: &str, object: &Object) -> Result<BudgetRecord, StoreError> {
-    serde_json::from_slice(&object.value).map_err(|error| invalid_record(key, &error))
+    let record: BudgetRecord =
+        serde_json::from_slice(&object.value).map_err(|error| invalid_record(key, &error))?;
+    if record.budget_tokens > MAX_TOKENS {
+        return Err(StoreError::Unavailable {
+            reason: format!("record {key} has a budget over {MAX_TOKENS} tokens"),
+        });
+    }
+    Ok(record)
 }
 
 /// Builds the error for a record that cannot be decoded or encoded.
@@ -179,6 +187,13 @@
             .retain(|counted| age_ms(counted) < LOSS_RETENTION_MS);
     }
 
+    /// Returns the record of one loss before the present one.
+    fn one_before(now_unix_ms: u64) -> Self {
+        Self {
+            counted_unix_ms: vec![now_unix_ms.saturating_sub(LOSS_DEDUP_MS)],
+        }
+    }
+
     /// Returns the number of losses.
     fn count(&self) -> u32 {
         u32::try_from(self.counted_unix_ms.len()).unwrap_or(u32::MAX)
@@ -193,24 +208,38 @@
     let entries = store.get_by_prefix(PREFIX).await?;
     let mut records = Vec::with_capacity(entries.len());
     for (key, object) in &entries {
-        records.push(decode_record(key, object)?);
+        // Turns of a program whose record is not valid are refused when they need a reservation.
+        match decode_record(key, object) {
+            Ok(record) => records.push(record),
+            Err(error) => tracing::warn!("budgets: record ignored ({error})"),
+        }
     }
     Ok((losses, records))
 }
 
+/// Decodes the record of losses.
+fn decode_losses(object: &Object) -> serde_json::Result<Losses> {
+    serde_json::from_slice(&object.value)
+}
+
 /// Records a loss of memory and returns the number of losses that still matter.
+///
+/// A record that is not valid counts as one earlier loss, since it is written only after one.
 async fn record_loss<S: ObjectApi>(store: &S) -> Result<u32, StoreError> {
     for _ in 0..MAX_CONFLICTS {
         let object = store.get(LOSSES_KEY).await?;
         let version = object.as_ref().map_or(0, |object| object.version);
-        let mut losses: Losses = match &object {
-            Some(object) => serde_json::from_slice(&object.value)
-                .map_err(|error| invalid_record(LOSSES_KEY, &error))?,
-            None => Losses::default(),
+        let now_unix_ms = unix_ms();
+        let previous = object.as_ref().map_or(Ok(Losses::default()), decode_losses);
+        let mut losses = match &previous {
+            Ok(previous) => previous.clone(),
+            Err(error) => {
+                tracing::warn!("budgets: record {LOSSES_KEY} replaced ({error})");
+                Losses::one_before(now_unix_ms)
+            }
         };
-        let previous = losses.clone();
-        losses.record(unix_ms());
-        if losses == previous {
+        losses.record(now_unix_ms);
+        if previous.is_ok_and(|previous| previous == losses) {
             return Ok(losses.count());
         }
         let value =
