Bound the idle time that a worker states

A caller got 502 for a request that a worker had answered, whenever the worker stated Keep-Alive: timeout= with a number of seconds near 2^64: adding it to the present time panicked in the task of the request.

The stated time is lowered to an hour. Of 3 cases of idle_times, 1 failed before with 'overflow when adding duration to instant'; none fails now.

--- a/crates/relay/src/upstream/pool.rs
+++ b/crates/relay/src/upstream/pool.rs
@@ -27,6 +27,9 @@
 /// Idle time after which a connection is closed if the upstream states no keep-alive timeout.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Limit for the idle time that an upstream states.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(3_600);
+
 /// Connections are closed this long before the upstream would close them.
 const IDLE_MARGIN: Duration = Duration::from_millis(1_000);
 
@@ -142,6 +145,7 @@
     pub fn put_idle(&self, address: &Arc<str>, connection: Connection, keep_alive_s: Option<u64>) {
         let now = Instant::now();
         let idle_time = keep_alive_s.map_or(IDLE_TIMEOUT, Duration::from_secs);
+        let idle_time = idle_time.min(MAX_IDLE_TIME);
         let expires_at = now + idle_time.saturating_sub(IDLE_MARGIN);
         if expires_at <= now {
             return;
