Refuse a turn that reaches its deadline before budgets are known

Callers got no answer and no refusal to a turn: on a VM that had started without its memory, turns waited for the budgets of earlier programs without a limit, as long as the store did not answer those reads. The timeout of the route and the caller's own passed.

A waiting turn now has a timer for its deadline and is then refused with 503 and a time to come back, as when a reservation gets no answer. It has not run, and it is taken out of the list of waiting turns, so that it does not run later.

--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -43,12 +43,16 @@
         handle_reservation(tick, &program, tokens);
     }
     for timer in work.due_timers {
-        if let Timer::BudgetIdle(program) = timer {
-            expire_program(tick, program);
+        match timer {
+            Timer::BudgetIdle(program) => expire_program(tick, program),
+            Timer::BudgetWait(id) => expire_wait(tick, id),
+            _ => {}
         }
     }
     if tick.tables.source.knowledge == ProgramKnowledge::Pending {
-        tick.tables.source.waiting.extend(work.calls);
+        for id in work.calls {
+            wait_for_programs(tick, id);
+        }
         return;
     }
     for call in work.calls {
@@ -56,6 +60,31 @@
     }
 }
 
+/// Lets a turn wait until earlier programs are known, at most until its deadline.
+fn wait_for_programs(tick: &mut Tick<'_>, id: CallId) {
+    let call = tick.tables.calls.get(&id);
+    if let Some(relay) = call.and_then(|call| call.relay.as_ref()) {
+        let due_us = relay.deadline_us;
+        tick.tables.timers.set(due_us, Timer::BudgetWait(id));
+    }
+    tick.tables.source.waiting.push(id);
+}
+
+/// Refuses a turn that has reached its deadline while earlier programs are not known.
+fn expire_wait(tick: &mut Tick<'_>, id: CallId) {
+    let waiting = &mut tick.tables.source.waiting;
+    let Some(index) = waiting.iter().position(|waiting| *waiting == id) else {
+        return;
+    };
+    waiting.swap_remove(index);
+    let is_waiting = |call: &Call| call.stage == Stage::Budget;
+    if tick.tables.calls.get(&id).is_some_and(is_waiting) {
+        let retry = Some(RETRY_AFTER_MS);
+        let kind = RefusalKind::BudgetUnknown;
+        admission::refuse(tick, id, kind, Execution::NotRun, retry);
+    }
+}
+
 /// Records that earlier programs are known and resumes the turns that waited for this.
 pub(crate) fn mark_programs_known(tick: &mut Tick<'_>, losses: u32, programs: usize) {
     let source = &mut tick.tables.source;
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -39,7 +39,7 @@
             Timer::OrdersReview(_) => work.orders.due_timers.push(timer),
             Timer::Summary => work.peers.is_due = true,
             Timer::Source => work.source.is_due = true,
-            Timer::BudgetIdle(_) => work.budgets.due_timers.push(timer),
+            Timer::BudgetIdle(_) | Timer::BudgetWait(_) => work.budgets.due_timers.push(timer),
             Timer::Heartbeat | Timer::Store => work.membership.due_timers.push(timer),
         }
     }
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -82,6 +82,8 @@
     Source,
     /// The budget of a program may have expired.
     BudgetIdle(ProgramKey),
+    /// A turn has waited until its deadline for the budgets of earlier programs.
+    BudgetWait(CallId),
 }
 
 /// Pending timers, ordered by due time.
