Believe a response of a worker only if it names the request

What callers would see: a worker sends an earlier refusal once more on a kept connection. Its copy is read as the response to the next request there, which the worker runs.

Cause: a response was believed by its place on the connection. Its request ID could only speak against it: without one it counted as that of the request, and so did one with an ID if the request had none. A second attempt of the same call on the same connection has the ID of the first.

Change: a response counts if its ID is that of the request, or if it has none and is the first on its connection. Others are skipped, up to two; what is left of the request is sent after them. An attempt opens a connection if the request has no ID or was sent to this upstream before. An empty ID counts as none.

Connections are reused after a refusal as before: with the IDs compared, the copy of a refusal cannot be taken for another response, and a new connection for each refusal would protect no answer.

That the rest of a long request is sent after a copy is not tested: the fakes read whole requests first.

--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -1,5 +1,6 @@
 //! Runs one attempt of a call on an upstream: sends the request and relays the response.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -9,6 +10,7 @@
 use knapweeddale_core::input::{AttemptOutcome, Failure};
 use knapweeddale_core::{Dispatch, StreamFormat};
 use knapweeddale_runtime::Clock;
+use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
 use super::reply::{RelayBody, Reply};
@@ -16,13 +18,10 @@
 use crate::adapter::{CallHead, Dialect, ForwardContext, ResponseInfo};
 use crate::front::SharedState;
 use crate::metrics::Stage;
-use crate::upstream::{Connection, EventReader, ReadError, ResponseHead};
+use crate::upstream::{Connection, EventReader, Exchange, ReadError, ResponseHead};
 
 /// Longest response body that is buffered before it is forwarded.
-const MAX_BUFFERED_BODY_BYTES: usize = 16 * 1024 * 1024;
-
-/// Responses to other requests that an attempt skips before it fails.
-const MAX_MISMATCHED_RESPONSES: usize = 2;
+pub(super) const MAX_BUFFERED_BODY_BYTES: usize = 16 * 1024 * 1024;
 
 /// What a call has sent to its upstreams and forwarded to its caller so far.
 #[derive(Debug, Default)]
@@ -35,6 +34,8 @@
     pub is_stream_started: bool,
     /// Whether the current attempt may have sent a byte of the request.
     pub may_be_sent: bool,
+    /// Addresses of the upstreams to which an attempt may have sent the request.
+    pub sent_to: SmallVec<[Arc<str>; 4]>,
     /// Time from sending a request to the end of its response, summed over all attempts.
     pub upstream_time: Duration,
     /// Contents of the turns before this one, once they were read.
@@ -93,7 +94,7 @@
         };
         let address = &self.dispatch.address;
         let pool = &self.shared.pool;
-        let acquired = pool.acquire(address, self.is_repeatable, &self.shared.metrics);
+        let acquired = pool.acquire(address, self.reuse(), &self.shared.metrics);
         let mut connection = match timeout_at(deadline, acquired).await {
             Ok(Ok(connection)) => connection,
             Ok(Err(error)) => {
@@ -144,29 +145,9 @@
         let sent = Instant::now();
         let first_deadline = sent + Duration::from_millis(self.dispatch.first_token_ms);
         let limit = deadline.min(first_deadline);
-        self.progress.may_be_sent = true;
-        let exchange = timeout_at(limit, connection.exchange(&request)).await;
-        let exchange = exchange.map_err(|_| self.timeout_failure())?;
-        let exchange = exchange.map_err(|error| self.failure(&error))?;
-        let mut head = exchange.head;
-        let mut info = self
-            .shared
-            .dialect
-            .decode_response(head.status, &head.headers);
-        for _ in 0..MAX_MISMATCHED_RESPONSES {
-            if !self.is_mismatched(&info) {
-                break;
-            }
-            head = self.skip_response(connection, &head, limit).await?;
-            info = self
-                .shared
-                .dialect
-                .decode_response(head.status, &head.headers);
-        }
-        if self.is_mismatched(&info) {
-            return Err(self.invalid_response("it belongs to another request"));
-        }
-        let is_reusable = exchange.is_request_complete && head.is_keep_alive;
+        let (exchange, info) = self.send_request(connection, &request, limit).await?;
+        let Exchange { head, unsent, .. } = exchange;
+        let is_reusable = unsent.is_empty() && head.is_keep_alive;
         let end = match self.dispatch.events {
             Some(form) if head.status.is_success() && is_authentic(&head, &info) => {
                 let end = self
@@ -183,34 +164,6 @@
         Ok((end.0, keep_alive))
     }
 
-    /// Returns whether a response carries the ID of another request.
-    fn is_mismatched(&self, info: &ResponseInfo) -> bool {
-        match (&info.request_id, &self.head.request_id) {
-            (Some(answered), Some(expected)) => answered != expected,
-            _ => false,
-        }
-    }
-
-    /// Discards a response to another request and reads the head of the next one.
-    async fn skip_response(
-        &self,
-        connection: &mut Connection,
-        head: &ResponseHead,
-        limit: Instant,
-    ) -> Result<ResponseHead, Failure> {
-        let upstream = &self.dispatch.upstream;
-        tracing::warn!(%upstream, "upstream: skipped a response to another request");
-        let next = async {
-            let mut body = connection.body(&self.parts.method, head)?;
-            body.collect(MAX_BUFFERED_BODY_BYTES).await?;
-            connection.read_head().await
-        };
-        let next = timeout_at(limit, next)
-            .await
-            .map_err(|_| self.timeout_failure())?;
-        next.map_err(|error| self.failure(&error))
-    }
-
     /// Reads a whole response body; returns it and whether its connection can be reused.
     async fn read_whole(
         &self,
@@ -340,7 +293,7 @@
     }
 
     /// Returns the failure of an upstream that sent nothing before its time limit.
-    fn timeout_failure(&self) -> Failure {
+    pub(super) fn timeout_failure(&self) -> Failure {
         Failure::Silent {
             answer_tokens: self.progress.forwarded_tokens,
             forwarded: self.progress.is_stream_started,
@@ -348,7 +301,7 @@
     }
 
     /// Logs a response that could not be read to its end and returns the failure.
-    fn failure(&self, error: &ReadError) -> Failure {
+    pub(super) fn failure(&self, error: &ReadError) -> Failure {
         if let ReadError::Malformed { reason } = error {
             return self.invalid_response(reason);
         }
@@ -362,7 +315,7 @@
     }
 
     /// Logs a response that is not valid for the request and returns the failure.
-    fn invalid_response(&self, reason: &str) -> Failure {
+    pub(super) fn invalid_response(&self, reason: &str) -> Failure {
         let upstream = &self.dispatch.upstream;
         let attempt = self.dispatch.attempt;
         tracing::warn!(%attempt, %upstream, "upstream: response cannot be used ({reason})");
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod history;
+mod matching;
 mod reply;
 mod request;
 mod task;
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -63,6 +63,8 @@
     stream: TcpStream,
     /// Bytes that were read but not parsed yet.
     pub(super) buffer: BytesMut,
+    /// Whether the head of a final response was read on this connection.
+    has_responded: bool,
 }
 
 /// The result of sending a request.
@@ -70,8 +72,10 @@
 pub(crate) struct Exchange {
     /// The head of the response that followed.
     pub head: ResponseHead,
-    /// Whether the whole request was sent before the response started.
-    pub is_request_complete: bool,
+    /// The rest of the request, which was not sent when the response started.
+    pub unsent: Bytes,
+    /// Whether this is the first response on its connection, so that it repeats no earlier one.
+    pub is_first_response: bool,
 }
 
 impl Connection {
@@ -80,6 +84,7 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            has_responded: false,
         }
     }
 
@@ -93,18 +98,19 @@
 
     /// Sends a request and reads the head of its response.
     ///
-    /// Stops sending when the upstream responds before it has read the whole request.
+    /// Stops sending when the upstream responds before it has read the whole request. If that
+    /// response belongs to another request, this is called again with the rest.
     pub async fn exchange(&mut self, request: &Bytes) -> Result<Exchange, ReadError> {
         let (mut reader, mut writer) = self.stream.split();
         let mut sent = 0;
         let mut write_error = None;
-        while sent < request.len() && write_error.is_none() {
+        while sent < request.len() && self.buffer.is_empty() && write_error.is_none() {
             self.buffer.reserve(READ_BUFFER_BYTES);
             tokio::select! {
                 biased;
                 read = reader.read_buf(&mut self.buffer) => match read {
                     Ok(0) => return Err(ReadError::Ended),
-                    Ok(_) => break,
+                    Ok(_) => {}
                     Err(source) => return Err(ReadError::Broken { source }),
                 },
                 written = writer.write(&request[sent..]) => match written {
@@ -113,11 +119,12 @@
                 }
             }
         }
-        let is_request_complete = sent == request.len();
+        let is_first_response = !self.has_responded;
         match self.read_head().await {
             Ok(head) => Ok(Exchange {
                 head,
-                is_request_complete,
+                unsent: request.slice(sent..),
+                is_first_response,
             }),
             // If both failed, the write failed first and shows the cause.
             Err(error) => Err(write_error.map_or(error, |source| ReadError::Broken { source })),
@@ -125,12 +132,13 @@
     }
 
     /// Reads the head of the next response.
-    pub async fn read_head(&mut self) -> Result<ResponseHead, ReadError> {
+    async fn read_head(&mut self) -> Result<ResponseHead, ReadError> {
         let mut interim_responses = 0;
         loop {
             if let Some((head, bytes)) = parse_head(&self.buffer)? {
                 let _ = self.buffer.split_to(bytes);
                 if !head.status.is_informational() {
+                    self.has_responded = true;
                     return Ok(head);
                 }
                 interim_responses += 1;
--- a/crates/relay/src/upstream/mod.rs
+++ b/crates/relay/src/upstream/mod.rs
@@ -10,6 +10,6 @@
 mod pool;
 
 pub(crate) use body::Body;
-pub(crate) use connection::{Connection, ReadError, ResponseHead};
+pub(crate) use connection::{Connection, Exchange, ReadError, ResponseHead};
 pub(crate) use events::{Event, EventReader};
-pub(crate) use pool::{Pool, run_probes};
+pub(crate) use pool::{Pool, Reuse, run_probes};
--- a/crates/relay/src/upstream/pool.rs
+++ b/crates/relay/src/upstream/pool.rs
@@ -91,6 +91,17 @@
     }
 }
 
+/// Which idle connections an attempt may use.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Reuse {
+    /// None: a late response to an earlier request could not be told apart.
+    Never,
+    /// Those that the upstream is unlikely to be closing, because the request must not be repeated.
+    Recent,
+    /// All that have not expired.
+    Any,
+}
+
 /// A connection in the pool.
 #[derive(Debug)]
 struct IdleConnection {
@@ -110,10 +121,10 @@
     pub async fn acquire(
         &self,
         address: &Arc<str>,
-        is_repeatable: bool,
+        reuse: Reuse,
         metrics: &Metrics,
     ) -> Result<Connection, ConnectError> {
-        if let Some(connection) = self.take_idle(address, is_repeatable) {
+        if let Some(connection) = self.take_idle(address, reuse) {
             metrics.count_connection(false);
             return Ok(connection);
         }
@@ -122,14 +133,17 @@
     }
 
     /// Removes and returns the last added connection that appears to be usable.
-    fn take_idle(&self, address: &Arc<str>, is_repeatable: bool) -> Option<Connection> {
+    fn take_idle(&self, address: &Arc<str>, reuse: Reuse) -> Option<Connection> {
+        if reuse == Reuse::Never {
+            return None;
+        }
         let now = Instant::now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         let connections = idle.get_mut(address)?;
         connections.retain(|entry| entry.expires_at > now);
         while let Some(entry) = connections.pop() {
             let is_fresh =
-                is_repeatable || now.duration_since(entry.idle_since) < MAX_UNREPEATABLE_IDLE;
+                reuse == Reuse::Any || now.duration_since(entry.idle_since) < MAX_UNREPEATABLE_IDLE;
             // A connection that was closed or has unexpected bytes is dropped.
             if is_fresh && entry.connection.is_idle_and_open() {
                 return Some(entry.connection);
--- a/crates/testing/src/http/connection.rs
+++ b/crates/testing/src/http/connection.rs
@@ -1,6 +1,7 @@
 //! Server side of one HTTP/1.1 connection.
 
 use std::io;
+use std::net::SocketAddr;
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -45,6 +46,15 @@
         }
     }
 
+    /// Returns the address of the client.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the connection is broken.
+    pub fn peer_address(&self) -> io::Result<SocketAddr> {
+        self.stream.peer_addr()
+    }
+
     /// Reads the next request; `None` when the client has closed the connection.
     ///
     /// # Errors
