Use each connection to an upstream of the product's front end once

What callers would see: an upstream sends an earlier response once more on a kept connection. A caller gets the answer of another call, or a call runs twice or is refused as not run because an earlier refusal was read as its response.

Cause: the responses of these upstreams name no request, and the HTTP client kept connections. A copy that arrives after the next request was written is read as its response; nothing tells them apart.

Change: the client keeps no idle connection, so no earlier response can precede one. This holds for calls, load reports, orders, releases and probes. It costs one round trip for each request, about 1 ms where upstreams are near.

Before: both tests of repeated_responses fail (a call ran twice; "two" was answered with the echo of "one"); after: both pass, as do silent_upstream and whole_path. The cost was not measured.

--- a/crates/entry/src/upstream/client.rs
+++ b/crates/entry/src/upstream/client.rs
@@ -13,10 +13,6 @@
 /// choice of another upstream.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Time after which an idle connection is closed. Shorter than the 5 s of common HTTP servers, so
-/// that no request is sent on a connection that the upstream is closing.
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-
 /// A request to an upstream; the same for each attempt of a call.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamRequest {
@@ -50,7 +46,7 @@
     }
 }
 
-/// HTTP client for upstreams with pooled connections.
+/// HTTP client for upstreams, which uses a new connection for each request.
 #[derive(Debug, Clone)]
 pub(crate) struct UpstreamClient(Client);
 
@@ -58,7 +54,8 @@
     /// Creates a client that sends each request only once.
     ///
     /// Retries and redirects could repeat a request that must run only once, and a proxy could
-    /// read the requests.
+    /// read the requests. Responses do not name their request, so on a reused connection a late
+    /// copy of an earlier response would count as the response to the next request.
     pub fn new() -> reqwest::Result<Self> {
         Client::builder()
             .retry(retry::never())
@@ -68,7 +65,7 @@
             .http1_only()
             .tcp_nodelay(true)
             .connect_timeout(CONNECT_TIMEOUT)
-            .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+            .pool_max_idle_per_host(0)
             .build()
             .map(Self)
     }
--- a/crates/entry/src/upstream/probe.rs
+++ b/crates/entry/src/upstream/probe.rs
@@ -59,7 +59,7 @@
     }
 }
 
-/// Probes an upstream, over a new or pooled connection.
+/// Probes an upstream over a new connection.
 ///
 /// An upstream whose uptime is shorter than the time since the last request to it has restarted.
 /// One that reports no uptime, such as a plain service, counts as not restarted.
--- a/crates/testing/src/http/plain.rs
+++ b/crates/testing/src/http/plain.rs
@@ -2,13 +2,19 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use serde_json::json;
+use tokio::time::sleep;
 
 use super::connection::{Connection, Request};
 use super::server::{FakeServer, Handler};
 
+/// Time between a response that is sent once more and the response to the request.
+const REPEAT_LEAD: Duration = Duration::from_millis(20);
+
 /// Plain service that echoes requests and counts their executions.
 #[derive(Debug, Default)]
 pub struct FakePlain(Mutex<State>);
@@ -20,6 +26,10 @@
     executions: BTreeMap<String, u64>,
     drop_next: bool,
     hang_next: bool,
+    refuse_next: bool,
+    repeats: bool,
+    /// The last response on each connection, as status and body.
+    last_responses: BTreeMap<SocketAddr, (u16, String)>,
 }
 
 /// What happens to the connection after a request was executed.
@@ -64,6 +74,46 @@
         self.state().hang_next = true;
     }
 
+    /// Refuses the next request with 503 and states that it was not run.
+    pub fn refuse_next(&self) {
+        self.state().refuse_next = true;
+    }
+
+    /// Sends the last response on a connection once more before each further one there.
+    pub fn repeat_responses(&self) {
+        self.state().repeats = true;
+    }
+
+    /// Sends the last response on this connection once more, if there is one and
+    /// [`Self::repeat_responses`] was called.
+    async fn repeat_last(&self, connection: &mut Connection) -> io::Result<()> {
+        let peer = connection.peer_address()?;
+        let last = {
+            let state = self.state();
+            let last = state.last_responses.get(&peer).cloned();
+            last.filter(|_| state.repeats)
+        };
+        let Some((status, body)) = last else {
+            return Ok(());
+        };
+        send_response(connection, status, &body).await?;
+        sleep(REPEAT_LEAD).await;
+        Ok(())
+    }
+
+    /// Sends a response and remembers it.
+    async fn respond(
+        &self,
+        connection: &mut Connection,
+        status: u16,
+        body: String,
+    ) -> io::Result<()> {
+        send_response(connection, status, &body).await?;
+        let peer = connection.peer_address()?;
+        self.state().last_responses.insert(peer, (status, body));
+        Ok(())
+    }
+
     fn state(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -92,7 +142,11 @@
         if request.path == "/load" {
             return connection.respond(404, "text/plain", b"").await;
         }
+        if std::mem::take(&mut self.state().refuse_next) {
+            return self.respond(connection, 503, String::new()).await;
+        }
         let (count, ending) = self.record_request(&request);
+        self.repeat_last(connection).await?;
         match ending {
             Ending::Respond => {}
             Ending::Drop => return Err(io::ErrorKind::ConnectionAborted.into()),
@@ -107,9 +161,17 @@
             "body": String::from_utf8_lossy(&request.body),
             "executions": count,
         });
-        let body = echo.to_string();
-        connection
-            .respond(200, "application/json", body.as_bytes())
-            .await
+        self.respond(connection, 200, echo.to_string()).await
     }
 }
+
+/// Sends a response; one with status 503 states that the request was not run.
+async fn send_response(connection: &mut Connection, status: u16, body: &str) -> io::Result<()> {
+    let ran = if status == 503 { "not_run" } else { "ran" };
+    let len = body.len();
+    let text = format!(
+        "HTTP/1.1 {status} fake\r\ncontent-type: application/json\r\nkwd-ran: {ran}\r\n\
+         content-length: {len}\r\n\r\n{body}"
+    );
+    connection.send(text.as_bytes()).await
+}
