Carry the software version of upstreams and the origin of streams

The store entry of a worker states the version of its software, and a caller that takes a stream up again names in `Resumes` the attempt that brought the first event. Neither was read, so nothing could keep the parts of a stream at one version.

Adds the types `SoftwareVersion`, `StreamOrigin` and `StreamStart` to the core, the version to the configuration of an upstream and to the digest of the list, and the origin to `Dispatch`. `StreamOrigins` of the relay records the origin of a resumable stream before its first event is forwarded, and the front end looks it up before it submits a call. The core does not decide by it yet.

--- a/crates/core/src/config/fleet.rs
+++ b/crates/core/src/config/fleet.rs
@@ -4,7 +4,8 @@
 
 use super::{CallerLimits, HostRoute};
 use crate::ids::{
-    AccountName, DomainName, KeyId, ModelName, Revision, Secret256, ServiceName, UpstreamName,
+    AccountName, DomainName, KeyId, ModelName, Revision, Secret256, ServiceName, SoftwareVersion,
+    UpstreamName,
 };
 
 /// The configuration that operators publish for the whole fleet.
@@ -143,6 +144,9 @@
     #[builder(default)]
     #[cfg_attr(feature = "serde", serde(default))]
     pub started_unix_ms: u64,
+    /// Version of its software, if it states one.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub software_version: Option<SoftwareVersion>,
 }
 
 /// A route of a plain service.
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -5,12 +5,14 @@
 mod hex;
 mod name;
 mod number;
+mod origin;
 mod program;
 
 pub use digest::{ContentDigest, HistoryDigest, Secret256};
 pub use name::{
-    AccountName, DomainName, KeyId, ModelName, ProgramName, ServiceName, TurnId, UpstreamName,
-    VmName,
+    AccountName, DomainName, KeyId, ModelName, ProgramName, ServiceName, SoftwareVersion, TurnId,
+    UpstreamName, VmName,
 };
 pub use number::{AttemptId, CallId, Epoch, FencingToken, Incarnation, Revision};
+pub use origin::StreamOrigin;
 pub use program::{PoolKey, ProgramKey};
--- a/crates/core/src/ids/name.rs
+++ b/crates/core/src/ids/name.rs
@@ -59,6 +59,8 @@
     ProgramName,
     /// The name of a service.
     ServiceName,
+    /// The version of an upstream's software, not of the model weights that it has loaded.
+    SoftwareVersion,
     /// The caller's ID of a turn that the system keeps.
     TurnId,
     /// The name of an upstream.
--- a/crates/core/src/input/mod.rs
+++ b/crates/core/src/input/mod.rs
@@ -13,5 +13,5 @@
 pub use event::{Input, ListedVm, OrderResult, ProbeState, StoreEvent, StoredView};
 pub use relay::{
     ListedUpstream, PeerEvent, RegisteredVm, RelayedCall, SourceEvent, SourceRequestKind,
-    StorageVm, UpstreamList,
+    StorageVm, StreamStart, UpstreamList,
 };
--- a/crates/core/src/input/relay.rs
+++ b/crates/core/src/input/relay.rs
@@ -5,7 +5,9 @@
 use bon::Builder;
 
 use crate::config::{FleetConfig, UpstreamConfig};
-use crate::ids::{DomainName, ModelName, ProgramKey, ProgramName, ServiceName, VmName};
+use crate::ids::{
+    DomainName, ModelName, ProgramKey, ProgramName, ServiceName, StreamOrigin, VmName,
+};
 use crate::message::{Snapshot, Summary};
 use crate::tables::BudgetRecord;
 
@@ -28,6 +30,21 @@
     pub line: Option<u64>,
     /// Tokens that all turns of the program may generate; `None` if the call is no turn.
     pub budget_tokens: Option<u64>,
+    /// Whether the call begins a stream or goes on with one.
+    #[builder(default)]
+    pub stream_start: StreamStart,
+}
+
+/// Where the stream of a call starts.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum StreamStart {
+    /// At its first event: the caller has received nothing.
+    #[default]
+    New,
+    /// After events that the caller has received from upstreams of this origin.
+    ResumedFrom(StreamOrigin),
+    /// After events that the caller has received from upstreams that this VM does not know.
+    ResumedUnknown,
 }
 
 /// An entry of the upstream list, written by the upstream itself.
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -16,8 +16,7 @@
 
 use std::sync::Arc;
 
-use crate::ids::{AccountName, ProgramKey};
-use crate::ids::{AttemptId, CallId, UpstreamName, VmName};
+use crate::ids::{AccountName, AttemptId, CallId, ProgramKey, StreamOrigin, UpstreamName, VmName};
 use crate::input::{Continuation, Permit};
 use crate::message::{PeerMessage, Summary};
 use crate::tables::View;
@@ -114,6 +113,8 @@
     pub upstream: UpstreamName,
     /// The upstream's address as `ip:port`.
     pub address: Arc<str>,
+    /// The upstream's service and software version, for a stream that it begins.
+    pub origin: StreamOrigin,
     /// Deadline for starting the attempt, on this VM's clock.
     pub valid_until_us: u64,
     /// Timeout for the first byte or token.
--- a/crates/core/src/systems/config/upstream_list.rs
+++ b/crates/core/src/systems/config/upstream_list.rs
@@ -105,6 +105,7 @@
             config.leaving,
             config.started_unix_ms,
             config.max_running_calls,
+            &config.software_version,
         )
             .hash(&mut hasher);
         for model in &config.models {
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -4,7 +4,7 @@
 
 use super::super::{Tick, admission};
 use crate::config::{HostRoute, RouteKind, ServiceConfig, ServiceKind};
-use crate::ids::{AttemptId, CallId, PoolKey, UpstreamName};
+use crate::ids::{AttemptId, CallId, PoolKey, StreamOrigin, UpstreamName};
 use crate::message::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
 use crate::output::{
     Decision, Dispatch, Execution, Output, PlacementReason, RefusalKind, StreamFormat,
@@ -312,6 +312,10 @@
         attempt,
         upstream: upstream.clone(),
         address: row.address.clone(),
+        origin: StreamOrigin {
+            service: call.pool.service.clone(),
+            version: row.config.software_version.clone(),
+        },
         valid_until_us: valid_until_us(call),
         first_token_ms: first_token_ms.unwrap_or(tick.settings.first_token_ms),
         token_gap_ms: token_gap_ms.unwrap_or(tick.settings.token_gap_ms),
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -38,6 +38,8 @@
     pub budget_tokens: Option<u64>,
     /// ID of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// ID of the caller's attempt that brought the first event of the stream, if it resumes one.
+    pub resumes: Option<Arc<str>>,
     /// The turn that the request goes on from, if the system keeps the turns of its route.
     pub previous_turn: Option<TurnId>,
 }
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -312,6 +312,9 @@
                     continue;
                 }
                 self.progress.last_event_id = event.id.or(self.progress.last_event_id);
+                if form.is_resumable && !self.progress.is_stream_started {
+                    self.record_origin();
+                }
                 self.progress.forwarded_tokens += form.tokens_per_event;
                 self.progress.is_stream_started = true;
                 self.keep_output(&event);
@@ -330,6 +333,19 @@
         Ok(AttemptEnd::Finished(outcome, Some(empty)))
     }
 
+    /// Records the origin of a stream, under the ID of the caller's attempt that began it.
+    fn record_origin(&self) {
+        let head = self.head;
+        let resumed = head
+            .resumes
+            .as_ref()
+            .filter(|_| head.last_event_id.is_some());
+        if let Some(request_id) = resumed.or(head.request_id.as_ref()) {
+            let origin = self.dispatch.origin.clone();
+            self.shared.origins.record(request_id, origin);
+        }
+    }
+
     /// Returns the token counts of a complete response.
     fn attempt_outcome(&self) -> AttemptOutcome {
         AttemptOutcome {
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -20,6 +20,7 @@
 use crate::control::{Message, OutputDispatcher, OutputQueues};
 use crate::front::{ConnectionTracker, ListenerKind, SharedState, serve};
 use crate::metrics::Metrics;
+use crate::origins::StreamOrigins;
 use crate::peers::{SnapshotServer, StateRpcServer, fetch_snapshots, receive_summaries};
 use crate::settings::RelaySettings;
 use crate::store::{RecordCache, Registration, Role, SourceClient};
@@ -124,6 +125,7 @@
                 settings.tolerated_losses,
                 Arc::clone(&metrics),
             )),
+            origins: Arc::new(StreamOrigins::default()),
             metrics: Arc::clone(&metrics),
             status,
             is_draining: AtomicBool::new(false),
--- a/crates/relay/src/front/service.rs
+++ b/crates/relay/src/front/service.rs
@@ -10,7 +10,8 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use knapweeddale_core::{
-    CallId, ContentDigest, Execution, Input, NewCall, Refusal, RefusalKind, RelayedCall, Target,
+    CallId, ContentDigest, Execution, Input, NewCall, Refusal, RefusalKind, RelayedCall,
+    StreamStart, Target,
 };
 use knapweeddale_runtime::Clock;
 use sha2::{Digest, Sha256};
@@ -116,12 +117,18 @@
             return refuse_call(&shared, call, kind);
         }
     };
+    let stream_start = find_stream_start(&shared, &head).await;
     let (outputs_sender, outputs) = mpsc::channel(MAX_QUEUED_OUTPUTS);
     let open = Message::Open {
         call,
         request: head.request_id.clone().unwrap_or_else(|| "-".into()),
         input: Input::CallArrived(Box::new(to_new_call(
-            call, arrived_us, &parts, &head, &body,
+            call,
+            arrived_us,
+            stream_start,
+            &parts,
+            &head,
+            &body,
         ))),
         outputs: outputs_sender,
     };
@@ -166,10 +173,26 @@
     }
 }
 
+/// Returns whether a request begins a stream or goes on with one, and with which.
+async fn find_stream_start<D, C>(shared: &SharedState<D, C>, head: &CallHead) -> StreamStart {
+    let Some(last_event_id) = head.last_event_id else {
+        return StreamStart::New;
+    };
+    match &head.resumes {
+        Some(request_id) => match shared.origins.find(request_id).await {
+            Some(origin) => StreamStart::ResumedFrom(origin),
+            None => StreamStart::ResumedUnknown,
+        },
+        None if last_event_id == 0 => StreamStart::New,
+        None => StreamStart::ResumedUnknown,
+    }
+}
+
 /// Converts a request to the call that the core receives.
 fn to_new_call(
     call: CallId,
     arrived_us: u64,
+    stream_start: StreamStart,
     parts: &Parts,
     head: &CallHead,
     body: &Bytes,
@@ -182,6 +205,7 @@
         .maybe_program(head.program.clone())
         .maybe_line(head.line)
         .maybe_budget_tokens(head.budget_tokens)
+        .stream_start(stream_start)
         .build();
     NewCall::builder()
         .id(call)
--- a/crates/relay/src/front/shared.rs
+++ b/crates/relay/src/front/shared.rs
@@ -8,6 +8,7 @@
 
 use crate::control::{InputSender, Status};
 use crate::metrics::Metrics;
+use crate::origins::StreamOrigins;
 use crate::turns::TurnClient;
 use crate::upstream::Pool;
 
@@ -20,6 +21,7 @@
     pub call_ids: CallIds,
     pub pool: Arc<Pool>,
     pub turns: Arc<TurnClient>,
+    pub origins: Arc<StreamOrigins>,
     pub metrics: Arc<Metrics>,
     pub status: watch::Receiver<Status>,
     /// Whether the process was asked to stop.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,6 +19,7 @@
 mod front;
 pub mod logs;
 mod metrics;
+mod origins;
 mod peers;
 mod settings;
 mod storage;
