Send no new calls to an upstream that states it is leaving

Callers would have seen refusals and broken connections of a worker that was about to end: the header was not read, and the list in the store may say ready, or lose the entry and get it back.

The relay reports the header as soon as the head of a response was read, since a stream may last longer than drainMs. The core keeps a notice for the process that gave it (name and start time) apart from the row of the upstream, so that it outlasts an entry that expires and returns, and counts the upstream as leaving: no new calls, no pinned ones; what runs there runs on. A new process of the name is used again.

--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -59,6 +59,13 @@
         /// The result of the probe.
         state: ProbeState,
     },
+    /// An upstream stated in a response that it is leaving.
+    UpstreamLeaving {
+        /// The upstream that responded.
+        upstream: UpstreamName,
+        /// Start of the process that the request was dispatched to, in Unix time.
+        started_unix_ms: u64,
+    },
     /// An engine reported its loaded models.
     Loaded {
         /// The engine that reported.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -413,6 +413,12 @@
         /// Number of those upstreams that are leaving.
         leaving: usize,
     },
+    /// An upstream stated in a response that it is leaving.
+    #[display("retry: upstream {upstream} states that it is leaving, it gets no new calls")]
+    UpstreamLeaving {
+        /// The upstream that is leaving.
+        upstream: UpstreamName,
+    },
     /// A configuration was ignored because a newer one is in force.
     #[display("config: ignored revision {offered}, {in_force} is in force")]
     ConfigIgnored {
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -113,6 +113,8 @@
     pub upstream: UpstreamName,
     /// The upstream's address as `ip:port`.
     pub address: Arc<str>,
+    /// Start of the upstream's process in Unix time; 0 if unknown.
+    pub upstream_started_unix_ms: u64,
     /// The upstream's service and software version, for a stream that it begins.
     pub origin: StreamOrigin,
     /// Deadline for starting the attempt, on this VM's clock.
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -9,7 +9,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 
-use super::{Sender, Tick};
+use super::{Sender, Tick, outcomes};
 use crate::config::{
     AccountConfig, Coordination, FleetConfig, HostRoute, ServiceConfig, ServiceKind,
 };
@@ -152,6 +152,12 @@
 /// Upstreams that are no longer listed are removed, which also cancels pending releases of
 /// their memory.
 fn replace_services(tick: &mut Tick<'_>, services: &[ServiceConfig]) {
+    let leaving: HashSet<UpstreamName> = services
+        .iter()
+        .flat_map(|service| &service.upstreams)
+        .filter(|upstream| outcomes::has_given_notice(tick, upstream))
+        .map(|upstream| upstream.name.clone())
+        .collect();
     let tables = &mut *tick.tables;
     tables.services = Table::default();
     tables.models = Table::default();
@@ -172,6 +178,7 @@
                 row.reset_after_restart(tick.now_us);
             }
             row.configure(upstream.clone());
+            row.has_given_notice = leaving.contains(&upstream.name);
         }
         for pool in pools_of(service) {
             let upstreams = upstreams_of(&tables.upstreams, service, &pool);
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -5,7 +5,7 @@
 use crate::input::Input;
 use crate::message::PeerMessage;
 use crate::output::Decision;
-use crate::tables::{Release, Vm};
+use crate::tables::{LeavingNotice, Release, Vm};
 
 /// Dispatches the inputs of a tick; drops messages from before a restart of their sender.
 pub(crate) fn run(tick: &mut Tick<'_>, inputs: impl IntoIterator<Item = Input>) {
@@ -83,6 +83,13 @@
             .load_reports
             .push((upstream, running_calls, tokens_per_s)),
         Input::Probed { upstream, state } => work.outcomes.probe_results.push((upstream, state)),
+        Input::UpstreamLeaving {
+            upstream,
+            started_unix_ms,
+        } => work
+            .outcomes
+            .leaving_notices
+            .push((upstream, LeavingNotice { started_unix_ms })),
         Input::Loaded {
             upstream,
             models,
--- a/crates/core/src/systems/outcomes/mod.rs
+++ b/crates/core/src/systems/outcomes/mod.rs
@@ -2,6 +2,7 @@
 
 mod ejection;
 mod examination;
+mod notices;
 mod quarantine;
 mod results;
 mod retries;
@@ -12,6 +13,7 @@
     record_connection_refused, record_lost_connection, record_replaced, record_silence,
     record_unreachable,
 };
+pub(crate) use notices::has_given_notice;
 pub(crate) use quarantine::quarantine_content;
 pub(crate) use results::{answer_call, charge_last_run};
 pub(crate) use suspects::{clear_crash_count, raise_crash_count};
@@ -19,25 +21,33 @@
 use super::Tick;
 use crate::ids::UpstreamName;
 use crate::input::{AttemptEvent, AttemptProgress, ProbeState};
-use crate::tables::{Stage, Timer};
+use crate::tables::{LeavingNotice, Stage, Timer};
 
 /// Input collected for this system since its last run.
 #[derive(Debug, Default)]
 pub(crate) struct Work {
     pub events: Vec<AttemptEvent>,
     pub probe_results: Vec<(UpstreamName, ProbeState)>,
+    pub leaving_notices: Vec<(UpstreamName, LeavingNotice)>,
     pub due_timers: Vec<Timer>,
 }
 
 impl Work {
     pub fn is_empty(&self) -> bool {
-        self.events.is_empty() && self.probe_results.is_empty() && self.due_timers.is_empty()
+        self.events.is_empty()
+            && self.probe_results.is_empty()
+            && self.leaving_notices.is_empty()
+            && self.due_timers.is_empty()
     }
 }
 
 /// Processes the collected input.
 pub(crate) fn run(tick: &mut Tick<'_>) {
     let work = std::mem::take(&mut tick.work.outcomes);
+    // Before the events, which may place calls again.
+    for (upstream, notice) in work.leaving_notices {
+        notices::record_notice(tick, upstream, notice);
+    }
     for event in work.events {
         handle_event(tick, event);
     }
@@ -47,6 +57,7 @@
     for timer in work.due_timers {
         match timer {
             Timer::CrashDecision(upstream) => examination::handle_timeout(tick, &upstream),
+            Timer::NoticeExpiry(upstream) => notices::expire_notice(tick, upstream),
             Timer::SuspectIdle(digest) => suspects::expire_suspect(tick, digest),
             Timer::QuarantineEnd(digest) => quarantine::expire_quarantine(tick, digest),
             _ => {}
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -312,6 +312,7 @@
         attempt,
         upstream: upstream.clone(),
         address: row.address.clone(),
+        upstream_started_unix_ms: row.config.started_unix_ms,
         origin: StreamOrigin {
             service: call.pool.service.clone(),
             version: row.config.software_version.clone(),
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -84,7 +84,7 @@
         return Selection::Wait;
     }
     // One that is leaving still runs what it has begun, but takes no new calls.
-    if row.config.leaving || row.health.ejected_until_us > tick.now_us {
+    if row.is_leaving() || row.health.ejected_until_us > tick.now_us {
         return Selection::Refuse;
     }
     if row.open_load_permille.is_none() {
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -33,7 +33,10 @@
             | Timer::RunningCheck(_)
             | Timer::UpstreamReady(_)
             | Timer::PlacementHistoryIdle(_) => work.placement.due_timers.push(timer),
-            Timer::CrashDecision(_) | Timer::SuspectIdle(_) | Timer::QuarantineEnd(_) => {
+            Timer::CrashDecision(_)
+            | Timer::NoticeExpiry(_)
+            | Timer::SuspectIdle(_)
+            | Timer::QuarantineEnd(_) => {
                 work.outcomes.due_timers.push(timer);
             }
             Timer::OrdersReview(_) => work.orders.due_timers.push(timer),
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -60,7 +60,7 @@
 pub use suspect::{Quarantine, Suspect};
 pub use table::Table;
 pub use timers::{Timer, Timers};
-pub use upstream::{RunningAttempt, Upstream};
+pub use upstream::{LeavingNotice, RunningAttempt, Upstream};
 pub(crate) use view::hash_name;
 pub use view::{Member, View, ViewChange, ViewDelta};
 pub use vm::{HeartbeatRequest, Vm};
@@ -101,6 +101,8 @@
     pub pools: Table<PoolKey, Pool>,
     /// Upstreams of all services.
     pub upstreams: Table<UpstreamName, Upstream>,
+    /// Upstreams that have stated in a response that they are leaving.
+    pub leaving_notices: Table<UpstreamName, LeavingNotice>,
     /// Orders to the engines of services, for those services whose orders this VM owns.
     pub orders: Table<ServiceName, ServiceOrders>,
     /// Programs whose home is this VM.
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -64,6 +64,8 @@
     UpstreamReady(UpstreamName),
     /// The examination of a broken connection ends, and its cause has to be decided.
     CrashDecision(UpstreamName),
+    /// The notice of a leaving upstream may have expired.
+    NoticeExpiry(UpstreamName),
     /// The placement history of a program may have expired.
     PlacementHistoryIdle(ProgramKey),
     /// The record of a suspect content may have expired.
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -43,6 +43,8 @@
     pub limit: ConcurrencyLimit,
     /// Failures, ejection and backoff.
     pub health: Health,
+    /// Whether its process has stated in a response that it is leaving.
+    pub has_given_notice: bool,
     /// Whether it runs a call that must be the only one there.
     pub has_exclusive_call: bool,
     /// Estimated time at which it has prefilled all prompts placed on it so far.
@@ -71,6 +73,7 @@
             own_calls: 0,
             limit: ConcurrencyLimit::new(config.min_running_calls, config.max_running_calls),
             health: Health::default(),
+            has_given_notice: false,
             has_exclusive_call: false,
             prefill_until_us: 0,
             prefill_ns_per_token: INITIAL_PREFILL_NS_PER_TOKEN,
@@ -115,9 +118,14 @@
         }
     }
 
+    /// Returns whether it is leaving, by its entry in the list or by its own responses.
+    pub fn is_leaving(&self) -> bool {
+        self.config.leaving || self.has_given_notice
+    }
+
     /// Returns whether it may get new calls at all: neither leaving nor ejected nor in backoff.
     pub fn is_usable(&self, now_us: u64) -> bool {
-        !self.config.leaving && self.health.is_ready(now_us)
+        !self.is_leaving() && self.health.is_ready(now_us)
     }
 
     /// Returns whether it may get one more call now.
@@ -128,6 +136,15 @@
     }
 }
 
+/// The statement of an upstream, in a response, that it is leaving.
+///
+/// It outlasts the row of the upstream, whose entry in the list may expire and return.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LeavingNotice {
+    /// Start of the process that is leaving, in Unix time; 0 if unknown.
+    pub started_unix_ms: u64,
+}
+
 /// An attempt that runs on an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RunningAttempt {
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -64,6 +64,8 @@
     pub request_id: Option<Arc<str>>,
     /// Whether the upstream states that it did not run the request.
     pub is_not_run: bool,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
     /// Whether the response carries the upstream's signature.
     pub is_signed: bool,
     /// How long the upstream keeps an idle connection open, if it states that.
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -7,7 +7,7 @@
 use http::response;
 use http::{HeaderMap, Response, StatusCode, header};
 use knapweeddale_core::input::{AttemptOutcome, Failure};
-use knapweeddale_core::{Dispatch, StreamFormat};
+use knapweeddale_core::{Dispatch, Input, StreamFormat};
 use knapweeddale_runtime::Clock;
 use tokio::time::{Instant, timeout_at};
 
@@ -166,6 +166,10 @@
         if self.is_mismatched(&info) {
             return Err(self.invalid_response("it belongs to another request"));
         }
+        // A 421 comes from another process than the expected one.
+        if info.is_leaving && head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.report_leaving().await;
+        }
         let is_reusable = exchange.is_request_complete && head.is_keep_alive;
         let end = match self.dispatch.events {
             Some(form) if head.status.is_success() && is_authentic(&head, &info) => {
@@ -183,6 +187,16 @@
         Ok((end.0, keep_alive))
     }
 
+    /// Reports that the upstream is leaving, before its response is complete: a stream may last
+    /// longer than the upstream accepts requests.
+    async fn report_leaving(&self) {
+        let notice = Input::UpstreamLeaving {
+            upstream: self.dispatch.upstream.clone(),
+            started_unix_ms: self.dispatch.upstream_started_unix_ms,
+        };
+        self.shared.inputs.send_input(notice).await;
+    }
+
     /// Returns whether a response carries the ID of another request.
     fn is_mismatched(&self, info: &ResponseInfo) -> bool {
         match (&info.request_id, &self.head.request_id) {
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -16,7 +16,7 @@
 use knapweeddale_core::config::{Coordination, PolicyFeatures};
 use knapweeddale_core::{
     AttemptId, CallId, Control, CoreSettings, DomainName, FleetConfig, Incarnation, Input, Output,
-    Refusal, RefusalKind, UpstreamList, VmName,
+    Refusal, RefusalKind, UpstreamList, UpstreamName, VmName,
 };
 
 pub use attempts::UpstreamState;
@@ -144,6 +144,15 @@
         self.start(vm, false);
     }
 
+    /// Lets a VM receive the notice of an upstream's process that it is leaving.
+    pub fn give_notice(&mut self, vm: usize, upstream: &str, started_unix_ms: u64) {
+        let notice = Input::UpstreamLeaving {
+            upstream: UpstreamName::from(upstream),
+            started_unix_ms,
+        };
+        self.tick(vm, vec![notice]);
+    }
+
     /// Isolates a VM from all others and from the store, or reconnects it.
     pub fn set_isolated(&mut self, vm: usize, is_isolated: bool) {
         for other in 0..self.vms.len() {
