--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -38,6 +38,8 @@
     pub budget_tokens: Option<u64>,
     /// ID of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// ID of the caller's attempt that brought the first event of the stream, if it resumes one.
+    pub resumes: Option<Arc<str>>,
     /// The turn that the request goes on from, if the system keeps the turns of its route.
     pub previous_turn: Option<TurnId>,
 }
@@ -62,6 +64,8 @@
     pub request_id: Option<Arc<str>>,
     /// Whether the upstream states that it did not run the request.
     pub is_not_run: bool,
+    /// Whether the upstream states that it is leaving.
+    pub is_leaving: bool,
     /// Whether the response carries the upstream's signature.
     pub is_signed: bool,
     /// How long the upstream keeps an idle connection open, if it states that.
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -8,7 +8,7 @@
 use http::response;
 use http::{HeaderMap, Response, StatusCode, header};
 use knapweeddale_core::input::{AttemptOutcome, Failure};
-use knapweeddale_core::{Dispatch, StreamFormat};
+use knapweeddale_core::{Dispatch, Input, StreamFormat};
 use knapweeddale_runtime::Clock;
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
@@ -162,6 +162,10 @@
             .send_request(connection, &request, silence, deadline)
             .await?;
         let Exchange { head, unsent, .. } = exchange;
+        // A 421 comes from another process than the expected one.
+        if info.is_leaving && head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.report_leaving().await;
+        }
         let is_reusable = unsent.is_empty() && head.is_keep_alive;
         let end = match self.dispatch.events {
             Some(form) if head.status.is_success() && is_authentic(&head, &info) => {
@@ -179,6 +183,16 @@
         Ok((end.0, keep_alive))
     }
 
+    /// Reports that the upstream is leaving, before its response is complete: a stream may last
+    /// longer than the upstream accepts requests.
+    async fn report_leaving(&self) {
+        let notice = Input::UpstreamLeaving {
+            upstream: self.dispatch.upstream.clone(),
+            started_unix_ms: self.dispatch.upstream_started_unix_ms,
+        };
+        self.shared.inputs.send_input(notice).await;
+    }
+
     /// Reads a whole response body; returns it and whether its connection can be reused.
     async fn read_whole(
         &self,
@@ -282,6 +296,9 @@
                     continue;
                 }
                 self.progress.last_event_id = event.id.or(self.progress.last_event_id);
+                if form.is_resumable && !self.progress.is_stream_started {
+                    self.record_origin();
+                }
                 self.progress.forwarded_tokens += form.tokens_per_event;
                 self.progress.is_stream_started = true;
                 self.keep_output(&event);
@@ -300,6 +317,19 @@
         Ok(AttemptEnd::Finished(outcome, Some(empty)))
     }
 
+    /// Records the origin of a stream, under the ID of the caller's attempt that began it.
+    fn record_origin(&self) {
+        let head = self.head;
+        let resumed = head
+            .resumes
+            .as_ref()
+            .filter(|_| head.last_event_id.is_some());
+        if let Some(request_id) = resumed.or(head.request_id.as_ref()) {
+            let origin = self.dispatch.origin.clone();
+            self.shared.origins.record(request_id, origin);
+        }
+    }
+
     /// Returns the token counts of a complete response.
     fn attempt_outcome(&self) -> AttemptOutcome {
         AttemptOutcome {
