Count an event of a stream only once it is queued for its caller

An attempt that is cancelled while an event waits for room in its caller's queue would have counted the event as forwarded and dropped it, so that the stream went on behind a missing piece. Attempts are cancelled since silent upstreams are left by a decision of the core; before, they ended by themselves.

--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -327,13 +327,14 @@
                 if event.id.is_some() && event.id <= self.progress.last_event_id {
                     continue;
                 }
+                // Not counted before it is queued: a cancelled attempt may end while it waits.
+                self.reply
+                    .send_event(|| to_caller_head(head), event.bytes.clone())
+                    .await;
                 self.progress.last_event_id = event.id.or(self.progress.last_event_id);
                 self.progress.forwarded_tokens += form.tokens_per_event;
                 self.progress.is_stream_started = true;
                 self.keep_output(&event);
-                self.reply
-                    .send_event(|| to_caller_head(head), event.bytes)
-                    .await;
             }
         }
         self.store_turn().await?;
