Keep a broken stream at the software version that began it

Cause: after a broken connection, placement chose among all upstreams of the pool. It knew neither their versions nor whether the stream had begun.

A stream whose caller has received an event is now bound to the service and software version of the attempt that brought it, as they were when that attempt was dispatched. Only upstreams that fit are candidates: in the comparison of costs, in samples of large pools, for waits for a cached prefix, for a pinned upstream, for runs that must be alone, and without an owner of the pool. If none is listed, or all are leaving or ejected, the call ends at once as `stream_not_resumable`; while one is busy, it waits as before. Streams without an event are free, as before. `placement:` lines name the origin, and `retry:` lines the binding.

--- a/crates/core/src/message/placement.rs
+++ b/crates/core/src/message/placement.rs
@@ -3,7 +3,7 @@
 use smallvec::SmallVec;
 
 use crate::ids::{
-    AccountName, AttemptId, CallId, ContentDigest, PoolKey, ProgramKey, UpstreamName,
+    AccountName, AttemptId, CallId, ContentDigest, PoolKey, ProgramKey, StreamOrigin, UpstreamName,
 };
 use crate::output::{PlacementReason, RefusalKind};
 
@@ -106,6 +106,8 @@
     pub priority: Option<u32>,
     /// The only upstream that may run the call, unless it has ended; `None` if any may.
     pub only: Option<UpstreamName>,
+    /// Where the stream began; `None` if upstreams of any software version may run the call.
+    pub origin: Option<StreamOrigin>,
 }
 
 /// Reports the end of an attempt.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -9,7 +9,7 @@
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, Epoch, FencingToken, Incarnation, ProgramKey,
-    Revision, UpstreamName, VmName,
+    Revision, StreamOrigin, UpstreamName, VmName,
 };
 use crate::tables::{Coverage, LimitReason};
 
@@ -128,7 +128,7 @@
     },
     /// An upstream was chosen for an attempt.
     #[display(
-        "placement: attempt {attempt} of {} for {} to {upstream}, {reason}{}",
+        "placement: attempt {attempt} of {} for {} to {upstream} of {origin}, {reason}{}",
         program.as_ref().map_or_else(|| "no program".to_owned(), ToString::to_string),
         account.as_ref().map_or("anyone", |a| a.as_str()),
         runners_up_text(runners_up)
@@ -142,6 +142,8 @@
         account: Option<AccountName>,
         /// The chosen upstream.
         upstream: UpstreamName,
+        /// Its service and software version.
+        origin: StreamOrigin,
         /// Reason for the choice.
         reason: PlacementReason,
         /// The next best upstreams.
@@ -157,6 +159,14 @@
         /// Why it may be retried.
         reason: RetryReason,
     },
+    /// A stream whose caller has received an event broke off and is bound to its origin.
+    #[display("retry: call {call} may go on at upstreams of {origin} only")]
+    BoundToOrigin {
+        /// The call that is bound.
+        call: CallId,
+        /// Where its stream began.
+        origin: StreamOrigin,
+    },
     /// A failed call is not retried.
     #[display("retry: call {call} ends after {upstream} failed, {reason}")]
     NoRetry {
--- a/crates/core/src/output/refusal.rs
+++ b/crates/core/src/output/refusal.rs
@@ -108,6 +108,8 @@
     PermitRequired = "permit_required", 428, "ask for a permit with POST /v1/programs/<program>/permits";
     /// The permit is invalid or has been used.
     PermitVoid = "permit_void", 409, "find out whether the request ran before sending it again";
+    /// No upstream of the service and software version that began the stream can go on with it.
+    StreamNotResumable = "stream_not_resumable", 503, "request the stream again from its first event";
     /// No upstream became free in time.
     NoUpstream = "no_upstream", 503, "resend after the time in retry-after";
     /// The upstream failed.
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -214,6 +214,8 @@
         runs: 0,
         ran_on: SmallVec::new(),
         only: None,
+        attempt_origin: None,
+        origin: None,
         route,
     })
 }
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -3,7 +3,7 @@
 use super::super::{Tick, admission};
 use super::results;
 use crate::config::RouteKind;
-use crate::ids::{AttemptId, UpstreamName};
+use crate::ids::{AttemptId, StreamOrigin, UpstreamName};
 use crate::input::{AttemptOutcome, Failure};
 use crate::message::AttemptResult;
 use crate::output::{ChargeOutcome, Decision, Execution, RefusalKind, RetryReason};
@@ -59,6 +59,7 @@
     let Some(upstream) = call.upstream.clone() else {
         return;
     };
+    let bound_to = bind_to_origin(call, &failure).cloned();
     let verdict = check_retry(call, &failure, tick.now_us);
     if !failure.did_not_run() {
         let run = call.to_last_run(failure.answer_tokens(), charge_outcome(&failure));
@@ -66,6 +67,10 @@
         pin_to_upstream(call, &upstream);
     }
     let needs_budget = needs_budget(call, &failure);
+    if let Some(origin) = bound_to {
+        let call = attempt.call;
+        tick.log(Decision::BoundToOrigin { call, origin });
+    }
     let verdict = verdict.and_then(|reason| {
         if needs_budget && !take_retry_budget(tick, attempt) {
             return Err(RetryReason::OverBudget);
@@ -180,6 +185,19 @@
     relay.only = (relay.ran_on.len() >= max_attempts).then(|| upstream.clone());
 }
 
+/// Binds a stream to the service and software version of its first event, once its caller has
+/// received that; returns the origin if the stream is bound now.
+///
+/// The output of another version does not fit what the caller has.
+fn bind_to_origin<'a>(call: &'a mut Call, failure: &Failure) -> Option<&'a StreamOrigin> {
+    let relay = call.relay.as_mut()?;
+    if !failure.is_forwarded() || relay.origin.is_some() {
+        return None;
+    }
+    relay.origin.clone_from(&relay.attempt_origin);
+    relay.origin.as_ref()
+}
+
 /// Returns whether a retry after a failure uses the retry budget.
 fn needs_budget(call: &Call, failure: &Failure) -> bool {
     match failure {
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -3,9 +3,10 @@
 use smallvec::SmallVec;
 
 use super::super::{Tick, admission};
+use super::finish;
 use crate::config::{HostRoute, RouteKind, ServiceConfig, ServiceKind};
 use crate::ids::{AttemptId, CallId, PoolKey, StreamOrigin, UpstreamName};
-use crate::message::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
+use crate::message::{InFlight, Place, PlacementMessage};
 use crate::output::{
     Decision, Dispatch, Execution, Output, PlacementReason, RefusalKind, StreamFormat,
 };
@@ -105,9 +106,15 @@
         ended: None,
         priority: call.relay.as_ref().map(|relay| relay.priority),
         only: call.relay.as_ref().and_then(|relay| relay.only.clone()),
+        origin: origin_of(call).cloned(),
     }
 }
 
+/// Returns where the stream of a call began, if its caller has received an event.
+fn origin_of(call: &Call) -> Option<&StreamOrigin> {
+    call.relay.as_ref()?.origin.as_ref()
+}
+
 /// Schedules a check for the pool owner's answer after a number of request timeouts.
 fn schedule_answer_check(tick: &mut Tick<'_>, attempt: AttemptId, timeouts: u64) {
     let due_us = tick.now_us + timeouts * tick.settings.placement_timeout_ms * 1_000;
@@ -168,7 +175,9 @@
         .filter_map(|name| {
             let row = tick.tables.upstreams.get(name)?;
             let is_avoided = call.avoid.contains(name);
-            let is_usable = row.is_usable(tick.now_us) && row.own_calls < row.limit.max;
+            let is_usable = row.is_usable(tick.now_us)
+                && row.fits(origin_of(call))
+                && row.own_calls < row.limit.max;
             is_usable.then_some((is_avoided, row.own_calls, name))
         })
         .collect();
@@ -228,13 +237,19 @@
         let call = tick.tables.calls.get(&attempt.call);
         let digest = call.map(|call| call.request.digest).unwrap_or_default();
         if tick.tables.quarantine.contains_key(&digest) {
-            release_unused(tick, pool, attempt, assignment.0);
+            finish::release_unused(tick, pool, attempt, assignment.0);
             handle_unplaced(tick, attempt, RefusalKind::Quarantined);
             return;
         }
+        if !fits_stream(tick, call, &assignment.0) {
+            // The owner of the pool has read another list of upstreams than this VM.
+            finish::release_unused(tick, pool, attempt, assignment.0);
+            handle_unplaced(tick, attempt, RefusalKind::StreamNotResumable);
+            return;
+        }
         if call.is_some_and(|call| tick.now_us >= valid_until_us(call)) {
             // The home has to confirm the turn again before the call may start.
-            release_unused(tick, pool, attempt, assignment.0);
+            finish::release_unused(tick, pool, attempt, assignment.0);
             admission::enter_stage(tick, attempt.call, Stage::Home);
             return;
         }
@@ -249,10 +264,17 @@
     });
     // The owner is already being told that an attempt in `finishing` has ended.
     if !runs_there && !tick.tables.finishing.contains_key(&attempt) {
-        release_unused(tick, pool, attempt, assignment.0);
+        finish::release_unused(tick, pool, attempt, assignment.0);
     }
 }
 
+/// Returns whether the stream of a call, if it has begun, may go on at an upstream.
+fn fits_stream(tick: &Tick<'_>, call: Option<&Call>, upstream: &UpstreamName) -> bool {
+    let origin = call.and_then(origin_of);
+    let row = tick.tables.upstreams.get(upstream);
+    origin.is_none() || row.is_some_and(|row| row.fits(origin))
+}
+
 /// Returns the time after which a call must not be dispatched.
 ///
 /// An idempotent call may run more than once, so it may stay queued for longer
@@ -265,22 +287,6 @@
     }
 }
 
-/// Releases an upstream that was assigned to a call that does not use it.
-fn release_unused(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId, upstream: UpstreamName) {
-    let finish = Finish {
-        pool: pool.clone(),
-        attempt,
-        upstream,
-        result: AttemptResult::Unused,
-        prompt_tokens: 0,
-        cached_tokens: 0,
-        answer_tokens: 0,
-        first_token_us: 0,
-        total_us: 0,
-    };
-    send_finish(tick, finish);
-}
-
 /// Dispatches an attempt to its upstream.
 fn dispatch(tick: &mut Tick<'_>, attempt: AttemptId, assignment: Assignment) {
     let (upstream, reason, runners_up) = assignment;
@@ -305,6 +311,13 @@
     let history_ms = relay.and_then(|relay| relay.route.history_ms);
     let deadline_us = relay.map_or(u64::MAX, |relay| relay.deadline_us);
     let stream_deadline_us = relay.map_or(u64::MAX, |relay| relay.stream_deadline_us);
+    let origin = StreamOrigin {
+        service: call.pool.service.clone(),
+        version: row.config.software_version.clone(),
+    };
+    if let Some(relay) = &mut call.relay {
+        relay.attempt_origin = Some(origin.clone());
+    }
     call.stage = Stage::Running;
     call.upstream = Some(upstream.clone());
     call.placement.dispatched_us = tick.now_us;
@@ -312,10 +325,7 @@
         attempt,
         upstream: upstream.clone(),
         address: row.address.clone(),
-        origin: StreamOrigin {
-            service: call.pool.service.clone(),
-            version: row.config.software_version.clone(),
-        },
+        origin: origin.clone(),
         valid_until_us: valid_until_us(call),
         first_token_ms: first_token_ms.unwrap_or(tick.settings.first_token_ms),
         token_gap_ms: token_gap_ms.unwrap_or(tick.settings.token_gap_ms),
@@ -331,6 +341,7 @@
         program: call.program_key().cloned(),
         account: call.account.clone(),
         upstream,
+        origin,
         reason,
         runners_up,
     };
@@ -426,34 +437,3 @@
     let ran = call.map_or(Execution::NotRun, Call::execution);
     admission::refuse(tick, attempt.call, kind, ran, None);
 }
-
-/// Counts an attempt as ended on this VM and reports its end to the pool owner.
-pub(crate) fn end_attempt(tick: &mut Tick<'_>, finish: Finish) {
-    if let Some(row) = tick.tables.upstreams.get_mut(&finish.upstream) {
-        row.own_calls = row.own_calls.saturating_sub(1);
-    }
-    send_finish(tick, finish);
-}
-
-/// Stores a finish report and sends it until the owner acknowledges it.
-fn send_finish(tick: &mut Tick<'_>, finish: Finish) {
-    let attempt = finish.attempt;
-    tick.tables.finishing.insert(attempt, finish);
-    resend_finish(tick, attempt);
-}
-
-/// Sends a finish report that the owner has not acknowledged; drops it if the pool has no owner.
-pub(crate) fn resend_finish(tick: &mut Tick<'_>, attempt: AttemptId) {
-    let Some(finish) = tick.tables.finishing.get(&attempt).cloned() else {
-        return;
-    };
-    let Some(owner) = tick.tables.view.pool_owner(&finish.pool).cloned() else {
-        tick.tables.finishing.remove(&attempt);
-        return;
-    };
-    if owner != tick.settings.vm {
-        let due_us = tick.now_us + tick.settings.placement_timeout_ms * 1_000;
-        tick.tables.timers.set(due_us, Timer::FinishWait(attempt));
-    }
-    tick.send(&owner, PlacementMessage::Finish(Box::new(finish)));
-}
--- a/crates/core/src/systems/placement/exclusive.rs
+++ b/crates/core/src/systems/placement/exclusive.rs
@@ -8,7 +8,7 @@
 use super::super::Tick;
 use super::selection::SelectedUpstream;
 use super::{availability, owner};
-use crate::ids::{PoolKey, UpstreamName};
+use crate::ids::{PoolKey, StreamOrigin, UpstreamName};
 use crate::output::{PlacementReason, RefusalKind};
 use crate::tables::QueuedCall;
 
@@ -46,28 +46,60 @@
         row.held.entry(digest).or_default().push_back(waiting);
         return take_ready(tick, pool);
     }
-    let idle = find_idle_reserved(tick, pool).or_else(|| {
-        reserve_upstream(tick, pool);
-        find_idle_reserved(tick, pool)
+    let origin = waiting.place.origin.clone();
+    let idle = find_idle_reserved(tick, pool, origin.as_ref()).or_else(|| {
+        release_unfit(tick, pool, origin.as_ref());
+        reserve_upstream(tick, pool, origin.as_ref());
+        find_idle_reserved(tick, pool, origin.as_ref())
     });
     idle?;
     tick.tables.pools.get_mut(pool)?.exclusive.pop_front()
 }
 
-/// Returns a usable reserved upstream on which this VM has placed no attempt.
-fn find_idle_reserved(tick: &Tick<'_>, pool: &PoolKey) -> Option<UpstreamName> {
+/// Returns a usable reserved upstream that fits a stream and runs no attempt of this VM.
+fn find_idle_reserved(
+    tick: &Tick<'_>,
+    pool: &PoolKey,
+    origin: Option<&StreamOrigin>,
+) -> Option<UpstreamName> {
     let row = tick.tables.pools.get(pool)?;
     row.reserved
         .iter()
         .find(|name| {
             let upstream = tick.tables.upstreams.get(name);
-            upstream.is_some_and(|row| row.attempts.is_empty() && row.is_usable(tick.now_us))
+            upstream.is_some_and(|row| {
+                row.attempts.is_empty() && row.is_usable(tick.now_us) && row.fits(origin)
+            })
         })
         .cloned()
 }
 
-/// Reserves one more upstream, as far as calls need it and at most half of the pool.
-fn reserve_upstream(tick: &mut Tick<'_>, pool: &PoolKey) {
+/// Releases the reserved upstreams that run nothing and do not fit the stream that is next.
+///
+/// They would count against the limit of reservations without being of use to it.
+fn release_unfit(tick: &mut Tick<'_>, pool: &PoolKey, origin: Option<&StreamOrigin>) {
+    let Some(row) = tick.tables.pools.get(pool) else {
+        return;
+    };
+    let upstreams = &tick.tables.upstreams;
+    let is_unfit = |name: &UpstreamName| {
+        let row = upstreams.get(name);
+        row.is_some_and(|row| row.attempts.is_empty() && !row.fits(origin))
+    };
+    let unfit: SmallVec<[UpstreamName; 2]> = row
+        .reserved
+        .iter()
+        .filter(|name| is_unfit(name))
+        .cloned()
+        .collect();
+    for name in unfit {
+        release(tick, pool, &name);
+    }
+}
+
+/// Reserves one more upstream that fits a stream, as far as calls need it and at most half of the
+/// pool.
+fn reserve_upstream(tick: &mut Tick<'_>, pool: &PoolKey, origin: Option<&StreamOrigin>) {
     let Some(row) = tick.tables.pools.get_mut(pool) else {
         return;
     };
@@ -76,11 +108,14 @@
     if row.reserved.len() >= allowed {
         return;
     }
-    let Some((_, name)) = row.available.first().cloned() else {
+    let upstreams = &mut tick.tables.upstreams;
+    let mut available = row.available.iter().map(|(_, name)| name);
+    let fitting = available.find(|name| upstreams.get(name).is_some_and(|row| row.fits(origin)));
+    let Some(name) = fitting.cloned() else {
         return;
     };
     row.reserved.insert(name.clone());
-    if let Some(upstream) = tick.tables.upstreams.get_mut(&name) {
+    if let Some(upstream) = upstreams.get_mut(&name) {
         upstream.has_exclusive_call = true;
     }
     availability::refresh_availability(tick, &name);
@@ -102,7 +137,8 @@
 
 /// Places a call alone on an idle reserved upstream.
 fn start_exclusive(tick: &mut Tick<'_>, pool: &PoolKey, waiting: QueuedCall) {
-    let Some(upstream) = find_idle_reserved(tick, pool) else {
+    let origin = waiting.place.origin.as_ref();
+    let Some(upstream) = find_idle_reserved(tick, pool, origin) else {
         return;
     };
     let crashes = owner::crash_count(tick, &waiting);
@@ -140,12 +176,17 @@
         .cloned()
         .collect();
     for name in freed {
-        if let Some(row) = tick.tables.pools.get_mut(pool) {
-            row.reserved.remove(&name);
-        }
-        if let Some(upstream) = tick.tables.upstreams.get_mut(&name) {
-            upstream.has_exclusive_call = false;
-        }
-        availability::refresh_availability(tick, &name);
+        release(tick, pool, &name);
+    }
+}
+
+/// Ends the reservation of an upstream.
+fn release(tick: &mut Tick<'_>, pool: &PoolKey, name: &UpstreamName) {
+    if let Some(row) = tick.tables.pools.get_mut(pool) {
+        row.reserved.remove(name);
+    }
+    if let Some(upstream) = tick.tables.upstreams.get_mut(name) {
+        upstream.has_exclusive_call = false;
     }
+    availability::refresh_availability(tick, name);
 }
--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -6,15 +6,17 @@
 mod availability;
 mod entry;
 mod exclusive;
+mod finish;
 mod hints;
 mod limits;
+mod origins;
 mod owner;
 mod queue_order;
 mod reconfigure;
 mod selection;
 
 pub(crate) use availability::{refresh_and_assign, refresh_availability, requeue_held_everywhere};
-pub(crate) use entry::{end_attempt, resend_finish};
+pub(crate) use finish::{end_attempt, resend_finish};
 pub(crate) use hints::record_cached_prefix;
 
 use super::{Sender, Tick};
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -4,7 +4,7 @@
 
 use super::super::{Sender, Tick, outcomes};
 use super::selection::{self, SelectedUpstream, Selection};
-use super::{availability, exclusive, hints, limits, queue_order};
+use super::{availability, exclusive, hints, limits, origins, queue_order};
 use crate::config::UpstreamChoice;
 use crate::ids::{AttemptId, PoolKey};
 use crate::message::{AttemptResult, Finish, Place, PlacementMessage};
@@ -40,6 +40,10 @@
             place,
             arrived_us: tick.now_us,
         };
+        if !origins::can_go_on(tick, &waiting.place) {
+            refuse(tick, waiting, RefusalKind::StreamNotResumable);
+            return;
+        }
         availability::push(tick, waiting);
         assign(tick, &pool);
         schedule_aging(tick, &pool, attempt);
@@ -132,8 +136,8 @@
         let waiting = row.and_then(|row| row.queue.remove(attempt));
         match (selection, waiting) {
             (Selection::Assign(chosen), Some(waiting)) => place(tick, waiting, chosen, false),
-            (_, Some(waiting)) => refuse(tick, waiting, RefusalKind::UpstreamFailed),
-            (_, None) => {}
+            (Selection::Refuse(kind), Some(waiting)) => refuse(tick, waiting, kind),
+            (Selection::Wait, _) | (_, None) => {}
         }
         return true;
     }
--- a/crates/core/src/systems/placement/reconfigure.rs
+++ b/crates/core/src/systems/placement/reconfigure.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::super::{Sender, Tick, outcomes};
-use super::{availability, entry, owner};
+use super::{availability, entry, finish, origins, owner};
 use crate::ids::{AttemptId, CallId, PoolKey, UpstreamName, VmName};
 use crate::message::{InFlight, PlacementMessage};
 use crate::tables::{RunningAttempt, Stage};
@@ -28,12 +28,20 @@
             }
         }
     }
-    let upstreams: Vec<UpstreamName> = upstream_names(tick);
-    for name in upstreams {
+    for pool in pool_keys(tick) {
+        origins::refuse_stranded(tick, &pool);
+    }
+    for name in upstream_names(tick) {
         availability::refresh_and_assign(tick, &name);
     }
 }
 
+/// Returns the keys of all pools.
+fn pool_keys(tick: &Tick<'_>) -> Vec<PoolKey> {
+    let rows = tick.tables.pools.iter();
+    rows.map(|(key, _)| key.clone()).collect()
+}
+
 /// Returns the names of all upstreams.
 fn upstream_names(tick: &Tick<'_>) -> Vec<UpstreamName> {
     let rows = tick.tables.upstreams.iter();
@@ -52,7 +60,7 @@
         rows.map(|(attempt, _)| *attempt).collect()
     };
     for attempt in finishing {
-        entry::resend_finish(tick, attempt);
+        finish::resend_finish(tick, attempt);
     }
     for name in upstream_names(tick) {
         availability::refresh_and_assign(tick, &name);
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -3,10 +3,10 @@
 use smallvec::SmallVec;
 
 use super::super::Tick;
-use super::hints;
+use super::{hints, origins};
 use crate::config::UpstreamChoice;
 use crate::ids::{PoolKey, UpstreamName};
-use crate::output::PlacementReason;
+use crate::output::{PlacementReason, RefusalKind};
 use crate::tables::{Pool, QueuedCall, Upstream};
 
 /// Largest pool in which all available upstreams are compared; larger ones are sampled by hash.
@@ -37,8 +37,8 @@
     Assign(SelectedUpstream),
     /// The call stays queued: no upstream has room, or a full one is worth waiting for.
     Wait,
-    /// The only allowed upstream is ejected; ejections are assumed to outlast the wait of a call.
-    Refuse,
+    /// No allowed upstream will run the call: ejections, for one, are assumed to outlast its wait.
+    Refuse(RefusalKind),
 }
 
 /// The upstream selected for a call.
@@ -66,8 +66,14 @@
     if let Some(pinned) = pinned_upstream(tick, pool, waiting) {
         return select_pinned(tick, pinned);
     }
+    if !origins::can_go_on(tick, &waiting.place) {
+        return Selection::Refuse(RefusalKind::StreamNotResumable);
+    }
     let ignores_avoid = avoids_all(tick, pool, waiting);
-    let is_allowed = |name: &UpstreamName| ignores_avoid || !waiting.place.avoid.contains(name);
+    let is_allowed = |name: &UpstreamName| {
+        let is_avoided = waiting.place.avoid.contains(name);
+        (ignores_avoid || !is_avoided) && origins::fits(tick, &waiting.place, name)
+    };
     match tick.settings.policy.upstream_choice {
         UpstreamChoice::RoundRobin => select_round_robin(tick, pool, is_allowed),
         UpstreamChoice::LeastLoaded => select_least_loaded(pool, is_allowed),
@@ -85,7 +91,7 @@
     }
     // One that is leaving still runs what it has begun, but takes no new calls.
     if row.config.leaving || row.health.ejected_until_us > tick.now_us {
-        return Selection::Refuse;
+        return Selection::Refuse(RefusalKind::UpstreamFailed);
     }
     if row.open_load_permille.is_none() {
         return Selection::Wait;
@@ -95,7 +101,8 @@
 
 /// Returns the upstream that a call is pinned to.
 ///
-/// Returns `None` if the upstream left the pool, or if it crashed recently and so lost the call.
+/// Returns `None` if the upstream left the pool, or if its process has ended and so lost the call:
+/// it crashed recently, or restarted with another software version.
 fn pinned_upstream<'a>(
     tick: &Tick<'_>,
     pool: &Pool,
@@ -104,19 +111,23 @@
     let pinned = waiting.place.only.as_ref()?;
     let row = tick.tables.upstreams.get(pinned)?;
     let has_crashed = row.health.has_crashed_recently(tick.now_us);
-    (pool.upstreams.contains(pinned) && !has_crashed).then_some(pinned)
+    let runs_on = !has_crashed && row.fits(waiting.place.origin.as_ref());
+    (pool.upstreams.contains(pinned) && runs_on).then_some(pinned)
 }
 
-/// Returns whether a call avoids every usable upstream of a pool small enough to check.
+/// Returns whether a call avoids every usable upstream that fits it.
+///
+/// Large pools are checked only for a stream that has begun, which few upstreams may fit.
 fn avoids_all(tick: &Tick<'_>, pool: &Pool, waiting: &QueuedCall) -> bool {
-    let avoid = &waiting.place.avoid;
-    if avoid.is_empty() || pool.upstreams.len() > MAX_COMPARED_UPSTREAMS {
+    let place = &waiting.place;
+    let is_large = pool.upstreams.len() > MAX_COMPARED_UPSTREAMS;
+    if place.avoid.is_empty() || (is_large && place.origin.is_none()) {
         return false;
     }
     pool.upstreams
         .iter()
-        .filter(|name| is_usable(tick, name))
-        .all(|name| avoid.contains(name))
+        .filter(|name| is_usable(tick, name) && origins::fits(tick, place, name))
+        .all(|name| place.avoid.contains(name))
 }
 
 /// Returns whether an upstream may get calls, regardless of its free capacity.
@@ -171,7 +182,9 @@
     is_allowed: impl Fn(&UpstreamName) -> bool,
 ) -> Selection {
     let hints: SmallVec<[(&UpstreamName, u64); 2]> =
-        hints::expected_cached_tokens(tick, &waiting.place).collect();
+        hints::expected_cached_tokens(tick, &waiting.place)
+            .filter(|(name, _)| origins::fits(tick, &waiting.place, name))
+            .collect();
     let cached_on = |name: &UpstreamName| {
         let hint = hints.iter().find(|(hinted, _)| *hinted == name);
         hint.map_or(0, |(_, tokens)| *tokens)
@@ -221,7 +234,8 @@
 /// Returns the upstreams whose costs are compared.
 ///
 /// In a large pool these are the hinted ones, two selected by hash, and the
-/// least loaded one in case those selected by hash are full.
+/// least loaded one in case those selected by hash are full. For a stream that
+/// has begun, they are the least loaded ones that fit it.
 fn candidate_names<'a>(
     tick: &Tick<'_>,
     pool: &'a Pool,
@@ -231,6 +245,11 @@
     if pool.upstreams.len() <= MAX_COMPARED_UPSTREAMS {
         return pool.available.iter().map(|(_, name)| name).collect();
     }
+    if waiting.place.origin.is_some() {
+        let available = pool.available.iter().map(|(_, name)| name);
+        let fitting = available.filter(|name| origins::fits(tick, &waiting.place, name));
+        return fitting.take(MAX_COMPARED_UPSTREAMS).collect();
+    }
     let mut compared: SmallVec<[&UpstreamName; MAX_COMPARED_UPSTREAMS]> =
         hints.iter().map(|(name, _)| *name).collect();
     let attempt = waiting.place.attempt;
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -6,7 +6,7 @@
 
 use super::Coverage;
 use crate::config::HostRoute;
-use crate::ids::{AccountName, AttemptId, PoolKey, ProgramKey, UpstreamName};
+use crate::ids::{AccountName, AttemptId, PoolKey, ProgramKey, StreamOrigin, UpstreamName};
 use crate::input::{Continuation, NewCall};
 use crate::output::{ChargeOutcome, Execution};
 
@@ -120,6 +120,11 @@
     pub ran_on: SmallVec<[UpstreamName; 2]>,
     /// The only upstream that may run the call again, unless its process has ended.
     pub only: Option<UpstreamName>,
+    /// Service and software version of the upstream of the last attempt, at the time of dispatch.
+    pub attempt_origin: Option<StreamOrigin>,
+    /// Where the stream began, once its caller has received an event; only upstreams of the same
+    /// service and software version may go on with it.
+    pub origin: Option<StreamOrigin>,
 }
 
 /// State of placement and retries of a call.
--- a/crates/core/src/tables/pool.rs
+++ b/crates/core/src/tables/pool.rs
@@ -40,17 +40,16 @@
             || self.held.values().flatten().any(is_same)
     }
 
-    /// Removes a waiting call.
-    pub fn remove_waiting(&mut self, attempt: AttemptId) {
-        let is_other = |waiting: &QueuedCall| waiting.place.attempt != attempt;
-        if self.queue.remove(attempt).is_some() {
-            return;
-        }
-        self.exclusive.retain(is_other);
-        for held in self.held.values_mut() {
-            held.retain(is_other);
-        }
+    /// Removes a waiting call and returns it.
+    pub fn remove_waiting(&mut self, attempt: AttemptId) -> Option<QueuedCall> {
+        let removed = self.queue.remove(attempt).or_else(|| {
+            let held = self.held.values_mut();
+            std::iter::once(&mut self.exclusive)
+                .chain(held)
+                .find_map(|calls| take(calls, attempt))
+        });
         self.held.retain(|_, held| !held.is_empty());
+        removed
     }
 
     /// Iterates over all waiting calls.
@@ -59,3 +58,10 @@
         self.queue.iter().chain(&self.exclusive).chain(held)
     }
 }
+
+/// Removes an attempt from waiting calls and returns it.
+fn take(calls: &mut VecDeque<QueuedCall>, attempt: AttemptId) -> Option<QueuedCall> {
+    let mut rows = calls.iter();
+    let position = rows.position(|waiting| waiting.place.attempt == attempt)?;
+    calls.remove(position)
+}
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -8,7 +8,8 @@
 use super::{ConcurrencyLimit, Health};
 use crate::config::UpstreamConfig;
 use crate::ids::{
-    AccountName, AttemptId, ContentDigest, ModelName, PoolKey, ProgramKey, UpstreamName, VmName,
+    AccountName, AttemptId, ContentDigest, ModelName, PoolKey, ProgramKey, StreamOrigin,
+    UpstreamName, VmName,
 };
 
 /// Initial estimate of the prefill time per token, until it has been measured.
@@ -120,6 +121,11 @@
         !self.config.leaving && self.health.is_ready(now_us)
     }
 
+    /// Returns whether a stream of this origin may run on it; one without an origin may.
+    pub fn fits(&self, origin: Option<&StreamOrigin>) -> bool {
+        origin.is_none_or(|origin| origin.version == self.config.software_version)
+    }
+
     /// Returns whether it may get one more call now.
     pub fn has_room(&self, now_us: u64, is_learned: bool) -> bool {
         self.is_usable(now_us)
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -149,6 +149,7 @@
         ended: None,
         priority: None,
         only: None,
+        origin: None,
     };
     QueuedCall {
         vm: VmName::from("vm-0"),
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -277,6 +277,7 @@
         | Decision::TurnCovered { call, .. }
         | Decision::TurnUncovered { call, .. }
         | Decision::Retry { call, .. }
+        | Decision::BoundToOrigin { call, .. }
         | Decision::NoRetry { call, .. } => Some(*call),
         Decision::Placed { attempt, .. } => Some(attempt.call),
         _ => None,
--- a/crates/testing/src/relays/fixtures.rs
+++ b/crates/testing/src/relays/fixtures.rs
@@ -6,8 +6,8 @@
 use knapweeddale_core::{
     AccountConfig, AccountName, CallId, ContentDigest, EngineConfig, FleetConfig, KeyConfig, KeyId,
     ListedUpstream, ModelName, NewCall, PresentedKey, ProgramName, RelayedCall, Revision,
-    Secret256, ServiceConfig, ServiceKind, ServiceName, Target, UpstreamConfig, UpstreamList,
-    UpstreamName,
+    Secret256, ServiceConfig, ServiceKind, ServiceName, SoftwareVersion, StreamStart, Target,
+    UpstreamConfig, UpstreamList, UpstreamName,
 };
 use smallvec::smallvec;
 
@@ -60,6 +60,8 @@
     pub timeout_ms: u64,
     /// Stands for the request body: calls with equal values have equal digests.
     pub content: u8,
+    /// Whether it begins a stream or goes on with one.
+    pub stream_start: StreamStart,
 }
 
 impl RelayCall {
@@ -74,6 +76,7 @@
             run_ms: 10,
             timeout_ms: 1_200,
             content: 0,
+            stream_start: StreamStart::New,
         }
     }
 
@@ -100,6 +103,7 @@
             .maybe_program(program.map(|program| ProgramName::from(program.as_str())))
             .maybe_budget_tokens(turn.map(|(_, budget, ..)| *budget))
             .maybe_line(turn.map(|(.., line)| *line))
+            .stream_start(self.stream_start.clone())
             .build();
         let mut digest = ContentDigest::default();
         digest.0[0] = self.content;
@@ -216,6 +220,13 @@
     }
 }
 
+/// Creates an entry of the upstream list for an engine with this version of its software.
+pub fn listed_engine(name: &str, version: &str) -> ListedUpstream {
+    let mut listed = listed_upstream(name, "models");
+    listed.config.software_version = Some(SoftwareVersion::from(version));
+    listed
+}
+
 /// Creates an upstream list with two engines and two plain upstreams.
 pub fn upstreams(revision: u64) -> UpstreamList {
     UpstreamList {
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -20,7 +20,9 @@
 };
 
 pub use attempts::UpstreamState;
-pub use fixtures::{ForwardedTokens, RelayCall, Run, account, fleet, listed_upstream, upstreams};
+pub use fixtures::{
+    ForwardedTokens, RelayCall, Run, account, fleet, listed_engine, listed_upstream, upstreams,
+};
 pub use store::StoreState;
 
 use self::attempts::RunningEvent;
