Report what a response that became invalid has forwarded

A stream whose bytes could no longer be read, because its upstream had spoiled them, went on at any software version, although its caller had received events.

Cause: such a response was reported to the core as an error of the upstream with status 502. That failure says nothing about events and tokens that were forwarded, so that the stream counted as not begun.

`Failure::InvalidResponse` states both, as for a lost connection. In all other respects it is treated as the error before: it counts against the upstream, uses the retry budget and ends as `upstream_failed`.

`invalid_response` in crates/core/tests/software_versions.rs fails if the failure does not report what was forwarded.

--- a/crates/core/src/input/attempt.rs
+++ b/crates/core/src/input/attempt.rs
@@ -67,6 +67,13 @@
         /// The HTTP status of the error.
         status: u16,
     },
+    /// The response cannot be read, or is not one to the request.
+    InvalidResponse {
+        /// Tokens received before the invalid part.
+        answer_tokens: u64,
+        /// Whether any part of the response reached the caller.
+        forwarded: bool,
+    },
     /// The connection broke, as it does when the upstream crashes.
     ConnectionLost {
         /// Tokens received before the connection broke.
@@ -121,7 +128,9 @@
     /// Returns whether any part of the response reached the caller.
     pub fn is_forwarded(&self) -> bool {
         match self {
-            Self::ConnectionLost { forwarded, .. } | Self::Silent { forwarded, .. } => *forwarded,
+            Self::ConnectionLost { forwarded, .. }
+            | Self::Silent { forwarded, .. }
+            | Self::InvalidResponse { forwarded, .. } => *forwarded,
             Self::CallerGone { .. } | Self::HistoryNotStored { .. } => true,
             _ => false,
         }
@@ -132,6 +141,7 @@
         match self {
             Self::ConnectionLost { answer_tokens, .. }
             | Self::Silent { answer_tokens, .. }
+            | Self::InvalidResponse { answer_tokens, .. }
             | Self::CallerGone { answer_tokens }
             | Self::HistoryNotStored { answer_tokens } => *answer_tokens,
             _ => 0,
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -126,6 +126,7 @@
         Failure::Silent { .. } if is_relayed => AttemptResult::Silent,
         Failure::RefusedByUpstream { .. }
         | Failure::UpstreamError { .. }
+        | Failure::InvalidResponse { .. }
         | Failure::Silent { .. } => AttemptResult::Failed,
         Failure::ConnectionLost { .. } => AttemptResult::Lost,
         _ => AttemptResult::Unused,
--- a/crates/core/tests/software_versions.rs
+++ b/crates/core/tests/software_versions.rs
@@ -221,6 +221,24 @@
     }
 }
 
+/// Guards against a stream that goes on at another version because its response became invalid
+/// instead of breaking off.
+#[rstest]
+fn invalid_response() {
+    for seed in seeds() {
+        let mut relays = start(&names(&["a-v1", "b-v2"]), 1, seed);
+        let streams = send_streams(&mut relays);
+        relays.run_ms(FIRST_EVENT_MS * 2);
+        relays.spoil_responses(0, Some("a-v1"));
+        relays.crash_upstream("a-v1");
+        relays.run_ms(RUN_MS + RECOVERY_MS);
+        for stream in streams {
+            let versions = versions_of(&relays, stream);
+            assert!(versions.len() == 1, "seed {seed}: {stream} at {versions:?}");
+        }
+    }
+}
+
 /// Guards against a suspect content that must run alone and gets an upstream of another version.
 #[rstest]
 fn exclusive_run() {
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -382,8 +382,9 @@
         let upstream = &self.dispatch.upstream;
         let attempt = self.dispatch.attempt;
         tracing::warn!(%attempt, %upstream, "upstream: response cannot be used ({reason})");
-        Failure::UpstreamError {
-            status: StatusCode::BAD_GATEWAY.as_u16(),
+        Failure::InvalidResponse {
+            answer_tokens: self.progress.forwarded_tokens,
+            forwarded: self.progress.is_stream_started,
         }
     }
 }
--- a/crates/testing/src/relays/attempts.rs
+++ b/crates/testing/src/relays/attempts.rs
@@ -128,6 +128,17 @@
         }
     }
 
+    /// Spoils the responses of the attempts that a VM runs on an upstream, so that they cannot be
+    /// read any further.
+    pub fn spoil_responses(&mut self, vm: usize, upstream: Option<&str>) {
+        for attempt in self.running_attempts(Some(vm), upstream) {
+            self.end_attempt(attempt, |forwarded| Failure::InvalidResponse {
+                answer_tokens: 0,
+                forwarded,
+            });
+        }
+    }
+
     /// Ends the process of an upstream, which resets its connections.
     pub fn crash_upstream(&mut self, upstream: &str) {
         self.set_upstream_state(upstream, Some(UpstreamState::Crashed));
