Let a stream that is taken up go on only where it began

Cause: a request with `Last-Event-Id` was placed as a new one. `Resumes` was not read, and on a route with several services the service was drawn from the request ID, which is new for each attempt of the caller.

The front end passes the origin of the stream to the core, which takes its service if the route still leads there, and binds the call to its version from the start. If no upstream can go on with it, the call is refused at once as `stream_not_resumable` (503), not run. `resume:` lines name the origin. The lookup of routes moves to a module of its own.

--- a/crates/core/src/config/host_route.rs
+++ b/crates/core/src/config/host_route.rs
@@ -106,6 +106,18 @@
         }
         None
     }
+
+    /// Returns the name of a service if the route may select it.
+    pub fn find_backend(&self, service: &ServiceName) -> Option<&ServiceName> {
+        let has_weights = self.backends.iter().any(|row| row.weight > 0);
+        let mut selectable = self.backends.iter().filter(|row| row.weight > 0);
+        let found = if has_weights {
+            selectable.find(|row| row.service == *service)
+        } else {
+            self.backends.first().filter(|row| row.service == *service)
+        };
+        found.map(|row| &row.service)
+    }
 }
 
 /// Limits on the requests and connections of callers.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 use smallvec::SmallVec;
 
+use super::format::runners_up_text;
 use super::{
     CloseReason, CrashEvidence, Execution, OrderAction, PlacementReason, RefusalKind, RetryReason,
     TakeoverSource,
@@ -28,6 +29,14 @@
         /// Whether the call ran.
         ran: Execution,
     },
+    /// A caller takes up a stream that broke off.
+    #[display("resume: call {call} takes up a stream of {origin}")]
+    StreamTakenUp {
+        /// The call that goes on with the stream.
+        call: CallId,
+        /// Where the stream began.
+        origin: StreamOrigin,
+    },
     /// A call was admitted under its account's rate limit.
     #[display("rates: admitted call {call} of {account} after {waited_us} us")]
     Admitted {
@@ -432,18 +441,3 @@
         in_force: Revision,
     },
 }
-
-/// Formats the runners-up of a placement.
-fn runners_up_text(runners_up: &[UpstreamName]) -> String {
-    runners_up
-        .iter()
-        .enumerate()
-        .map(|(i, name)| {
-            if i == 0 {
-                format!(" before {name}")
-            } else {
-                format!(", {name}")
-            }
-        })
-        .collect()
-}
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -2,6 +2,7 @@
 
 mod charge;
 mod decision;
+mod format;
 mod order;
 mod reason;
 mod refusal;
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -1,13 +1,16 @@
 //! Admission of calls: route lookup, authentication, refusals, and the stages of a call.
 
+mod origins;
+mod routes;
+
 use std::sync::Arc;
 
 use smallvec::SmallVec;
 
 use super::{Tick, budgets, homes, outcomes, rates};
-use crate::config::{HostRoute, ServiceKind};
-use crate::ids::{AccountName, CallId, PoolKey, ProgramKey};
-use crate::input::{NewCall, PresentedKey, Target};
+use crate::config::HostRoute;
+use crate::ids::{AccountName, CallId, ProgramKey, StreamOrigin};
+use crate::input::{NewCall, PresentedKey};
 use crate::message::PlacementMessage;
 use crate::output::{ChargeOutcome, Decision, Execution, Output, Refusal, RefusalKind};
 use crate::tables::{Call, RelayState, Stage};
@@ -43,17 +46,6 @@
     }
 }
 
-/// The route of a call, resolved from its target.
-struct ResolvedRoute {
-    pool: PoolKey,
-    /// Whether the call may run more than once.
-    idempotent: bool,
-    /// Whether the caller needs no key.
-    open: bool,
-    /// The route by host and path; `None` unless the call is relayed.
-    host: Option<Arc<HostRoute>>,
-}
-
 /// Time for which a stream that has begun may go on after its route's timeout.
 const STREAM_GRACE_US: u64 = 200_000;
 
@@ -66,7 +58,7 @@
 /// Resolves and authenticates a new call, and refuses it or moves it to its first stage.
 fn handle_arrival(tick: &mut Tick<'_>, request: NewCall) {
     let id = request.id;
-    let resolved = find_route(tick, &request).and_then(|route| {
+    let resolved = routes::find_route(tick, &request).and_then(|route| {
         // On an open route, the key of a relayed call is ignored.
         let is_keyless = route.open && route.host.is_some();
         let key = request.key.as_ref().filter(|_| !is_keyless);
@@ -76,9 +68,10 @@
         if tick.tables.quarantine.contains_key(&request.digest) {
             return Err(RefusalKind::Quarantined);
         }
-        Ok((route, account))
+        let origin = origins::find_origin(tick, &request, &route)?;
+        Ok((route, account, origin))
     });
-    let (route, account) = match resolved {
+    let (route, account, origin) = match resolved {
         Ok(resolved) => resolved,
         Err(kind) => {
             let kind = soften_denial(tick, &request, kind);
@@ -106,7 +99,7 @@
     }
     let relay = route
         .host
-        .map(|host| build_relay(tick, &request, host, account.as_ref()));
+        .map(|host| build_relay(tick, &request, host, account.as_ref(), origin));
     if let Some(program) = find_stopped_program(tick, relay.as_deref()) {
         budgets::report_uncovered(tick, &program, id);
         report_refusal(tick, id, RefusalKind::OverBudget, Execution::NotRun, None);
@@ -189,6 +182,7 @@
     request: &NewCall,
     route: Arc<HostRoute>,
     account: Option<&AccountName>,
+    origin: Option<StreamOrigin>,
 ) -> Box<RelayState> {
     let relayed = request.relayed.as_deref();
     let row = account.and_then(|account| tick.tables.accounts.get(account));
@@ -215,95 +209,11 @@
         ran_on: SmallVec::new(),
         only: None,
         attempt_origin: None,
-        origin: None,
+        origin,
         route,
     })
 }
 
-/// Resolves the target of a call to its pool and route.
-fn find_route(tick: &Tick<'_>, request: &NewCall) -> Result<ResolvedRoute, RefusalKind> {
-    match &request.target {
-        Target::Host { host, path } => find_host_route(tick, request, host, path),
-        Target::Model(model) => {
-            let service = tick.tables.models.get(model);
-            let service = service.ok_or(RefusalKind::ModelUnknown)?;
-            Ok(ResolvedRoute {
-                pool: PoolKey {
-                    service: service.clone(),
-                    model: Some(model.clone()),
-                },
-                idempotent: true,
-                open: false,
-                host: None,
-            })
-        }
-        Target::Plain {
-            service,
-            method,
-            path,
-        } => {
-            let config = tick.tables.services.get(service);
-            let route = config
-                .and_then(|config| config.route(method, path))
-                .ok_or(RefusalKind::RouteUnknown)?;
-            Ok(ResolvedRoute {
-                pool: PoolKey {
-                    service: service.clone(),
-                    model: None,
-                },
-                idempotent: route.idempotent,
-                open: route.open,
-                host: None,
-            })
-        }
-    }
-}
-
-/// Resolves the host and path of a relayed call to its pool and route.
-fn find_host_route(
-    tick: &Tick<'_>,
-    request: &NewCall,
-    host: &Arc<str>,
-    path: &str,
-) -> Result<ResolvedRoute, RefusalKind> {
-    let tables = &*tick.tables;
-    if tables.fleet.revision.0 == 0 {
-        return Err(RefusalKind::NotConfigured);
-    }
-    let routes = tables.hosts.get(host).map_or(&[][..], Vec::as_slice);
-    let route = routes
-        .iter()
-        .find(|route| path.starts_with(&*route.path_prefix))
-        .ok_or(RefusalKind::RouteUnknown)?;
-    let relayed = request.relayed.as_deref();
-    let spread_hash = relayed.map_or(0, |relayed| relayed.spread_hash);
-    let service = route
-        .select_backend(spread_hash)
-        .ok_or(RefusalKind::RouteUnknown)?;
-    let config = tables.services.get(service);
-    let config = config.ok_or(RefusalKind::RouteUnknown)?;
-    let model = match &config.kind {
-        ServiceKind::Plain => None,
-        ServiceKind::Engine(engine) => {
-            let requested = relayed.and_then(|relayed| relayed.model.clone());
-            let model = requested.or_else(|| engine.models.first().cloned());
-            Some(model.ok_or(RefusalKind::ModelUnknown)?)
-        }
-    };
-    if model.as_ref().is_some_and(|model| !config.offers(model)) {
-        return Err(RefusalKind::ModelUnknown);
-    }
-    Ok(ResolvedRoute {
-        pool: PoolKey {
-            service: service.clone(),
-            model,
-        },
-        idempotent: route.kind.is_repeatable(),
-        open: route.open,
-        host: Some(route.clone()),
-    })
-}
-
 /// Returns the account of the presented key, or `None` if the route is open and no key is given.
 pub(crate) fn authenticate(
     tick: &Tick<'_>,
--- /dev/null
+++ b/crates/core/tests/resumed_origins.rs
@@ -0,0 +1,166 @@
+//! Guards against streams that callers take up again and that go on elsewhere than at upstreams of
+//! the service and software version that began them.
+
+use knapweeddale_core::{
+    Backend, CallId, FleetConfig, ListedUpstream, RefusalKind, ServiceConfig, ServiceName,
+    StreamOrigin, StreamStart, UpstreamList,
+};
+use knapweeddale_testing::relays::{
+    RelayCall, RelayFleet, account, fleet, listed_engine, listed_upstream,
+};
+use knapweeddale_testing::seeds;
+use rstest::rstest;
+
+/// Streams that are taken up again.
+const STREAMS: u64 = 12;
+
+/// Time in which a placed stream ends, in milliseconds.
+const RUN_MS: u64 = 1_000;
+
+/// Returns the entry of an engine of another service.
+fn other_engine(name: &str, version: &str) -> ListedUpstream {
+    ListedUpstream {
+        service: ServiceName::from("other-models"),
+        ..listed_engine(name, version)
+    }
+}
+
+/// Creates a list of these engines and a plain upstream.
+fn list(revision: u64, mut engines: Vec<ListedUpstream>) -> UpstreamList {
+    engines.push(listed_upstream("tool-1", "tools"));
+    engines.sort_by(|a, b| a.config.name.cmp(&b.config.name));
+    UpstreamList {
+        revision,
+        upstreams: engines,
+    }
+}
+
+/// Creates a configuration whose streams go to two services with these weights.
+fn config(revision: u64, weights: [u32; 2]) -> FleetConfig {
+    let mut config = fleet(revision, vec![account("bus", 1_000, 1_000)]);
+    let models = config
+        .services
+        .iter()
+        .find(|row| row.name.as_str() == "models");
+    let other = ServiceConfig {
+        name: ServiceName::from("other-models"),
+        ..models.expect("the service of the engines").clone()
+    };
+    config.services.push(other);
+    for route in &mut config.host_routes {
+        if route.kind.is_stream() {
+            route.backends = ["models", "other-models"]
+                .into_iter()
+                .zip(weights)
+                .map(|(name, weight)| Backend {
+                    service: ServiceName::from(name),
+                    weight,
+                })
+                .collect();
+        }
+    }
+    config
+}
+
+/// Starts a VM whose streams go to two services with these weights.
+fn start(weights: [u32; 2], engines: Vec<ListedUpstream>, seed: u64) -> RelayFleet {
+    let mut relays = RelayFleet::new(1, config(1, weights), list(1, engines), seed);
+    relays.run_ms(3_000);
+    relays
+}
+
+/// Returns an origin.
+fn origin(service: &str, version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: ServiceName::from(service),
+        version: Some(version.into()),
+    }
+}
+
+/// Sends calls that take streams up again.
+fn take_up(relays: &mut RelayFleet, stream_start: &StreamStart) -> Vec<CallId> {
+    (0..STREAMS)
+        .map(|number| {
+            let turn = RelayCall::turn("bus", &format!("p{number}"), 100_000, 40);
+            let call = RelayCall {
+                content: number as u8,
+                stream_start: stream_start.clone(),
+                ..turn
+            };
+            relays.call(0, call)
+        })
+        .collect()
+}
+
+/// Guards against a stream that goes on at another version, of which more upstreams serve.
+#[rstest]
+fn other_version() {
+    let engines = [("a", "v1"), ("b", "v2"), ("c", "v2"), ("d", "v2")];
+    let engines = engines.map(|(name, version)| listed_engine(name, version));
+    for seed in seeds() {
+        let mut relays = start([1, 0], engines.to_vec(), seed);
+        let resumed = StreamStart::ResumedFrom(origin("models", "v1"));
+        let streams = take_up(&mut relays, &resumed);
+        relays.run_ms(RUN_MS);
+        for stream in streams {
+            assert_eq!(relays.upstreams_of(stream), ["a"], "seed {seed}: {stream}");
+            assert!(relays.is_answered(stream), "seed {seed}: {stream}");
+        }
+    }
+}
+
+/// Guards against a stream that goes on at another service of its route, which a new request ID
+/// selects.
+#[rstest]
+fn other_service() {
+    let engines = vec![listed_engine("a", "v1"), other_engine("b", "v1")];
+    for seed in seeds() {
+        let mut relays = start([1, 1], engines.clone(), seed);
+        for (service, engine) in [("models", "a"), ("other-models", "b")] {
+            let resumed = StreamStart::ResumedFrom(origin(service, "v1"));
+            let streams = take_up(&mut relays, &resumed);
+            relays.run_ms(RUN_MS);
+            for stream in streams {
+                let used = relays.upstreams_of(stream);
+                assert_eq!(used, [engine], "seed {seed}: {stream}");
+            }
+        }
+    }
+}
+
+/// Guards against a stream that goes on at a service to which its route no longer leads, or at
+/// the one that has replaced it.
+#[rstest]
+fn moved_route() {
+    let engines = vec![listed_engine("a", "v1"), other_engine("b", "v1")];
+    for seed in seeds() {
+        let mut relays = start([1, 0], engines.clone(), seed);
+        relays.store.publish(config(2, [0, 1]));
+        relays.run_ms(3_000);
+        let resumed = StreamStart::ResumedFrom(origin("models", "v1"));
+        let streams = take_up(&mut relays, &resumed);
+        relays.run_ms(RUN_MS);
+        for stream in streams {
+            let refusal = relays.refusal(stream);
+            let expected = Some(RefusalKind::StreamNotResumable);
+            assert!(refusal == expected, "seed {seed}: {stream} {refusal:?}");
+            assert!(!relays.has_run(stream), "seed {seed}: {stream}");
+        }
+    }
+}
+
+/// Guards against a stream that is held until its time is over although its version is gone.
+#[rstest]
+fn version_gone() {
+    for seed in seeds() {
+        let mut relays = start([1, 0], vec![listed_engine("b", "v2")], seed);
+        let resumed = StreamStart::ResumedFrom(origin("models", "v1"));
+        let streams = take_up(&mut relays, &resumed);
+        relays.run_ms(50);
+        for stream in streams {
+            let refusal = relays.refusal(stream);
+            let expected = Some(RefusalKind::StreamNotResumable);
+            assert!(refusal == expected, "seed {seed}: {stream} {refusal:?}");
+        }
+    }
+}
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -278,6 +278,7 @@
         | Decision::TurnUncovered { call, .. }
         | Decision::Retry { call, .. }
         | Decision::BoundToOrigin { call, .. }
+        | Decision::StreamTakenUp { call, .. }
         | Decision::NoRetry { call, .. } => Some(*call),
         Decision::Placed { attempt, .. } => Some(attempt.call),
         _ => None,
