Refuse a stream of unknown origin unless only one can have begun it

A VM that did not know where a stream had begun placed it at any software version: after a restart, without `Resumes`, or when the record of the origin was lost.

Cause: not knowing was treated as not caring.

The core records which versions the upstreams of each service have had within the 30 s in which a stream can be taken up, and since when each route leads to its services. An unknown origin is inferred if both leave only one, the VM has known them for that long, and its list of upstreams is no older than 2 s. Otherwise the call is refused at once as `stream_not_resumable` (503), not run: its caller can request the stream again from its first event.

--- a/crates/core/src/config/host_route.rs
+++ b/crates/core/src/config/host_route.rs
@@ -107,6 +107,16 @@
         None
     }
 
+    /// Returns the only service that the route may select, if there is just one.
+    pub fn only_backend(&self) -> Option<&ServiceName> {
+        let mut services = self.backends.iter().map(|row| &row.service);
+        let mut selectable = services
+            .by_ref()
+            .filter(|name| self.find_backend(name).is_some());
+        let only = selectable.next()?;
+        selectable.next().is_none().then_some(only)
+    }
+
     /// Returns the name of a service if the route may select it.
     pub fn find_backend(&self, service: &ServiceName) -> Option<&ServiceName> {
         let has_weights = self.backends.iter().any(|row| row.weight > 0);
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -5,8 +5,8 @@
 
 use super::format::runners_up_text;
 use super::{
-    CloseReason, CrashEvidence, Execution, OrderAction, PlacementReason, RefusalKind, RetryReason,
-    TakeoverSource,
+    CloseReason, CrashEvidence, Execution, OrderAction, OriginEvidence, PlacementReason,
+    RefusalKind, RetryReason, TakeoverSource,
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, Epoch, FencingToken, Incarnation, ProgramKey,
@@ -34,8 +34,8 @@
     StreamTakenUp {
         /// The call that goes on with the stream.
         call: CallId,
-        /// Where the stream began.
-        origin: StreamOrigin,
+        /// What is known about where the stream began.
+        origin: OriginEvidence,
     },
     /// A call was admitted under its account's rate limit.
     #[display("rates: admitted call {call} of {account} after {waited_us} us")]
--- a/crates/core/src/output/format.rs
+++ b/crates/core/src/output/format.rs
@@ -1,6 +1,6 @@
 //! Formats lists in the log lines of decisions.
 
-use crate::ids::UpstreamName;
+use crate::ids::{SoftwareVersion, UpstreamName};
 
 /// Formats the runners-up of a placement.
 pub(super) fn runners_up_text(runners_up: &[UpstreamName]) -> String {
@@ -16,3 +16,13 @@
         })
         .collect()
 }
+
+/// Formats software versions; upstreams that state none have no entry.
+pub(super) fn versions_text(versions: &[SoftwareVersion]) -> String {
+    let texts: Vec<&str> = versions.iter().map(SoftwareVersion::as_str).collect();
+    if texts.is_empty() {
+        "none".to_owned()
+    } else {
+        texts.join(", ")
+    }
+}
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -11,7 +11,9 @@
 pub use charge::{Charge, ChargeOutcome};
 pub use decision::Decision;
 pub use order::{Order, OrderAction};
-pub use reason::{CloseReason, CrashEvidence, PlacementReason, RetryReason, TakeoverSource};
+pub use reason::{
+    CloseReason, CrashEvidence, OriginEvidence, PlacementReason, RetryReason, TakeoverSource,
+};
 pub use refusal::{Execution, Refusal, RefusalKind};
 pub use source::SourceRequest;
 
--- a/crates/core/src/output/reason.rs
+++ b/crates/core/src/output/reason.rs
@@ -1,6 +1,10 @@
 //! Reasons for decisions, as logged and reported in metrics.
 
 use derive_more::Display;
+use smallvec::SmallVec;
+
+use super::format::versions_text;
+use crate::ids::{SoftwareVersion, StreamOrigin};
 
 /// Where a new home recovered the state of a program from.
 #[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
@@ -138,3 +142,20 @@
     #[display("new connections work")]
     Answering,
 }
+
+/// What is known about where a stream began that its caller takes up.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum OriginEvidence {
+    /// It was recorded when the stream began.
+    #[display("{_0}")]
+    Recorded(StreamOrigin),
+    /// No other service and software version can have begun it.
+    #[display("unknown origin, which must be {_0}")]
+    Inferred(StreamOrigin),
+    /// Several software versions, or none that this VM knows of, can have begun it.
+    #[display("unknown origin, versions seen: {}", versions_text(versions))]
+    Unknown {
+        /// Software versions that the upstreams of the service have had lately.
+        versions: SmallVec<[SoftwareVersion; 2]>,
+    },
+}
--- a/crates/core/src/systems/admission/origins.rs
+++ b/crates/core/src/systems/admission/origins.rs
@@ -5,7 +5,11 @@
 use crate::config::{HostRoute, RouteKind};
 use crate::ids::{ServiceName, StreamOrigin};
 use crate::input::{NewCall, RelayedCall, StreamStart};
-use crate::output::{Decision, RefusalKind};
+use crate::output::{Decision, OriginEvidence, RefusalKind};
+use crate::tables::STREAM_LIFE_US;
+
+/// Highest age of the list of upstreams at which it is taken to show all software versions.
+const MAX_LIST_AGE_US: u64 = 2_000_000;
 
 /// Returns the service that began the stream of a call, if its route still leads there.
 pub(super) fn service_of_origin<'a>(
@@ -31,19 +35,53 @@
     let (Some(route), Some(relayed)) = (&resolved.host, request.relayed.as_deref()) else {
         return Ok(None);
     };
-    match stream_start(route, relayed) {
-        Some(StreamStart::ResumedFrom(origin)) => {
-            tick.log(Decision::StreamTakenUp {
-                call: request.id,
-                origin: origin.clone(),
-            });
-            if origin.service != resolved.pool.service {
-                return Err(RefusalKind::StreamNotResumable);
-            }
-            Ok(Some(origin.clone()))
+    let evidence = match stream_start(route, relayed) {
+        Some(StreamStart::New) | None => return Ok(None),
+        Some(StreamStart::ResumedFrom(origin)) => OriginEvidence::Recorded(origin.clone()),
+        Some(StreamStart::ResumedUnknown) => infer_origin(tick, route, &resolved.pool.service),
+    };
+    tick.log(Decision::StreamTakenUp {
+        call: request.id,
+        origin: evidence.clone(),
+    });
+    match evidence {
+        OriginEvidence::Recorded(origin) | OriginEvidence::Inferred(origin)
+            if origin.service == resolved.pool.service =>
+        {
+            Ok(Some(origin))
         }
-        _ => Ok(None),
+        _ => Err(RefusalKind::StreamNotResumable),
+    }
+}
+
+/// Infers where a stream of a route began, or returns the versions that may have begun it.
+fn infer_origin(tick: &Tick<'_>, route: &HostRoute, service: &ServiceName) -> OriginEvidence {
+    if let Some(origin) = find_only_origin(tick, route) {
+        return OriginEvidence::Inferred(origin);
+    }
+    let seen = tick.tables.seen_versions.get(service);
+    let versions = seen.into_iter().flat_map(|seen| seen.recent(tick.now_us));
+    OriginEvidence::Unknown {
+        versions: versions.flatten().cloned().collect(),
+    }
+}
+
+/// Returns the only service and software version at which a stream of a route may have begun, if
+/// there is only one and this VM has known that for long enough.
+fn find_only_origin(tick: &Tick<'_>, route: &HostRoute) -> Option<StreamOrigin> {
+    let tables = &*tick.tables;
+    let list_age_us = tables.source.list.age_us(tick.now_us)?;
+    let changed_us = *tables.route_changes.get(&route.name)?;
+    let is_settled = tick.now_us >= changed_us + STREAM_LIFE_US;
+    if !is_settled || list_age_us > MAX_LIST_AGE_US {
+        return None;
     }
+    let service = route.only_backend()?;
+    let seen = tables.seen_versions.get(service)?;
+    Some(StreamOrigin {
+        service: service.clone(),
+        version: seen.only_recent(tick.now_us)?.clone(),
+    })
 }
 
 /// Returns where the stream of a call starts; `None` if the route has no resumable streams.
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -16,7 +16,7 @@
 use crate::ids::{PoolKey, Revision, UpstreamName, VmName};
 use crate::message::ConfigMessage;
 use crate::output::Decision;
-use crate::tables::{Account, Key, Pool, Table, Upstream};
+use crate::tables::{Account, Key, Pool, SeenVersions, Table, Upstream};
 
 /// Input collected for this system since its last run.
 #[derive(Debug, Default)]
@@ -115,6 +115,7 @@
 
 /// Replaces the host routes, with the longest path prefix first.
 fn replace_host_routes(tick: &mut Tick<'_>, routes: &[HostRoute]) {
+    record_route_changes(tick, routes);
     let hosts = &mut tick.tables.hosts;
     *hosts = Table::default();
     for route in routes {
@@ -126,6 +127,21 @@
     }
 }
 
+/// Records which routes lead to other services than before.
+fn record_route_changes(tick: &mut Tick<'_>, routes: &[HostRoute]) {
+    let tables = &mut *tick.tables;
+    let previous = &tables.fleet.host_routes;
+    let mut changes = Table::default();
+    for route in routes {
+        let mut previous = previous.iter().filter(|row| row.name == route.name);
+        let is_same = previous.any(|row| row.backends == route.backends);
+        let changed_us = tables.route_changes.get(&route.name).copied();
+        let changed_us = changed_us.filter(|_| is_same).unwrap_or(tick.now_us);
+        changes.insert(Arc::clone(&route.name), changed_us);
+    }
+    tables.route_changes = changes;
+}
+
 /// Replaces accounts and keys; the `rates` system then updates shares and loans.
 fn replace_accounts(tick: &mut Tick<'_>, accounts: &[AccountConfig]) {
     let tables = &mut *tick.tables;
@@ -183,10 +199,19 @@
                 tables.models.insert(model, service.name.clone());
             }
         }
+        let versions = service.upstreams.iter().map(|row| &row.software_version);
+        tables
+            .seen_versions
+            .get_or_insert_with(&service.name, SeenVersions::default)
+            .record(versions, tick.now_us);
         tables
             .services
             .insert(service.name.clone(), service.clone());
     }
+    let services = &tables.services;
+    tables
+        .seen_versions
+        .retain(|name, _| services.contains_key(name));
     tick.work.placement.config_changed = true;
     tick.work.orders.config_changed = true;
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -28,6 +28,7 @@
 mod takeover;
 mod timers;
 mod upstream;
+mod versions;
 mod view;
 mod vm;
 
@@ -61,6 +62,7 @@
 pub use table::Table;
 pub use timers::{Timer, Timers};
 pub use upstream::{RunningAttempt, Upstream};
+pub use versions::{STREAM_LIFE_US, SeenVersions};
 pub(crate) use view::hash_name;
 pub use view::{Member, View, ViewChange, ViewDelta};
 pub use vm::{HeartbeatRequest, Vm};
@@ -101,6 +103,8 @@
     pub pools: Table<PoolKey, Pool>,
     /// Upstreams of all services.
     pub upstreams: Table<UpstreamName, Upstream>,
+    /// Software versions that the upstreams of services have had lately.
+    pub seen_versions: Table<ServiceName, SeenVersions>,
     /// Orders to the engines of services, for those services whose orders this VM owns.
     pub orders: Table<ServiceName, ServiceOrders>,
     /// Programs whose home is this VM.
@@ -137,6 +141,8 @@
     pub timers: Timers,
     /// Routes by host, the longest path prefix first.
     pub hosts: Table<Arc<str>, Vec<Arc<HostRoute>>>,
+    /// Time at which the backends of a route, by its name, changed last.
+    pub route_changes: Table<Arc<str>, u64>,
     /// Budgets of programs that have no home.
     pub budgets: Table<ProgramKey, Budget>,
     /// The other VMs under `Coordination::Peers`.
--- a/crates/core/tests/resumed_origins.rs
+++ b/crates/core/tests/resumed_origins.rs
@@ -1,6 +1,7 @@
 //! Guards against streams that callers take up again and that go on elsewhere than at upstreams of
 //! the service and software version that began them.
 
+use knapweeddale_core::tables::STREAM_LIFE_US;
 use knapweeddale_core::{
     Backend, CallId, FleetConfig, ListedUpstream, RefusalKind, ServiceConfig, ServiceName,
     StreamOrigin, StreamStart, UpstreamList,
@@ -164,3 +165,82 @@
         }
     }
 }
+
+/// Time after which a stream can no longer be taken up, in milliseconds.
+const STREAM_LIFE_MS: u64 = STREAM_LIFE_US / 1_000;
+
+/// Returns why calls that take up a stream of unknown origin were refused, and asserts that they
+/// were all treated alike.
+fn refusal_of_unknown(relays: &mut RelayFleet) -> Option<RefusalKind> {
+    let streams = take_up(relays, &StreamStart::ResumedUnknown);
+    relays.run_ms(RUN_MS);
+    let refusal = relays.refusal(streams[0]);
+    for stream in streams {
+        assert_eq!(relays.refusal(stream), refusal);
+        assert_eq!(relays.has_run(stream), refusal.is_none());
+    }
+    refusal
+}
+
+/// Guards against a stream of unknown origin that is placed although it may have begun at another
+/// version, and against one that is refused although only one version has served.
+#[rstest]
+fn unknown_origin() {
+    let refused = Some(RefusalKind::StreamNotResumable);
+    let old = listed_engine("a", "v1");
+    let new = listed_engine("b", "v2");
+    for seed in seeds() {
+        let mut relays = start([1, 0], vec![old.clone()], seed);
+        // The VM has just started, so that another version may have served before.
+        assert_eq!(refusal_of_unknown(&mut relays), refused, "seed {seed}");
+        relays.run_ms(STREAM_LIFE_MS);
+        assert_eq!(refusal_of_unknown(&mut relays), None, "seed {seed}");
+        relays
+            .store
+            .set_upstreams(list(2, vec![old.clone(), new.clone()]));
+        relays.run_ms(RUN_MS);
+        assert_eq!(refusal_of_unknown(&mut relays), refused, "seed {seed}");
+        relays.store.set_upstreams(list(3, vec![new.clone()]));
+        relays.run_ms(STREAM_LIFE_MS / 2);
+        assert_eq!(refusal_of_unknown(&mut relays), refused, "seed {seed}");
+        relays.run_ms(STREAM_LIFE_MS);
+        assert_eq!(refusal_of_unknown(&mut relays), None, "seed {seed}");
+    }
+}
+
+/// Guards against a stream of unknown origin that goes on at the service to which its route was
+/// moved, or at one of several.
+#[rstest]
+fn unknown_service() {
+    let refused = Some(RefusalKind::StreamNotResumable);
+    let engines = vec![listed_engine("a", "v1"), other_engine("b", "v1")];
+    for seed in seeds() {
+        let mut relays = start([1, 0], engines.clone(), seed);
+        relays.run_ms(STREAM_LIFE_MS);
+        assert_eq!(refusal_of_unknown(&mut relays), None, "seed {seed}");
+        relays.store.publish(config(2, [0, 1]));
+        relays.run_ms(STREAM_LIFE_MS / 2);
+        assert_eq!(refusal_of_unknown(&mut relays), refused, "seed {seed}");
+        relays.run_ms(STREAM_LIFE_MS);
+        assert_eq!(refusal_of_unknown(&mut relays), None, "seed {seed}");
+        relays.store.publish(config(3, [1, 1]));
+        relays.run_ms(2 * STREAM_LIFE_MS);
+        assert_eq!(refusal_of_unknown(&mut relays), refused, "seed {seed}");
+    }
+}
+
+/// Guards against a VM that is cut off from the store and the other VMs, and takes an old list for
+/// all versions that serve.
+#[rstest]
+fn old_list() {
+    for seed in seeds() {
+        let mut relays = start([1, 0], vec![listed_engine("a", "v1")], seed);
+        relays.run_ms(STREAM_LIFE_MS);
+        assert_eq!(refusal_of_unknown(&mut relays), None, "seed {seed}");
+        relays.set_isolated(0, true);
+        relays.run_ms(3_000);
+        let refusal = refusal_of_unknown(&mut relays);
+        let expected = Some(RefusalKind::StreamNotResumable);
+        assert!(refusal == expected, "seed {seed}: {refusal:?}");
+    }
+}
--- a/crates/relay/src/origins/table.rs
+++ b/crates/relay/src/origins/table.rs
@@ -5,12 +5,11 @@
 use std::time::Duration;
 
 use knapweeddale_core::StreamOrigin;
+use knapweeddale_core::tables::STREAM_LIFE_US;
 use tokio::time::Instant;
 
 /// Time for which the origin of a stream is kept after its first event.
-///
-/// The attempts of a caller that states no timeout end within this time.
-const RETENTION: Duration = Duration::from_secs(30);
+const RETENTION: Duration = Duration::from_micros(STREAM_LIFE_US);
 
 /// Highest number of origins that are kept; beyond it, the oldest ones are dropped.
 const MAX_ORIGINS: usize = 65_536;
