Let other calls pass streams that wait for their version

Streams that are bound to a software version wait while its upstreams are busy.

The queue now passes over streams whose version has no upstream with room. Those that can no longer go on are still considered, and refused.

`busy_version` in crates/core/tests/resumed_origins.rs failed before: the new call behind twelve such streams was not placed. The test fair_queue passes the new argument of `Queue::candidates`.

--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -120,7 +120,9 @@
     if row.available.is_empty() || row.queue.is_empty() {
         return false;
     }
-    for attempt in row.queue.candidates(queue_order::lane_order(tick)) {
+    let placeable = |waiting: &QueuedCall| !selection::waits_for_version(tick, row, waiting);
+    let order = queue_order::lane_order(tick);
+    for attempt in row.queue.candidates(order, placeable) {
         if divert_suspect(tick, pool, attempt) {
             return true;
         }
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -115,6 +115,18 @@
     (pool.upstreams.contains(pinned) && runs_on).then_some(pinned)
 }
 
+/// Returns whether a stream waits because the upstreams of its version are busy.
+///
+/// Such streams must not keep the calls behind them from upstreams of other versions.
+pub(super) fn waits_for_version(tick: &Tick<'_>, pool: &Pool, waiting: &QueuedCall) -> bool {
+    let place = &waiting.place;
+    let mut available = pool.available.iter().map(|(_, name)| name);
+    place.origin.is_some()
+        && !available.any(|name| origins::fits(tick, place, name))
+        && origins::can_go_on(tick, place)
+        && pinned_upstream(tick, pool, waiting).is_none()
+}
+
 /// Returns whether a call avoids every usable upstream that fits it.
 ///
 /// Large pools are checked only for a stream that has begun, which few upstreams may fit.
--- a/crates/core/src/tables/queue.rs
+++ b/crates/core/src/tables/queue.rs
@@ -151,13 +151,18 @@
         self.lanes.get(lane).map_or(0, |row| row.counter)
     }
 
-    /// Returns the first calls in the given order of accounts.
-    pub fn candidates(&self, order: LaneOrder) -> Candidates {
+    /// Returns the first calls in the given order of accounts, without those that are not
+    /// `placeable` at present.
+    pub fn candidates(
+        &self,
+        order: LaneOrder,
+        placeable: impl Fn(&QueuedCall) -> bool,
+    ) -> Candidates {
         let mut found = Candidates::new();
         match order {
             LaneOrder::LeastServed => {
                 let lanes = self.by_counter.iter().map(|(_, lane)| lane);
-                self.collect(lanes, &mut found);
+                self.collect(lanes, placeable, &mut found);
             }
             LaneOrder::LowestRank { max_lag } => {
                 let behind = self.furthest_behind(max_lag);
@@ -165,7 +170,7 @@
                 let lanes = behind
                     .into_iter()
                     .chain(others.filter(|lane| Some(*lane) != behind));
-                self.collect(lanes, &mut found);
+                self.collect(lanes, placeable, &mut found);
             }
         }
         found
@@ -178,14 +183,20 @@
         (most - least > max_lag).then_some(lane)
     }
 
-    /// Appends the first calls of the first lanes to `found`.
-    fn collect<'a>(&'a self, lanes: impl Iterator<Item = &'a LaneKey>, found: &mut Candidates) {
+    /// Appends the first placeable calls of the first lanes to `found`.
+    fn collect<'a>(
+        &'a self,
+        lanes: impl Iterator<Item = &'a LaneKey>,
+        placeable: impl Fn(&QueuedCall) -> bool,
+        found: &mut Candidates,
+    ) {
         for lane in lanes.take(MAX_CANDIDATE_LANES) {
             let Some(row) = self.lanes.get(lane) else {
                 continue;
             };
-            let first = row.calls.iter().take(MAX_CANDIDATES_PER_LANE);
-            found.extend(first.map(|rank| rank.attempt));
+            let attempts = row.calls.iter().map(|rank| rank.attempt);
+            let placeable = attempts.filter(|attempt| self.get(attempt).is_some_and(&placeable));
+            found.extend(placeable.take(MAX_CANDIDATES_PER_LANE));
         }
     }
 
--- a/crates/core/tests/fair_queue.rs
+++ b/crates/core/tests/fair_queue.rs
@@ -175,7 +175,7 @@
         queue.push(lanes[attained as usize].clone(), rank, queued);
     }
     let order = LaneOrder::LowestRank { max_lag: 100 };
-    let first = |queue: &Queue| queue.candidates(order)[0].call.seq % 2;
+    let first = |queue: &Queue| queue.candidates(order, |_| true)[0].call.seq % 2;
     assert_eq!(first(&queue), 0);
     queue.add_service(&lanes[0], 100);
     assert_eq!(first(&queue), 0);
--- a/crates/core/tests/resumed_origins.rs
+++ b/crates/core/tests/resumed_origins.rs
@@ -150,6 +150,27 @@
     }
 }
 
+/// Guards against streams that wait for a busy upstream of their version and keep new calls from
+/// a free one of another version.
+#[rstest]
+fn busy_version() {
+    let mut old = listed_engine("a", "v1");
+    old.config.max_running_calls = 1;
+    let engines = vec![old, listed_engine("b", "v2")];
+    for seed in seeds() {
+        let mut relays = start([1, 0], engines.clone(), seed);
+        let resumed = StreamStart::ResumedFrom(origin("models", "v1"));
+        let streams = take_up(&mut relays, &resumed);
+        let new = relays.call(0, RelayCall::turn("bus", "new", 100_000, 40));
+        relays.run_ms(50);
+        assert_eq!(relays.upstreams_of(new), ["b"], "seed {seed}");
+        relays.run_ms(2 * RUN_MS);
+        for stream in streams {
+            assert_eq!(relays.upstreams_of(stream), ["a"], "seed {seed}: {stream}");
+        }
+    }
+}
+
 /// Guards against a stream that is held until its time is over although its version is gone.
 #[rstest]
 fn version_gone() {
