--- a/crates/core/src/config/host_route.rs
+++ b/crates/core/src/config/host_route.rs
@@ -106,6 +106,28 @@
         }
         None
     }
+
+    /// Returns the only service that the route may select, if there is just one.
+    pub fn only_backend(&self) -> Option<&ServiceName> {
+        let mut services = self.backends.iter().map(|row| &row.service);
+        let mut selectable = services
+            .by_ref()
+            .filter(|name| self.find_backend(name).is_some());
+        let only = selectable.next()?;
+        selectable.next().is_none().then_some(only)
+    }
+
+    /// Returns the name of a service if the route may select it.
+    pub fn find_backend(&self, service: &ServiceName) -> Option<&ServiceName> {
+        let has_weights = self.backends.iter().any(|row| row.weight > 0);
+        let mut selectable = self.backends.iter().filter(|row| row.weight > 0);
+        let found = if has_weights {
+            selectable.find(|row| row.service == *service)
+        } else {
+            self.backends.first().filter(|row| row.service == *service)
+        };
+        found.map(|row| &row.service)
+    }
 }
 
 /// Limits on the requests and connections of callers.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -3,13 +3,14 @@
 use derive_more::Display;
 use smallvec::SmallVec;
 
+use super::format::runners_up_text;
 use super::{
-    CloseReason, CrashEvidence, Execution, OrderAction, PlacementReason, RefusalKind, RetryReason,
-    TakeoverSource,
+    CloseReason, CrashEvidence, Execution, OrderAction, OriginEvidence, PlacementReason,
+    RefusalKind, RetryReason, TakeoverSource,
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, Epoch, FencingToken, Incarnation, ProgramKey,
-    Revision, UpstreamName, VmName,
+    Revision, StreamOrigin, UpstreamName, VmName,
 };
 use crate::tables::{Coverage, LimitReason};
 
@@ -28,6 +29,14 @@
         /// Whether the call ran.
         ran: Execution,
     },
+    /// A caller takes up a stream that broke off.
+    #[display("resume: call {call} takes up a stream of {origin}")]
+    StreamTakenUp {
+        /// The call that goes on with the stream.
+        call: CallId,
+        /// What is known about where the stream began.
+        origin: OriginEvidence,
+    },
     /// A call was admitted under its account's rate limit.
     #[display("rates: admitted call {call} of {account} after {waited_us} us")]
     Admitted {
@@ -128,7 +137,7 @@
     },
     /// An upstream was chosen for an attempt.
     #[display(
-        "placement: attempt {attempt} of {} for {} to {upstream}, {reason}{}",
+        "placement: attempt {attempt} of {} for {} to {upstream} of {origin}, {reason}{}",
         program.as_ref().map_or_else(|| "no program".to_owned(), ToString::to_string),
         account.as_ref().map_or("anyone", |a| a.as_str()),
         runners_up_text(runners_up)
@@ -142,6 +151,8 @@
         account: Option<AccountName>,
         /// The chosen upstream.
         upstream: UpstreamName,
+        /// Its service and software version.
+        origin: StreamOrigin,
         /// Reason for the choice.
         reason: PlacementReason,
         /// The next best upstreams.
@@ -157,6 +168,14 @@
         /// Why it may be retried.
         reason: RetryReason,
     },
+    /// A stream whose caller has received an event broke off and is bound to its origin.
+    #[display("retry: call {call} may go on at upstreams of {origin} only")]
+    BoundToOrigin {
+        /// The call that is bound.
+        call: CallId,
+        /// Where its stream began.
+        origin: StreamOrigin,
+    },
     /// A failed call is not retried.
     #[display("retry: call {call} ends after {upstream} failed, {reason}")]
     NoRetry {
@@ -436,18 +455,3 @@
         in_force: Revision,
     },
 }
-
-/// Formats the runners-up of a placement.
-fn runners_up_text(runners_up: &[UpstreamName]) -> String {
-    runners_up
-        .iter()
-        .enumerate()
-        .map(|(i, name)| {
-            if i == 0 {
-                format!(" before {name}")
-            } else {
-                format!(", {name}")
-            }
-        })
-        .collect()
-}
--- /dev/null
+++ b/crates/core/src/output/format.rs
@@ -0,0 +1,28 @@
+//! Formats lists in the log lines of decisions.
+
+use crate::ids::{SoftwareVersion, UpstreamName};
+
+/// Formats the runners-up of a placement.
+pub(super) fn runners_up_text(runners_up: &[UpstreamName]) -> String {
+    runners_up
+        .iter()
+        .enumerate()
+        .map(|(i, name)| {
+            if i == 0 {
+                format!(" before {name}")
+            } else {
+                format!(", {name}")
+            }
+        })
+        .collect()
+}
+
+/// Formats software versions; upstreams that state none have no entry.
+pub(super) fn versions_text(versions: &[SoftwareVersion]) -> String {
+    let texts: Vec<&str> = versions.iter().map(SoftwareVersion::as_str).collect();
+    if texts.is_empty() {
+        "none".to_owned()
+    } else {
+        texts.join(", ")
+    }
+}
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -2,6 +2,7 @@
 
 mod charge;
 mod decision;
+mod format;
 mod order;
 mod reason;
 mod refusal;
@@ -10,7 +11,9 @@
 pub use charge::{Charge, ChargeOutcome};
 pub use decision::Decision;
 pub use order::{Order, OrderAction};
-pub use reason::{CloseReason, CrashEvidence, PlacementReason, RetryReason, TakeoverSource};
+pub use reason::{
+    CloseReason, CrashEvidence, OriginEvidence, PlacementReason, RetryReason, TakeoverSource,
+};
 pub use refusal::{Execution, Refusal, RefusalKind};
 pub use source::SourceRequest;
 
--- a/crates/core/src/systems/outcomes/notices.rs
+++ b/crates/core/src/systems/outcomes/notices.rs
@@ -25,10 +25,15 @@
     let due_us = tick.now_us + NOTICE_RETENTION_US;
     let timer = Timer::NoticeExpiry(upstream.clone());
     tick.tables.timers.set(due_us, timer);
-    if let Some(row) = tick.tables.upstreams.get_mut(&upstream) {
-        row.has_given_notice = true;
-    }
+    let Some(row) = tick.tables.upstreams.get_mut(&upstream) else {
+        return;
+    };
+    row.has_given_notice = true;
+    let pools = row.pools.clone();
     placement::refresh_and_assign(tick, &upstream);
+    for pool in &pools {
+        placement::refuse_stranded(tick, pool);
+    }
     tick.log(Decision::UpstreamLeaving { upstream });
 }
 
--- a/crates/core/src/systems/outcomes/silence.rs
+++ b/crates/core/src/systems/outcomes/silence.rs
@@ -51,21 +51,27 @@
     retries::count_failure(&mut after, &failure);
     let verdict = retries::check_retry(&after, &failure, tick.now_us);
     retries::pin_to_upstream(&mut after, upstream);
+    retries::bind_to_origin(&mut after, &failure);
     verdict.is_ok() && has_next_upstream(tick, &after) && retries::take_retry_budget(tick, attempt)
 }
 
 /// Returns whether an upstream that the call may use accepts calls.
 fn has_next_upstream(tick: &Tick<'_>, call: &Call) -> bool {
+    let relay = call.relay.as_ref();
+    let origin = relay.and_then(|relay| relay.origin.as_ref());
     let accepts = |name: &UpstreamName| {
         let row = tick.tables.upstreams.get(name);
-        row.is_some_and(|row| !row.config.leaving && row.health.ejected_until_us <= tick.now_us)
+        row.is_some_and(|row| {
+            let is_ejected = row.health.ejected_until_us > tick.now_us;
+            row.fits(origin) && !row.is_leaving() && !is_ejected
+        })
     };
-    let only = call.relay.as_ref().and_then(|relay| relay.only.as_ref());
-    let has_crashed = only
+    let only = relay.and_then(|relay| relay.only.as_ref());
+    let has_ended = only
         .and_then(|only| tick.tables.upstreams.get(only))
-        .is_some_and(|row| row.health.has_crashed_recently(tick.now_us));
+        .is_some_and(|row| row.health.has_crashed_recently(tick.now_us) || !row.fits(origin));
     match only {
-        Some(only) if !has_crashed => accepts(only),
+        Some(only) if !has_ended => accepts(only),
         _ => {
             let pool = tick.tables.pools.get(&call.pool);
             pool.is_some_and(|pool| pool.upstreams.iter().any(accepts))
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -287,6 +287,8 @@
         | Decision::TurnCovered { call, .. }
         | Decision::TurnUncovered { call, .. }
         | Decision::Retry { call, .. }
+        | Decision::BoundToOrigin { call, .. }
+        | Decision::StreamTakenUp { call, .. }
         | Decision::NoRetry { call, .. }
         | Decision::SilenceTolerated { call, .. } => Some(*call),
         Decision::Placed { attempt, .. } => Some(attempt.call),
