--- a/crates/entry/src/call/describe.rs
+++ b/crates/entry/src/call/describe.rs
@@ -27,6 +27,9 @@
         RefusalKind::HomeMoving => "the program is moving to another VM",
         RefusalKind::PermitRequired => "the request may not be repeated and carries no permit",
         RefusalKind::PermitVoid => "the permit is void or has been used",
+        RefusalKind::StreamNotResumable => {
+            "no upstream of the version that began the stream can go on with it"
+        }
         RefusalKind::NoUpstream => "no upstream became free in time",
         RefusalKind::UpstreamFailed => "the upstream failed",
         RefusalKind::UpstreamSilent => "the upstream did not answer in time",
