Separate the connections to storage VMs from the client of kept turns

Origins of streams will use the same connections: one client for each VM, replaced after a failure, and a bound on open requests. No change of behaviour.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,6 +23,7 @@
 mod peers;
 mod settings;
 mod storage;
+mod storage_clients;
 mod store;
 mod turns;
 mod upstream;
--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -1,6 +1,5 @@
 //! The entry VM's side of kept turns: stores them on VMs with a disk and finds them there.
 
-use std::collections::HashMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -8,17 +7,17 @@
 use derive_more::{Display, Error};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::HttpClient;
 use knapweeddale_core::turns::{
     CopyPlan, CopyStep, LookupStep, StoredTurn, TurnAnswer, TurnKey, TurnLookup,
 };
-use tokio::sync::{Semaphore, mpsc, watch};
-use tokio::time::{Instant, timeout};
+use tokio::sync::{mpsc, watch};
+use tokio::time::timeout;
 
 use super::cache::ChainCache;
 use super::rpc::{AppendAnswer, Content, FetchAnswer, TurnRpcClient, WireTurn};
 use crate::metrics::Metrics;
+use crate::storage_clients::StorageClients;
 
 /// Time limit for one request to a VM with a disk.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
@@ -32,12 +31,6 @@
 /// Longest wait for the list of VMs with a disk, which a VM reads after its start.
 const LIST_WAIT: Duration = Duration::from_millis(400);
 
-/// Time for which a VM that did not answer is asked last.
-const AVOID_TIME: Duration = Duration::from_secs(2);
-
-/// Requests to VMs with a disk that may be open at the same time.
-const MAX_OPEN_REQUESTS: usize = 256;
-
 /// Why the turns before a request cannot be used, or a turn cannot be stored.
 #[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum HistoryError {
@@ -49,23 +42,14 @@
     Unavailable,
 }
 
-/// The connection to a VM with a disk.
-#[derive(Debug, Clone)]
-struct Peer {
-    /// `None` after a failure: a connection that fell silent is not used again.
-    client: Option<Arc<HttpClient>>,
-    avoid_until: Instant,
-}
-
 /// Stores and finds kept turns.
 #[derive(Debug)]
 pub(crate) struct TurnClient {
     /// Addresses of VMs with a disk, those in this VM's failure domain first.
     keepers: watch::Receiver<Vec<String>>,
     tolerated_losses: usize,
-    peers: Mutex<HashMap<Arc<str>, Peer>>,
+    clients: StorageClients,
     cache: Mutex<ChainCache>,
-    requests: Semaphore,
     metrics: Arc<Metrics>,
 }
 
@@ -80,9 +64,8 @@
         Self {
             keepers,
             tolerated_losses,
-            peers: Mutex::default(),
+            clients: StorageClients::new("turns", REQUEST_TIMEOUT),
             cache: Mutex::default(),
-            requests: Semaphore::new(MAX_OPEN_REQUESTS),
             metrics,
         }
     }
@@ -137,12 +120,8 @@
     /// Asks one VM for the chain of a turn; if it has none, returns what that means.
     async fn fetch_from(&self, address: Arc<str>, key: &TurnKey) -> Result<Bytes, TurnAnswer> {
         let (account, id) = (key.account.clone(), key.id.clone());
-        let answer = self
-            .request(
-                &address,
-                |client| async move { client.fetch(account, id).await },
-            )
-            .await;
+        let fetch = |client: Arc<HttpClient>| async move { client.fetch(account, id).await };
+        let answer = self.clients.request(&address, fetch).await;
         match answer {
             Some(FetchAnswer::Found(Content(chain))) => Ok(chain),
             Some(FetchAnswer::Absent) => Err(TurnAnswer::Absent),
@@ -228,78 +207,23 @@
 
     /// Sends turns to one VM; returns `None` if it does not answer.
     async fn append(&self, address: &Arc<str>, turns: Vec<WireTurn>) -> Option<AppendAnswer> {
-        self.request(address, |client| async move { client.append(turns).await })
-            .await
+        let append = |client: Arc<HttpClient>| async move { client.append(turns).await };
+        self.clients.request(address, append).await
     }
 }
 
-/// # Connections
+/// # Storage VMs
 impl TurnClient {
     /// Returns the VMs with a disk in the order in which they are used.
     async fn addresses(&self) -> Vec<Arc<str>> {
         let mut keepers = self.keepers.clone();
         // Without a list in time, or after the control thread has ended, there is no VM to use.
         let _ = timeout(LIST_WAIT, keepers.wait_for(|list| !list.is_empty())).await;
-        let now = Instant::now();
         let keepers = keepers.borrow();
-        let peers = lock(&self.peers);
         let mut addresses: Vec<Arc<str>> = keepers.iter().map(|row| Arc::from(&**row)).collect();
-        addresses.sort_by_key(|address| {
-            peers
-                .get(address)
-                .is_some_and(|peer| peer.avoid_until > now)
-        });
+        self.clients.sort_by_health(&mut addresses);
         addresses
     }
-
-    /// Sends a request to a VM; returns `None` and avoids the VM for a while if it fails.
-    async fn request<T, F>(
-        &self,
-        address: &Arc<str>,
-        send: impl FnOnce(Arc<HttpClient>) -> F,
-    ) -> Option<T>
-    where
-        F: Future<Output = Result<T, ClientError>>,
-    {
-        let result = match self.client(address) {
-            // The semaphore is never closed.
-            Ok(client) => match self.requests.acquire().await {
-                Ok(_permit) => send(client).await,
-                Err(_) => return None,
-            },
-            Err(error) => Err(error),
-        };
-        let error = match result {
-            Ok(answer) => return Some(answer),
-            Err(error) => error,
-        };
-        let avoid_until = Instant::now() + AVOID_TIME;
-        let peer = Peer {
-            client: None,
-            avoid_until,
-        };
-        lock(&self.peers).insert(Arc::clone(address), peer);
-        tracing::warn!(keeper = &**address, "turns: request failed ({error})");
-        None
-    }
-
-    /// Returns the client of a VM.
-    fn client(&self, address: &Arc<str>) -> Result<Arc<HttpClient>, ClientError> {
-        let mut peers = lock(&self.peers);
-        let peer = peers.entry(Arc::clone(address)).or_insert_with(|| Peer {
-            client: None,
-            avoid_until: Instant::now(),
-        });
-        if let Some(client) = &peer.client {
-            return Ok(Arc::clone(client));
-        }
-        let client = HttpClient::builder()
-            .request_timeout(REQUEST_TIMEOUT)
-            .build(format!("http://{address}"))?;
-        let client = Arc::new(client);
-        peer.client = Some(Arc::clone(&client));
-        Ok(client)
-    }
 }
 
 /// Joins the contents of earlier turns and of a new one.
