Copy the origins of streams to two storage VMs

What callers saw: after all entry VMs were killed at once, streams that they took up again were answered 200 and joined from two software versions.

The version that began a stream was in the memory of the entry VM that forwarded it, and nowhere else. Each origin now also goes to the memory of two storage VMs, chosen by rendezvous hashing of the request ID. It is queued right before the first event, which it does not hold back, and sent at once with what was queued while the request before was open. A VM that does not know the origin of a resumed stream asks the three VMs that hash highest and waits for 250 ms at most. A stop sends what is queued.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod ids;
 pub mod input;
 pub mod message;
+pub mod origins;
 pub mod output;
 mod systems;
 pub mod tables;
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -36,6 +36,9 @@
 /// Part of the grace period that is reserved for shutdown after connections have been drained.
 const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time limit for copying the last origins of streams; part of [`SHUTDOWN_MARGIN`].
+const ORIGIN_FLUSH_LIMIT: Duration = Duration::from_millis(100);
+
 /// Error when a daemon cannot start.
 #[derive(Debug, Display, Error, From)]
 pub enum StartError {
@@ -114,6 +117,7 @@
             keepers,
             status,
         } = queues;
+        let (origins, origin_writer) = StreamOrigins::new(keepers.clone(), Arc::clone(&metrics));
         let shared = Arc::new(SharedState {
             dialect,
             clock: clock.clone(),
@@ -125,7 +129,7 @@
                 settings.tolerated_losses,
                 Arc::clone(&metrics),
             )),
-            origins: Arc::new(StreamOrigins::default()),
+            origins: Arc::new(origins),
             metrics: Arc::clone(&metrics),
             status,
             is_draining: AtomicBool::new(false),
@@ -160,6 +164,7 @@
             Arc::clone(&metrics),
         ));
         background.spawn(receive_summaries(receiver, inputs, metrics));
+        background.spawn(origin_writer.run());
         background.spawn(expire_idle_connections(Arc::clone(&shared.pool)));
         let mut serve = |listener, kind| {
             background.spawn(serve(listener, kind, Arc::clone(&shared), tracker.clone()));
@@ -250,6 +255,7 @@
             () = sleep_until(deadline) => {}
         }
         tracing::info!(connections = self.open_connections(), "stop: shutting down");
+        self.shared.origins.flush(ORIGIN_FLUSH_LIMIT).await;
         self.shared.inputs.send_input(Input::Halt).await;
         // Fails only if the control thread has already ended.
         let _ = self.shared.inputs.send(Message::Stop).await;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -28,6 +28,7 @@
     charged_tokens: IntCounterVec,
     lost_charges: IntCounter,
     turns: IntCounterVec,
+    origins: IntCounterVec,
     retries: IntCounterVec,
     connections: IntCounterVec,
     summaries: IntCounterVec,
@@ -82,6 +83,11 @@
             )?,
             lost_charges: counter("kwd_lost_charges_total", "Charge records lost.")?,
             turns: counters("kwd_turns_total", "Kept turns by result.", "result")?,
+            origins: counters(
+                "kwd_stream_origins_total",
+                "Copies of origins of streams and lookups on storage VMs, by result.",
+                "result",
+            )?,
             retries: counters(
                 "kwd_retries_total",
                 "Failed attempts by verdict.",
@@ -213,6 +219,11 @@
         tokens.inc_by(charge.answer_tokens);
     }
 
+    /// Counts an origin of a stream that was not copied, or looked up on storage VMs, by result.
+    pub(crate) fn count_origin(&self, result: &str) {
+        self.origins.with_label_values(&[result]).inc();
+    }
+
     /// Counts a kept turn that was stored or looked up, by result.
     pub(crate) fn count_turn(&self, result: &str) {
         self.turns.with_label_values(&[result]).inc();
--- /dev/null
+++ b/crates/relay/src/origins/copies.rs
@@ -0,0 +1,128 @@
+//! The entry VM's side of the copies of origins on storage VMs.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use jsonrpsee::http_client::HttpClient;
+use knapweeddale_core::StreamOrigin;
+use knapweeddale_core::origins::{ASKED_VMS, choose_holders};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::timeout;
+
+use super::rpc::{OriginRecord, OriginRpcClient};
+use super::writer::{OriginWriter, WriterMessage};
+use crate::metrics::Metrics;
+use crate::storage_clients::StorageClients;
+
+/// Time limit for one request to a storage VM.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Longest wait for an origin, which holds back a resumed stream.
+const FIND_LIMIT: Duration = Duration::from_millis(250);
+
+/// Capacity of the queue of origins for the writer.
+const WRITER_QUEUE_LEN: usize = 4_096;
+
+/// Copies origins to storage VMs and finds them there.
+#[derive(Debug)]
+pub(super) struct OriginCopies {
+    writer: mpsc::Sender<WriterMessage>,
+    /// Addresses of storage VMs.
+    keepers: watch::Receiver<Vec<String>>,
+    clients: Arc<StorageClients>,
+    metrics: Arc<Metrics>,
+}
+
+impl OriginCopies {
+    /// Creates the client of the storage VMs that `keepers` names, and its writer.
+    pub fn new(
+        keepers: watch::Receiver<Vec<String>>,
+        metrics: Arc<Metrics>,
+    ) -> (Self, OriginWriter) {
+        let clients = Arc::new(StorageClients::new("origins", REQUEST_TIMEOUT));
+        let (writer, messages) = mpsc::channel(WRITER_QUEUE_LEN);
+        let origin_writer = OriginWriter::new(
+            messages,
+            keepers.clone(),
+            Arc::clone(&clients),
+            Arc::clone(&metrics),
+        );
+        let copies = Self {
+            writer,
+            keepers,
+            clients,
+            metrics,
+        };
+        (copies, origin_writer)
+    }
+
+    /// Queues an origin to be copied; never blocks.
+    pub fn store(&self, id: Arc<str>, origin: StreamOrigin) {
+        let message = WriterMessage::Copy(OriginRecord { id, origin });
+        if self.writer.try_send(message).is_err() {
+            self.metrics.count_origin("dropped");
+            tracing::warn!("origins: not copied, the queue is full");
+        }
+    }
+
+    /// Waits until all queued origins are copied, within a time limit.
+    pub async fn flush(&self, limit: Duration) {
+        let (flushed, is_flushed) = oneshot::channel();
+        let flush = async {
+            // Both fail only if the writer has ended.
+            let _ = self.writer.send(WriterMessage::Flush(flushed)).await;
+            let _ = is_flushed.await;
+        };
+        if timeout(limit, flush).await.is_err() {
+            tracing::warn!("origins: not all were copied within {limit:?}");
+        }
+    }
+
+    /// Asks the storage VMs that may hold the origin of a stream.
+    pub async fn find(&self, id: &str) -> Option<StreamOrigin> {
+        let found = timeout(FIND_LIMIT, self.find_any(id)).await;
+        let found = found.unwrap_or_default();
+        match &found {
+            Some(origin) => {
+                self.metrics.count_origin("found");
+                tracing::info!(stream = id, "origins: found {origin} on a storage VM");
+            }
+            None => {
+                self.metrics.count_origin("unknown");
+                tracing::info!(stream = id, "origins: not found on storage VMs");
+            }
+        }
+        found
+    }
+
+    async fn find_any(&self, id: &str) -> Option<StreamOrigin> {
+        let id: Arc<str> = Arc::from(id);
+        let asked = choose_holders(&id, &self.addresses().await, ASKED_VMS);
+        let mut answers: FuturesUnordered<_> = asked
+            .into_iter()
+            .map(|address| self.find_at(address, Arc::clone(&id)))
+            .collect();
+        while let Some(answer) = answers.next().await {
+            if answer.is_some() {
+                return answer;
+            }
+        }
+        None
+    }
+
+    /// Returns the addresses of the storage VMs; waits for the list after the start of this VM.
+    async fn addresses(&self) -> Vec<Arc<str>> {
+        let mut keepers = self.keepers.clone();
+        // Fails only after the control thread has ended; the last list is used then.
+        let _ = keepers.wait_for(|list| !list.is_empty()).await;
+        let keepers = keepers.borrow();
+        keepers.iter().map(|row| Arc::from(&**row)).collect()
+    }
+
+    async fn find_at(&self, address: Arc<str>, id: Arc<str>) -> Option<StreamOrigin> {
+        let find = |client: Arc<HttpClient>| async move { client.find_origin(id).await };
+        self.clients.request(&address, find).await.flatten()
+    }
+}
--- a/crates/relay/src/origins/mod.rs
+++ b/crates/relay/src/origins/mod.rs
@@ -2,37 +2,72 @@
 //!
 //! A stream that its caller takes up again, at any VM, may only go on at upstreams of its origin.
 
+mod copies;
+mod rpc;
+mod server;
 mod table;
+mod writer;
+
+pub(crate) use rpc::OriginRpcServer;
+pub(crate) use server::OriginServer;
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
 use knapweeddale_core::StreamOrigin;
+use tokio::sync::watch;
 use tokio::time::Instant;
 
+use self::copies::OriginCopies;
 use self::table::OriginTable;
+use self::writer::OriginWriter;
+use crate::metrics::Metrics;
 
 /// Records and finds the origins of streams by the request ID under which they began.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct StreamOrigins {
+    /// The origins that this VM has recorded.
     table: Mutex<OriginTable>,
+    /// Those of all VMs, on storage VMs.
+    copies: OriginCopies,
 }
 
 impl StreamOrigins {
+    /// Creates an empty table, and the task that copies its origins to storage VMs.
+    pub fn new(
+        keepers: watch::Receiver<Vec<String>>,
+        metrics: Arc<Metrics>,
+    ) -> (Self, OriginWriter) {
+        let (copies, writer) = OriginCopies::new(keepers, metrics);
+        let origins = Self {
+            table: Mutex::default(),
+            copies,
+        };
+        (origins, writer)
+    }
+
     /// Records the origin of a stream, without waiting; called before its first event is forwarded.
     ///
     /// `request_id` is that of the attempt of the caller which brings the first event of the
     /// stream, also if a later attempt goes on with it.
     pub fn record(&self, request_id: &Arc<str>, origin: StreamOrigin) {
-        self.table().insert(request_id, origin, Instant::now());
+        self.table()
+            .insert(request_id, origin.clone(), Instant::now());
+        self.copies.store(Arc::clone(request_id), origin);
     }
 
-    /// Finds the origin of the stream that began under a request ID.
-    #[expect(
-        clippy::unused_async,
-        reason = "records of other VMs are looked up over the network"
-    )]
+    /// Finds the origin of the stream that began under a request ID, at any VM.
     pub async fn find(&self, request_id: &str) -> Option<StreamOrigin> {
-        self.table().get(request_id, Instant::now())
+        let recorded = self.table().get(request_id, Instant::now());
+        if recorded.is_some() {
+            return recorded;
+        }
+        self.copies.find(request_id).await
+    }
+
+    /// Waits until all recorded origins are copied, within a time limit.
+    pub async fn flush(&self, limit: Duration) {
+        self.copies.flush(limit).await;
     }
 
     fn table(&self) -> MutexGuard<'_, OriginTable> {
--- a/crates/relay/src/storage.rs
+++ b/crates/relay/src/storage.rs
@@ -18,6 +18,7 @@
 use crate::adapter::FleetStore;
 use crate::charges::{ChargeBatch, ChargeRecord, ChargeRpcServer, send_batch};
 use crate::daemon::StartError;
+use crate::origins::{OriginRpcServer, OriginServer};
 use crate::settings::StorageSettings;
 use crate::store::{Registration, Role, register};
 use crate::turns::{TurnRpcServer, TurnServer, TurnStore, hand_over, recover};
@@ -191,6 +192,7 @@
         let mut methods = Methods::from(charge_server.into_rpc());
         methods
             .merge(turn_server.into_rpc())
+            .and_then(|()| methods.merge(OriginServer::default().into_rpc()))
             .map_err(io::Error::other)?;
         let server = server.start(methods);
         let registration = Registration {
