--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -29,6 +29,7 @@
     lost_charges: IntCounter,
     broken_streams: IntCounterVec,
     turns: IntCounterVec,
+    origins: IntCounterVec,
     retries: IntCounterVec,
     connections: IntCounterVec,
     summaries: IntCounterVec,
@@ -88,6 +89,11 @@
                 "kind",
             )?,
             turns: counters("kwd_turns_total", "Kept turns by result.", "result")?,
+            origins: counters(
+                "kwd_stream_origins_total",
+                "Copies of origins of streams and lookups on storage VMs, by result.",
+                "result",
+            )?,
             retries: counters(
                 "kwd_retries_total",
                 "Failed attempts by verdict.",
@@ -230,6 +236,11 @@
         tokens.inc_by(charge.answer_tokens);
     }
 
+    /// Counts an origin of a stream that was not copied, or looked up on storage VMs, by result.
+    pub(crate) fn count_origin(&self, result: &str) {
+        self.origins.with_label_values(&[result]).inc();
+    }
+
     /// Counts a kept turn that was stored or looked up, by result.
     pub(crate) fn count_turn(&self, result: &str) {
         self.turns.with_label_values(&[result]).inc();
