Describe the new refusal in the entry daemon

The workspace did not compile since `stream_not_resumable` was added: the entry daemon has a message for each kind of refusal. Only the packages of the relay had been built.

--- a/crates/entry/src/call/describe.rs
+++ b/crates/entry/src/call/describe.rs
@@ -27,6 +27,7 @@
         RefusalKind::HomeMoving => "the program is moving to another VM",
         RefusalKind::PermitRequired => "the request may not be repeated and carries no permit",
         RefusalKind::PermitVoid => "the permit is void or has been used",
+        RefusalKind::StreamNotResumable => "no upstream can go on with the stream",
         RefusalKind::NoUpstream => "no upstream became free in time",
         RefusalKind::UpstreamFailed => "the upstream failed",
         RefusalKind::UpstreamSilent => "the upstream did not answer in time",
