--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -295,14 +295,15 @@
                 if event.id.is_some() && event.id <= self.progress.last_event_id {
                     continue;
                 }
+                // Recorded first: the caller may take the stream up as soon as it has the event.
+                if form.is_resumable && !self.progress.is_stream_started {
+                    self.record_origin();
+                }
                 // Not counted before it is queued: a cancelled attempt may end while it waits.
                 self.reply
                     .send_event(|| to_caller_head(head), event.bytes.clone())
                     .await;
                 self.progress.last_event_id = event.id.or(self.progress.last_event_id);
-                if form.is_resumable && !self.progress.is_stream_started {
-                    self.record_origin();
-                }
                 self.progress.forwarded_tokens += form.tokens_per_event;
                 self.progress.is_stream_started = true;
                 self.keep_output(&event);
--- a/crates/relay/src/origins/mod.rs
+++ b/crates/relay/src/origins/mod.rs
@@ -51,9 +51,12 @@
     /// `request_id` is that of the attempt of the caller which brings the first event of the
     /// stream, also if a later attempt goes on with it.
     pub fn record(&self, request_id: &Arc<str>, origin: StreamOrigin) {
-        self.table()
+        let is_recorded = self
+            .table()
             .insert(request_id, origin.clone(), Instant::now());
-        self.copies.store(Arc::clone(request_id), origin);
+        if is_recorded {
+            self.copies.store(Arc::clone(request_id), origin);
+        }
     }
 
     /// Finds the origin of the stream that began under a request ID, at any VM.
--- a/crates/relay/src/origins/table.rs
+++ b/crates/relay/src/origins/table.rs
@@ -14,6 +14,9 @@
 /// Highest number of origins that are kept; beyond it, the oldest ones are dropped.
 const MAX_ORIGINS: usize = 65_536;
 
+/// Longest request ID that is kept; the caller chooses it, and a VM keeps many of them.
+const MAX_ID_BYTES: usize = 256;
+
 /// The origin of a stream and when it was recorded last.
 #[derive(Debug)]
 struct Entry {
@@ -32,7 +35,12 @@
 
 impl OriginTable {
     /// Records the origin of a stream and drops entries that are too old or too many.
-    pub fn insert(&mut self, request_id: &Arc<str>, origin: StreamOrigin, now: Instant) {
+    ///
+    /// Returns whether it was recorded: the origin of a stream with a longer ID stays unknown.
+    pub fn insert(&mut self, request_id: &Arc<str>, origin: StreamOrigin, now: Instant) -> bool {
+        if request_id.len() > MAX_ID_BYTES {
+            return false;
+        }
         let entry = Entry {
             origin,
             recorded_at: now,
@@ -40,6 +48,7 @@
         self.entries.insert(Arc::clone(request_id), entry);
         self.order.push_back((now, Arc::clone(request_id)));
         self.drop_expired(now);
+        true
     }
 
     /// Returns the origin of a stream if it was recorded within the retention time.
