Ask the owner of a pool again if it selects an upstream that is gone

The dispatch had already cancelled the timers of the call when it found no row, and returned; the call waited without a timer.

The upstream is now released and the owner asked again after the timeout of a request; the longest wait of the call still holds.

--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -243,6 +243,12 @@
             handle_unplaced(tick, attempt, RefusalKind::Quarantined);
             return;
         }
+        if !tick.tables.upstreams.contains_key(&assignment.0) {
+            // The owner of the pool has an older configuration than this VM, and is asked again.
+            finish::release_unused(tick, pool, attempt, assignment.0);
+            schedule_answer_check(tick, attempt, 1);
+            return;
+        }
         if !fits_stream(tick, call, &assignment.0) {
             // The owner of the pool has read another list of upstreams than this VM.
             finish::release_unused(tick, pool, attempt, assignment.0);
