Leave a silent upstream only for one that has room

The check looked only at leaving and ejected upstreams. A second report of silence could also take a second retry while the cancellation of the attempt was under way.

--- a/crates/core/src/systems/outcomes/silence.rs
+++ b/crates/core/src/systems/outcomes/silence.rs
@@ -18,6 +18,9 @@
     let Some(upstream) = call.upstream.clone() else {
         return;
     };
+    if call.placement.is_cancelled {
+        return;
+    }
     if can_leave(tick, attempt, &upstream, forwarded) {
         if let Some(call) = tick.tables.calls.get_mut(&attempt.call) {
             call.placement.is_cancelled = true;
@@ -52,29 +55,28 @@
     let verdict = retries::check_retry(&after, &failure, tick.now_us);
     retries::pin_to_upstream(&mut after, upstream);
     retries::bind_to_origin(&mut after, &failure);
-    verdict.is_ok() && has_next_upstream(tick, &after) && retries::take_retry_budget(tick, attempt)
+    let has_next = has_next_upstream(tick, &after, upstream);
+    verdict.is_ok() && has_next && retries::take_retry_budget(tick, attempt)
 }
 
-/// Returns whether an upstream that the call may use accepts calls.
-fn has_next_upstream(tick: &Tick<'_>, call: &Call) -> bool {
+/// Returns whether a call that leaves an upstream can go on at once: at the only one that it may
+/// use, or at another one that has room.
+fn has_next_upstream(tick: &Tick<'_>, call: &Call, silent: &UpstreamName) -> bool {
     let relay = call.relay.as_ref();
     let origin = relay.and_then(|relay| relay.origin.as_ref());
-    let accepts = |name: &UpstreamName| {
-        let row = tick.tables.upstreams.get(name);
-        row.is_some_and(|row| {
-            let is_ejected = row.health.ejected_until_us > tick.now_us;
-            row.fits(origin) && !row.is_leaving() && !is_ejected
-        })
-    };
     let only = relay.and_then(|relay| relay.only.as_ref());
-    let has_ended = only
+    let pinned = only
         .and_then(|only| tick.tables.upstreams.get(only))
-        .is_some_and(|row| row.health.has_crashed_recently(tick.now_us) || !row.fits(origin));
-    match only {
-        Some(only) if !has_ended => accepts(only),
-        _ => {
-            let pool = tick.tables.pools.get(&call.pool);
-            pool.is_some_and(|pool| pool.upstreams.iter().any(accepts))
-        }
+        .filter(|row| !row.health.has_crashed_recently(tick.now_us) && row.fits(origin));
+    if let Some(row) = pinned {
+        return !row.is_leaving() && row.health.ejected_until_us <= tick.now_us;
     }
+    let Some(pool) = tick.tables.pools.get(&call.pool) else {
+        return false;
+    };
+    let mut others = pool.available.iter().map(|(_, name)| name);
+    others.any(|name| {
+        let row = tick.tables.upstreams.get(name);
+        name != silent && row.is_some_and(|row| row.fits(origin))
+    })
 }
