Count no failure for silence that a call waits out

A sound upstream was ejected for 5 s because one slow call reported its pause again and again, each time as a new failure; streams of its software version were then refused. A call that stays is no evidence against its upstream: the probe still finds a crash, but a running upstream gets no failure. Silence that a call leaves still counts.

--- a/crates/core/src/systems/outcomes/examination.rs
+++ b/crates/core/src/systems/outcomes/examination.rs
@@ -44,13 +44,25 @@
     suspects::touch_suspect(tick, running.digest).pending_examinations += 1;
 }
 
-/// Examines an upstream that sent nothing for too long.
+/// Examines an upstream that sent nothing for so long that a call left it.
 ///
 /// Its failure is counted when the examination ends, once for all connections that fell silent.
 pub(crate) fn record_silence(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     begin(tick, upstream);
 }
 
+/// Examines an upstream that sends nothing, without a failure if it turns out to run: a sound one
+/// may pause, and each call that waits for it reports the same pause.
+pub(super) fn check_silent(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    if tick.tables.examinations.contains_key(upstream) {
+        return;
+    }
+    begin(tick, upstream);
+    if let Some(row) = tick.tables.examinations.get_mut(upstream) {
+        row.has_failure = false;
+    }
+}
+
 /// Backs off from an upstream that did not accept a connection in time, and examines it.
 pub(crate) fn record_unreachable(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     begin(tick, upstream);
@@ -76,7 +88,8 @@
     let Some(row) = tables.upstreams.get_mut(upstream) else {
         return;
     };
-    if tables.examinations.contains_key(upstream) {
+    if let Some(running) = tables.examinations.get_mut(upstream) {
+        running.has_failure = true;
         return;
     }
     row.health.is_examined = true;
@@ -84,6 +97,7 @@
     let examination = Examination {
         until_us,
         probes: 1,
+        has_failure: true,
         ..Examination::default()
     };
     tables.examinations.insert(upstream.clone(), examination);
@@ -123,6 +137,8 @@
 
 /// Concludes the examination of an upstream as broken or silent connections.
 fn conclude_connection_loss(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let row = tick.tables.examinations.get(upstream);
+    let has_failure = row.is_some_and(|row| row.has_failure);
     let Some(lost) = end(tick, upstream) else {
         return;
     };
@@ -134,7 +150,9 @@
     for attempt in &lost {
         suspects::remove_if_cleared(tick, &attempt.digest);
     }
-    ejection::record_failure(tick, upstream);
+    if has_failure {
+        ejection::record_failure(tick, upstream);
+    }
     resume_assignment(tick, upstream, lost.iter().map(|lost| lost.digest));
 }
 
--- a/crates/core/src/systems/outcomes/silence.rs
+++ b/crates/core/src/systems/outcomes/silence.rs
@@ -31,7 +31,7 @@
             call: attempt.call,
             upstream: upstream.clone(),
         });
-        examination::record_silence(tick, &upstream);
+        examination::check_silent(tick, &upstream);
     }
 }
 
--- a/crates/core/src/tables/examination.rs
+++ b/crates/core/src/tables/examination.rs
@@ -14,6 +14,9 @@
     pub until_us: u64,
     /// Probes that were sent.
     pub probes: u32,
+    /// Whether it counts as a failure although the upstream runs; silence that was waited out does
+    /// not.
+    pub has_failure: bool,
     /// Attempts whose connection broke.
     pub lost: SmallVec<[LostAttempt; 2]>,
 }
