--- a/crates/core/src/systems/admission/origins.rs
+++ b/crates/core/src/systems/admission/origins.rs
@@ -6,10 +6,7 @@
 use crate::ids::{ServiceName, StreamOrigin};
 use crate::input::{NewCall, RelayedCall, StreamStart};
 use crate::output::{Decision, OriginEvidence, RefusalKind};
-use crate::tables::STREAM_LIFE_US;
-
-/// Highest age of the list of upstreams at which it is taken to show all software versions.
-const MAX_LIST_AGE_US: u64 = 2_000_000;
+use crate::tables::{MAX_READ_GAP_US, STREAM_LIFE_US};
 
 /// Returns the service that began the stream of a call, if its route still leads there.
 pub(super) fn service_of_origin<'a>(
@@ -71,9 +68,10 @@
 fn find_only_origin(tick: &Tick<'_>, route: &HostRoute) -> Option<StreamOrigin> {
     let tables = &*tick.tables;
     let list_age_us = tables.source.list.age_us(tick.now_us)?;
+    let complete_since_us = tables.source.list.complete_since_us?;
     let changed_us = *tables.route_changes.get(&route.name)?;
-    let is_settled = tick.now_us >= changed_us + STREAM_LIFE_US;
-    if !is_settled || list_age_us > MAX_LIST_AGE_US {
+    let is_settled = tick.now_us >= changed_us.max(complete_since_us) + STREAM_LIFE_US;
+    if !is_settled || list_age_us > MAX_READ_GAP_US {
         return None;
     }
     let service = route.only_backend()?;
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -57,7 +57,7 @@
 pub use queue::{Candidates, LaneOrder, Queue, QueuedCall, Rank};
 pub use retry::RetryBudget;
 pub use share::{HeldGrant, Meter, ReplicatedBucket, Share};
-pub use source::{ProgramKnowledge, ReadState, Source};
+pub use source::{MAX_READ_GAP_US, ProgramKnowledge, ReadState, Source};
 pub use suspect::{Quarantine, Suspect};
 pub use table::Table;
 pub use timers::{Timer, Timers};
--- a/crates/core/src/tables/source.rs
+++ b/crates/core/src/tables/source.rs
@@ -6,11 +6,16 @@
 use crate::input::{StorageVm, UpstreamList};
 use crate::message::ListVersion;
 
+/// Longest time between two reads after which nothing of what was read is taken to be missed.
+pub const MAX_READ_GAP_US: u64 = 2_000_000;
+
 /// State of one object that is read from the store at intervals.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ReadState {
     /// Time at which the latest answered request was sent, by any VM.
     pub read_us: Option<u64>,
+    /// Time of the first read after the last gap of more than [`MAX_READ_GAP_US`].
+    pub complete_since_us: Option<u64>,
     /// Time at which the request in flight was sent.
     pub requested_us: Option<u64>,
     /// Consecutive requests of this VM without an answer.
@@ -22,6 +27,10 @@
 impl ReadState {
     /// Records an answer that reflects the store at `read_us` or later.
     pub fn record_read(&mut self, read_us: u64) {
+        let is_gap = |last_us| read_us > last_us + MAX_READ_GAP_US;
+        if self.read_us.is_none_or(is_gap) {
+            self.complete_since_us = Some(read_us);
+        }
         self.read_us = self.read_us.max(Some(read_us));
     }
 
