--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -6,12 +6,13 @@
 
 pub(crate) use upstream_list::{adopt_peer_list, adopt_store_list};
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use super::{Sender, Tick, outcomes};
 use crate::config::{
-    AccountConfig, Coordination, FleetConfig, HostRoute, ServiceConfig, ServiceKind,
+    AccountConfig, Backend, Coordination, FleetConfig, HostRoute, RouteKind, ServiceConfig,
+    ServiceKind,
 };
 use crate::ids::{PoolKey, Revision, UpstreamName, VmName};
 use crate::message::ConfigMessage;
@@ -127,14 +128,21 @@
     }
 }
 
-/// Records which routes lead to other services than before.
+/// Where the requests of a host go, by the prefix of their path.
+type Destinations<'a> = BTreeMap<&'a str, (RouteKind, &'a [Backend])>;
+
+/// Records which routes may receive requests that went to other services before.
+///
+/// Any change of the routes of a host can move a path from one of them to another.
 fn record_route_changes(tick: &mut Tick<'_>, routes: &[HostRoute]) {
     let tables = &mut *tick.tables;
-    let previous = &tables.fleet.host_routes;
+    let (previous, next) = (
+        destinations(&tables.fleet.host_routes),
+        destinations(routes),
+    );
     let mut changes = Table::default();
     for route in routes {
-        let mut previous = previous.iter().filter(|row| row.name == route.name);
-        let is_same = previous.any(|row| row.backends == route.backends);
+        let is_same = previous.get(&*route.host) == next.get(&*route.host);
         let changed_us = tables.route_changes.get(&route.name).copied();
         let changed_us = changed_us.filter(|_| is_same).unwrap_or(tick.now_us);
         changes.insert(Arc::clone(&route.name), changed_us);
@@ -142,6 +150,16 @@
     tables.route_changes = changes;
 }
 
+/// Returns where the requests of each host go.
+fn destinations(routes: &[HostRoute]) -> HashMap<&str, Destinations<'_>> {
+    let mut hosts: HashMap<&str, Destinations<'_>> = HashMap::new();
+    for route in routes {
+        let rows = hosts.entry(&route.host).or_default();
+        rows.insert(&route.path_prefix, (route.kind, route.backends.as_slice()));
+    }
+    hosts
+}
+
 /// Replaces accounts and keys; the `rates` system then updates shares and loans.
 fn replace_accounts(tick: &mut Tick<'_>, accounts: &[AccountConfig]) {
     let tables = &mut *tick.tables;
