--- a/crates/core/tests/removed_upstream.rs
+++ b/crates/core/tests/removed_upstream.rs
@@ -32,8 +32,10 @@
         let owner = stored.view.pool_owner(&pool).expect("owner");
         let owner = mesh.index(owner).expect("owner is in the mesh");
         let entry = (owner + 1) % 3;
-        mesh.drop_rules
-            .push((|message| matches!(message, PeerMessage::Config(_)), u32::MAX));
+        mesh.drop_rules.push((
+            |message| matches!(message, PeerMessage::Config(_)),
+            u32::MAX,
+        ));
         mesh.publish(entry, replaced_fleet());
         mesh.run_ms(20);
         let call = mesh.call(entry, engine_call(0, 1, 100, 100));
