Read the registered VMs again during startup, whatever was found

An entry VM that started together with the storage VMs had read the list of registered VMs before all of them were in it, and took it for complete for 60 s: only an empty one was read again. With two of three known and one of these gone, no turn got its two copies.

--- a/crates/core/src/systems/source/mod.rs
+++ b/crates/core/src/systems/source/mod.rs
@@ -32,7 +32,7 @@
 /// Age at which the registered VMs are read again.
 const VM_READ_AGE_US: u64 = 60_000_000;
 
-/// The same during startup while this VM knows no VM with a disk.
+/// The same during startup.
 const STARTUP_VM_READ_AGE_US: u64 = 3_000_000;
 
 /// Duration of the startup phase.
@@ -214,11 +214,11 @@
 
 /// Returns the age at which the registered VMs are read again.
 ///
-/// It is shorter during startup, since VMs with a disk may register a little later than this one.
+/// It is shorter during startup: when all VMs start together, the first read shows only those VMs
+/// with a disk that have registered by then.
 fn vm_read_age_us(tick: &Tick<'_>) -> u64 {
-    let source = &tick.tables.source;
-    let is_starting = tick.now_us < source.started_us + STARTUP_US;
-    if source.keepers.is_empty() && is_starting {
+    let started_us = tick.tables.source.started_us;
+    if tick.now_us < started_us + STARTUP_US {
         STARTUP_VM_READ_AGE_US
     } else {
         VM_READ_AGE_US
