Keep the rates that upstreams state, over all VMs together

Cause: no code read the statement. The class is a capacity that all VMs share and that each takes for its own, so reading it on each VM alone would not do.

The rate of an upstream is another key of the rule by which the VMs share the rates of accounts; the arithmetic moves to tables::ReplicatedBucket and stands once. Two things differ, since 259 VMs may share 8 calls a second: calls of a VM's own part lapse, and what others leave over is taken in turns. News of a limit goes to all VMs at once with its age, and the newest wins. Calls go to other upstreams; those that cannot be placed in time are refused at once as upstreams_limited with a Retry-After from the rates, calls that begin a program first.

Why it works: each placed attempt counts, whoever sends it, and each VM hears of the others' within a summary.

--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -66,6 +66,8 @@
         /// Start of the process that the request was dispatched to, in Unix time.
         started_unix_ms: u64,
     },
+    /// An upstream stated in a response which rate it takes, or that it is not limited any more.
+    UpstreamRate(UpstreamStatement),
     /// An engine reported its loaded models.
     Loaded {
         /// The engine that reported.
@@ -94,6 +96,32 @@
     Halt,
 }
 
+/// What an upstream stated in one response about the rate that it takes.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamStatement {
+    /// The upstream that responded.
+    pub upstream: UpstreamName,
+    /// Start of the process that the request was dispatched to, in Unix time.
+    pub started_unix_ms: u64,
+    /// The rate that it takes from all VMs together.
+    pub rate: StatedRate,
+}
+
+/// A rate as stated in a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum StatedRate {
+    /// The response states no limit.
+    #[default]
+    Absent,
+    /// A limit.
+    PerSecond {
+        /// Thousandths of a call per second.
+        mcalls: u64,
+    },
+    /// The response states something that is no rate.
+    Unreadable,
+}
+
 /// The result of an order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OrderResult {
--- a/crates/core/src/input/mod.rs
+++ b/crates/core/src/input/mod.rs
@@ -12,7 +12,9 @@
     Continuation, NewCall, Permit, PresentedKey, ProgramRequest, ProgramRequestKind, ProgramTurn,
     Target,
 };
-pub use event::{Input, ListedVm, OrderResult, ProbeState, StoreEvent, StoredView};
+pub use event::{
+    Input, ListedVm, OrderResult, ProbeState, StatedRate, StoreEvent, StoredView, UpstreamStatement,
+};
 pub use relay::{
     ListedUpstream, PeerEvent, RegisteredVm, RelayedCall, SourceEvent, SourceRequestKind,
     StorageVm, StreamStart, UpstreamList,
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -17,7 +17,9 @@
 pub use membership::{Heartbeat, HeartbeatAnswer, MembershipMessage};
 pub use placement::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
 pub use rates::{Demand, DemandKind, Grant, HeldShare, RatesMessage, ShareId, Unlent};
-pub use summary::{ListVersion, ProgramSpent, ProgramUse, Snapshot, Summary, SummaryAck};
+pub use summary::{
+    ListVersion, ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck,
+};
 
 use derive_more::From;
 
--- a/crates/core/src/message/summary.rs
+++ b/crates/core/src/message/summary.rs
@@ -54,6 +54,26 @@
     pub quarantined: Vec<(ContentDigest, u64)>,
     /// Names and addresses of other VMs, for a receiver that has just started.
     pub others: Vec<(VmName, String)>,
+    /// Limits that upstreams have stated, and the ends of limits.
+    pub limits: Vec<StatedLimit>,
+    /// Whether the sender had calls lately for upstreams that are limited.
+    pub uses_limited: bool,
+    /// Total calls that the sender has placed on upstreams while they were limited.
+    pub placed: Vec<(UpstreamName, u64)>,
+}
+
+/// What an upstream has stated about the rate that it takes from all VMs together.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct StatedLimit {
+    /// The upstream that stated it.
+    pub upstream: UpstreamName,
+    /// Start of its process, in Unix time; 0 if unknown.
+    pub started_unix_ms: u64,
+    /// The rate in thousandths of a call per second; `None` if there is no limit any more.
+    pub limit_mcalls_per_s: Option<u64>,
+    /// Age of the statement.
+    pub age_us: u64,
 }
 
 /// Acknowledges a summary of the receiver.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -5,8 +5,8 @@
 
 use super::format::runners_up_text;
 use super::{
-    CloseReason, CrashEvidence, Execution, OrderAction, OriginEvidence, PlacementReason,
-    RefusalKind, RetryReason, TakeoverSource,
+    CloseReason, CrashEvidence, Execution, LimitSource, OrderAction, OriginEvidence,
+    PlacementReason, RefusalKind, RetryReason, TakeoverSource,
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, Epoch, FencingToken, Incarnation, ProgramKey,
@@ -65,6 +65,30 @@
         /// Fill rate of the bucket, in thousandths of a call per second.
         rate_mcalls_per_s: u64,
     },
+    /// An upstream has stated the rate that it takes from all VMs together.
+    #[display(
+        "rates: {upstream} takes {mcalls_per_s} thousandths of a call a second from all VMs, says {source}, {age_ms} ms old"
+    )]
+    RateStated {
+        /// The limited upstream.
+        upstream: UpstreamName,
+        /// The rate, in thousandths of a call per second.
+        mcalls_per_s: u64,
+        /// Where this VM learned of it.
+        source: LimitSource,
+        /// Age of the statement.
+        age_ms: u64,
+    },
+    /// An upstream does not state a rate any more.
+    #[display("rates: {upstream} is not limited any more, says {source}, {age_ms} ms old")]
+    RateEnded {
+        /// The upstream that was limited.
+        upstream: UpstreamName,
+        /// Where this VM learned of it.
+        source: LimitSource,
+        /// Age of the statement.
+        age_ms: u64,
+    },
     /// The home of a program allowed a turn to begin.
     #[display(
         "homes: turn {turn} of {program} begins for call {call}, {reserved_tokens} tokens reserved"
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -12,7 +12,8 @@
 pub use decision::Decision;
 pub use order::{Order, OrderAction};
 pub use reason::{
-    CloseReason, CrashEvidence, OriginEvidence, PlacementReason, RetryReason, TakeoverSource,
+    CloseReason, CrashEvidence, LimitSource, OriginEvidence, PlacementReason, RetryReason,
+    TakeoverSource,
 };
 pub use refusal::{Execution, Refusal, RefusalKind};
 pub use source::SourceRequest;
@@ -116,6 +117,8 @@
     pub upstream: UpstreamName,
     /// The upstream's address as `ip:port`.
     pub address: Arc<str>,
+    /// Whether the upstream has stated a rate, so that a response without one is reported.
+    pub is_rate_limited: bool,
     /// Start of the upstream's process in Unix time; 0 if unknown.
     pub upstream_started_unix_ms: u64,
     /// The upstream's service and software version, for a stream that it begins.
--- a/crates/core/src/output/reason.rs
+++ b/crates/core/src/output/reason.rs
@@ -143,6 +143,17 @@
     Answering,
 }
 
+/// Where this VM learned of the limit of an upstream.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum LimitSource {
+    /// A response of the upstream to this VM.
+    #[display("a response")]
+    Response,
+    /// A summary of another VM.
+    #[display("another VM")]
+    Peer,
+}
+
 /// What is known about where a stream began that its caller takes up.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum OriginEvidence {
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -90,6 +90,7 @@
             .outcomes
             .leaving_notices
             .push((upstream, LeavingNotice { started_unix_ms })),
+        Input::UpstreamRate(statement) => work.rates.statements.push(statement),
         Input::Loaded {
             upstream,
             models,
--- a/crates/core/src/systems/outcomes/notices.rs
+++ b/crates/core/src/systems/outcomes/notices.rs
@@ -3,7 +3,7 @@
 //! Such an upstream gets no new calls at once, whatever the list in the store says of it: its
 //! entry may be out of date, or expire and return. The notice ends with the process that gave it.
 
-use super::super::{Tick, placement};
+use super::super::{Tick, placement, rates};
 use crate::config::UpstreamConfig;
 use crate::ids::UpstreamName;
 use crate::output::Decision;
@@ -43,10 +43,12 @@
     notice.is_some_and(|notice| notice.started_unix_ms == upstream.started_unix_ms)
 }
 
-/// Removes an expired notice, unless its upstream is still listed.
+/// Removes what an upstream has stated in responses, unless it is still listed.
 pub(super) fn expire_notice(tick: &mut Tick<'_>, upstream: UpstreamName) {
     let row = tick.tables.upstreams.get(&upstream);
-    if row.is_some_and(|row| row.has_given_notice) {
+    let has_given_notice = row.is_some_and(|row| row.has_given_notice);
+    let keeps_rate = rates::expire_statement(tick, &upstream);
+    if has_given_notice || keeps_rate {
         let due_us = tick.now_us + NOTICE_RETENTION_US;
         tick.tables
             .timers
--- a/crates/core/src/systems/peers/group.rs
+++ b/crates/core/src/systems/peers/group.rs
@@ -87,6 +87,8 @@
     let reachable_vms = 1 + peers().filter(|(_, peer)| peer.is_reachable).count() as u64;
     let is_before = |vm: &VmName, peer: &Peer| peer.is_reachable && !peer.is_leaving && vm < me;
     let rank = peers().filter(|(vm, peer)| is_before(vm, peer)).count() as u64;
+    let competing = peers().filter(|(_, peer)| peer.is_reachable && peer.uses_limited);
+    peering.competing_vms = competing.count() as u64;
     (peering.known_vms, peering.reachable_vms, peering.rank) = (known_vms, reachable_vms, rank);
     if peering.usable_fraction() != previous {
         rates::rescale_buckets(tick);
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -5,8 +5,8 @@
 use crate::ids::VmName;
 use crate::input::{PeerEvent, RegisteredVm};
 use crate::message::{Snapshot, Summary};
-use crate::output::Decision;
-use crate::tables::{NCALLS_PER_CALL, Peer, ProgramKnowledge};
+use crate::output::{Decision, LimitSource};
+use crate::tables::{NCALLS_PER_CALL, Peer, ProgramKnowledge, RateKey};
 
 /// Dispatches input from another VM.
 pub(super) fn handle_event(tick: &mut Tick<'_>, event: PeerEvent) {
@@ -44,6 +44,9 @@
     }
     let vm = summary.from.clone();
     record_read_times(tick, &summary);
+    for limit in &summary.limits {
+        rates::record_limit(tick, limit.clone(), LimitSource::Peer);
+    }
     record_admitted(tick, &summary);
     group::replace_running(tick, &vm, summary.running);
     for program in &summary.programs {
@@ -93,6 +96,7 @@
     peer.is_leaving = summary.is_leaving;
     peer.revision = summary.revision;
     peer.list = summary.list;
+    peer.uses_limited = summary.uses_limited;
     if let Some(echo) = summary
         .echo
         .filter(|echo| echo.incarnation == own_incarnation)
@@ -140,16 +144,20 @@
 
 /// Debits calls that the sender has admitted from this VM's copies of the buckets.
 fn record_admitted(tick: &mut Tick<'_>, summary: &Summary) {
-    for (account, total) in &summary.admitted {
+    let accounts = summary.admitted.iter();
+    let accounts = accounts.map(|(account, total)| (RateKey::Account(account.clone()), *total));
+    let upstreams = summary.placed.iter();
+    let upstreams = upstreams.map(|(name, total)| (RateKey::Upstream(name.clone()), *total));
+    for (rate, total) in accounts.chain(upstreams) {
         let peers = &mut tick.tables.peering.peers;
         let Some(peer) = peers.get_mut(&summary.from) else {
             return;
         };
-        let known = peer.admitted.get_or_insert_with(account, || 0);
+        let known = peer.admitted.get_or_insert_with(&rate, || 0);
         let calls = total.saturating_sub(*known);
-        *known = (*known).max(*total);
+        *known = (*known).max(total);
         if peer.has_admitted_baseline {
-            rates::debit_remote_calls(tick, account, calls * NCALLS_PER_CALL);
+            rates::debit_remote_calls(tick, &rate, calls * NCALLS_PER_CALL);
         }
     }
     if let Some(peer) = tick.tables.peering.peers.get_mut(&summary.from) {
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -6,9 +6,9 @@
 use crate::config::CoreSettings;
 use crate::ids::VmName;
 use crate::input::UpstreamList;
-use crate::message::{ProgramSpent, ProgramUse, Snapshot, Summary, SummaryAck};
+use crate::message::{ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck};
 use crate::output::Output;
-use crate::tables::{Peer, ProgramKnowledge, Tables};
+use crate::tables::{Peer, ProgramKnowledge, RateKey, Tables};
 
 /// Maximum rows of one kind in a summary, so that it fits into a datagram.
 const MAX_ROWS: usize = 48;
@@ -19,6 +19,9 @@
 /// Rounds between two summaries to an unreachable VM.
 const UNREACHABLE_SEND_ROUNDS: u64 = 5;
 
+/// Time for which a VM counts as one that uses limited upstreams after its last call for one.
+const USE_MEMORY_US: u64 = 2_000_000;
+
 /// Sends a round of summaries.
 pub(super) fn send_summaries(tick: &mut Tick<'_>) {
     let now_us = tick.now_us;
@@ -35,7 +38,7 @@
         {
             continue;
         }
-        let summary = peer_summary(tick.settings, tables, &common, (vm, peer));
+        let summary = peer_summary((tick.settings, now_us), tables, &common, (vm, peer));
         tick.outputs.push(Output::SendSummary {
             address: peer.address.clone(),
             summary: Box::new(summary),
@@ -83,12 +86,15 @@
             .map(|(digest, row)| (*digest, row.until_us.saturating_sub(now_us) / 1_000))
             .collect(),
         others: Vec::new(),
+        limits: Vec::new(),
+        uses_limited: now_us < tables.peering.used_limited_us + USE_MEMORY_US,
+        placed: Vec::new(),
     }
 }
 
 /// Adds the rows that one VM has not acknowledged yet.
 fn peer_summary(
-    settings: &CoreSettings,
+    (settings, now_us): (&CoreSettings, u64),
     tables: &Tables,
     common: &Summary,
     (vm, peer): (&VmName, &Peer),
@@ -99,9 +105,21 @@
         round: peer.round,
     });
     let admitted = tables.peering.admitted.iter();
-    summary.admitted = admitted
-        .filter(|(_, (_, changed))| is_due(*changed, peer, common.round))
-        .map(|(account, (calls, _))| (account.clone(), *calls))
+    for (rate, (calls, _)) in admitted.filter(|(_, row)| is_due(row.1, peer, common.round)) {
+        match rate {
+            RateKey::Account(account) => summary.admitted.push((account.clone(), *calls)),
+            RateKey::Upstream(name) => summary.placed.push((name.clone(), *calls)),
+        }
+    }
+    let limits = tables.upstream_rates.iter();
+    summary.limits = limits
+        .filter(|(_, row)| is_due(row.changed_round, peer, common.round))
+        .map(|(name, row)| StatedLimit {
+            upstream: name.clone(),
+            started_unix_ms: row.started_unix_ms,
+            limit_mcalls_per_s: row.limit_mcalls_per_s,
+            age_us: now_us.saturating_sub(row.stated_us),
+        })
         .collect();
     let programs = tables.budgets.iter();
     summary.programs = programs
--- a/crates/core/src/systems/placement/availability.rs
+++ b/crates/core/src/systems/placement/availability.rs
@@ -1,6 +1,6 @@
 //! Tracks which upstreams of each pool have room and assigns waiting calls to them.
 
-use super::super::Tick;
+use super::super::{Tick, rates};
 use super::{owner, queue_order};
 use crate::ids::{ContentDigest, PoolKey, UpstreamName};
 use crate::tables::QueuedCall;
@@ -8,15 +8,15 @@
 /// Updates an upstream in the sets of available upstreams of its pools from its current load.
 pub(crate) fn refresh_availability(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let is_learned = tick.settings.policy.learned_limit;
+    let may_send = rates::may_send(tick, upstream);
     let tables = &mut *tick.tables;
     let Some(row) = tables.upstreams.get_mut(upstream) else {
         return;
     };
     let limit_calls = u64::from(row.limit_calls(is_learned).max(1));
     let load_permille = u64::from(row.running_calls()) * 1_000 / limit_calls;
-    let open_load_permille = row
-        .has_room(tick.now_us, is_learned)
-        .then_some(load_permille);
+    let is_open = may_send && row.has_room(tick.now_us, is_learned);
+    let open_load_permille = is_open.then_some(load_permille);
     if open_load_permille == row.open_load_permille {
         return;
     }
@@ -51,6 +51,13 @@
     for pool in &pools {
         owner::assign(tick, pool);
     }
+    let has_waiting = |pool| {
+        let row = tick.tables.pools.get(pool);
+        row.is_some_and(|row| row.iter_waiting().next().is_some())
+    };
+    if pools.iter().any(has_waiting) {
+        rates::schedule_ready(tick, upstream);
+    }
 }
 
 /// Adds a call to the ordered queue of its pool.
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -2,8 +2,8 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Tick, admission};
-use super::finish;
+use super::super::{Tick, admission, rates};
+use super::{finish, stated_rates};
 use crate::config::{HostRoute, RouteKind, ServiceConfig, ServiceKind};
 use crate::ids::{AttemptId, CallId, PoolKey, StreamOrigin, UpstreamName};
 use crate::message::{InFlight, Place, PlacementMessage};
@@ -299,6 +299,7 @@
 fn dispatch(tick: &mut Tick<'_>, attempt: AttemptId, assignment: Assignment) {
     let (upstream, reason, runners_up) = assignment;
     cancel_wait_timers(tick, attempt);
+    let is_rate_limited = rates::is_limited(tick, &upstream);
     let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
     };
@@ -333,6 +334,7 @@
         attempt,
         upstream: upstream.clone(),
         address: row.address.clone(),
+        is_rate_limited,
         upstream_started_unix_ms: row.config.started_unix_ms,
         origin: origin.clone(),
         valid_until_us: valid_until_us(call),
@@ -444,5 +446,8 @@
     }
     let call = tick.tables.calls.get(&attempt.call);
     let ran = call.map_or(Execution::NotRun, Call::execution);
-    admission::refuse(tick, attempt.call, kind, ran, None);
+    let retry_after_ms = call
+        .filter(|_| kind == RefusalKind::UpstreamsLimited)
+        .and_then(|call| stated_rates::retry_after_ms(tick, &call.pool));
+    admission::refuse(tick, attempt.call, kind, ran, retry_after_ms);
 }
--- a/crates/core/src/systems/placement/exclusive.rs
+++ b/crates/core/src/systems/placement/exclusive.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::Tick;
+use super::super::{Tick, rates};
 use super::selection::SelectedUpstream;
 use super::{availability, owner};
 use crate::ids::{PoolKey, StreamOrigin, UpstreamName};
@@ -68,7 +68,10 @@
         .find(|name| {
             let upstream = tick.tables.upstreams.get(name);
             upstream.is_some_and(|row| {
-                row.attempts.is_empty() && row.is_usable(tick.now_us) && row.fits(origin)
+                row.attempts.is_empty()
+                    && row.is_usable(tick.now_us)
+                    && row.fits(origin)
+                    && rates::may_send(tick, name)
             })
         })
         .cloned()
--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -14,6 +14,7 @@
 mod queue_order;
 mod reconfigure;
 mod selection;
+mod stated_rates;
 
 pub(crate) use availability::{refresh_and_assign, refresh_availability, requeue_held_everywhere};
 pub(crate) use finish::{end_attempt, resend_finish};
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -2,9 +2,9 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Sender, Tick, outcomes};
+use super::super::{Sender, Tick, outcomes, rates};
 use super::selection::{self, SelectedUpstream, Selection};
-use super::{availability, exclusive, hints, limits, origins, queue_order};
+use super::{availability, exclusive, hints, limits, origins, queue_order, stated_rates};
 use crate::config::UpstreamChoice;
 use crate::ids::{AttemptId, PoolKey};
 use crate::message::{AttemptResult, Finish, Place, PlacementMessage};
@@ -45,7 +45,9 @@
             return;
         }
         availability::push(tick, waiting);
+        stated_rates::refresh(tick, &pool);
         assign(tick, &pool);
+        stated_rates::refuse_excess(tick, &pool);
         schedule_aging(tick, &pool, attempt);
     }
     let is_waiting = |row: &crate::tables::Pool| row.is_waiting(&attempt);
@@ -201,6 +203,7 @@
     let attempt = place.attempt;
     let booked_service = book_service(tick, &place, chosen.cached_tokens);
     let mut prefill_wait_us = 0;
+    rates::take_upstream_call(tick, &chosen.upstream);
     if let Some(row) = tick.tables.upstreams.get_mut(&chosen.upstream) {
         row.attempts.insert(attempt);
         row.has_exclusive_call |= is_exclusive;
--- a/crates/core/src/systems/placement/queue_order.rs
+++ b/crates/core/src/systems/placement/queue_order.rs
@@ -1,6 +1,7 @@
 //! Rank of calls in a queue and the service booked for accounts.
 
 use super::super::Tick;
+use super::stated_rates;
 use crate::config::PolicyPreset;
 use crate::ids::AccountName;
 use crate::message::Place;
@@ -50,8 +51,10 @@
 /// programs would be refused under load.
 pub(super) fn compute_rank(tick: &Tick<'_>, place: &Place, arrived_us: u64) -> Rank {
     if let Some(priority) = place.priority {
+        // A program that is refused at its first call loses no earlier turns.
+        let comes_last = stated_rates::comes_last(tick, place);
         return Rank {
-            attained: u64::from(priority),
+            attained: 2 * u64::from(priority) + u64::from(comes_last),
             arrived_us,
             attempt: place.attempt,
         };
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::Tick;
+use super::super::{Tick, rates};
 use super::{hints, origins};
 use crate::config::UpstreamChoice;
 use crate::ids::{PoolKey, UpstreamName};
@@ -323,7 +323,8 @@
         {
             return false;
         }
-        if waiting.place.avoid.contains(name) {
+        // When a rate lets the next call through does not depend on the calls that run.
+        if waiting.place.avoid.contains(name) || rates::is_limited(tick, name) {
             return false;
         }
         let saved_us = PREFILL_WEIGHT * prefill_us(row, *cached_tokens);
--- a/crates/core/src/systems/rates/calls.rs
+++ b/crates/core/src/systems/rates/calls.rs
@@ -4,7 +4,7 @@
 use super::holder;
 use crate::ids::{AccountName, CallId};
 use crate::output::{Decision, Execution, RefusalKind};
-use crate::tables::{Stage, Timer};
+use crate::tables::{RateKey, Stage, Timer};
 
 /// Billionths of a call in a thousandth.
 const NCALLS_PER_MCALL: u64 = 1_000_000;
@@ -143,7 +143,8 @@
 /// Counts and logs an admitted call and moves it to its next stage.
 fn admit(tick: &mut Tick<'_>, id: CallId, account: &AccountName) {
     let arrived_us = tick.tables.calls.get(&id).map_or(0, |call| call.arrived_us);
-    tick.tables.peering.count_admitted(account);
+    let rate = RateKey::Account(account.clone());
+    tick.tables.peering.count_admitted(&rate);
     tick.log(Decision::Admitted {
         call: id,
         account: account.clone(),
--- a/crates/core/src/systems/rates/mod.rs
+++ b/crates/core/src/systems/rates/mod.rs
@@ -3,7 +3,8 @@
 //! The owner of an account lends shares of its rate and burst to the VMs that receive its calls.
 //! `calls` admits calls from this VM's share, `holder` requests shares and applies grants,
 //! `owner` lends shares, `allocation` computes their size, and `takeover` handles a change of
-//! owner. In a fleet without owners, `replicated` keeps a copy of every bucket on each VM instead.
+//! owner. In a fleet without owners, `replicated` keeps a copy of every bucket on each VM instead;
+//! `upstreams` does the same for rates that upstreams state.
 
 mod allocation;
 mod calls;
@@ -11,12 +12,18 @@
 mod owner;
 mod replicated;
 mod takeover;
+mod upstreams;
 
 pub(crate) use replicated::{debit_remote_calls, refund_call, rescale_buckets};
+pub(crate) use upstreams::{
+    expected_rate, expire_statement, is_limited, may_send, record_limit, schedule_ready,
+    take_upstream_call,
+};
 
 use super::{Sender, Tick};
 use crate::config::Coordination;
 use crate::ids::{AccountName, CallId};
+use crate::input::UpstreamStatement;
 use crate::message::RatesMessage;
 use crate::tables::Timer;
 
@@ -29,6 +36,8 @@
     pub calls: Vec<CallId>,
     pub messages: Vec<(Sender, RatesMessage)>,
     pub due_timers: Vec<Timer>,
+    /// What upstreams have stated about their rates.
+    pub statements: Vec<UpstreamStatement>,
 }
 
 impl Work {
@@ -37,6 +46,7 @@
             && self.calls.is_empty()
             && self.messages.is_empty()
             && self.due_timers.is_empty()
+            && self.statements.is_empty()
     }
 }
 
@@ -55,6 +65,9 @@
             replicated::apply_limits(tick, &account);
         }
     }
+    for statement in work.statements {
+        upstreams::record_statement(tick, statement);
+    }
     for (sender, message) in work.messages {
         handle_message(tick, sender, message);
     }
--- a/crates/core/src/systems/rates/replicated.rs
+++ b/crates/core/src/systems/rates/replicated.rs
@@ -5,9 +5,9 @@
 //! `systems::peers`.
 
 use super::super::Tick;
-use super::calls;
+use super::{calls, upstreams};
 use crate::ids::AccountName;
-use crate::tables::{Bucket, NCALLS_PER_CALL, RateLimit, ReplicatedBucket, Share};
+use crate::tables::{Bucket, NCALLS_PER_CALL, RateKey, RateLimit, ReplicatedBucket, Share};
 
 /// Below the burst divided by this, each VM admits calls only within its own part of the rate.
 const RESERVE_DIVISOR: u64 = 10;
@@ -23,9 +23,6 @@
 /// After a restart of this VM, the level is at most what the account's rate adds in this time.
 const MAX_INITIAL_LEVEL_US: u64 = 500_000;
 
-/// Burst of a VM's own part of the rate: what that part adds in this time, at least one call.
-const OWN_PART_BURST_US: u64 = 250_000;
-
 /// Applies an account's published limits to this VM's copy of its bucket.
 pub(super) fn apply_limits(tick: &mut Tick<'_>, account: &AccountName) {
     let now_us = tick.now_us;
@@ -37,7 +34,7 @@
     else {
         return;
     };
-    let (reachable_vms, known_vms) = tick.tables.peering.usable_fraction();
+    let sharing = tick.tables.peering.sharing();
     // An account of the first configuration that this VM reads may have used its burst on other
     // VMs already; one that is published later is new to all VMs.
     let starts_full = tick.settings.is_first_start || tick.tables.fleet.revision.0 > 0;
@@ -46,8 +43,8 @@
     let share = shares.get_or_insert_with(account, Share::default);
     share.bucket.refill(now_us);
     let limits = spread_over_window(limits, tick.settings.rate_window_ms);
-    let rate_mcalls_per_s = limits.rate_mcalls_per_s * reachable_vms / known_vms;
-    let burst_ncalls = limits.burst_ncalls / known_vms * reachable_vms;
+    let rate_mcalls_per_s = sharing.usable(limits.rate_mcalls_per_s);
+    let burst_ncalls = limits.burst_ncalls / sharing.known_vms * sharing.reachable_vms;
     let level_ncalls = match is_new {
         true if starts_full => burst_ncalls,
         true => {
@@ -62,19 +59,13 @@
         updated_us: now_us,
     };
     let previous = share.replicated.unwrap_or_default();
-    let own_rate = rate_mcalls_per_s / reachable_vms.max(1);
-    let own_burst = (own_rate * OWN_PART_BURST_US).max(NCALLS_PER_CALL);
-    share.replicated = Some(ReplicatedBucket {
+    let mut replicated = ReplicatedBucket {
         reserve_ncalls: burst_ncalls / RESERVE_DIVISOR,
         begin_reserve_ncalls: burst_ncalls * MIN_BEGIN_LEVEL_PERCENT / 100,
-        debt_ncalls: previous.debt_ncalls,
-        own_part: Bucket {
-            rate_mcalls_per_s: own_rate,
-            burst_ncalls: own_burst,
-            level_ncalls: previous.own_part.level_ncalls.min(own_burst),
-            updated_us: previous.own_part.updated_us.max(now_us),
-        },
-    });
+        ..previous
+    };
+    replicated.resize_own_part(sharing.own_part(rate_mcalls_per_s), now_us);
+    share.replicated = Some(replicated);
 }
 
 /// Turns half of the burst into additional rate if calls are counted over a window.
@@ -93,8 +84,16 @@
     }
 }
 
-/// Deducts calls that another VM has admitted from this VM's copy of the bucket.
-pub(crate) fn debit_remote_calls(tick: &mut Tick<'_>, account: &AccountName, ncalls: u64) {
+/// Deducts calls that another VM has admitted from this VM's copy of a bucket.
+pub(crate) fn debit_remote_calls(tick: &mut Tick<'_>, rate: &RateKey, ncalls: u64) {
+    match rate {
+        RateKey::Account(account) => debit_account(tick, account, ncalls),
+        RateKey::Upstream(name) => upstreams::debit_remote_calls(tick, name, ncalls),
+    }
+}
+
+/// Deducts calls from this VM's copy of the bucket of an account.
+fn debit_account(tick: &mut Tick<'_>, account: &AccountName, ncalls: u64) {
     let now_us = tick.now_us;
     let Some(share) = tick.tables.shares.get_mut(account) else {
         return;
@@ -118,7 +117,8 @@
     bucket.refill(now_us);
     bucket.level_ncalls = (bucket.level_ncalls + NCALLS_PER_CALL).min(bucket.burst_ncalls);
     replicated.repay_debt(bucket, now_us);
-    tick.tables.peering.uncount_admitted(account);
+    let rate = RateKey::Account(account.clone());
+    tick.tables.peering.uncount_admitted(&rate);
 }
 
 /// Rescales all buckets after a change in the number of VMs that share the rates.
@@ -129,4 +129,5 @@
         apply_limits(tick, &account);
         calls::serve_waiting(tick, &account);
     }
+    upstreams::resize_all(tick);
 }
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -20,6 +20,7 @@
 mod pool;
 mod program;
 mod queue;
+mod replicated;
 mod retry;
 mod share;
 mod source;
@@ -28,6 +29,7 @@
 mod takeover;
 mod timers;
 mod upstream;
+mod upstream_rate;
 mod versions;
 mod view;
 mod vm;
@@ -50,18 +52,20 @@
     StoreLink, StoreRequestKind, Suspicion, UnresolvedWrite,
 };
 pub use order::{PendingOrder, ServiceOrders};
-pub use peer::{Peer, Peering};
+pub use peer::{Peer, Peering, RateKey};
 pub use placement_history::{CacheHint, PlacementHistory};
 pub use pool::Pool;
 pub use program::{FinishedTurn, Links, MAX_SERVED, Phase, Program, Turn, UnknownTurn, Usage};
 pub use queue::{Candidates, LaneOrder, Queue, QueuedCall, Rank};
+pub use replicated::{Claim, ReplicatedBucket, Sharing};
 pub use retry::RetryBudget;
-pub use share::{HeldGrant, Meter, ReplicatedBucket, Share};
+pub use share::{HeldGrant, Meter, Share};
 pub use source::{MAX_READ_GAP_US, ProgramKnowledge, ReadState, Source};
 pub use suspect::{Quarantine, Suspect};
 pub use table::Table;
 pub use timers::{Timer, Timers};
 pub use upstream::{LeavingNotice, RunningAttempt, Upstream};
+pub use upstream_rate::UpstreamRate;
 pub use versions::{STREAM_LIFE_US, SeenVersions};
 pub(crate) use view::hash_name;
 pub use view::{Member, View, ViewChange, ViewDelta};
@@ -105,6 +109,8 @@
     pub upstreams: Table<UpstreamName, Upstream>,
     /// Upstreams that have stated in a response that they are leaving.
     pub leaving_notices: Table<UpstreamName, LeavingNotice>,
+    /// Rates that upstreams have stated in responses, for all VMs together.
+    pub upstream_rates: Table<UpstreamName, UpstreamRate>,
     /// Software versions that the upstreams of services have had lately.
     pub seen_versions: Table<ServiceName, SeenVersions>,
     /// Orders to the engines of services, for those services whose orders this VM owns.
--- a/crates/core/src/tables/peer.rs
+++ b/crates/core/src/tables/peer.rs
@@ -3,13 +3,22 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use super::Table;
+use super::{Sharing, Table};
 use crate::ids::{AccountName, Incarnation, Revision, UpstreamName, VmName};
 use crate::message::ListVersion;
 
 /// Rounds of summaries whose sending time is kept.
 const MAX_SENT_ROUNDS: usize = 64;
 
+/// A rate of which every VM keeps a copy.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum RateKey {
+    /// The published rate of a client account.
+    Account(AccountName),
+    /// The rate that an upstream has stated.
+    Upstream(UpstreamName),
+}
+
 /// Another VM, as known from its summaries.
 #[derive(Debug, Clone)]
 pub struct Peer {
@@ -35,8 +44,10 @@
     pub list: ListVersion,
     /// Number of its calls on each upstream.
     pub running: Vec<(UpstreamName, u32)>,
-    /// Total of calls that it has admitted for each account.
-    pub admitted: Table<AccountName, u64>,
+    /// Total of calls that it has admitted against each rate.
+    pub admitted: Table<RateKey, u64>,
+    /// Whether it had calls lately for upstreams that are limited.
+    pub uses_limited: bool,
     /// Whether `admitted` holds its totals; those of its first summary are no new calls.
     pub has_admitted_baseline: bool,
 }
@@ -57,6 +68,7 @@
             list: ListVersion::default(),
             running: Vec::new(),
             admitted: Table::default(),
+            uses_limited: false,
             has_admitted_baseline: false,
         }
     }
@@ -77,11 +89,16 @@
     /// Numbers and sending times of the last rounds.
     sent_rounds: VecDeque<(u64, u64)>,
     /// Total of calls that this VM has admitted, with the round that reports the last change.
-    pub admitted: Table<AccountName, (u64, u64)>,
+    pub admitted: Table<RateKey, (u64, u64)>,
     /// Number of VMs that share the rates of accounts, this one included.
     pub reachable_vms: u64,
     /// Number of VMs that may be serving, this one included.
     pub known_vms: u64,
+    /// Number of reachable VMs that had calls lately for upstreams that are limited, without this
+    /// one.
+    pub competing_vms: u64,
+    /// Time of this VM's last call for an upstream that is limited; 0 if there was none.
+    pub used_limited_us: u64,
     /// Position of this VM by name among the reachable ones.
     pub rank: u64,
     /// Time of the request for a snapshot that is in flight; `None` if there is none.
@@ -112,24 +129,33 @@
         at.ok().map(|at| self.sent_rounds[at].1)
     }
 
-    /// Counts an admitted call.
-    pub fn count_admitted(&mut self, account: &AccountName) {
+    /// Counts a call that was admitted against a rate.
+    pub fn count_admitted(&mut self, rate: &RateKey) {
         let round = self.next_round();
-        let row = self.admitted.get_or_insert_with(account, || (0, round));
+        let row = self.admitted.get_or_insert_with(rate, || (0, round));
         *row = (row.0 + 1, round);
     }
 
     /// Reverts the count of an admitted call that did not run.
-    pub fn uncount_admitted(&mut self, account: &AccountName) {
+    pub fn uncount_admitted(&mut self, rate: &RateKey) {
         let round = self.next_round();
-        if let Some(row) = self.admitted.get_mut(account) {
+        if let Some(row) = self.admitted.get_mut(rate) {
             *row = (row.0.saturating_sub(1), round);
         }
     }
 
-    /// Returns the part of an account's rate that the reachable VMs may use, as a fraction.
+    /// Returns the VMs that share the rates.
+    pub fn sharing(&self) -> Sharing {
+        let known_vms = self.known_vms.max(1);
+        Sharing {
+            reachable_vms: self.reachable_vms.clamp(1, known_vms),
+            known_vms,
+        }
+    }
+
+    /// Returns the part of a rate that the reachable VMs may use, as a fraction.
     pub fn usable_fraction(&self) -> (u64, u64) {
-        let known = self.known_vms.max(1);
-        (self.reachable_vms.clamp(1, known), known)
+        let sharing = self.sharing();
+        (sharing.reachable_vms, sharing.known_vms)
     }
 }
--- a/crates/core/src/tables/share.rs
+++ b/crates/core/src/tables/share.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use super::{Bucket, NCALLS_PER_CALL};
+use super::{Bucket, ReplicatedBucket};
 use crate::ids::{CallId, Epoch, VmName};
 use crate::message::ShareId;
 
@@ -96,81 +96,6 @@
     pub replicated: Option<ReplicatedBucket>,
 }
 
-/// State of a bucket of which every VM keeps a copy.
-///
-/// A copy learns of the calls of other VMs with the delay of a summary. While the level is high,
-/// calls are taken freely. Below the reserve, each VM keeps to its part of the rate, so that the
-/// VMs do not take the same calls twice.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct ReplicatedBucket {
-    /// Level below which each VM keeps to its part of the rate.
-    pub reserve_ncalls: u64,
-    /// Level that must be left after a call that begins a program.
-    pub begin_reserve_ncalls: u64,
-    /// Calls that were taken beyond the level; they are repaid from later refills.
-    pub debt_ncalls: u64,
-    /// Bucket with this VM's part of the rate.
-    pub own_part: Bucket,
-}
-
-impl ReplicatedBucket {
-    /// Takes one call from this VM's copy of the bucket; returns `false` if none may be taken.
-    fn try_take(&mut self, bucket: &mut Bucket, begins_program: bool, now_us: u64) -> bool {
-        self.repay_debt(bucket, now_us);
-        let needed_ncalls = self.reserved_ncalls(begins_program) + NCALLS_PER_CALL;
-        let is_ample = self.debt_ncalls == 0 && bucket.level_ncalls >= needed_ncalls;
-        let is_within_own_part = !begins_program && self.own_part.try_take(now_us);
-        if is_ample || is_within_own_part {
-            self.debit(bucket, NCALLS_PER_CALL);
-        }
-        is_ample || is_within_own_part
-    }
-
-    /// Returns the level that a call must leave unless it is taken from `own_part`.
-    fn reserved_ncalls(&self, begins_program: bool) -> u64 {
-        if begins_program {
-            self.begin_reserve_ncalls
-        } else {
-            self.reserve_ncalls
-        }
-    }
-
-    /// Takes calls from this VM's copy of the bucket; what exceeds the level becomes debt.
-    pub fn debit(&mut self, bucket: &mut Bucket, ncalls: u64) {
-        let taken_ncalls = bucket.level_ncalls.min(ncalls);
-        bucket.level_ncalls -= taken_ncalls;
-        self.debt_ncalls += ncalls - taken_ncalls;
-    }
-
-    /// Refills the copy and repays debt from it.
-    pub fn repay_debt(&mut self, bucket: &mut Bucket, now_us: u64) {
-        bucket.refill(now_us);
-        let repaid_ncalls = bucket.level_ncalls.min(self.debt_ncalls);
-        bucket.level_ncalls -= repaid_ncalls;
-        self.debt_ncalls -= repaid_ncalls;
-    }
-
-    /// Returns the time until one call can be taken; `None` if that never happens.
-    fn ready_in_us(&self, bucket: &Bucket, begins_program: bool, now_us: u64) -> Option<u64> {
-        let mut copy = *bucket;
-        copy.refill(now_us);
-        let needed = self.reserved_ncalls(begins_program) + self.debt_ncalls + NCALLS_PER_CALL;
-        let missing = needed.saturating_sub(copy.level_ncalls);
-        let ample_us = match bucket.rate_mcalls_per_s {
-            0 => None,
-            rate => Some(missing.div_ceil(rate)),
-        };
-        let own_part_us = self
-            .own_part
-            .ready_in_us(now_us)
-            .filter(|_| !begins_program);
-        match (ample_us, own_part_us) {
-            (Some(ample_us), Some(own_part_us)) => Some(ample_us.min(own_part_us)),
-            (ample_us, own_part_us) => ample_us.or(own_part_us),
-        }
-    }
-}
-
 impl Share {
     /// Takes one call; returns `false` if none may be taken.
     ///
@@ -178,7 +103,10 @@
     /// programs.
     pub fn try_take(&mut self, begins_program: bool, now_us: u64) -> bool {
         match &mut self.replicated {
-            Some(replicated) => replicated.try_take(&mut self.bucket, begins_program, now_us),
+            Some(replicated) => {
+                let claim = replicated.account_claim(begins_program);
+                replicated.try_take(&mut self.bucket, claim, now_us)
+            }
             None => self.bucket.try_take(now_us),
         }
     }
@@ -186,7 +114,10 @@
     /// Returns the time until one call can be taken; `None` if that never happens.
     pub fn ready_in_us(&self, begins_program: bool, now_us: u64) -> Option<u64> {
         match &self.replicated {
-            Some(replicated) => replicated.ready_in_us(&self.bucket, begins_program, now_us),
+            Some(replicated) => {
+                let claim = replicated.account_claim(begins_program);
+                replicated.ready_in_us(&self.bucket, claim, now_us)
+            }
             None => self.bucket.ready_in_us(now_us),
         }
     }
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -5,6 +5,7 @@
 use derive_more::{Display, Error};
 use http::request::Parts;
 use http::{HeaderMap, StatusCode};
+use knapweeddale_core::input::StatedRate;
 use knapweeddale_core::{
     AccountName, FleetConfig, ModelName, PresentedKey, ProgramName, Refusal, TurnId, UpstreamList,
     UpstreamName, VmName,
@@ -66,6 +67,8 @@
     pub is_not_run: bool,
     /// Whether the upstream states that it is leaving.
     pub is_leaving: bool,
+    /// The rate of requests that the upstream takes from all VMs together, if it states that.
+    pub rate: StatedRate,
     /// Whether the response carries the upstream's signature.
     pub is_signed: bool,
     /// How long the upstream keeps an idle connection open, if it states that.
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -7,7 +7,7 @@
 use http::request::Parts;
 use http::response;
 use http::{HeaderMap, Response, StatusCode, header};
-use knapweeddale_core::input::{AttemptOutcome, Failure};
+use knapweeddale_core::input::{AttemptOutcome, Failure, StatedRate, UpstreamStatement};
 use knapweeddale_core::{Dispatch, Input, StreamFormat};
 use knapweeddale_runtime::Clock;
 use smallvec::SmallVec;
@@ -163,8 +163,8 @@
             .await?;
         let Exchange { head, unsent, .. } = exchange;
         // A 421 comes from another process than the expected one.
-        if info.is_leaving && head.status != StatusCode::MISDIRECTED_REQUEST {
-            self.report_leaving().await;
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            self.report_statements(&info).await;
         }
         let is_reusable = unsent.is_empty() && head.is_keep_alive;
         let end = match self.dispatch.events {
@@ -183,14 +183,31 @@
         Ok((end.0, keep_alive))
     }
 
-    /// Reports that the upstream is leaving, before its response is complete: a stream may last
-    /// longer than the upstream accepts requests.
-    async fn report_leaving(&self) {
-        let notice = Input::UpstreamLeaving {
-            upstream: self.dispatch.upstream.clone(),
-            started_unix_ms: self.dispatch.upstream_started_unix_ms,
-        };
-        self.shared.inputs.send_input(notice).await;
+    /// Reports what the upstream states of its condition, before its response is complete: a stream
+    /// may last longer than the upstream accepts requests.
+    async fn report_statements(&self, info: &ResponseInfo) {
+        let upstream = &self.dispatch.upstream;
+        let started_unix_ms = self.dispatch.upstream_started_unix_ms;
+        if info.is_leaving {
+            let notice = Input::UpstreamLeaving {
+                upstream: upstream.clone(),
+                started_unix_ms,
+            };
+            self.shared.inputs.send_input(notice).await;
+        }
+        if info.rate == StatedRate::Unreadable {
+            tracing::warn!(%upstream, "upstream: stated rate ignored, it is not a number of 0 or more");
+        }
+        // Without a limit there is nothing to report, unless one has been in force.
+        if info.rate != StatedRate::Absent || self.dispatch.is_rate_limited {
+            let statement = UpstreamStatement {
+                upstream: upstream.clone(),
+                started_unix_ms,
+                rate: info.rate,
+            };
+            let statement = Input::UpstreamRate(statement);
+            self.shared.inputs.send_input(statement).await;
+        }
     }
 
     /// Reads a whole response body; returns it and whether its connection can be reused.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -43,6 +43,7 @@
     age_ms: IntGaugeVec,
     revision: IntGauge,
     sharing_vms: IntGaugeVec,
+    limited_upstreams: IntGauge,
     dropped_lines: IntGauge,
 }
 
@@ -123,6 +124,10 @@
             age_ms: gauges("kwd_age_milliseconds", "Age of what was read last.", "what")?,
             revision: gauge("kwd_revision", "Revision of the configuration in force.")?,
             sharing_vms: gauges("kwd_vms", "VMs that share the rates of accounts.", "kind")?,
+            limited_upstreams: gauge(
+                "kwd_limited_upstreams",
+                "Upstreams that state a rate for all VMs together.",
+            )?,
             dropped_lines: gauge("kwd_dropped_log_lines", "Log lines left out.")?,
             registry,
         })
@@ -273,6 +278,10 @@
             self.age_ms.with_label_values(&[what]).set(value);
         }
         self.revision.set(gauge_value(tables.fleet.revision.0));
+        let rates = tables.upstream_rates.iter();
+        let limited = rates.filter(|(_, row)| row.limit_mcalls_per_s.is_some());
+        self.limited_upstreams
+            .set(gauge_value(limited.count() as u64));
         let (heard, known) = tables.peering.usable_fraction();
         self.sharing_vms
             .with_label_values(&["heard"])
--- a/crates/testing/src/relays/attempts.rs
+++ b/crates/testing/src/relays/attempts.rs
@@ -1,6 +1,8 @@
 //! Simulates the upstreams that run the relays' attempts, and faults of their connections.
 
-use knapweeddale_core::input::{AttemptOutcome, AttemptProgress, Failure, ProbeState};
+use knapweeddale_core::input::{
+    AttemptOutcome, AttemptProgress, Failure, ProbeState, StatedRate, UpstreamStatement,
+};
 use knapweeddale_core::{AttemptEvent, AttemptId, Dispatch, Input, UpstreamName};
 
 use super::outputs::LINK_US;
@@ -68,6 +70,7 @@
                 tokens: open.tokens,
             });
         }
+        self.state_rate(vm, &dispatch);
         let event = AttemptEvent {
             attempt: dispatch.attempt,
             progress: AttemptProgress::Finished(AttemptOutcome {
@@ -84,6 +87,23 @@
         self.running.insert(dispatch.attempt, running);
     }
 
+    /// Reports the rate that an upstream states in the head of its response to an attempt.
+    fn state_rate(&mut self, vm: usize, dispatch: &Dispatch) {
+        let mcalls = self.stated_rates.get(dispatch.upstream.as_str());
+        let rate = mcalls.map_or(StatedRate::Absent, |mcalls| StatedRate::PerSecond {
+            mcalls: *mcalls,
+        });
+        if rate == StatedRate::Absent && !dispatch.is_rate_limited {
+            return;
+        }
+        let statement = UpstreamStatement {
+            upstream: dispatch.upstream.clone(),
+            started_unix_ms: dispatch.upstream_started_unix_ms,
+            rate,
+        };
+        self.deliver(vm, LINK_US, Input::UpstreamRate(statement));
+    }
+
     /// Reports the failure of an attempt to its VM.
     fn fail_attempt(&mut self, vm: usize, delay_us: u64, attempt: AttemptId, failure: Failure) {
         let progress = AttemptProgress::Failed(failure);
@@ -183,6 +203,14 @@
         };
     }
 
+    /// Sets the rate that an upstream states in its responses, in thousandths of a call per second.
+    pub fn set_stated_rate(&mut self, upstream: &str, mcalls_per_s: Option<u64>) {
+        match mcalls_per_s {
+            Some(mcalls) => self.stated_rates.insert(upstream.to_owned(), mcalls),
+            None => self.stated_rates.remove(upstream),
+        };
+    }
+
     /// Returns the attempts that are running, of one VM or all, on one upstream or all.
     fn running_attempts(&self, vm: Option<usize>, upstream: Option<&str>) -> Vec<AttemptId> {
         let is_due = |row: &RunningEvent| self.events.contains_key(&row.end);
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -69,6 +69,8 @@
     running: BTreeMap<AttemptId, RunningEvent>,
     /// Upstreams that do not run normally.
     upstream_states: BTreeMap<String, UpstreamState>,
+    /// Rates that upstreams state in their responses, in thousandths of a call per second.
+    stated_rates: BTreeMap<String, u64>,
     /// Every attempt sent to an upstream, in order of time.
     pub runs: Vec<Run>,
     /// Tokens forwarded to callers, one entry per turn.
@@ -94,6 +96,7 @@
             open: BTreeMap::new(),
             running: BTreeMap::new(),
             upstream_states: BTreeMap::new(),
+            stated_rates: BTreeMap::new(),
             runs: Vec::new(),
             forwarded: Vec::new(),
             answered: BTreeSet::new(),
