--- a/crates/testing/src/relays/attempts.rs
+++ b/crates/testing/src/relays/attempts.rs
@@ -26,6 +26,15 @@
     Silent,
 }
 
+/// What becomes of new connections over a lost link.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkFault {
+    /// They get no answer.
+    Silent,
+    /// They are refused.
+    Refused,
+}
+
 /// A running attempt and the event that ends it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct RunningEvent {
@@ -45,7 +54,7 @@
         let Some(open) = self.open.get(&call).cloned() else {
             return;
         };
-        match self.upstream_states.get(dispatch.upstream.as_str()) {
+        match self.connection_state(vm, dispatch.upstream.as_str()) {
             Some(UpstreamState::Crashed) => {
                 let failure = Failure::ConnectionRefused;
                 return self.fail_attempt(vm, LINK_US, dispatch.attempt, failure);
@@ -104,6 +113,17 @@
         self.deliver(vm, LINK_US, Input::UpstreamRate(statement));
     }
 
+    /// Returns how new connections of a VM to an upstream fail; `None` if they are accepted.
+    fn connection_state(&self, vm: usize, upstream: &str) -> Option<UpstreamState> {
+        let all = self.lost_links.get(&(vm, None));
+        let link = all.or_else(|| self.lost_links.get(&(vm, Some(upstream.to_owned()))));
+        let fault = link.map(|fault| match fault {
+            LinkFault::Silent => UpstreamState::Silent,
+            LinkFault::Refused => UpstreamState::Crashed,
+        });
+        fault.or_else(|| self.upstream_states.get(upstream).copied())
+    }
+
     /// Reports the failure of an attempt to its VM.
     fn fail_attempt(&mut self, vm: usize, delay_us: u64, attempt: AttemptId, failure: Failure) {
         let progress = AttemptProgress::Failed(failure);
@@ -113,7 +133,7 @@
 
     /// Answers a probe of an upstream.
     pub(super) fn probe_upstream(&mut self, vm: usize, upstream: UpstreamName) {
-        let (delay_us, state) = match self.upstream_states.get(upstream.as_str()) {
+        let (delay_us, state) = match self.connection_state(vm, upstream.as_str()) {
             None => (LINK_US, ProbeState::Up),
             Some(UpstreamState::Crashed) => (LINK_US, ProbeState::Down),
             Some(UpstreamState::Silent) => (PROBE_TIMEOUT_US, ProbeState::Silent),
@@ -203,6 +223,15 @@
         };
     }
 
+    /// Sets what becomes of new connections of a VM to one upstream, or to all; `None` if they work.
+    pub fn set_link_fault(&mut self, vm: usize, upstream: Option<&str>, fault: Option<LinkFault>) {
+        let key = (vm, upstream.map(str::to_owned));
+        match fault {
+            Some(fault) => self.lost_links.insert(key, fault),
+            None => self.lost_links.remove(&key),
+        };
+    }
+
     /// Sets the rate that an upstream states in its responses, in thousandths of a call per second.
     pub fn set_stated_rate(&mut self, upstream: &str, mcalls_per_s: Option<u64>) {
         match mcalls_per_s {
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -19,7 +19,7 @@
     Refusal, RefusalKind, UpstreamList, UpstreamName, VmName,
 };
 
-pub use attempts::UpstreamState;
+pub use attempts::{LinkFault, UpstreamState};
 pub use fixtures::{
     ForwardedTokens, RelayCall, Run, account, fleet, listed_engine, listed_upstream, upstreams,
 };
@@ -69,6 +69,8 @@
     running: BTreeMap<AttemptId, RunningEvent>,
     /// Upstreams that do not run normally.
     upstream_states: BTreeMap<String, UpstreamState>,
+    /// VMs whose links to upstreams are lost, and how; `None` stands for all upstreams.
+    lost_links: BTreeMap<(usize, Option<String>), LinkFault>,
     /// Rates that upstreams state in their responses, in thousandths of a call per second.
     stated_rates: BTreeMap<String, u64>,
     /// Every attempt sent to an upstream, in order of time.
@@ -96,6 +98,7 @@
             open: BTreeMap::new(),
             running: BTreeMap::new(),
             upstream_states: BTreeMap::new(),
+            lost_links: BTreeMap::new(),
             stated_rates: BTreeMap::new(),
             runs: Vec::new(),
             forwarded: Vec::new(),
