--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -93,6 +93,8 @@
     /// Address at which other VMs reach this one, as `ip:port`.
     #[builder(default = String::new())]
     pub address: String,
+    /// Address at which this VM accepts tunnels to upstreams, as `ip:port`; `None` if it does not.
+    pub tunnel_address: Option<String>,
     /// VMs to ask for the view if the store does not answer at startup.
     #[builder(default)]
     pub peers: Vec<VmName>,
--- a/crates/core/src/input/attempt.rs
+++ b/crates/core/src/input/attempt.rs
@@ -51,6 +51,8 @@
     ConnectionRefused,
     /// The upstream did not accept a connection in time.
     Unreachable,
+    /// The VM through which the attempt was to go has no tunnel to the upstream; nothing was sent.
+    ProxyFailed,
     /// The turn that the request goes on from certainly does not exist.
     HistoryUnknown,
     /// The turn that the request goes on from cannot be read at present.
@@ -113,6 +115,7 @@
             Self::NotSent
                 | Self::ConnectionRefused
                 | Self::Unreachable
+                | Self::ProxyFailed
                 | Self::HistoryUnknown
                 | Self::HistoryUnavailable
                 | Self::HistoryTooLarge
--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -56,9 +56,13 @@
     Probed {
         /// The probed upstream.
         upstream: UpstreamName,
+        /// The VM through which it was probed; `None` if directly.
+        proxy: Option<VmName>,
         /// The result of the probe.
         state: ProbeState,
     },
+    /// An upstream accepted a new connection of this VM.
+    ConnectionAccepted(UpstreamName),
     /// An upstream stated in a response that it is leaving.
     UpstreamLeaving {
         /// The upstream that responded.
@@ -144,6 +148,8 @@
     Down,
     /// The upstream did not answer in time.
     Silent,
+    /// The VM through which it was probed could not be asked.
+    ProxyFailed,
 }
 
 /// An answer of the platform's object API about the view.
--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -19,6 +19,7 @@
 pub use rates::{Demand, DemandKind, Grant, HeldShare, RatesMessage, ShareId, Unlent};
 pub use summary::{
     ListVersion, ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck,
+    TunnelContact,
 };
 
 use derive_more::From;
--- a/crates/core/src/message/summary.rs
+++ b/crates/core/src/message/summary.rs
@@ -8,7 +8,7 @@
 
 use crate::config::FleetConfig;
 use crate::ids::{
-    AccountName, ContentDigest, Incarnation, ProgramKey, Revision, UpstreamName, VmName,
+    AccountName, ContentDigest, DomainName, Incarnation, ProgramKey, Revision, UpstreamName, VmName,
 };
 use crate::input::{StorageVm, UpstreamList};
 
@@ -58,10 +58,26 @@
     pub limits: Vec<StatedLimit>,
     /// Whether the sender had calls lately for upstreams that are limited.
     pub uses_limited: bool,
+    /// Where the sender is and accepts tunnels; left out once the receiver has acknowledged it.
+    pub contact: Option<TunnelContact>,
+    /// Whether the sender has lost its links to all upstreams.
+    pub is_cut_off: bool,
+    /// Upstreams to which the sender has lost its link.
+    pub lost_links: Vec<UpstreamName>,
     /// Total calls that the sender has placed on upstreams while they were limited.
     pub placed: Vec<(UpstreamName, u64)>,
 }
 
+/// Where a VM is and accepts tunnels to upstreams.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct TunnelContact {
+    /// The failure domain of the VM.
+    pub failure_domain: DomainName,
+    /// The address at which it accepts tunnels, as `ip:port`.
+    pub address: String,
+}
+
 /// What an upstream has stated about the rate that it takes from all VMs together.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -238,6 +238,42 @@
         /// Why this does not count as a crash.
         evidence: CrashEvidence,
     },
+    /// This VM has lost its link to an upstream that another VM reaches.
+    #[display("links: lost the link to {upstream}, {witness} reaches it")]
+    LinkLost {
+        /// The upstream at the other end.
+        upstream: UpstreamName,
+        /// The VM that reaches it.
+        witness: VmName,
+    },
+    /// An upstream accepts connections of this VM again.
+    #[display("links: the link to {upstream} is back")]
+    LinkRestored {
+        /// The upstream at the other end.
+        upstream: UpstreamName,
+    },
+    /// This VM takes itself for cut off from all upstreams.
+    #[display("links: cut off, {lost} links lost and no connection accepted since")]
+    CutOff {
+        /// Links lost since a connection was accepted last.
+        lost: u32,
+    },
+    /// An upstream has accepted a connection, so this VM is not cut off any more.
+    #[display("links: no longer cut off after {after_ms} ms")]
+    CutEnded {
+        /// Duration of the cut, as far as this VM knew of it.
+        after_ms: u64,
+    },
+    /// An attempt goes through another VM, because this one has lost its link to the upstream.
+    #[display("links: attempt {attempt} goes to {upstream} through {proxy}")]
+    Proxied {
+        /// The attempt.
+        attempt: AttemptId,
+        /// The upstream that runs it.
+        upstream: UpstreamName,
+        /// The VM that passes its bytes on.
+        proxy: VmName,
+    },
     /// A content was quarantined: no VM runs it for a time.
     #[display("retry: content {digest} quarantined for {for_ms} ms after {crashes} crashes")]
     Quarantined {
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -99,7 +99,12 @@
     },
     /// Connect to an upstream after a connection to it broke, and answer with
     /// `Input::Probed`. The probe requests the load report, which reveals a restart.
-    Probe(UpstreamName),
+    Probe {
+        /// The upstream to probe.
+        upstream: UpstreamName,
+        /// The VM through which it is probed; `None` to connect directly.
+        proxy: Option<ProxyVm>,
+    },
     /// Send an order to an upstream and answer with `Input::OrderResult`.
     Order(Box<Order>),
     /// Store a charge record.
@@ -108,6 +113,15 @@
     Decision(Decision),
 }
 
+/// Another VM that passes bytes on between this one and an upstream.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct ProxyVm {
+    /// The name of the VM.
+    pub vm: VmName,
+    /// The address at which it accepts tunnels, as `ip:port`.
+    pub address: Arc<str>,
+}
+
 /// An attempt to run on an upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Dispatch {
@@ -117,6 +131,8 @@
     pub upstream: UpstreamName,
     /// The upstream's address as `ip:port`.
     pub address: Arc<str>,
+    /// The VM through which the attempt goes; `None` if it goes directly.
+    pub proxy: Option<Box<ProxyVm>>,
     /// Whether the upstream has stated a rate, so that a response without one is reported.
     pub is_rate_limited: bool,
     /// Start of the upstream's process in Unix time; 0 if unknown.
--- a/crates/core/src/output/reason.rs
+++ b/crates/core/src/output/reason.rs
@@ -141,6 +141,12 @@
     /// The upstream accepts new connections.
     #[display("new connections work")]
     Answering,
+    /// The upstream accepts connections of another VM, but not of this one.
+    #[display("another VM reaches it")]
+    ReachedByOther,
+    /// Neither this VM reaches the upstream, nor one that can be asked.
+    #[display("no other VM can tell")]
+    Unconfirmed,
 }
 
 /// Where this VM learned of the limit of an upstream.
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -122,6 +122,7 @@
         valid_until_us: u64::MAX,
         attempts: 0,
         upstream: None,
+        proxy: None,
         sent: false,
         may_have_run: false,
         last_run: None,
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -82,7 +82,12 @@
             .placement
             .load_reports
             .push((upstream, running_calls, tokens_per_s)),
-        Input::Probed { upstream, state } => work.outcomes.probe_results.push((upstream, state)),
+        Input::Probed {
+            upstream,
+            proxy,
+            state,
+        } => work.outcomes.probe_results.push((upstream, proxy, state)),
+        Input::ConnectionAccepted(upstream) => work.links.accepted.push(upstream),
         Input::UpstreamLeaving {
             upstream,
             started_unix_ms,
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod config;
 pub(crate) mod homes;
 pub(crate) mod intake;
+pub(crate) mod links;
 pub(crate) mod membership;
 pub(crate) mod orders;
 pub(crate) mod outcomes;
@@ -49,6 +50,7 @@
     pub peers: peers::Work,
     pub source: source::Work,
     pub config: config::Work,
+    pub links: links::Work,
     pub outcomes: outcomes::Work,
     pub homes: homes::Work,
     pub rates: rates::Work,
@@ -71,6 +73,7 @@
             && self.source.is_empty()
             && self.budgets.is_empty()
             && self.config.is_empty()
+            && self.links.is_empty()
             && self.outcomes.is_empty()
             && self.homes.is_empty()
             && self.rates.is_empty()
@@ -111,6 +114,7 @@
     peers::run(tick);
     source::run(tick);
     config::run(tick);
+    links::run(tick);
     outcomes::run(tick);
     homes::run(tick);
     rates::run(tick);
--- a/crates/core/src/systems/outcomes/examination.rs
+++ b/crates/core/src/systems/outcomes/examination.rs
@@ -1,14 +1,16 @@
-//! Examines whether an upstream crashed or only its connections broke.
+//! Examines whether an upstream crashed, only its connections broke, or this VM lost its link.
 //!
 //! A broken connection is no crash, and neither are many at once: a network fault may reset all
 //! connections of this VM while the upstream goes on. While an upstream is examined it gets no
-//! calls, and calls that are confined to it wait. It crashed if new connections are refused, if
-//! its process has restarted, or if it accepts no connection for [`EXAMINATION_US`], in which two
-//! probes are sent. A connection that it accepts proves that it runs.
+//! calls, and calls that are confined to it wait. A connection that it accepts proves that it runs.
+//! If it refuses connections, or accepts none for [`EXAMINATION_US`], in which two probes are sent,
+//! other VMs are asked whether they reach it. If one does, this VM has lost its link and the
+//! upstream is not down. It crashed if none of those that were asked reaches it, if no other VM is
+//! known, or if its process has restarted.
 
 use std::collections::BTreeSet;
 
-use super::super::{Tick, placement};
+use super::super::{Tick, links, placement};
 use super::{ejection, quarantine, suspects};
 use crate::ids::{AttemptId, CallId, ContentDigest, UpstreamName, VmName};
 use crate::input::ProbeState;
@@ -67,13 +69,13 @@
 pub(crate) fn record_unreachable(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     begin(tick, upstream);
     ejection::back_off(tick, upstream);
+    record_no_connection(tick, upstream, CrashEvidence::ProbeSilent);
 }
 
-/// Backs off from an upstream that refused a connection, which proves that its process has ended.
+/// Examines an upstream that refused a connection: its process has ended, or the link is lost.
 pub(crate) fn record_connection_refused(tick: &mut Tick<'_>, upstream: &UpstreamName) {
-    conclude_crash(tick, upstream, CrashEvidence::Refused);
-    record_crash(tick, upstream);
-    ejection::record_failure(tick, upstream);
+    begin(tick, upstream);
+    record_no_connection(tick, upstream, CrashEvidence::Refused);
 }
 
 /// Backs off from an upstream at whose address another process listens.
@@ -104,52 +106,201 @@
     tables
         .timers
         .set(until_us, Timer::CrashDecision(upstream.clone()));
-    tick.outputs.push(Output::Probe(upstream.clone()));
+    probe_directly(tick, upstream);
     placement::refresh_availability(tick, upstream);
 }
 
-/// Concludes the examination of an upstream from the result of a probe, or probes it once more.
-pub(super) fn handle_probe_result(tick: &mut Tick<'_>, upstream: &UpstreamName, state: ProbeState) {
+fn probe_directly(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    tick.outputs.push(Output::Probe {
+        upstream: upstream.clone(),
+        proxy: None,
+    });
+}
+
+/// Handles the result of a probe, directly or through another VM.
+pub(super) fn handle_probe_result(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+    proxy: Option<VmName>,
+    state: ProbeState,
+) {
+    match proxy {
+        Some(witness) => handle_testimony(tick, upstream, witness, state),
+        None => handle_own_probe(tick, upstream, state),
+    }
+}
+
+/// Concludes the examination of an upstream if it accepts connections, or else asks other VMs.
+fn handle_own_probe(tick: &mut Tick<'_>, upstream: &UpstreamName, state: ProbeState) {
+    if state == ProbeState::Up {
+        links::record_accepted(tick, upstream);
+    }
     let Some(row) = tick.tables.examinations.get_mut(upstream) else {
         return;
     };
     match state {
         ProbeState::Up => conclude_connection_loss(tick, upstream),
-        ProbeState::Down => conclude_crash(tick, upstream, CrashEvidence::Refused),
         ProbeState::Restarted => conclude_crash(tick, upstream, CrashEvidence::Restarted),
-        ProbeState::Silent if row.probes < MAX_PROBES => {
-            row.probes += 1;
-            tick.outputs.push(Output::Probe(upstream.clone()));
+        ProbeState::Down => record_no_connection(tick, upstream, CrashEvidence::Refused),
+        ProbeState::Silent | ProbeState::ProxyFailed => {
+            if row.probes < MAX_PROBES {
+                row.probes += 1;
+                probe_directly(tick, upstream);
+            }
+            record_no_connection(tick, upstream, CrashEvidence::ProbeSilent);
         }
-        // The end of the examination decides.
-        ProbeState::Silent => {}
     }
 }
 
-/// Concludes that an upstream crashed because it accepted no connection in time.
+/// Records that an examined upstream accepts no connection of this VM, and asks other VMs once.
+fn record_no_connection(tick: &mut Tick<'_>, upstream: &UpstreamName, evidence: CrashEvidence) {
+    let Some(row) = tick.tables.examinations.get_mut(upstream) else {
+        return;
+    };
+    let is_first = row.failed.is_none();
+    // A refusal says more than silence.
+    if is_first || evidence == CrashEvidence::Refused {
+        row.failed = Some(evidence);
+    }
+    if is_first {
+        ask_witnesses(tick, upstream);
+    }
+    decide(tick, upstream);
+}
+
+/// Asks other VMs, those that were not asked yet, whether they reach an upstream.
+fn ask_witnesses(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let row = tick.tables.examinations.get(upstream);
+    let asked = row.map(|row| row.witnesses.clone()).unwrap_or_default();
+    let witnesses = links::witnesses_of(tick, upstream, &asked);
+    if let Some(row) = tick.tables.examinations.get_mut(upstream) {
+        let names = witnesses.iter().map(|witness| witness.vm.clone());
+        row.witnesses.extend(names);
+    }
+    for witness in witnesses {
+        tick.outputs.push(Output::Probe {
+            upstream: upstream.clone(),
+            proxy: Some(witness),
+        });
+    }
+}
+
+/// Records whether another VM reaches an upstream.
+fn handle_testimony(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+    witness: VmName,
+    state: ProbeState,
+) {
+    if state == ProbeState::ProxyFailed {
+        links::record_proxy_failure(tick, &witness);
+    }
+    let Some(row) = tick.tables.examinations.get_mut(upstream) else {
+        return;
+    };
+    match state {
+        ProbeState::Up => row.reached_by = Some(witness),
+        ProbeState::Down | ProbeState::Restarted | ProbeState::Silent => row.deniers.push(witness),
+        ProbeState::ProxyFailed => row.lost_witnesses += 1,
+    }
+    decide(tick, upstream);
+}
+
+/// Concludes an examination if what is known suffices.
+fn decide(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let Some(row) = tick.tables.examinations.get(upstream) else {
+        return;
+    };
+    let Some(failed) = row.failed else {
+        return;
+    };
+    if let Some(witness) = row.reached_by.clone() {
+        conclude_link_loss(tick, upstream, &witness);
+        return;
+    }
+    // One denial is not enough: that VM may have lost its links as well.
+    let asked = row.witnesses.len();
+    if row.deniers.len() + row.lost_witnesses < asked {
+        return;
+    }
+    let is_crash = failed == CrashEvidence::Refused || !row.deniers.is_empty();
+    if (1..=links::MAX_WITNESSES).contains(&asked) {
+        ask_witnesses(tick, upstream);
+    }
+    let row = tick.tables.examinations.get(upstream);
+    let has_asked_more = row.is_some_and(|row| row.witnesses.len() > asked);
+    if is_crash && !has_asked_more {
+        conclude_crash(tick, upstream, failed);
+    }
+}
+
+/// Concludes an examination that has lasted long enough.
+///
+/// Silence counts as a crash only if another VM gets no answer either, or no other VM is known: a
+/// VM that reaches nobody knows nothing about upstreams.
 pub(super) fn handle_timeout(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let row = tick.tables.examinations.get(upstream);
     // The timer may belong to an earlier examination.
-    if row.is_some_and(|row| tick.now_us >= row.until_us) {
-        conclude_crash(tick, upstream, CrashEvidence::ProbeSilent);
+    let Some(row) = row.filter(|row| tick.now_us >= row.until_us) else {
+        return;
+    };
+    let evidence = row.failed.unwrap_or(CrashEvidence::ProbeSilent);
+    if evidence == CrashEvidence::Refused || row.witnesses.is_empty() || !row.deniers.is_empty() {
+        conclude_crash(tick, upstream, evidence);
+    } else {
+        conclude_unconfirmed(tick, upstream);
     }
 }
 
-/// Concludes the examination of an upstream as broken or silent connections.
-fn conclude_connection_loss(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+/// Concludes that this VM has lost its link to an upstream that another VM reaches.
+fn conclude_link_loss(tick: &mut Tick<'_>, upstream: &UpstreamName, witness: &VmName) {
     let row = tick.tables.examinations.get(upstream);
-    let has_failure = row.is_some_and(|row| row.has_failure);
-    let Some(lost) = end(tick, upstream) else {
+    let deniers = row.map(|row| row.deniers.clone()).unwrap_or_default();
+    let Some(lost) = end_without_crash(tick, upstream, CrashEvidence::ReachedByOther) else {
         return;
     };
+    // They have lost their links as well and may not know it yet.
+    for denier in &deniers {
+        links::record_proxy_failure(tick, denier);
+    }
+    links::record_lost(tick, upstream, witness);
+    resume_assignment(tick, upstream, lost.iter().map(|lost| lost.digest));
+}
+
+/// Ends an examination in which nobody could tell whether the upstream runs.
+fn conclude_unconfirmed(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let Some(lost) = end_without_crash(tick, upstream, CrashEvidence::Unconfirmed) else {
+        return;
+    };
+    ejection::back_off(tick, upstream);
+    resume_assignment(tick, upstream, lost.iter().map(|lost| lost.digest));
+}
+
+/// Ends an examination whose lost attempts make no content a suspect, and returns them.
+fn end_without_crash(
+    tick: &mut Tick<'_>,
+    upstream: &UpstreamName,
+    evidence: CrashEvidence,
+) -> Option<Vec<LostAttempt>> {
+    let lost = end(tick, upstream)?;
     tick.log(Decision::ConnectionBroke {
         upstream: upstream.clone(),
-        evidence: CrashEvidence::Answering,
+        evidence,
         lost: lost.len(),
     });
     for attempt in &lost {
         suspects::remove_if_cleared(tick, &attempt.digest);
     }
+    Some(lost)
+}
+
+/// Concludes the examination of an upstream as broken or silent connections.
+fn conclude_connection_loss(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let row = tick.tables.examinations.get(upstream);
+    let has_failure = row.is_some_and(|row| row.has_failure);
+    let Some(lost) = end_without_crash(tick, upstream, CrashEvidence::Answering) else {
+        return;
+    };
     if has_failure {
         ejection::record_failure(tick, upstream);
     }
@@ -182,6 +333,9 @@
         row.prefill_until_us = 0;
     }
     record_crash(tick, upstream);
+    if evidence == CrashEvidence::Refused {
+        ejection::record_failure(tick, upstream);
+    }
     resume_assignment(tick, upstream, digests.into_iter());
 }
 
--- a/crates/core/src/systems/outcomes/mod.rs
+++ b/crates/core/src/systems/outcomes/mod.rs
@@ -20,7 +20,7 @@
 pub(crate) use suspects::{clear_crash_count, raise_crash_count};
 
 use super::Tick;
-use crate::ids::UpstreamName;
+use crate::ids::{UpstreamName, VmName};
 use crate::input::{AttemptEvent, AttemptProgress, ProbeState};
 use crate::tables::{LeavingNotice, Stage, Timer};
 
@@ -28,7 +28,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Work {
     pub events: Vec<AttemptEvent>,
-    pub probe_results: Vec<(UpstreamName, ProbeState)>,
+    pub probe_results: Vec<(UpstreamName, Option<VmName>, ProbeState)>,
     pub leaving_notices: Vec<(UpstreamName, LeavingNotice)>,
     pub due_timers: Vec<Timer>,
 }
@@ -52,8 +52,8 @@
     for event in work.events {
         handle_event(tick, event);
     }
-    for (upstream, state) in work.probe_results {
-        examination::handle_probe_result(tick, &upstream, state);
+    for (upstream, proxy, state) in work.probe_results {
+        examination::handle_probe_result(tick, &upstream, proxy, state);
     }
     for timer in work.due_timers {
         match timer {
--- a/crates/core/src/systems/outcomes/results.rs
+++ b/crates/core/src/systems/outcomes/results.rs
@@ -1,6 +1,6 @@
 //! Completes calls: frees upstreams, ends turns and creates charge records.
 
-use super::super::{Tick, budgets, homes, placement};
+use super::super::{Tick, budgets, homes, links, placement};
 use crate::ids::{AttemptId, CallId};
 use crate::input::{AttemptOutcome, Continuation, Permit};
 use crate::message::{AttemptResult, Finish};
@@ -67,6 +67,7 @@
     let Some(upstream) = call.upstream.clone() else {
         return;
     };
+    let proxy = call.proxy.clone();
     let finish = Finish {
         pool: call.pool.clone(),
         attempt,
@@ -82,6 +83,9 @@
         total_us: now_us.saturating_sub(call.placement.dispatched_us),
     };
     placement::end_attempt(tick, finish);
+    if let Some(proxy) = proxy {
+        links::count_attempt(tick, &proxy, false);
+    }
 }
 
 /// Charges a call that ends without a complete response and may have run.
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -1,9 +1,9 @@
 //! Retries calls whose attempt failed, or ends them.
 
-use super::super::{Tick, admission};
+use super::super::{Tick, admission, links};
 use super::results;
 use crate::config::RouteKind;
-use crate::ids::{AttemptId, StreamOrigin, UpstreamName};
+use crate::ids::{AttemptId, StreamOrigin, UpstreamName, VmName};
 use crate::input::{AttemptOutcome, Failure};
 use crate::message::AttemptResult;
 use crate::output::{ChargeOutcome, Decision, Execution, RefusalKind, RetryReason};
@@ -38,6 +38,13 @@
         ..AttemptOutcome::default()
     };
     let result = attempt_result(tick, attempt, &failure);
+    let has_no_connection = matches!(
+        failure,
+        Failure::ProxyFailed | Failure::ConnectionRefused | Failure::Unreachable
+    );
+    if has_no_connection && let Some(proxy) = proxy_of(tick, attempt) {
+        links::record_proxy_failure(tick, &proxy);
+    }
     results::release_upstream(tick, attempt, result, &outcome);
     let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
@@ -79,6 +86,7 @@
                 reason,
             });
             if let Some(call) = tick.tables.calls.get_mut(&attempt.call)
+                && failure != Failure::ProxyFailed
                 && !call.avoid.contains(&upstream)
             {
                 call.avoid.push(upstream);
@@ -96,6 +104,19 @@
     }
 }
 
+/// Returns the VM through which an attempt went.
+fn proxy_of(tick: &Tick<'_>, attempt: AttemptId) -> Option<VmName> {
+    tick.tables.calls.get(&attempt.call)?.proxy.clone()
+}
+
+/// Returns whether an attempt failed that went over a link which is known to be lost by now.
+fn is_over_lost_link(tick: &Tick<'_>, call: Option<&Call>) -> bool {
+    let upstream = call
+        .filter(|call| call.proxy.is_none())
+        .and_then(|call| call.upstream.as_ref());
+    upstream.is_some_and(|upstream| links::is_link_lost(tick, upstream))
+}
+
 /// Counts a failed attempt of a call.
 pub(super) fn count_failure(call: &mut Call, failure: &Failure) {
     let may_have_run = !failure.did_not_run();
@@ -121,6 +142,11 @@
     let is_relayed = call.is_some_and(|call| call.relay.is_some());
     match failure {
         failure if failure.is_history() => AttemptResult::Unused,
+        Failure::ConnectionRefused | Failure::Unreachable | Failure::ConnectionLost { .. }
+            if is_over_lost_link(tick, call) =>
+        {
+            AttemptResult::Unused
+        }
         // The attempt was not sent in time, which is no failure of the upstream.
         Failure::NotSent if is_late => AttemptResult::Unused,
         // A pause keeps a call from using up its attempts at once.
--- a/crates/core/src/systems/peers/mod.rs
+++ b/crates/core/src/systems/peers/mod.rs
@@ -64,6 +64,8 @@
     }
     if work.is_due {
         group::update_liveness(tick);
+        // Pauses of proxies end, and VMs fall silent.
+        tick.work.links.proxies_changed = true;
         let is_large = tick.tables.peering.known_vms > LARGE_FLEET_VMS;
         let percent = if is_large { LARGE_FLEET_PERCENT } else { 100 };
         let due_us = tick.now_us + tick.settings.summary_ms * 10 * percent;
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -97,6 +97,17 @@
     peer.revision = summary.revision;
     peer.list = summary.list;
     peer.uses_limited = summary.uses_limited;
+    if let Some(contact) = &summary.contact {
+        peer.failure_domain = Some(contact.failure_domain.clone());
+        peer.tunnel_address = Some(contact.address.as_str().into());
+    }
+    let changes_links =
+        peer.is_cut_off != summary.is_cut_off || peer.lost_links != summary.lost_links;
+    if changes_links {
+        peer.is_cut_off = summary.is_cut_off;
+        peer.lost_links.clone_from(&summary.lost_links);
+        tick.work.links.proxies_changed = true;
+    }
     if let Some(echo) = summary
         .echo
         .filter(|echo| echo.incarnation == own_incarnation)
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -6,9 +6,11 @@
 use crate::config::CoreSettings;
 use crate::ids::VmName;
 use crate::input::UpstreamList;
-use crate::message::{ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck};
+use crate::message::{
+    ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck, TunnelContact,
+};
 use crate::output::Output;
-use crate::tables::{Peer, ProgramKnowledge, RateKey, Tables};
+use crate::tables::{Link, Peer, ProgramKnowledge, RateKey, Tables};
 
 /// Maximum rows of one kind in a summary, so that it fits into a datagram.
 const MAX_ROWS: usize = 48;
@@ -60,6 +62,8 @@
     let running = running.filter(|(_, row)| row.own_calls > 0);
     let suspects = tables.suspects.iter().filter(|(_, row)| row.crashes > 0);
     let quarantined = tables.quarantine.iter().take(MAX_ROWS);
+    let links = tables.upstreams.iter();
+    let lost_links = links.filter(|(_, row)| row.link == Link::Lost);
     Summary {
         from: settings.vm.clone(),
         incarnation: settings.incarnation,
@@ -88,6 +92,18 @@
         others: Vec::new(),
         limits: Vec::new(),
         uses_limited: now_us < tables.peering.used_limited_us + USE_MEMORY_US,
+        contact: settings
+            .tunnel_address
+            .as_ref()
+            .map(|address| TunnelContact {
+                failure_domain: settings.failure_domain.clone(),
+                address: address.clone(),
+            }),
+        is_cut_off: tables.links.is_cut_off,
+        lost_links: lost_links
+            .take(MAX_ROWS)
+            .map(|(name, _)| name.clone())
+            .collect(),
         placed: Vec::new(),
     }
 }
@@ -133,7 +149,9 @@
             cached: row.cached.clone(),
         })
         .collect();
-    if peer.acked_round == 0 {
+    if peer.acked_round > 0 {
+        summary.contact = None;
+    } else {
         let others = tables.peering.peers.iter();
         summary.others = others
             .filter(|(other, _)| *other != vm)
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Tick, admission, rates};
+use super::super::{Tick, admission, links, rates};
 use super::{finish, stated_rates};
 use crate::config::{HostRoute, RouteKind, ServiceConfig, ServiceKind};
 use crate::ids::{AttemptId, CallId, PoolKey, StreamOrigin, UpstreamName};
@@ -300,6 +300,7 @@
     let (upstream, reason, runners_up) = assignment;
     cancel_wait_timers(tick, attempt);
     let is_rate_limited = rates::is_limited(tick, &upstream);
+    let proxy = links::proxy_for(tick, &upstream);
     let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
         return;
     };
@@ -329,11 +330,13 @@
     }
     call.stage = Stage::Running;
     call.upstream = Some(upstream.clone());
+    call.proxy = proxy.as_ref().map(|proxy| proxy.vm.clone());
     call.placement.dispatched_us = tick.now_us;
     let dispatch = Dispatch {
         attempt,
         upstream: upstream.clone(),
         address: row.address.clone(),
+        proxy: proxy.clone().map(Box::new),
         is_rate_limited,
         upstream_started_unix_ms: row.config.started_unix_ms,
         origin: origin.clone(),
@@ -347,6 +350,11 @@
         events,
         history_ms,
     };
+    let proxied = proxy.map(|proxy| Decision::Proxied {
+        attempt,
+        upstream: upstream.clone(),
+        proxy: proxy.vm,
+    });
     let decision = Decision::Placed {
         attempt,
         program: call.program_key().cloned(),
@@ -358,6 +366,10 @@
     };
     tick.outputs.push(Output::Dispatch(dispatch));
     tick.log(decision);
+    if let Some(Decision::Proxied { proxy, .. }) = &proxied {
+        links::count_attempt(tick, proxy, true);
+    }
+    tick.outputs.extend(proxied.map(Output::Decision));
 }
 
 /// How long an upstream may send nothing before it is considered silent.
--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -12,6 +12,7 @@
 mod origins;
 mod owner;
 mod queue_order;
+mod reachability;
 mod reconfigure;
 mod selection;
 mod stated_rates;
@@ -20,6 +21,7 @@
 pub(crate) use finish::{end_attempt, resend_finish};
 pub(crate) use hints::record_cached_prefix;
 pub(crate) use origins::refuse_stranded;
+pub(crate) use reachability::refuse_unreachable;
 
 use super::{Sender, Tick};
 use crate::ids::{CallId, UpstreamName};
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Sender, Tick, outcomes, rates};
+use super::super::{Sender, Tick, links, outcomes, rates};
 use super::selection::{self, SelectedUpstream, Selection};
 use super::{availability, exclusive, hints, limits, origins, queue_order, stated_rates};
 use crate::config::UpstreamChoice;
@@ -44,6 +44,10 @@
             refuse(tick, waiting, RefusalKind::StreamNotResumable);
             return;
         }
+        if links::is_unreachable(tick, &pool) {
+            refuse(tick, waiting, RefusalKind::NoUpstream);
+            return;
+        }
         availability::push(tick, waiting);
         stated_rates::refresh(tick, &pool);
         assign(tick, &pool);
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -6,7 +6,7 @@
 
 use super::Coverage;
 use crate::config::HostRoute;
-use crate::ids::{AccountName, AttemptId, PoolKey, ProgramKey, StreamOrigin, UpstreamName};
+use crate::ids::{AccountName, AttemptId, PoolKey, ProgramKey, StreamOrigin, UpstreamName, VmName};
 use crate::input::{Continuation, NewCall};
 use crate::output::{ChargeOutcome, Execution};
 
@@ -62,6 +62,8 @@
     pub attempts: u32,
     /// Upstream of the running attempt.
     pub upstream: Option<UpstreamName>,
+    /// VM through which the running attempt goes; `None` if it goes directly.
+    pub proxy: Option<VmName>,
     /// Whether any byte of the running attempt was sent to the upstream.
     pub sent: bool,
     /// Whether an earlier attempt ended without proof that it did not run.
--- a/crates/core/src/tables/examination.rs
+++ b/crates/core/src/tables/examination.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 
 use crate::ids::{CallId, ContentDigest, VmName};
+use crate::output::CrashEvidence;
 
 /// The examination of an upstream: whether it crashed or only its connections broke.
 ///
@@ -17,6 +18,16 @@
     /// Whether it counts as a failure although the upstream runs; silence that was waited out does
     /// not.
     pub has_failure: bool,
+    /// Why this VM has no connection to the upstream; `None` while its probe is under way.
+    pub failed: Option<CrashEvidence>,
+    /// Other VMs that were asked whether they reach the upstream.
+    pub witnesses: SmallVec<[VmName; 6]>,
+    /// Those that do not reach it.
+    pub deniers: SmallVec<[VmName; 2]>,
+    /// Those that could not be asked.
+    pub lost_witnesses: usize,
+    /// A VM that reaches the upstream.
+    pub reached_by: Option<VmName>,
     /// Attempts whose connection broke.
     pub lost: SmallVec<[LostAttempt; 2]>,
 }
--- a/crates/core/src/tables/health.rs
+++ b/crates/core/src/tables/health.rs
@@ -62,6 +62,13 @@
         self.last_crash_us > 0 && now_us < self.last_crash_us + CRASH_RETENTION_US
     }
 
+    /// Drops failures and pauses that come from a lost link of this VM, not from the upstream.
+    pub fn forgive_link(&mut self, now_us: u64) {
+        self.failures = 0;
+        self.ejected_until_us = self.ejected_until_us.min(now_us);
+        self.backoff_until_us = self.backoff_until_us.min(now_us);
+    }
+
     /// Starts a backoff because the upstream was full and returns its end.
     pub fn back_off_full(&mut self, now_us: u64) -> u64 {
         self.backoff_until_us = self.backoff_until_us.max(now_us + FULL_BACKOFF_US);
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -12,6 +12,7 @@
 mod homes;
 mod lease;
 mod limit;
+mod link;
 mod loan;
 mod membership;
 mod order;
@@ -46,6 +47,7 @@
 };
 pub use lease::Lease;
 pub use limit::{ConcurrencyLimit, LimitReason};
+pub use link::{Link, ProxyPause, UpstreamLinks};
 pub use loan::{Holder, Loan, OwnedAccount, Ownership, RateLimit, Takeover};
 pub use membership::{
     Departed, Departure, HeartbeatPeers, Membership, PastView, PendingStoreRequest, PlatformList,
@@ -129,6 +131,8 @@
     pub placement_histories: Table<ProgramKey, PlacementHistory>,
     /// Upstreams of which it is being examined whether they crashed.
     pub examinations: Table<UpstreamName, Examination>,
+    /// What this VM knows of its own links to upstreams.
+    pub links: UpstreamLinks,
     /// Contents that were running when an upstream crashed.
     pub suspects: Table<ContentDigest, Suspect>,
     /// Contents that no VM runs, because upstreams crashed with them.
--- a/crates/core/src/tables/peer.rs
+++ b/crates/core/src/tables/peer.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use super::{Sharing, Table};
-use crate::ids::{AccountName, Incarnation, Revision, UpstreamName, VmName};
+use crate::ids::{AccountName, DomainName, Incarnation, Revision, UpstreamName, VmName};
 use crate::message::ListVersion;
 
 /// Rounds of summaries whose sending time is kept.
@@ -48,6 +48,14 @@
     pub admitted: Table<RateKey, u64>,
     /// Whether it had calls lately for upstreams that are limited.
     pub uses_limited: bool,
+    /// Its failure domain; `None` until it has told.
+    pub failure_domain: Option<DomainName>,
+    /// Address at which it accepts tunnels to upstreams; `None` if it does not, or has not told.
+    pub tunnel_address: Option<Arc<str>>,
+    /// Whether it has lost its links to all upstreams.
+    pub is_cut_off: bool,
+    /// Upstreams to which it has lost its link.
+    pub lost_links: Vec<UpstreamName>,
     /// Whether `admitted` holds its totals; those of its first summary are no new calls.
     pub has_admitted_baseline: bool,
 }
@@ -69,6 +77,10 @@
             running: Vec::new(),
             admitted: Table::default(),
             uses_limited: false,
+            failure_domain: None,
+            tunnel_address: None,
+            is_cut_off: false,
+            lost_links: Vec::new(),
             has_admitted_baseline: false,
         }
     }
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use super::{ConcurrencyLimit, Health};
+use super::{ConcurrencyLimit, Health, Link};
 use crate::config::UpstreamConfig;
 use crate::ids::{
     AccountName, AttemptId, ContentDigest, ModelName, PoolKey, ProgramKey, StreamOrigin,
@@ -44,6 +44,8 @@
     pub limit: ConcurrencyLimit,
     /// Failures, ejection and backoff.
     pub health: Health,
+    /// This VM's link to it.
+    pub link: Link,
     /// Whether its process has stated in a response that it is leaving.
     pub has_given_notice: bool,
     /// Whether it runs a call that must be the only one there.
@@ -74,6 +76,7 @@
             own_calls: 0,
             limit: ConcurrencyLimit::new(config.min_running_calls, config.max_running_calls),
             health: Health::default(),
+            link: Link::default(),
             has_given_notice: false,
             has_exclusive_call: false,
             prefill_until_us: 0,
--- a/crates/entry/src/control/output_dispatcher.rs
+++ b/crates/entry/src/control/output_dispatcher.rs
@@ -145,9 +145,13 @@
             }
             // Only under `Coordination::Peers`, which this daemon does not use.
             Output::Source(_) | Output::SendSummary { .. } | Output::RequestSnapshot { .. } => {}
-            Output::Probe(upstream) => {
-                self.pending_inputs
-                    .extend(request_probe(&self.probe_requests, upstream, control));
+            Output::Probe { upstream, proxy } => {
+                self.pending_inputs.extend(request_probe(
+                    &self.probe_requests,
+                    upstream,
+                    proxy,
+                    control,
+                ));
             }
             Output::Order(order) => self.send_order(*order),
             Output::Charge(charge) => self.record_charge(charge),
--- a/crates/entry/src/upstream/probe.rs
+++ b/crates/entry/src/upstream/probe.rs
@@ -54,7 +54,13 @@
         tokio::spawn(async move {
             let state = probe(&client, &request, &last_requests).await;
             let upstream = request.upstream;
-            inputs.send_input(Input::Probed { upstream, state }).await;
+            inputs
+                .send_input(Input::Probed {
+                    upstream,
+                    proxy: None,
+                    state,
+                })
+                .await;
         });
     }
 }
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -19,7 +19,7 @@
 use crate::adapter::{CallHead, Dialect, ForwardContext, ResponseInfo};
 use crate::front::SharedState;
 use crate::metrics::Stage;
-use crate::upstream::{Connection, EventReader, Exchange, ReadError, ResponseHead};
+use crate::upstream::{Connection, EventReader, Exchange, Path, ReadError, ResponseHead};
 
 /// Longest response body that is buffered before it is forwarded.
 pub(super) const MAX_BUFFERED_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -103,11 +103,20 @@
             Ok(prompt) => prompt,
             Err(failure) => return failure.into(),
         };
-        let address = &self.dispatch.address;
+        let path = Path {
+            upstream: self.dispatch.upstream.clone(),
+            address: Arc::clone(&self.dispatch.address),
+            proxy: self.dispatch.proxy.as_deref().cloned(),
+        };
         let pool = &self.shared.pool;
-        let acquired = pool.acquire(address, self.reuse(), &self.shared.metrics);
+        let acquired = pool.acquire(&path, self.reuse(), &self.shared.metrics);
         let mut connection = match timeout_at(deadline, acquired).await {
-            Ok(Ok(connection)) => connection,
+            Ok(Ok(acquired)) => {
+                if acquired.is_new && path.proxy.is_none() {
+                    self.report_accepted().await;
+                }
+                acquired.connection
+            }
             Ok(Err(error)) => {
                 let upstream = &self.dispatch.upstream;
                 tracing::info!(%upstream, "upstream: connection failed ({error})");
@@ -115,6 +124,7 @@
             }
             Err(_) => return Failure::NotSent.into(),
         };
+        connection.announce_request(self.head.request_id.as_deref().unwrap_or("-"));
         let sent = Instant::now();
         self.shared
             .metrics
@@ -124,7 +134,7 @@
         match end {
             Ok((end, keep_alive_s)) => {
                 if let Some(keep_alive_s) = keep_alive_s {
-                    pool.put_idle(address, connection, keep_alive_s.0);
+                    pool.put_idle(&path, connection, keep_alive_s.0);
                 }
                 end
             }
@@ -132,6 +142,12 @@
         }
     }
 
+    /// Reports that the upstream has accepted a connection.
+    async fn report_accepted(&self) {
+        let accepted = Input::ConnectionAccepted(self.dispatch.upstream.clone());
+        self.shared.inputs.send_input(accepted).await;
+    }
+
     /// Sends the request and relays its response.
     ///
     /// Returns how the attempt ended and, if the connection can be reused, how long the upstream
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control.rs
@@ -1,14 +1,14 @@
 //! The messages to the control thread and the dispatch of its outputs.
 
 use std::collections::HashMap;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{IpAddr, SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
 use knapweeddale_core::input::{AttemptProgress, Failure};
 use knapweeddale_core::{
     AccountName, AttemptEvent, CallId, Charge, Control, Decision, Dispatch, Input, Output, Refusal,
-    Snapshot, SourceRequest, StorageVm,
+    Snapshot, SourceRequest, StorageVm, UpstreamName,
 };
 use knapweeddale_runtime::{ProbeRequest, request_probe};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -40,6 +40,15 @@
         /// Channel for the snapshot.
         answer: oneshot::Sender<Box<Snapshot>>,
     },
+    /// Another VM asks for a tunnel to an upstream.
+    ResolveTunnel {
+        /// The address from which it asks.
+        ip: IpAddr,
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Channel for the upstream's address; `None` if the VM or the upstream is not known.
+        answer: oneshot::Sender<Option<Arc<str>>>,
+    },
     /// Ends the control thread.
     Stop,
 }
@@ -271,6 +280,18 @@
     }
 }
 
+/// Returns the address of an upstream for a tunnel of another VM, if both are known.
+fn tunnel_target(control: &Control, ip: IpAddr, upstream: &UpstreamName) -> Option<Arc<str>> {
+    let tables = control.tables();
+    let mut peers = tables.peering.peers.iter();
+    let is_known = peers.any(|(_, peer)| {
+        let address = peer.address.parse::<SocketAddr>();
+        address.is_ok_and(|address| address.ip() == ip)
+    });
+    let row = tables.upstreams.get(upstream).filter(|_| is_known)?;
+    Some(Arc::clone(&row.address))
+}
+
 /// Returns an age in milliseconds, or -1 if it is unknown.
 fn age_ms(age_us: Option<u64>) -> i64 {
     age_us.map_or(-1, |age_us| {
@@ -291,7 +312,7 @@
         | Decision::StreamTakenUp { call, .. }
         | Decision::NoRetry { call, .. }
         | Decision::SilenceTolerated { call, .. } => Some(*call),
-        Decision::Placed { attempt, .. } => Some(attempt.call),
+        Decision::Placed { attempt, .. } | Decision::Proxied { attempt, .. } => Some(attempt.call),
         _ => None,
     }
 }
@@ -326,6 +347,15 @@
                     tracing::debug!("peers: snapshot not sent, the requesting VM disconnected");
                 }
             }
+            Message::ResolveTunnel {
+                ip,
+                upstream,
+                answer,
+            } => {
+                if answer.send(tunnel_target(control, ip, &upstream)).is_err() {
+                    tracing::debug!("tunnel: target not sent, the VM disconnected");
+                }
+            }
             Message::Stop => return false,
         }
         true
@@ -358,9 +388,13 @@
                     tracing::error!("peers: snapshot request dropped, the queue is full");
                 }
             }
-            Output::Probe(upstream) => {
-                self.pending_inputs
-                    .extend(request_probe(&self.probe_requests, upstream, control));
+            Output::Probe { upstream, proxy } => {
+                self.pending_inputs.extend(request_probe(
+                    &self.probe_requests,
+                    upstream,
+                    proxy,
+                    control,
+                ));
             }
             Output::Charge(charge) => self.record_charge(charge),
             Output::Decision(decision) => self.log_decision(&decision, control, now_us),
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -24,6 +24,7 @@
 use crate::peers::{SnapshotServer, StateRpcServer, fetch_snapshots, receive_summaries};
 use crate::settings::RelaySettings;
 use crate::store::{RecordCache, Registration, Role, SourceClient};
+use crate::tunnel::{TunnelServer, serve_tunnels};
 use crate::turns::TurnClient;
 use crate::upstream::{Pool, run_probes};
 
@@ -96,6 +97,10 @@
         let (datagrams, receiver) = bind_datagram_sockets(settings.peer_listen)?;
         let mut core = settings.core.clone();
         core.address = receiver.local_addr()?.to_string();
+        let tunnels = bind_tunnel_listener(settings.tunnel_listen).await?;
+        if let Some(listener) = &tunnels {
+            core.tunnel_address = Some(listener.local_addr()?.to_string());
+        }
         let (inputs, queue) = input_queue(settings.input_queue_len);
         let peer_server = Server::builder().build(receiver.local_addr()?).await?;
         let snapshot_server = SnapshotServer {
@@ -163,6 +168,15 @@
             inputs.clone(),
             Arc::clone(&metrics),
         ));
+        if let Some(listener) = tunnels {
+            let server = TunnelServer {
+                inputs: inputs.clone(),
+                metrics: Arc::clone(&metrics),
+                tracker: tracker.clone(),
+                open_tunnels: Arc::default(),
+            };
+            background.spawn(serve_tunnels(listener, server));
+        }
         background.spawn(receive_summaries(receiver, inputs, metrics));
         background.spawn(origin_writer.run());
         background.spawn(expire_idle_connections(Arc::clone(&shared.pool)));
@@ -205,6 +219,14 @@
     Ok((socket, receiver))
 }
 
+/// Opens the listener for tunnels, if there is to be one.
+async fn bind_tunnel_listener(address: Option<SocketAddr>) -> std::io::Result<Option<TcpListener>> {
+    let Some(address) = address else {
+        return Ok(None);
+    };
+    TcpListener::bind(address).await.map(Some)
+}
+
 /// Periodically closes connections to upstreams whose idle timeout has passed.
 async fn expire_idle_connections(pool: Arc<Pool>) {
     let mut ticks = interval(EXPIRE_INTERVAL);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use knapweeddale_core::tables::Link;
 use knapweeddale_core::{Control, Decision, RefusalKind};
 use knapweeddale_runtime::{gauge_value, register};
 use prometheus::{
@@ -10,6 +11,7 @@
 };
 
 use crate::charges::ChargeRecord;
+use crate::tunnel::OpenReply;
 
 /// Upper bounds of the histogram buckets for durations, in seconds.
 const DURATION_BUCKETS_S: [f64; 14] = [
@@ -44,6 +46,10 @@
     revision: IntGauge,
     sharing_vms: IntGaugeVec,
     limited_upstreams: IntGauge,
+    lost_links: IntGauge,
+    cut_off: IntGauge,
+    tunnels: IntCounterVec,
+    proxied: IntCounter,
     dropped_lines: IntGauge,
 }
 
@@ -128,6 +134,20 @@
                 "kwd_limited_upstreams",
                 "Upstreams that state a rate for all VMs together.",
             )?,
+            lost_links: gauge(
+                "kwd_lost_links",
+                "Upstreams that only other VMs reach, as far as known.",
+            )?,
+            cut_off: gauge("kwd_cut_off", "1 while all links to upstreams are lost.")?,
+            tunnels: counters(
+                "kwd_tunnels_total",
+                "Tunnels that other VMs asked for, by reply.",
+                "reply",
+            )?,
+            proxied: counter(
+                "kwd_proxied_attempts_total",
+                "Attempts that went through another VM.",
+            )?,
             dropped_lines: gauge("kwd_dropped_log_lines", "Log lines left out.")?,
             registry,
         })
@@ -213,6 +233,17 @@
         self.connections.with_label_values(&[kind]).inc();
     }
 
+    /// Counts a tunnel that another VM asked for, by reply.
+    pub(crate) fn count_tunnel(&self, reply: OpenReply) {
+        let reply = match reply {
+            OpenReply::Connected => "connected",
+            OpenReply::Refused => "refused",
+            OpenReply::TimedOut => "timed_out",
+            OpenReply::Rejected => "rejected",
+        };
+        self.tunnels.with_label_values(&[reply]).inc();
+    }
+
     /// Counts a decision of the core.
     pub(crate) fn count_decision(&self, decision: &Decision) {
         match decision {
@@ -224,6 +255,7 @@
                 let reason = reason.label();
                 self.placements.with_label_values(&[reason]).inc();
             }
+            Decision::Proxied { .. } => self.proxied.inc(),
             Decision::Retry { .. } => self.retries.with_label_values(&["retried"]).inc(),
             Decision::NoRetry { .. } => self.retries.with_label_values(&["ended"]).inc(),
             Decision::SilenceTolerated { .. } => {
@@ -282,6 +314,10 @@
         let limited = rates.filter(|(_, row)| row.limit_mcalls_per_s.is_some());
         self.limited_upstreams
             .set(gauge_value(limited.count() as u64));
+        let links = tables.upstreams.iter();
+        let lost = links.filter(|(_, row)| row.link != Link::Up).count();
+        self.lost_links.set(gauge_value(lost as u64));
+        self.cut_off.set(i64::from(tables.links.is_cut_off));
         let (heard, known) = tables.peering.usable_fraction();
         self.sharing_vms
             .with_label_values(&["heard"])
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -18,6 +18,8 @@
     pub ready_listen: SocketAddr,
     /// Address for other VMs, over UDP for summaries and TCP for snapshots.
     pub peer_listen: SocketAddr,
+    /// Address on which tunnels of other VMs are accepted, if they are.
+    pub tunnel_listen: Option<SocketAddr>,
     /// Address on which metrics are served, if they are.
     pub metrics_listen: Option<SocketAddr>,
     /// Time within which the process has to end after a request to stop.
--- a/crates/relay/src/upstream/connection.rs
+++ b/crates/relay/src/upstream/connection.rs
@@ -4,9 +4,8 @@
 use derive_more::{Display, Error};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 
-use super::Body;
+use super::{Body, Transport};
 
 /// Limit for the head of a response.
 const MAX_HEAD_BYTES: usize = 65_536;
@@ -60,7 +59,7 @@
 /// One connection to an upstream, with the bytes read ahead on it.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    stream: TcpStream,
+    transport: Transport,
     /// Bytes that were read but not parsed yet.
     pub(super) buffer: BytesMut,
     /// Whether the head of a final response was read on this connection.
@@ -80,9 +79,9 @@
 
 impl Connection {
     /// Wraps a connected stream.
-    pub fn new(stream: TcpStream) -> Self {
+    pub fn new(transport: Transport) -> Self {
         Self {
-            stream,
+            transport,
             buffer: BytesMut::new(),
             has_responded: false,
         }
@@ -90,10 +89,12 @@
 
     /// Returns whether the connection is open and has received no unexpected bytes.
     pub fn is_idle_and_open(&self) -> bool {
-        let mut byte = [0; 1];
-        let read = self.stream.try_read(&mut byte);
-        self.buffer.is_empty()
-            && read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+        self.buffer.is_empty() && self.transport.is_idle_and_open()
+    }
+
+    /// Tells the proxy VM, if the connection goes through one, which request follows.
+    pub fn announce_request(&mut self, request_id: &str) {
+        self.transport.announce_request(request_id);
     }
 
     /// Sends a request and reads the head of its response.
@@ -101,7 +102,7 @@
     /// Stops sending when the upstream responds before it has read the whole request. If that
     /// response belongs to another request, this is called again with the rest.
     pub async fn exchange(&mut self, request: &Bytes) -> Result<Exchange, ReadError> {
-        let (mut reader, mut writer) = self.stream.split();
+        let (mut reader, mut writer) = tokio::io::split(&mut self.transport);
         let mut sent = 0;
         let mut write_error = None;
         while sent < request.len() && self.buffer.is_empty() && write_error.is_none() {
@@ -119,6 +120,9 @@
                 }
             }
         }
+        if write_error.is_none() {
+            write_error = writer.flush().await.err();
+        }
         let is_first_response = !self.has_responded;
         match self.read_head().await {
             Ok(head) => Ok(Exchange {
@@ -164,7 +168,7 @@
     /// Reads more bytes into the buffer; returns their number, 0 when the connection is closed.
     pub(super) async fn fill(&mut self) -> Result<usize, ReadError> {
         self.buffer.reserve(READ_BUFFER_BYTES);
-        self.stream
+        self.transport
             .read_buf(&mut self.buffer)
             .await
             .map_err(|source| ReadError::Broken { source })
--- a/crates/runtime/src/probe.rs
+++ b/crates/runtime/src/probe.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use knapweeddale_core::input::ProbeState;
+use knapweeddale_core::output::ProxyVm;
 use knapweeddale_core::{Control, Input, UpstreamName};
 use tokio::sync::mpsc;
 
@@ -13,6 +14,8 @@
     pub upstream: UpstreamName,
     /// Its address as `ip:port`.
     pub address: Arc<str>,
+    /// The VM through which it is probed; `None` to connect directly.
+    pub proxy: Option<ProxyVm>,
 }
 
 /// Queues a probe, or returns its result as an input if it cannot be queued.
@@ -22,14 +25,24 @@
 pub fn request_probe(
     requests: &mpsc::Sender<ProbeRequest>,
     upstream: UpstreamName,
+    proxy: Option<ProxyVm>,
     control: &Control,
 ) -> Option<Input> {
     let row = control.tables().upstreams.get(&upstream);
     let request = row.map(|row| ProbeRequest {
         upstream: upstream.clone(),
         address: Arc::clone(&row.address),
+        proxy: proxy.clone(),
     });
     let is_queued = request.is_some_and(|request| requests.try_send(request).is_ok());
-    let state = ProbeState::Up;
-    (!is_queued).then_some(Input::Probed { upstream, state })
+    let state = match proxy {
+        Some(_) => ProbeState::ProxyFailed,
+        None => ProbeState::Up,
+    };
+    let proxy = proxy.map(|proxy| proxy.vm);
+    (!is_queued).then_some(Input::Probed {
+        upstream,
+        proxy,
+        state,
+    })
 }
--- a/crates/testing/src/mesh/outputs.rs
+++ b/crates/testing/src/mesh/outputs.rs
@@ -23,9 +23,13 @@
                 program,
                 generation,
             } => self.release(vm, upstream, program, generation),
-            Output::Probe(upstream) => {
+            Output::Probe { upstream, .. } => {
                 let state = self.engines.probe(self.now_us, &upstream);
-                let probed = Input::Probed { upstream, state };
+                let probed = Input::Probed {
+                    upstream,
+                    proxy: None,
+                    state,
+                };
                 self.deliver(vm, self.now_us + 1_000, probed);
             }
             _ => {}
--- a/crates/testing/src/relays/attempts.rs
+++ b/crates/testing/src/relays/attempts.rs
@@ -3,6 +3,7 @@
 use knapweeddale_core::input::{
     AttemptOutcome, AttemptProgress, Failure, ProbeState, StatedRate, UpstreamStatement,
 };
+use knapweeddale_core::output::ProxyVm;
 use knapweeddale_core::{AttemptEvent, AttemptId, Dispatch, Input, UpstreamName};
 
 use super::outputs::LINK_US;
@@ -54,7 +55,11 @@
         let Some(open) = self.open.get(&call).cloned() else {
             return;
         };
-        match self.connection_state(vm, dispatch.upstream.as_str()) {
+        let proxy = dispatch.proxy.as_ref().map(|proxy| &*proxy.address);
+        let Some(sender) = self.find_sender(vm, proxy) else {
+            return self.fail_attempt(vm, LINK_US, dispatch.attempt, Failure::ProxyFailed);
+        };
+        match self.connection_state(sender, dispatch.upstream.as_str()) {
             Some(UpstreamState::Crashed) => {
                 let failure = Failure::ConnectionRefused;
                 return self.fail_attempt(vm, LINK_US, dispatch.attempt, failure);
@@ -65,6 +70,7 @@
             }
             None => {}
         }
+        self.proxied_runs += u64::from(proxy.is_some());
         self.runs.push(Run {
             at_us: self.now_us,
             vm,
@@ -132,13 +138,35 @@
     }
 
     /// Answers a probe of an upstream.
-    pub(super) fn probe_upstream(&mut self, vm: usize, upstream: UpstreamName) {
-        let (delay_us, state) = match self.connection_state(vm, upstream.as_str()) {
-            None => (LINK_US, ProbeState::Up),
-            Some(UpstreamState::Crashed) => (LINK_US, ProbeState::Down),
-            Some(UpstreamState::Silent) => (PROBE_TIMEOUT_US, ProbeState::Silent),
+    pub(super) fn probe_upstream(
+        &mut self,
+        vm: usize,
+        upstream: UpstreamName,
+        proxy: Option<ProxyVm>,
+    ) {
+        let sender = self.find_sender(vm, proxy.as_ref().map(|proxy| &*proxy.address));
+        let state = sender.map(|sender| self.connection_state(sender, upstream.as_str()));
+        let (delay_us, state) = match state {
+            None => (LINK_US, ProbeState::ProxyFailed),
+            Some(None) => (LINK_US, ProbeState::Up),
+            Some(Some(UpstreamState::Crashed)) => (LINK_US, ProbeState::Down),
+            Some(Some(UpstreamState::Silent)) => (PROBE_TIMEOUT_US, ProbeState::Silent),
+        };
+        let probed = Input::Probed {
+            upstream,
+            proxy: proxy.map(|proxy| proxy.vm),
+            state,
         };
-        self.deliver(vm, delay_us, Input::Probed { upstream, state });
+        self.deliver(vm, delay_us, probed);
+    }
+
+    /// Returns the VM that connects for an attempt or a probe: the proxy, if it can be reached, or
+    /// the VM itself.
+    fn find_sender(&self, vm: usize, proxy: Option<&str>) -> Option<usize> {
+        match proxy {
+            Some(address) => self.find_reachable(vm, address),
+            None => Some(vm),
+        }
     }
 }
 
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -75,6 +75,8 @@
     stated_rates: BTreeMap<String, u64>,
     /// Every attempt sent to an upstream, in order of time.
     pub runs: Vec<Run>,
+    /// Number of attempts that went through another VM.
+    pub proxied_runs: u64,
     /// Tokens forwarded to callers, one entry per turn.
     pub forwarded: Vec<ForwardedTokens>,
     /// Calls that were answered completely.
@@ -101,6 +103,7 @@
             lost_links: BTreeMap::new(),
             stated_rates: BTreeMap::new(),
             runs: Vec::new(),
+            proxied_runs: 0,
             forwarded: Vec::new(),
             answered: BTreeSet::new(),
             refusals: Vec::new(),
@@ -126,6 +129,7 @@
             .incarnation(Incarnation(row.incarnation))
             .failure_domain(DomainName::from("north"))
             .address(row.name.to_string())
+            .tunnel_address(row.name.to_string())
             .coordination(Coordination::Peers)
             .policy(PolicyFeatures {
                 learned_limit: false,
--- a/crates/testing/src/relays/outputs.rs
+++ b/crates/testing/src/relays/outputs.rs
@@ -38,7 +38,7 @@
             Output::Answered(answered) => {
                 self.answered.insert(answered.call);
             }
-            Output::Probe(upstream) => self.probe_upstream(vm, upstream),
+            Output::Probe { upstream, proxy } => self.probe_upstream(vm, upstream, proxy),
             _ => {}
         }
     }
@@ -52,7 +52,7 @@
     }
 
     /// Returns the VM at `address` if it is up and reachable from `vm`.
-    fn find_reachable(&self, vm: usize, address: &str) -> Option<usize> {
+    pub(super) fn find_reachable(&self, vm: usize, address: &str) -> Option<usize> {
         let to = self
             .vms
             .iter()
