Infer no origin of a stream that no storage VM was asked for

Cause: a lookup of the origin that nobody answered counted like one in which nobody knew it, and the VM then inferred the only version in its list, which may be two seconds old. The class is no answer taken for a negative one.

The lookup now tells the two apart.

--- a/crates/core/src/input/relay.rs
+++ b/crates/core/src/input/relay.rs
@@ -43,8 +43,12 @@
     New,
     /// After events that the caller has received from upstreams of this origin.
     ResumedFrom(StreamOrigin),
-    /// After events that the caller has received from upstreams that this VM does not know.
+    /// After events that the caller has received from upstreams that this VM does not know, nor do
+    /// the storage VMs that would know.
     ResumedUnknown,
+    /// After events that the caller has received from upstreams that this VM does not know and
+    /// could not ask for.
+    ResumedUnverified,
 }
 
 /// An entry of the upstream list, written by the upstream itself.
--- a/crates/core/src/systems/admission/origins.rs
+++ b/crates/core/src/systems/admission/origins.rs
@@ -36,6 +36,8 @@
         Some(StreamStart::New) | None => return Ok(None),
         Some(StreamStart::ResumedFrom(origin)) => OriginEvidence::Recorded(origin.clone()),
         Some(StreamStart::ResumedUnknown) => infer_origin(tick, route, &resolved.pool.service),
+        // A VM that nobody answers may miss a version that has joined since its list was read.
+        Some(StreamStart::ResumedUnverified) => unknown_origin(tick, &resolved.pool.service),
     };
     tick.log(Decision::StreamTakenUp {
         call: request.id,
@@ -56,6 +58,11 @@
     if let Some(origin) = find_only_origin(tick, route) {
         return OriginEvidence::Inferred(origin);
     }
+    unknown_origin(tick, service)
+}
+
+/// Returns the versions of a service that may have begun a stream.
+fn unknown_origin(tick: &Tick<'_>, service: &ServiceName) -> OriginEvidence {
     let seen = tick.tables.seen_versions.get(service);
     let versions = seen.into_iter().flat_map(|seen| seen.recent(tick.now_us));
     OriginEvidence::Unknown {
--- a/crates/core/tests/resumed_origins.rs
+++ b/crates/core/tests/resumed_origins.rs
@@ -265,3 +265,22 @@
         assert!(refusal == expected, "seed {seed}: {refusal:?}");
     }
 }
+
+/// Guards against a VM that is cut off from the others, or wakes up, with a list that is seconds old,
+/// and takes a stream of a version that has joined since then for one of the only version it knows.
+#[rstest]
+fn joined_while_cut_off() {
+    for seed in seeds() {
+        let mut relays = start([1, 0], vec![listed_engine("a", "v1")], seed);
+        relays.run_ms(STREAM_LIFE_MS);
+        relays.set_isolated(0, true);
+        let engines = vec![listed_engine("a", "v1"), listed_engine("b", "v2")];
+        relays.store.set_upstreams(list(2, engines));
+        relays.run_ms(RUN_MS);
+        let streams = take_up(&mut relays, &StreamStart::ResumedUnverified);
+        relays.run_ms(RUN_MS);
+        for stream in streams {
+            assert!(!relays.has_run(stream), "seed {seed}");
+        }
+    }
+}
--- a/crates/relay/src/front/service.rs
+++ b/crates/relay/src/front/service.rs
@@ -23,6 +23,7 @@
     CallContext, CallTask, CallerResponse, RelayBody, Reply, caller_guard, to_response,
 };
 use crate::control::Message;
+use crate::origins::OriginLookup;
 
 /// Core outputs queued for one call's task.
 const MAX_QUEUED_OUTPUTS: usize = 8;
@@ -180,11 +181,12 @@
     };
     match &head.resumes {
         Some(request_id) => match shared.origins.find(request_id).await {
-            Some(origin) => StreamStart::ResumedFrom(origin),
-            None => StreamStart::ResumedUnknown,
+            OriginLookup::Found(origin) => StreamStart::ResumedFrom(origin),
+            OriginLookup::Unknown => StreamStart::ResumedUnknown,
+            OriginLookup::Unanswered => StreamStart::ResumedUnverified,
         },
         None if last_event_id == 0 => StreamStart::New,
-        None => StreamStart::ResumedUnknown,
+        None => StreamStart::ResumedUnverified,
     }
 }
 
--- a/crates/relay/src/origins/copies.rs
+++ b/crates/relay/src/origins/copies.rs
@@ -11,6 +11,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::timeout;
 
+use super::OriginLookup;
 use super::rpc::{OriginRecord, OriginRpcClient};
 use super::writer::{OriginWriter, WriterMessage};
 use crate::metrics::Metrics;
@@ -81,35 +82,50 @@
     }
 
     /// Asks the storage VMs that may hold the origin of a stream.
-    pub async fn find(&self, id: &str) -> Option<StreamOrigin> {
-        let found = timeout(FIND_LIMIT, self.find_any(id)).await;
-        let found = found.unwrap_or_default();
-        match &found {
-            Some(origin) => {
+    pub async fn find(&self, id: &str) -> OriginLookup {
+        let mut answers = Answers::default();
+        // What has arrived by then counts.
+        let _ = timeout(FIND_LIMIT, self.collect_answers(id, &mut answers)).await;
+        let (asked, answered) = (answers.asked, answers.answered);
+        let lookup = answers.conclude();
+        match &lookup {
+            OriginLookup::Found(origin) => {
                 self.metrics.count_origin("found");
                 tracing::info!(stream = id, "origins: found {origin} on a storage VM");
             }
-            None => {
+            OriginLookup::Unknown => {
                 self.metrics.count_origin("unknown");
                 tracing::info!(stream = id, "origins: not found on storage VMs");
             }
+            OriginLookup::Unanswered => {
+                self.metrics.count_origin("unanswered");
+                tracing::warn!(
+                    stream = id,
+                    asked,
+                    answered,
+                    "origins: too few storage VMs answer"
+                );
+            }
         }
-        found
+        lookup
     }
 
-    async fn find_any(&self, id: &str) -> Option<StreamOrigin> {
+    /// Collects answers until one names the origin or all have arrived.
+    async fn collect_answers(&self, id: &str, answers: &mut Answers) {
         let id: Arc<str> = Arc::from(id);
         let asked = choose_holders(&id, &self.addresses().await, ASKED_VMS);
-        let mut answers: FuturesUnordered<_> = asked
+        answers.asked = asked.len();
+        let mut pending: FuturesUnordered<_> = asked
             .into_iter()
             .map(|address| self.find_at(address, Arc::clone(&id)))
             .collect();
-        while let Some(answer) = answers.next().await {
-            if answer.is_some() {
-                return answer;
+        while let Some(answer) = pending.next().await {
+            answers.answered += usize::from(answer.is_some());
+            answers.found = answer.flatten();
+            if answers.found.is_some() {
+                return;
             }
         }
-        None
     }
 
     /// Returns the addresses of the storage VMs; waits for the list after the start of this VM.
@@ -121,8 +137,30 @@
         keepers.iter().map(|row| Arc::from(&**row)).collect()
     }
 
-    async fn find_at(&self, address: Arc<str>, id: Arc<str>) -> Option<StreamOrigin> {
+    /// Asks one storage VM; `None` if it does not answer.
+    async fn find_at(&self, address: Arc<str>, id: Arc<str>) -> Option<Option<StreamOrigin>> {
         let find = |client: Arc<HttpClient>| async move { client.find_origin(id).await };
-        self.clients.request(&address, find).await.flatten()
+        self.clients.request(&address, find).await
+    }
+}
+
+/// The answers of storage VMs about one stream.
+#[derive(Debug, Default)]
+struct Answers {
+    asked: usize,
+    answered: usize,
+    found: Option<StreamOrigin>,
+}
+
+impl Answers {
+    /// Concludes that the origin is unknown only if no storage VM that would know it was silent:
+    /// each origin has two holders, and all but one of those that were asked have answered.
+    fn conclude(self) -> OriginLookup {
+        let needed = self.asked.saturating_sub(1).max(1);
+        match self.found {
+            Some(origin) => OriginLookup::Found(origin),
+            None if self.answered >= needed => OriginLookup::Unknown,
+            None => OriginLookup::Unanswered,
+        }
     }
 }
--- a/crates/relay/src/origins/mod.rs
+++ b/crates/relay/src/origins/mod.rs
@@ -23,6 +23,17 @@
 use self::writer::OriginWriter;
 use crate::metrics::Metrics;
 
+/// The result of looking an origin up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum OriginLookup {
+    /// The stream began there.
+    Found(StreamOrigin),
+    /// Enough storage VMs have answered that they do not know the stream.
+    Unknown,
+    /// Too few storage VMs have answered in time.
+    Unanswered,
+}
+
 /// Records and finds the origins of streams by the request ID under which they began.
 #[derive(Debug)]
 pub(crate) struct StreamOrigins {
@@ -60,12 +71,12 @@
     }
 
     /// Finds the origin of the stream that began under a request ID, at any VM.
-    pub async fn find(&self, request_id: &str) -> Option<StreamOrigin> {
+    pub async fn find(&self, request_id: &str) -> OriginLookup {
         let recorded = self.table().get(request_id, Instant::now());
-        if recorded.is_some() {
-            return recorded;
+        match recorded {
+            Some(origin) => OriginLookup::Found(origin),
+            None => self.copies.find(request_id).await,
         }
-        self.copies.find(request_id).await
     }
 
     /// Waits until all recorded origins are copied, within a time limit.
