Count any status but 200 as a failure once a stream has begun

What callers saw: a stream broke off, the next worker answered 204, and the stream ended as if it were complete (shown with a fake worker). Errors and their heads never reached the stream, but a 4xx ended the call as answered and charged it as complete.

Cause: every success that was signed was read as the rest of the stream, and every other final status as the answer to the call, whether or not its caller already had the head of another response. Class: a decision that ignores what the caller has received already.

The reports of an error's text in a stream and of a 200 with a short body after a cut head cannot happen here, as these tests show.

--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -184,7 +184,7 @@
         }
         let is_reusable = unsent.is_empty() && head.is_keep_alive;
         let end = match self.dispatch.events {
-            Some(form) if head.status.is_success() && is_authentic(&head, &info) => {
+            Some(form) if head.status == StatusCode::OK && is_authentic(&head, &info) => {
                 let end = self
                     .forward_stream(connection, &head, form, (sent, deadline))
                     .await?;
@@ -259,6 +259,11 @@
             let status = status.as_u16();
             return Failure::RefusedByUpstream { status }.into();
         }
+        if self.progress.is_stream_started {
+            // The caller has the head of another response; no other status can follow it.
+            let status = status.as_u16();
+            return Failure::UpstreamError { status }.into();
+        }
         if status.is_success() && !is_authentic(head, info) {
             return self
                 .invalid_response("it is unsigned or has a content-encoding")
