Split the files that had grown large

Code moves only: the dispatch of attempts out of placement::entry, the decisions about links and about membership out of the enum Decision, the messages and the tunnel target out of the relay's control module, the conversion of responses out of call::attempt, grants out of rates::owner, and error responses out of the fake worker.

--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -1,23 +1,23 @@
 //! Decisions of the core, each logged as one line.
 
-use derive_more::Display;
+use derive_more::{Display, From};
 use smallvec::SmallVec;
 
 use super::format::runners_up_text;
 use super::{
-    CloseReason, CrashEvidence, Execution, LimitSource, OrderAction, OriginEvidence,
-    PlacementReason, RefusalKind, RetryReason, TakeoverSource,
+    CloseReason, CrashEvidence, Execution, LimitSource, LinkDecision, MembershipDecision,
+    OrderAction, OriginEvidence, PlacementReason, RefusalKind, RetryReason, TakeoverSource,
 };
 use crate::ids::{
-    AccountName, AttemptId, CallId, ContentDigest, Epoch, FencingToken, Incarnation, ProgramKey,
-    Revision, StreamOrigin, UpstreamName, VmName,
+    AccountName, AttemptId, CallId, ContentDigest, FencingToken, Incarnation, ProgramKey, Revision,
+    StreamOrigin, UpstreamName, VmName,
 };
 use crate::tables::{Coverage, LimitReason};
 
 /// A decision of the core.
 ///
 /// `Display` formats the log line, prefixed with the name of the part that decided.
-#[derive(Debug, Display, Clone, PartialEq, Eq)]
+#[derive(Debug, Display, From, Clone, PartialEq, Eq)]
 pub enum Decision {
     /// A call was refused.
     #[display("admission: refused call {call} as {kind}, {ran}")]
@@ -238,42 +238,10 @@
         /// Why this does not count as a crash.
         evidence: CrashEvidence,
     },
-    /// This VM has lost its link to an upstream that another VM reaches.
-    #[display("links: lost the link to {upstream}, {witness} reaches it")]
-    LinkLost {
-        /// The upstream at the other end.
-        upstream: UpstreamName,
-        /// The VM that reaches it.
-        witness: VmName,
-    },
-    /// An upstream accepts connections of this VM again.
-    #[display("links: the link to {upstream} is back")]
-    LinkRestored {
-        /// The upstream at the other end.
-        upstream: UpstreamName,
-    },
-    /// This VM takes itself for cut off from all upstreams.
-    #[display("links: cut off, {lost} links lost and no connection accepted since")]
-    CutOff {
-        /// Links lost since a connection was accepted last.
-        lost: u32,
-    },
-    /// An upstream has accepted a connection, so this VM is not cut off any more.
-    #[display("links: no longer cut off after {after_ms} ms")]
-    CutEnded {
-        /// Duration of the cut, as far as this VM knew of it.
-        after_ms: u64,
-    },
-    /// An attempt goes through another VM, because this one has lost its link to the upstream.
-    #[display("links: attempt {attempt} goes to {upstream} through {proxy}")]
-    Proxied {
-        /// The attempt.
-        attempt: AttemptId,
-        /// The upstream that runs it.
-        upstream: UpstreamName,
-        /// The VM that passes its bytes on.
-        proxy: VmName,
-    },
+    /// About the links of this VM to upstreams.
+    #[from]
+    #[display("links: {_0}")]
+    Links(LinkDecision),
     /// A content was quarantined: no VM runs it for a time.
     #[display("retry: content {digest} quarantined for {for_ms} ms after {crashes} crashes")]
     Quarantined {
@@ -316,51 +284,10 @@
         /// Reason for the change.
         reason: LimitReason,
     },
-    /// A view took effect.
-    #[display("membership: view {epoch} with {members} members")]
-    ViewChanged {
-        /// The epoch of the view.
-        epoch: Epoch,
-        /// The number of members.
-        members: usize,
-    },
-    /// A view was ignored because a newer one is in force.
-    #[display("membership: ignored view {offered}, {in_force} is in force")]
-    ViewIgnored {
-        /// The epoch of the ignored view.
-        offered: Epoch,
-        /// The epoch of the view in force.
-        in_force: Epoch,
-    },
-    /// A member was reported as silent.
-    #[display("membership: {vm} is silent, says {by}")]
-    Suspected {
-        /// The silent member.
-        vm: VmName,
-        /// The member that reported it first.
-        by: VmName,
-    },
-    /// A message from a previous incarnation of a VM was ignored.
-    #[display("membership: ignored a message of {vm} from before its restart")]
-    PreviousIncarnation {
-        /// The sender of the message.
-        vm: VmName,
-    },
-    /// The store stopped answering requests for the view.
-    #[display("membership: the store does not answer")]
-    StoreUnavailable,
-    /// The store answers requests for the view again.
-    #[display("membership: the store answers again")]
-    StoreAvailable,
-    /// This VM, a writer, promised to write no view for the duration of a lease.
-    #[display("membership: promised to write no view while the store does not answer")]
-    PromiseMade,
-    /// This VM is no longer a member and has stopped acting for the fleet.
-    #[display("membership: left the fleet at view {epoch}")]
-    Left {
-        /// The epoch of the view without this VM.
-        epoch: Epoch,
-    },
+    /// About the members of the fleet, the view and the store.
+    #[from]
+    #[display("membership: {_0}")]
+    Membership(MembershipDecision),
     /// An order was sent to an upstream.
     #[display("orders: {action} on {upstream}, token {token}")]
     Ordered {
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -3,6 +3,8 @@
 mod charge;
 mod decision;
 mod format;
+mod link_decision;
+mod membership_decision;
 mod order;
 mod reason;
 mod refusal;
@@ -10,6 +12,8 @@
 
 pub use charge::{Charge, ChargeOutcome};
 pub use decision::Decision;
+pub use link_decision::LinkDecision;
+pub use membership_decision::MembershipDecision;
 pub use order::{Order, OrderAction};
 pub use reason::{
     CloseReason, CrashEvidence, LimitSource, OriginEvidence, PlacementReason, RetryReason,
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -4,7 +4,7 @@
 use crate::config::Coordination;
 use crate::input::Input;
 use crate::message::PeerMessage;
-use crate::output::Decision;
+use crate::output::MembershipDecision;
 use crate::tables::{LeavingNotice, Release, Vm};
 
 /// Dispatches the inputs of a tick; drops messages from before a restart of their sender.
@@ -34,7 +34,7 @@
         .get_or_insert_with(from, || Vm::new(incarnation, now_us));
     let known = member.map_or(row.incarnation, |m| m.incarnation.max(row.incarnation));
     if incarnation < known {
-        tick.log(Decision::PreviousIncarnation { vm: from.clone() });
+        tick.log(MembershipDecision::PreviousIncarnation { vm: from.clone() });
         return true;
     }
     if row.incarnation < incarnation {
--- a/crates/core/src/systems/links/mod.rs
+++ b/crates/core/src/systems/links/mod.rs
@@ -10,13 +10,13 @@
 mod proxies;
 
 pub(crate) use proxies::{
-    MAX_WITNESSES, can_reach, count_attempt, is_link_lost, proxy_for, record_proxy_failure,
-    witnesses_of,
+    MAX_WITNESSES, begin_proxied, can_reach, end_proxied, is_link_lost, proxy_for,
+    record_proxy_failure, witnesses_of,
 };
 
 use super::{Tick, placement};
 use crate::ids::{PoolKey, UpstreamName, VmName};
-use crate::output::Decision;
+use crate::output::LinkDecision;
 use crate::tables::{Link, Timer};
 
 /// Lost links, without a connection accepted in between, after which a VM takes itself for cut off.
@@ -73,7 +73,7 @@
     forgive(tick, upstream);
     if !was_lost {
         tick.tables.links.losses += 1;
-        tick.log(Decision::LinkLost {
+        tick.log(LinkDecision::LinkLost {
             upstream: upstream.clone(),
             witness: witness.clone(),
         });
@@ -93,7 +93,7 @@
     links.is_cut_off = true;
     links.cut_off_us = tick.now_us;
     let lost = links.losses;
-    tick.log(Decision::CutOff { lost });
+    tick.log(LinkDecision::CutOff { lost });
     let rows = tick.tables.upstreams.iter();
     let up: Vec<UpstreamName> = rows
         .filter(|(_, row)| row.link == Link::Up)
@@ -136,7 +136,7 @@
         return;
     }
     if was == Link::Lost {
-        tick.log(Decision::LinkRestored {
+        tick.log(LinkDecision::LinkRestored {
             upstream: upstream.clone(),
         });
     }
@@ -153,7 +153,7 @@
     links.is_cut_off = false;
     links.restored_us = now_us;
     let after_ms = now_us.saturating_sub(links.cut_off_us) / 1_000;
-    tick.log(Decision::CutEnded { after_ms });
+    tick.log(LinkDecision::CutEnded { after_ms });
     let mut back: Vec<UpstreamName> = Vec::new();
     for (name, row) in tick.tables.upstreams.iter_mut() {
         if row.link == Link::AssumedLost {
--- a/crates/core/src/systems/links/proxies.rs
+++ b/crates/core/src/systems/links/proxies.rs
@@ -3,8 +3,8 @@
 use smallvec::SmallVec;
 
 use super::super::Tick;
-use crate::ids::{DomainName, UpstreamName, VmName};
-use crate::output::ProxyVm;
+use crate::ids::{AttemptId, DomainName, UpstreamName, VmName};
+use crate::output::{LinkDecision, ProxyVm};
 use crate::tables::{Link, Peer, ProxyPause, hash_name};
 
 /// VMs that are asked at once whether they reach an upstream; if none of them does, as many are
@@ -122,14 +122,27 @@
     }
 }
 
-/// Counts an attempt that goes through a proxy, or its end.
-pub(crate) fn count_attempt(tick: &mut Tick<'_>, vm: &VmName, is_started: bool) {
+/// Counts and logs an attempt that goes through another VM.
+pub(crate) fn begin_proxied(
+    tick: &mut Tick<'_>,
+    attempt: AttemptId,
+    upstream: UpstreamName,
+    proxy: VmName,
+) {
     let proxied = &mut tick.tables.links.proxied_attempts;
-    let calls = proxied.get_or_insert_with(vm, || 0);
-    *calls = match is_started {
-        true => *calls + 1,
-        false => calls.saturating_sub(1),
-    };
+    *proxied.get_or_insert_with(&proxy, || 0) += 1;
+    tick.log(LinkDecision::Proxied {
+        attempt,
+        upstream,
+        proxy,
+    });
+}
+
+/// Counts the end of an attempt that went through another VM.
+pub(crate) fn end_proxied(tick: &mut Tick<'_>, proxy: &VmName) {
+    if let Some(attempts) = tick.tables.links.proxied_attempts.get_mut(proxy) {
+        *attempts = attempts.saturating_sub(1);
+    }
 }
 
 /// Sends no calls through a VM for a time after it has failed as a proxy.
--- a/crates/core/src/systems/membership/leases.rs
+++ b/crates/core/src/systems/membership/leases.rs
@@ -3,7 +3,7 @@
 
 use super::super::{Sender, Tick};
 use crate::config::CoreSettings;
-use crate::output::Decision;
+use crate::output::MembershipDecision;
 use crate::tables::StoreRequestKind;
 
 /// Records that the view, or an older one, was in force at a time, and renews the lease.
@@ -103,7 +103,7 @@
     let is_first = membership.promised_until_us < tick.now_us;
     membership.promised_until_us = tick.now_us + duration_us;
     if is_first {
-        tick.log(Decision::PromiseMade);
+        tick.log(MembershipDecision::PromiseMade);
     }
     true
 }
--- a/crates/core/src/systems/membership/leaving.rs
+++ b/crates/core/src/systems/membership/leaving.rs
@@ -4,7 +4,7 @@
 use super::{rounds, views};
 use crate::ids::{Epoch, VmName};
 use crate::message::MembershipMessage;
-use crate::output::Decision;
+use crate::output::MembershipDecision;
 use crate::tables::View;
 
 /// Starts draining this VM.
@@ -75,7 +75,7 @@
     for vm in members {
         tick.send(&vm, MembershipMessage::Left { epoch });
     }
-    tick.log(Decision::Left { epoch });
+    tick.log(MembershipDecision::Left { epoch });
 }
 
 /// Records that a removed member has stopped.
--- a/crates/core/src/systems/membership/store.rs
+++ b/crates/core/src/systems/membership/store.rs
@@ -6,7 +6,7 @@
 use super::super::Tick;
 use super::{leases, proposals, views};
 use crate::input::{StoreEvent, StoredView};
-use crate::output::{Decision, Output, StoreRequest};
+use crate::output::{MembershipDecision, Output, StoreRequest};
 use crate::tables::{
     PendingStoreRequest, StoreRequestKind, Timer, UnresolvedWrite, View, hash_name,
 };
@@ -52,7 +52,7 @@
     store.not_before_us = 0;
     store.answered_us = Some(tick.now_us);
     if was_down {
-        tick.log(Decision::StoreAvailable);
+        tick.log(MembershipDecision::StoreAvailable);
     }
 }
 
@@ -75,7 +75,7 @@
         let is_behind = stored.view != tick.tables.view;
         tick.tables.membership.store.is_behind = is_behind;
         if is_behind {
-            tick.log(Decision::ViewIgnored {
+            tick.log(MembershipDecision::ViewIgnored {
                 offered: stored.view.epoch,
                 in_force: known,
             });
@@ -173,7 +173,7 @@
     }
     // A single lost answer is not logged.
     if failures == 2 {
-        tick.log(Decision::StoreUnavailable);
+        tick.log(MembershipDecision::StoreUnavailable);
     }
 }
 
--- a/crates/core/src/systems/membership/suspicion.rs
+++ b/crates/core/src/systems/membership/suspicion.rs
@@ -6,7 +6,7 @@
 use super::topology;
 use crate::ids::{Incarnation, VmName};
 use crate::message::MembershipMessage;
-use crate::output::Decision;
+use crate::output::MembershipDecision;
 use crate::tables::{Suspicion, Vm};
 
 /// Heartbeat rounds after which a report expires; watchers repeat it in each round.
@@ -87,7 +87,7 @@
     row.reports.insert(sender.vm.clone(), now_us);
     if is_first {
         let by = sender.vm.clone();
-        tick.log(Decision::Suspected { vm, by });
+        tick.log(MembershipDecision::Suspected { vm, by });
     }
 }
 
--- a/crates/core/src/systems/membership/views.rs
+++ b/crates/core/src/systems/membership/views.rs
@@ -6,7 +6,7 @@
 use super::{leases, topology};
 use crate::ids::{Epoch, VmName};
 use crate::message::MembershipMessage;
-use crate::output::Decision;
+use crate::output::MembershipDecision;
 use crate::tables::{Departed, PastView, Timer, View, ViewChange, ViewDelta, Vm};
 
 /// Number of deltas kept for VMs that missed them; VMs further behind get the whole view.
@@ -39,7 +39,7 @@
     topology::choose_peers(tick);
     leases::remove_stale_promises(tick);
     leases::update_expiry(tick);
-    tick.log(Decision::ViewChanged {
+    tick.log(MembershipDecision::ViewChanged {
         epoch: view.epoch,
         members: view.members.len(),
     });
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -103,8 +103,8 @@
     }
 
     /// Outputs a decision for the log.
-    pub fn log(&mut self, decision: Decision) {
-        self.outputs.push(Output::Decision(decision));
+    pub fn log(&mut self, decision: impl Into<Decision>) {
+        self.outputs.push(Output::Decision(decision.into()));
     }
 }
 
--- a/crates/core/src/systems/outcomes/results.rs
+++ b/crates/core/src/systems/outcomes/results.rs
@@ -84,7 +84,7 @@
     };
     placement::end_attempt(tick, finish);
     if let Some(proxy) = proxy {
-        links::count_attempt(tick, &proxy, false);
+        links::end_proxied(tick, &proxy);
     }
 }
 
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -2,14 +2,12 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Tick, admission, links, rates};
+use super::super::{Tick, admission};
+use super::dispatch::dispatch;
 use super::{finish, stated_rates};
-use crate::config::{HostRoute, RouteKind, ServiceConfig, ServiceKind};
 use crate::ids::{AttemptId, CallId, PoolKey, StreamOrigin, UpstreamName};
 use crate::message::{InFlight, Place, PlacementMessage};
-use crate::output::{
-    Decision, Dispatch, Execution, Output, PlacementReason, RefusalKind, StreamFormat,
-};
+use crate::output::{Execution, PlacementReason, RefusalKind};
 use crate::tables::{Call, Stage, Timer};
 
 /// Unanswered requests after which the owner of a pool is considered failed.
@@ -18,25 +16,8 @@
 /// Interval at which a queued call is confirmed, in request timeouts.
 const CONFIRM_TIMEOUTS: u64 = 5;
 
-/// Silence limit of an idempotent route, in multiples of its latency objective.
-const IDEMPOTENT_OBJECTIVES: u64 = 5;
-
-/// Silence limits of a resumable stream, in multiples of its latency objective and event gap.
-const STREAM_OBJECTIVES: u64 = 4;
-
-/// Lower bound of an idempotent route's silence limit; a loaded upstream answers within it.
-const MIN_IDEMPOTENT_SILENCE_MS: u64 = 400;
-
-/// Lower bound of the silence limits of a stream.
-///
-/// A sound upstream may pause for a second or so. Callers leave a stream after 2 s without an event.
-const MIN_STREAM_SILENCE_MS: u64 = 1_500;
-
-/// Event gap of routes without one.
-const DEFAULT_EVENT_GAP_MS: u64 = 800;
-
 /// The upstream of an attempt, the reason for its selection and the runners-up.
-type Assignment = (UpstreamName, PlacementReason, SmallVec<[UpstreamName; 2]>);
+pub(super) type Assignment = (UpstreamName, PlacementReason, SmallVec<[UpstreamName; 2]>);
 
 /// Starts the next attempt of a call and requests an upstream from the owner of the pool.
 pub(super) fn start_attempt(tick: &mut Tick<'_>, id: CallId) {
@@ -287,7 +268,7 @@
 ///
 /// An idempotent call may run more than once, so it may stay queued for longer
 /// than the lease of its home lasts.
-fn valid_until_us(call: &Call) -> u64 {
+pub(super) fn valid_until_us(call: &Call) -> u64 {
     if call.idempotent {
         u64::MAX
     } else {
@@ -295,138 +276,10 @@
     }
 }
 
-/// Dispatches an attempt to its upstream.
-fn dispatch(tick: &mut Tick<'_>, attempt: AttemptId, assignment: Assignment) {
-    let (upstream, reason, runners_up) = assignment;
-    cancel_wait_timers(tick, attempt);
-    let is_rate_limited = rates::is_limited(tick, &upstream);
-    let proxy = links::proxy_for(tick, &upstream);
-    let Some(call) = tick.tables.calls.get_mut(&attempt.call) else {
-        return;
-    };
-    let Some(row) = tick.tables.upstreams.get_mut(&upstream) else {
-        return;
-    };
-    row.own_calls += 1;
-    let service = tick.tables.services.get(&call.pool.service);
-    let relay = call.relay.as_deref();
-    let limits = relay.map(|relay| silence_limits(&relay.route));
-    let first_token_ms = limits
-        .map(|limits| limits.first_ms)
-        .or(service.and_then(|service| service.first_token_ms));
-    let token_gap_ms = limits
-        .map(|limits| limits.gap_ms)
-        .or(service.and_then(|service| service.token_gap_ms));
-    let events = relay.and_then(|relay| event_form(&relay.route, service));
-    let history_ms = relay.and_then(|relay| relay.route.history_ms);
-    let deadline_us = relay.map_or(u64::MAX, |relay| relay.deadline_us);
-    let stream_deadline_us = relay.map_or(u64::MAX, |relay| relay.stream_deadline_us);
-    let origin = StreamOrigin {
-        service: call.pool.service.clone(),
-        version: row.config.software_version.clone(),
-    };
-    if let Some(relay) = &mut call.relay {
-        relay.attempt_origin = Some(origin.clone());
-    }
-    call.stage = Stage::Running;
-    call.upstream = Some(upstream.clone());
-    call.proxy = proxy.as_ref().map(|proxy| proxy.vm.clone());
-    call.placement.dispatched_us = tick.now_us;
-    let dispatch = Dispatch {
-        attempt,
-        upstream: upstream.clone(),
-        address: row.address.clone(),
-        proxy: proxy.clone().map(Box::new),
-        is_rate_limited,
-        upstream_started_unix_ms: row.config.started_unix_ms,
-        origin: origin.clone(),
-        valid_until_us: valid_until_us(call),
-        first_token_ms: first_token_ms.unwrap_or(tick.settings.first_token_ms),
-        token_gap_ms: token_gap_ms.unwrap_or(tick.settings.token_gap_ms),
-        account: call.account.clone(),
-        program: call.program.clone().map(|key| (key, call.generation)),
-        deadline_us,
-        stream_deadline_us,
-        events,
-        history_ms,
-    };
-    let proxied = proxy.map(|proxy| Decision::Proxied {
-        attempt,
-        upstream: upstream.clone(),
-        proxy: proxy.vm,
-    });
-    let decision = Decision::Placed {
-        attempt,
-        program: call.program_key().cloned(),
-        account: call.account.clone(),
-        upstream,
-        origin,
-        reason,
-        runners_up,
-    };
-    tick.outputs.push(Output::Dispatch(dispatch));
-    tick.log(decision);
-    if let Some(Decision::Proxied { proxy, .. }) = &proxied {
-        links::count_attempt(tick, proxy, true);
-    }
-    tick.outputs.extend(proxied.map(Output::Decision));
-}
-
-/// How long an upstream may send nothing before it is considered silent.
-#[derive(Debug, Clone, Copy)]
-struct SilenceLimits {
-    /// Before the first token or event.
-    first_ms: u64,
-    /// Between tokens or events.
-    gap_ms: u64,
-}
-
-/// Returns the silence limits after which a relayed call is attempted again.
-///
-/// A call that may not be repeated waits as long as its caller: the route's timeout.
-fn silence_limits(route: &HostRoute) -> SilenceLimits {
-    match route.kind {
-        RouteKind::NonIdempotent | RouteKind::Stream { resumable: false } => SilenceLimits {
-            first_ms: route.timeout_ms,
-            gap_ms: route.timeout_ms,
-        },
-        RouteKind::Idempotent => {
-            let first_ms =
-                (route.objective_ms * IDEMPOTENT_OBJECTIVES).max(MIN_IDEMPOTENT_SILENCE_MS);
-            SilenceLimits {
-                first_ms,
-                gap_ms: first_ms,
-            }
-        }
-        RouteKind::Stream { resumable: true } => {
-            let gap_ms = route.event_gap_ms.unwrap_or(DEFAULT_EVENT_GAP_MS);
-            SilenceLimits {
-                first_ms: (route.objective_ms * STREAM_OBJECTIVES).max(MIN_STREAM_SILENCE_MS),
-                gap_ms: (gap_ms * STREAM_OBJECTIVES).max(MIN_STREAM_SILENCE_MS),
-            }
-        }
-    }
-}
-
-/// Returns the event format of a streamed response, `None` for other routes.
-fn event_form(route: &HostRoute, service: Option<&ServiceConfig>) -> Option<StreamFormat> {
-    let RouteKind::Stream { resumable } = route.kind else {
-        return None;
-    };
-    let tokens_per_event = match service.map(|service| &service.kind) {
-        Some(ServiceKind::Engine(engine)) => engine.tokens_per_event,
-        _ => 0,
-    };
-    Some(StreamFormat {
-        tokens_per_event,
-        is_resumable: resumable,
-    })
-}
-
 /// Cancels the wait timers of a call that is no longer queued.
 ///
 /// At a high call rate they would otherwise pile up for the maximum queue time.
-fn cancel_wait_timers(tick: &mut Tick<'_>, attempt: AttemptId) {
+pub(super) fn cancel_wait_timers(tick: &mut Tick<'_>, attempt: AttemptId) {
     let tables = &mut *tick.tables;
     if let Some(call) = tables.calls.get(&attempt.call) {
         let waits = (call.placement.queue_until_us, call.placement.check_us);
--- a/crates/core/src/systems/rates/mod.rs
+++ b/crates/core/src/systems/rates/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! The owner of an account lends shares of its rate and burst to the VMs that receive its calls.
 //! `calls` admits calls from this VM's share, `holder` requests shares and applies grants,
-//! `owner` lends shares, `allocation` computes their size, and `takeover` handles a change of
-//! owner. In a fleet without owners, `replicated` keeps a copy of every bucket on each VM instead;
-//! `upstreams` does the same for rates that upstreams state.
+//! `owner` lends shares with `grants`, `allocation` computes their size, and `takeover` handles a
+//! change of owner. In a fleet without owners, `replicated` keeps a copy of every bucket on each VM
+//! instead; `upstreams` does the same for rates that upstreams state.
 
 mod allocation;
 mod calls;
+mod grants;
 mod holder;
 mod owner;
 mod replicated;
--- a/crates/core/tests/lost_links.rs
+++ b/crates/core/tests/lost_links.rs
@@ -82,6 +82,12 @@
     row.is_some_and(|row| row.health.has_crashed_recently(relays.now_us()))
 }
 
+/// Returns whether a VM counts a crash for any content.
+fn has_suspects(relays: &RelayFleet, vm: usize) -> bool {
+    let mut suspects = relays.control(vm).tables().suspects.iter();
+    suspects.any(|(_, row)| row.crashes > 0)
+}
+
 /// Guards against upstreams that are taken for crashed, and contents that become suspects, because
 /// of a VM that is cut off.
 #[rstest]
@@ -104,12 +110,7 @@
                     "seed {seed}: vm-{vm}, {tool}"
                 );
             }
-            let tables = relays.control(vm).tables();
-            let mut suspects = tables.suspects.iter();
-            assert!(
-                suspects.all(|(_, row)| row.crashes == 0),
-                "seed {seed}: vm-{vm}"
-            );
+            assert!(!has_suspects(&relays, vm), "seed {seed}: vm-{vm}");
         }
     }
 }
@@ -230,12 +231,7 @@
         relays.set_isolated(0, false);
         relays.run_ms(1_000);
         for vm in 1..8 {
-            let tables = relays.control(vm).tables();
-            let mut suspects = tables.suspects.iter();
-            assert!(
-                suspects.all(|(_, row)| row.crashes == 0),
-                "seed {seed}: vm-{vm}"
-            );
+            assert!(!has_suspects(&relays, vm), "seed {seed}: vm-{vm}");
         }
     }
 }
--- a/crates/core/tests/old_incarnation.rs
+++ b/crates/core/tests/old_incarnation.rs
@@ -1,6 +1,7 @@
 //! Guards against messages that a VM sent before it was restarted and that arrive afterwards.
 
 use knapweeddale_core::message::{Heartbeat, MembershipMessage};
+use knapweeddale_core::output::MembershipDecision;
 use knapweeddale_core::{Decision, Epoch, FleetConfig, Input, Revision};
 use knapweeddale_testing::mesh::{Mesh, TraceEvent};
 use knapweeddale_testing::seeds;
@@ -36,7 +37,7 @@
             "seed {seed}: {row:?}"
         );
         assert!(tables.newest_revision < Revision(99), "seed {seed}");
-        let ignored = Decision::PreviousIncarnation { vm: member.vm };
+        let ignored = Decision::from(MembershipDecision::PreviousIncarnation { vm: member.vm });
         let is_logged = mesh.trace.events.iter().any(|(_, event)| {
             matches!(event, TraceEvent::Decided { decision, .. } if *decision == ignored)
         });
--- a/crates/core/tests/store_outage.rs
+++ b/crates/core/tests/store_outage.rs
@@ -1,6 +1,7 @@
 //! Guards against an outage of the store that ends the leases of the fleet or that is followed by
 //! a burst of requests, and against views written while promises not to write one are valid.
 
+use knapweeddale_core::output::MembershipDecision;
 use knapweeddale_core::tables::StoreRequestKind;
 use knapweeddale_core::{Decision, FleetConfig, Revision};
 use knapweeddale_testing::mesh::{Mesh, TraceEvent};
@@ -168,7 +169,7 @@
         let from_us = mesh.now_us() - 5_000_000;
         let name = &mesh.tables(writer).view.writers[1];
         let promised = mesh.trace.events.iter().any(|(at_us, event)| {
-            let promise = Decision::PromiseMade;
+            let promise = Decision::Membership(MembershipDecision::PromiseMade);
             *at_us > from_us
                 && matches!(event, TraceEvent::Decided { vm, decision } if vm == name && *decision == promise)
         });
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -5,8 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
-use http::response;
-use http::{HeaderMap, Response, StatusCode, header};
+use http::{Response, StatusCode};
 use knapweeddale_core::input::{AttemptOutcome, Failure, StatedRate, UpstreamStatement};
 use knapweeddale_core::{Dispatch, Input, StreamFormat};
 use knapweeddale_runtime::Clock;
@@ -15,6 +14,7 @@
 
 use super::reply::{RelayBody, Reply};
 use super::request;
+use super::responses::{implies_not_run, is_authentic, to_caller_head, to_caller_response};
 use super::silence::SilenceLimit;
 use crate::adapter::{CallHead, Dialect, ForwardContext, ResponseInfo};
 use crate::front::SharedState;
@@ -408,52 +408,3 @@
 /// Seconds that an upstream keeps an idle connection open; `None` if it states none.
 #[derive(Debug, Clone, Copy)]
 struct KeepAlive(Option<u64>);
-
-/// Returns whether a status tells the caller that the request did not run.
-fn implies_not_run(status: StatusCode) -> bool {
-    matches!(
-        status,
-        StatusCode::TOO_MANY_REQUESTS
-            | StatusCode::SERVICE_UNAVAILABLE
-            | StatusCode::REQUEST_TIMEOUT
-            | StatusCode::MISDIRECTED_REQUEST
-    )
-}
-
-/// Returns whether a successful response is the upstream's own: signed, and without a
-/// `content-encoding`.
-fn is_authentic(head: &ResponseHead, info: &ResponseInfo) -> bool {
-    info.is_signed && !head.headers.contains_key(header::CONTENT_ENCODING)
-}
-
-/// Converts an upstream's response to the response for the caller.
-fn to_caller_response(head: &ResponseHead, body: Bytes) -> Response<RelayBody> {
-    Response::from_parts(to_caller_head(head), RelayBody::whole(body))
-}
-
-/// Converts the head of an upstream's response to the head for the caller.
-///
-/// Hop-by-hop headers and those of the body's framing are left out.
-fn to_caller_head(head: &ResponseHead) -> response::Parts {
-    let (mut parts, ()) = Response::new(()).into_parts();
-    parts.status = head.status;
-    parts.headers = end_to_end_headers(&head.headers);
-    parts
-}
-
-/// Returns the headers without the hop-by-hop ones and those of the framing.
-fn end_to_end_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut end_to_end = headers.clone();
-    for name in [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::TRANSFER_ENCODING,
-        header::TRAILER,
-        header::UPGRADE,
-        header::TE,
-    ] {
-        end_to_end.remove(name);
-    }
-    end_to_end.remove("keep-alive");
-    end_to_end
-}
--- a/crates/relay/src/call/mod.rs
+++ b/crates/relay/src/call/mod.rs
@@ -5,6 +5,7 @@
 mod matching;
 mod reply;
 mod request;
+mod responses;
 mod silence;
 mod task;
 
--- a/crates/relay/src/control.rs
+++ b/crates/relay/src/control/dispatcher.rs
@@ -1,101 +1,24 @@
-//! The messages to the control thread and the dispatch of its outputs.
+//! Dispatches the outputs of the core to their receivers.
 
 use std::collections::HashMap;
-use std::net::{IpAddr, SocketAddr, UdpSocket};
+use std::net::{SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::time::Duration;
 
 use knapweeddale_core::input::{AttemptProgress, Failure};
+use knapweeddale_core::output::LinkDecision;
 use knapweeddale_core::{
-    AccountName, AttemptEvent, CallId, Charge, Control, Decision, Dispatch, Input, Output, Refusal,
-    Snapshot, SourceRequest, StorageVm, UpstreamName,
+    AttemptEvent, CallId, Charge, Control, Decision, Input, Output, SourceRequest, StorageVm,
 };
 use knapweeddale_runtime::{ProbeRequest, request_probe};
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, watch};
 
+use super::message::{CallOutput, Message, SnapshotRequest, Status};
+use super::tunnel_target::tunnel_target;
 use crate::charges::ChargeRecord;
 use crate::metrics::Metrics;
 use crate::store::keeper_addresses;
 
-/// A message to the control thread.
-#[derive(Debug)]
-pub(crate) enum Message {
-    /// An input for the core.
-    Input(Input),
-    /// An input that opens a call, with the channel for its outputs.
-    Open {
-        /// ID of the call.
-        call: CallId,
-        /// The caller's ID of the request, for logs and charge records.
-        request: Arc<str>,
-        /// The input that opens the call.
-        input: Input,
-        /// Channel for the outputs of the call.
-        outputs: mpsc::Sender<CallOutput>,
-    },
-    /// Another VM requests a snapshot of this one.
-    Snapshot {
-        /// Whether the snapshot has to include programs.
-        with_programs: bool,
-        /// Channel for the snapshot.
-        answer: oneshot::Sender<Box<Snapshot>>,
-    },
-    /// Another VM asks for a tunnel to an upstream.
-    ResolveTunnel {
-        /// The address from which it asks.
-        ip: IpAddr,
-        /// The upstream.
-        upstream: UpstreamName,
-        /// Channel for the upstream's address; `None` if the VM or the upstream is not known.
-        answer: oneshot::Sender<Option<Arc<str>>>,
-    },
-    /// Ends the control thread.
-    Stop,
-}
-
-impl From<Input> for Message {
-    fn from(input: Input) -> Self {
-        Self::Input(input)
-    }
-}
-
-/// The sending side of the control thread's input queue.
-pub(crate) type InputSender = knapweeddale_runtime::InputSender<Message>;
-
-/// An output of the core for one call.
-#[derive(Debug)]
-pub(crate) enum CallOutput {
-    /// Run an attempt.
-    Dispatch(Dispatch),
-    /// Stop the running attempt, since the call goes on in another one.
-    Cancel,
-    /// The call is complete.
-    Answered,
-    /// The call is refused.
-    Refused(Refusal),
-}
-
-/// The part of the control state that is published to traffic threads.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub(crate) struct Status {
-    /// Whether the load balancer may send calls to this VM.
-    pub is_ready: bool,
-    /// Maximum size of a request body; 0 without a configuration.
-    pub body_bytes: usize,
-    /// Maximum size of a request head; 0 without a configuration.
-    pub header_bytes: usize,
-    /// Idle timeout of callers' connections.
-    pub idle_timeout_ms: u64,
-}
-
-/// A request for a snapshot of another VM.
-#[derive(Debug)]
-pub(crate) struct SnapshotRequest {
-    pub address: Arc<str>,
-    pub with_programs: bool,
-    pub sent_us: u64,
-}
-
 /// An open call, with the caller's ID of the request and the channel for its outputs.
 #[derive(Debug)]
 struct OpenCall {
@@ -280,18 +203,6 @@
     }
 }
 
-/// Returns the address of an upstream for a tunnel of another VM, if both are known.
-fn tunnel_target(control: &Control, ip: IpAddr, upstream: &UpstreamName) -> Option<Arc<str>> {
-    let tables = control.tables();
-    let mut peers = tables.peering.peers.iter();
-    let is_known = peers.any(|(_, peer)| {
-        let address = peer.address.parse::<SocketAddr>();
-        address.is_ok_and(|address| address.ip() == ip)
-    });
-    let row = tables.upstreams.get(upstream).filter(|_| is_known)?;
-    Some(Arc::clone(&row.address))
-}
-
 /// Returns an age in milliseconds, or -1 if it is unknown.
 fn age_ms(age_us: Option<u64>) -> i64 {
     age_us.map_or(-1, |age_us| {
@@ -312,7 +223,8 @@
         | Decision::StreamTakenUp { call, .. }
         | Decision::NoRetry { call, .. }
         | Decision::SilenceTolerated { call, .. } => Some(*call),
-        Decision::Placed { attempt, .. } | Decision::Proxied { attempt, .. } => Some(attempt.call),
+        Decision::Placed { attempt, .. }
+        | Decision::Links(LinkDecision::Proxied { attempt, .. }) => Some(attempt.call),
         _ => None,
     }
 }
@@ -459,8 +371,3 @@
         self.metrics.count_tick(inputs, took, self.calls.len());
     }
 }
-
-/// Returns the label of an account, or `-` if there is none.
-pub(crate) fn account_label(account: Option<&AccountName>) -> &str {
-    account.map_or("-", |name| name.as_str())
-}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use knapweeddale_core::output::LinkDecision;
 use knapweeddale_core::tables::Link;
 use knapweeddale_core::{Control, Decision, RefusalKind};
 use knapweeddale_runtime::{gauge_value, register};
@@ -255,7 +256,7 @@
                 let reason = reason.label();
                 self.placements.with_label_values(&[reason]).inc();
             }
-            Decision::Proxied { .. } => self.proxied.inc(),
+            Decision::Links(LinkDecision::Proxied { .. }) => self.proxied.inc(),
             Decision::Retry { .. } => self.retries.with_label_values(&["retried"]).inc(),
             Decision::NoRetry { .. } => self.retries.with_label_values(&["ended"]).inc(),
             Decision::SilenceTolerated { .. } => {
