--- a/crates/core/src/systems/outcomes/examination.rs
+++ b/crates/core/src/systems/outcomes/examination.rs
@@ -18,7 +18,7 @@
 use crate::output::{CrashEvidence, Decision, Output};
 use crate::tables::{Examination, LostAttempt, RunningAttempt, Timer};
 
-/// Time after which an upstream that has accepted no connection counts as crashed.
+/// Longest examination of an upstream that accepts no connection.
 const EXAMINATION_US: u64 = 600_000;
 
 /// Probes in one examination; a full accept queue may drop the first one.
