Name probes through other VMs by the usual terms

Names and wording only: indirect probes in place of witnesses and their testimony, unreached_by in place of deniers, clear_failures in place of forgive.

--- a/crates/core/src/output/link_decision.rs
+++ b/crates/core/src/output/link_decision.rs
@@ -8,12 +8,12 @@
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
 pub enum LinkDecision {
     /// This VM has lost its link to an upstream that another VM reaches.
-    #[display("lost the link to {upstream}, {witness} reaches it")]
+    #[display("lost the link to {upstream}, {reached_by} reaches it")]
     LinkLost {
         /// The upstream at the other end.
         upstream: UpstreamName,
         /// The VM that reaches it.
-        witness: VmName,
+        reached_by: VmName,
     },
     /// An upstream accepts connections of this VM again.
     #[display("the link to {upstream} is back")]
--- a/crates/core/src/systems/links/mod.rs
+++ b/crates/core/src/systems/links/mod.rs
@@ -10,8 +10,8 @@
 mod proxies;
 
 pub(crate) use proxies::{
-    MAX_WITNESSES, begin_proxied, can_reach, end_proxied, is_link_lost, proxy_for,
-    record_proxy_failure, witnesses_of,
+    MAX_INDIRECT_PROBES, begin_proxied, can_reach, end_proxied, indirect_probers, is_link_lost,
+    proxy_for, record_proxy_failure,
 };
 
 use super::{Tick, placement};
@@ -65,17 +65,17 @@
 }
 
 /// Records that connections to an upstream fail although another VM reaches it.
-pub(crate) fn record_lost(tick: &mut Tick<'_>, upstream: &UpstreamName, witness: &VmName) {
+pub(crate) fn record_lost(tick: &mut Tick<'_>, upstream: &UpstreamName, reached_by: &VmName) {
     let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
         return;
     };
     let was_lost = std::mem::replace(&mut row.link, Link::Lost) == Link::Lost;
-    forgive(tick, upstream);
+    clear_failures(tick, upstream);
     if !was_lost {
         tick.tables.links.losses += 1;
         tick.log(LinkDecision::LinkLost {
             upstream: upstream.clone(),
-            witness: witness.clone(),
+            reached_by: reached_by.clone(),
         });
     }
     let links = &tick.tables.links;
@@ -103,7 +103,7 @@
         if let Some(row) = tick.tables.upstreams.get_mut(upstream) {
             row.link = Link::AssumedLost;
         }
-        forgive(tick, upstream);
+        clear_failures(tick, upstream);
     }
     for upstream in &up {
         placement::refresh_and_assign(tick, upstream);
@@ -112,12 +112,12 @@
 }
 
 /// Drops the failures of an upstream that were failures of this VM's link.
-fn forgive(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+fn clear_failures(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let tables = &mut *tick.tables;
     let Some(row) = tables.upstreams.get_mut(upstream) else {
         return;
     };
-    row.health.forgive_link(tick.now_us);
+    row.health.clear_failures(tick.now_us);
     for pool in &row.pools {
         if let Some(pool) = tables.pools.get_mut(pool) {
             pool.ejected.remove(upstream);
--- a/crates/core/src/systems/links/proxies.rs
+++ b/crates/core/src/systems/links/proxies.rs
@@ -11,7 +11,7 @@
 /// asked once more.
 ///
 /// Most VMs may be cut off at the same moment and not know it yet.
-pub(crate) const MAX_WITNESSES: usize = 6;
+pub(crate) const MAX_INDIRECT_PROBES: usize = 6;
 
 /// First pause after another VM has failed as a proxy, and the longest one.
 const PROXY_PAUSE_RANGE_US: (u64, u64) = (1_000_000, 8_000_000);
@@ -53,27 +53,27 @@
 /// Returns VMs that can tell whether they reach an upstream, without those that were asked before.
 ///
 /// Every second one is of another failure domain, since a whole domain may be cut off.
-pub(crate) fn witnesses_of(
+pub(crate) fn indirect_probers(
     tick: &Tick<'_>,
     upstream: &UpstreamName,
     asked: &[VmName],
-) -> SmallVec<[ProxyVm; MAX_WITNESSES]> {
+) -> SmallVec<[ProxyVm; MAX_INDIRECT_PROBES]> {
     let able = ranked_proxies(tick, upstream).filter(|(_, vm, _)| !asked.contains(vm));
     let mut ranked: Vec<(Cost, &VmName, &Peer)> = able.collect();
     ranked.sort_by_key(|(cost, ..)| *cost);
     let is_near = |peer: &Peer| peer.failure_domain.as_ref() == Some(&tick.settings.failure_domain);
     let (near, far): (Vec<_>, Vec<_>) = ranked.into_iter().partition(|(.., peer)| is_near(peer));
     let (mut near, mut far) = (near.into_iter(), far.into_iter());
-    let mut witnesses = SmallVec::new();
-    while witnesses.len() < MAX_WITNESSES {
+    let mut probers = SmallVec::new();
+    while probers.len() < MAX_INDIRECT_PROBES {
         let pair = [far.next(), near.next()];
         if pair.iter().all(Option::is_none) {
             break;
         }
         let found = pair.into_iter().flatten();
-        witnesses.extend(found.map(|(_, vm, peer)| to_proxy(vm, peer)));
+        probers.extend(found.map(|(_, vm, peer)| to_proxy(vm, peer)));
     }
-    witnesses
+    probers
 }
 
 /// Returns the VMs that may reach an upstream, each with its cost.
--- a/crates/core/src/systems/outcomes/examination.rs
+++ b/crates/core/src/systems/outcomes/examination.rs
@@ -125,13 +125,13 @@
     state: ProbeState,
 ) {
     match proxy {
-        Some(witness) => handle_testimony(tick, upstream, witness, state),
-        None => handle_own_probe(tick, upstream, state),
+        Some(prober) => handle_indirect_probe(tick, upstream, prober, state),
+        None => handle_direct_probe(tick, upstream, state),
     }
 }
 
 /// Concludes the examination of an upstream if it accepts connections, or else asks other VMs.
-fn handle_own_probe(tick: &mut Tick<'_>, upstream: &UpstreamName, state: ProbeState) {
+fn handle_direct_probe(tick: &mut Tick<'_>, upstream: &UpstreamName, state: ProbeState) {
     if state == ProbeState::Up {
         links::record_accepted(tick, upstream);
     }
@@ -163,45 +163,47 @@
         row.failed = Some(evidence);
     }
     if is_first {
-        ask_witnesses(tick, upstream);
+        probe_indirectly(tick, upstream);
     }
     decide(tick, upstream);
 }
 
 /// Asks other VMs, those that were not asked yet, whether they reach an upstream.
-fn ask_witnesses(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+fn probe_indirectly(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let row = tick.tables.examinations.get(upstream);
-    let asked = row.map(|row| row.witnesses.clone()).unwrap_or_default();
-    let witnesses = links::witnesses_of(tick, upstream, &asked);
+    let asked = row.map(|row| row.probed_by.clone()).unwrap_or_default();
+    let probers = links::indirect_probers(tick, upstream, &asked);
     if let Some(row) = tick.tables.examinations.get_mut(upstream) {
-        let names = witnesses.iter().map(|witness| witness.vm.clone());
-        row.witnesses.extend(names);
+        let names = probers.iter().map(|prober| prober.vm.clone());
+        row.probed_by.extend(names);
     }
-    for witness in witnesses {
+    for prober in probers {
         tick.outputs.push(Output::Probe {
             upstream: upstream.clone(),
-            proxy: Some(witness),
+            proxy: Some(prober),
         });
     }
 }
 
 /// Records whether another VM reaches an upstream.
-fn handle_testimony(
+fn handle_indirect_probe(
     tick: &mut Tick<'_>,
     upstream: &UpstreamName,
-    witness: VmName,
+    prober: VmName,
     state: ProbeState,
 ) {
     if state == ProbeState::ProxyFailed {
-        links::record_proxy_failure(tick, &witness);
+        links::record_proxy_failure(tick, &prober);
     }
     let Some(row) = tick.tables.examinations.get_mut(upstream) else {
         return;
     };
     match state {
-        ProbeState::Up => row.reached_by = Some(witness),
-        ProbeState::Down | ProbeState::Restarted | ProbeState::Silent => row.deniers.push(witness),
-        ProbeState::ProxyFailed => row.lost_witnesses += 1,
+        ProbeState::Up => row.reached_by = Some(prober),
+        ProbeState::Down | ProbeState::Restarted | ProbeState::Silent => {
+            row.unreached_by.push(prober);
+        }
+        ProbeState::ProxyFailed => row.failed_proxies += 1,
     }
     decide(tick, upstream);
 }
@@ -214,21 +216,21 @@
     let Some(failed) = row.failed else {
         return;
     };
-    if let Some(witness) = row.reached_by.clone() {
-        conclude_link_loss(tick, upstream, &witness);
+    if let Some(prober) = row.reached_by.clone() {
+        conclude_link_loss(tick, upstream, &prober);
         return;
     }
     // One denial is not enough: that VM may have lost its links as well.
-    let asked = row.witnesses.len();
-    if row.deniers.len() + row.lost_witnesses < asked {
+    let asked = row.probed_by.len();
+    if row.unreached_by.len() + row.failed_proxies < asked {
         return;
     }
-    let is_crash = failed == CrashEvidence::Refused || !row.deniers.is_empty();
-    if (1..=links::MAX_WITNESSES).contains(&asked) {
-        ask_witnesses(tick, upstream);
+    let is_crash = failed == CrashEvidence::Refused || !row.unreached_by.is_empty();
+    if (1..=links::MAX_INDIRECT_PROBES).contains(&asked) {
+        probe_indirectly(tick, upstream);
     }
     let row = tick.tables.examinations.get(upstream);
-    let has_asked_more = row.is_some_and(|row| row.witnesses.len() > asked);
+    let has_asked_more = row.is_some_and(|row| row.probed_by.len() > asked);
     if is_crash && !has_asked_more {
         conclude_crash(tick, upstream, failed);
     }
@@ -245,7 +247,10 @@
         return;
     };
     let evidence = row.failed.unwrap_or(CrashEvidence::ProbeSilent);
-    if evidence == CrashEvidence::Refused || row.witnesses.is_empty() || !row.deniers.is_empty() {
+    if evidence == CrashEvidence::Refused
+        || row.probed_by.is_empty()
+        || !row.unreached_by.is_empty()
+    {
         conclude_crash(tick, upstream, evidence);
     } else {
         conclude_unconfirmed(tick, upstream);
@@ -253,17 +258,17 @@
 }
 
 /// Concludes that this VM has lost its link to an upstream that another VM reaches.
-fn conclude_link_loss(tick: &mut Tick<'_>, upstream: &UpstreamName, witness: &VmName) {
+fn conclude_link_loss(tick: &mut Tick<'_>, upstream: &UpstreamName, prober: &VmName) {
     let row = tick.tables.examinations.get(upstream);
-    let deniers = row.map(|row| row.deniers.clone()).unwrap_or_default();
+    let unreached_by = row.map(|row| row.unreached_by.clone()).unwrap_or_default();
     let Some(lost) = end_without_crash(tick, upstream, CrashEvidence::ReachedByOther) else {
         return;
     };
     // They have lost their links as well and may not know it yet.
-    for denier in &deniers {
-        links::record_proxy_failure(tick, denier);
+    for vm in &unreached_by {
+        links::record_proxy_failure(tick, vm);
     }
-    links::record_lost(tick, upstream, witness);
+    links::record_lost(tick, upstream, prober);
     resume_assignment(tick, upstream, lost.iter().map(|lost| lost.digest));
 }
 
--- a/crates/core/src/tables/examination.rs
+++ b/crates/core/src/tables/examination.rs
@@ -21,11 +21,11 @@
     /// Why this VM has no connection to the upstream; `None` while its probe is under way.
     pub failed: Option<CrashEvidence>,
     /// Other VMs that were asked whether they reach the upstream.
-    pub witnesses: SmallVec<[VmName; 6]>,
+    pub probed_by: SmallVec<[VmName; 6]>,
     /// Those that do not reach it.
-    pub deniers: SmallVec<[VmName; 2]>,
+    pub unreached_by: SmallVec<[VmName; 2]>,
     /// Those that could not be asked.
-    pub lost_witnesses: usize,
+    pub failed_proxies: usize,
     /// A VM that reaches the upstream.
     pub reached_by: Option<VmName>,
     /// Attempts whose connection broke.
--- a/crates/core/src/tables/health.rs
+++ b/crates/core/src/tables/health.rs
@@ -63,7 +63,7 @@
     }
 
     /// Drops failures and pauses that come from a lost link of this VM, not from the upstream.
-    pub fn forgive_link(&mut self, now_us: u64) {
+    pub fn clear_failures(&mut self, now_us: u64) {
         self.failures = 0;
         self.ejected_until_us = self.ejected_until_us.min(now_us);
         self.backoff_until_us = self.backoff_until_us.min(now_us);
