--- a/crates/core/tests/limited_upstreams.rs
+++ b/crates/core/tests/limited_upstreams.rs
@@ -239,9 +239,9 @@
     assert!(answered >= 4, "{answered} answered of those that waited");
 }
 
-/// Guards against calls of small rank that take the place of urgent ones in a queue that is full.
+/// Guards against a full queue whose refusals also take a call that has time to wait.
 #[rstest]
-fn urgent_calls_stay() {
+fn patient_call_stays() {
     let mut relays = start(1, 1);
     for tool in ["tool-1", "tool-2"] {
         relays.set_stated_rate(tool, Some(2_000));
@@ -251,12 +251,12 @@
     let first: Vec<CallId> = (0..20)
         .map(|_| relays.call(0, RelayCall::tool("bus")))
         .collect();
-    let confined = RelayCall {
+    let unhurried = RelayCall {
         timeout_ms: 3_000,
         path: "/pay/x".to_owned(),
         ..RelayCall::tool("bus")
     };
-    let patient = relays.call(0, confined);
+    let patient = relays.call(0, unhurried);
     relays.run_ms(2_800);
     assert!(first.iter().any(|call| relays.refusal(*call).is_some()));
     assert!(relays.is_answered(patient), "{:?}", relays.refusal(patient));
