Refuse calls that may outlast a stopping process

Cause: neither the core nor the front end compared the time limit of a new call with what is left of the grace period. At the end, the process did not wait until the refusals of its open calls were written, and a grace period shorter than the notice to the load balancer (2.5 s) ended with a kill.

Change: `Input::EndCallsAt` tells the core when all calls end. A call whose time limit ends later is refused at once, not run, also one that was waiting when the stop was asked for (admission::last_calls). At the end the listener closes first, then all open calls get a truthful end, and the process waits up to 150 ms until it is written.

--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -96,6 +96,12 @@
     PeerEvent(PeerEvent),
     /// The process was asked to stop: drain this VM.
     Drain,
+    /// The process was asked to stop and ends all open calls at this time; calls that may last
+    /// longer are refused.
+    EndCallsAt {
+        /// The time, on the clock of the ticks.
+        time_us: u64,
+    },
     /// The process stops now, which ends all open calls.
     Halt,
 }
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -1,5 +1,6 @@
 //! Admission of calls: route lookup, authentication, refusals, and the stages of a call.
 
+mod last_calls;
 mod origins;
 mod routes;
 
@@ -22,19 +23,27 @@
     pub arrived: Vec<NewCall>,
     /// Calls whose callers have disconnected.
     pub abandoned: Vec<CallId>,
+    /// When the process ends all open calls, if it was asked to stop.
+    pub calls_end_us: Option<u64>,
     /// Whether the process stops, so that all calls have to end.
     pub halt: bool,
 }
 
 impl Work {
     pub fn is_empty(&self) -> bool {
-        self.arrived.is_empty() && self.abandoned.is_empty() && !self.halt
+        self.arrived.is_empty()
+            && self.abandoned.is_empty()
+            && self.calls_end_us.is_none()
+            && !self.halt
     }
 }
 
 /// Handles new and abandoned calls, then ends all calls if the process stops.
 pub(crate) fn run(tick: &mut Tick<'_>) {
     let work = std::mem::take(&mut tick.work.admission);
+    if let Some(time_us) = work.calls_end_us {
+        last_calls::end_calls_at(tick, time_us);
+    }
     for call in work.arrived {
         handle_arrival(tick, call);
     }
@@ -100,6 +109,10 @@
     let relay = route
         .host
         .map(|host| build_relay(tick, &request, host, account.as_ref(), origin));
+    if last_calls::may_outlast_process(tick, relay.as_deref()) {
+        report_refusal(tick, id, RefusalKind::Draining, Execution::NotRun, None);
+        return;
+    }
     if let Some(program) = find_stopped_program(tick, relay.as_deref()) {
         budgets::report_uncovered(tick, &program, id);
         report_refusal(tick, id, RefusalKind::OverBudget, Execution::NotRun, None);
@@ -344,6 +357,17 @@
     }
 }
 
+/// Removes a call that waits for an upstream from the queue of its pool.
+fn withdraw(tick: &mut Tick<'_>, id: CallId) {
+    let Some(call) = tick.tables.calls.get(&id) else {
+        return;
+    };
+    let (pool, attempt) = (call.pool.clone(), call.attempt());
+    if let Some(owner) = tick.tables.view.pool_owner(&pool).cloned() {
+        tick.send(&owner, PlacementMessage::Withdraw { pool, attempt });
+    }
+}
+
 /// Refuses a waiting call whose caller has disconnected.
 fn abandon(tick: &mut Tick<'_>, id: CallId) {
     let Some(call) = tick.tables.calls.get(&id) else {
@@ -354,11 +378,8 @@
             refuse(tick, id, RefusalKind::CallerGone, Execution::NotRun, None);
         }
         Stage::Place => {
-            let (pool, attempt) = (call.pool.clone(), call.attempt());
             let ran = call.execution();
-            if let Some(owner) = tick.tables.view.pool_owner(&pool).cloned() {
-                tick.send(&owner, PlacementMessage::Withdraw { pool, attempt });
-            }
+            withdraw(tick, id);
             refuse(tick, id, RefusalKind::CallerGone, ran, None);
         }
         // The traffic threads report the end of the attempt.
--- a/crates/core/src/systems/intake/mod.rs
+++ b/crates/core/src/systems/intake/mod.rs
@@ -115,6 +115,7 @@
             Coordination::Owners => work.membership.drain = true,
             Coordination::Peers => work.peers.drain = true,
         },
+        Input::EndCallsAt { time_us } => work.admission.calls_end_us = Some(time_us),
         Input::Halt => work.admission.halt = true,
     }
 }
--- a/crates/core/src/tables/membership.rs
+++ b/crates/core/src/tables/membership.rs
@@ -193,4 +193,6 @@
     pub open_hand_overs: u32,
     /// Whether the other members have been told that this VM has stopped acting.
     pub has_left: bool,
+    /// When the process ends all open calls, once it was asked to stop.
+    pub calls_end_us: Option<u64>,
 }
--- a/crates/relay/src/call/task.rs
+++ b/crates/relay/src/call/task.rs
@@ -71,10 +71,14 @@
             }
         }
         // The control thread stopped before the call ended.
+        let ran = match self.progress.sent_to.is_empty() {
+            true => Execution::NotRun,
+            false => Execution::MayHaveRun,
+        };
         let refusal = Refusal {
             call: self.context.call,
             kind: RefusalKind::Draining,
-            ran: Execution::MayHaveRun,
+            ran,
             retry_after_ms: None,
         };
         self.send_refusal(&refusal);
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::{Instant, interval, sleep, sleep_until};
+use tokio::time::{Instant, interval, sleep, sleep_until, timeout};
 
 use crate::adapter::{Dialect, FleetStore};
 use crate::charges::ChargeWriter;
@@ -35,10 +35,14 @@
 /// Interval at which a stopping daemon checks whether its connections have closed.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Part of the grace period that is reserved for shutdown after connections have been drained.
-const SHUTDOWN_MARGIN: Duration = Duration::from_millis(700);
+/// Part of the grace period that is reserved for shutdown after open calls have been ended:
+/// [`WRITE_OUT_LIMIT`], and 600 ms for the last charge records.
+const SHUTDOWN_MARGIN: Duration = Duration::from_millis(800);
 
-/// Time limit for copying the last origins of streams; part of [`SHUTDOWN_MARGIN`].
+/// Time limit for sending the last responses, and for copying the last origins of streams.
+const WRITE_OUT_LIMIT: Duration = Duration::from_millis(150);
+
+/// Time limit for copying the last origins of streams; part of [`WRITE_OUT_LIMIT`].
 const ORIGIN_FLUSH_LIMIT: Duration = Duration::from_millis(100);
 
 /// Limit for a request of another VM, which only asks for a snapshot.
@@ -72,11 +76,15 @@
     control: JoinHandle<()>,
     charges: tokio::task::JoinHandle<()>,
     _peer_server: ServerHandle,
-    /// Tasks that are aborted when the daemon stops.
+    /// Tasks that accept connections of callers and tunnels of other VMs.
+    listeners: JoinSet<()>,
+    /// Other tasks that are aborted when the daemon stops.
     background: JoinSet<()>,
     tracker: ConnectionTracker,
     /// Tells connections to close after their current response.
     closing: watch::Sender<bool>,
+    /// Tells calls that have not reached the core that they can't run any more.
+    halted: watch::Sender<bool>,
     grace: Duration,
     drain_notice: Duration,
 }
@@ -129,6 +137,8 @@
             status,
         } = queues;
         let (origins, origin_writer) = StreamOrigins::new(keepers.clone(), Arc::clone(&metrics));
+        let (closing, is_closing) = watch::channel(false);
+        let (halted, is_halted) = watch::channel(false);
         let memory = MemoryPlan::new(settings.memory_bytes);
         let responses = MemoryLimiter::new(memory.buffer_bytes);
         let shared = Arc::new(SharedState {
@@ -146,12 +156,12 @@
             metrics: Arc::clone(&metrics),
             status,
             is_draining: AtomicBool::new(false),
+            is_halted,
             max_body_bytes: settings.max_body_bytes,
             requests: MemoryLimiter::new(memory.buffer_bytes),
             responses,
             memory,
         });
-        let (closing, is_closing) = watch::channel(false);
         let tracker = ConnectionTracker {
             open_connections: Arc::new(AtomicUsize::new(0)),
             closing: is_closing,
@@ -169,6 +179,7 @@
             has_seeds,
             budget_records: RecordCache::default(),
         };
+        let mut listeners = JoinSet::new();
         let mut background = JoinSet::new();
         background.spawn(source.run(source_requests));
         background.spawn(fetch_snapshots(snapshot_requests, inputs.clone()));
@@ -186,20 +197,20 @@
                 tracker: tracker.clone(),
                 open_tunnels: Arc::default(),
             };
-            background.spawn(serve_tunnels(listener, server));
+            listeners.spawn(serve_tunnels(listener, server));
         }
         let summaries = MemoryLimiter::new(memory.summary_bytes);
         background.spawn(receive_summaries(receiver, inputs, summaries, metrics));
         background.spawn(origin_writer.run());
         background.spawn(expire_idle_connections(Arc::clone(&shared.pool)));
-        let mut serve = |listener, kind| {
-            background.spawn(serve(listener, kind, Arc::clone(&shared), tracker.clone()));
-        };
-        serve(front, ListenerKind::Calls);
-        serve(ready, ListenerKind::Readiness);
+        let serve = |listener, kind| serve(listener, kind, Arc::clone(&shared), tracker.clone());
+        listeners.spawn(serve(front, ListenerKind::Calls));
+        background.spawn(serve(ready, ListenerKind::Readiness));
         if let Some(address) = settings.metrics_listen {
             match TcpListener::bind(address).await {
-                Ok(listener) => serve(listener, ListenerKind::Readiness),
+                Ok(listener) => {
+                    background.spawn(serve(listener, ListenerKind::Readiness));
+                }
                 Err(error) => tracing::warn!(%address, "metrics: listener not opened ({error})"),
             }
         }
@@ -211,9 +222,11 @@
             control,
             charges: tokio::spawn(writer.run()),
             _peer_server: peer_server,
+            listeners,
             background,
             tracker,
             closing,
+            halted,
             grace: settings.grace,
             drain_notice: settings.drain_notice,
         })
@@ -273,24 +286,30 @@
     /// Stops the daemon within its grace period and lets running calls finish.
     ///
     /// New calls are served until the load balancer has noticed that this VM is not ready. After
-    /// that, each connection closes with its next response.
+    /// that, each connection closes with its next response. All the while, a call that may not end
+    /// in time is refused.
     pub async fn stop(mut self) {
-        let deadline = Instant::now() + self.grace.saturating_sub(SHUTDOWN_MARGIN);
+        let times = StopTimes::new(self.grace, self.drain_notice);
+        let started = Instant::now();
         tracing::info!(
             connections = self.open_connections(),
+            calls_end_ms = times.calls_end.as_millis(),
             "stop: draining connections"
         );
         self.shared.is_draining.store(true, Ordering::Relaxed);
+        let calls_end_us = u64::try_from(times.calls_end.as_micros()).unwrap_or(u64::MAX);
+        let end = Input::EndCallsAt {
+            time_us: self.shared.clock.now_us().saturating_add(calls_end_us),
+        };
+        self.shared.inputs.send_input(end).await;
         self.shared.inputs.send_input(Input::Drain).await;
-        sleep(self.drain_notice).await;
+        sleep_until(started + times.notice).await;
         self.closing.send_replace(true);
         tokio::select! {
             () = self.wait_for_connections() => {}
-            () = sleep_until(deadline) => {}
+            () = sleep_until(started + times.calls_end) => {}
         }
-        tracing::info!(connections = self.open_connections(), "stop: shutting down");
-        self.shared.origins.flush(ORIGIN_FLUSH_LIMIT).await;
-        self.shared.inputs.send_input(Input::Halt).await;
+        self.end_calls().await;
         // Fails only if the control thread has already ended.
         let _ = self.shared.inputs.send(Message::Stop).await;
         self.background.abort_all();
@@ -302,6 +321,21 @@
         }
     }
 
+    /// Refuses all open calls and waits until their callers have been told.
+    async fn end_calls(&mut self) {
+        tracing::info!(connections = self.open_connections(), "stop: shutting down");
+        self.listeners.shutdown().await;
+        self.halted.send_replace(true);
+        self.shared.inputs.send_input(Input::Halt).await;
+        let told = timeout(WRITE_OUT_LIMIT, self.wait_for_connections());
+        let flushed = self.shared.origins.flush(ORIGIN_FLUSH_LIMIT);
+        let (told, ()) = tokio::join!(told, flushed);
+        if told.is_err() {
+            let connections = self.open_connections();
+            tracing::warn!(connections, "stop: connections cut off");
+        }
+    }
+
     /// Waits until no connection is open.
     async fn wait_for_connections(&self) {
         while self.open_connections() > 0 {
@@ -314,3 +348,23 @@
         self.tracker.open_connections.load(Ordering::Relaxed)
     }
 }
+
+/// The times of a stop, from its request.
+#[derive(Debug, Clone, Copy)]
+struct StopTimes {
+    /// Until when connections stay open after their response.
+    notice: Duration,
+    /// When open calls are ended.
+    calls_end: Duration,
+}
+
+impl StopTimes {
+    fn new(grace: Duration, drain_notice: Duration) -> Self {
+        let calls_end = grace.saturating_sub(SHUTDOWN_MARGIN.min(grace / 2));
+        Self {
+            // In a short grace period, connections must close early enough for their callers.
+            notice: drain_notice.min(calls_end / 2),
+            calls_end,
+        }
+    }
+}
--- a/crates/relay/src/front/service.rs
+++ b/crates/relay/src/front/service.rs
@@ -127,7 +127,11 @@
             return refuse_call(&shared, call, kind);
         }
     };
-    let stream_start = find_stream_start(&shared, &head).await;
+    let stream_start = tokio::select! {
+        biased;
+        () = shared.wait_for_halt() => return refuse_call(&shared, call, RefusalKind::Draining),
+        stream_start = find_stream_start(&shared, &head) => stream_start,
+    };
     let (outputs_sender, outputs) = mpsc::channel(MAX_QUEUED_OUTPUTS);
     let open = Message::Open {
         call,
--- a/crates/relay/src/front/shared.rs
+++ b/crates/relay/src/front/shared.rs
@@ -27,6 +27,8 @@
     pub status: watch::Receiver<Status>,
     /// Whether the process was asked to stop.
     pub is_draining: AtomicBool,
+    /// Whether the process ends all calls.
+    pub is_halted: watch::Receiver<bool>,
     /// Limit for request bodies until a configuration states one.
     pub max_body_bytes: usize,
     /// Limit for the memory of the bodies of requests.
@@ -38,6 +40,13 @@
 }
 
 impl<D, C> SharedState<D, C> {
+    /// Waits until the process ends all calls.
+    pub async fn wait_for_halt(&self) {
+        let mut is_halted = self.is_halted.clone();
+        // Fails only if the daemon dropped the sender, which means the same as the signal.
+        let _ = is_halted.wait_for(|is_halted| *is_halted).await;
+    }
+
     /// Returns the limit for request bodies, in bytes.
     pub fn body_limit(&self) -> usize {
         match self.status.borrow().body_bytes {
--- a/crates/testing/src/relays/attempts.rs
+++ b/crates/testing/src/relays/attempts.rs
@@ -94,10 +94,15 @@
             }),
         };
         let run_us = open.run_ms * 1_000;
+        // An answer that is no stream reaches the caller as a whole.
+        let first_event_us = match dispatch.events {
+            Some(_) => self.now_us + run_us / FIRST_EVENT_DIVISOR,
+            None => u64::MAX,
+        };
         let running = RunningEvent {
             vm,
             end: self.deliver(vm, run_us, Input::Attempt(event)),
-            first_event_us: self.now_us + run_us / FIRST_EVENT_DIVISOR,
+            first_event_us,
         };
         self.running.insert(dispatch.attempt, running);
     }
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -156,6 +156,12 @@
         self.start(vm, false);
     }
 
+    /// Asks a VM to stop, which ends all calls after a time.
+    pub fn stop(&mut self, vm: usize, calls_end_ms: u64) {
+        let time_us = self.now_us + calls_end_ms * 1_000;
+        self.tick(vm, vec![Input::EndCallsAt { time_us }, Input::Drain]);
+    }
+
     /// Lets a VM receive the notice of an upstream's process that it is leaving.
     pub fn give_notice(&mut self, vm: usize, upstream: &str, started_unix_ms: u64) {
         let notice = Input::UpstreamLeaving {
