Keep connections for the idle time that callers know

Cause of what was found: a connection kept the idle time that was published when it was opened. After a change that raised it, the VM closed connections on which callers still sent requests; a head that had begun to arrive was cut as well.

--- a/crates/relay/src/front/activity.rs
+++ b/crates/relay/src/front/activity.rs
@@ -28,6 +28,8 @@
     open_requests: usize,
     /// When the connection was opened, or its last response ended.
     idle_since: Instant,
+    /// Longest idle time that was in force since then: the caller may know any of them.
+    longest_idle: Duration,
     /// When the head of the next request began to arrive.
     head_since: Option<Instant>,
     /// Since when the caller has accepted no byte of what is to be written.
@@ -40,6 +42,7 @@
         Self(Arc::new(Mutex::new(State {
             open_requests: 0,
             idle_since: Instant::now(),
+            longest_idle: Duration::ZERO,
             head_since: None,
             blocked_since: None,
         })))
@@ -63,17 +66,22 @@
     /// A connection with an open request has no limit as long as its caller reads: the call has
     /// its own deadline.
     fn close_at(&self, limits: &ConnectionLimits) -> Option<(Instant, CloseReason)> {
-        let state = *self.state();
+        let mut state = self.state();
         if let Some(since) = state.blocked_since {
             return Some((since + limits.write_stall, CloseReason::Stalled));
         }
         if state.open_requests > 0 {
             return None;
         }
-        Some(match state.head_since {
-            Some(since) => (since + limits.head, CloseReason::SlowHead),
-            None => (state.idle_since + limits.idle, CloseReason::Idle),
-        })
+        if let Some(since) = state.head_since {
+            return Some((since + limits.head, CloseReason::SlowHead));
+        }
+        let idle = match limits.is_closing {
+            true => limits.idle,
+            false => limits.idle.max(state.longest_idle),
+        };
+        state.longest_idle = idle;
+        Some((state.idle_since + idle, CloseReason::Idle))
     }
 
     /// Resolves when the connection is to be closed; `timer` wakes the task for that.
@@ -131,6 +139,7 @@
         let mut state = self.0.state();
         state.open_requests -= 1;
         state.idle_since = Instant::now();
+        state.longest_idle = Duration::ZERO;
     }
 }
 
--- a/crates/relay/src/front/limits.rs
+++ b/crates/relay/src/front/limits.rs
@@ -42,6 +42,8 @@
     pub head: Duration,
     /// Without a byte that the caller accepts.
     pub write_stall: Duration,
+    /// Whether the process is stopping, so that connections close early.
+    pub is_closing: bool,
 }
 
 impl ConnectionLimits {
@@ -53,6 +55,7 @@
             idle: if is_closing { LAST_REQUEST } else { idle },
             head: published(status.header_timeout_ms).max(MIN_IDLE),
             write_stall: WRITE_STALL,
+            is_closing,
         }
     }
 }
--- a/crates/relay/src/front/listener.rs
+++ b/crates/relay/src/front/listener.rs
@@ -130,6 +130,7 @@
     }
     let activity = Activity::new();
     let status = shared.status.clone();
+    let mut changes = status.clone();
     let head_bytes = head_buffer_bytes(&status.borrow());
     let service = service_fn(|request: Request<Incoming>| {
         let open = activity.open_request();
@@ -170,6 +171,8 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
+            // The longest idle time counts, also one that is in force for a short time only.
+            Ok(()) = changes.changed() => {}
             reason = expired => {
                 tracing::debug!("front: connection closed ({reason})");
                 return;
