--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -340,8 +340,12 @@
 
     /// Logs a response that could not be read to its end and returns the failure.
     pub(super) fn failure(&self, error: &ReadError) -> Failure {
-        if let ReadError::Malformed { reason } = error {
-            return self.invalid_response(reason);
+        match error {
+            ReadError::Malformed { reason } => return self.invalid_response(reason),
+            ReadError::OutOfMemory { .. } => {
+                return self.invalid_response("there is no memory for its length");
+            }
+            ReadError::Broken { .. } | ReadError::Ended => {}
         }
         let upstream = &self.dispatch.upstream;
         let attempt = self.dispatch.attempt;
--- a/crates/relay/src/call/whole.rs
+++ b/crates/relay/src/call/whole.rs
@@ -97,13 +97,10 @@
         failure: Failure,
         deadline: Instant,
     ) -> Result<AttemptEnd, Failure> {
-        let mut permit = self.shared.responses.permit();
-        let read = body.collect(MAX_BODY_BYTES, &mut permit);
-        let text = match self.wait_for_body(read, deadline).await? {
-            Collected::Whole(text) => Some(permit.attach(text)),
+        let response = match self.collect(body, deadline).await? {
+            Collected::Whole(text) => Some(to_caller_response(head, text)),
             Collected::Start(_) => None,
         };
-        let response = text.map(|text| to_caller_response(head, text));
         Ok(AttemptEnd::Failed(failure, response))
     }
 
@@ -114,21 +111,24 @@
         head: &ResponseHead,
         deadline: Instant,
     ) -> Result<AttemptEnd, Failure> {
-        let mut permit = self.shared.responses.permit();
-        let read = body.collect(MAX_BODY_BYTES, &mut permit);
-        match self.wait_for_body(read, deadline).await? {
+        match self.collect(body, deadline).await? {
             Collected::Whole(bytes) => {
-                let response = to_caller_response(head, permit.attach(bytes));
+                let response = to_caller_response(head, bytes);
                 Ok(AttemptEnd::Finished(self.attempt_outcome(), Some(response)))
             }
             Collected::Start(start) => {
-                let start = permit.attach(start);
                 let outcome = self.pass_on(body, head, start, deadline).await?;
                 Ok(AttemptEnd::Finished(outcome, None))
             }
         }
     }
 
+    /// Reads a body as far as there is memory for it; the bytes hold their permit.
+    async fn collect(&self, body: &mut Body<'_>, deadline: Instant) -> Result<Collected, Failure> {
+        let read = body.collect(MAX_BODY_BYTES, self.shared.responses.permit());
+        self.wait_for_body(read, deadline).await
+    }
+
     /// Passes a response on as it arrives. One that breaks off also breaks off for the caller.
     async fn pass_on(
         &mut self,
--- a/crates/relay/src/upstream/body.rs
+++ b/crates/relay/src/upstream/body.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Reads the body as far as `permit` allows, up to a limit.
+    /// Reads the body as far as `permit` allows, up to a limit. The permit goes with the bytes.
     ///
     /// # Errors
     ///
@@ -109,7 +109,7 @@
     pub async fn collect(
         &mut self,
         max_bytes: usize,
-        permit: &mut MemoryPermit,
+        mut permit: MemoryPermit,
     ) -> Result<Collected, ReadError> {
         self.check_stated_length(max_bytes)?;
         let Some(first) = self.next().await? else {
@@ -124,10 +124,11 @@
             collected.extend_from_slice(&part);
             if permit.resize(collected.len()).is_err() {
                 let collected = std::mem::take(collected);
-                return Ok(Collected::Start(Bytes::from(collected)));
+                return Ok(Collected::Start(permit.attach(Bytes::from(collected))));
             }
         }
-        Ok(Collected::Whole(collected.map_or(first, Bytes::from)))
+        let whole = collected.map_or(first, Bytes::from);
+        Ok(Collected::Whole(permit.attach(whole)))
     }
 
     /// Reads the rest of the body and drops it.
