--- a/crates/core/tests/program_tokens.rs
+++ b/crates/core/tests/program_tokens.rs
@@ -47,14 +47,27 @@
         let mut relays = start(seed);
         run_endless_program(&mut relays, "loop", budget, 12);
         relays.run_ms(2_000);
-        let passed = relays.forwarded_tokens("loop");
-        assert!(
-            passed <= budget + MAX_TURN_TOKENS,
-            "seed {seed}: {passed} of {budget}"
-        );
+        check_budget(&relays, budget, seed);
     }
 }
 
+/// Kills all VMs at once, starts them again and waits until they are ready.
+fn restart_all(relays: &mut RelayFleet) {
+    (0..8).for_each(|vm| relays.kill(vm));
+    relays.run_ms(400);
+    (0..8).for_each(|vm| relays.restart(vm));
+    relays.run_ms(2_000);
+}
+
+/// Checks that a program got at most its budget and one turn.
+fn check_budget(relays: &RelayFleet, budget: u64, seed: u64) {
+    let passed = relays.forwarded_tokens("loop");
+    assert!(
+        passed <= budget + MAX_TURN_TOKENS,
+        "seed {seed}: {passed} of {budget}"
+    );
+}
+
 /// Guards against a budget that is granted again after all processes were killed at once.
 #[rstest]
 fn killed_together(#[values(300, 900, 4_000)] budget: u64) {
@@ -62,18 +75,11 @@
         let mut relays = start(seed);
         run_endless_program(&mut relays, "loop", budget, 2);
         for _ in 0..2 {
-            (0..8).for_each(|vm| relays.kill(vm));
-            relays.run_ms(400);
-            (0..8).for_each(|vm| relays.restart(vm));
-            relays.run_ms(2_000);
+            restart_all(&mut relays);
             run_endless_program(&mut relays, "loop", budget, 6);
         }
         relays.run_ms(2_000);
-        let passed = relays.forwarded_tokens("loop");
-        assert!(
-            passed <= budget + MAX_TURN_TOKENS,
-            "seed {seed}: {passed} of {budget}"
-        );
+        check_budget(&relays, budget, seed);
     }
 }
 
@@ -127,10 +133,7 @@
 /// Returns the tokens of a program whose sub-agents reach all VMs at once after a loss of memory.
 fn run_agents_after_loss(seed: u64, budget: u64) -> u64 {
     let mut relays = start(seed);
-    (0..8).for_each(|vm| relays.kill(vm));
-    relays.run_ms(400);
-    (0..8).for_each(|vm| relays.restart(vm));
-    relays.run_ms(2_000);
+    restart_all(&mut relays);
     for vm in 0..8 {
         relays.call(vm, turn("loop", budget, 100 + vm as u64));
     }
@@ -169,17 +172,10 @@
     for seed in seeds() {
         let mut relays = start(seed);
         run_endless_program(&mut relays, "loop", budget, 2);
-        (0..8).for_each(|vm| relays.kill(vm));
-        relays.run_ms(400);
-        (0..8).for_each(|vm| relays.restart(vm));
-        relays.run_ms(2_000);
+        restart_all(&mut relays);
         run_endless_program(&mut relays, "loop", budget, 4);
         relays.run_ms(2_000);
-        let passed = relays.forwarded_tokens("loop");
-        assert!(
-            passed <= budget + MAX_TURN_TOKENS,
-            "seed {seed}: {passed} of {budget}"
-        );
+        check_budget(&relays, budget, seed);
     }
 }
 
--- a/crates/core/tests/software_versions.rs
+++ b/crates/core/tests/software_versions.rs
@@ -83,6 +83,12 @@
     engines.into_iter().map(version_of).collect()
 }
 
+/// Checks that a stream ran at one version only.
+fn check_one_version(relays: &RelayFleet, stream: CallId, seed: u64) {
+    let versions = versions_of(relays, stream);
+    assert!(versions.len() == 1, "seed {seed}: {stream} at {versions:?}");
+}
+
 /// Crashes every engine that runs one of the calls and has this version.
 fn crash_version(relays: &mut RelayFleet, calls: &[CallId], version: &str) {
     let running: BTreeSet<String> = calls
@@ -109,8 +115,7 @@
         relays.run_ms(RUN_MS + RECOVERY_MS);
         for stream in streams {
             assert!(relays.is_answered(stream), "seed {seed}: {stream}");
-            let versions = versions_of(&relays, stream);
-            assert!(versions.len() == 1, "seed {seed}: {stream} at {versions:?}");
+            check_one_version(&relays, stream, seed);
         }
     }
 }
@@ -131,8 +136,7 @@
         relays.store.set_upstreams(engines(3, &names(&["b-v2"])));
         relays.run_ms(RECOVERY_MS);
         for stream in streams {
-            let versions = versions_of(&relays, stream);
-            assert!(versions.len() == 1, "seed {seed}: {stream} at {versions:?}");
+            check_one_version(&relays, stream, seed);
             assert!(relays.refusal(stream).is_some(), "seed {seed}: {stream}");
         }
     }
@@ -215,8 +219,7 @@
         relays.run_ms(RUN_MS + RECOVERY_MS);
         for stream in streams {
             assert!(relays.is_answered(stream), "seed {seed}: {stream}");
-            let versions = versions_of(&relays, stream);
-            assert!(versions.len() == 1, "seed {seed}: {stream} at {versions:?}");
+            check_one_version(&relays, stream, seed);
         }
     }
 }
@@ -233,8 +236,7 @@
         relays.crash_upstream("a-v1");
         relays.run_ms(RUN_MS + RECOVERY_MS);
         for stream in streams {
-            let versions = versions_of(&relays, stream);
-            assert!(versions.len() == 1, "seed {seed}: {stream} at {versions:?}");
+            check_one_version(&relays, stream, seed);
         }
     }
 }
@@ -263,8 +265,7 @@
         }
         relays.run_ms(RUN_MS + RECOVERY_MS);
         assert!(relays.is_answered(stream), "seed {seed}");
-        let versions = versions_of(&relays, stream);
-        assert!(versions.len() == 1, "seed {seed}: {versions:?}");
+        check_one_version(&relays, stream, seed);
     }
 }
 
@@ -282,8 +283,7 @@
         relays.set_upstream_state("b-v2", None);
         relays.run_ms(RECOVERY_MS);
         for stream in streams {
-            let versions = versions_of(&relays, stream);
-            assert!(versions.len() == 1, "seed {seed}: {stream} at {versions:?}");
+            check_one_version(&relays, stream, seed);
         }
     }
 }
