--- a/crates/core/src/message/mod.rs
+++ b/crates/core/src/message/mod.rs
@@ -7,6 +7,7 @@
 mod membership;
 mod placement;
 mod rates;
+mod reports;
 mod summary;
 
 pub use config::ConfigMessage;
@@ -17,6 +18,7 @@
 pub use membership::{Heartbeat, HeartbeatAnswer, MembershipMessage};
 pub use placement::{AttemptResult, Finish, InFlight, Place, PlacementMessage};
 pub use rates::{Demand, DemandKind, Grant, HeldShare, RatesMessage, ShareId, Unlent};
+pub use reports::{PoolDemand, UpstreamPace, UpstreamReport};
 pub use summary::{
     ListVersion, ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck,
     TunnelContact,
--- a/crates/core/src/message/summary.rs
+++ b/crates/core/src/message/summary.rs
@@ -3,6 +3,9 @@
 //! A summary may be lost, duplicated or delayed, so counts are totals since the start of the
 //! sender's process, and rows are repeated until the receiver has acknowledged a summary that
 //! held them.
+//!
+//! The serialized layout of [`Summary`] is fixed: builds that run side by side read it by position.
+//! Fields that are skipped by serde travel in sections of their own behind it.
 
 use std::sync::Arc;
 
@@ -11,6 +14,7 @@
     AccountName, ContentDigest, DomainName, Incarnation, ProgramKey, Revision, UpstreamName, VmName,
 };
 use crate::input::{StorageVm, UpstreamList};
+use crate::message::{PoolDemand, UpstreamPace, UpstreamReport};
 
 /// One VM's report of its state to another.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,6 +70,15 @@
     pub lost_links: Vec<UpstreamName>,
     /// Total calls that the sender has placed on upstreams while they were limited.
     pub placed: Vec<(UpstreamName, u64)>,
+    /// Calls of the sender that wait for an upstream, by pool; pools without any are left out.
+    #[cfg_attr(feature = "serde", serde(skip))]
+    pub demand: Vec<PoolDemand>,
+    /// What the sender's calls have shown about upstreams.
+    #[cfg_attr(feature = "serde", serde(skip))]
+    pub reports: Vec<UpstreamReport>,
+    /// Upstreams that are paced.
+    #[cfg_attr(feature = "serde", serde(skip))]
+    pub paces: Vec<UpstreamPace>,
 }
 
 /// Where a VM is and accepts tunnels to upstreams.
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -105,6 +105,9 @@
             .map(|(name, _)| name.clone())
             .collect(),
         placed: Vec::new(),
+        demand: Vec::new(),
+        reports: Vec::new(),
+        paces: Vec::new(),
     }
 }
 
