Count the framing of a body toward its limit

The limit of 16 MB counted the body only; with chunks of one byte, the framing is five times as long, so up to 100 MB could be read. Slower machines reached the time limit first. Chunk sizes, line ends and trailers count now.

Ruled out: receive buffers of the kernel (32 MB here).

--- a/crates/relay/src/call/whole.rs
+++ b/crates/relay/src/call/whole.rs
@@ -145,7 +145,7 @@
         let mut next = Some(start);
         while let Some(part) = next {
             passed_bytes += part.len();
-            if passed_bytes > MAX_BODY_BYTES {
+            if passed_bytes + body.framing_bytes() > MAX_BODY_BYTES {
                 return Err(self.failure(&too_long()));
             }
             self.progress.is_stream_started = true;
--- a/crates/relay/src/upstream/body.rs
+++ b/crates/relay/src/upstream/body.rs
@@ -50,6 +50,8 @@
     remaining: Remaining,
     is_close_delimited: bool,
     trailers: usize,
+    /// Bytes of chunk sizes, line ends and trailers, which may exceed those of the body itself.
+    framing_bytes: usize,
 }
 
 impl<'a> Body<'a> {
@@ -65,6 +67,7 @@
             remaining,
             is_close_delimited: remaining == Remaining::UntilClose,
             trailers: 0,
+            framing_bytes: 0,
         })
     }
 
@@ -77,6 +80,11 @@
             && self.connection.buffer.is_empty()
     }
 
+    /// Returns the bytes of the framing that were read so far; limits of a body include them.
+    pub fn framing_bytes(&self) -> usize {
+        self.framing_bytes
+    }
+
     /// Returns the next bytes of the body; `None` at its end.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ReadError> {
         loop {
@@ -118,7 +126,7 @@
         let mut collected: Option<Vec<u8>> = None;
         while let Some(part) = self.next().await? {
             let collected = collected.get_or_insert_with(|| first.to_vec());
-            if collected.len() + part.len() > max_bytes {
+            if collected.len() + part.len() + self.framing_bytes > max_bytes {
                 return Err(too_long());
             }
             collected.extend_from_slice(&part);
@@ -141,7 +149,7 @@
         let mut discarded_bytes = 0;
         while let Some(part) = self.next().await? {
             discarded_bytes += part.len();
-            if discarded_bytes > max_bytes {
+            if discarded_bytes + self.framing_bytes > max_bytes {
                 return Err(too_long());
             }
         }
@@ -182,6 +190,7 @@
             let parsed = parsed.map_err(|_| ReadError::malformed("a chunk has no valid size"))?;
             if let httparse::Status::Complete((head, bytes)) = parsed {
                 let _ = self.connection.buffer.split_to(head);
+                self.framing_bytes += head;
                 self.remaining = if bytes == 0 {
                     Remaining::Trailers
                 } else {
@@ -240,6 +249,7 @@
             if let Some(at) = at {
                 let line = self.connection.buffer.split_to(at).freeze();
                 let _ = self.connection.buffer.split_to(2);
+                self.framing_bytes += at + 2;
                 return Ok(line);
             }
             self.fill_line().await?;
