Refuse turns that no storage VM can keep before they run

A VM that lost all storage VMs now refuses such turns at once, not run, so that callers come back through another VM. It probes lost storage VMs every 300 ms, so that no turn has to find out for it. While at least one is reachable, nothing changes.

unreachable_disks fails before (the turn runs) and passes after.

--- a/crates/relay/src/call/history.rs
+++ b/crates/relay/src/call/history.rs
@@ -22,7 +22,12 @@
 impl<D: Dialect, C: Clock> Attempt<'_, D, C> {
     /// Returns the body for the upstream: that of the caller, after the turns before it if the
     /// system keeps them.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the turns before it cannot be used, or if the turn itself could not be stored.
     pub(super) async fn load_prompt(&mut self, deadline: Instant) -> Result<Bytes, Failure> {
+        self.check_storable()?;
         let previous = self.head.previous_turn.as_ref();
         let Some(previous) = previous.filter(|_| self.dispatch.history_ms.is_some()) else {
             return Ok(self.body.clone());
@@ -42,6 +47,19 @@
         Ok(prompt.freeze())
     }
 
+    /// Fails if the turn has not begun and no VM with a disk is reachable to store it.
+    fn check_storable(&self) -> Result<(), Failure> {
+        let keeps_turn = self.dispatch.history_ms.is_some();
+        if !keeps_turn || self.progress.is_stream_started || self.shared.turns.can_store() {
+            return Ok(());
+        }
+        let request = self.head.request_id.as_deref().unwrap_or("-");
+        tracing::info!(request, call = %self.dispatch.attempt.call,
+            "history: turn not begun, no VM with a disk is reachable to store it");
+        self.shared.metrics.count_turn("not_begun");
+        Err(Failure::HistoryUnavailable)
+    }
+
     /// Reads the turns up to `previous`.
     async fn find_turns(&self, previous: &TurnId, deadline: Instant) -> Result<Bytes, Failure> {
         let key = TurnKey {
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -183,6 +183,7 @@
         let mut background = JoinSet::new();
         background.spawn(source.run(source_requests));
         background.spawn(fetch_snapshots(snapshot_requests, inputs.clone()));
+        background.spawn(Arc::clone(&shared.turns).probe_lost());
         let pool = Arc::clone(&shared.pool);
         background.spawn(run_probes(
             probe_requests,
--- a/crates/relay/src/storage_clients.rs
+++ b/crates/relay/src/storage_clients.rs
@@ -4,14 +4,22 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use jsonrpsee::core::ClientError;
 use jsonrpsee::http_client::HttpClient;
-use tokio::sync::Semaphore;
-use tokio::time::Instant;
+use tokio::net::TcpStream;
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Time for which a VM that did not answer is avoided.
 const AVOID_TIME: Duration = Duration::from_secs(2);
 
+/// Interval at which VMs that did not answer are probed.
+const PROBE_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Requests to VMs with a disk that may be open at the same time.
 const MAX_OPEN_REQUESTS: usize = 256;
 
@@ -21,6 +29,8 @@
     /// `None` after a failure: a connection that fell silent is not used again.
     client: Option<Arc<HttpClient>>,
     avoid_until: Instant,
+    /// Whether the last request failed and no connection was accepted since.
+    is_lost: bool,
 }
 
 /// Connections to VMs with a disk, for requests of one purpose.
@@ -31,6 +41,8 @@
     request_timeout: Duration,
     peers: Mutex<HashMap<Arc<str>, Peer>>,
     requests: Semaphore,
+    /// Wakes the task that probes lost VMs.
+    has_lost: Notify,
 }
 
 impl StorageClients {
@@ -41,6 +53,7 @@
             request_timeout,
             peers: Mutex::default(),
             requests: Semaphore::new(MAX_OPEN_REQUESTS),
+            has_lost: Notify::new(),
         }
     }
 
@@ -73,15 +86,19 @@
             Err(error) => Err(error),
         };
         let error = match result {
-            Ok(answer) => return Some(answer),
+            Ok(answer) => {
+                self.mark_reachable(address);
+                return Some(answer);
+            }
             Err(error) => error,
         };
-        let avoid_until = Instant::now() + AVOID_TIME;
         let peer = Peer {
             client: None,
-            avoid_until,
+            avoid_until: Instant::now() + AVOID_TIME,
+            is_lost: true,
         };
         self.peers().insert(Arc::clone(address), peer);
+        self.has_lost.notify_one();
         let purpose = self.purpose;
         tracing::warn!(keeper = &**address, "{purpose}: request failed ({error})");
         None
@@ -93,6 +110,7 @@
         let peer = peers.entry(Arc::clone(address)).or_insert_with(|| Peer {
             client: None,
             avoid_until: Instant::now(),
+            is_lost: false,
         });
         if let Some(client) = &peer.client {
             return Ok(Arc::clone(client));
@@ -105,6 +123,41 @@
         Ok(client)
     }
 
+    /// Records that a VM answers or accepts connections.
+    fn mark_reachable(&self, address: &Arc<str>) {
+        if let Some(peer) = self.peers().get_mut(address) {
+            peer.is_lost = false;
+        }
+    }
+
+    /// Returns whether a VM did not answer the last request and was not reached since.
+    pub fn is_lost(&self, address: &str) -> bool {
+        self.peers().get(address).is_some_and(|peer| peer.is_lost)
+    }
+
+    /// Probes lost VMs until the task is aborted, so that no request has to find out for them.
+    pub async fn probe_lost(&self) {
+        loop {
+            let peers = self.peers().clone();
+            let lost = peers.into_iter().filter(|(_, peer)| peer.is_lost);
+            let lost: Vec<Arc<str>> = lost.map(|(address, _)| address).collect();
+            if lost.is_empty() {
+                self.has_lost.notified().await;
+                continue;
+            }
+            join_all(lost.iter().map(|address| self.probe(address))).await;
+            sleep(PROBE_INTERVAL).await;
+        }
+    }
+
+    /// Connects to a VM; if it accepts, requests go there again.
+    async fn probe(&self, address: &Arc<str>) {
+        let connected = timeout(PROBE_TIMEOUT, TcpStream::connect(&**address)).await;
+        if let Ok(Ok(_)) = connected {
+            self.mark_reachable(address);
+        }
+    }
+
     /// Locks the connections; a panic while they were locked leaves them usable.
     fn peers(&self) -> MutexGuard<'_, HashMap<Arc<str>, Peer>> {
         self.peers.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -214,6 +214,20 @@
 
 /// # Storage VMs
 impl TurnClient {
+    /// Returns whether a VM with a disk is reachable, as far as known.
+    ///
+    /// Without one, a turn would run in vain: its response cannot end before it is stored. While
+    /// some are reachable, too few of them may be so for a moment only.
+    pub fn can_store(&self) -> bool {
+        let keepers = self.keepers.borrow();
+        keepers.is_empty() || keepers.iter().any(|row| !self.clients.is_lost(row))
+    }
+
+    /// Probes VMs with a disk that did not answer, until the task is aborted.
+    pub async fn probe_lost(self: Arc<Self>) {
+        self.clients.probe_lost().await;
+    }
+
     /// Returns the VMs with a disk in the order in which they are used.
     async fn addresses(&self) -> Vec<Arc<str>> {
         let mut keepers = self.keepers.clone();
