Give summaries sections, several datagrams and the layouts of earlier builds

Rows that do not fit go into further datagrams, which begin with ten bytes 0xFF and which earlier builds reject; a receiver applies such a summary when all of its datagrams have arrived. A VM whose datagrams cannot be read stays known and shares no rate (PeerEvent::Unreadable); one that does not report its calls to limited upstreams counts as not heard where their rates are shared.

Measured: tests summary_layouts, summary_parts and mixed_builds pass. With Unreadable ignored, mixed_builds admits 551 to 602 calls where 350 are allowed; with omits_placed ignored, two of four VMs send 204 calls in 10 s to upstreams of which their part is 100.

--- a/crates/core/src/input/relay.rs
+++ b/crates/core/src/input/relay.rs
@@ -157,6 +157,11 @@
 pub enum PeerEvent {
     /// A summary that the VM sent.
     Summary(Box<Summary>),
+    /// A VM sent a datagram that this build cannot read.
+    Unreadable {
+        /// The address from which it came, as `ip:port`.
+        address: Arc<str>,
+    },
     /// The snapshot that this VM requested.
     Snapshot {
         /// When it was requested, on this VM's clock.
--- a/crates/core/src/message/summary.rs
+++ b/crates/core/src/message/summary.rs
@@ -79,6 +79,10 @@
     /// Upstreams that are paced.
     #[cfg_attr(feature = "serde", serde(skip))]
     pub paces: Vec<UpstreamPace>,
+    /// Whether the sender's build does not report `placed`, so that its calls to limited upstreams
+    /// are unknown.
+    #[cfg_attr(feature = "serde", serde(skip))]
+    pub omits_placed: bool,
 }
 
 /// Where a VM is and accepts tunnels to upstreams.
@@ -145,8 +149,14 @@
 }
 
 /// The state of a VM, sent to a VM that lacks part of it.
+///
+/// It is sent as JSON: fields that the sender's build does not know get their default.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
-#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+#[cfg_attr(
+    feature = "serde",
+    derive(serde::Serialize, serde::Deserialize),
+    serde(default)
+)]
 pub struct Snapshot {
     /// The configuration in force; `None` if there is none yet.
     pub fleet: Option<Arc<FleetConfig>>,
--- a/crates/core/src/systems/peers/group.rs
+++ b/crates/core/src/systems/peers/group.rs
@@ -17,10 +17,10 @@
     let mut newly_silent: Vec<VmName> = Vec::new();
     let mut expired: Vec<VmName> = Vec::new();
     for (vm, peer) in tick.tables.peering.peers.iter() {
-        let silence_us = now_us.saturating_sub(peer.last_contact_us());
-        if silence_us > retention_us {
+        if now_us.saturating_sub(peer.last_contact_us()) > retention_us {
             expired.push(vm.clone());
         }
+        let silence_us = now_us.saturating_sub(peer.last_summary_us());
         if peer.is_reachable && silence_us > timeout_us {
             newly_silent.push(vm.clone());
         }
@@ -42,7 +42,7 @@
         return;
     };
     peer.is_reachable = false;
-    let silent_ms = now_us.saturating_sub(peer.last_contact_us()) / 1_000;
+    let silent_ms = now_us.saturating_sub(peer.last_summary_us()) / 1_000;
     tick.log(Decision::PeerUnreachable {
         vm: vm.clone(),
         silent_ms,
@@ -79,19 +79,24 @@
 pub(super) fn update_counts(tick: &mut Tick<'_>) {
     let me = &tick.settings.vm;
     let peering = &mut tick.tables.peering;
-    let previous = peering.usable_fraction();
+    let previous = (peering.usable_fraction(), peering.upstream_sharing());
     let peers = || peering.peers.iter();
-    // A VM that announced its departure and then became silent has ended.
-    let known = peers().filter(|(_, peer)| peer.is_reachable || !peer.is_leaving);
+    let known = peers().filter(|(_, peer)| peer.may_serve());
     let known_vms = 1 + known.count() as u64;
     let reachable_vms = 1 + peers().filter(|(_, peer)| peer.is_reachable).count() as u64;
+    let reporting = peers().filter(|(_, peer)| peer.is_reachable && !peer.omits_placed);
+    let reporting_vms = 1 + reporting.count() as u64;
     let is_before = |vm: &VmName, peer: &Peer| peer.is_reachable && !peer.is_leaving && vm < me;
     let rank = peers().filter(|(vm, peer)| is_before(vm, peer)).count() as u64;
     let competing = peers().filter(|(_, peer)| peer.is_reachable && peer.uses_limited);
     peering.competing_vms = competing.count() as u64;
     (peering.known_vms, peering.reachable_vms, peering.rank) = (known_vms, reachable_vms, rank);
-    if peering.usable_fraction() != previous {
+    peering.reporting_vms = reporting_vms;
+    let usable_fraction = peering.usable_fraction();
+    if (usable_fraction, peering.upstream_sharing()) != previous {
         rates::rescale_buckets(tick);
+    }
+    if usable_fraction != previous.0 {
         let (reachable_vms, known_vms) = tick.tables.peering.usable_fraction();
         tick.log(Decision::ReachableVmsChanged {
             reachable_vms,
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -5,18 +5,41 @@
 use crate::ids::VmName;
 use crate::input::{PeerEvent, RegisteredVm};
 use crate::message::{Snapshot, Summary};
-use crate::output::{Decision, LimitSource};
+use crate::output::{Decision, LimitSource, PeerDecision};
 use crate::tables::{NCALLS_PER_CALL, Peer, ProgramKnowledge, RateKey};
 
 /// Dispatches input from another VM.
 pub(super) fn handle_event(tick: &mut Tick<'_>, event: PeerEvent) {
     match event {
         PeerEvent::Summary(summary) => apply_summary(tick, *summary),
+        PeerEvent::Unreadable { address } => record_unreadable(tick, &address),
         PeerEvent::Snapshot { sent_us, snapshot } => apply_snapshot(tick, sent_us, *snapshot),
         PeerEvent::SnapshotFailed => tick.tables.peering.snapshot_requested_us = None,
     }
 }
 
+/// Records that a VM is up whose datagram cannot be read.
+///
+/// The VM stays known, but shares no rate. An address of no known VM is ignored: the store names
+/// all VMs, and anyone can send a datagram.
+fn record_unreadable(tick: &mut Tick<'_>, address: &str) {
+    let now_us = tick.now_us;
+    let peers = &mut tick.tables.peering.peers;
+    let row = peers.iter().find(|(_, peer)| *peer.address == *address);
+    let Some(vm) = row.map(|(vm, _)| vm.clone()) else {
+        return;
+    };
+    // While its summaries arrive, this is a single damaged or incomplete one.
+    let Some(peer) = peers.get_mut(&vm).filter(|peer| !peer.is_reachable) else {
+        return;
+    };
+    if peer.last_unreadable_us.replace(now_us).is_some() {
+        return;
+    }
+    tick.log(PeerDecision::Unreadable { vm });
+    group::update_counts(tick);
+}
+
 /// Adds the VMs that are registered in the store.
 pub(crate) fn add_vms(tick: &mut Tick<'_>, vms: Vec<RegisteredVm>) {
     for row in vms {
@@ -93,10 +116,12 @@
     }
     peer.round = summary.round;
     peer.last_heard_us = Some(now_us);
+    peer.last_unreadable_us = None;
     peer.is_leaving = summary.is_leaving;
     peer.revision = summary.revision;
     peer.list = summary.list;
     peer.uses_limited = summary.uses_limited;
+    peer.omits_placed = summary.omits_placed;
     if let Some(contact) = &summary.contact {
         peer.failure_domain = Some(contact.failure_domain.clone());
         peer.tunnel_address = Some(contact.address.as_str().into());
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -34,9 +34,11 @@
     let mut known: Vec<&str> = Vec::new();
     for (vm, peer) in tables.peering.peers.iter() {
         known.push(&peer.address);
+        // A VM whose datagrams cannot be read may be able to read those of this VM.
         if !peer.is_reachable
             && !round.is_multiple_of(UNREACHABLE_SEND_ROUNDS)
             && peer.last_heard_us.is_some()
+            && peer.last_unreadable_us.is_none()
         {
             continue;
         }
@@ -108,6 +110,7 @@
         demand: Vec::new(),
         reports: Vec::new(),
         paces: Vec::new(),
+        omits_placed: false,
     }
 }
 
--- a/crates/core/src/systems/rates/upstreams.rs
+++ b/crates/core/src/systems/rates/upstreams.rs
@@ -114,7 +114,7 @@
 
 /// Sizes the bucket of an upstream for the VMs that share it now.
 fn resize(tick: &mut Tick<'_>, name: &UpstreamName) {
-    let sharing = tick.tables.peering.sharing();
+    let sharing = tick.tables.peering.upstream_sharing();
     let vm = &tick.settings.vm;
     if let Some(row) = tick.tables.upstream_rates.get_mut(name) {
         row.resize(sharing, (vm, name), tick.now_us);
--- a/crates/core/src/tables/peer.rs
+++ b/crates/core/src/tables/peer.rs
@@ -30,6 +30,9 @@
     pub known_us: u64,
     /// Time at which its last summary arrived; `None` if none has.
     pub last_heard_us: Option<u64>,
+    /// Time at which its last datagram arrived that cannot be read; `None` if a summary has arrived
+    /// since, or no such datagram has.
+    pub last_unreadable_us: Option<u64>,
     /// Whether it counts as one of the VMs that share the rates of accounts.
     pub is_reachable: bool,
     /// Round of its last summary.
@@ -48,6 +51,8 @@
     pub admitted: Table<RateKey, u64>,
     /// Whether it had calls lately for upstreams that are limited.
     pub uses_limited: bool,
+    /// Whether it does not report the calls that it sends to limited upstreams.
+    pub omits_placed: bool,
     /// Its failure domain; `None` until it has told.
     pub failure_domain: Option<DomainName>,
     /// Address at which it accepts tunnels to upstreams; `None` if it does not, or has not told.
@@ -68,6 +73,7 @@
             address: Arc::from(address),
             known_us: now_us,
             last_heard_us: None,
+            last_unreadable_us: None,
             is_reachable: false,
             round: 0,
             acked_round: 0,
@@ -77,6 +83,7 @@
             running: Vec::new(),
             admitted: Table::default(),
             uses_limited: false,
+            omits_placed: false,
             failure_domain: None,
             tunnel_address: None,
             is_cut_off: false,
@@ -85,10 +92,24 @@
         }
     }
 
-    /// Returns the time of its last summary, or else the time at which it became known.
+    /// Returns the time of its last datagram, or else the time at which it became known.
     pub fn last_contact_us(&self) -> u64 {
+        let last_us = self.last_heard_us.max(self.last_unreadable_us);
+        last_us.unwrap_or(self.known_us)
+    }
+
+    /// Returns the time of its last summary, or else the time at which it became known.
+    pub fn last_summary_us(&self) -> u64 {
         self.last_heard_us.unwrap_or(self.known_us)
     }
+
+    /// Returns whether it may be serving calls.
+    ///
+    /// A VM that announced its departure and then became silent has ended. If its datagrams cannot
+    /// be read, another build may run there again.
+    pub fn may_serve(&self) -> bool {
+        self.is_reachable || !self.is_leaving || self.last_unreadable_us.is_some()
+    }
 }
 
 /// State of the exchange of summaries.
@@ -104,6 +125,8 @@
     pub admitted: Table<RateKey, (u64, u64)>,
     /// Number of VMs that share the rates of accounts, this one included.
     pub reachable_vms: u64,
+    /// Number of reachable VMs that report their calls to limited upstreams, this one included.
+    pub reporting_vms: u64,
     /// Number of VMs that may be serving, this one included.
     pub known_vms: u64,
     /// Number of reachable VMs that had calls lately for upstreams that are limited, without this
@@ -156,11 +179,22 @@
         }
     }
 
-    /// Returns the VMs that share the rates.
+    /// Returns the VMs that share the rates of accounts.
     pub fn sharing(&self) -> Sharing {
+        self.sharing_among(self.reachable_vms)
+    }
+
+    /// Returns the VMs that share the rates of upstreams.
+    ///
+    /// A VM that does not report its calls to limited upstreams counts like one that is not heard.
+    pub fn upstream_sharing(&self) -> Sharing {
+        self.sharing_among(self.reporting_vms)
+    }
+
+    fn sharing_among(&self, reachable_vms: u64) -> Sharing {
         let known_vms = self.known_vms.max(1);
         Sharing {
-            reachable_vms: self.reachable_vms.clamp(1, known_vms),
+            reachable_vms: reachable_vms.clamp(1, known_vms),
             known_vms,
         }
     }
--- a/crates/relay/src/control/dispatcher.rs
+++ b/crates/relay/src/control/dispatcher.rs
@@ -17,6 +17,7 @@
 use super::tunnel_target::tunnel_target;
 use crate::charges::ChargeRecord;
 use crate::metrics::Metrics;
+use crate::peers::encode_summary;
 use crate::store::keeper_addresses;
 
 /// An open call, with the caller's ID of the request and the channel for its outputs.
@@ -162,26 +163,47 @@
     /// would block the control thread.
     fn send_summary(&self, address: &str, summary: &knapweeddale_core::Summary) {
         let Ok(receiver) = address.parse::<SocketAddr>() else {
-            self.metrics.count_unsent_summary();
+            self.metrics.count_summaries("unsent");
             tracing::debug!(address, "peers: summary not sent, the address is not valid");
             return;
         };
-        let bytes = match postcard::to_stdvec(summary) {
-            Ok(bytes) => bytes,
+        let encoded = match encode_summary(summary) {
+            Ok(encoded) => encoded,
             Err(error) => {
-                tracing::error!("peers: summary cannot be encoded ({error})");
+                self.metrics.count_summaries("unsent");
+                tracing::error!("peers: summary cannot be encoded, {error}");
                 return;
             }
         };
-        match self.datagrams.send_to(&bytes, receiver) {
-            Ok(sent) => self.metrics.count_summary(sent),
+        if encoded.omitted_rows > 0 {
+            let rows = encoded.omitted_rows;
+            tracing::warn!(
+                address,
+                "peers: {rows} rows of a summary do not fit and are left out"
+            );
+        }
+        match self.send_datagrams(&encoded.datagrams, receiver) {
+            Ok(sent_bytes) => self.metrics.count_sent(sent_bytes, encoded.datagrams.len()),
             Err(error) => {
-                self.metrics.count_unsent_summary();
+                self.metrics.count_summaries("unsent");
                 tracing::debug!(address, "peers: summary not sent ({error})");
             }
         }
     }
 
+    /// Sends the datagrams of a summary; returns their bytes.
+    fn send_datagrams(
+        &self,
+        datagrams: &[Vec<u8>],
+        receiver: SocketAddr,
+    ) -> std::io::Result<usize> {
+        let mut sent_bytes = 0;
+        for datagram in datagrams {
+            sent_bytes += self.datagrams.send_to(datagram, receiver)?;
+        }
+        Ok(sent_bytes)
+    }
+
     /// Logs a decision with the revision and the ages of the data that it is based on.
     fn log_decision(&self, decision: &Decision, control: &Control, now_us: u64) {
         self.metrics.count_decision(decision);
@@ -241,8 +263,8 @@
     ) -> bool {
         match message {
             Message::Input(input) => inputs.push(input),
-            Message::Summary { input, permit } => {
-                drop(permit);
+            Message::Summary { input, permits } => {
+                drop(permits);
                 inputs.push(input);
             }
             Message::Open {
--- a/crates/relay/src/control/message.rs
+++ b/crates/relay/src/control/message.rs
@@ -4,9 +4,10 @@
 use std::sync::Arc;
 
 use knapweeddale_core::{CallId, Dispatch, Input, Refusal, Snapshot, UpstreamName};
-use knapweeddale_runtime::MemoryPermit;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::peers::MemoryPermits;
+
 /// A message to the control thread.
 #[derive(Debug)]
 pub(crate) enum Message {
@@ -34,8 +35,8 @@
     Summary {
         /// The summary, as an input for the core.
         input: Input,
-        /// The permit to keep it until the control thread has received it.
-        permit: MemoryPermit,
+        /// The permits to keep its datagrams until the control thread has received it.
+        permits: MemoryPermits,
     },
     /// Another VM asks for a tunnel to an upstream.
     ResolveTunnel {
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::memory::MemoryPlan;
 use crate::metrics::Metrics;
 use crate::origins::StreamOrigins;
-use crate::peers::{SnapshotServer, StateRpcServer, fetch_snapshots, receive_summaries};
+use crate::peers::{SnapshotServer, StateRpcServer, SummaryReceiver, fetch_snapshots};
 use crate::settings::RelaySettings;
 use crate::store::{RecordCache, Registration, Role, SourceClient};
 use crate::tunnel::{TunnelServer, serve_tunnels};
@@ -200,7 +200,13 @@
             listeners.spawn(serve_tunnels(listener, server));
         }
         let summaries = MemoryLimiter::new(memory.summary_bytes);
-        background.spawn(receive_summaries(receiver, inputs, summaries, metrics));
+        let receiver = SummaryReceiver::builder()
+            .socket(receiver)
+            .inputs(inputs)
+            .waiting(summaries)
+            .metrics(metrics)
+            .build();
+        background.spawn(receiver.run());
         background.spawn(origin_writer.run());
         background.spawn(expire_idle_connections(Arc::clone(&shared.pool)));
         let serve = |listener, kind| serve(listener, kind, Arc::clone(&shared), tracker.clone());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,7 +21,7 @@
 mod memory;
 mod metrics;
 mod origins;
-mod peers;
+pub mod peers;
 mod settings;
 mod storage;
 mod storage_clients;
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -23,7 +23,8 @@
 pub(crate) struct MemoryPlan {
     /// Limit for the buffers of request bodies, and for those of responses.
     pub buffer_bytes: usize,
-    /// Limit for the summaries of other VMs that wait for the control thread, as datagrams.
+    /// Limit for the summaries of other VMs that wait for the control thread or the rest of their
+    /// datagrams, as datagrams.
     pub summary_bytes: usize,
     /// Limit for the connections of callers.
     connections_bytes: usize,
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -363,28 +363,16 @@
     }
 
     /// Counts a summary that was sent.
-    pub(crate) fn count_summary(&self, bytes: usize) {
-        self.summaries.with_label_values(&["sent"]).inc();
+    pub(crate) fn count_sent(&self, bytes: usize, datagrams: usize) {
+        self.count_summaries("sent");
+        if datagrams > 1 {
+            self.count_summaries("sent_in_parts");
+        }
         self.summary_bytes.inc_by(bytes as u64);
     }
 
-    /// Counts a summary that could not be sent.
-    pub(crate) fn count_unsent_summary(&self) {
-        self.summaries.with_label_values(&["unsent"]).inc();
-    }
-
-    /// Counts a summary that was dropped because too many were waiting.
-    pub(crate) fn count_dropped_summary(&self) {
-        self.summaries.with_label_values(&["dropped"]).inc();
-    }
-
-    /// Counts a received summary.
-    pub(crate) fn count_received_summary(&self, is_readable: bool) {
-        let kind = if is_readable {
-            "received"
-        } else {
-            "unreadable"
-        };
+    /// Counts a summary, by what became of it.
+    pub(crate) fn count_summaries(&self, kind: &str) {
         self.summaries.with_label_values(&[kind]).inc();
     }
 
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -6,6 +6,7 @@
 //! their connections.
 
 mod attempts;
+mod builds;
 mod fixtures;
 mod outputs;
 mod store;
@@ -20,6 +21,7 @@
 };
 
 pub use attempts::{LinkFault, UpstreamState};
+pub use builds::OtherBuild;
 pub use fixtures::{
     ForwardedTokens, RelayCall, Run, account, fleet, listed_engine, listed_upstream, upstreams,
 };
@@ -63,6 +65,8 @@
     pub store: StoreState,
     /// Links (sender, receiver) that are interrupted.
     interrupted_links: BTreeSet<(usize, usize)>,
+    /// VMs whose builds differ from that of the others.
+    builds: BTreeMap<usize, OtherBuild>,
     /// All calls but the refused ones, with their behaviour on the upstream; finished calls stay.
     open: BTreeMap<CallId, RelayCall>,
     /// Attempts that are running, with the key of the event that ends them.
@@ -97,6 +101,7 @@
             random: Random::new(seed),
             store: StoreState::new(config, list),
             interrupted_links: BTreeSet::new(),
+            builds: BTreeMap::new(),
             open: BTreeMap::new(),
             running: BTreeMap::new(),
             upstream_states: BTreeMap::new(),
@@ -171,6 +176,11 @@
         self.tick(vm, vec![notice]);
     }
 
+    /// Lets a VM receive an input.
+    pub fn give_input(&mut self, vm: usize, input: Input) {
+        self.tick(vm, vec![input]);
+    }
+
     /// Isolates a VM from all others and from the store, or reconnects it.
     pub fn set_isolated(&mut self, vm: usize, is_isolated: bool) {
         for other in 0..self.vms.len() {
--- a/crates/testing/src/relays/outputs.rs
+++ b/crates/testing/src/relays/outputs.rs
@@ -64,7 +64,7 @@
     /// Sends a summary to another VM; it is lost if that VM is down or unreachable.
     fn send_summary(&mut self, vm: usize, address: &str, summary: Summary) {
         if let Some(to) = self.find_reachable(vm, address) {
-            let event = PeerEvent::Summary(Box::new(summary));
+            let event = self.receive_summary((vm, to), summary);
             self.deliver(to, LINK_US, Input::PeerEvent(event));
         }
     }
