Decode the deadlines of programs and length hints

Calls could not be ordered by what their callers need, since Program-Deadline-Ms and Length-Hint were passed on unread. Both are decoded now and reach the core as times and tokens of the call; upstreams get them unchanged.

--- a/crates/core/src/input/relay.rs
+++ b/crates/core/src/input/relay.rs
@@ -30,6 +30,11 @@
     pub line: Option<u64>,
     /// Tokens that all turns of the program may generate; `None` if the call is no turn.
     pub budget_tokens: Option<u64>,
+    /// Time until which the program should be finished, on this VM's clock; `None` if the caller
+    /// states none.
+    pub program_deadline_us: Option<u64>,
+    /// The caller's estimate of the tokens in the response; `None` if it states none.
+    pub expected_answer_tokens: Option<u64>,
     /// Whether the call begins a stream or goes on with one.
     #[builder(default)]
     pub stream_start: StreamStart,
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -217,6 +217,9 @@
         budget_tokens: relayed
             .and_then(|relayed| relayed.budget_tokens)
             .filter(|_| is_stream),
+        program_deadline_us: relayed.and_then(|relayed| relayed.program_deadline_us),
+        expected_answer_tokens: relayed.and_then(|relayed| relayed.expected_answer_tokens),
+        turn_number: 0,
         cover: None,
         forwarded_tokens: 0,
         runs: 0,
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -112,6 +112,12 @@
     pub line: Option<u64>,
     /// Tokens that all turns of the program may generate; absent if the call is no turn.
     pub budget_tokens: Option<u64>,
+    /// Time until which the program should be finished, as its caller states.
+    pub program_deadline_us: Option<u64>,
+    /// The caller's estimate of the tokens in the response.
+    pub expected_answer_tokens: Option<u64>,
+    /// Number of the turn among those of its program that this VM knows of; 0 if it is no turn.
+    pub turn_number: u32,
     /// Part of the budget that covers the call; absent until it is covered.
     pub cover: Option<Coverage>,
     /// Tokens passed to the caller by all attempts.
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -37,6 +37,11 @@
     pub line: Option<u64>,
     /// Token budget for all turns of the program together.
     pub budget_tokens: Option<u64>,
+    /// Time left until the program should be finished, if the caller states that; 0 if it should
+    /// be finished already.
+    pub program_deadline_ms: Option<u64>,
+    /// The caller's estimate of the tokens in the response; often far off.
+    pub expected_answer_tokens: Option<u64>,
     /// ID of the last event that the caller received, if it resumes a stream.
     pub last_event_id: Option<u64>,
     /// ID of the caller's attempt that brought the first event of the stream, if it resumes one.
--- a/crates/relay/src/front/service.rs
+++ b/crates/relay/src/front/service.rs
@@ -211,6 +211,8 @@
         .maybe_program(head.program.clone())
         .maybe_line(head.line)
         .maybe_budget_tokens(head.budget_tokens)
+        .maybe_program_deadline_us(head.program_deadline_ms.map(|ms| arrived_us + ms * 1_000))
+        .maybe_expected_answer_tokens(head.expected_answer_tokens)
         .stream_start(stream_start)
         .build();
     NewCall::builder()
