Order waiting calls by deadlines, and refuse those that cannot be placed in time

Calls that cannot be on time any more ran before calls that can, and calls waited for their whole time limit where the queue told that no place would come. In pools whose calls state deadlines, calls rank by class, priority, whether their program has begun, and slack; an account far behind goes first, and one in eight placements goes to the longest waiting call. Waiting calls are reported to other VMs by pool. A call that cannot be placed in time by measured times is refused at once, and its return is booked. Pools with stated rates use the same computation.

--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -6,7 +6,8 @@
 use super::format::runners_up_text;
 use super::{
     CloseReason, CrashEvidence, Execution, LimitSource, LinkDecision, MembershipDecision,
-    OrderAction, OriginEvidence, PlacementReason, RefusalKind, RetryReason, TakeoverSource,
+    OrderAction, OriginEvidence, PlacementDecision, PlacementReason, RefusalKind, RetryReason,
+    TakeoverSource,
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, FencingToken, Incarnation, ProgramKey, Revision,
@@ -47,6 +48,10 @@
         /// Time that the call waited for admission.
         waited_us: u64,
     },
+    /// A decision about waiting calls.
+    #[display("placement: {_0}")]
+    #[from]
+    Placement(PlacementDecision),
     /// The account's rate limit did not admit a call within its maximum waiting time.
     #[display(
         "rates: no room for call {call} of {account}, level {level_mcalls} and debt {debt_mcalls} of a burst of {burst_mcalls} thousandths of a call, rate {rate_mcalls_per_s} a second"
--- a/crates/core/src/output/refusal.rs
+++ b/crates/core/src/output/refusal.rs
@@ -112,6 +112,8 @@
     StreamNotResumable = "stream_not_resumable", 503, "request the stream again from its first event";
     /// No upstream became free in time.
     NoUpstream = "no_upstream", 503, "resend after the time in retry-after";
+    /// The calls that go first take longer than the call has time.
+    PoolBusy = "pool_busy", 503, "resend after the time in retry-after";
     /// All upstreams are at the rates that they have stated, and no call can be placed in time.
     UpstreamsLimited = "upstreams_limited", 503, "resend after the time in retry-after";
     /// The upstream failed.
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -10,7 +10,8 @@
 use crate::message::{ProgramSpent, ProgramUse};
 use crate::output::{Decision, Execution, Output, RefusalKind, SourceRequest};
 use crate::tables::{
-    Budget, BudgetDecision, BudgetRecord, Call, ProgramKnowledge, RelayState, Stage, Timer,
+    Budget, BudgetDecision, BudgetRecord, Call, ProgramKnowledge, RelayState, RouteTurns, Stage,
+    Timer,
 };
 
 /// How long a program is kept after its last turn if its route sets no time.
@@ -126,6 +127,7 @@
         return;
     };
     open_program(tick, id, &program, line);
+    count_turn(tick, id, &program);
     let Some(row) = tick.tables.budgets.get_mut(&program) else {
         return;
     };
@@ -208,6 +210,27 @@
     }
 }
 
+/// Numbers a turn among those of its program, once, and counts it for its route.
+fn count_turn(tick: &mut Tick<'_>, id: CallId, program: &ProgramKey) {
+    let tables = &mut *tick.tables;
+    let Some(row) = tables.budgets.get_mut(program) else {
+        return;
+    };
+    let call = tables.calls.get_mut(&id);
+    let Some(relay) = call.and_then(|call| call.relay.as_deref_mut()) else {
+        return;
+    };
+    if relay.turn_number > 0 {
+        return;
+    }
+    row.turns += 1;
+    relay.turn_number = row.turns;
+    let turns = tables
+        .route_turns
+        .get_or_insert_with(&relay.route.name, RouteTurns::default);
+    turns.record(row.turns == 1);
+}
+
 /// Returns the row of a program; creates the row and its expiry timer if it is missing.
 fn get_or_create_row<'a>(
     tick: &'a mut Tick<'_>,
@@ -222,6 +245,7 @@
         let row = Budget {
             retention_us,
             last_used_us: now_us,
+            first_seen_us: now_us,
             losses: knowledge.losses(now_us).unwrap_or(u32::MAX),
             ..Budget::default()
         };
@@ -337,6 +361,8 @@
 ) {
     let now_us = tick.now_us;
     let row = get_or_create_row(tick, &used.program, DEFAULT_RETENTION_MS * 1_000);
+    // Another VM reports its use again only when a turn has ended there.
+    row.turns += u32::from(used.tokens > row.spent_by(vm, incarnation));
     row.set_spent(vm, incarnation, used.tokens);
     row.main_line = row.main_line.or(used.main_line);
     row.is_stopped |= used.is_stopped;
--- a/crates/core/src/systems/peers/group.rs
+++ b/crates/core/src/systems/peers/group.rs
@@ -6,6 +6,7 @@
 
 use super::super::{Tick, placement, rates};
 use crate::ids::{UpstreamName, VmName};
+use crate::message::PoolDemand;
 use crate::output::Decision;
 use crate::tables::Peer;
 
@@ -48,6 +49,17 @@
         silent_ms,
     });
     replace_running(tick, vm, Vec::new());
+    replace_demand(tick, vm, Vec::new());
+}
+
+/// Replaces the calls that wait at another VM; those of a silent VM do not count.
+pub(super) fn replace_demand(tick: &mut Tick<'_>, vm: &VmName, demand: Vec<PoolDemand>) {
+    let peering = &mut tick.tables.peering;
+    let Some(peer) = peering.peers.get_mut(vm) else {
+        return;
+    };
+    let previous = std::mem::replace(&mut peer.demand, demand);
+    peering.demand.replace(&previous, &peer.demand);
 }
 
 /// Replaces the number of calls that another VM runs on each upstream.
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -48,6 +48,7 @@
         rates::record_limit(tick, limit.clone(), LimitSource::Peer);
     }
     record_admitted(tick, &summary);
+    group::replace_demand(tick, &vm, summary.demand);
     group::replace_running(tick, &vm, summary.running);
     for program in &summary.programs {
         budgets::merge_use(tick, &vm, summary.incarnation, program);
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -7,10 +7,10 @@
 use crate::ids::VmName;
 use crate::input::UpstreamList;
 use crate::message::{
-    ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck, TunnelContact,
+    PoolDemand, ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck, TunnelContact,
 };
 use crate::output::Output;
-use crate::tables::{Link, Peer, ProgramKnowledge, RateKey, Tables};
+use crate::tables::{Link, Peer, ProgramKnowledge, RateKey, Tables, UrgencyClass};
 
 /// Maximum rows of one kind in a summary, so that it fits into a datagram.
 const MAX_ROWS: usize = 48;
@@ -105,12 +105,29 @@
             .map(|(name, _)| name.clone())
             .collect(),
         placed: Vec::new(),
-        demand: Vec::new(),
+        demand: waiting_calls(tables),
         reports: Vec::new(),
         paces: Vec::new(),
     }
 }
 
+/// Counts the calls that wait for the upstreams of each pool.
+fn waiting_calls(tables: &Tables) -> Vec<PoolDemand> {
+    let pools = tables.pools.iter();
+    let waiting = pools.filter(|(_, row)| !row.queue.is_empty());
+    waiting
+        .take(MAX_ROWS)
+        .map(|(pool, row)| {
+            let calls = |class| row.queue.len_of_class(class);
+            PoolDemand {
+                pool: pool.clone(),
+                timely_calls: calls(UrgencyClass::Timely),
+                late_calls: calls(UrgencyClass::Late) + calls(UrgencyClass::Expired),
+            }
+        })
+        .collect()
+}
+
 /// Adds the rows that one VM has not acknowledged yet.
 fn peer_summary(
     (settings, now_us): (&CoreSettings, u64),
--- a/crates/core/src/systems/placement/availability.rs
+++ b/crates/core/src/systems/placement/availability.rs
@@ -64,9 +64,10 @@
 pub(super) fn push(tick: &mut Tick<'_>, waiting: QueuedCall) {
     let lane = queue_order::lane_of(tick, &waiting.place.account);
     let rank = queue_order::compute_rank(tick, &waiting.place, waiting.arrived_us);
+    let refusal = queue_order::refusal_order(tick, &waiting.place, &rank);
     let pool = waiting.place.pool.clone();
-    if let Some(pool) = tick.tables.pools.get_mut(&pool) {
-        pool.queue.push(lane, rank, waiting);
+    if let Some(row) = tick.tables.pools.get_mut(&pool) {
+        row.queue.push_ordered(lane, rank, refusal, waiting);
     }
 }
 
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -4,7 +4,7 @@
 
 use super::super::{Tick, admission};
 use super::dispatch::dispatch;
-use super::{finish, stated_rates};
+use super::{finish, refusal, stated_rates};
 use crate::ids::{AttemptId, CallId, PoolKey, StreamOrigin, UpstreamName};
 use crate::message::{InFlight, Place, PlacementMessage};
 use crate::output::{Execution, PlacementReason, RefusalKind};
@@ -311,8 +311,12 @@
     }
     let call = tick.tables.calls.get(&attempt.call);
     let ran = call.map_or(Execution::NotRun, Call::execution);
-    let retry_after_ms = call
-        .filter(|_| kind == RefusalKind::UpstreamsLimited)
-        .and_then(|call| stated_rates::retry_after_ms(tick, &call.pool));
+    let retry_after_ms = match kind {
+        RefusalKind::UpstreamsLimited => {
+            call.and_then(|call| stated_rates::retry_after_ms(tick, &call.pool))
+        }
+        RefusalKind::PoolBusy => refusal::book_return_ms(tick, attempt.call),
+        _ => None,
+    };
     admission::refuse(tick, attempt.call, kind, ran, retry_after_ms);
 }
--- a/crates/core/src/systems/placement/limits.rs
+++ b/crates/core/src/systems/placement/limits.rs
@@ -36,6 +36,11 @@
 /// Updates an upstream's speed and limit from a complete attempt.
 pub(super) fn record_completion(tick: &mut Tick<'_>, running: &RunningAttempt, finish: &Finish) {
     let now_us = tick.now_us;
+    if let Some(pool) = tick.tables.pools.get_mut(&finish.pool) {
+        let tokens = (finish.prompt_tokens, finish.answer_tokens);
+        pool.speed
+            .record(tokens, (finish.first_token_us, finish.total_us));
+    }
     let target_us = tick.settings.token_gap_target_ms * 1_000;
     let Some(row) = tick.tables.upstreams.get_mut(&finish.upstream) else {
         return;
--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -15,8 +15,10 @@
 mod queue_order;
 mod reachability;
 mod reconfigure;
+mod refusal;
 mod selection;
 mod stated_rates;
+mod urgency;
 
 pub(crate) use availability::{refresh_and_assign, refresh_availability, requeue_held_everywhere};
 pub(crate) use finish::{end_attempt, resend_finish};
@@ -81,6 +83,7 @@
         Timer::PlaceWait(attempt) => entry::check_answer(tick, attempt),
         Timer::FinishWait(attempt) => resend_finish(tick, attempt),
         Timer::QueueAge(pool, attempt) => owner::requeue_aged(tick, &pool, attempt),
+        Timer::QueueReview(pool, attempt) => urgency::review(tick, &pool, attempt),
         Timer::RunningCheck(attempt) => owner::check_running(tick, attempt),
         Timer::UpstreamReady(upstream) => refresh_and_assign(tick, &upstream),
         Timer::PlacementHistoryIdle(program) => hints::expire_history(tick, program),
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -4,7 +4,9 @@
 
 use super::super::{Sender, Tick, links, outcomes, rates};
 use super::selection::{self, SelectedUpstream, Selection};
-use super::{availability, exclusive, hints, limits, origins, queue_order, stated_rates};
+use super::{
+    availability, exclusive, hints, limits, origins, queue_order, refusal, stated_rates, urgency,
+};
 use crate::config::UpstreamChoice;
 use crate::ids::{AttemptId, PoolKey};
 use crate::message::{AttemptResult, Finish, Place, PlacementMessage};
@@ -48,10 +50,13 @@
             refuse(tick, waiting, RefusalKind::NoUpstream);
             return;
         }
+        urgency::record_call(tick, &waiting.place);
         availability::push(tick, waiting);
         stated_rates::refresh(tick, &pool);
         assign(tick, &pool);
-        stated_rates::refuse_excess(tick, &pool);
+        refusal::refuse_excess(tick, &pool);
+        refusal::refuse_hopeless(tick, &pool, attempt);
+        urgency::schedule_review(tick, &pool, attempt);
         schedule_aging(tick, &pool, attempt);
     }
     let is_waiting = |row: &crate::tables::Pool| row.is_waiting(&attempt);
@@ -127,8 +132,11 @@
         return false;
     }
     let placeable = |waiting: &QueuedCall| !selection::waits_for_version(tick, row, waiting);
-    let order = queue_order::lane_order(tick);
-    for attempt in row.queue.candidates(order, placeable) {
+    let order = queue_order::lane_order(tick, pool);
+    let is_turn_of_oldest = row.deadlines.is_turn_of_oldest(tick.now_us);
+    let oldest = is_turn_of_oldest.then(|| row.queue.oldest(placeable));
+    let candidates = row.queue.candidates(order, placeable);
+    for attempt in oldest.flatten().into_iter().chain(candidates) {
         if divert_suspect(tick, pool, attempt) {
             return true;
         }
@@ -217,6 +225,9 @@
         prefill_wait_us = from_us - now_us;
         row.prefill_until_us = from_us + read_tokens * row.prefill_ns_per_token / 1_000;
     }
+    if let Some(pool) = tick.tables.pools.get_mut(&place.pool) {
+        pool.deadlines.count_placement();
+    }
     if let Some(suspect) = tick.tables.suspects.get_mut(&place.digest) {
         suspect.running += 1;
     }
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -30,6 +30,7 @@
             | Timer::PlaceWait(_)
             | Timer::FinishWait(_)
             | Timer::QueueAge(..)
+            | Timer::QueueReview(..)
             | Timer::RunningCheck(_)
             | Timer::UpstreamReady(_)
             | Timer::PlacementHistoryIdle(_) => work.placement.due_timers.push(timer),
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -53,6 +53,12 @@
     pub running_tokens: u64,
     /// Tokens reserved by this VM that no turn uses yet.
     pub reserved_tokens: u64,
+    /// Time at which this VM first heard of the program.
+    pub first_seen_us: u64,
+    /// Turns that this VM knows of.
+    pub turns: u32,
+    /// Expected time of the turns that follow the last one on this VM.
+    pub following_us: u64,
     /// Times that all VMs lost their memory and perhaps earlier turns of the program with it.
     pub losses: u32,
     /// Whether the program has a record in the store.
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -7,6 +7,7 @@
 mod bucket;
 mod budget;
 mod call;
+mod demand;
 mod examination;
 mod health;
 mod homes;
@@ -19,8 +20,10 @@
 mod peer;
 mod placement_history;
 mod pool;
+mod pool_speed;
 mod program;
 mod queue;
+mod queue_counts;
 mod replicated;
 mod retry;
 mod share;
@@ -31,6 +34,7 @@
 mod timers;
 mod upstream;
 mod upstream_rate;
+mod urgency;
 mod versions;
 mod view;
 mod vm;
@@ -39,6 +43,7 @@
 pub use bucket::{Bucket, NCALLS_PER_CALL};
 pub use budget::{Budget, BudgetDecision, BudgetRecord, Coverage, ProcessUsage};
 pub use call::{Call, LastRun, PlacementState, RelayState, Stage};
+pub use demand::{PeerDemand, WaitingCalls};
 pub use examination::{Examination, LostAttempt};
 pub use health::Health;
 pub use homes::{
@@ -57,6 +62,7 @@
 pub use peer::{Peer, Peering, RateKey};
 pub use placement_history::{CacheHint, PlacementHistory};
 pub use pool::Pool;
+pub use pool_speed::{DeadlineOrder, PoolSpeed, RouteTurns};
 pub use program::{FinishedTurn, Links, MAX_SERVED, Phase, Program, Turn, UnknownTurn, Usage};
 pub use queue::{Candidates, LaneOrder, Queue, QueuedCall, Rank};
 pub use replicated::{Claim, ReplicatedBucket, Sharing};
@@ -68,6 +74,7 @@
 pub use timers::{Timer, Timers};
 pub use upstream::{LeavingNotice, RunningAttempt, Upstream};
 pub use upstream_rate::UpstreamRate;
+pub use urgency::{Urgency, UrgencyClass};
 pub use versions::{STREAM_LIFE_US, SeenVersions};
 pub(crate) use view::hash_name;
 pub use view::{Member, View, ViewChange, ViewDelta};
@@ -155,6 +162,8 @@
     pub hosts: Table<Arc<str>, Vec<Arc<HostRoute>>>,
     /// Time at which the backends of a route, by its name, changed last.
     pub route_changes: Table<Arc<str>, u64>,
+    /// Number of turns of the programs of routes, by the name of the route.
+    pub route_turns: Table<Arc<str>, RouteTurns>,
     /// Budgets of programs that have no home.
     pub budgets: Table<ProgramKey, Budget>,
     /// The other VMs under `Coordination::Peers`.
--- a/crates/core/src/tables/peer.rs
+++ b/crates/core/src/tables/peer.rs
@@ -3,9 +3,9 @@
 use std::collections::VecDeque;
 use std::sync::Arc;
 
-use super::{Sharing, Table};
+use super::{PeerDemand, Sharing, Table};
 use crate::ids::{AccountName, DomainName, Incarnation, Revision, UpstreamName, VmName};
-use crate::message::ListVersion;
+use crate::message::{ListVersion, PoolDemand};
 
 /// Rounds of summaries whose sending time is kept.
 const MAX_SENT_ROUNDS: usize = 64;
@@ -44,6 +44,8 @@
     pub list: ListVersion,
     /// Number of its calls on each upstream.
     pub running: Vec<(UpstreamName, u32)>,
+    /// Calls that wait there, by pool.
+    pub demand: Vec<PoolDemand>,
     /// Total of calls that it has admitted against each rate.
     pub admitted: Table<RateKey, u64>,
     /// Whether it had calls lately for upstreams that are limited.
@@ -75,6 +77,7 @@
             revision: Revision::default(),
             list: ListVersion::default(),
             running: Vec::new(),
+            demand: Vec::new(),
             admitted: Table::default(),
             uses_limited: false,
             failure_domain: None,
@@ -96,6 +99,8 @@
 pub struct Peering {
     /// The other VMs.
     pub peers: Table<VmName, Peer>,
+    /// Calls that wait at the other VMs, by pool.
+    pub demand: PeerDemand,
     /// Number of the last round of summaries that was sent.
     pub round: u64,
     /// Numbers and sending times of the last rounds.
--- a/crates/core/src/tables/pool.rs
+++ b/crates/core/src/tables/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::{Queue, QueuedCall, RetryBudget};
+use super::{DeadlineOrder, PoolSpeed, Queue, QueuedCall, RetryBudget};
 use crate::ids::{AttemptId, ContentDigest, UpstreamName};
 
 /// The upstreams of one service and model, with their queue.
@@ -27,6 +27,10 @@
     pub retry_budget: RetryBudget,
     /// Moving average of the tokens of a response.
     pub mean_answer_tokens: u64,
+    /// Measured times of its calls.
+    pub speed: PoolSpeed,
+    /// State of the order by deadlines, if its calls state some.
+    pub deadlines: DeadlineOrder,
     /// Index of the next upstream for round-robin placement.
     pub next_round_robin: usize,
 }
--- a/crates/core/src/tables/queue.rs
+++ b/crates/core/src/tables/queue.rs
@@ -4,7 +4,8 @@
 
 use smallvec::SmallVec;
 
-use super::Table;
+use super::queue_counts::QueueCounts;
+use super::{Table, UrgencyClass};
 use crate::ids::{AccountName, AttemptId, VmName};
 use crate::message::Place;
 
@@ -34,9 +35,11 @@
 /// Position of a call among the calls of its account; the lowest rank goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Rank {
-    /// Service that the program of the call has attained.
+    /// Level of the call: the service that its program has attained, its priority, or its class,
+    /// priority and whether its program has begun.
     pub attained: u64,
-    /// Time at which the call arrived.
+    /// Time by which calls of a level are ordered: arrival, or the latest start for the program to
+    /// be on time.
     pub arrived_us: u64,
     /// Identity of the attempt, which makes ranks unique.
     pub attempt: AttemptId,
@@ -63,6 +66,19 @@
     },
 }
 
+/// Order in which waiting calls are refused, the greatest first: calls that no upstream runs yet
+/// before those that are confined to one, then by level and time.
+type RefusalOrder = (bool, u64, u64, AttemptId);
+
+/// A waiting call with its place in the orders.
+#[derive(Debug)]
+struct QueueRow {
+    waiting: QueuedCall,
+    rank: Rank,
+    refusal: RefusalOrder,
+    lane: LaneKey,
+}
+
 /// Account of a lane; absent for calls without an account.
 type LaneKey = Option<AccountName>;
 
@@ -72,21 +88,35 @@
 /// and accounts.
 #[derive(Debug, Default)]
 pub struct Queue {
-    rows: Table<AttemptId, (QueuedCall, Rank, LaneKey)>,
+    rows: Table<AttemptId, QueueRow>,
     lanes: Table<LaneKey, Lane>,
     by_counter: BTreeSet<(u64, LaneKey)>,
     by_rank: BTreeSet<(Rank, LaneKey)>,
+    by_arrival: BTreeSet<(u64, AttemptId)>,
+    by_refusal: BTreeSet<RefusalOrder>,
+    counts: QueueCounts,
     /// Highest counter of an account from which a call was removed.
     floor: u64,
 }
 
 /// # Calls
 impl Queue {
-    /// Adds a call to the lane of an account.
+    /// Adds a call to the lane of an account; its rank is also the order of refusal.
+    pub fn push(&mut self, lane: LaneKey, rank: Rank, waiting: QueuedCall) {
+        self.push_ordered(lane, rank, (rank.attained, rank.arrived_us), waiting);
+    }
+
+    /// Adds a call to the lane of an account, with the level and time by which it is refused.
     ///
     /// The counter of a lane without calls is raised to the least one of the lanes with calls, so
     /// that an account gains no advantage from a time without calls.
-    pub fn push(&mut self, lane: LaneKey, rank: Rank, waiting: QueuedCall) {
+    pub fn push_ordered(
+        &mut self,
+        lane: LaneKey,
+        rank: Rank,
+        refusal: (u64, u64),
+        waiting: QueuedCall,
+    ) {
         let floor = self
             .by_counter
             .first()
@@ -98,24 +128,66 @@
         }
         row.calls.insert(rank);
         self.insert_in_orders(&lane);
-        self.rows.insert(rank.attempt, (waiting, rank, lane));
+        let refusal = refusal_order(&waiting, refusal);
+        self.by_arrival.insert((waiting.arrived_us, rank.attempt));
+        self.by_refusal.insert(refusal);
+        self.counts.add(&rank);
+        let row = QueueRow {
+            waiting,
+            rank,
+            refusal,
+            lane,
+        };
+        self.rows.insert(rank.attempt, row);
     }
 
     /// Removes a call and returns it.
     pub fn remove(&mut self, attempt: AttemptId) -> Option<QueuedCall> {
-        let (waiting, rank, lane) = self.rows.remove(&attempt)?;
+        let QueueRow {
+            waiting,
+            rank,
+            refusal,
+            lane,
+        } = self.rows.remove(&attempt)?;
         self.remove_from_orders(&lane);
         if let Some(row) = self.lanes.get_mut(&lane) {
             row.calls.remove(&rank);
             self.floor = self.floor.max(row.counter);
         }
         self.insert_in_orders(&lane);
+        self.by_arrival.remove(&(waiting.arrived_us, attempt));
+        self.by_refusal.remove(&refusal);
+        self.counts.remove(&rank);
         Some(waiting)
     }
 
+    /// Changes the rank of a waiting call, which is also its order of refusal.
+    pub fn rerank(&mut self, rank: Rank) {
+        let Some(row) = self.rows.get_mut(&rank.attempt) else {
+            return;
+        };
+        let previous = std::mem::replace(&mut row.rank, rank);
+        if previous == rank {
+            return;
+        }
+        let refusal = refusal_order(&row.waiting, (rank.attained, rank.arrived_us));
+        let previous_refusal = std::mem::replace(&mut row.refusal, refusal);
+        let lane = row.lane.clone();
+        self.remove_from_orders(&lane);
+        if let Some(row) = self.lanes.get_mut(&lane) {
+            row.calls.remove(&previous);
+            row.calls.insert(rank);
+        }
+        self.insert_in_orders(&lane);
+        self.by_refusal.remove(&previous_refusal);
+        self.by_refusal.insert(refusal);
+        self.counts.remove(&previous);
+        self.counts.add(&rank);
+    }
+
     /// Returns a waiting call.
     pub fn get(&self, attempt: &AttemptId) -> Option<&QueuedCall> {
-        self.rows.get(attempt).map(|(waiting, ..)| waiting)
+        self.rows.get(attempt).map(|row| &row.waiting)
     }
 
     /// Returns the number of waiting calls.
@@ -130,7 +202,38 @@
 
     /// Iterates over the waiting calls in unspecified order.
     pub fn iter(&self) -> impl Iterator<Item = &QueuedCall> {
-        self.rows.iter().map(|(_, (waiting, ..))| waiting)
+        self.rows.iter().map(|(_, row)| &row.waiting)
+    }
+
+    /// Returns the rank of a waiting call.
+    pub fn rank(&self, attempt: &AttemptId) -> Option<Rank> {
+        self.rows.get(attempt).map(|row| row.rank)
+    }
+
+    /// Returns the number of waiting calls of a class.
+    pub fn len_of_class(&self, class: UrgencyClass) -> u32 {
+        self.counts.in_class(class)
+    }
+
+    /// Returns the number of calls before a rank, to within those of about a quarter of a second.
+    pub fn calls_before(&self, rank: &Rank) -> u64 {
+        self.counts.before(rank)
+    }
+
+    /// Returns the call that is refused before all others.
+    pub fn first_to_refuse(&self) -> Option<&QueuedCall> {
+        let (.., attempt) = self.by_refusal.last()?;
+        self.get(attempt)
+    }
+
+    /// Returns the call that has waited longest, of the first few that are `placeable`.
+    pub fn oldest(&self, placeable: impl Fn(&QueuedCall) -> bool) -> Option<AttemptId> {
+        let mut attempts = self.by_arrival.iter().map(|(_, attempt)| *attempt);
+        let is_placeable = |attempt: &AttemptId| self.get(attempt).is_some_and(&placeable);
+        attempts
+            .by_ref()
+            .take(MAX_CANDIDATES_PER_LANE)
+            .find(is_placeable)
     }
 }
 
@@ -232,3 +335,10 @@
         self.by_rank.insert((*first, lane.clone()));
     }
 }
+
+/// Returns the place of a call in the order of refusal.
+fn refusal_order(waiting: &QueuedCall, (level, time_us): (u64, u64)) -> RefusalOrder {
+    let place = &waiting.place;
+    let is_confined = place.only.is_some() || place.origin.is_some();
+    (!is_confined, level, time_us, place.attempt)
+}
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -58,6 +58,8 @@
     FinishWait(AttemptId),
     /// A call has waited for three quarters of the longest wait.
     QueueAge(PoolKey, AttemptId),
+    /// The urgency of a waiting call has to be determined again.
+    QueueReview(PoolKey, AttemptId),
     /// The entry VM of a running attempt is asked whether it still runs.
     RunningCheck(AttemptId),
     /// An upstream may be ready for calls again.
--- a/crates/entry/src/call/describe.rs
+++ b/crates/entry/src/call/describe.rs
@@ -29,6 +29,7 @@
         RefusalKind::PermitVoid => "the permit is void or has been used",
         RefusalKind::StreamNotResumable => "no upstream can go on with the stream",
         RefusalKind::NoUpstream => "no upstream became free in time",
+        RefusalKind::PoolBusy => "the calls that go first take longer than the call has time",
         RefusalKind::UpstreamsLimited => "all upstreams are at the rates that they state",
         RefusalKind::UpstreamFailed => "the upstream failed",
         RefusalKind::UpstreamSilent => "the upstream did not answer in time",
--- a/crates/relay/src/control/dispatcher.rs
+++ b/crates/relay/src/control/dispatcher.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use knapweeddale_core::input::{AttemptProgress, Failure};
-use knapweeddale_core::output::LinkDecision;
+use knapweeddale_core::output::{LinkDecision, PlacementDecision};
 use knapweeddale_core::{
     AttemptEvent, CallId, Charge, Control, Decision, Input, Output, SourceRequest, StorageVm,
 };
@@ -216,6 +216,7 @@
         Decision::Refused { call, .. }
         | Decision::Admitted { call, .. }
         | Decision::NoRoom { call, .. }
+        | Decision::Placement(PlacementDecision::NotPlaceable { call, .. })
         | Decision::TurnCovered { call, .. }
         | Decision::TurnUncovered { call, .. }
         | Decision::Retry { call, .. }
