--- a/crates/core/src/systems/placement/urgency.rs
+++ b/crates/core/src/systems/placement/urgency.rs
@@ -79,7 +79,6 @@
         None => 0,
     };
     Some(Urgency {
-        arrived_us: call.arrived_us,
         due_us,
         credit_until_us: match total_us {
             // The deadline had passed before this VM saw the program.
--- a/crates/core/src/tables/queue.rs
+++ b/crates/core/src/tables/queue.rs
@@ -215,7 +215,7 @@
         self.counts.in_class(class)
     }
 
-    /// Returns the number of calls before a rank, to within those of about a quarter of a second.
+    /// Returns the number of calls before a rank.
     pub fn calls_before(&self, rank: &Rank) -> u64 {
         self.counts.before(rank)
     }
--- a/crates/core/src/tables/urgency.rs
+++ b/crates/core/src/tables/urgency.rs
@@ -6,12 +6,6 @@
 /// Bits of a rank's level below those of the class.
 const CLASS_SHIFT: u32 = 40;
 
-/// Largest difference between the time by which a call is ordered and its arrival.
-///
-/// Calls wait for half a minute at most, so that more slack than this says nothing about the order.
-/// The bound also keeps the number of counted time slots in a queue small.
-const MAX_ORDER_DISTANCE_US: u64 = 60_000_000;
-
 /// What can still be reached with a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum UrgencyClass {
@@ -55,8 +49,6 @@
 /// What decides the order of a waiting call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Urgency {
-    /// Time of arrival.
-    pub arrived_us: u64,
     /// Time until which the program should be finished.
     pub due_us: u64,
     /// End of the smaller credit; `u64::MAX` if unknown.
@@ -106,12 +98,10 @@
     pub fn rank(&self, now_us: u64, attempt: AttemptId) -> Rank {
         let class = self.class(now_us) as u64;
         let level = 2 * u64::from(self.priority) + u64::from(self.begins_program);
-        let earliest_us = self.arrived_us.saturating_sub(MAX_ORDER_DISTANCE_US);
-        let latest_us = self.arrived_us + MAX_ORDER_DISTANCE_US;
         Rank {
             attained: (class << CLASS_SHIFT) | level,
             // Of two calls, the one with the earlier latest start has less slack at any time.
-            arrived_us: self.latest_start_us().clamp(earliest_us, latest_us),
+            arrived_us: self.latest_start_us(),
             attempt,
         }
     }
--- a/crates/testing/src/relays/fixtures.rs
+++ b/crates/testing/src/relays/fixtures.rs
@@ -58,6 +58,8 @@
     pub run_ms: u64,
     /// How long its caller waits for the response.
     pub timeout_ms: u64,
+    /// Time left until its program should be finished, if its caller states that.
+    pub program_deadline_ms: Option<u64>,
     /// Stands for the request body: calls with equal values have equal digests.
     pub content: u8,
     /// Whether it begins a stream or goes on with one.
@@ -75,6 +77,7 @@
             tokens: 0,
             run_ms: 10,
             timeout_ms: 1_200,
+            program_deadline_ms: None,
             content: 0,
             stream_start: StreamStart::New,
         }
@@ -103,6 +106,7 @@
             .maybe_program(program.map(|program| ProgramName::from(program.as_str())))
             .maybe_budget_tokens(turn.map(|(_, budget, ..)| *budget))
             .maybe_line(turn.map(|(.., line)| *line))
+            .maybe_program_deadline_us(self.program_deadline_ms.map(|ms| now_us + ms * 1_000))
             .stream_start(self.stream_start.clone())
             .build();
         let mut digest = ContentDigest::default();
