--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -7,6 +7,7 @@
 mod membership_decision;
 mod order;
 mod peer_decision;
+mod placement_decision;
 mod reason;
 mod refusal;
 mod source;
@@ -17,6 +18,7 @@
 pub use membership_decision::MembershipDecision;
 pub use order::{Order, OrderAction};
 pub use peer_decision::PeerDecision;
+pub use placement_decision::PlacementDecision;
 pub use reason::{
     CloseReason, CrashEvidence, LimitSource, OriginEvidence, PlacementReason, RetryReason,
     TakeoverSource,
