Test placement with old loads of other VMs

With 80 VMs whose loads of each other are up to 300 ms old, all VMs take the same free place at once. RelayFleet gets upstreams that run few calls at once, queue some more and reject the others.

--- a/crates/testing/src/relays/attempts.rs
+++ b/crates/testing/src/relays/attempts.rs
@@ -18,6 +18,9 @@
 /// Part of an attempt's run time after which its first event has been forwarded, as a divisor.
 const FIRST_EVENT_DIVISOR: u64 = 4;
 
+/// Status with which a full upstream rejects a call.
+const FULL: u16 = 503;
+
 /// How an upstream treats connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum UpstreamState {
@@ -70,6 +73,12 @@
             }
             None => {}
         }
+        let upstream = dispatch.upstream.as_str();
+        let run_us = open.run_ms * 1_000;
+        let Some(run_us) = self.capacities.accept(upstream, self.now_us, run_us) else {
+            let failure = Failure::RefusedByUpstream { status: FULL };
+            return self.fail_attempt(vm, 2 * LINK_US, dispatch.attempt, failure);
+        };
         self.proxied_runs += u64::from(proxy.is_some());
         self.runs.push(Run {
             at_us: self.now_us,
@@ -93,7 +102,6 @@
                 ..AttemptOutcome::default()
             }),
         };
-        let run_us = open.run_ms * 1_000;
         // An answer that is no stream reaches the caller as a whole.
         let first_event_us = match dispatch.events {
             Some(_) => self.now_us + run_us / FIRST_EVENT_DIVISOR,
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -6,6 +6,7 @@
 //! their connections.
 
 mod attempts;
+mod capacity;
 mod fixtures;
 mod outputs;
 mod store;
@@ -20,6 +21,7 @@
 };
 
 pub use attempts::{LinkFault, UpstreamState};
+pub use capacity::{Capacities, UpstreamCapacity};
 pub use fixtures::{
     ForwardedTokens, RelayCall, Run, account, fleet, listed_engine, listed_upstream, upstreams,
 };
@@ -73,6 +75,8 @@
     lost_links: BTreeMap<(usize, Option<String>), LinkFault>,
     /// Rates that upstreams state in their responses, in thousandths of a call per second.
     stated_rates: BTreeMap<String, u64>,
+    /// Upstreams of limited capacity; the others run any number of calls at once.
+    pub capacities: Capacities,
     /// Every attempt sent to an upstream, in order of time.
     pub runs: Vec<Run>,
     /// Number of attempts that went through another VM.
@@ -102,6 +106,7 @@
             upstream_states: BTreeMap::new(),
             lost_links: BTreeMap::new(),
             stated_rates: BTreeMap::new(),
+            capacities: Capacities::default(),
             runs: Vec::new(),
             proxied_runs: 0,
             forwarded: Vec::new(),
@@ -302,6 +307,11 @@
         runs.map(|run| run.upstream.as_str()).collect()
     }
 
+    /// Returns the number of calls that were answered completely.
+    pub fn answered_calls(&self) -> usize {
+        self.answered.len()
+    }
+
     /// Returns whether a call was answered completely.
     pub fn is_answered(&self, call: CallId) -> bool {
         self.answered.contains(&call)
