Stop comparing the least loaded upstream in large fleets

VMs of a fleet of more than 16 all chose the upstream that was the least loaded by summaries up to 300 ms old. It is compared now only if neither the hinted upstreams nor the two selected by hash have room. Small fleets choose as before. Own placements already count at once, as own attempts.

--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -4,6 +4,7 @@
 //! pool, which queues the call and selects the upstream.
 
 mod availability;
+mod claims;
 mod dispatch;
 mod entry;
 mod exclusive;
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -3,7 +3,7 @@
 use smallvec::SmallVec;
 
 use super::super::{Tick, rates};
-use super::{hints, origins};
+use super::{claims, hints, origins};
 use crate::config::UpstreamChoice;
 use crate::ids::{PoolKey, UpstreamName};
 use crate::output::{PlacementReason, RefusalKind};
@@ -201,20 +201,24 @@
         let hint = hints.iter().find(|(hinted, _)| *hinted == name);
         hint.map_or(0, |(_, tokens)| *tokens)
     };
-    let mut candidates: SmallVec<[Candidate; MAX_COMPARED_UPSTREAMS]> = SmallVec::new();
-    for name in candidate_names(tick, pool, waiting, &hints) {
-        let Some(row) = tick.tables.upstreams.get(name) else {
-            continue;
-        };
+    let candidate = |name: &UpstreamName| {
+        let row = tick.tables.upstreams.get(name)?;
         if row.open_load_permille.is_none() || !is_allowed(name) {
-            continue;
+            return None;
         }
         let cached_tokens = cached_on(name);
-        candidates.push(Candidate {
+        Some(Candidate {
             cost_us: estimate_cost_us(tick, row, waiting, cached_tokens),
             cached_tokens,
             upstream: name.clone(),
-        });
+        })
+    };
+    let compared = candidate_names(tick, pool, waiting, &hints);
+    let mut candidates: SmallVec<[Candidate; MAX_COMPARED_UPSTREAMS]> =
+        compared.into_iter().filter_map(candidate).collect();
+    if candidates.is_empty() && claims::is_large_fleet(tick) {
+        let mut least_loaded = pool.available.iter().map(|(_, name)| name);
+        candidates.extend(least_loaded.find_map(candidate));
     }
     candidates.sort_by(|a, b| (a.cost_us, &a.upstream).cmp(&(b.cost_us, &b.upstream)));
     candidates.dedup_by(|a, b| a.upstream == b.upstream);
@@ -246,15 +250,18 @@
 /// Returns the upstreams whose costs are compared.
 ///
 /// In a large pool these are the hinted ones, two selected by hash, and the
-/// least loaded one in case those selected by hash are full. For a stream that
-/// has begun, they are the least loaded ones that fit it.
+/// least loaded one in case those selected by hash are full. In a large fleet
+/// the least loaded one is left out, because all VMs would choose it before
+/// they know of each other's calls. For a stream that has begun, they are the
+/// least loaded ones that fit it.
 fn candidate_names<'a>(
     tick: &Tick<'_>,
     pool: &'a Pool,
     waiting: &QueuedCall,
     hints: &[(&'a UpstreamName, u64)],
 ) -> SmallVec<[&'a UpstreamName; MAX_COMPARED_UPSTREAMS]> {
-    if pool.upstreams.len() <= MAX_COMPARED_UPSTREAMS {
+    let is_large_fleet = claims::is_large_fleet(tick);
+    if pool.upstreams.len() <= MAX_COMPARED_UPSTREAMS && !is_large_fleet {
         return pool.available.iter().map(|(_, name)| name).collect();
     }
     if waiting.place.origin.is_some() {
@@ -274,7 +281,9 @@
             compared.push(name);
         }
     }
-    compared.extend(pool.available.first().map(|(_, name)| name));
+    if !is_large_fleet {
+        compared.extend(pool.available.first().map(|(_, name)| name));
+    }
     compared
 }
 
