Share free places between VMs, and learn speeds from all of them

Cause: VMs act on loads up to 300 ms old, so all take a free place at once; each VM learned the speed of an upstream from its own few calls.

Change: in fleets of more than 16 VMs, a VM places at most its share of the places of an upstream that are free or become free in 300 ms (claims.rs). VMs that are not heard keep their part of each limit. Silent VMs are counted before their calls are removed; before, an isolated VM saw all places free. A rejection as full counts the places of the upstream as taken for 300 ms, or 20 ms if no other upstream of the pool is ready. VMs report totals of calls by upstream, at most four rows a summary; short and long-term means over all VMs replace the means of own calls (speeds.rs, tables/speed.rs).

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -102,6 +102,11 @@
         systems::peers::snapshot(&self.tables, now_us, with_programs)
     }
 
+    /// Returns the number of upstreams that are far slower than their pools at present.
+    pub fn slow_upstreams(&self, now_us: u64) -> usize {
+        systems::placement::count_slow(&self.tables, now_us)
+    }
+
     /// Returns the tables, read-only.
     pub fn tables(&self) -> &Tables {
         &self.tables
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -5,8 +5,9 @@
 
 use super::format::runners_up_text;
 use super::{
-    CloseReason, CrashEvidence, Execution, LimitSource, LinkDecision, MembershipDecision,
-    OrderAction, OriginEvidence, PlacementReason, RefusalKind, RetryReason, TakeoverSource,
+    CapacityDecision, CloseReason, CrashEvidence, Execution, LimitSource, LinkDecision,
+    MembershipDecision, OrderAction, OriginEvidence, PlacementReason, RefusalKind, RetryReason,
+    TakeoverSource,
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, FencingToken, Incarnation, ProgramKey, Revision,
@@ -242,6 +243,10 @@
     #[from]
     #[display("links: {_0}")]
     Links(LinkDecision),
+    /// A decision about the places of upstreams.
+    #[from]
+    #[display("{_0}")]
+    Capacity(CapacityDecision),
     /// A content was quarantined: no VM runs it for a time.
     #[display("retry: content {digest} quarantined for {for_ms} ms after {crashes} crashes")]
     Quarantined {
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -1,5 +1,6 @@
 //! Outputs of the core: what the process around it has to do.
 
+mod capacity_decision;
 mod charge;
 mod decision;
 mod format;
@@ -10,6 +11,7 @@
 mod refusal;
 mod source;
 
+pub use capacity_decision::CapacityDecision;
 pub use charge::{Charge, ChargeOutcome};
 pub use decision::Decision;
 pub use link_decision::LinkDecision;
--- a/crates/core/src/systems/outcomes/ejection.rs
+++ b/crates/core/src/systems/outcomes/ejection.rs
@@ -2,8 +2,8 @@
 
 use super::super::{Tick, placement};
 use crate::ids::UpstreamName;
-use crate::output::Decision;
-use crate::tables::Timer;
+use crate::output::{CapacityDecision, Decision};
+use crate::tables::{Pool, Timer};
 
 /// Counts a failure of an upstream and ejects it after too many consecutive ones.
 pub(crate) fn record_failure(tick: &mut Tick<'_>, upstream: &UpstreamName) {
@@ -26,15 +26,38 @@
 
 /// Sends no calls to a full upstream until some of its calls may have ended.
 pub(crate) fn back_off_full(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let is_only = is_only_ready(tick, upstream);
     let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
         return;
     };
-    let until_us = row.health.back_off_full(tick.now_us);
+    let until_us = row.health.back_off_full(tick.now_us, is_only);
     let timer = Timer::UpstreamReady(upstream.clone());
     tick.tables.timers.set(until_us, timer);
+    tick.log(CapacityDecision::UpstreamFull {
+        upstream: upstream.clone(),
+        for_ms: (until_us - tick.now_us) / 1_000,
+    });
     placement::refresh_availability(tick, upstream);
 }
 
+/// Returns whether a pool of an upstream has no other one that is ready and not full.
+fn is_only_ready(tick: &Tick<'_>, upstream: &UpstreamName) -> bool {
+    let tables = &*tick.tables;
+    let is_ready = |name: &UpstreamName| {
+        let row = tables.upstreams.get(name);
+        row.is_some_and(|row| row.is_usable(tick.now_us) && tick.now_us >= row.health.full_until_us)
+    };
+    let Some(row) = tables.upstreams.get(upstream) else {
+        return false;
+    };
+    let mut pools = row.pools.iter().filter_map(|key| tables.pools.get(key));
+    let has_other = |pool: &Pool| {
+        let mut names = pool.upstreams.iter();
+        names.any(|name| name != upstream && is_ready(name))
+    };
+    pools.any(|pool| !has_other(pool))
+}
+
 /// Sends no calls to an upstream during its backoff.
 pub(super) fn back_off(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
--- a/crates/core/src/systems/peers/group.rs
+++ b/crates/core/src/systems/peers/group.rs
@@ -25,8 +25,13 @@
             newly_silent.push(vm.clone());
         }
     }
-    for vm in newly_silent {
-        mark_silent(tick, &vm);
+    for vm in &newly_silent {
+        mark_silent(tick, vm);
+    }
+    // Before the calls of silent VMs are removed, so that their part of the places is left to them.
+    update_counts(tick);
+    for vm in &newly_silent {
+        replace_running(tick, vm, Vec::new());
     }
     for vm in expired {
         tick.tables.peering.peers.remove(&vm);
@@ -35,7 +40,7 @@
     update_counts(tick);
 }
 
-/// Marks a VM as silent and removes its running calls.
+/// Marks a VM as silent.
 fn mark_silent(tick: &mut Tick<'_>, vm: &VmName) {
     let now_us = tick.now_us;
     let Some(peer) = tick.tables.peering.peers.get_mut(vm) else {
@@ -47,7 +52,6 @@
         vm: vm.clone(),
         silent_ms,
     });
-    replace_running(tick, vm, Vec::new());
 }
 
 /// Replaces the number of calls that another VM runs on each upstream.
@@ -92,6 +96,7 @@
     (peering.known_vms, peering.reachable_vms, peering.rank) = (known_vms, reachable_vms, rank);
     if peering.usable_fraction() != previous {
         rates::rescale_buckets(tick);
+        placement::schedule_shared_places(tick);
         let (reachable_vms, known_vms) = tick.tables.peering.usable_fraction();
         tick.log(Decision::ReachableVmsChanged {
             reachable_vms,
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -1,6 +1,6 @@
 //! Applies summaries and snapshots of other VMs.
 
-use super::super::{Tick, budgets, config, outcomes, rates};
+use super::super::{Tick, budgets, config, outcomes, placement, rates};
 use super::{group, request_snapshot};
 use crate::ids::VmName;
 use crate::input::{PeerEvent, RegisteredVm};
@@ -48,6 +48,7 @@
         rates::record_limit(tick, limit.clone(), LimitSource::Peer);
     }
     record_admitted(tick, &summary);
+    placement::apply_reports(tick, &vm, summary.reports);
     group::replace_running(tick, &vm, summary.running);
     for program in &summary.programs {
         budgets::merge_use(tick, &vm, summary.incarnation, program);
@@ -85,6 +86,7 @@
         peer.round = 0;
         peer.acked_round = 0;
         peer.admitted = Default::default();
+        peer.reports = Default::default();
     } else if summary.round <= peer.round {
         return false;
     }
@@ -97,6 +99,7 @@
     peer.revision = summary.revision;
     peer.list = summary.list;
     peer.uses_limited = summary.uses_limited;
+    peer.demand.clone_from(&summary.demand);
     if let Some(contact) = &summary.contact {
         peer.failure_domain = Some(contact.failure_domain.clone());
         peer.tunnel_address = Some(contact.address.as_str().into());
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use super::super::Tick;
+use super::super::{Tick, placement};
 use crate::config::CoreSettings;
 use crate::ids::VmName;
 use crate::input::UpstreamList;
 use crate::message::{
-    ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck, TunnelContact,
+    PoolDemand, ProgramSpent, ProgramUse, Snapshot, StatedLimit, Summary, SummaryAck, TunnelContact,
 };
 use crate::output::Output;
 use crate::tables::{Link, Peer, ProgramKnowledge, RateKey, Tables};
@@ -28,7 +28,8 @@
 pub(super) fn send_summaries(tick: &mut Tick<'_>) {
     let now_us = tick.now_us;
     let round = tick.tables.peering.start_round(now_us);
-    let common = common_summary(tick.settings, tick.tables, now_us);
+    let mut common = common_summary(tick.settings, tick.tables, now_us);
+    common.reports = placement::take_reports(tick.tables, now_us);
     defer_overflow(tick.tables, round);
     let tables = &*tick.tables;
     let mut known: Vec<&str> = Vec::new();
@@ -105,12 +106,24 @@
             .map(|(name, _)| name.clone())
             .collect(),
         placed: Vec::new(),
-        demand: Vec::new(),
+        demand: pool_demand(tables),
         reports: Vec::new(),
         paces: Vec::new(),
     }
 }
 
+/// Returns the waiting calls of each pool that has any; all of them count as timely.
+fn pool_demand(tables: &Tables) -> Vec<PoolDemand> {
+    let pools = tables.pools.iter();
+    let waiting = pools.filter(|(_, pool)| !pool.queue.is_empty());
+    let demand = waiting.map(|(key, pool)| PoolDemand {
+        pool: key.clone(),
+        timely_calls: pool.queue.len() as u32,
+        late_calls: 0,
+    });
+    demand.collect()
+}
+
 /// Adds the rows that one VM has not acknowledged yet.
 fn peer_summary(
     (settings, now_us): (&CoreSettings, u64),
--- a/crates/core/src/systems/placement/availability.rs
+++ b/crates/core/src/systems/placement/availability.rs
@@ -1,7 +1,7 @@
 //! Tracks which upstreams of each pool have room and assigns waiting calls to them.
 
 use super::super::{Tick, links, rates};
-use super::{owner, queue_order};
+use super::{claims, owner, queue_order};
 use crate::ids::{ContentDigest, PoolKey, UpstreamName};
 use crate::tables::QueuedCall;
 
@@ -9,13 +9,17 @@
 pub(crate) fn refresh_availability(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let is_learned = tick.settings.policy.learned_limit;
     let may_send = rates::may_send(tick, upstream) && links::can_reach(tick, upstream);
+    let Some(row) = tick.tables.upstreams.get(upstream) else {
+        return;
+    };
+    let room_calls = claims::room_calls(tick, upstream, row);
     let tables = &mut *tick.tables;
     let Some(row) = tables.upstreams.get_mut(upstream) else {
         return;
     };
     let limit_calls = u64::from(row.limit_calls(is_learned).max(1));
     let load_permille = u64::from(row.running_calls()) * 1_000 / limit_calls;
-    let is_open = may_send && row.has_room(tick.now_us, is_learned);
+    let is_open = may_send && row.has_room(tick.now_us, room_calls);
     let open_load_permille = is_open.then_some(load_permille);
     if open_load_permille == row.open_load_permille {
         return;
--- a/crates/core/src/systems/placement/limits.rs
+++ b/crates/core/src/systems/placement/limits.rs
@@ -1,11 +1,11 @@
 //! Load, speed and concurrency limits of upstreams, as measured by the pool owner.
 
 use super::super::Tick;
-use super::availability;
+use super::{availability, speeds};
 use crate::ids::UpstreamName;
 use crate::message::Finish;
 use crate::output::Decision;
-use crate::tables::{LimitReason, RunningAttempt};
+use crate::tables::{LimitReason, RunningAttempt, SpeedSample};
 
 /// Shortest prefill that counts as a speed sample; shorter ones mostly measure the network.
 const MIN_PREFILL_SAMPLE_TOKENS: u64 = 500;
@@ -41,11 +41,17 @@
         return;
     };
     row.mean_call_us = (row.mean_call_us * 15 + finish.total_us) / 16;
+    let mut sample = SpeedSample {
+        calls: 1,
+        busy_us: finish.total_us,
+        ..SpeedSample::default()
+    };
     let read_tokens = finish.prompt_tokens.saturating_sub(finish.cached_tokens);
     if read_tokens >= MIN_PREFILL_SAMPLE_TOKENS && finish.first_token_us > 0 {
         let read_us = finish
             .first_token_us
             .saturating_sub(running.prefill_wait_us);
+        (sample.read_tokens, sample.read_us) = (read_tokens, read_us);
         let ns_per_token = read_us * 1_000 / read_tokens;
         // The prefill wait is an estimate, so a sample may be far too high.
         let ns_per_token = ns_per_token.clamp(
@@ -54,9 +60,13 @@
         );
         row.prefill_ns_per_token = ((row.prefill_ns_per_token * 31 + ns_per_token) / 32).max(100);
     }
+    speeds::record_own(tick, &finish.upstream, sample);
     if finish.answer_tokens < MIN_DECODE_SAMPLE_TOKENS {
         return;
     }
+    let Some(row) = tick.tables.upstreams.get_mut(&finish.upstream) else {
+        return;
+    };
     let decode_us = finish.total_us.saturating_sub(finish.first_token_us);
     let token_us = decode_us / finish.answer_tokens;
     let from_calls = row.limit.calls;
--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -17,13 +17,16 @@
 mod reachability;
 mod reconfigure;
 mod selection;
+mod speeds;
 mod stated_rates;
 
 pub(crate) use availability::{refresh_and_assign, refresh_availability, requeue_held_everywhere};
+pub(crate) use claims::schedule_period as schedule_shared_places;
 pub(crate) use finish::{end_attempt, resend_finish};
 pub(crate) use hints::record_cached_prefix;
 pub(crate) use origins::refuse_stranded;
 pub(crate) use reachability::refuse_unreachable;
+pub(crate) use speeds::{apply_reports, count_slow, take_reports};
 
 use super::{Sender, Tick};
 use crate::ids::{CallId, UpstreamName};
@@ -84,6 +87,7 @@
         Timer::QueueAge(pool, attempt) => owner::requeue_aged(tick, &pool, attempt),
         Timer::RunningCheck(attempt) => owner::check_running(tick, attempt),
         Timer::UpstreamReady(upstream) => refresh_and_assign(tick, &upstream),
+        Timer::PlacesShared => claims::begin_period(tick),
         Timer::PlacementHistoryIdle(program) => hints::expire_history(tick, program),
         _ => {}
     }
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -4,7 +4,9 @@
 
 use super::super::{Sender, Tick, links, outcomes, rates};
 use super::selection::{self, SelectedUpstream, Selection};
-use super::{availability, exclusive, hints, limits, origins, queue_order, stated_rates};
+use super::{
+    availability, claims, exclusive, hints, limits, origins, queue_order, speeds, stated_rates,
+};
 use crate::config::UpstreamChoice;
 use crate::ids::{AttemptId, PoolKey};
 use crate::message::{AttemptResult, Finish, Place, PlacementMessage};
@@ -126,6 +128,13 @@
     if row.available.is_empty() || row.queue.is_empty() {
         return false;
     }
+    let share = claims::share(tick, pool);
+    if !claims::has_place(tick, pool, share) {
+        return false;
+    }
+    let Some(row) = tick.tables.pools.get(pool) else {
+        return false;
+    };
     let placeable = |waiting: &QueuedCall| !selection::waits_for_version(tick, row, waiting);
     let order = queue_order::lane_order(tick);
     for attempt in row.queue.candidates(order, placeable) {
@@ -136,7 +145,7 @@
         let Some(waiting) = row.and_then(|row| row.queue.get(&attempt)) else {
             continue;
         };
-        let selection = selection::select_upstream(tick, pool, waiting);
+        let selection = selection::select_upstream(tick, pool, waiting, share);
         if matches!(selection, Selection::Wait) {
             continue;
         }
@@ -208,6 +217,7 @@
     let booked_service = book_service(tick, &place, chosen.cached_tokens);
     let mut prefill_wait_us = 0;
     rates::take_upstream_call(tick, &chosen.upstream);
+    claims::count_placed(tick, &place.pool, &chosen.upstream);
     if let Some(row) = tick.tables.upstreams.get_mut(&chosen.upstream) {
         row.attempts.insert(attempt);
         row.has_exclusive_call |= is_exclusive;
@@ -381,7 +391,10 @@
         AttemptResult::Failed => outcomes::record_failure(tick, &finish.upstream),
         AttemptResult::NotConnected => outcomes::record_connection_refused(tick, &finish.upstream),
         AttemptResult::Lost => outcomes::record_lost_connection(tick, finish.attempt, running),
-        AttemptResult::Full => outcomes::back_off_full(tick, &finish.upstream),
+        AttemptResult::Full => {
+            speeds::record_rejection(tick, &finish.upstream);
+            outcomes::back_off_full(tick, &finish.upstream);
+        }
         AttemptResult::Unused => {}
         AttemptResult::Unreachable => outcomes::record_unreachable(tick, &finish.upstream),
         AttemptResult::Silent => outcomes::record_silence(tick, &finish.upstream),
--- a/crates/core/src/systems/placement/reconfigure.rs
+++ b/crates/core/src/systems/placement/reconfigure.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::super::{Sender, Tick, outcomes};
-use super::{availability, entry, finish, origins, owner};
+use super::{availability, entry, finish, origins, owner, speeds};
 use crate::ids::{AttemptId, CallId, PoolKey, UpstreamName, VmName};
 use crate::message::{InFlight, PlacementMessage};
 use crate::tables::{RunningAttempt, Stage};
@@ -14,6 +14,7 @@
 /// Rebuilds the sets of available upstreams after the upstreams of pools have changed.
 pub(super) fn apply_config(tick: &mut Tick<'_>) {
     let tables = &mut *tick.tables;
+    speeds::forget_unlisted(tables);
     for (_, row) in tables.upstreams.iter_mut() {
         row.pools.clear();
         row.open_load_permille = None;
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -3,7 +3,8 @@
 use smallvec::SmallVec;
 
 use super::super::{Tick, rates};
-use super::{claims, hints, origins};
+use super::claims::{self, Share};
+use super::{hints, origins, speeds};
 use crate::config::UpstreamChoice;
 use crate::ids::{PoolKey, UpstreamName};
 use crate::output::{PlacementReason, RefusalKind};
@@ -59,7 +60,12 @@
 }
 
 /// Selects an upstream with room for a call by the configured policy.
-pub(super) fn select_upstream(tick: &Tick<'_>, key: &PoolKey, waiting: &QueuedCall) -> Selection {
+pub(super) fn select_upstream(
+    tick: &Tick<'_>,
+    key: &PoolKey,
+    waiting: &QueuedCall,
+    share: Option<Share>,
+) -> Selection {
     let Some(pool) = tick.tables.pools.get(key) else {
         return Selection::Wait;
     };
@@ -72,7 +78,8 @@
     let ignores_avoid = avoids_all(tick, pool, waiting);
     let is_allowed = |name: &UpstreamName| {
         let is_avoided = waiting.place.avoid.contains(name);
-        (ignores_avoid || !is_avoided) && origins::fits(tick, &waiting.place, name)
+        let is_claimable = share.is_none_or(|share| share.allows(tick, name));
+        (ignores_avoid || !is_avoided) && is_claimable && origins::fits(tick, &waiting.place, name)
     };
     match tick.settings.policy.upstream_choice {
         UpstreamChoice::RoundRobin => select_round_robin(tick, pool, is_allowed),
@@ -216,7 +223,7 @@
     let compared = candidate_names(tick, pool, waiting, &hints);
     let mut candidates: SmallVec<[Candidate; MAX_COMPARED_UPSTREAMS]> =
         compared.into_iter().filter_map(candidate).collect();
-    if candidates.is_empty() && claims::is_large_fleet(tick) {
+    if candidates.is_empty() {
         let mut least_loaded = pool.available.iter().map(|(_, name)| name);
         candidates.extend(least_loaded.find_map(candidate));
     }
@@ -297,7 +304,8 @@
     let limit_calls = row.limit_calls(tick.settings.policy.learned_limit).max(1);
     let wait_us = row.prefill_until_us.saturating_sub(tick.now_us);
     // A fuller batch decodes more slowly; a full one about doubles the time of a call.
-    let batch_us = row.mean_call_us * u64::from(row.running_calls()) / u64::from(limit_calls) / 2;
+    let mean_call_us = speeds::mean_call_us(tick, &row.config.name, row);
+    let batch_us = mean_call_us * u64::from(row.running_calls()) / u64::from(limit_calls) / 2;
     let read_tokens = waiting.place.prompt_tokens.saturating_sub(cached_tokens);
     let domain = row.config.failure_domain.as_ref();
     let is_cross_domain = domain.is_some_and(|domain| *domain != tick.settings.failure_domain);
@@ -306,12 +314,17 @@
     } else {
         0
     };
-    wait_us + batch_us + cross_domain_us + PREFILL_WEIGHT * prefill_us(row, read_tokens)
+    let slow_us = speeds::slowness_us(tick, row);
+    wait_us
+        + batch_us
+        + slow_us
+        + cross_domain_us
+        + PREFILL_WEIGHT * prefill_us(tick, row, read_tokens)
 }
 
 /// Returns the prefill time of prompt tokens.
-fn prefill_us(row: &Upstream, tokens: u64) -> u64 {
-    tokens * row.prefill_ns_per_token / 1_000
+fn prefill_us(tick: &Tick<'_>, row: &Upstream, tokens: u64) -> u64 {
+    tokens * speeds::prefill_ns_per_token(tick, &row.config.name, row) / 1_000
 }
 
 /// Returns whether a call should wait for a full upstream that has its prefix cached.
@@ -336,9 +349,9 @@
         if waiting.place.avoid.contains(name) || rates::is_limited(tick, name) {
             return false;
         }
-        let saved_us = PREFILL_WEIGHT * prefill_us(row, *cached_tokens);
+        let saved_us = PREFILL_WEIGHT * prefill_us(tick, row, *cached_tokens);
         let limit_calls = row.limit_calls(tick.settings.policy.learned_limit).max(1);
-        let free_us = row.mean_call_us / u64::from(limit_calls);
+        let free_us = speeds::mean_call_us(tick, name, row) / u64::from(limit_calls);
         waited_us < saved_us
             && estimate_cost_us(tick, row, waiting, *cached_tokens) + free_us < best_us
     })
--- a/crates/core/src/systems/placement/stated_rates.rs
+++ b/crates/core/src/systems/placement/stated_rates.rs
@@ -5,7 +5,7 @@
 //! come back in time.
 
 use super::super::{Tick, rates};
-use super::{availability, owner};
+use super::{availability, owner, speeds};
 use crate::ids::{AttemptId, PoolKey, UpstreamName};
 use crate::message::Place;
 use crate::output::RefusalKind;
@@ -114,7 +114,8 @@
 /// full, in thousandths of a call per second.
 fn expected_throughput(tick: &Tick<'_>, row: &Upstream) -> u64 {
     let calls = u64::from(row.limit_calls(tick.settings.policy.learned_limit));
-    let rate_mcalls_per_s = calls * US_PER_CALL_AT_MCALL / row.mean_call_us.max(1);
+    let mean_call_us = speeds::mean_call_us(tick, &row.config.name, row);
+    let rate_mcalls_per_s = calls * US_PER_CALL_AT_MCALL / mean_call_us.max(1);
     rate_mcalls_per_s / (1 + tick.tables.peering.competing_vms)
 }
 
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -32,6 +32,7 @@
             | Timer::QueueAge(..)
             | Timer::RunningCheck(_)
             | Timer::UpstreamReady(_)
+            | Timer::PlacesShared
             | Timer::PlacementHistoryIdle(_) => work.placement.due_timers.push(timer),
             Timer::CrashDecision(_)
             | Timer::NoticeExpiry(_)
--- a/crates/core/src/tables/health.rs
+++ b/crates/core/src/tables/health.rs
@@ -18,8 +18,12 @@
 /// Time for which a crash counts as recent; longer than any call lasts.
 const CRASH_RETENTION_US: u64 = 10_000_000;
 
-/// Backoff after the upstream refused a call because it was full.
-const FULL_BACKOFF_US: u64 = 20_000;
+/// Backoff after the upstream refused a call because it was full: until other VMs have reported
+/// the load that filled it.
+const FULL_BACKOFF_US: u64 = 300_000;
+
+/// The same if no other upstream of its pool is ready, so that one refusal does not stop the pool.
+const ONLY_FULL_BACKOFF_US: u64 = 20_000;
 
 /// Health of an upstream, as seen by the owner of its pool.
 #[derive(Debug, Clone, Default)]
@@ -32,8 +36,10 @@
     ejections: u32,
     /// End of the ejection; in the past if the upstream is not ejected.
     pub ejected_until_us: u64,
-    /// End of the backoff after a crash, a failed connection or a refusal because it was full.
+    /// End of the backoff after a crash or a failed connection.
     pub backoff_until_us: u64,
+    /// Time until which its places count as taken, after a refusal because it was full.
+    pub full_until_us: u64,
     /// Time of the last crash or refused connection; 0 if there was none.
     pub last_crash_us: u64,
     /// Prefixes that were cached before this time are lost.
@@ -69,10 +75,15 @@
         self.backoff_until_us = self.backoff_until_us.min(now_us);
     }
 
-    /// Starts a backoff because the upstream was full and returns its end.
-    pub fn back_off_full(&mut self, now_us: u64) -> u64 {
-        self.backoff_until_us = self.backoff_until_us.max(now_us + FULL_BACKOFF_US);
-        self.backoff_until_us
+    /// Counts the places of the upstream as taken because it was full; returns the end.
+    pub fn back_off_full(&mut self, now_us: u64, is_only: bool) -> u64 {
+        let backoff_us = if is_only {
+            ONLY_FULL_BACKOFF_US
+        } else {
+            FULL_BACKOFF_US
+        };
+        self.full_until_us = self.full_until_us.max(now_us + backoff_us);
+        self.full_until_us
     }
 
     /// Records a success.
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -25,6 +25,7 @@
 mod retry;
 mod share;
 mod source;
+mod speed;
 mod suspect;
 mod table;
 mod takeover;
@@ -63,10 +64,11 @@
 pub use retry::RetryBudget;
 pub use share::{HeldGrant, Meter, Share};
 pub use source::{MAX_READ_GAP_US, ProgramKnowledge, ReadState, Source};
+pub use speed::{Speed, SpeedMeans, SpeedSample};
 pub use suspect::{Quarantine, Suspect};
 pub use table::Table;
 pub use timers::{Timer, Timers};
-pub use upstream::{LeavingNotice, RunningAttempt, Upstream};
+pub use upstream::{LeavingNotice, PeriodCount, RunningAttempt, Upstream};
 pub use upstream_rate::UpstreamRate;
 pub use versions::{STREAM_LIFE_US, SeenVersions};
 pub(crate) use view::hash_name;
@@ -113,6 +115,8 @@
     pub leaving_notices: Table<UpstreamName, LeavingNotice>,
     /// Rates that upstreams have stated in responses, for all VMs together.
     pub upstream_rates: Table<UpstreamName, UpstreamRate>,
+    /// Speeds of upstreams, as the calls of all VMs show them.
+    pub speeds: Table<UpstreamName, Speed>,
     /// Software versions that the upstreams of services have had lately.
     pub seen_versions: Table<ServiceName, SeenVersions>,
     /// Orders to the engines of services, for those services whose orders this VM owns.
--- a/crates/core/src/tables/peer.rs
+++ b/crates/core/src/tables/peer.rs
@@ -5,7 +5,7 @@
 
 use super::{Sharing, Table};
 use crate::ids::{AccountName, DomainName, Incarnation, Revision, UpstreamName, VmName};
-use crate::message::ListVersion;
+use crate::message::{ListVersion, PoolDemand, UpstreamReport};
 
 /// Rounds of summaries whose sending time is kept.
 const MAX_SENT_ROUNDS: usize = 64;
@@ -44,6 +44,10 @@
     pub list: ListVersion,
     /// Number of its calls on each upstream.
     pub running: Vec<(UpstreamName, u32)>,
+    /// Its calls that wait for an upstream, by pool.
+    pub demand: Vec<PoolDemand>,
+    /// Its last totals of its calls, by upstream.
+    pub reports: Table<UpstreamName, UpstreamReport>,
     /// Total of calls that it has admitted against each rate.
     pub admitted: Table<RateKey, u64>,
     /// Whether it had calls lately for upstreams that are limited.
@@ -75,6 +79,8 @@
             revision: Revision::default(),
             list: ListVersion::default(),
             running: Vec::new(),
+            demand: Vec::new(),
+            reports: Table::default(),
             admitted: Table::default(),
             uses_limited: false,
             failure_domain: None,
--- a/crates/core/src/tables/pool.rs
+++ b/crates/core/src/tables/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::{Queue, QueuedCall, RetryBudget};
+use super::{PeriodCount, Queue, QueuedCall, RetryBudget, SpeedMeans};
 use crate::ids::{AttemptId, ContentDigest, UpstreamName};
 
 /// The upstreams of one service and model, with their queue.
@@ -27,6 +27,14 @@
     pub retry_budget: RetryBudget,
     /// Moving average of the tokens of a response.
     pub mean_answer_tokens: u64,
+    /// Speed of its upstreams, all together.
+    pub speed: SpeedMeans,
+    /// Calls that this VM has placed in the current period of shared places.
+    pub placed: PeriodCount,
+    /// Calls that wait because this VM's share of the places is used up.
+    pub claim_waiting_calls: usize,
+    /// Time of the last log line about a used-up share of the places.
+    pub claim_logged_us: u64,
     /// Index of the next upstream for round-robin placement.
     pub next_round_robin: usize,
 }
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -58,6 +58,8 @@
     pub hint_accuracy_percent: u64,
     /// Moving average of the time that a call runs on it.
     pub mean_call_us: u64,
+    /// Calls that this VM has placed on it in the current period of shared places.
+    pub placed: PeriodCount,
     /// Load with which it stands in the `available` sets of its pools; `None` if it has no room.
     pub open_load_permille: Option<u64>,
 }
@@ -83,6 +85,7 @@
             prefill_ns_per_token: INITIAL_PREFILL_NS_PER_TOKEN,
             hint_accuracy_percent: INITIAL_HINT_ACCURACY_PERCENT,
             mean_call_us: 1_000_000,
+            placed: PeriodCount::default(),
             open_load_permille: None,
             config,
         }
@@ -137,11 +140,32 @@
         origin.is_none_or(|origin| origin.version == self.config.software_version)
     }
 
-    /// Returns whether it may get one more call now.
-    pub fn has_room(&self, now_us: u64, is_learned: bool) -> bool {
+    /// Returns whether it may get one more call now, with a limit of its concurrent calls.
+    pub fn has_room(&self, now_us: u64, limit_calls: u32) -> bool {
         self.is_usable(now_us)
+            && now_us >= self.health.full_until_us
             && !self.has_exclusive_call
-            && self.running_calls() < self.limit_calls(is_learned)
+            && self.running_calls() < limit_calls
+    }
+}
+
+/// A count of calls that starts anew in each period.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct PeriodCount {
+    period: u64,
+    calls: u32,
+}
+
+impl PeriodCount {
+    /// Returns the calls that were counted in a period, the current one.
+    pub fn in_period(&self, period: u64) -> u32 {
+        if self.period == period { self.calls } else { 0 }
+    }
+
+    /// Counts a call in a period, the current one.
+    pub fn count(&mut self, period: u64) {
+        self.calls = self.in_period(period) + 1;
+        self.period = period;
     }
 }
 
--- a/crates/core/tests/shared_places.rs
+++ b/crates/core/tests/shared_places.rs
@@ -122,3 +122,82 @@
     );
     assert!(outcome.rejections * 100 < outcome.arrivals);
 }
+
+/// Guards against a restarted VM that takes places before it knows the loads of the others.
+#[rstest]
+fn restarted_vm() {
+    let mut relays = start(80, 1);
+    send_calls(&mut relays, 80, 130, LEARN_MS);
+    for vm in 0..8 {
+        relays.kill(vm);
+        relays.restart(vm);
+    }
+    let restarted_us = relays.now_us();
+    let outcome = run_load(&mut relays, 80, 130);
+    println!("restart: {} of {}", outcome.rejections, outcome.arrivals);
+    assert!(outcome.rejections * 100 < outcome.arrivals);
+    let runs = relays.runs.iter().filter(|run| run.at_us > restarted_us);
+    assert!(runs.filter(|run| run.vm < 8).count() > 100);
+}
+
+/// Guards against calls that wait for a share of places which no other VM wants.
+#[rstest]
+#[case(8)]
+#[case(80)]
+fn lone_burst(#[case] vms: usize) {
+    let mut relays = start(vms, 1);
+    for _ in 0..200 {
+        relays.call(3, RelayCall::tool("bus"));
+    }
+    assert_eq!(relays.runs.len(), 200);
+}
+
+/// Guards against claims that leave places of a small fleet idle, where placement is unchanged.
+#[rstest]
+fn small_fleet() {
+    let mut relays = start(8, 1);
+    send_calls(&mut relays, 8, 130, LEARN_MS);
+    let outcome = run_load(&mut relays, 8, 130);
+    println!(
+        "8 VMs: {} of {} rejected, {} of 1000 answered",
+        outcome.rejections, outcome.arrivals, outcome.answered_permille
+    );
+    assert!(outcome.answered_permille >= least_answered_permille(130));
+}
+
+/// Returns the runs on the first six engines, in thousandths of all runs during a load.
+fn first_six_permille(relays: &mut RelayFleet) -> usize {
+    let before = relays.runs.len();
+    send_calls(relays, 80, 60, 2_000);
+    let runs = &relays.runs[before..];
+    let first = runs.iter().filter(|run| run.upstream.as_str() < "tool-06");
+    first.count() * 1_000 / runs.len()
+}
+
+/// Guards against engines that keep their part of the calls while they are slow, or that get none
+/// when they are sound again.
+#[rstest]
+fn slow_engines() {
+    let mut relays = start(80, 1);
+    send_calls(&mut relays, 80, 60, LEARN_MS);
+    let set_percent = |relays: &mut RelayFleet, time_percent: u64| {
+        for name in (0..6).map(|at| format!("tool-{at:02}")) {
+            let sound = UpstreamCapacity::new(RUNNING_CALLS, 24);
+            let capacity = UpstreamCapacity {
+                time_percent,
+                ..sound
+            };
+            relays.capacities.set(&name, capacity);
+        }
+    };
+    let sound = first_six_permille(&mut relays);
+    set_percent(&mut relays, 250);
+    send_calls(&mut relays, 80, 60, 1_000);
+    let slow = first_six_permille(&mut relays);
+    set_percent(&mut relays, 100);
+    send_calls(&mut relays, 80, 60, 3_000);
+    let back = first_six_permille(&mut relays);
+    println!("slow engines: {sound}, {slow}, {back} of 1000");
+    assert!(slow * 2 < sound, "{slow} of {sound}");
+    assert!(back * 10 > sound * 7, "{back} of {sound}");
+}
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use knapweeddale_core::output::LinkDecision;
+use knapweeddale_core::output::{CapacityDecision, LinkDecision};
 use knapweeddale_core::tables::Link;
 use knapweeddale_core::{Control, Decision, RefusalKind};
 use knapweeddale_runtime::{gauge_value, register};
@@ -50,6 +50,9 @@
     revision: IntGauge,
     sharing_vms: IntGaugeVec,
     limited_upstreams: IntGauge,
+    slow_upstreams: IntGauge,
+    claim_waiting_calls: IntGauge,
+    full_rejections: IntCounter,
     lost_links: IntGauge,
     cut_off: IntGauge,
     tunnels: IntCounterVec,
@@ -151,6 +154,18 @@
                 "kwd_limited_upstreams",
                 "Upstreams that state a rate for all VMs together.",
             )?,
+            slow_upstreams: gauge(
+                "kwd_slow_upstreams",
+                "Upstreams whose calls take over twice the mean of their pool.",
+            )?,
+            claim_waiting_calls: gauge(
+                "kwd_claim_waiting_calls",
+                "Calls that wait because this VM's share of the places is used up.",
+            )?,
+            full_rejections: counter(
+                "kwd_full_rejections_total",
+                "Attempts that upstreams rejected because they were full.",
+            )?,
             lost_links: gauge(
                 "kwd_lost_links",
                 "Upstreams that only other VMs reach, as far as known.",
@@ -290,6 +305,9 @@
                 let reason = reason.label();
                 self.placements.with_label_values(&[reason]).inc();
             }
+            Decision::Capacity(CapacityDecision::UpstreamFull { .. }) => {
+                self.full_rejections.inc();
+            }
             Decision::Links(LinkDecision::Proxied { .. }) => self.proxied.inc(),
             Decision::Retry { .. } => self.retries.with_label_values(&["retried"]).inc(),
             Decision::NoRetry { .. } => self.retries.with_label_values(&["ended"]).inc(),
@@ -349,6 +367,11 @@
         let limited = rates.filter(|(_, row)| row.limit_mcalls_per_s.is_some());
         self.limited_upstreams
             .set(gauge_value(limited.count() as u64));
+        let slow = control.slow_upstreams(now_us);
+        self.slow_upstreams.set(gauge_value(slow as u64));
+        let pools = tables.pools.iter();
+        let waiting: usize = pools.map(|(_, pool)| pool.claim_waiting_calls).sum();
+        self.claim_waiting_calls.set(gauge_value(waiting as u64));
         let links = tables.upstreams.iter();
         let lost = links.filter(|(_, row)| row.link != Link::Up).count();
         self.lost_links.set(gauge_value(lost as u64));
