--- a/crates/core/src/systems/peers/group.rs
+++ b/crates/core/src/systems/peers/group.rs
@@ -26,8 +26,13 @@
             newly_silent.push(vm.clone());
         }
     }
-    for vm in newly_silent {
-        mark_silent(tick, &vm);
+    for vm in &newly_silent {
+        mark_silent(tick, vm);
+    }
+    // Before the calls of silent VMs are removed, so that their part of the places is left to them.
+    update_counts(tick);
+    for vm in &newly_silent {
+        replace_running(tick, vm, Vec::new());
     }
     for vm in expired {
         tick.tables.peering.peers.remove(&vm);
@@ -36,7 +41,7 @@
     update_counts(tick);
 }
 
-/// Marks a VM as silent and removes its running calls.
+/// Marks a VM as silent.
 fn mark_silent(tick: &mut Tick<'_>, vm: &VmName) {
     let now_us = tick.now_us;
     let Some(peer) = tick.tables.peering.peers.get_mut(vm) else {
@@ -48,7 +53,6 @@
         vm: vm.clone(),
         silent_ms,
     });
-    replace_running(tick, vm, Vec::new());
     replace_demand(tick, vm, Vec::new());
 }
 
@@ -107,6 +111,7 @@
     let usable_fraction = peering.usable_fraction();
     if (usable_fraction, peering.upstream_sharing()) != previous {
         rates::rescale_buckets(tick);
+        placement::schedule_shared_places(tick);
     }
     if usable_fraction != previous.0 {
         let (reachable_vms, known_vms) = tick.tables.peering.usable_fraction();
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -1,6 +1,6 @@
 //! Applies summaries and snapshots of other VMs.
 
-use super::super::{Tick, budgets, config, outcomes, rates};
+use super::super::{Tick, budgets, config, outcomes, placement, rates};
 use super::{group, request_snapshot};
 use crate::ids::VmName;
 use crate::input::{PeerEvent, RegisteredVm};
@@ -72,6 +72,7 @@
     }
     record_admitted(tick, &summary);
     group::replace_demand(tick, &vm, summary.demand);
+    placement::apply_reports(tick, &vm, summary.reports);
     group::replace_running(tick, &vm, summary.running);
     for program in &summary.programs {
         budgets::merge_use(tick, &vm, summary.incarnation, program);
@@ -109,6 +110,7 @@
         peer.round = 0;
         peer.acked_round = 0;
         peer.admitted = Default::default();
+        peer.reports = Default::default();
     } else if summary.round <= peer.round {
         return false;
     }
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::super::Tick;
+use super::super::{Tick, placement};
 use crate::config::CoreSettings;
 use crate::ids::VmName;
 use crate::input::UpstreamList;
@@ -28,7 +28,8 @@
 pub(super) fn send_summaries(tick: &mut Tick<'_>) {
     let now_us = tick.now_us;
     let round = tick.tables.peering.start_round(now_us);
-    let common = common_summary(tick.settings, tick.tables, now_us);
+    let mut common = common_summary(tick.settings, tick.tables, now_us);
+    common.reports = placement::take_reports(tick.tables, now_us);
     defer_overflow(tick.tables, round);
     let tables = &*tick.tables;
     let mut known: Vec<&str> = Vec::new();
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -3,7 +3,8 @@
 use smallvec::SmallVec;
 
 use super::super::{Tick, rates};
-use super::{hints, origins};
+use super::claims::{self, Share};
+use super::{hints, origins, speeds};
 use crate::config::UpstreamChoice;
 use crate::ids::{PoolKey, UpstreamName};
 use crate::output::{PlacementReason, RefusalKind};
@@ -59,7 +60,12 @@
 }
 
 /// Selects an upstream with room for a call by the configured policy.
-pub(super) fn select_upstream(tick: &Tick<'_>, key: &PoolKey, waiting: &QueuedCall) -> Selection {
+pub(super) fn select_upstream(
+    tick: &Tick<'_>,
+    key: &PoolKey,
+    waiting: &QueuedCall,
+    share: Option<Share>,
+) -> Selection {
     let Some(pool) = tick.tables.pools.get(key) else {
         return Selection::Wait;
     };
@@ -72,7 +78,8 @@
     let ignores_avoid = avoids_all(tick, pool, waiting);
     let is_allowed = |name: &UpstreamName| {
         let is_avoided = waiting.place.avoid.contains(name);
-        (ignores_avoid || !is_avoided) && origins::fits(tick, &waiting.place, name)
+        let is_claimable = share.is_none_or(|share| share.allows(tick, name));
+        (ignores_avoid || !is_avoided) && is_claimable && origins::fits(tick, &waiting.place, name)
     };
     match tick.settings.policy.upstream_choice {
         UpstreamChoice::RoundRobin => select_round_robin(tick, pool, is_allowed),
@@ -201,20 +208,24 @@
         let hint = hints.iter().find(|(hinted, _)| *hinted == name);
         hint.map_or(0, |(_, tokens)| *tokens)
     };
-    let mut candidates: SmallVec<[Candidate; MAX_COMPARED_UPSTREAMS]> = SmallVec::new();
-    for name in candidate_names(tick, pool, waiting, &hints) {
-        let Some(row) = tick.tables.upstreams.get(name) else {
-            continue;
-        };
+    let candidate = |name: &UpstreamName| {
+        let row = tick.tables.upstreams.get(name)?;
         if row.open_load_permille.is_none() || !is_allowed(name) {
-            continue;
+            return None;
         }
         let cached_tokens = cached_on(name);
-        candidates.push(Candidate {
+        Some(Candidate {
             cost_us: estimate_cost_us(tick, row, waiting, cached_tokens),
             cached_tokens,
             upstream: name.clone(),
-        });
+        })
+    };
+    let compared = candidate_names(tick, pool, waiting, &hints);
+    let mut candidates: SmallVec<[Candidate; MAX_COMPARED_UPSTREAMS]> =
+        compared.into_iter().filter_map(candidate).collect();
+    if candidates.is_empty() {
+        let mut least_loaded = pool.available.iter().map(|(_, name)| name);
+        candidates.extend(least_loaded.find_map(candidate));
     }
     candidates.sort_by(|a, b| (a.cost_us, &a.upstream).cmp(&(b.cost_us, &b.upstream)));
     candidates.dedup_by(|a, b| a.upstream == b.upstream);
@@ -246,15 +257,18 @@
 /// Returns the upstreams whose costs are compared.
 ///
 /// In a large pool these are the hinted ones, two selected by hash, and the
-/// least loaded one in case those selected by hash are full. For a stream that
-/// has begun, they are the least loaded ones that fit it.
+/// least loaded one in case those selected by hash are full. In a large fleet
+/// the least loaded one is left out, because all VMs would choose it before
+/// they know of each other's calls. For a stream that has begun, they are the
+/// least loaded ones that fit it.
 fn candidate_names<'a>(
     tick: &Tick<'_>,
     pool: &'a Pool,
     waiting: &QueuedCall,
     hints: &[(&'a UpstreamName, u64)],
 ) -> SmallVec<[&'a UpstreamName; MAX_COMPARED_UPSTREAMS]> {
-    if pool.upstreams.len() <= MAX_COMPARED_UPSTREAMS {
+    let is_large_fleet = claims::is_large_fleet(tick);
+    if pool.upstreams.len() <= MAX_COMPARED_UPSTREAMS && !is_large_fleet {
         return pool.available.iter().map(|(_, name)| name).collect();
     }
     if waiting.place.origin.is_some() {
@@ -274,7 +288,9 @@
             compared.push(name);
         }
     }
-    compared.extend(pool.available.first().map(|(_, name)| name));
+    if !is_large_fleet {
+        compared.extend(pool.available.first().map(|(_, name)| name));
+    }
     compared
 }
 
@@ -288,7 +304,8 @@
     let limit_calls = row.limit_calls(tick.settings.policy.learned_limit).max(1);
     let wait_us = row.prefill_until_us.saturating_sub(tick.now_us);
     // A fuller batch decodes more slowly; a full one about doubles the time of a call.
-    let batch_us = row.mean_call_us * u64::from(row.running_calls()) / u64::from(limit_calls) / 2;
+    let mean_call_us = speeds::mean_call_us(tick, &row.config.name, row);
+    let batch_us = mean_call_us * u64::from(row.running_calls()) / u64::from(limit_calls) / 2;
     let read_tokens = waiting.place.prompt_tokens.saturating_sub(cached_tokens);
     let domain = row.config.failure_domain.as_ref();
     let is_cross_domain = domain.is_some_and(|domain| *domain != tick.settings.failure_domain);
@@ -297,12 +314,17 @@
     } else {
         0
     };
-    wait_us + batch_us + cross_domain_us + PREFILL_WEIGHT * prefill_us(row, read_tokens)
+    let slow_us = speeds::slowness_us(tick, row);
+    wait_us
+        + batch_us
+        + slow_us
+        + cross_domain_us
+        + PREFILL_WEIGHT * prefill_us(tick, row, read_tokens)
 }
 
 /// Returns the prefill time of prompt tokens.
-fn prefill_us(row: &Upstream, tokens: u64) -> u64 {
-    tokens * row.prefill_ns_per_token / 1_000
+fn prefill_us(tick: &Tick<'_>, row: &Upstream, tokens: u64) -> u64 {
+    tokens * speeds::prefill_ns_per_token(tick, &row.config.name, row) / 1_000
 }
 
 /// Returns whether a call should wait for a full upstream that has its prefix cached.
@@ -327,9 +349,9 @@
         if waiting.place.avoid.contains(name) || rates::is_limited(tick, name) {
             return false;
         }
-        let saved_us = PREFILL_WEIGHT * prefill_us(row, *cached_tokens);
+        let saved_us = PREFILL_WEIGHT * prefill_us(tick, row, *cached_tokens);
         let limit_calls = row.limit_calls(tick.settings.policy.learned_limit).max(1);
-        let free_us = row.mean_call_us / u64::from(limit_calls);
+        let free_us = speeds::mean_call_us(tick, name, row) / u64::from(limit_calls);
         waited_us < saved_us
             && estimate_cost_us(tick, row, waiting, *cached_tokens) + free_us < best_us
     })
--- a/crates/core/src/tables/peer.rs
+++ b/crates/core/src/tables/peer.rs
@@ -5,7 +5,7 @@
 
 use super::{PeerDemand, Sharing, Table};
 use crate::ids::{AccountName, DomainName, Incarnation, Revision, UpstreamName, VmName};
-use crate::message::{ListVersion, PoolDemand};
+use crate::message::{ListVersion, PoolDemand, UpstreamReport};
 
 /// Rounds of summaries whose sending time is kept.
 const MAX_SENT_ROUNDS: usize = 64;
@@ -47,8 +47,10 @@
     pub list: ListVersion,
     /// Number of its calls on each upstream.
     pub running: Vec<(UpstreamName, u32)>,
-    /// Calls that wait there, by pool.
+    /// Its calls that wait for an upstream, by pool.
     pub demand: Vec<PoolDemand>,
+    /// Its last totals of its calls, by upstream.
+    pub reports: Table<UpstreamName, UpstreamReport>,
     /// Total of calls that it has admitted against each rate.
     pub admitted: Table<RateKey, u64>,
     /// Whether it had calls lately for upstreams that are limited.
@@ -84,6 +86,7 @@
             list: ListVersion::default(),
             running: Vec::new(),
             demand: Vec::new(),
+            reports: Table::default(),
             admitted: Table::default(),
             uses_limited: false,
             omits_placed: false,
