--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -51,6 +51,7 @@
             return;
         }
         urgency::record_call(tick, &waiting.place);
+        urgency::count_arrival(tick, &waiting.place);
         availability::push(tick, waiting);
         stated_rates::refresh(tick, &pool);
         assign(tick, &pool);
@@ -131,12 +132,19 @@
     if row.available.is_empty() || row.queue.is_empty() {
         return false;
     }
-    let placeable = |waiting: &QueuedCall| !selection::waits_for_version(tick, row, waiting);
+    let yields = urgency::yields(tick, pool);
     let order = queue_order::lane_order(tick, pool);
+    let Some(row) = tick.tables.pools.get(pool) else {
+        return false;
+    };
+    let placeable = |waiting: &QueuedCall| !selection::waits_for_version(tick, row, waiting);
     let is_turn_of_oldest = row.deadlines.is_turn_of_oldest(tick.now_us);
     let oldest = is_turn_of_oldest.then(|| row.queue.oldest(placeable));
     let candidates = row.queue.candidates(order, placeable);
     for attempt in oldest.flatten().into_iter().chain(candidates) {
+        if yields && urgency::is_late(tick, pool, attempt) {
+            continue;
+        }
         if divert_suspect(tick, pool, attempt) {
             return true;
         }
@@ -225,9 +233,7 @@
         prefill_wait_us = from_us - now_us;
         row.prefill_until_us = from_us + read_tokens * row.prefill_ns_per_token / 1_000;
     }
-    if let Some(pool) = tick.tables.pools.get_mut(&place.pool) {
-        pool.deadlines.count_placement();
-    }
+    urgency::record_placement(tick, &place, waiting.arrived_us);
     if let Some(suspect) = tick.tables.suspects.get_mut(&place.digest) {
         suspect.running += 1;
     }
@@ -329,6 +335,7 @@
     {
         availability::requeue_held(tick, &running.pool, &running.digest);
     }
+    urgency::count_yielded_place(tick, &running.pool);
     availability::refresh_and_assign(tick, &running.upstream);
 }
 
--- a/crates/core/src/systems/placement/refusal.rs
+++ b/crates/core/src/systems/placement/refusal.rs
@@ -18,6 +18,9 @@
 /// Part of the caller's time left that a `retry-after` may take; callers wait no longer.
 const RETRY_AFTER_DIVISOR: u64 = 3;
 
+/// Part of a pool's rate that is left for any call: one in eight placements goes to the oldest.
+const MIN_RATE_DIVISOR: u64 = 8;
+
 /// Steps in thousandths between successive refusals, which spread any number of them evenly over a
 /// span: the golden ratio.
 const SPREAD_STEP_PERMILLE: u64 = 618;
@@ -128,7 +131,7 @@
         return None;
     }
     let calls_before = calls_before(tick, row, pool, attempt)?;
-    let wait_us = wait_us(calls_before + 1, usable_rate(tick, &throughput));
+    let wait_us = wait_us(calls_before + 1, rate_for(tick, row, &urgency, &throughput));
     (tick.now_us.saturating_add(wait_us) > latest_us).then_some(Verdict {
         urgency,
         wait_us,
@@ -142,10 +145,27 @@
     throughput.total_mcalls_per_s * reachable_vms / known_vms
 }
 
+/// Returns the part of a pool's rate that is left for a call by those that arrive while it waits and
+/// go before it.
+///
+/// Callers are spread over the VMs, so that the arrivals at others are taken to be as many as here.
+fn rate_for(tick: &Tick<'_>, row: &Pool, urgency: &Urgency, throughput: &Throughput) -> u64 {
+    let class = urgency.class(tick.now_us);
+    let arrivals = row
+        .deadlines
+        .arrivals_before(class, urgency.begins_program, tick.now_us);
+    let reachable_vms = tick.tables.peering.sharing().reachable_vms;
+    let usable = usable_rate(tick, throughput);
+    let left = usable.saturating_sub(arrivals * reachable_vms);
+    left.max(usable / MIN_RATE_DIVISOR)
+}
+
 /// Returns the time after which it is of no use to place a call that states a deadline; `None` if it
 /// states none or may have run.
 ///
-/// A call that begins a program is worth the wait only if the program can be on time. In the middle
+/// A call that begins a program is worth the wait only if the program can be on time with the waits
+/// of the turns after it; without these, a burst would fill the pool with programs that all end late.
+/// In the middle
 /// of a program, earlier work would be lost, so that only the caller's own time limit counts.
 fn latest_placement_us(tick: &Tick<'_>, waiting: &QueuedCall) -> Option<u64> {
     let place = &waiting.place;
@@ -160,7 +180,8 @@
         return Some(relay.deadline_us);
     }
     let urgency = urgency::urgency_of(tick, place)?;
-    Some(urgency.latest_start_us().min(relay.deadline_us))
+    let latest_us = urgency.latest_start_us().min(relay.deadline_us);
+    Some(latest_us.saturating_sub(urgency::following_wait_us(tick, place)))
 }
 
 /// Returns the number of calls that are placed before a waiting one, over all VMs that are heard.
--- a/crates/core/src/systems/placement/urgency.rs
+++ b/crates/core/src/systems/placement/urgency.rs
@@ -7,7 +7,7 @@
 use super::{owner, refusal};
 use crate::ids::{AttemptId, PoolKey};
 use crate::message::Place;
-use crate::tables::{Budget, Call, RelayState, Timer, Urgency};
+use crate::tables::{Budget, Call, RelayState, Timer, Urgency, UrgencyClass};
 
 /// Least program deadline that callers state, in percent of the time on idle upstreams.
 ///
@@ -99,6 +99,89 @@
     }
 }
 
+/// Counts a call that has been ranked among the arrivals that go before others.
+pub(super) fn count_arrival(tick: &mut Tick<'_>, place: &Place) {
+    let Some(urgency) = urgency_of(tick, place) else {
+        return;
+    };
+    let now_us = tick.now_us;
+    if urgency.class(now_us) == UrgencyClass::Timely
+        && let Some(row) = tick.tables.pools.get_mut(&place.pool)
+    {
+        let begins_program = urgency.begins_program;
+        row.deadlines.count_timely(begins_program, now_us);
+    }
+}
+
+/// Counts a placement, and records the wait of a call whose program has begun.
+pub(super) fn record_placement(tick: &mut Tick<'_>, place: &Place, arrived_us: u64) {
+    let tables = &mut *tick.tables;
+    let call = tables.calls.get(&place.attempt.call);
+    let has_begun = call.is_some_and(|call| call.has_budget() && !call.begins_program);
+    let Some(pool) = tables.pools.get_mut(&place.pool) else {
+        return;
+    };
+    pool.deadlines.count_placement();
+    if has_begun {
+        let wait_us = tick.now_us.saturating_sub(arrived_us);
+        pool.deadlines.record_wait(wait_us);
+    }
+}
+
+/// Returns the time for which the turns that follow a call are expected to wait, as such turns have
+/// waited lately.
+pub(super) fn following_wait_us(tick: &Tick<'_>, place: &Place) -> u64 {
+    let wait_us = || {
+        let pool = tick.tables.pools.get(&place.pool)?;
+        let call = tick.tables.calls.get(&place.attempt.call)?;
+        let program = call.relay.as_deref()?.program.as_ref()?;
+        let following_us = tick.tables.budgets.get(program)?.following_us;
+        let turns_permille = following_us * 1_000 / pool.speed.mean_call_us()?;
+        Some(turns_permille * pool.deadlines.begun_wait_us() / 1_000)
+    };
+    wait_us().unwrap_or(0)
+}
+
+/// Returns whether this VM leaves the free places of a pool to timely calls at other VMs.
+///
+/// A place that becomes free is known at once only to the VM whose call has ended. Without this, a
+/// VM would give the places that it has to its late calls while timely ones wait elsewhere.
+pub(super) fn yields(tick: &mut Tick<'_>, pool: &PoolKey) -> bool {
+    let now_us = tick.now_us;
+    let timely_elsewhere = tick.tables.waiting_elsewhere(pool).timely;
+    let Some(row) = tick.tables.pools.get_mut(pool) else {
+        return false;
+    };
+    if timely_elsewhere == 0 || row.available.is_empty() || !row.deadlines.is_active(now_us) {
+        row.deadlines.end_yield();
+        return false;
+    }
+    row.deadlines.begin_yield(now_us);
+    row.deadlines.yields(now_us)
+}
+
+/// Returns whether a waiting call cannot be on time any more.
+pub(super) fn is_late(tick: &Tick<'_>, pool: &PoolKey, attempt: AttemptId) -> bool {
+    let row = tick.tables.pools.get(pool);
+    let rank = row.and_then(|row| row.queue.rank(&attempt));
+    rank.is_some_and(|rank| UrgencyClass::of_level(rank.attained) != UrgencyClass::Timely)
+}
+
+/// Counts a place that becomes free as given to another VM, if this one has late calls only.
+///
+/// So also a VM that leaves its places to others gives one in eight to its oldest call.
+pub(super) fn count_yielded_place(tick: &mut Tick<'_>, pool: &PoolKey) {
+    let timely_elsewhere = tick.tables.waiting_elsewhere(pool).timely;
+    let Some(row) = tick.tables.pools.get_mut(pool) else {
+        return;
+    };
+    let is_late_only = row.queue.len_of_class(UrgencyClass::Timely) == 0;
+    let has_turn = row.deadlines.is_turn_of_oldest(tick.now_us);
+    if timely_elsewhere > 0 && is_late_only && !row.queue.is_empty() && !has_turn {
+        row.deadlines.count_placement();
+    }
+}
+
 /// Schedules the next look at a waiting call of a pool that orders calls by deadlines.
 pub(super) fn schedule_review(tick: &mut Tick<'_>, pool: &PoolKey, attempt: AttemptId) {
     let Some(row) = tick.tables.pools.get(pool) else {
--- a/crates/core/src/tables/pool_speed.rs
+++ b/crates/core/src/tables/pool_speed.rs
@@ -1,4 +1,4 @@
-//! Measured speed of a pool, and the state of its order by deadlines.
+//! Measured speed of pools and length of programs.
 
 /// Complete responses after which the mean times count as measured.
 const MIN_SAMPLES: u64 = 16;
@@ -6,12 +6,6 @@
 /// Complete responses after which older ones lose half of their weight.
 const MAX_SAMPLES: u64 = 64;
 
-/// Time after the last call with a stated deadline for which a pool keeps the order by deadlines.
-const DEADLINE_MEMORY_US: u64 = 10_000_000;
-
-/// Of this many placements, one goes to the call that has waited longest.
-const PLACEMENTS_PER_OLDEST: u64 = 8;
-
 /// Decaying sums over the complete responses of a pool.
 ///
 /// Means are taken over the calls that have ended, so that places divided by the mean time of a
@@ -82,41 +76,6 @@
     u64::try_from(product).unwrap_or(u64::MAX)
 }
 
-/// State of a pool whose calls are ordered by deadlines.
-#[derive(Debug, Clone, Copy, Default)]
-pub struct DeadlineOrder {
-    /// Time until which the order is in force; 0 if no call has stated a deadline.
-    until_us: u64,
-    placements: u64,
-    /// Time until which the calls that were refused are expected to have got a place.
-    pub returns_until_us: u64,
-    /// Number of calls that were refused.
-    pub returns: u64,
-}
-
-impl DeadlineOrder {
-    /// Records a call that states a deadline.
-    pub fn record_deadline(&mut self, now_us: u64) {
-        self.until_us = now_us + DEADLINE_MEMORY_US;
-    }
-
-    /// Returns whether calls are ordered by deadlines.
-    pub fn is_active(&self, now_us: u64) -> bool {
-        now_us < self.until_us
-    }
-
-    /// Counts a placement.
-    pub fn count_placement(&mut self) {
-        self.placements = self.placements.wrapping_add(1);
-    }
-
-    /// Returns whether the next placement goes to the call that has waited longest.
-    pub fn is_turn_of_oldest(&self, now_us: u64) -> bool {
-        let number = self.placements % PLACEMENTS_PER_OLDEST;
-        self.is_active(now_us) && number == PLACEMENTS_PER_OLDEST - 1
-    }
-}
-
 /// Mean number of turns of the programs of a route, from the turns and programs that began here.
 ///
 /// Programs do not say when they end, but while programs come and go, turns divided by first turns
