--- a/crates/core/src/tables/deadline_order.rs
+++ b/crates/core/src/tables/deadline_order.rs
@@ -80,11 +80,13 @@
     /// Returns the rate of arrivals on this VM that go before a call, in thousandths of a call per
     /// second.
     pub fn arrivals_before(&self, class: UrgencyClass, begins_program: bool, now_us: u64) -> u64 {
-        let begun = self.begun.mcalls_per_s(now_us);
         match class {
-            UrgencyClass::Timely if begins_program => begun,
+            UrgencyClass::Timely if begins_program => self.begun.last_mcalls_per_s(now_us),
             UrgencyClass::Timely => 0,
-            _ => begun + self.beginning.mcalls_per_s(now_us),
+            _ => {
+                self.begun.lasting_mcalls_per_s(now_us)
+                    + self.beginning.lasting_mcalls_per_s(now_us)
+            }
         }
     }
 
@@ -133,10 +135,16 @@
         }
     }
 
+    /// Returns the rate in the last complete window.
+    fn last_mcalls_per_s(&self, now_us: u64) -> u64 {
+        let [_, last, _] = self.calls_at(now_us);
+        last * 1_000_000_000 / METER_WINDOW_US
+    }
+
     /// Returns the lower of the rates in the last two complete windows.
     ///
     /// Calls that arrive all at once wait in the queue and say nothing of the load to come.
-    fn mcalls_per_s(&self, now_us: u64) -> u64 {
+    fn lasting_mcalls_per_s(&self, now_us: u64) -> u64 {
         let [_, last, before] = self.calls_at(now_us);
         last.min(before) * 1_000_000_000 / METER_WINDOW_US
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -4,6 +4,7 @@
 
 use knapweeddale_core::output::LinkDecision;
 use knapweeddale_core::tables::Link;
+use knapweeddale_core::tables::UrgencyClass;
 use knapweeddale_core::{Control, Decision, RefusalKind};
 use knapweeddale_runtime::{gauge_value, register};
 use prometheus::{
@@ -50,6 +51,7 @@
     revision: IntGauge,
     sharing_vms: IntGaugeVec,
     limited_upstreams: IntGauge,
+    waiting_calls: IntGaugeVec,
     lost_links: IntGauge,
     cut_off: IntGauge,
     tunnels: IntCounterVec,
@@ -147,6 +149,11 @@
             age_ms: gauges("kwd_age_milliseconds", "Age of what was read last.", "what")?,
             revision: gauge("kwd_revision", "Revision of the configuration in force.")?,
             sharing_vms: gauges("kwd_vms", "VMs that share the rates of accounts.", "kind")?,
+            waiting_calls: gauges(
+                "kwd_waiting_calls",
+                "Calls that wait for an upstream, by class.",
+                "class",
+            )?,
             limited_upstreams: gauge(
                 "kwd_limited_upstreams",
                 "Upstreams that state a rate for all VMs together.",
@@ -345,6 +352,12 @@
             self.age_ms.with_label_values(&[what]).set(value);
         }
         self.revision.set(gauge_value(tables.fleet.revision.0));
+        for class in UrgencyClass::ALL {
+            let pools = tables.pools.iter();
+            let calls = pools.map(|(_, row)| u64::from(row.queue.len_of_class(class)));
+            let gauge = self.waiting_calls.with_label_values(&[class.name()]);
+            gauge.set(gauge_value(calls.sum()));
+        }
         let rates = tables.upstream_rates.iter();
         let limited = rates.filter(|(_, row)| row.limit_mcalls_per_s.is_some());
         self.limited_upstreams
--- a/crates/testing/src/relays/fixtures.rs
+++ b/crates/testing/src/relays/fixtures.rs
@@ -96,7 +96,7 @@
     }
 
     /// Converts the call to the core's input.
-    pub(super) fn to_new_call(&self, id: CallId, now_us: u64) -> NewCall {
+    pub fn to_new_call(&self, id: CallId, now_us: u64) -> NewCall {
         let turn = self.turn.as_ref();
         let program = turn.map(|(program, ..)| program).or(self.program.as_ref());
         let relayed = RelayedCall::builder()
