--- a/crates/config/src/settings/reference.rs
+++ b/crates/config/src/settings/reference.rs
@@ -15,6 +15,18 @@
 |---|---|---|
 ";
 
+/// Text below the table, on settings that the users' platform writes for the other daemon.
+const PAGE_FOOTER: &str = "
+## Settings of `knapweeddale-relay` that a deployment asks for
+
+The platform writes the settings of `knapweeddale-relay`; each of these fields turns something on.
+
+| Field | Default | Meaning |
+|---|---|---|
+| `bounds.evacuateMs` | none | Time after which an evacuated worker gets no more calls. Without it, `evacuations` are not read. They are read once a second at most, whatever the bound; it holds from about 3,000 on. |
+| `zones` | `{}` | The region of each zone, for `allowedRegions` of routes and tenants. A zone that is missing is in no region. |
+";
+
 impl Settings {
     /// Generates a Markdown table of all fields with default and description, from the JSON schema.
     pub fn reference() -> String {
@@ -32,6 +44,7 @@
                 format_description(property)
             );
         }
+        page.push_str(PAGE_FOOTER);
         page
     }
 }
--- a/crates/core/src/config/fleet.rs
+++ b/crates/core/src/config/fleet.rs
@@ -4,8 +4,8 @@
 
 use super::{CallerLimits, HostRoute};
 use crate::ids::{
-    AccountName, DomainName, KeyId, ModelName, Revision, Secret256, ServiceName, SoftwareVersion,
-    UpstreamName,
+    AccountName, DomainName, KeyId, ModelName, RegionName, Revision, Secret256, ServiceName,
+    SoftwareVersion, UpstreamName,
 };
 
 /// The configuration that operators publish for the whole fleet.
@@ -54,6 +54,10 @@
     /// Keys that authenticate the account's callers.
     #[builder(default)]
     pub keys: Vec<KeyConfig>,
+    /// Regions in which the account's calls may run; empty if they may run anywhere.
+    #[builder(default)]
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub allowed_regions: Vec<RegionName>,
 }
 
 /// A caller's key, stored as a digest.
@@ -147,6 +151,10 @@
     /// Version of its software, if it states one.
     #[cfg_attr(feature = "serde", serde(default))]
     pub software_version: Option<SoftwareVersion>,
+    /// Whether its failure domain is evacuated, so that it gets no new calls.
+    #[builder(default)]
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub is_evacuated: bool,
 }
 
 /// A route of a plain service.
--- a/crates/core/src/config/host_route.rs
+++ b/crates/core/src/config/host_route.rs
@@ -5,7 +5,7 @@
 use bon::Builder;
 use smallvec::SmallVec;
 
-use crate::ids::ServiceName;
+use crate::ids::{RegionName, ServiceName};
 
 /// How a failed request on a route may be retried.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -85,6 +85,10 @@
     pub program_keep_ms: Option<u64>,
     /// How long the system keeps a turn after its end; if absent, turns carry their whole prompt.
     pub history_ms: Option<u64>,
+    /// Regions in which the requests may run; empty if they may run anywhere.
+    #[builder(default)]
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub allowed_regions: SmallVec<[RegionName; 2]>,
 }
 
 impl HostRoute {
--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -1,8 +1,10 @@
 //! Settings of one VM's core.
 
+use std::collections::BTreeMap;
+
 use bon::Builder;
 
-use crate::ids::{DomainName, Incarnation, VmName};
+use crate::ids::{DomainName, Incarnation, RegionName, VmName};
 
 /// Objective that the placement policy favours.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -128,6 +130,12 @@
     /// Time after a store outage for which upstreams that are missing from the list are kept.
     #[builder(default = 2_200)]
     pub list_grace_ms: u64,
+    /// Time after which an evacuated upstream must get no more calls; `None` if evacuations are not
+    /// read.
+    pub evacuate_ms: Option<u64>,
+    /// The region of each failure domain, as far as known.
+    #[builder(default)]
+    pub regions: BTreeMap<DomainName, RegionName>,
     /// Mean time between two tokens above which an upstream's call limit is lowered.
     #[builder(default = 30)]
     pub token_gap_target_ms: u64,
@@ -201,6 +209,11 @@
         time_ms * 1_100
     }
 
+    /// Returns the region of a failure domain; `None` if either is unknown.
+    pub fn region_of(&self, domain: Option<&DomainName>) -> Option<&RegionName> {
+        self.regions.get(domain?)
+    }
+
     /// Returns how long a new owner or home waits before it acts without a hand-over.
     pub fn takeover_wait_us(&self) -> u64 {
         Self::with_clock_margin_us(self.lease_ms)
--- a/crates/core/src/ids/mod.rs
+++ b/crates/core/src/ids/mod.rs
@@ -10,8 +10,8 @@
 
 pub use digest::{ContentDigest, HistoryDigest, Secret256};
 pub use name::{
-    AccountName, DomainName, KeyId, ModelName, ProgramName, ServiceName, SoftwareVersion, TurnId,
-    UpstreamName, VmName,
+    AccountName, DomainName, KeyId, ModelName, ProgramName, RegionName, ServiceName,
+    SoftwareVersion, TurnId, UpstreamName, VmName,
 };
 pub use number::{AttemptId, CallId, Epoch, FencingToken, Incarnation, Revision};
 pub use origin::StreamOrigin;
--- a/crates/core/src/ids/name.rs
+++ b/crates/core/src/ids/name.rs
@@ -57,6 +57,8 @@
     ModelName,
     /// The name of a program within its client account, as `root/child` for sub-agents.
     ProgramName,
+    /// The name of a region, which has one or more failure domains.
+    RegionName,
     /// The name of a service.
     ServiceName,
     /// The version of an upstream's software, not of the model weights that it has loaded.
--- a/crates/core/src/input/mod.rs
+++ b/crates/core/src/input/mod.rs
@@ -16,6 +16,6 @@
     Input, ListedVm, OrderResult, ProbeState, StatedRate, StoreEvent, StoredView, UpstreamStatement,
 };
 pub use relay::{
-    ListedUpstream, PeerEvent, RegisteredVm, RelayedCall, SourceEvent, SourceRequestKind,
-    StorageVm, StreamStart, UpstreamList,
+    Evacuations, ListedUpstream, PeerEvent, RegisteredVm, RelayedCall, SourceEvent,
+    SourceRequestKind, StorageVm, StreamStart, UpstreamList,
 };
--- a/crates/core/src/input/relay.rs
+++ b/crates/core/src/input/relay.rs
@@ -1,5 +1,6 @@
 //! Relayed calls, and the events of VMs that relay them: store answers and peer state.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use bon::Builder;
@@ -71,6 +72,16 @@
     pub upstreams: Vec<ListedUpstream>,
 }
 
+/// The failure domains to whose upstreams nothing new may be sent, as the operator asks.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
+pub struct Evacuations {
+    /// Revision of the store at which they were read; 0 if they never were.
+    pub revision: u64,
+    /// The evacuated failure domains.
+    pub domains: BTreeSet<DomainName>,
+}
+
 /// A VM that has registered in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RegisteredVm {
@@ -111,7 +122,12 @@
         sent_us: u64,
         /// The list as the store has it.
         list: Arc<UpstreamList>,
+        /// The evacuations, read at the same time; `None` if they were not asked for or could not
+        /// be read.
+        evacuations: Option<Evacuations>,
     },
+    /// The evacuations, if they were read but the list that they were asked for with was not.
+    Evacuations(Evacuations),
     /// The registered VMs, including this one.
     Vms {
         /// VMs that relay calls.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -37,13 +37,13 @@
 pub use control::Control;
 pub use ids::{
     AccountName, AttemptId, CallId, ContentDigest, DomainName, Epoch, HistoryDigest, Incarnation,
-    KeyId, ModelName, PoolKey, ProgramKey, ProgramName, Revision, Secret256, ServiceName,
-    SoftwareVersion, StreamOrigin, TurnId, UpstreamName, VmName,
+    KeyId, ModelName, PoolKey, ProgramKey, ProgramName, RegionName, Revision, Secret256,
+    ServiceName, SoftwareVersion, StreamOrigin, TurnId, UpstreamName, VmName,
 };
 pub use input::{
-    AttemptEvent, Input, ListedUpstream, NewCall, PeerEvent, PresentedKey, ProgramRequest,
-    ProgramRequestKind, ProgramTurn, RegisteredVm, RelayedCall, SourceEvent, SourceRequestKind,
-    StorageVm, StoreEvent, StreamStart, Target, UpstreamList,
+    AttemptEvent, Evacuations, Input, ListedUpstream, NewCall, PeerEvent, PresentedKey,
+    ProgramRequest, ProgramRequestKind, ProgramTurn, RegisteredVm, RelayedCall, SourceEvent,
+    SourceRequestKind, StorageVm, StoreEvent, StreamStart, Target, UpstreamList,
 };
 pub use message::{PeerMessage, Snapshot, Summary};
 pub use output::{
--- a/crates/core/src/message/summary.rs
+++ b/crates/core/src/message/summary.rs
@@ -13,7 +13,7 @@
 use crate::ids::{
     AccountName, ContentDigest, DomainName, Incarnation, ProgramKey, Revision, UpstreamName, VmName,
 };
-use crate::input::{StorageVm, UpstreamList};
+use crate::input::{Evacuations, StorageVm, UpstreamList};
 use crate::message::{PoolDemand, UpstreamPace, UpstreamReport};
 
 /// One VM's report of its state to another.
@@ -162,6 +162,9 @@
     pub losses: Option<u32>,
     /// VMs with a disk.
     pub keepers: Arc<Vec<StorageVm>>,
+    /// The evacuations that the sender knows of, which mark the upstreams of the list.
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub evacuations: Evacuations,
 }
 
 /// What all VMs together have used of a program's budget.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -5,8 +5,9 @@
 
 use super::format::runners_up_text;
 use super::{
-    CloseReason, CrashEvidence, Execution, LimitSource, LinkDecision, MembershipDecision,
-    OrderAction, OriginEvidence, PlacementReason, RefusalKind, RetryReason, TakeoverSource,
+    CloseReason, ConfinementDecision, CrashEvidence, Execution, LimitSource, LinkDecision,
+    MembershipDecision, OrderAction, OriginEvidence, PlacementReason, RefusalKind, RetryReason,
+    TakeoverSource,
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, FencingToken, Incarnation, ProgramKey, Revision,
@@ -427,6 +428,10 @@
         /// Number of those upstreams that are leaving.
         leaving: usize,
     },
+    /// About evacuated failure domains.
+    #[from]
+    #[display("confinement: {_0}")]
+    Confinement(ConfinementDecision),
     /// An upstream stated in a response that it is leaving.
     #[display("retry: upstream {upstream} states that it is leaving, it gets no new calls")]
     UpstreamLeaving {
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -1,6 +1,7 @@
 //! Outputs of the core: what the process around it has to do.
 
 mod charge;
+mod confinement_decision;
 mod decision;
 mod format;
 mod link_decision;
@@ -11,6 +12,7 @@
 mod source;
 
 pub use charge::{Charge, ChargeOutcome};
+pub use confinement_decision::ConfinementDecision;
 pub use decision::Decision;
 pub use link_decision::LinkDecision;
 pub use membership_decision::MembershipDecision;
@@ -160,8 +162,17 @@
     pub stream_deadline_us: u64,
     /// How the response is streamed; `None` if it is not a stream of events.
     pub events: Option<StreamFormat>,
-    /// How long the system keeps the turn; `None` if the request carries its whole prompt.
-    pub history_ms: Option<u64>,
+    /// How the system keeps the turn; `None` if the request carries its whole prompt.
+    pub kept_turn: Option<Box<KeptTurn>>,
+}
+
+/// How the system keeps a turn.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptTurn {
+    /// How long the turn is kept after its end.
+    pub retention_ms: u64,
+    /// Addresses of the VMs with a disk that may keep it; `None` if all of them may.
+    pub storage: Option<Box<[Arc<str>]>>,
 }
 
 /// Properties of a response that is streamed as events.
--- a/crates/core/src/output/refusal.rs
+++ b/crates/core/src/output/refusal.rs
@@ -114,6 +114,10 @@
     NoUpstream = "no_upstream", 503, "resend after the time in retry-after";
     /// All upstreams are at the rates that they have stated, and no call can be placed in time.
     UpstreamsLimited = "upstreams_limited", 503, "resend after the time in retry-after";
+    /// All upstreams that may run the call are evacuated.
+    Evacuated = "evacuated", 503, "resend after the time in retry-after";
+    /// No upstream of the pool is in a region in which the call may run.
+    NoAllowedRegion = "no_allowed_region", 503, "ask the operator for upstreams in an allowed region";
     /// The upstream failed.
     UpstreamFailed = "upstream_failed", 502, "resend if the request may be repeated";
     /// The upstream did not answer in time.
--- a/crates/core/src/output/source.rs
+++ b/crates/core/src/output/source.rs
@@ -8,7 +8,10 @@
     /// Read the published configuration; stale replica reads are not allowed.
     Config,
     /// Read the list of upstreams; stale replica reads are not allowed.
-    Upstreams,
+    Upstreams {
+        /// Whether to read the evacuations at the same time; the list counts without them.
+        with_evacuations: bool,
+    },
     /// Register this VM and list all registered VMs.
     Vms,
     /// Count one loss of the in-memory state of all VMs, and read the budget records.
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -14,7 +14,7 @@
 use crate::input::{NewCall, PresentedKey};
 use crate::message::PlacementMessage;
 use crate::output::{ChargeOutcome, Decision, Execution, Output, Refusal, RefusalKind};
-use crate::tables::{Call, RelayState, Stage};
+use crate::tables::{AllowedRegions, Call, RelayState, Stage};
 
 /// Input collected for this system since its last run.
 #[derive(Debug, Default)]
@@ -205,6 +205,7 @@
     let caller_deadline_us = relayed.map_or(u64::MAX, |relayed| relayed.deadline_us);
     let program = relayed.and_then(|relayed| relayed.program.clone());
     let is_stream = route.kind.is_stream();
+    let account_regions = row.map_or(&[][..], |row| &row.config.allowed_regions);
     Box::new(RelayState {
         deadline_us: caller_deadline_us.min(route_deadline_us),
         stream_deadline_us: caller_deadline_us.min(route_deadline_us + STREAM_GRACE_US),
@@ -224,6 +225,7 @@
         only: None,
         attempt_origin: None,
         origin,
+        homes: AllowedRegions::of(&route.allowed_regions, account_regions),
         route,
     })
 }
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -4,7 +4,7 @@
 
 mod upstream_list;
 
-pub(crate) use upstream_list::{adopt_peer_list, adopt_store_list};
+pub(crate) use upstream_list::{adopt_peer_list, adopt_store_list, mark_list_again};
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
--- a/crates/core/src/systems/config/upstream_list.rs
+++ b/crates/core/src/systems/config/upstream_list.rs
@@ -4,7 +4,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-use super::super::Tick;
+use super::super::{Tick, confinement};
 use crate::config::ServiceConfig;
 use crate::ids::UpstreamName;
 use crate::input::{ListedUpstream, UpstreamList};
@@ -17,6 +17,7 @@
 /// until the upstreams have had time to register again.
 pub(crate) fn adopt_store_list(tick: &mut Tick<'_>, list: &UpstreamList) {
     if list.revision < tick.tables.source.stamp.revision {
+        mark_list_again(tick);
         return;
     }
     let mut effective = list.clone();
@@ -51,8 +52,23 @@
     }
 }
 
+/// Marks the list in force by the evacuations that this VM knows of now.
+pub(crate) fn mark_list_again(tick: &mut Tick<'_>) {
+    let source = &tick.tables.source;
+    if source.stamp.revision == 0 {
+        return;
+    }
+    let list = UpstreamList {
+        revision: source.stamp.revision,
+        upstreams: source.upstreams.upstreams.clone(),
+    };
+    apply_list(tick, Arc::new(list));
+}
+
 /// Puts a list in force and announces it to the other VMs if its upstreams changed.
-fn apply_list(tick: &mut Tick<'_>, list: Arc<UpstreamList>) {
+fn apply_list(tick: &mut Tick<'_>, mut list: Arc<UpstreamList>) {
+    confinement::mark_evacuated(tick, &mut list);
+    confinement::log_evacuations(tick, &list);
     let digest = digest(&list.upstreams);
     let previous = tick.tables.source.stamp;
     let stamp = ListVersion {
@@ -60,7 +76,7 @@
         digest,
     };
     tick.tables.source.stamp = stamp;
-    if previous.digest == digest {
+    if previous.digest == digest && has_same_domains(&list, &tick.tables.source.upstreams) {
         return;
     }
     tick.tables.source.upstreams = list;
@@ -93,6 +109,17 @@
     services.iter().map(with_upstreams).collect()
 }
 
+/// Returns whether two lists with the same digest state the same failure domains.
+///
+/// The digest leaves them out, as that of earlier builds does, since a process stays where it is. An
+/// entry that is written again with another one counts on the VM that reads it.
+fn has_same_domains(list: &UpstreamList, in_force: &UpstreamList) -> bool {
+    let rows = list.upstreams.iter();
+    let domains = rows.map(|row| &row.config.failure_domain);
+    let rows = in_force.upstreams.iter();
+    domains.eq(rows.map(|row| &row.config.failure_domain))
+}
+
 /// Returns a digest of the fields that affect the placement of calls.
 fn digest(upstreams: &[ListedUpstream]) -> u64 {
     let mut hasher = DefaultHasher::new();
@@ -108,6 +135,10 @@
             &config.software_version,
         )
             .hash(&mut hasher);
+        // Earlier builds know no evacuations, and have the same digest while there are none.
+        if config.is_evacuated {
+            "evacuated".hash(&mut hasher);
+        }
         for model in &config.models {
             model.as_str().hash(&mut hasher);
         }
--- a/crates/core/src/systems/links/mod.rs
+++ b/crates/core/src/systems/links/mod.rs
@@ -10,8 +10,8 @@
 mod proxies;
 
 pub(crate) use proxies::{
-    MAX_INDIRECT_PROBES, begin_proxied, can_reach, end_proxied, indirect_probers, is_link_lost,
-    proxy_for, record_proxy_failure,
+    MAX_INDIRECT_PROBES, begin_proxied, can_reach, can_reach_from, end_proxied, indirect_probers,
+    is_link_lost, proxy_for, record_proxy_failure,
 };
 
 use super::{Tick, placement};
--- a/crates/core/src/systems/links/proxies.rs
+++ b/crates/core/src/systems/links/proxies.rs
@@ -2,10 +2,10 @@
 
 use smallvec::SmallVec;
 
-use super::super::Tick;
+use super::super::{Tick, confinement};
 use crate::ids::{AttemptId, DomainName, UpstreamName, VmName};
 use crate::output::{LinkDecision, ProxyVm};
-use crate::tables::{Link, Peer, ProxyPause, hash_name};
+use crate::tables::{AllowedRegions, Link, Peer, ProxyPause, hash_name};
 
 /// VMs that are asked at once whether they reach an upstream; if none of them does, as many are
 /// asked once more.
@@ -32,7 +32,23 @@
 
 /// Returns whether this VM reaches an upstream, directly or through another VM.
 pub(crate) fn can_reach(tick: &Tick<'_>, upstream: &UpstreamName) -> bool {
-    !is_link_lost(tick, upstream) || ranked_proxies(tick, upstream).next().is_some()
+    can_reach_from(tick, upstream, None)
+}
+
+/// Returns whether this VM reaches an upstream with a call of these homes, directly or through
+/// another VM in one of them.
+pub(crate) fn can_reach_from(
+    tick: &Tick<'_>,
+    upstream: &UpstreamName,
+    homes: Option<&AllowedRegions>,
+) -> bool {
+    let mut proxies = ranked_proxies(tick, upstream);
+    !is_link_lost(tick, upstream) || proxies.any(|(.., peer)| may_pass_on(tick, peer, homes))
+}
+
+/// Returns whether another VM may get the body of a call with these homes.
+fn may_pass_on(tick: &Tick<'_>, peer: &Peer, homes: Option<&AllowedRegions>) -> bool {
+    confinement::allows_proxy(tick, homes, peer.failure_domain.as_ref())
 }
 
 /// Returns whether this VM's link to an upstream is lost, or assumed to be.
@@ -41,12 +57,18 @@
     row.is_some_and(|row| row.link != Link::Up)
 }
 
-/// Returns the VM through which an attempt goes; `None` if it goes directly.
-pub(crate) fn proxy_for(tick: &Tick<'_>, upstream: &UpstreamName) -> Option<ProxyVm> {
+/// Returns the VM through which an attempt of a call with these homes goes; `None` if it goes
+/// directly.
+pub(crate) fn proxy_for(
+    tick: &Tick<'_>,
+    upstream: &UpstreamName,
+    homes: Option<&AllowedRegions>,
+) -> Option<ProxyVm> {
     if !is_link_lost(tick, upstream) {
         return None;
     }
-    let best = ranked_proxies(tick, upstream).min_by_key(|(cost, ..)| *cost);
+    let able = ranked_proxies(tick, upstream).filter(|(.., peer)| may_pass_on(tick, peer, homes));
+    let best = able.min_by_key(|(cost, ..)| *cost);
     best.map(|(_, vm, peer)| to_proxy(vm, peer))
 }
 
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod budgets;
 pub(crate) mod charges;
 pub(crate) mod config;
+pub(crate) mod confinement;
 pub(crate) mod homes;
 pub(crate) mod intake;
 pub(crate) mod links;
--- a/crates/core/src/systems/outcomes/silence.rs
+++ b/crates/core/src/systems/outcomes/silence.rs
@@ -3,7 +3,7 @@
 //! A sound upstream may pause, so silence is no reason to end a call: its attempt is cancelled only
 //! if another one can follow, and otherwise goes on until the deadline of the call.
 
-use super::super::Tick;
+use super::super::{Tick, confinement};
 use super::{examination, retries};
 use crate::ids::{AttemptId, UpstreamName};
 use crate::input::Failure;
@@ -69,7 +69,7 @@
         .and_then(|only| tick.tables.upstreams.get(only))
         .filter(|row| !row.health.has_crashed_recently(tick.now_us) && row.fits(origin));
     if let Some(row) = pinned {
-        return !row.is_leaving() && row.health.ejected_until_us <= tick.now_us;
+        return row.takes_new_calls() && row.health.ejected_until_us <= tick.now_us;
     }
     let Some(pool) = tick.tables.pools.get(&call.pool) else {
         return false;
@@ -77,6 +77,8 @@
     let mut others = pool.available.iter().map(|(_, name)| name);
     others.any(|name| {
         let row = tick.tables.upstreams.get(name);
-        name != silent && row.is_some_and(|row| row.fits(origin))
+        name != silent
+            && row.is_some_and(|row| row.fits(origin))
+            && confinement::allows(tick, call.attempt(), name)
     })
 }
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -1,6 +1,6 @@
 //! Applies summaries and snapshots of other VMs.
 
-use super::super::{Tick, budgets, config, outcomes, rates};
+use super::super::{Tick, budgets, config, confinement, outcomes, rates};
 use super::{group, request_snapshot};
 use crate::ids::VmName;
 use crate::input::{PeerEvent, RegisteredVm};
@@ -190,7 +190,8 @@
     let lacks_programs = knows_programs && is_pending;
     let is_newer = peer.revision > tables.fleet.revision
         || (peer.list.revision > tables.source.stamp.revision
-            && peer.list.digest != tables.source.stamp.digest);
+            && peer.list.digest != tables.source.stamp.digest)
+        || confinement::may_lack_evacuations(tick, peer.list.digest);
     let lacks_keepers = knows_keepers && tables.source.keepers.is_empty();
     if is_newer || lacks_programs || lacks_keepers {
         let address = peer.address.clone();
@@ -219,7 +220,11 @@
         source.keepers = snapshot.keepers;
     }
     let list_us = read_us(snapshot.list_age_us);
+    let is_newer = confinement::record_evacuations(tick, snapshot.evacuations);
     config::adopt_peer_list(tick, snapshot.list, list_us);
+    if is_newer {
+        config::mark_list_again(tick);
+    }
     if let Some(losses) = snapshot.losses
         && tick.tables.source.knowledge == ProgramKnowledge::Pending
     {
--- a/crates/core/src/systems/placement/dispatch.rs
+++ b/crates/core/src/systems/placement/dispatch.rs
@@ -1,10 +1,10 @@
 //! Dispatches attempts to the upstreams that were assigned to them.
 
-use super::super::{Tick, links, rates};
+use super::super::{Tick, confinement, links, rates};
 use super::entry::{self, Assignment};
 use crate::config::{HostRoute, RouteKind, ServiceConfig, ServiceKind};
 use crate::ids::{AttemptId, StreamOrigin, UpstreamName};
-use crate::output::{Decision, Dispatch, Output, ProxyVm, StreamFormat};
+use crate::output::{Decision, Dispatch, KeptTurn, Output, ProxyVm, StreamFormat};
 use crate::tables::Stage;
 
 /// Silence limit of an idempotent route, in multiples of its latency objective.
@@ -28,7 +28,8 @@
 pub(super) fn dispatch(tick: &mut Tick<'_>, attempt: AttemptId, assignment: Assignment) {
     let (upstream, reason, runners_up) = assignment;
     entry::cancel_wait_timers(tick, attempt);
-    let proxy = links::proxy_for(tick, &upstream);
+    let homes = confinement::homes_of(tick, attempt);
+    let proxy = links::proxy_for(tick, &upstream, homes);
     let Some(dispatch) = build_dispatch(tick, attempt, &upstream, proxy.as_ref()) else {
         return;
     };
@@ -73,6 +74,11 @@
     let row = tick.tables.upstreams.get(upstream)?;
     let service = tick.tables.services.get(&call.pool.service);
     let relay = call.relay.as_deref();
+    let retention_ms = relay.and_then(|relay| relay.route.history_ms);
+    let kept_turn = retention_ms.map(|retention_ms| KeptTurn {
+        retention_ms,
+        storage: confinement::turn_storage(tick, attempt),
+    });
     let limits = relay.map(|relay| silence_limits(&relay.route));
     let first_token_ms = limits
         .map(|limits| limits.first_ms)
@@ -99,7 +105,7 @@
         deadline_us: relay.map_or(u64::MAX, |relay| relay.deadline_us),
         stream_deadline_us: relay.map_or(u64::MAX, |relay| relay.stream_deadline_us),
         events: relay.and_then(|relay| event_form(&relay.route, service)),
-        history_ms: relay.and_then(|relay| relay.route.history_ms),
+        kept_turn: kept_turn.map(Box::new),
     })
 }
 
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Tick, admission};
+use super::super::{Tick, admission, confinement};
 use super::dispatch::dispatch;
 use super::{finish, stated_rates};
 use crate::ids::{AttemptId, CallId, PoolKey, StreamOrigin, UpstreamName};
@@ -311,8 +311,12 @@
     }
     let call = tick.tables.calls.get(&attempt.call);
     let ran = call.map_or(Execution::NotRun, Call::execution);
-    let retry_after_ms = call
-        .filter(|_| kind == RefusalKind::UpstreamsLimited)
-        .and_then(|call| stated_rates::retry_after_ms(tick, &call.pool));
+    let retry_after_ms = match kind {
+        RefusalKind::UpstreamsLimited => {
+            call.and_then(|call| stated_rates::retry_after_ms(tick, &call.pool))
+        }
+        RefusalKind::Evacuated => Some(confinement::EVACUATED_RETRY_MS),
+        _ => None,
+    };
     admission::refuse(tick, attempt.call, kind, ran, retry_after_ms);
 }
--- a/crates/core/src/systems/placement/exclusive.rs
+++ b/crates/core/src/systems/placement/exclusive.rs
@@ -7,8 +7,9 @@
 
 use super::super::{Tick, rates};
 use super::selection::SelectedUpstream;
-use super::{availability, owner};
-use crate::ids::{PoolKey, StreamOrigin, UpstreamName};
+use super::{availability, owner, selection};
+use crate::ids::{PoolKey, UpstreamName};
+use crate::message::Place;
 use crate::output::{PlacementReason, RefusalKind};
 use crate::tables::QueuedCall;
 
@@ -46,22 +47,18 @@
         row.held.entry(digest).or_default().push_back(waiting);
         return take_ready(tick, pool);
     }
-    let origin = waiting.place.origin.clone();
-    let idle = find_idle_reserved(tick, pool, origin.as_ref()).or_else(|| {
-        release_unfit(tick, pool, origin.as_ref());
-        reserve_upstream(tick, pool, origin.as_ref());
-        find_idle_reserved(tick, pool, origin.as_ref())
+    let place = waiting.place.clone();
+    let idle = find_idle_reserved(tick, pool, &place).or_else(|| {
+        release_unfit(tick, pool, &place);
+        reserve_upstream(tick, pool, &place);
+        find_idle_reserved(tick, pool, &place)
     });
     idle?;
     tick.tables.pools.get_mut(pool)?.exclusive.pop_front()
 }
 
-/// Returns a usable reserved upstream that fits a stream and runs no attempt of this VM.
-fn find_idle_reserved(
-    tick: &Tick<'_>,
-    pool: &PoolKey,
-    origin: Option<&StreamOrigin>,
-) -> Option<UpstreamName> {
+/// Returns a usable reserved upstream that may run a call and runs no attempt of this VM.
+fn find_idle_reserved(tick: &Tick<'_>, pool: &PoolKey, place: &Place) -> Option<UpstreamName> {
     let row = tick.tables.pools.get(pool)?;
     row.reserved
         .iter()
@@ -70,24 +67,23 @@
             upstream.is_some_and(|row| {
                 row.attempts.is_empty()
                     && row.is_usable(tick.now_us)
-                    && row.fits(origin)
+                    && selection::may_use(tick, place, name)
                     && rates::may_send(tick, name)
             })
         })
         .cloned()
 }
 
-/// Releases the reserved upstreams that run nothing and do not fit the stream that is next.
+/// Releases the reserved upstreams that run nothing and may not run the call that is next.
 ///
 /// They would count against the limit of reservations without being of use to it.
-fn release_unfit(tick: &mut Tick<'_>, pool: &PoolKey, origin: Option<&StreamOrigin>) {
+fn release_unfit(tick: &mut Tick<'_>, pool: &PoolKey, place: &Place) {
     let Some(row) = tick.tables.pools.get(pool) else {
         return;
     };
-    let upstreams = &tick.tables.upstreams;
     let is_unfit = |name: &UpstreamName| {
-        let row = upstreams.get(name);
-        row.is_some_and(|row| row.attempts.is_empty() && !row.fits(origin))
+        let row = tick.tables.upstreams.get(name);
+        row.is_some_and(|row| row.attempts.is_empty()) && !selection::may_use(tick, place, name)
     };
     let unfit: SmallVec<[UpstreamName; 2]> = row
         .reserved
@@ -100,10 +96,10 @@
     }
 }
 
-/// Reserves one more upstream that fits a stream, as far as calls need it and at most half of the
+/// Reserves one more upstream that may run a call, as far as calls need it and at most half of the
 /// pool.
-fn reserve_upstream(tick: &mut Tick<'_>, pool: &PoolKey, origin: Option<&StreamOrigin>) {
-    let Some(row) = tick.tables.pools.get_mut(pool) else {
+fn reserve_upstream(tick: &mut Tick<'_>, pool: &PoolKey, place: &Place) {
+    let Some(row) = tick.tables.pools.get(pool) else {
         return;
     };
     let waiting = row.exclusive.len() + count_busy_reserved(&tick.tables.upstreams, row);
@@ -111,14 +107,15 @@
     if row.reserved.len() >= allowed {
         return;
     }
-    let upstreams = &mut tick.tables.upstreams;
     let mut available = row.available.iter().map(|(_, name)| name);
-    let fitting = available.find(|name| upstreams.get(name).is_some_and(|row| row.fits(origin)));
+    let fitting = available.find(|name| selection::may_use(tick, place, name));
     let Some(name) = fitting.cloned() else {
         return;
     };
-    row.reserved.insert(name.clone());
-    if let Some(upstream) = upstreams.get_mut(&name) {
+    if let Some(row) = tick.tables.pools.get_mut(pool) {
+        row.reserved.insert(name.clone());
+    }
+    if let Some(upstream) = tick.tables.upstreams.get_mut(&name) {
         upstream.has_exclusive_call = true;
     }
     availability::refresh_availability(tick, &name);
@@ -140,8 +137,7 @@
 
 /// Places a call alone on an idle reserved upstream.
 fn start_exclusive(tick: &mut Tick<'_>, pool: &PoolKey, waiting: QueuedCall) {
-    let origin = waiting.place.origin.as_ref();
-    let Some(upstream) = find_idle_reserved(tick, pool, origin) else {
+    let Some(upstream) = find_idle_reserved(tick, pool, &waiting.place) else {
         return;
     };
     let crashes = owner::crash_count(tick, &waiting);
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -40,8 +40,8 @@
             place,
             arrived_us: tick.now_us,
         };
-        if !origins::can_go_on(tick, &waiting.place) {
-            refuse(tick, waiting, RefusalKind::StreamNotResumable);
+        if let Some(kind) = origins::find_stranded(tick, &waiting) {
+            refuse(tick, waiting, kind);
             return;
         }
         if links::is_unreachable(tick, &pool) {
@@ -126,7 +126,7 @@
     if row.available.is_empty() || row.queue.is_empty() {
         return false;
     }
-    let placeable = |waiting: &QueuedCall| !selection::waits_for_version(tick, row, waiting);
+    let placeable = |waiting: &QueuedCall| !selection::waits_for_fitting(tick, row, waiting);
     let order = queue_order::lane_order(tick);
     for attempt in row.queue.candidates(order, placeable) {
         if divert_suspect(tick, pool, attempt) {
--- a/crates/core/src/systems/placement/reachability.rs
+++ b/crates/core/src/systems/placement/reachability.rs
@@ -1,7 +1,7 @@
 //! Refuses calls at once while this VM reaches none of the upstreams that may run them.
 
 use super::super::{Tick, links};
-use super::owner;
+use super::{origins, owner};
 use crate::ids::{AttemptId, PoolKey};
 use crate::output::RefusalKind;
 
@@ -17,6 +17,12 @@
     for pool in &unreachable {
         refuse_all(tick, pool);
     }
+    // The proxies of calls with homes are fewer than those of others.
+    let pools = tick.tables.pools.iter();
+    let keys: Vec<PoolKey> = pools.map(|(key, _)| key.clone()).collect();
+    for pool in &keys {
+        origins::refuse_stranded(tick, pool);
+    }
 }
 
 fn refuse_all(tick: &mut Tick<'_>, pool: &PoolKey) {
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -2,10 +2,11 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Tick, rates};
+use super::super::{Tick, confinement, rates};
 use super::{hints, origins};
 use crate::config::UpstreamChoice;
 use crate::ids::{PoolKey, UpstreamName};
+use crate::message::Place;
 use crate::output::{PlacementReason, RefusalKind};
 use crate::tables::{Pool, QueuedCall, Upstream};
 
@@ -69,10 +70,13 @@
     if !origins::can_go_on(tick, &waiting.place) {
         return Selection::Refuse(RefusalKind::StreamNotResumable);
     }
+    if let Some(kind) = confinement::find_refusal(tick, &waiting.place) {
+        return Selection::Refuse(kind);
+    }
     let ignores_avoid = avoids_all(tick, pool, waiting);
     let is_allowed = |name: &UpstreamName| {
         let is_avoided = waiting.place.avoid.contains(name);
-        (ignores_avoid || !is_avoided) && origins::fits(tick, &waiting.place, name)
+        (ignores_avoid || !is_avoided) && may_use(tick, &waiting.place, name)
     };
     match tick.settings.policy.upstream_choice {
         UpstreamChoice::RoundRobin => select_round_robin(tick, pool, is_allowed),
@@ -81,6 +85,16 @@
     }
 }
 
+/// Returns whether an upstream may run a call, by its software version, region and evacuation.
+pub(super) fn may_use(tick: &Tick<'_>, place: &Place, name: &UpstreamName) -> bool {
+    origins::fits(tick, place, name) && confinement::allows(tick, place.attempt, name)
+}
+
+/// Returns whether only some upstreams of its pool may run a call.
+fn is_choosy(tick: &Tick<'_>, place: &Place) -> bool {
+    place.origin.is_some() || confinement::homes_of(tick, place.attempt).is_some()
+}
+
 /// Selects the only upstream that a call may use, once it is known to run and has room.
 fn select_pinned(tick: &Tick<'_>, pinned: &UpstreamName) -> Selection {
     let Some(row) = tick.tables.upstreams.get(pinned) else {
@@ -89,8 +103,8 @@
     if row.health.is_examined {
         return Selection::Wait;
     }
-    // One that is leaving still runs what it has begun, but takes no new calls.
-    if row.is_leaving() || row.health.ejected_until_us > tick.now_us {
+    // One that is leaving or evacuated still runs what it has begun, but takes no new calls.
+    if !row.takes_new_calls() || row.health.ejected_until_us > tick.now_us {
         return Selection::Refuse(RefusalKind::UpstreamFailed);
     }
     if row.open_load_permille.is_none() {
@@ -103,7 +117,7 @@
 ///
 /// Returns `None` if the upstream left the pool, or if its process has ended and so lost the call:
 /// it crashed recently, or restarted with another software version.
-fn pinned_upstream<'a>(
+pub(super) fn pinned_upstream<'a>(
     tick: &Tick<'_>,
     pool: &Pool,
     waiting: &'a QueuedCall,
@@ -115,30 +129,32 @@
     (pool.upstreams.contains(pinned) && runs_on).then_some(pinned)
 }
 
-/// Returns whether a stream waits because the upstreams of its version are busy.
+/// Returns whether a call waits because the upstreams of its version or region are busy.
 ///
-/// Such streams must not keep the calls behind them from upstreams of other versions.
-pub(super) fn waits_for_version(tick: &Tick<'_>, pool: &Pool, waiting: &QueuedCall) -> bool {
+/// Such calls must not keep those behind them from other upstreams.
+pub(super) fn waits_for_fitting(tick: &Tick<'_>, pool: &Pool, waiting: &QueuedCall) -> bool {
     let place = &waiting.place;
     let mut available = pool.available.iter().map(|(_, name)| name);
-    place.origin.is_some()
-        && !available.any(|name| origins::fits(tick, place, name))
+    is_choosy(tick, place)
+        && !available.any(|name| may_use(tick, place, name))
         && origins::can_go_on(tick, place)
+        && confinement::find_refusal(tick, place).is_none()
         && pinned_upstream(tick, pool, waiting).is_none()
 }
 
 /// Returns whether a call avoids every usable upstream that fits it.
 ///
-/// Large pools are checked only for a stream that has begun, which few upstreams may fit.
+/// Large pools are checked only for calls that few upstreams may fit: streams that have begun, and
+/// calls with homes.
 fn avoids_all(tick: &Tick<'_>, pool: &Pool, waiting: &QueuedCall) -> bool {
     let place = &waiting.place;
     let is_large = pool.upstreams.len() > MAX_COMPARED_UPSTREAMS;
-    if place.avoid.is_empty() || (is_large && place.origin.is_none()) {
+    if place.avoid.is_empty() || (is_large && !is_choosy(tick, place)) {
         return false;
     }
     pool.upstreams
         .iter()
-        .filter(|name| is_usable(tick, name) && origins::fits(tick, place, name))
+        .filter(|name| is_usable(tick, name) && may_use(tick, place, name))
         .all(|name| place.avoid.contains(name))
 }
 
@@ -195,7 +211,7 @@
 ) -> Selection {
     let hints: SmallVec<[(&UpstreamName, u64); 2]> =
         hints::expected_cached_tokens(tick, &waiting.place)
-            .filter(|(name, _)| origins::fits(tick, &waiting.place, name))
+            .filter(|(name, _)| may_use(tick, &waiting.place, name))
             .collect();
     let cached_on = |name: &UpstreamName| {
         let hint = hints.iter().find(|(hinted, _)| *hinted == name);
@@ -247,7 +263,7 @@
 ///
 /// In a large pool these are the hinted ones, two selected by hash, and the
 /// least loaded one in case those selected by hash are full. For a stream that
-/// has begun, they are the least loaded ones that fit it.
+/// has begun and a call with homes, they are the least loaded ones that fit it.
 fn candidate_names<'a>(
     tick: &Tick<'_>,
     pool: &'a Pool,
@@ -257,10 +273,11 @@
     if pool.upstreams.len() <= MAX_COMPARED_UPSTREAMS {
         return pool.available.iter().map(|(_, name)| name).collect();
     }
-    if waiting.place.origin.is_some() {
+    if is_choosy(tick, &waiting.place) {
         let available = pool.available.iter().map(|(_, name)| name);
-        let fitting = available.filter(|name| origins::fits(tick, &waiting.place, name));
-        return fitting.take(MAX_COMPARED_UPSTREAMS).collect();
+        let fitting = available.filter(|name| may_use(tick, &waiting.place, name));
+        let hinted = hints.iter().map(|(name, _)| *name);
+        return hinted.chain(fitting.take(MAX_COMPARED_UPSTREAMS)).collect();
     }
     let mut compared: SmallVec<[&UpstreamName; MAX_COMPARED_UPSTREAMS]> =
         hints.iter().map(|(name, _)| *name).collect();
--- a/crates/core/src/systems/source/mod.rs
+++ b/crates/core/src/systems/source/mod.rs
@@ -6,7 +6,7 @@
 
 use std::sync::Arc;
 
-use super::{Tick, budgets, config, peers};
+use super::{Tick, budgets, config, confinement, peers};
 use crate::input::{SourceEvent, SourceRequestKind};
 use crate::output::{Decision, Output, SourceRequest};
 use crate::tables::{ProgramKnowledge, ReadState, Timer};
@@ -83,12 +83,21 @@
             }
             tick.tables.source.config.record_read(sent_us);
         }
-        SourceEvent::Upstreams { sent_us, list } => {
+        SourceEvent::Upstreams {
+            sent_us,
+            list,
+            evacuations,
+        } => {
             record_answer(tick, &SourceRequestKind::Upstreams);
             record_outage_end(tick);
+            confinement::record_answer(tick, evacuations);
             config::adopt_store_list(tick, &list);
             tick.tables.source.list.record_read(sent_us);
         }
+        SourceEvent::Evacuations(evacuations) => {
+            confinement::record_answer(tick, Some(evacuations));
+            config::mark_list_again(tick);
+        }
         SourceEvent::Vms { relays, keepers } => {
             record_answer(tick, &SourceRequestKind::Vms);
             let now_us = tick.now_us;
@@ -178,7 +187,9 @@
         (SourceRequestKind::Config, SourceRequest::Config, age_us),
         (
             SourceRequestKind::Upstreams,
-            SourceRequest::Upstreams,
+            SourceRequest::Upstreams {
+                with_evacuations: confinement::must_read_evacuations(tick),
+            },
             age_us,
         ),
         (
@@ -206,6 +217,7 @@
             continue;
         };
         state.requested_us = Some(now_us);
+        confinement::record_request(tick, &request);
         next_us = next_us.min(now_us + REQUEST_TIMEOUT_US);
         tick.outputs.push(Output::Source(request));
     }
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::Coverage;
+use super::{AllowedRegions, Coverage};
 use crate::config::HostRoute;
 use crate::ids::{AccountName, AttemptId, PoolKey, ProgramKey, StreamOrigin, UpstreamName, VmName};
 use crate::input::{Continuation, NewCall};
@@ -127,6 +127,9 @@
     /// Where the stream began, once its caller has received an event; only upstreams of the same
     /// service and software version may go on with it.
     pub origin: Option<StreamOrigin>,
+    /// Regions in which the call may run, by the configuration at its arrival; `None` if it may run
+    /// anywhere.
+    pub homes: Option<AllowedRegions>,
 }
 
 /// State of placement and retries of a call.
--- a/crates/core/src/tables/source.rs
+++ b/crates/core/src/tables/source.rs
@@ -1,9 +1,10 @@
 //! State of the reads from the platform's store, with the age of what was read.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use crate::ids::CallId;
-use crate::input::{StorageVm, UpstreamList};
+use crate::ids::{CallId, DomainName};
+use crate::input::{Evacuations, StorageVm, UpstreamList};
 use crate::message::ListVersion;
 
 /// Longest time between two reads after which nothing of what was read is taken to be missed.
@@ -92,6 +93,16 @@
     pub list_resumed_us: Option<u64>,
     /// The list of upstreams in force.
     pub upstreams: Arc<UpstreamList>,
+    /// The newest evacuations that this VM knows of, read by any VM.
+    pub evacuations: Evacuations,
+    /// Time at which this VM last asked for the evacuations.
+    pub evacuations_requested_us: Option<u64>,
+    /// Whether the request in flight for the list asks for the evacuations.
+    pub evacuations_pending: bool,
+    /// Whether the evacuations could not be read when this VM last asked for them.
+    pub evacuations_failed: bool,
+    /// Evacuated failure domains that have been logged.
+    pub logged_evacuations: BTreeSet<DomainName>,
     /// Identifies the version of `upstreams`.
     pub stamp: ListVersion,
     /// Knowledge of programs that ran before this VM started.
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -127,9 +127,15 @@
         self.config.leaving || self.has_given_notice
     }
 
-    /// Returns whether it may get new calls at all: neither leaving nor ejected nor in backoff.
+    /// Returns whether it takes new calls while it is healthy: neither leaving nor evacuated.
+    pub fn takes_new_calls(&self) -> bool {
+        !self.is_leaving() && !self.config.is_evacuated
+    }
+
+    /// Returns whether it may get new calls at all: neither leaving nor evacuated nor ejected nor in
+    /// backoff.
     pub fn is_usable(&self, now_us: u64) -> bool {
-        !self.is_leaving() && self.health.is_ready(now_us)
+        self.takes_new_calls() && self.health.is_ready(now_us)
     }
 
     /// Returns whether a stream of this origin may run on it; one without an origin may.
--- a/crates/entry/src/call/describe.rs
+++ b/crates/entry/src/call/describe.rs
@@ -30,6 +30,8 @@
         RefusalKind::StreamNotResumable => "no upstream can go on with the stream",
         RefusalKind::NoUpstream => "no upstream became free in time",
         RefusalKind::UpstreamsLimited => "all upstreams are at the rates that they state",
+        RefusalKind::Evacuated => "all upstreams that may run the call are evacuated",
+        RefusalKind::NoAllowedRegion => "no upstream is in a region in which the call may run",
         RefusalKind::UpstreamFailed => "the upstream failed",
         RefusalKind::UpstreamSilent => "the upstream did not answer in time",
         RefusalKind::Overloaded => "this VM has more calls than it can hold",
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -7,8 +7,8 @@
 use http::{HeaderMap, StatusCode};
 use knapweeddale_core::input::StatedRate;
 use knapweeddale_core::{
-    AccountName, FleetConfig, ModelName, PresentedKey, ProgramName, Refusal, TurnId, UpstreamList,
-    UpstreamName, VmName,
+    AccountName, Evacuations, FleetConfig, ModelName, PresentedKey, ProgramName, Refusal, TurnId,
+    UpstreamList, UpstreamName, VmName,
 };
 use knapweeddale_store::{ObjectApi, StoreError};
 
@@ -147,6 +147,13 @@
     /// Fails if the store does not answer.
     fn read_upstreams(&self) -> impl Future<Output = Result<Arc<UpstreamList>, StoreError>> + Send;
 
+    /// Reads the failure domains that the operator asks to evacuate.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the store does not answer.
+    fn read_evacuations(&self) -> impl Future<Output = Result<Evacuations, StoreError>> + Send;
+
     /// Lists the operator's requests to retire VMs.
     ///
     /// # Errors
--- a/crates/relay/src/call/history.rs
+++ b/crates/relay/src/call/history.rs
@@ -24,7 +24,7 @@
     /// system keeps them.
     pub(super) async fn load_prompt(&mut self, deadline: Instant) -> Result<Bytes, Failure> {
         let previous = self.head.previous_turn.as_ref();
-        let Some(previous) = previous.filter(|_| self.dispatch.history_ms.is_some()) else {
+        let Some(previous) = previous.filter(|_| self.dispatch.kept_turn.is_some()) else {
             return Ok(self.body.clone());
         };
         let earlier = match &self.progress.earlier_turns {
@@ -63,7 +63,7 @@
 
     /// Adds the data of a forwarded event to the output of a turn that is kept.
     pub(super) fn keep_output(&mut self, event: &Event) {
-        if self.dispatch.history_ms.is_none() {
+        if self.dispatch.kept_turn.is_none() {
             return;
         }
         let output = &mut self.progress.kept_output;
@@ -78,7 +78,7 @@
     /// A turn without an ID cannot be named later, and of a stream that its caller has resumed the
     /// first part is not known, so neither is kept.
     pub(super) async fn store_turn(&mut self) -> Result<(), Failure> {
-        let Some(retention_ms) = self.dispatch.history_ms else {
+        let Some(kept) = &self.dispatch.kept_turn else {
             return Ok(());
         };
         let call = self.dispatch.attempt.call;
@@ -100,12 +100,13 @@
             },
             previous: self.head.previous_turn.clone(),
             content: Arc::from(content),
-            retention_ms,
+            retention_ms: kept.retention_ms,
             copies: SmallVec::new(),
         };
         let earlier = self.progress.earlier_turns.clone().unwrap_or_default();
         let started = Instant::now();
-        let stored = self.shared.turns.store(turn, earlier).await;
+        let allowed = kept.storage.as_deref();
+        let stored = self.shared.turns.store(turn, earlier, allowed).await;
         let took = started.elapsed();
         self.shared.metrics.observe_stage(Stage::StoreTurn, took);
         let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -50,6 +50,7 @@
     revision: IntGauge,
     sharing_vms: IntGaugeVec,
     limited_upstreams: IntGauge,
+    evacuated_upstreams: IntGauge,
     lost_links: IntGauge,
     cut_off: IntGauge,
     tunnels: IntCounterVec,
@@ -151,6 +152,10 @@
                 "kwd_limited_upstreams",
                 "Upstreams that state a rate for all VMs together.",
             )?,
+            evacuated_upstreams: gauge(
+                "kwd_evacuated_upstreams",
+                "Listed upstreams whose failure domain is evacuated.",
+            )?,
             lost_links: gauge(
                 "kwd_lost_links",
                 "Upstreams that only other VMs reach, as far as known.",
@@ -349,6 +354,9 @@
         let limited = rates.filter(|(_, row)| row.limit_mcalls_per_s.is_some());
         self.limited_upstreams
             .set(gauge_value(limited.count() as u64));
+        let rows = tables.upstreams.iter();
+        let evacuated = rows.filter(|(_, row)| row.config.is_evacuated).count();
+        self.evacuated_upstreams.set(gauge_value(evacuated as u64));
         let links = tables.upstreams.iter();
         let lost = links.filter(|(_, row)| row.link != Link::Up).count();
         self.lost_links.set(gauge_value(lost as u64));
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -6,8 +6,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use futures_util::future::join;
 use knapweeddale_core::tables::BudgetRecord;
-use knapweeddale_core::{Input, SourceEvent, SourceRequest, SourceRequestKind};
+use knapweeddale_core::{
+    Evacuations, Input, SourceEvent, SourceRequest, SourceRequestKind, UpstreamList,
+};
 use knapweeddale_runtime::Clock;
 use knapweeddale_store::StoreError;
 use tokio::sync::mpsc;
@@ -23,6 +26,10 @@
 /// Time limit for a request; a slow store answers within a quarter of a second.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time limit for reading the evacuations. It is shorter than that for the list, which is used
+/// without them if they take longer.
+const EVACUATIONS_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Sends the core's requests to the store and returns the answers as inputs.
 #[derive(Debug)]
 pub(crate) struct SourceClient<S, C> {
@@ -83,6 +90,45 @@
         self.inputs.send_input(Input::Source(event)).await;
     }
 
+    /// Reads the evacuations; `None` if the store does not answer in time, which must hold back the
+    /// list no longer than that.
+    async fn read_evacuations(&self) -> Option<Evacuations> {
+        let started = Instant::now();
+        let read = timeout(EVACUATIONS_TIMEOUT, self.store.read_evacuations()).await;
+        let took = started.elapsed();
+        let is_answered = matches!(read, Ok(Ok(_)));
+        let purpose = "evacuations";
+        self.metrics
+            .observe_store_request(purpose, is_answered, took);
+        match read {
+            Ok(Ok(evacuations)) => return Some(evacuations),
+            Ok(Err(error)) => tracing::debug!(purpose, "source: request failed ({error})"),
+            Err(_) => tracing::debug!(purpose, "source: timed out after {EVACUATIONS_TIMEOUT:?}"),
+        }
+        None
+    }
+
+    /// Builds the event of a list with its evacuations; if only these were read, they are sent alone.
+    async fn to_list_event(
+        &self,
+        sent_us: u64,
+        list: Result<Arc<UpstreamList>, StoreError>,
+        evacuations: Option<Evacuations>,
+    ) -> Result<SourceEvent, StoreError> {
+        match (list, evacuations) {
+            (Err(error), Some(evacuations)) => {
+                let event = SourceEvent::Evacuations(evacuations);
+                self.inputs.send_input(Input::Source(event)).await;
+                Err(error)
+            }
+            (list, evacuations) => Ok(SourceEvent::Upstreams {
+                sent_us,
+                list: list?,
+                evacuations,
+            }),
+        }
+    }
+
     /// Sends a request to the store and returns its answer.
     async fn send_request(
         &self,
@@ -94,10 +140,16 @@
                 sent_us,
                 fleet: self.store.read_config().await?,
             }),
-            SourceRequest::Upstreams => Ok(SourceEvent::Upstreams {
-                sent_us,
-                list: self.store.read_upstreams().await?,
-            }),
+            SourceRequest::Upstreams { with_evacuations } => {
+                let evacuations = async {
+                    match with_evacuations {
+                        true => self.read_evacuations().await,
+                        false => None,
+                    }
+                };
+                let (list, evacuations) = join(self.store.read_upstreams(), evacuations).await;
+                self.to_list_event(sent_us, list, evacuations).await
+            }
             SourceRequest::Vms => {
                 let registered = register(&*self.store, &self.registration, self.has_seeds).await?;
                 let (keepers, relays): (Vec<_>, Vec<_>) = registered
@@ -140,7 +192,7 @@
 fn source_part(request: &SourceRequest) -> SourceRequestKind {
     match request {
         SourceRequest::Config => SourceRequestKind::Config,
-        SourceRequest::Upstreams => SourceRequestKind::Upstreams,
+        SourceRequest::Upstreams { .. } => SourceRequestKind::Upstreams,
         SourceRequest::Vms => SourceRequestKind::Vms,
         SourceRequest::Losses => SourceRequestKind::Losses,
         SourceRequest::Reserve { program, .. } | SourceRequest::MarkStopped { program, .. } => {
--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -134,7 +134,8 @@
 impl TurnClient {
     /// Stores a turn and returns once enough VMs have it on their disks.
     ///
-    /// `earlier` holds the contents of all turns before it, for VMs that lack them.
+    /// `earlier` holds the contents of all turns before it, for VMs that lack them. Only VMs at the
+    /// `allowed` addresses get it, if they are stated.
     ///
     /// # Errors
     ///
@@ -143,8 +144,11 @@
         self: &Arc<Self>,
         mut turn: StoredTurn,
         earlier: Bytes,
+        allowed: Option<&[Arc<str>]>,
     ) -> Result<(), HistoryError> {
-        let mut plan = CopyPlan::new(self.addresses().await, self.tolerated_losses);
+        let mut addresses = self.addresses().await;
+        addresses.retain(|address| allowed.is_none_or(|allowed| allowed.contains(address)));
+        let mut plan = CopyPlan::new(addresses, self.tolerated_losses);
         let first = plan.start();
         turn.copies = first.iter().cloned().collect();
         let (key, chain) = (turn.key.clone(), join(&earlier, &turn.content));
--- a/crates/testing/src/relays/fixtures.rs
+++ b/crates/testing/src/relays/fixtures.rs
@@ -1,13 +1,14 @@
 //! Calls, configurations and recorded results for a [`RelayFleet`](super::RelayFleet).
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use knapweeddale_core::config::{Backend, HostRoute, RouteKind};
 use knapweeddale_core::{
-    AccountConfig, AccountName, CallId, ContentDigest, EngineConfig, FleetConfig, KeyConfig, KeyId,
-    ListedUpstream, ModelName, NewCall, PresentedKey, ProgramName, RelayedCall, Revision,
-    Secret256, ServiceConfig, ServiceKind, ServiceName, SoftwareVersion, StreamStart, Target,
-    UpstreamConfig, UpstreamList, UpstreamName,
+    AccountConfig, AccountName, CallId, ContentDigest, DomainName, EngineConfig, FleetConfig,
+    KeyConfig, KeyId, ListedUpstream, ModelName, NewCall, PresentedKey, ProgramName, RegionName,
+    RelayedCall, Revision, Secret256, ServiceConfig, ServiceKind, ServiceName, SoftwareVersion,
+    StreamStart, Target, UpstreamConfig, UpstreamList, UpstreamName,
 };
 use smallvec::smallvec;
 
@@ -220,6 +221,25 @@
     }
 }
 
+/// Returns the region of each failure domain: two in `norte`, one in `sur`.
+pub(super) fn regions() -> BTreeMap<DomainName, RegionName> {
+    let regions = [("north", "norte"), ("east", "norte"), ("south", "sur")];
+    let regions = regions.into_iter();
+    regions
+        .map(|(domain, region)| (DomainName::from(domain), RegionName::from(region)))
+        .collect()
+}
+
+/// Creates an upstream list in which the upstreams of each service are spread over failure domains.
+pub fn spread_upstreams(revision: u64, domains: &[&str]) -> UpstreamList {
+    let mut list = upstreams(revision);
+    for (number, row) in list.upstreams.iter_mut().enumerate() {
+        let domain = domains[number % domains.len()];
+        row.config.failure_domain = Some(DomainName::from(domain));
+    }
+    list
+}
+
 /// Creates an entry of the upstream list for an engine with this version of its software.
 pub fn listed_engine(name: &str, version: &str) -> ListedUpstream {
     let mut listed = listed_upstream(name, "models");
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -21,7 +21,8 @@
 
 pub use attempts::{LinkFault, UpstreamState};
 pub use fixtures::{
-    ForwardedTokens, RelayCall, Run, account, fleet, listed_engine, listed_upstream, upstreams,
+    ForwardedTokens, RelayCall, Run, account, fleet, listed_engine, listed_upstream,
+    spread_upstreams, upstreams,
 };
 pub use store::StoreState;
 
@@ -32,6 +33,8 @@
 #[derive(Debug)]
 struct Vm {
     name: VmName,
+    /// Its failure domain from its next start on.
+    domain: DomainName,
     /// `None` while the process is down.
     control: Option<Control>,
     incarnation: u64,
@@ -111,6 +114,7 @@
         for number in 0..vms {
             fleet.vms.push(Vm {
                 name: VmName::from(format!("vm-{number}")),
+                domain: DomainName::from("north"),
                 control: None,
                 incarnation: 0,
                 calls: 0,
@@ -127,7 +131,7 @@
         let settings = CoreSettings::builder()
             .vm(row.name.clone())
             .incarnation(Incarnation(row.incarnation))
-            .failure_domain(DomainName::from("north"))
+            .failure_domain(row.domain.clone())
             .address(row.name.to_string())
             .tunnel_address(row.name.to_string())
             .coordination(Coordination::Peers)
@@ -138,6 +142,8 @@
             .is_first_start(is_first_start)
             .rate_wait_ms(400)
             .rate_window_ms(5_000)
+            .evacuate_ms(5_000)
+            .regions(fixtures::regions())
             .build();
         row.control = Some(Control::new(settings));
         self.tick(vm, Vec::new());
@@ -156,6 +162,12 @@
         self.start(vm, false);
     }
 
+    /// Restarts the process of a VM in another failure domain.
+    pub fn move_to(&mut self, vm: usize, domain: &str) {
+        self.vms[vm].domain = DomainName::from(domain);
+        self.restart(vm);
+    }
+
     /// Asks a VM to stop, which ends all calls after a time.
     pub fn stop(&mut self, vm: usize, calls_end_ms: u64) {
         let time_us = self.now_us + calls_end_ms * 1_000;
--- a/crates/testing/src/relays/store.rs
+++ b/crates/testing/src/relays/store.rs
@@ -5,8 +5,8 @@
 
 use knapweeddale_core::tables::BudgetRecord;
 use knapweeddale_core::{
-    FleetConfig, ProgramKey, RegisteredVm, SourceEvent, SourceRequest, SourceRequestKind,
-    UpstreamList, VmName,
+    DomainName, Evacuations, FleetConfig, ProgramKey, RegisteredVm, SourceEvent, SourceRequest,
+    SourceRequestKind, UpstreamList, VmName,
 };
 
 /// VMs that restart within this time count as one loss of the fleet's in-memory state.
@@ -21,6 +21,8 @@
     budgets: BTreeMap<ProgramKey, BudgetRecord>,
     losses: (u32, u64),
     is_down: bool,
+    evacuations: Evacuations,
+    evacuations_are_down: bool,
     unreachable: BTreeSet<usize>,
     /// Number of requests that the store served, by kind.
     pub requests: BTreeMap<&'static str, u64>,
@@ -35,6 +37,11 @@
             budgets: BTreeMap::new(),
             losses: (0, 0),
             is_down: false,
+            evacuations: Evacuations {
+                revision: 1,
+                ..Evacuations::default()
+            },
+            evacuations_are_down: false,
             unreachable: BTreeSet::new(),
             requests: BTreeMap::new(),
         }
@@ -50,6 +57,28 @@
         self.list = Arc::new(list);
     }
 
+    /// Replaces the evacuated failure domains.
+    pub fn set_evacuations(&mut self, domains: &[&str]) {
+        self.evacuations = Evacuations {
+            revision: self.evacuations.revision + 1,
+            domains: domains.iter().map(|name| DomainName::from(*name)).collect(),
+        };
+    }
+
+    /// Makes the reads of evacuations fail, or ends that.
+    pub fn set_evacuations_down(&mut self, is_down: bool) {
+        self.evacuations_are_down = is_down;
+    }
+
+    /// Reads the evacuations if they are asked for.
+    fn read_evacuations(&mut self, is_asked: bool) -> Option<Evacuations> {
+        if !is_asked {
+            return None;
+        }
+        *self.requests.entry("evacuations").or_default() += 1;
+        (!self.evacuations_are_down).then(|| self.evacuations.clone())
+    }
+
     /// Makes the store fail the requests of all VMs, or ends the outage.
     pub fn set_down(&mut self, is_down: bool) {
         self.is_down = is_down;
@@ -85,9 +114,10 @@
                 sent_us: now_us,
                 fleet: Some(Arc::clone(&self.config)),
             },
-            SourceRequest::Upstreams => SourceEvent::Upstreams {
+            SourceRequest::Upstreams { with_evacuations } => SourceEvent::Upstreams {
                 sent_us: now_us,
                 list: Arc::clone(&self.list),
+                evacuations: self.read_evacuations(with_evacuations),
             },
             SourceRequest::Vms => {
                 self.vms.insert(vm, name.clone());
@@ -143,7 +173,7 @@
 fn request_kind(request: &SourceRequest) -> (SourceRequestKind, &'static str) {
     match request {
         SourceRequest::Config => (SourceRequestKind::Config, "config"),
-        SourceRequest::Upstreams => (SourceRequestKind::Upstreams, "upstreams"),
+        SourceRequest::Upstreams { .. } => (SourceRequestKind::Upstreams, "upstreams"),
         SourceRequest::Vms => (SourceRequestKind::Vms, "vms"),
         SourceRequest::Losses => (SourceRequestKind::Losses, "losses"),
         SourceRequest::Reserve { program, .. } | SourceRequest::MarkStopped { program, .. } => {
