Read the configuration again if an earlier build has sent it

A VM of an earlier build drops the homes of routes and accounts from the configuration that it passes on. A VM of this build took it for complete, as long as its revision did not change.

--- a/crates/core/src/message/summary.rs
+++ b/crates/core/src/message/summary.rs
@@ -162,9 +162,10 @@
     pub losses: Option<u32>,
     /// VMs with a disk.
     pub keepers: Arc<Vec<StorageVm>>,
-    /// The evacuations that the sender knows of, which mark the upstreams of the list.
+    /// The evacuations that the sender knows of, which mark the upstreams of the list; `None` if the
+    /// sender is of a build that knows neither evacuations nor homes.
     #[cfg_attr(feature = "serde", serde(default))]
-    pub evacuations: Evacuations,
+    pub evacuations: Option<Evacuations>,
 }
 
 /// What all VMs together have used of a program's budget.
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -82,10 +82,32 @@
     }
 }
 
-/// Puts a configuration in force if it is newer.
+/// Puts a configuration that another VM has sent in force if it is newer.
+///
+/// A VM of an earlier build leaves out the fields that it does not know, such as the homes of calls.
+/// This VM then reads the configuration itself.
+pub(crate) fn adopt_peer_config(
+    tick: &mut Tick<'_>,
+    fleet: Arc<FleetConfig>,
+    is_older_build: bool,
+) {
+    let is_newer = fleet.revision > tick.tables.fleet.revision;
+    if is_older_build && !is_newer {
+        return;
+    }
+    adopt(tick, fleet);
+    if is_older_build {
+        tick.tables.source.is_config_partial = true;
+        tick.work.source.is_due = true;
+    }
+}
+
+/// Puts a configuration in force if it is newer, or completes the one that is.
 pub(crate) fn adopt(tick: &mut Tick<'_>, fleet: Arc<FleetConfig>) {
     let in_force = tick.tables.fleet.revision;
-    if fleet.revision <= in_force {
+    let was_partial = tick.tables.source.is_config_partial;
+    let completes = was_partial && fleet.revision == in_force;
+    if fleet.revision <= in_force && !completes {
         if fleet.revision < in_force {
             tick.log(Decision::ConfigIgnored {
                 offered: fleet.revision,
@@ -94,6 +116,7 @@
         }
         return;
     }
+    tick.tables.source.is_config_partial = false;
     replace_accounts(tick, &fleet.accounts);
     if tick.settings.coordination == Coordination::Peers {
         replace_services(
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -204,9 +204,10 @@
     tick.tables.peering.snapshot_requested_us = None;
     // The sender answered after `sent_us`, so its ages were measured at that time or later.
     let read_us = |age_us: Option<u64>| age_us.and_then(|age_us| sent_us.checked_sub(age_us));
+    let is_older_build = snapshot.evacuations.is_none();
     if let Some(fleet) = snapshot.fleet {
         let revision = fleet.revision;
-        config::adopt(tick, fleet);
+        config::adopt_peer_config(tick, fleet, is_older_build);
         if revision >= tick.tables.fleet.revision
             && let Some(read_us) = read_us(snapshot.config_age_us)
         {
@@ -220,7 +221,8 @@
         source.keepers = snapshot.keepers;
     }
     let list_us = read_us(snapshot.list_age_us);
-    let is_newer = confinement::record_evacuations(tick, snapshot.evacuations);
+    let evacuations = snapshot.evacuations.unwrap_or_default();
+    let is_newer = confinement::record_evacuations(tick, evacuations);
     config::adopt_peer_list(tick, snapshot.list, list_us);
     if is_newer {
         config::mark_list_again(tick);
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -218,6 +218,6 @@
             .losses(now_us)
             .filter(|_| with_programs),
         keepers: Arc::clone(&tables.source.keepers),
-        evacuations: tables.source.evacuations.clone(),
+        evacuations: Some(tables.source.evacuations.clone()),
     }
 }
--- a/crates/core/src/systems/source/mod.rs
+++ b/crates/core/src/systems/source/mod.rs
@@ -183,8 +183,16 @@
 fn send_due_reads(tick: &mut Tick<'_>) {
     let now_us = tick.now_us;
     let age_us = read_age_us(tick.tables.peering.rank);
+    let config_age_us = match tick.tables.source.is_config_partial {
+        true => 0,
+        false => age_us,
+    };
     let parts = [
-        (SourceRequestKind::Config, SourceRequest::Config, age_us),
+        (
+            SourceRequestKind::Config,
+            SourceRequest::Config,
+            config_age_us,
+        ),
         (
             SourceRequestKind::Upstreams,
             SourceRequest::Upstreams {
--- a/crates/core/src/tables/source.rs
+++ b/crates/core/src/tables/source.rs
@@ -79,6 +79,9 @@
 pub struct Source {
     /// Reads of the published configuration.
     pub config: ReadState,
+    /// Whether the configuration in force came from a build that does not know all of its fields, so
+    /// that this VM has to read it from the store.
+    pub is_config_partial: bool,
     /// Reads of the list of upstreams.
     pub list: ReadState,
     /// Registration of this VM and reads of the list of the others.
--- a/crates/core/tests/home_regions.rs
+++ b/crates/core/tests/home_regions.rs
@@ -1,7 +1,7 @@
 //! Guards against calls that leave the regions which their route or account allows, directly or
 //! through another VM, and against calls without such regions that are held back by others.
 
-use knapweeddale_core::{FleetConfig, RefusalKind, RegionName};
+use knapweeddale_core::{FleetConfig, RefusalKind, RegionName, Revision};
 use knapweeddale_testing::relays::{
     LinkFault, RelayCall, RelayFleet, account, fleet, spread_upstreams,
 };
@@ -174,3 +174,27 @@
     let expected = (!may_pass).then_some(RefusalKind::NoUpstream);
     assert_eq!(relays.refusal(call), expected);
 }
+
+/// Guards against a VM that learns the configuration from one of an earlier build, which drops the
+/// homes, and takes it for complete.
+#[rstest]
+fn older_build() {
+    let mut relays = start(homes(&[], &[]), "south");
+    relays.set_older_build(0);
+    let config = homes(&[], &["sur"]);
+    relays.store.publish(FleetConfig {
+        revision: Revision(2),
+        ..config
+    });
+    relays.run_ms(1_500);
+    let before = relays.store.requests["config"];
+    for vm in [1, 2] {
+        for _ in 0..8 {
+            let call = relays.call(vm, RelayCall::tool("bus"));
+            assert_eq!(relays.upstreams_of(call), ["tool-2"], "vm-{vm}");
+        }
+    }
+    relays.run_ms(10_000);
+    let reads = relays.store.requests["config"] - before;
+    assert!(reads < 25, "{reads} reads of the configuration in 10 s");
+}
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -64,6 +64,8 @@
     random: Random,
     /// The simulated store of the platform.
     pub store: StoreState,
+    /// VMs whose snapshots are those of a build that knows neither evacuations nor homes.
+    older_builds: BTreeSet<usize>,
     /// Links (sender, receiver) that are interrupted.
     interrupted_links: BTreeSet<(usize, usize)>,
     /// All calls but the refused ones, with their behaviour on the upstream; finished calls stay.
@@ -99,6 +101,7 @@
             next_event: 0,
             random: Random::new(seed),
             store: StoreState::new(config, list),
+            older_builds: BTreeSet::new(),
             interrupted_links: BTreeSet::new(),
             open: BTreeMap::new(),
             running: BTreeMap::new(),
@@ -168,6 +171,11 @@
         self.restart(vm);
     }
 
+    /// Makes a VM send the snapshots of a build that knows neither evacuations nor homes.
+    pub fn set_older_build(&mut self, vm: usize) {
+        self.older_builds.insert(vm);
+    }
+
     /// Asks a VM to stop, which ends all calls after a time.
     pub fn stop(&mut self, vm: usize, calls_end_ms: u64) {
         let time_us = self.now_us + calls_end_ms * 1_000;
--- a/crates/testing/src/relays/outputs.rs
+++ b/crates/testing/src/relays/outputs.rs
@@ -1,6 +1,8 @@
 //! Simulates the network and the store that receive the relays' outputs.
 
-use knapweeddale_core::{Input, Output, PeerEvent, SourceRequest, Summary};
+use std::sync::Arc;
+
+use knapweeddale_core::{Input, Output, PeerEvent, Snapshot, SourceRequest, Summary};
 
 use super::RelayFleet;
 
@@ -69,13 +71,32 @@
         }
     }
 
+    /// Returns the snapshot of a VM; one of an older build leaves out what that does not know.
+    fn snapshot_of(&self, vm: usize, with_programs: bool) -> Snapshot {
+        let mut snapshot = self.control(vm).snapshot(self.now_us, with_programs);
+        if !self.older_builds.contains(&vm) {
+            return snapshot;
+        }
+        snapshot.evacuations = None;
+        if let Some(fleet) = &mut snapshot.fleet {
+            let fleet = Arc::make_mut(fleet);
+            for account in &mut fleet.accounts {
+                account.allowed_regions.clear();
+            }
+            for route in &mut fleet.host_routes {
+                route.allowed_regions.clear();
+            }
+        }
+        snapshot
+    }
+
     /// Requests a snapshot of another VM's state.
     fn request_snapshot(&mut self, vm: usize, address: &str, with_programs: bool) {
         let sent_us = self.now_us;
         let event = match self.find_reachable(vm, address) {
             Some(to) => PeerEvent::Snapshot {
                 sent_us,
-                snapshot: Box::new(self.control(to).snapshot(sent_us, with_programs)),
+                snapshot: Box::new(self.snapshot_of(to, with_programs)),
             },
             None => PeerEvent::SnapshotFailed,
         };
