Limit the framing of chunked bodies

endless_responses flooded_call::case_5 (/pay/x) failed once: 46,789,848 bytes were read of a chunked body without end, against 24 MiB. The limit of 16 MiB counted the decoded bytes only. The test's chunks carry one byte each in six, so that 46.8 MB hold 7.8 MB, and only the time limit of the call ended them: how much was read in 3 s depended on the speed of the machine.

The size lines and line ends of chunks may now take a quarter of the body's limit.

--- a/crates/relay/src/call/whole.rs
+++ b/crates/relay/src/call/whole.rs
@@ -10,7 +10,7 @@
 use super::responses::{implies_not_run, is_authentic, to_caller_response};
 use super::silence::SilenceLimit;
 use crate::adapter::{Dialect, ResponseInfo};
-use crate::upstream::{Body, Collected, Connection, ReadError, ResponseHead, too_long};
+use crate::upstream::{Body, Collected, Connection, ReadError, ResponseHead};
 
 /// Longest response body, except of streams.
 pub(super) const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
@@ -145,9 +145,8 @@
         let mut next = Some(start);
         while let Some(part) = next {
             passed_bytes += part.len();
-            if passed_bytes > MAX_BODY_BYTES {
-                return Err(self.failure(&too_long()));
-            }
+            let checked = body.check_length(passed_bytes, MAX_BODY_BYTES);
+            checked.map_err(|error| self.failure(&error))?;
             self.progress.is_stream_started = true;
             self.send_part(head, part, deadline).await?;
             next = self.wait_for_body(body.next(), deadline).await?;
--- a/crates/relay/src/upstream/body.rs
+++ b/crates/relay/src/upstream/body.rs
@@ -9,9 +9,16 @@
 /// Limit for the size line of a chunk, and for a trailer.
 const MAX_LINE_BYTES: usize = 8 * 1024;
 
+/// The end of a line.
+const LINE_END: &[u8] = b"\r\n";
+
 /// Limit for the number of trailers.
 const MAX_TRAILERS: usize = 64;
 
+/// Part of the limit for a body, as a divisor, that the size lines and line ends of its chunks may
+/// take. Without it, chunks of one byte let a body take six times its limit from the connection.
+const FRAMING_DIVISOR: usize = 4;
+
 /// The part of a body that is still to be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Remaining {
@@ -39,7 +46,7 @@
 }
 
 /// Creates the error for a body that exceeds its limit.
-pub(crate) fn too_long() -> ReadError {
+fn too_long() -> ReadError {
     ReadError::malformed("the body exceeds the limit")
 }
 
@@ -50,6 +57,8 @@
     remaining: Remaining,
     is_close_delimited: bool,
     trailers: usize,
+    /// Bytes of size lines and line ends so far.
+    framing_bytes: usize,
 }
 
 impl<'a> Body<'a> {
@@ -65,6 +74,7 @@
             remaining,
             is_close_delimited: remaining == Remaining::UntilClose,
             trailers: 0,
+            framing_bytes: 0,
         })
     }
 
@@ -118,9 +128,7 @@
         let mut collected: Option<Vec<u8>> = None;
         while let Some(part) = self.next().await? {
             let collected = collected.get_or_insert_with(|| first.to_vec());
-            if collected.len() + part.len() > max_bytes {
-                return Err(too_long());
-            }
+            self.check_length(collected.len() + part.len(), max_bytes)?;
             collected.extend_from_slice(&part);
             if permit.resize(collected.len()).is_err() {
                 let collected = std::mem::take(collected);
@@ -141,9 +149,16 @@
         let mut discarded_bytes = 0;
         while let Some(part) = self.next().await? {
             discarded_bytes += part.len();
-            if discarded_bytes > max_bytes {
-                return Err(too_long());
-            }
+            self.check_length(discarded_bytes, max_bytes)?;
+        }
+        Ok(())
+    }
+
+    /// Checks that the bytes of the body that were read, and the framing of its chunks, do not exceed
+    /// their limits.
+    pub fn check_length(&self, read_bytes: usize, max_bytes: usize) -> Result<(), ReadError> {
+        if read_bytes > max_bytes || self.framing_bytes > max_bytes / FRAMING_DIVISOR {
+            return Err(too_long());
         }
         Ok(())
     }
@@ -182,6 +197,7 @@
             let parsed = parsed.map_err(|_| ReadError::malformed("a chunk has no valid size"))?;
             if let httparse::Status::Complete((head, bytes)) = parsed {
                 let _ = self.connection.buffer.split_to(head);
+                self.framing_bytes += head;
                 self.remaining = if bytes == 0 {
                     Remaining::Trailers
                 } else {
@@ -212,6 +228,7 @@
                 "a chunk is longer than its stated size",
             ));
         }
+        self.framing_bytes += LINE_END.len();
         self.remaining = Remaining::ChunkSize;
         Ok(())
     }
@@ -236,10 +253,10 @@
                 .connection
                 .buffer
                 .windows(2)
-                .position(|end| end == b"\r\n");
+                .position(|end| end == LINE_END);
             if let Some(at) = at {
                 let line = self.connection.buffer.split_to(at).freeze();
-                let _ = self.connection.buffer.split_to(2);
+                let _ = self.connection.buffer.split_to(LINE_END.len());
                 return Ok(line);
             }
             self.fill_line().await?;
--- a/crates/relay/src/upstream/mod.rs
+++ b/crates/relay/src/upstream/mod.rs
@@ -11,7 +11,7 @@
 mod pool;
 mod transport;
 
-pub(crate) use body::{Body, Collected, too_long};
+pub(crate) use body::{Body, Collected};
 pub(crate) use connection::{Connection, Exchange, OutgoingRequest, ReadError, ResponseHead};
 pub(crate) use events::{Event, EventReader};
 pub(crate) use pool::{ConnectError, Path, Pool, Reuse, connect_stream, run_probes};
