Simulate evacuations only in fleets that ask for them

All simulated fleets had the bound, so that their VMs read evacuations and stale_config one_reader counted 63 calls to the store in 10 s instead of 60 at most. RelayFleet::with_evacuations sets the bound, and RelayFleet::new does not.

--- a/crates/core/tests/evacuated_domains.rs
+++ b/crates/core/tests/evacuated_domains.rs
@@ -15,7 +15,7 @@
 fn start() -> RelayFleet {
     let config = fleet(1, vec![account("bus", 1_000, 1_000)]);
     let list = spread_upstreams(1, &["north", "south"]);
-    let mut relays = RelayFleet::new(VMS, config, list, 1);
+    let mut relays = RelayFleet::with_evacuations(VMS, config, list, 1);
     relays.run_ms(3_000);
     relays
 }
@@ -167,8 +167,10 @@
     list.upstreams[3].config.is_evacuated = true;
     let config = fleet(1, vec![account("bus", 1_000, 1_000)]);
     let mut relays = RelayFleet::new(1, config, list, 1);
+    relays.store.set_evacuations(&["north"]);
     relays.run_ms(1_000);
     assert_eq!(send_calls(&mut relays, 0), ["tool-1", "tool-2"]);
+    assert_eq!(relays.store.requests.get("evacuations"), None);
 }
 
 /// Guards against calls that wait, or are refused as run, while all upstreams are evacuated, and
@@ -205,7 +207,7 @@
         row.config.max_running_calls = 1;
     }
     let config = fleet(1, vec![account("bus", 1_000, 1_000)]);
-    let mut relays = RelayFleet::new(1, config, list, 1);
+    let mut relays = RelayFleet::with_evacuations(1, config, list, 1);
     relays.run_ms(1_000);
     let long = || RelayCall {
         run_ms: 2_900,
--- a/crates/core/tests/home_regions.rs
+++ b/crates/core/tests/home_regions.rs
@@ -30,7 +30,7 @@
 /// failure domain.
 fn start(config: FleetConfig, domain: &str) -> RelayFleet {
     let list = spread_upstreams(1, &["north", domain]);
-    let mut relays = RelayFleet::new(3, config, list, 1);
+    let mut relays = RelayFleet::with_evacuations(3, config, list, 1);
     relays.run_ms(2_000);
     relays
 }
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -64,6 +64,8 @@
     random: Random,
     /// The simulated store of the platform.
     pub store: StoreState,
+    /// Bound for evacuations in the settings of the VMs.
+    evacuate_ms: Option<u64>,
     /// VMs whose snapshots are those of a build that knows neither evacuations nor homes.
     older_builds: BTreeSet<usize>,
     /// Links (sender, receiver) that are interrupted.
@@ -94,7 +96,28 @@
 impl RelayFleet {
     /// Creates a fleet whose store holds the configuration and upstream list, and starts its VMs.
     pub fn new(vms: usize, config: FleetConfig, list: UpstreamList, seed: u64) -> Self {
+        Self::start_all((vms, None), config, list, seed)
+    }
+
+    /// Like [`Self::new`], with the bound for evacuations in the settings of all VMs.
+    pub fn with_evacuations(
+        vms: usize,
+        config: FleetConfig,
+        list: UpstreamList,
+        seed: u64,
+    ) -> Self {
+        Self::start_all((vms, Some(5_000)), config, list, seed)
+    }
+
+    /// Creates a fleet and starts its VMs.
+    fn start_all(
+        (vms, evacuate_ms): (usize, Option<u64>),
+        config: FleetConfig,
+        list: UpstreamList,
+        seed: u64,
+    ) -> Self {
         let mut fleet = Self {
+            evacuate_ms,
             now_us: 3_600_000_000,
             vms: Vec::new(),
             events: BTreeMap::new(),
@@ -145,7 +168,7 @@
             .is_first_start(is_first_start)
             .rate_wait_ms(400)
             .rate_window_ms(5_000)
-            .evacuate_ms(5_000)
+            .maybe_evacuate_ms(self.evacuate_ms)
             .regions(fixtures::regions())
             .build();
         row.control = Some(Control::new(settings));
