--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -5,8 +5,8 @@
 
 use super::format::runners_up_text;
 use super::{
-    CapacityDecision, CloseReason, CrashEvidence, Execution, LimitSource, LinkDecision,
-    MembershipDecision, OrderAction, OriginEvidence, PeerDecision, PlacementDecision,
+    CapacityDecision, CloseReason, ConfinementDecision, CrashEvidence, Execution, LimitSource,
+    LinkDecision, MembershipDecision, OrderAction, OriginEvidence, PeerDecision, PlacementDecision,
     PlacementReason, RefusalKind, RetryReason, TakeoverSource,
 };
 use crate::ids::{
@@ -440,6 +440,10 @@
         /// Number of those upstreams that are leaving.
         leaving: usize,
     },
+    /// About evacuated failure domains.
+    #[from]
+    #[display("confinement: {_0}")]
+    Confinement(ConfinementDecision),
     /// An upstream stated in a response that it is leaving.
     #[display("retry: upstream {upstream} states that it is leaving, it gets no new calls")]
     UpstreamLeaving {
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -1,6 +1,6 @@
 //! Applies summaries and snapshots of other VMs.
 
-use super::super::{Tick, budgets, config, outcomes, placement, rates};
+use super::super::{Tick, budgets, config, confinement, outcomes, placement, rates};
 use super::{group, request_snapshot};
 use crate::ids::VmName;
 use crate::input::{PeerEvent, RegisteredVm};
@@ -218,7 +218,8 @@
     let lacks_programs = knows_programs && is_pending;
     let is_newer = peer.revision > tables.fleet.revision
         || (peer.list.revision > tables.source.stamp.revision
-            && peer.list.digest != tables.source.stamp.digest);
+            && peer.list.digest != tables.source.stamp.digest)
+        || confinement::may_lack_evacuations(tick, peer.list.digest);
     let lacks_keepers = knows_keepers && tables.source.keepers.is_empty();
     if is_newer || lacks_programs || lacks_keepers {
         let address = peer.address.clone();
@@ -231,9 +232,10 @@
     tick.tables.peering.snapshot_requested_us = None;
     // The sender answered after `sent_us`, so its ages were measured at that time or later.
     let read_us = |age_us: Option<u64>| age_us.and_then(|age_us| sent_us.checked_sub(age_us));
+    let is_older_build = snapshot.evacuations.is_none();
     if let Some(fleet) = snapshot.fleet {
         let revision = fleet.revision;
-        config::adopt(tick, fleet);
+        config::adopt_peer_config(tick, fleet, is_older_build);
         if revision >= tick.tables.fleet.revision
             && let Some(read_us) = read_us(snapshot.config_age_us)
         {
@@ -247,7 +249,12 @@
         source.keepers = snapshot.keepers;
     }
     let list_us = read_us(snapshot.list_age_us);
+    let evacuations = snapshot.evacuations.unwrap_or_default();
+    let is_newer = confinement::record_evacuations(tick, evacuations);
     config::adopt_peer_list(tick, snapshot.list, list_us);
+    if is_newer {
+        config::mark_list_again(tick);
+    }
     if let Some(losses) = snapshot.losses
         && tick.tables.source.knowledge == ProgramKnowledge::Pending
     {
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -239,5 +239,6 @@
             .losses(now_us)
             .filter(|_| with_programs),
         keepers: Arc::clone(&tables.source.keepers),
+        evacuations: Some(tables.source.evacuations.clone()),
     }
 }
--- a/crates/core/src/systems/placement/entry.rs
+++ b/crates/core/src/systems/placement/entry.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Tick, admission};
+use super::super::{Tick, admission, confinement};
 use super::dispatch::dispatch;
 use super::{finish, refusal, stated_rates};
 use crate::ids::{AttemptId, CallId, PoolKey, StreamOrigin, UpstreamName};
@@ -316,6 +316,7 @@
             call.and_then(|call| stated_rates::retry_after_ms(tick, &call.pool))
         }
         RefusalKind::PoolBusy => refusal::book_return_ms(tick, attempt.call),
+        RefusalKind::Evacuated => Some(confinement::EVACUATED_RETRY_MS),
         _ => None,
     };
     admission::refuse(tick, attempt.call, kind, ran, retry_after_ms);
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -43,8 +43,8 @@
             place,
             arrived_us: tick.now_us,
         };
-        if !origins::can_go_on(tick, &waiting.place) {
-            refuse(tick, waiting, RefusalKind::StreamNotResumable);
+        if let Some(kind) = origins::find_stranded(tick, &waiting) {
+            refuse(tick, waiting, kind);
             return;
         }
         if links::is_unreachable(tick, &pool) {
@@ -142,7 +142,7 @@
     let Some(row) = tick.tables.pools.get(pool) else {
         return false;
     };
-    let placeable = |waiting: &QueuedCall| !selection::waits_for_version(tick, row, waiting);
+    let placeable = |waiting: &QueuedCall| !selection::waits_for_fitting(tick, row, waiting);
     let is_turn_of_oldest = row.deadlines.is_turn_of_oldest(tick.now_us);
     let oldest = is_turn_of_oldest.then(|| row.queue.oldest(placeable));
     let candidates = row.queue.candidates(order, placeable);
--- a/crates/relay/src/call/history.rs
+++ b/crates/relay/src/call/history.rs
@@ -29,7 +29,7 @@
     pub(super) async fn load_prompt(&mut self, deadline: Instant) -> Result<Bytes, Failure> {
         self.check_storable()?;
         let previous = self.head.previous_turn.as_ref();
-        let Some(previous) = previous.filter(|_| self.dispatch.history_ms.is_some()) else {
+        let Some(previous) = previous.filter(|_| self.dispatch.kept_turn.is_some()) else {
             return Ok(self.body.clone());
         };
         let earlier = match &self.progress.earlier_turns {
@@ -49,7 +49,7 @@
 
     /// Fails if the turn has not begun and no VM with a disk is reachable to store it.
     fn check_storable(&self) -> Result<(), Failure> {
-        let keeps_turn = self.dispatch.history_ms.is_some();
+        let keeps_turn = self.dispatch.kept_turn.is_some();
         if !keeps_turn || self.progress.is_stream_started || self.shared.turns.can_store() {
             return Ok(());
         }
@@ -81,7 +81,7 @@
 
     /// Adds the data of a forwarded event to the output of a turn that is kept.
     pub(super) fn keep_output(&mut self, event: &Event) {
-        if self.dispatch.history_ms.is_none() {
+        if self.dispatch.kept_turn.is_none() {
             return;
         }
         let output = &mut self.progress.kept_output;
@@ -96,7 +96,7 @@
     /// A turn without an ID cannot be named later, and of a stream that its caller has resumed the
     /// first part is not known, so neither is kept.
     pub(super) async fn store_turn(&mut self) -> Result<(), Failure> {
-        let Some(retention_ms) = self.dispatch.history_ms else {
+        let Some(kept) = &self.dispatch.kept_turn else {
             return Ok(());
         };
         let call = self.dispatch.attempt.call;
@@ -118,12 +118,13 @@
             },
             previous: self.head.previous_turn.clone(),
             content: Arc::from(content),
-            retention_ms,
+            retention_ms: kept.retention_ms,
             copies: SmallVec::new(),
         };
         let earlier = self.progress.earlier_turns.clone().unwrap_or_default();
         let started = Instant::now();
-        let stored = self.shared.turns.store(turn, earlier).await;
+        let allowed = kept.storage.as_deref();
+        let stored = self.shared.turns.store(turn, earlier, allowed).await;
         let took = started.elapsed();
         self.shared.metrics.observe_stage(Stage::StoreTurn, took);
         let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -55,6 +55,7 @@
     slow_upstreams: IntGauge,
     claim_waiting_calls: IntGauge,
     full_rejections: IntCounter,
+    evacuated_upstreams: IntGauge,
     lost_links: IntGauge,
     cut_off: IntGauge,
     tunnels: IntCounterVec,
@@ -173,6 +174,10 @@
                 "kwd_full_rejections_total",
                 "Attempts that upstreams rejected because they were full.",
             )?,
+            evacuated_upstreams: gauge(
+                "kwd_evacuated_upstreams",
+                "Listed upstreams whose failure domain is evacuated.",
+            )?,
             lost_links: gauge(
                 "kwd_lost_links",
                 "Upstreams that only other VMs reach, as far as known.",
@@ -385,6 +390,9 @@
         let pools = tables.pools.iter();
         let waiting: usize = pools.map(|(_, pool)| pool.claim_waiting_calls).sum();
         self.claim_waiting_calls.set(gauge_value(waiting as u64));
+        let rows = tables.upstreams.iter();
+        let evacuated = rows.filter(|(_, row)| row.config.is_evacuated).count();
+        self.evacuated_upstreams.set(gauge_value(evacuated as u64));
         let links = tables.upstreams.iter();
         let lost = links.filter(|(_, row)| row.link != Link::Up).count();
         self.lost_links.set(gauge_value(lost as u64));
--- a/crates/relay/src/upstream/body.rs
+++ b/crates/relay/src/upstream/body.rs
@@ -9,9 +9,16 @@
 /// Limit for the size line of a chunk, and for a trailer.
 const MAX_LINE_BYTES: usize = 8 * 1024;
 
+/// The end of a line.
+const LINE_END: &[u8] = b"\r\n";
+
 /// Limit for the number of trailers.
 const MAX_TRAILERS: usize = 64;
 
+/// Part of the limit for a body, as a divisor, that the size lines and line ends of its chunks may
+/// take. Without it, chunks of one byte let a body take six times its limit from the connection.
+const FRAMING_DIVISOR: usize = 4;
+
 /// The part of a body that is still to be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Remaining {
@@ -39,7 +46,7 @@
 }
 
 /// Creates the error for a body that exceeds its limit.
-pub(crate) fn too_long() -> ReadError {
+fn too_long() -> ReadError {
     ReadError::malformed("the body exceeds the limit")
 }
 
@@ -50,7 +57,7 @@
     remaining: Remaining,
     is_close_delimited: bool,
     trailers: usize,
-    /// Bytes of chunk sizes, line ends and trailers, which may exceed those of the body itself.
+    /// Bytes of size lines and line ends so far.
     framing_bytes: usize,
 }
 
@@ -80,11 +87,6 @@
             && self.connection.buffer.is_empty()
     }
 
-    /// Returns the bytes of the framing that were read so far; limits of a body include them.
-    pub fn framing_bytes(&self) -> usize {
-        self.framing_bytes
-    }
-
     /// Returns the next bytes of the body; `None` at its end.
     pub async fn next(&mut self) -> Result<Option<Bytes>, ReadError> {
         loop {
@@ -126,9 +128,7 @@
         let mut collected: Option<Vec<u8>> = None;
         while let Some(part) = self.next().await? {
             let collected = collected.get_or_insert_with(|| first.to_vec());
-            if collected.len() + part.len() + self.framing_bytes > max_bytes {
-                return Err(too_long());
-            }
+            self.check_length(collected.len() + part.len(), max_bytes)?;
             collected.extend_from_slice(&part);
             if permit.resize(collected.len()).is_err() {
                 let collected = std::mem::take(collected);
@@ -149,9 +149,16 @@
         let mut discarded_bytes = 0;
         while let Some(part) = self.next().await? {
             discarded_bytes += part.len();
-            if discarded_bytes + self.framing_bytes > max_bytes {
-                return Err(too_long());
-            }
+            self.check_length(discarded_bytes, max_bytes)?;
+        }
+        Ok(())
+    }
+
+    /// Checks that the bytes of the body that were read, and the framing of its chunks, do not exceed
+    /// their limits.
+    pub fn check_length(&self, read_bytes: usize, max_bytes: usize) -> Result<(), ReadError> {
+        if read_bytes > max_bytes || self.framing_bytes > max_bytes / FRAMING_DIVISOR {
+            return Err(too_long());
         }
         Ok(())
     }
@@ -221,6 +228,7 @@
                 "a chunk is longer than its stated size",
             ));
         }
+        self.framing_bytes += LINE_END.len();
         self.remaining = Remaining::ChunkSize;
         Ok(())
     }
@@ -245,11 +253,10 @@
                 .connection
                 .buffer
                 .windows(2)
-                .position(|end| end == b"\r\n");
+                .position(|end| end == LINE_END);
             if let Some(at) = at {
                 let line = self.connection.buffer.split_to(at).freeze();
-                let _ = self.connection.buffer.split_to(2);
-                self.framing_bytes += at + 2;
+                let _ = self.connection.buffer.split_to(LINE_END.len());
                 return Ok(line);
             }
             self.fill_line().await?;
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -25,7 +25,8 @@
 pub use builds::OtherBuild;
 pub use capacity::{Capacities, UpstreamCapacity};
 pub use fixtures::{
-    ForwardedTokens, RelayCall, Run, account, fleet, listed_engine, listed_upstream, upstreams,
+    ForwardedTokens, RelayCall, Run, account, fleet, listed_engine, listed_upstream,
+    spread_upstreams, upstreams,
 };
 pub use store::StoreState;
 
@@ -36,6 +37,8 @@
 #[derive(Debug)]
 struct Vm {
     name: VmName,
+    /// Its failure domain from its next start on.
+    domain: DomainName,
     /// `None` while the process is down.
     control: Option<Control>,
     incarnation: u64,
@@ -65,6 +68,10 @@
     random: Random,
     /// The simulated store of the platform.
     pub store: StoreState,
+    /// Bound for evacuations in the settings of the VMs.
+    evacuate_ms: Option<u64>,
+    /// VMs whose snapshots are those of a build that knows neither evacuations nor homes.
+    older_builds: BTreeSet<usize>,
     /// Links (sender, receiver) that are interrupted.
     interrupted_links: BTreeSet<(usize, usize)>,
     /// VMs whose builds differ from that of the others.
@@ -97,13 +104,35 @@
 impl RelayFleet {
     /// Creates a fleet whose store holds the configuration and upstream list, and starts its VMs.
     pub fn new(vms: usize, config: FleetConfig, list: UpstreamList, seed: u64) -> Self {
+        Self::start_all((vms, None), config, list, seed)
+    }
+
+    /// Like [`Self::new`], with the bound for evacuations in the settings of all VMs.
+    pub fn with_evacuations(
+        vms: usize,
+        config: FleetConfig,
+        list: UpstreamList,
+        seed: u64,
+    ) -> Self {
+        Self::start_all((vms, Some(5_000)), config, list, seed)
+    }
+
+    /// Creates a fleet and starts its VMs.
+    fn start_all(
+        (vms, evacuate_ms): (usize, Option<u64>),
+        config: FleetConfig,
+        list: UpstreamList,
+        seed: u64,
+    ) -> Self {
         let mut fleet = Self {
+            evacuate_ms,
             now_us: 3_600_000_000,
             vms: Vec::new(),
             events: BTreeMap::new(),
             next_event: 0,
             random: Random::new(seed),
             store: StoreState::new(config, list),
+            older_builds: BTreeSet::new(),
             interrupted_links: BTreeSet::new(),
             builds: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -121,6 +150,7 @@
         for number in 0..vms {
             fleet.vms.push(Vm {
                 name: VmName::from(format!("vm-{number}")),
+                domain: DomainName::from("north"),
                 control: None,
                 incarnation: 0,
                 calls: 0,
@@ -137,7 +167,7 @@
         let settings = CoreSettings::builder()
             .vm(row.name.clone())
             .incarnation(Incarnation(row.incarnation))
-            .failure_domain(DomainName::from("north"))
+            .failure_domain(row.domain.clone())
             .address(row.name.to_string())
             .tunnel_address(row.name.to_string())
             .coordination(Coordination::Peers)
@@ -148,6 +178,8 @@
             .is_first_start(is_first_start)
             .rate_wait_ms(400)
             .rate_window_ms(5_000)
+            .maybe_evacuate_ms(self.evacuate_ms)
+            .regions(fixtures::regions())
             .build();
         row.control = Some(Control::new(settings));
         self.tick(vm, Vec::new());
@@ -166,6 +198,17 @@
         self.start(vm, false);
     }
 
+    /// Restarts the process of a VM in another failure domain.
+    pub fn move_to(&mut self, vm: usize, domain: &str) {
+        self.vms[vm].domain = DomainName::from(domain);
+        self.restart(vm);
+    }
+
+    /// Makes a VM send the snapshots of a build that knows neither evacuations nor homes.
+    pub fn set_older_build(&mut self, vm: usize) {
+        self.older_builds.insert(vm);
+    }
+
     /// Asks a VM to stop, which ends all calls after a time.
     pub fn stop(&mut self, vm: usize, calls_end_ms: u64) {
         let time_us = self.now_us + calls_end_ms * 1_000;
