Pace upstreams that start or recover, and limit calls to cold ones

An upstream that appeared or returned got its full number of calls at once from each VM. VMs now share a window of calls for it, which opens with timely responses and halves with setbacks (systems/pacing). Cold upstreams are a second source of limits beside the rates that upstreams state.

--- a/crates/core/src/config/fleet.rs
+++ b/crates/core/src/config/fleet.rs
@@ -89,6 +89,16 @@
     pub first_token_ms: Option<u64>,
     /// Timeout for each further byte or token of a response; if absent, the VM's setting.
     pub token_gap_ms: Option<u64>,
+    /// How long an upstream is cold after its process has started. What upstreams state themselves
+    /// decides; this is the expected time.
+    #[builder(default)]
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub cold_ms: u64,
+    /// Rate of calls, in thousandths of a call per second, that a cold upstream takes from all VMs
+    /// together; 0 if cold upstreams are not limited.
+    #[builder(default)]
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub cold_mcalls_per_s: u64,
 }
 
 /// Kind of a service's upstreams.
@@ -147,6 +157,10 @@
     /// Version of its software, if it states one.
     #[cfg_attr(feature = "serde", serde(default))]
     pub software_version: Option<SoftwareVersion>,
+    /// How long it says that it will still be cold; 0 if it is not.
+    #[builder(default)]
+    #[cfg_attr(feature = "serde", serde(default))]
+    pub cold_left_ms: u64,
 }
 
 /// A route of a plain service.
--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -52,6 +52,9 @@
     pub upstream_choice: UpstreamChoice,
     /// Whether an upstream's limit of concurrent calls adapts to its measured speed.
     pub learned_limit: bool,
+    /// Whether an upstream that has started or recovered gets calls at a pace that follows its
+    /// responses; with [`Coordination::Peers`] only.
+    pub pace_returns: bool,
 }
 
 impl Default for PolicyFeatures {
@@ -61,6 +64,7 @@
             least_attained: true,
             upstream_choice: UpstreamChoice::LowestCost,
             learned_limit: true,
+            pace_returns: true,
         }
     }
 }
@@ -188,6 +192,12 @@
     /// How long a request that crashes upstreams is refused.
     #[builder(default = 600_000)]
     pub quarantine_ms: u64,
+    /// Calls that a cold upstream may get in any second, in percent of the rate of its service.
+    #[builder(default = 150)]
+    pub cold_overage_percent: u64,
+    /// Calls that a cold upstream may get in any second beyond that.
+    #[builder(default = 5)]
+    pub cold_slack_calls: u64,
     /// Retry budget, in percent of recent calls.
     #[builder(default = 20)]
     pub retry_percent: u64,
--- a/crates/core/src/input/event.rs
+++ b/crates/core/src/input/event.rs
@@ -70,7 +70,8 @@
         /// Start of the process that the request was dispatched to, in Unix time.
         started_unix_ms: u64,
     },
-    /// An upstream stated in a response which rate it takes, or that it is not limited any more.
+    /// An upstream stated in a response which rate it takes, that it is not limited any more, or
+    /// how long it will be cold.
     UpstreamRate(UpstreamStatement),
     /// An engine reported its loaded models.
     Loaded {
@@ -106,7 +107,7 @@
     Halt,
 }
 
-/// What an upstream stated in one response about the rate that it takes.
+/// What an upstream stated in one response about the rate that it takes and whether it is cold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamStatement {
     /// The upstream that responded.
@@ -115,6 +116,8 @@
     pub started_unix_ms: u64,
     /// The rate that it takes from all VMs together.
     pub rate: StatedRate,
+    /// How long it will still be cold; `None` if it does not state that.
+    pub cold_ms: Option<u64>,
 }
 
 /// A rate as stated in a response.
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -6,7 +6,8 @@
 use super::format::runners_up_text;
 use super::{
     CloseReason, CrashEvidence, Execution, LimitSource, LinkDecision, MembershipDecision,
-    OrderAction, OriginEvidence, PlacementReason, RefusalKind, RetryReason, TakeoverSource,
+    OrderAction, OriginEvidence, PaceDecision, PlacementReason, RefusalKind, RetryReason,
+    TakeoverSource,
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, FencingToken, Incarnation, ProgramKey, Revision,
@@ -242,6 +243,10 @@
     #[from]
     #[display("links: {_0}")]
     Links(LinkDecision),
+    /// About upstreams that have started or recovered.
+    #[from]
+    #[display("pacing: {_0}")]
+    Pace(PaceDecision),
     /// A content was quarantined: no VM runs it for a time.
     #[display("retry: content {digest} quarantined for {for_ms} ms after {crashes} crashes")]
     Quarantined {
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -6,6 +6,7 @@
 mod link_decision;
 mod membership_decision;
 mod order;
+mod pace_decision;
 mod reason;
 mod refusal;
 mod source;
@@ -15,6 +16,7 @@
 pub use link_decision::LinkDecision;
 pub use membership_decision::MembershipDecision;
 pub use order::{Order, OrderAction};
+pub use pace_decision::PaceDecision;
 pub use reason::{
     CloseReason, CrashEvidence, LimitSource, OriginEvidence, PlacementReason, RetryReason,
     TakeoverSource,
--- a/crates/core/src/systems/config/mod.rs
+++ b/crates/core/src/systems/config/mod.rs
@@ -212,6 +212,7 @@
                 row.reset_after_restart(tick.now_us);
             }
             row.configure(upstream.clone());
+            row.cold_mcalls_per_s = service.cold_mcalls_per_s;
             row.has_given_notice = leaving.contains(&upstream.name);
         }
         for pool in pools_of(service) {
--- a/crates/core/src/systems/config/upstream_list.rs
+++ b/crates/core/src/systems/config/upstream_list.rs
@@ -1,11 +1,11 @@
 //! Applies the list in which upstreams register themselves.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-use super::super::Tick;
-use crate::config::ServiceConfig;
+use super::super::{Tick, pacing};
+use crate::config::{ServiceConfig, UpstreamConfig};
 use crate::ids::UpstreamName;
 use crate::input::{ListedUpstream, UpstreamList};
 use crate::message::ListVersion;
@@ -63,10 +63,15 @@
     if previous.digest == digest {
         return;
     }
-    tick.tables.source.upstreams = list;
+    let before = std::mem::replace(&mut tick.tables.source.upstreams, list);
     let fleet = tick.tables.fleet.clone();
     let services = with_listed_upstreams(tick, &fleet.services);
     super::replace_services(tick, &services);
+    // A VM that had no list before cannot tell which upstreams have started lately.
+    if previous.digest != 0 {
+        record_returns(tick, &before);
+    }
+    pacing::apply_list(tick);
     let upstreams = &tick.tables.source.upstreams.upstreams;
     let leaving = upstreams.iter().filter(|row| row.config.leaving).count();
     let upstreams = upstreams.len();
@@ -78,6 +83,21 @@
     tick.work.peers.announce = true;
 }
 
+/// Records the upstreams that the list before did not have, or whose process has restarted since.
+fn record_returns(tick: &mut Tick<'_>, before: &UpstreamList) {
+    let list = Arc::clone(&tick.tables.source.upstreams);
+    let rows = before.upstreams.iter();
+    let before: HashMap<&UpstreamName, &UpstreamConfig> =
+        rows.map(|row| (&row.config.name, &row.config)).collect();
+    for row in &list.upstreams {
+        let config = &row.config;
+        let known = before.get(&config.name);
+        if known.is_none_or(|known| known.started_unix_ms != config.started_unix_ms) {
+            pacing::record_return(tick, &config.name);
+        }
+    }
+}
+
 /// Returns the services with their upstreams taken from the list in force.
 pub(super) fn with_listed_upstreams(
     tick: &Tick<'_>,
@@ -106,6 +126,7 @@
             config.started_unix_ms,
             config.max_running_calls,
             &config.software_version,
+            config.cold_left_ms > 0,
         )
             .hash(&mut hasher);
         for model in &config.models {
--- a/crates/core/src/systems/mod.rs
+++ b/crates/core/src/systems/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod membership;
 pub(crate) mod orders;
 pub(crate) mod outcomes;
+pub(crate) mod pacing;
 pub(crate) mod peers;
 pub(crate) mod placement;
 pub(crate) mod rates;
@@ -54,6 +55,7 @@
     pub outcomes: outcomes::Work,
     pub homes: homes::Work,
     pub rates: rates::Work,
+    pub pacing: pacing::Work,
     pub budgets: budgets::Work,
     pub admission: admission::Work,
     pub placement: placement::Work,
@@ -77,6 +79,7 @@
             && self.outcomes.is_empty()
             && self.homes.is_empty()
             && self.rates.is_empty()
+            && self.pacing.is_empty()
             && self.admission.is_empty()
             && self.placement.is_empty()
             && self.orders.is_empty()
@@ -118,6 +121,7 @@
     outcomes::run(tick);
     homes::run(tick);
     rates::run(tick);
+    pacing::run(tick);
     budgets::run(tick);
     admission::run(tick);
     placement::run(tick);
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -1,6 +1,6 @@
 //! Applies summaries and snapshots of other VMs.
 
-use super::super::{Tick, budgets, config, outcomes, rates};
+use super::super::{Tick, budgets, config, outcomes, pacing, rates};
 use super::{group, request_snapshot};
 use crate::ids::VmName;
 use crate::input::{PeerEvent, RegisteredVm};
@@ -48,6 +48,9 @@
         rates::record_limit(tick, limit.clone(), LimitSource::Peer);
     }
     record_admitted(tick, &summary);
+    for pace in &summary.paces {
+        pacing::merge_report(tick, &vm, pace);
+    }
     group::replace_running(tick, &vm, summary.running);
     for program in &summary.programs {
         budgets::merge_use(tick, &vm, summary.incarnation, program);
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::super::Tick;
+use super::super::{Tick, pacing};
 use crate::config::CoreSettings;
 use crate::ids::VmName;
 use crate::input::UpstreamList;
@@ -140,6 +140,11 @@
             age_us: now_us.saturating_sub(row.stated_us),
         })
         .collect();
+    summary.paces = pacing::announcements(tables, now_us)
+        .filter(|(changed_round, _)| is_due(*changed_round, peer, common.round))
+        .map(|(_, pace)| pace)
+        .take(MAX_ROWS)
+        .collect();
     let programs = tables.budgets.iter();
     summary.programs = programs
         .filter(|(_, row)| is_due(row.changed_round, peer, common.round))
--- a/crates/core/src/systems/placement/availability.rs
+++ b/crates/core/src/systems/placement/availability.rs
@@ -1,6 +1,6 @@
 //! Tracks which upstreams of each pool have room and assigns waiting calls to them.
 
-use super::super::{Tick, links, rates};
+use super::super::{Tick, links, pacing, rates};
 use super::{owner, queue_order};
 use crate::ids::{ContentDigest, PoolKey, UpstreamName};
 use crate::tables::QueuedCall;
@@ -8,7 +8,10 @@
 /// Updates an upstream in the sets of available upstreams of its pools from its current load.
 pub(crate) fn refresh_availability(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let is_learned = tick.settings.policy.learned_limit;
-    let may_send = rates::may_send(tick, upstream) && links::can_reach(tick, upstream);
+    pacing::prepare(tick, upstream);
+    let may_send = rates::may_send(tick, upstream)
+        && pacing::may_send(tick, upstream)
+        && links::can_reach(tick, upstream);
     let tables = &mut *tick.tables;
     let Some(row) = tables.upstreams.get_mut(upstream) else {
         return;
--- a/crates/core/src/systems/placement/exclusive.rs
+++ b/crates/core/src/systems/placement/exclusive.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Tick, rates};
+use super::super::{Tick, pacing, rates};
 use super::selection::SelectedUpstream;
 use super::{availability, owner};
 use crate::ids::{PoolKey, StreamOrigin, UpstreamName};
@@ -72,6 +72,7 @@
                     && row.is_usable(tick.now_us)
                     && row.fits(origin)
                     && rates::may_send(tick, name)
+                    && pacing::may_send(tick, name)
             })
         })
         .cloned()
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Sender, Tick, links, outcomes, rates};
+use super::super::{Sender, Tick, links, outcomes, pacing, rates};
 use super::selection::{self, SelectedUpstream, Selection};
 use super::{availability, exclusive, hints, limits, origins, queue_order, stated_rates};
 use crate::config::UpstreamChoice;
@@ -51,6 +51,7 @@
         availability::push(tick, waiting);
         stated_rates::refresh(tick, &pool);
         assign(tick, &pool);
+        pacing::count_held_back(tick, &pool, attempt);
         stated_rates::refuse_excess(tick, &pool);
         schedule_aging(tick, &pool, attempt);
     }
@@ -310,6 +311,7 @@
     release(tick, finish.attempt, &running);
     settle_service(tick, &running, finish);
     if running.upstream == finish.upstream {
+        pacing::record_result(tick, &running, finish);
         record_result(tick, &running, finish);
     }
     if let Some(suspect) = tick.tables.suspects.get(&running.digest)
--- a/crates/core/src/systems/rates/mod.rs
+++ b/crates/core/src/systems/rates/mod.rs
@@ -17,7 +17,7 @@
 
 pub(crate) use replicated::{debit_remote_calls, refund_call, rescale_buckets};
 pub(crate) use upstreams::{
-    expected_rate, expire_statement, is_limited, may_send, record_limit, schedule_ready,
+    expected_rate, expire_statement, is_limited, may_send, record_limit, schedule_ready, set_cold,
     take_upstream_call,
 };
 
--- a/crates/core/src/systems/rates/upstreams.rs
+++ b/crates/core/src/systems/rates/upstreams.rs
@@ -4,12 +4,12 @@
 //! deducts what the others report. Unlike an account, an upstream may have a rate of less than one
 //! call for each VM, so the own parts lapse, and what other VMs leave over is taken in turns.
 
-use super::super::{Tick, placement};
+use super::super::{Tick, pacing, placement};
 use crate::ids::UpstreamName;
 use crate::input::{StatedRate, UpstreamStatement};
 use crate::message::StatedLimit;
 use crate::output::{Decision, LimitSource};
-use crate::tables::{RateKey, Timer, UpstreamRate, hash_name};
+use crate::tables::{ColdLimit, RateKey, Timer, UpstreamRate, hash_name};
 
 /// Length of the turns in which VMs take what others leave over; each hears of the calls of the
 /// turn before.
@@ -24,6 +24,9 @@
 
 /// Records what an upstream stated in a response to this VM.
 pub(super) fn record_statement(tick: &mut Tick<'_>, statement: UpstreamStatement) {
+    if let Some(cold_ms) = statement.cold_ms {
+        pacing::record_cold_time(tick, &statement, cold_ms);
+    }
     let limit = match statement.rate {
         StatedRate::Unreadable => return,
         StatedRate::Absent => None,
@@ -130,20 +133,36 @@
     }
 }
 
-/// Returns the limit that the present process of a listed upstream has stated last.
+/// Sets or ends the limit of an upstream that is cold; the lower one of it and a stated rate holds.
+pub(crate) fn set_cold(tick: &mut Tick<'_>, name: &UpstreamName, cold: Option<ColdLimit>) {
+    let known = tick.tables.upstream_rates.get(name);
+    if known.map_or(cold.is_none(), |row| row.cold == cold) {
+        return;
+    }
+    if known.is_none() {
+        let timer = Timer::NoticeExpiry(name.clone());
+        tick.tables.timers.set(tick.now_us + RETENTION_US, timer);
+    }
+    let rates = &mut tick.tables.upstream_rates;
+    rates.get_or_insert_with(name, UpstreamRate::default).cold = cold;
+    resize(tick, name);
+}
+
+/// Returns the limit of a listed upstream that is cold or whose present process has stated one.
 fn limit_of<'a>(tick: &'a Tick<'_>, name: &UpstreamName) -> Option<&'a UpstreamRate> {
     let row = tick.tables.upstream_rates.get(name)?;
     let upstream = tick.tables.upstreams.get(name)?;
     let is_current = upstream.config.started_unix_ms == row.started_unix_ms;
-    (is_current && row.limit_mcalls_per_s.is_some()).then_some(row)
+    let is_stated = is_current && row.limit_mcalls_per_s.is_some();
+    (is_stated || row.cold.is_some()).then_some(row)
 }
 
-/// Returns whether a rate that an upstream has stated lets this VM send it a call now.
+/// Returns whether the rate of a limited or cold upstream lets this VM send it a call now.
 pub(crate) fn may_send(tick: &Tick<'_>, name: &UpstreamName) -> bool {
     limit_of(tick, name).is_none_or(|row| row.is_open(is_turn(tick, name), tick.now_us))
 }
 
-/// Returns whether an upstream has stated a rate that is in force.
+/// Returns whether an upstream is cold or has stated a rate that is in force.
 pub(crate) fn is_limited(tick: &Tick<'_>, name: &UpstreamName) -> bool {
     limit_of(tick, name).is_some()
 }
--- a/crates/core/src/systems/timers/mod.rs
+++ b/crates/core/src/systems/timers/mod.rs
@@ -39,6 +39,7 @@
             | Timer::QuarantineEnd(_) => {
                 work.outcomes.due_timers.push(timer);
             }
+            Timer::PaceReview => work.pacing.is_due = true,
             Timer::LinkProbe => work.links.is_probe_due = true,
             Timer::OrdersReview(_) => work.orders.due_timers.push(timer),
             Timer::Summary => work.peers.is_due = true,
--- a/crates/core/src/tables/health.rs
+++ b/crates/core/src/tables/health.rs
@@ -38,6 +38,8 @@
     pub last_crash_us: u64,
     /// Prefixes that were cached before this time are lost.
     pub cache_valid_from_us: u64,
+    /// Start of an ejection or of a backoff after a failure whose end was not noticed yet.
+    paused_us: Option<u64>,
     /// Whether it is being examined, see [`Examination`](super::Examination).
     pub is_examined: bool,
 }
@@ -65,6 +67,7 @@
     /// Drops failures and pauses that come from a lost link of this VM, not from the upstream.
     pub fn clear_failures(&mut self, now_us: u64) {
         self.failures = 0;
+        self.paused_us = None;
         self.ejected_until_us = self.ejected_until_us.min(now_us);
         self.backoff_until_us = self.backoff_until_us.min(now_us);
     }
@@ -99,16 +102,26 @@
         self.ejections += 1;
         self.failures = EJECTION_FAILURES - 1;
         self.ejected_until_us = now_us + ejection_us;
+        self.paused_us = Some(now_us);
         ejection_us
     }
 
     /// Starts a backoff, longer after consecutive failures, and returns its end.
     pub fn back_off(&mut self, now_us: u64) -> u64 {
         let backoff_us = MIN_BACKOFF_US << self.failures.min(2);
+        self.paused_us = Some(now_us);
         self.backoff_until_us = self.backoff_until_us.max(now_us + backoff_us);
         self.backoff_until_us
     }
 
+    /// Returns when an ejection or backoff began that has ended, once.
+    pub fn take_return(&mut self, now_us: u64) -> Option<u64> {
+        if self.paused_us.is_none() || !self.is_ready(now_us) {
+            return None;
+        }
+        self.paused_us.take()
+    }
+
     /// Records that it crashed or refused a connection.
     pub fn record_crash(&mut self, now_us: u64) {
         self.last_crash_us = now_us;
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -16,6 +16,7 @@
 mod loan;
 mod membership;
 mod order;
+mod pace;
 mod peer;
 mod placement_history;
 mod pool;
@@ -54,6 +55,7 @@
     StoreLink, StoreRequestKind, Suspicion, UnresolvedWrite,
 };
 pub use order::{PendingOrder, ServiceOrders};
+pub use pace::{Deal, Episode, FirstEvents, INITIAL_WINDOW_CALLS, Pace, PaceCounts, Pacing};
 pub use peer::{Peer, Peering, RateKey};
 pub use placement_history::{CacheHint, PlacementHistory};
 pub use pool::Pool;
@@ -67,7 +69,7 @@
 pub use table::Table;
 pub use timers::{Timer, Timers};
 pub use upstream::{LeavingNotice, RunningAttempt, Upstream};
-pub use upstream_rate::UpstreamRate;
+pub use upstream_rate::{ColdLimit, UpstreamRate};
 pub use versions::{STREAM_LIFE_US, SeenVersions};
 pub(crate) use view::hash_name;
 pub use view::{Member, View, ViewChange, ViewDelta};
@@ -113,6 +115,8 @@
     pub leaving_notices: Table<UpstreamName, LeavingNotice>,
     /// Rates that upstreams have stated in responses, for all VMs together.
     pub upstream_rates: Table<UpstreamName, UpstreamRate>,
+    /// Upstreams that have started or returned lately.
+    pub pacing: Pacing,
     /// Software versions that the upstreams of services have had lately.
     pub seen_versions: Table<ServiceName, SeenVersions>,
     /// Orders to the engines of services, for those services whose orders this VM owns.
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -62,6 +62,8 @@
     RunningCheck(AttemptId),
     /// An upstream may be ready for calls again.
     UpstreamReady(UpstreamName),
+    /// Upstreams that are paced or cold are looked at.
+    PaceReview,
     /// A lost link may be back and is probed.
     LinkProbe,
     /// The examination of a broken connection ends, and its cause has to be decided.
--- a/crates/core/src/tables/upstream.rs
+++ b/crates/core/src/tables/upstream.rs
@@ -44,6 +44,8 @@
     pub limit: ConcurrencyLimit,
     /// Failures, ejection and backoff.
     pub health: Health,
+    /// Rate of calls that it takes from all VMs together while it is cold; 0 if not limited.
+    pub cold_mcalls_per_s: u64,
     /// This VM's link to it.
     pub link: Link,
     /// Whether its process has stated in a response that it is leaving.
@@ -76,6 +78,7 @@
             own_calls: 0,
             limit: ConcurrencyLimit::new(config.min_running_calls, config.max_running_calls),
             health: Health::default(),
+            cold_mcalls_per_s: 0,
             link: Link::default(),
             has_given_notice: false,
             has_exclusive_call: false,
--- a/crates/core/src/tables/upstream_rate.rs
+++ b/crates/core/src/tables/upstream_rate.rs
@@ -18,6 +18,41 @@
 /// Time for which a VM may take a call of its own part before the call lapses.
 const OWN_PART_LAPSE_US: u64 = 1_500_000;
 
+/// Longest time for which a VM may take a call of its own part for a cold upstream.
+///
+/// The limit of cold upstreams is counted over a second, so parts that VMs have saved must not add
+/// up to a burst.
+const MAX_COLD_LAPSE_US: u64 = 300_000;
+
+/// Shortest such time; calls that wait are looked at more often.
+const MIN_COLD_LAPSE_US: u64 = 50_000;
+
+/// Part of the calls allowed beyond the rate that the bucket of a cold upstream may hold, as a
+/// divisor. The rest is left to calls that VMs place before they hear of each other's.
+const COLD_BURST_DIVISOR: u64 = 4;
+
+/// The limit of an upstream that is cold.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ColdLimit {
+    /// Rate of calls from all VMs together, in thousandths of a call per second.
+    pub mcalls_per_s: u64,
+    /// Calls that may exceed the rate in any second, in billionths of a call.
+    pub overage_ncalls: u64,
+}
+
+impl ColdLimit {
+    /// Returns the capacity of the bucket.
+    fn burst_ncalls(&self) -> u64 {
+        (self.overage_ncalls / COLD_BURST_DIVISOR).max(NCALLS_PER_CALL)
+    }
+
+    /// Returns the time for which a VM may take a call of its own part.
+    fn lapse_us(&self) -> u64 {
+        let lapse_us = self.overage_ncalls / COLD_BURST_DIVISOR / self.mcalls_per_s.max(1);
+        lapse_us.clamp(MIN_COLD_LAPSE_US, MAX_COLD_LAPSE_US)
+    }
+}
+
 /// What an upstream stated last about the rate of calls that it takes from all VMs together, and
 /// this VM's copy of the bucket for it.
 ///
@@ -29,6 +64,8 @@
     pub started_unix_ms: u64,
     /// The stated rate in thousandths of a call per second; `None` if it stated none.
     pub limit_mcalls_per_s: Option<u64>,
+    /// The limit while it is cold; `None` if it is not cold, or its service asks for no limit.
+    pub cold: Option<ColdLimit>,
     /// Time at which the statement arrived, at any VM.
     pub stated_us: u64,
     /// Round of summaries that reports the last change.
@@ -51,16 +88,20 @@
         (vm, upstream): (&VmName, &UpstreamName),
         now_us: u64,
     ) {
-        let Some(limit) = self.limit_mcalls_per_s else {
+        let Some(limit) = self.lower_limit() else {
             self.bucket = Bucket::default();
             self.replicated = ReplicatedBucket::default();
             return;
         };
         self.bucket.refill(now_us);
         let rate_mcalls_per_s = sharing.usable(limit.max(MIN_UPSTREAM_RATE_MCALLS_PER_S));
-        let burst_ncalls = rate_mcalls_per_s
-            .saturating_mul(BURST_US)
-            .max(MIN_BURST_NCALLS);
+        let burst_ncalls = match self.cold {
+            Some(cold) => cold.burst_ncalls(),
+            None => rate_mcalls_per_s
+                .saturating_mul(BURST_US)
+                .max(MIN_BURST_NCALLS),
+        };
+        let lapse_us = self.cold.map_or(OWN_PART_LAPSE_US, |cold| cold.lapse_us());
         self.bucket = Bucket {
             rate_mcalls_per_s,
             burst_ncalls,
@@ -69,9 +110,9 @@
         };
         let own_mcalls_per_s = sharing.own_part(rate_mcalls_per_s);
         let had_own_part = self.replicated.own_part.rate_mcalls_per_s > 0;
-        let is_fraction = own_mcalls_per_s.saturating_mul(OWN_PART_LAPSE_US) < NCALLS_PER_CALL;
+        let is_fraction = own_mcalls_per_s.saturating_mul(lapse_us) < NCALLS_PER_CALL;
         self.replicated.reserve_ncalls = (burst_ncalls / 3).max(NCALLS_PER_CALL);
-        self.replicated.own_part_lapse_us = if is_fraction { OWN_PART_LAPSE_US } else { 0 };
+        self.replicated.own_part_lapse_us = if is_fraction { lapse_us } else { 0 };
         if !had_own_part && is_fraction {
             // Different on each VM, so that the calls of all own parts do not fall due at once.
             let phase = hash_name(vm.as_str(), hash_name(upstream.as_str(), 0));
@@ -81,10 +122,16 @@
         self.replicated.resize_own_part(own_mcalls_per_s, now_us);
     }
 
+    /// Returns the lower one of the stated rate and that of a cold upstream.
+    fn lower_limit(&self) -> Option<u64> {
+        let cold = self.cold.map(|cold| cold.mcalls_per_s);
+        self.limit_mcalls_per_s.into_iter().chain(cold).min()
+    }
+
     /// Returns whether one call may be sent to the upstream now.
     pub fn is_open(&self, is_turn: bool, now_us: u64) -> bool {
         let mut copy = *self;
-        copy.limit_mcalls_per_s.is_none() || copy.try_take(is_turn, now_us)
+        copy.lower_limit().is_none() || copy.try_take(is_turn, now_us)
     }
 
     /// Takes one call; returns `false` if none may be taken.
--- a/crates/relay/src/adapter.rs
+++ b/crates/relay/src/adapter.rs
@@ -69,6 +69,8 @@
     pub is_leaving: bool,
     /// The rate of requests that the upstream takes from all VMs together, if it states that.
     pub rate: StatedRate,
+    /// How long the upstream will still be cold, in milliseconds, if it states that.
+    pub cold_ms: Option<u64>,
     /// Whether the response carries the upstream's signature.
     pub is_signed: bool,
     /// How long the upstream keeps an idle connection open, if it states that.
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -212,11 +212,13 @@
             tracing::warn!(%upstream, "upstream: stated rate ignored, it is not a number of 0 or more");
         }
         // Without a limit there is nothing to report, unless one has been in force.
-        if info.rate != StatedRate::Absent || self.dispatch.is_rate_limited {
+        let states_rate = info.rate != StatedRate::Absent || self.dispatch.is_rate_limited;
+        if states_rate || info.cold_ms.is_some() {
             let statement = UpstreamStatement {
                 upstream: upstream.clone(),
                 started_unix_ms,
                 rate: info.rate,
+                cold_ms: info.cold_ms,
             };
             let statement = Input::UpstreamRate(statement);
             self.shared.inputs.send_input(statement).await;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -50,6 +50,9 @@
     revision: IntGauge,
     sharing_vms: IntGaugeVec,
     limited_upstreams: IntGauge,
+    paced_upstreams: IntGauge,
+    cold_upstreams: IntGauge,
+    held_back: IntGauge,
     lost_links: IntGauge,
     cut_off: IntGauge,
     tunnels: IntCounterVec,
@@ -151,6 +154,18 @@
                 "kwd_limited_upstreams",
                 "Upstreams that state a rate for all VMs together.",
             )?,
+            paced_upstreams: gauge(
+                "kwd_paced_upstreams",
+                "Upstreams that have started or recovered and are paced.",
+            )?,
+            cold_upstreams: gauge(
+                "kwd_cold_upstreams",
+                "Upstreams whose calls are limited because they are cold.",
+            )?,
+            held_back: gauge(
+                "kwd_held_back_calls",
+                "Calls since the start that waited although a paced upstream had room.",
+            )?,
             lost_links: gauge(
                 "kwd_lost_links",
                 "Upstreams that only other VMs reach, as far as known.",
@@ -349,6 +364,12 @@
         let limited = rates.filter(|(_, row)| row.limit_mcalls_per_s.is_some());
         self.limited_upstreams
             .set(gauge_value(limited.count() as u64));
+        let pacing = &tables.pacing;
+        let paced = pacing.paced_upstreams() as u64;
+        self.paced_upstreams.set(gauge_value(paced));
+        let cold = pacing.cold.len() as u64;
+        self.cold_upstreams.set(gauge_value(cold));
+        self.held_back.set(gauge_value(pacing.held_back_calls));
         let links = tables.upstreams.iter();
         let lost = links.filter(|(_, row)| row.link != Link::Up).count();
         self.lost_links.set(gauge_value(lost as u64));
--- a/crates/report/src/policy/variant.rs
+++ b/crates/report/src/policy/variant.rs
@@ -20,6 +20,7 @@
         least_attained: false,
         upstream_choice,
         learned_limit: false,
+        pace_returns: false,
     }
 }
 
@@ -29,6 +30,7 @@
     least_attained: true,
     upstream_choice: UpstreamChoice::LowestCost,
     learned_limit: true,
+    pace_returns: true,
 };
 
 impl Variant {
--- a/crates/testing/src/relays/attempts.rs
+++ b/crates/testing/src/relays/attempts.rs
@@ -120,6 +120,7 @@
             upstream: dispatch.upstream.clone(),
             started_unix_ms: dispatch.upstream_started_unix_ms,
             rate,
+            cold_ms: None,
         };
         self.deliver(vm, LINK_US, Input::UpstreamRate(statement));
     }
