Test the pace and the limit of cold upstreams, and keep calls that are due

Parts of a cold upstream's rate begin evenly spread over the VMs, and leftovers are not shared there: VMs that had just lost contact took the same ones (293 calls in a second of 40 a second, trial with 8 VMs).

--- a/crates/core/src/systems/pacing/cold.rs
+++ b/crates/core/src/systems/pacing/cold.rs
@@ -14,6 +14,11 @@
 /// Billionths of a call, per second, in a thousandth of a call per second and one percent.
 const NCALLS_PER_MCALL_PERCENT: u64 = 10_000;
 
+/// Time in which an upstream writes into its entry that it is cold.
+///
+/// A list that was read earlier may still say that it is not.
+const ENTRY_LAG_US: u64 = 1_000_000;
+
 /// Records that an upstream has stated in a response how long it will be cold.
 ///
 /// Other VMs learn of an upstream that has become cold again from the episode that begins with it.
@@ -87,13 +92,23 @@
         .saturating_mul(NCALLS_PER_MCALL_PERCENT);
     Some(ColdLimit {
         mcalls_per_s,
+        phase_ncalls: phase_ncalls(tick),
         overage_ncalls: overage_ncalls.saturating_add(slack_calls.saturating_mul(NCALLS_PER_CALL)),
     })
 }
 
+/// Returns the level with which this VM begins, by its position by name among the known VMs.
+fn phase_ncalls(tick: &Tick<'_>) -> u64 {
+    let peering = &tick.tables.peering;
+    let peers = peering.peers.iter();
+    let before = peers.filter(|(vm, _)| **vm < tick.settings.vm).count() as u64;
+    before * NCALLS_PER_CALL / (1 + peering.peers.len() as u64)
+}
+
 /// Returns whether an event or a statement makes an upstream cold whatever the list says.
 fn is_cold_since(tick: &Tick<'_>, row: &Pace) -> bool {
     let read_us = tick.tables.source.list.read_us;
-    let is_after_list = |event_us: u64| read_us.is_none_or(|read_us: u64| read_us <= event_us);
+    let is_after_list =
+        |event_us: u64| read_us.is_none_or(|read_us: u64| read_us <= event_us + ENTRY_LAG_US);
     tick.now_us < row.cold_until_us || row.event_us.is_some_and(is_after_list)
 }
--- a/crates/core/src/systems/pacing/episodes.rs
+++ b/crates/core/src/systems/pacing/episodes.rs
@@ -106,7 +106,7 @@
     let Some(began_us) = row.and_then(|row| row.running()).map(|e| e.began_us) else {
         let pool = tick.tables.pools.get_mut(&running.pool);
         if let Some(pool) = pool.filter(|_| is_complete) {
-            pool.first_events.record(time_us, read_tokens);
+            pool.times.record((time_us, read_tokens), finish.total_us);
         }
         return;
     };
@@ -114,7 +114,7 @@
         return;
     }
     let pool = tick.tables.pools.get(&running.pool);
-    let is_slow = pool.is_some_and(|pool| pool.first_events.is_slow(time_us, read_tokens));
+    let is_slow = pool.is_some_and(|pool| pool.times.is_slow(time_us, read_tokens));
     let is_timely = is_complete && !is_slow;
     let added = PaceCounts {
         responses: u64::from(is_timely),
--- a/crates/core/src/systems/pacing/parts.rs
+++ b/crates/core/src/systems/pacing/parts.rs
@@ -8,6 +8,9 @@
 /// Period in which the places of a window stay with the same VMs.
 const DEAL_US: u64 = 300_000;
 
+/// Time of a call in a pool in which none has been measured.
+const DEFAULT_CALL_US: u64 = 1_000_000;
+
 /// Time after the start of a process in which it paces all upstreams until it hears another VM.
 const UNINFORMED_US: u64 = 5_000_000;
 
@@ -22,8 +25,14 @@
     let own_calls = upstream.attempts.len() as u64;
     let row = tick.tables.pacing.rows.get(name);
     if let Some(episode) = row.and_then(|row| row.running()) {
-        return own_calls < u64::from(episode.deal.part_calls)
-            && estimate_running(tick, upstream) < u64::from(episode.window_calls);
+        // Calls that are shorter than a period have ended before others report them.
+        let is_short = mean_call_us(tick, upstream) < DEAL_US;
+        // The limit of a cold upstream is shared already, and would be left unused by VMs that have
+        // a call of it but no place.
+        let is_cold = tick.tables.pacing.cold.contains(name);
+        let part_calls = u64::from(episode.deal.part_calls).max(u64::from(is_cold));
+        return own_calls < part_calls
+            && (is_short || estimate_running(tick, upstream) < u64::from(episode.window_calls));
     }
     let began_us = tick.tables.source.started_us;
     !is_uninformed(tick)
@@ -95,7 +104,8 @@
     let part = window / known_vms + u64::from(before < window % known_vms);
     let is_skipped = reachable_vms == 1 && {
         let upstream = tick.tables.upstreams.get(name);
-        let periods = upstream.map_or(1, |row| row.mean_call_us.div_ceil(DEAL_US).max(1));
+        let call_us = upstream.map_or(DEFAULT_CALL_US, |row| mean_call_us(tick, row));
+        let periods = call_us.div_ceil(DEAL_US).max(1);
         !(period + hash_name(me.as_str(), 0) % periods).is_multiple_of(periods)
     };
     Deal {
@@ -106,6 +116,17 @@
     }
 }
 
+/// Returns the mean time of a call in the pool of an upstream.
+fn mean_call_us(tick: &Tick<'_>, upstream: &Upstream) -> u64 {
+    let pool = upstream.pools.first();
+    let pool = pool.and_then(|pool| tick.tables.pools.get(pool));
+    let call_us = pool.map_or(0, |pool| pool.times.mean_call_us);
+    match call_us {
+        0 => DEFAULT_CALL_US,
+        call_us => call_us,
+    }
+}
+
 /// Estimates the calls that all known VMs run on an upstream; those that are not heard run as many
 /// as the others on average.
 fn estimate_running(tick: &Tick<'_>, upstream: &Upstream) -> u64 {
--- a/crates/core/src/systems/rates/upstreams.rs
+++ b/crates/core/src/systems/rates/upstreams.rs
@@ -136,7 +136,11 @@
 /// Sets or ends the limit of an upstream that is cold; the lower one of it and a stated rate holds.
 pub(crate) fn set_cold(tick: &mut Tick<'_>, name: &UpstreamName, cold: Option<ColdLimit>) {
     let known = tick.tables.upstream_rates.get(name);
-    if known.map_or(cold.is_none(), |row| row.cold == cold) {
+    let is_same = |row: &UpstreamRate| {
+        let rate = |cold: &ColdLimit| cold.mcalls_per_s;
+        row.cold.as_ref().map(rate) == cold.as_ref().map(rate)
+    };
+    if known.map_or(cold.is_none(), is_same) {
         return;
     }
     if known.is_none() {
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -55,7 +55,7 @@
     StoreLink, StoreRequestKind, Suspicion, UnresolvedWrite,
 };
 pub use order::{PendingOrder, ServiceOrders};
-pub use pace::{Deal, Episode, FirstEvents, INITIAL_WINDOW_CALLS, Pace, PaceCounts, Pacing};
+pub use pace::{Deal, Episode, INITIAL_WINDOW_CALLS, Pace, PaceCounts, Pacing, PoolTimes};
 pub use peer::{Peer, Peering, RateKey};
 pub use placement_history::{CacheHint, PlacementHistory};
 pub use pool::Pool;
--- a/crates/core/src/tables/pace.rs
+++ b/crates/core/src/tables/pace.rs
@@ -192,25 +192,30 @@
 
 /// Means over the calls of this VM in a pool, at upstreams that are not paced.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct FirstEvents {
+pub struct PoolTimes {
     /// Time to the first event; 0 until it has been measured.
     mean_us: u64,
     /// Prompt tokens that were read before it.
     mean_tokens: u64,
+    /// Time of a whole call; 0 until it has been measured.
+    pub mean_call_us: u64,
 }
 
-impl FirstEvents {
-    /// Records the time to the first event of a response.
-    pub fn record(&mut self, time_us: u64, read_tokens: u64) {
+impl PoolTimes {
+    /// Records the time to the first event of a response, with the prompt tokens that were read
+    /// before it, and that of the whole call.
+    pub fn record(&mut self, (time_us, read_tokens): (u64, u64), call_us: u64) {
         if self.mean_us == 0 {
             *self = Self {
                 mean_us: time_us.max(1),
                 mean_tokens: read_tokens,
+                mean_call_us: call_us,
             };
             return;
         }
         self.mean_us = ((self.mean_us * 15 + time_us) / 16).max(1);
         self.mean_tokens = (self.mean_tokens * 15 + read_tokens) / 16;
+        self.mean_call_us = (self.mean_call_us * 15 + call_us) / 16;
     }
 
     /// Returns whether a response is slow; a longer prompt than usual may take longer.
--- a/crates/core/src/tables/pool.rs
+++ b/crates/core/src/tables/pool.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::{FirstEvents, Queue, QueuedCall, RetryBudget};
+use super::{PoolTimes, Queue, QueuedCall, RetryBudget};
 use crate::ids::{AttemptId, ContentDigest, UpstreamName};
 
 /// The upstreams of one service and model, with their queue.
@@ -25,8 +25,8 @@
     pub reserved: BTreeSet<UpstreamName>,
     /// Retry budget for the calls of this VM.
     pub retry_budget: RetryBudget,
-    /// Times to the first event at upstreams that are not paced.
-    pub first_events: FirstEvents,
+    /// Times of calls at upstreams that are not paced.
+    pub times: PoolTimes,
     /// Moving average of the tokens of a response.
     pub mean_answer_tokens: u64,
     /// Index of the next upstream for round-robin placement.
--- a/crates/core/src/tables/replicated.rs
+++ b/crates/core/src/tables/replicated.rs
@@ -109,7 +109,10 @@
         self.own_part.refill(now_us);
         let lapse_ncalls = self.own_part.rate_mcalls_per_s * self.own_part_lapse_us;
         if self.own_part.level_ncalls >= NCALLS_PER_CALL + lapse_ncalls {
-            self.own_part.level_ncalls %= NCALLS_PER_CALL;
+            // Several calls may have fallen due since; the last one of them may still be taken.
+            let since_due_ncalls = self.own_part.level_ncalls % NCALLS_PER_CALL;
+            let is_in_time = since_due_ncalls < lapse_ncalls;
+            self.own_part.level_ncalls = since_due_ncalls + u64::from(is_in_time) * NCALLS_PER_CALL;
         }
     }
 
--- a/crates/core/src/tables/upstream_rate.rs
+++ b/crates/core/src/tables/upstream_rate.rs
@@ -27,9 +27,8 @@
 /// Shortest such time; calls that wait are looked at more often.
 const MIN_COLD_LAPSE_US: u64 = 50_000;
 
-/// Part of the calls allowed beyond the rate that the bucket of a cold upstream may hold, as a
-/// divisor. The rest is left to calls that VMs place before they hear of each other's.
-const COLD_BURST_DIVISOR: u64 = 4;
+/// Part of the calls allowed beyond the rate that VMs may have saved up, as a divisor.
+const COLD_LAPSE_DIVISOR: u64 = 4;
 
 /// The limit of an upstream that is cold.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,17 +37,16 @@
     pub mcalls_per_s: u64,
     /// Calls that may exceed the rate in any second, in billionths of a call.
     pub overage_ncalls: u64,
+    /// Level with which this VM's own part begins, spread evenly over the VMs.
+    ///
+    /// Levels drawn by a hash would bring up to twice the rate in single seconds, with 80 VMs.
+    pub phase_ncalls: u64,
 }
 
 impl ColdLimit {
-    /// Returns the capacity of the bucket.
-    fn burst_ncalls(&self) -> u64 {
-        (self.overage_ncalls / COLD_BURST_DIVISOR).max(NCALLS_PER_CALL)
-    }
-
     /// Returns the time for which a VM may take a call of its own part.
     fn lapse_us(&self) -> u64 {
-        let lapse_us = self.overage_ncalls / COLD_BURST_DIVISOR / self.mcalls_per_s.max(1);
+        let lapse_us = self.overage_ncalls / COLD_LAPSE_DIVISOR / self.mcalls_per_s.max(1);
         lapse_us.clamp(MIN_COLD_LAPSE_US, MAX_COLD_LAPSE_US)
     }
 }
@@ -95,12 +93,9 @@
         };
         self.bucket.refill(now_us);
         let rate_mcalls_per_s = sharing.usable(limit.max(MIN_UPSTREAM_RATE_MCALLS_PER_S));
-        let burst_ncalls = match self.cold {
-            Some(cold) => cold.burst_ncalls(),
-            None => rate_mcalls_per_s
-                .saturating_mul(BURST_US)
-                .max(MIN_BURST_NCALLS),
-        };
+        let burst_ncalls = rate_mcalls_per_s
+            .saturating_mul(BURST_US)
+            .max(MIN_BURST_NCALLS);
         let lapse_us = self.cold.map_or(OWN_PART_LAPSE_US, |cold| cold.lapse_us());
         self.bucket = Bucket {
             rate_mcalls_per_s,
@@ -116,7 +111,10 @@
         if !had_own_part && is_fraction {
             // Different on each VM, so that the calls of all own parts do not fall due at once.
             let phase = hash_name(vm.as_str(), hash_name(upstream.as_str(), 0));
-            self.replicated.own_part.level_ncalls = phase % NCALLS_PER_CALL;
+            self.replicated.own_part.level_ncalls = match self.cold {
+                Some(cold) => cold.phase_ncalls,
+                None => phase % NCALLS_PER_CALL,
+            };
             self.replicated.own_part.updated_us = now_us;
         }
         self.replicated.resize_own_part(own_mcalls_per_s, now_us);
@@ -160,9 +158,13 @@
     }
 
     /// Returns what a call may be taken from: what other VMs have left over only in this VM's turn.
+    ///
+    /// VMs that have just lost contact take the same leftover calls. The limit of cold upstreams
+    /// leaves no room for these, so each VM keeps to its own part there.
     fn claim(&self, is_turn: bool) -> Claim {
+        let may_share = is_turn && self.cold.is_none();
         Claim {
-            shared_reserve_ncalls: is_turn.then_some(self.replicated.reserve_ncalls),
+            shared_reserve_ncalls: may_share.then_some(self.replicated.reserve_ncalls),
             uses_own_part: true,
         }
     }
--- a/crates/testing/src/relays/attempts.rs
+++ b/crates/testing/src/relays/attempts.rs
@@ -93,7 +93,8 @@
                 ..AttemptOutcome::default()
             }),
         };
-        let run_us = open.run_ms * 1_000;
+        let percent = self.run_percents.get(dispatch.upstream.as_str());
+        let run_us = open.run_ms * 10 * percent.unwrap_or(&100);
         // An answer that is no stream reaches the caller as a whole.
         let first_event_us = match dispatch.events {
             Some(_) => self.now_us + run_us / FIRST_EVENT_DIVISOR,
@@ -113,14 +114,15 @@
         let rate = mcalls.map_or(StatedRate::Absent, |mcalls| StatedRate::PerSecond {
             mcalls: *mcalls,
         });
-        if rate == StatedRate::Absent && !dispatch.is_rate_limited {
+        let cold_ms = self.cold_ms.get(dispatch.upstream.as_str()).copied();
+        if rate == StatedRate::Absent && !dispatch.is_rate_limited && cold_ms.is_none() {
             return;
         }
         let statement = UpstreamStatement {
             upstream: dispatch.upstream.clone(),
             started_unix_ms: dispatch.upstream_started_unix_ms,
             rate,
-            cold_ms: None,
+            cold_ms,
         };
         self.deliver(vm, LINK_US, Input::UpstreamRate(statement));
     }
@@ -274,6 +276,19 @@
         };
     }
 
+    /// Sets how long calls run on an upstream, in percent of their normal time.
+    pub fn set_run_percent(&mut self, upstream: &str, percent: u64) {
+        self.run_percents.insert(upstream.to_owned(), percent);
+    }
+
+    /// Sets the cold time that an upstream states in its responses.
+    pub fn set_cold_ms(&mut self, upstream: &str, cold_ms: Option<u64>) {
+        match cold_ms {
+            Some(cold_ms) => self.cold_ms.insert(upstream.to_owned(), cold_ms),
+            None => self.cold_ms.remove(upstream),
+        };
+    }
+
     /// Returns the attempts that are running, of one VM or all, on one upstream or all.
     fn running_attempts(&self, vm: Option<usize>, upstream: Option<&str>) -> Vec<AttemptId> {
         let is_due = |row: &RunningEvent| self.events.contains_key(&row.end);
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -73,6 +73,10 @@
     lost_links: BTreeMap<(usize, Option<String>), LinkFault>,
     /// Rates that upstreams state in their responses, in thousandths of a call per second.
     stated_rates: BTreeMap<String, u64>,
+    /// How long calls run on upstreams, in percent of their normal time.
+    run_percents: BTreeMap<String, u64>,
+    /// Cold times that upstreams state in their responses.
+    cold_ms: BTreeMap<String, u64>,
     /// Every attempt sent to an upstream, in order of time.
     pub runs: Vec<Run>,
     /// Number of attempts that went through another VM.
@@ -102,6 +106,8 @@
             upstream_states: BTreeMap::new(),
             lost_links: BTreeMap::new(),
             stated_rates: BTreeMap::new(),
+            run_percents: BTreeMap::new(),
+            cold_ms: BTreeMap::new(),
             runs: Vec::new(),
             proxied_runs: 0,
             forwarded: Vec::new(),
