--- a/crates/core/tests/paced_upstreams.rs
+++ b/crates/core/tests/paced_upstreams.rs
@@ -130,17 +130,17 @@
 
 /// Guards against a flood when all upstreams of a failure domain return at once.
 #[rstest]
-#[case(8)]
-#[case(80)]
-fn domain_returns(#[case] vms: usize) {
+#[case(8, 0.6)]
+#[case(80, 1.1)]
+fn domain_returns(#[case] vms: usize, #[case] per_ms: f64) {
     for seed in seeds() {
         let mut relays = start(vms, 12, seed);
         let all: Vec<usize> = (0..vms).collect();
-        send_calls(&mut relays, &all, 0.6, 500);
+        send_calls(&mut relays, &all, per_ms, 500);
         relays.store.set_upstreams(list(2, 12, 4));
-        send_calls(&mut relays, &all, 0.6, 350);
+        send_calls(&mut relays, &all, per_ms, 350);
         let known_us = relays.now_us();
-        send_calls(&mut relays, &all, 0.6, 300);
+        send_calls(&mut relays, &all, per_ms, 300);
         for number in 1..=4 {
             let time = (known_us, known_us + 200_000);
             let most = most_running(&relays, &format!("tool-{number}"), RUN_MS, time);
