--- a/crates/core/benches/deadline_queue.rs
+++ b/crates/core/benches/deadline_queue.rs
@@ -84,6 +84,7 @@
                 revision: 1,
                 upstreams: engines.collect(),
             }),
+            evacuations: None,
         };
         let vms = SourceEvent::Vms {
             relays: Vec::new(),
--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -6,8 +6,8 @@
 use super::format::runners_up_text;
 use super::{
     CapacityDecision, CloseReason, ConfinementDecision, CrashEvidence, Execution, LimitSource,
-    LinkDecision, MembershipDecision, OrderAction, OriginEvidence, PeerDecision, PlacementDecision,
-    PlacementReason, RefusalKind, RetryReason, TakeoverSource,
+    LinkDecision, MembershipDecision, OrderAction, OriginEvidence, PaceDecision, PeerDecision,
+    PlacementDecision, PlacementReason, RefusalKind, RetryReason, TakeoverSource,
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, FencingToken, Incarnation, ProgramKey, Revision,
@@ -255,6 +255,10 @@
     #[from]
     #[display("{_0}")]
     Capacity(CapacityDecision),
+    /// About upstreams that have started or recovered.
+    #[from]
+    #[display("pacing: {_0}")]
+    Pace(PaceDecision),
     /// A content was quarantined: no VM runs it for a time.
     #[display("retry: content {digest} quarantined for {for_ms} ms after {crashes} crashes")]
     Quarantined {
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -8,6 +8,7 @@
 mod link_decision;
 mod membership_decision;
 mod order;
+mod pace_decision;
 mod peer_decision;
 mod placement_decision;
 mod reason;
@@ -21,6 +22,7 @@
 pub use link_decision::LinkDecision;
 pub use membership_decision::MembershipDecision;
 pub use order::{Order, OrderAction};
+pub use pace_decision::PaceDecision;
 pub use peer_decision::PeerDecision;
 pub use placement_decision::PlacementDecision;
 pub use reason::{
--- a/crates/core/src/systems/config/upstream_list.rs
+++ b/crates/core/src/systems/config/upstream_list.rs
@@ -1,11 +1,11 @@
 //! Applies the list in which upstreams register themselves.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
-use super::super::{Tick, confinement};
-use crate::config::ServiceConfig;
+use super::super::{Tick, confinement, pacing};
+use crate::config::{ServiceConfig, UpstreamConfig};
 use crate::ids::UpstreamName;
 use crate::input::{ListedUpstream, UpstreamList};
 use crate::message::ListVersion;
@@ -79,10 +79,15 @@
     if previous.digest == digest && has_same_domains(&list, &tick.tables.source.upstreams) {
         return;
     }
-    tick.tables.source.upstreams = list;
+    let before = std::mem::replace(&mut tick.tables.source.upstreams, list);
     let fleet = tick.tables.fleet.clone();
     let services = with_listed_upstreams(tick, &fleet.services);
     super::replace_services(tick, &services);
+    // A VM that had no list before cannot tell which upstreams have started lately.
+    if previous.digest != 0 {
+        record_returns(tick, &before);
+    }
+    pacing::apply_list(tick);
     let upstreams = &tick.tables.source.upstreams.upstreams;
     let leaving = upstreams.iter().filter(|row| row.config.leaving).count();
     let upstreams = upstreams.len();
@@ -94,6 +99,25 @@
     tick.work.peers.announce = true;
 }
 
+/// Records the upstreams that the list before did not have, whose process has restarted since, or
+/// whose failure domain is not evacuated any more.
+fn record_returns(tick: &mut Tick<'_>, before: &UpstreamList) {
+    let list = Arc::clone(&tick.tables.source.upstreams);
+    let rows = before.upstreams.iter();
+    let before: HashMap<&UpstreamName, &UpstreamConfig> =
+        rows.map(|row| (&row.config.name, &row.config)).collect();
+    for row in &list.upstreams {
+        let config = &row.config;
+        let has_returned = before.get(&config.name).is_none_or(|known| {
+            let is_restarted = known.started_unix_ms != config.started_unix_ms;
+            is_restarted || (known.is_evacuated && !config.is_evacuated)
+        });
+        if has_returned {
+            pacing::record_return(tick, &config.name);
+        }
+    }
+}
+
 /// Returns the services with their upstreams taken from the list in force.
 pub(super) fn with_listed_upstreams(
     tick: &Tick<'_>,
@@ -142,6 +166,10 @@
         for model in &config.models {
             model.as_str().hash(&mut hasher);
         }
+        // Left out otherwise, so that builds that do not know it compute the same digest.
+        if config.cold_left_ms > 0 {
+            "cold".hash(&mut hasher);
+        }
     }
     hasher.finish()
 }
--- a/crates/core/src/systems/peers/receiving.rs
+++ b/crates/core/src/systems/peers/receiving.rs
@@ -1,6 +1,6 @@
 //! Applies summaries and snapshots of other VMs.
 
-use super::super::{Tick, budgets, config, confinement, outcomes, placement, rates};
+use super::super::{Tick, budgets, config, confinement, outcomes, pacing, placement, rates};
 use super::{group, request_snapshot};
 use crate::ids::VmName;
 use crate::input::{PeerEvent, RegisteredVm};
@@ -73,6 +73,9 @@
     record_admitted(tick, &summary);
     group::replace_demand(tick, &vm, summary.demand);
     placement::apply_reports(tick, &vm, summary.reports);
+    for pace in &summary.paces {
+        pacing::merge_report(tick, &vm, pace);
+    }
     group::replace_running(tick, &vm, summary.running);
     for program in &summary.programs {
         budgets::merge_use(tick, &vm, summary.incarnation, program);
--- a/crates/core/src/systems/placement/exclusive.rs
+++ b/crates/core/src/systems/placement/exclusive.rs
@@ -5,7 +5,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Tick, rates};
+use super::super::{Tick, pacing, rates};
 use super::selection::SelectedUpstream;
 use super::{availability, owner, selection};
 use crate::ids::{PoolKey, UpstreamName};
@@ -69,6 +69,7 @@
                     && row.is_usable(tick.now_us)
                     && selection::may_use(tick, place, name)
                     && rates::may_send(tick, name)
+                    && pacing::may_send(tick, name)
             })
         })
         .cloned()
--- a/crates/core/src/systems/placement/owner.rs
+++ b/crates/core/src/systems/placement/owner.rs
@@ -2,7 +2,7 @@
 
 use smallvec::SmallVec;
 
-use super::super::{Sender, Tick, links, outcomes, rates};
+use super::super::{Sender, Tick, links, outcomes, pacing, rates};
 use super::selection::{self, SelectedUpstream, Selection};
 use super::{
     availability, claims, exclusive, hints, limits, origins, queue_order, refusal, speeds,
@@ -56,6 +56,7 @@
         availability::push(tick, waiting);
         stated_rates::refresh(tick, &pool);
         assign(tick, &pool);
+        pacing::count_held_back(tick, &pool, attempt);
         refusal::refuse_excess(tick, &pool);
         refusal::refuse_hopeless(tick, &pool, attempt);
         urgency::schedule_review(tick, &pool, attempt);
@@ -333,6 +334,7 @@
     release(tick, finish.attempt, &running);
     settle_service(tick, &running, finish);
     if running.upstream == finish.upstream {
+        pacing::record_result(tick, &running, finish);
         record_result(tick, &running, finish);
     }
     if let Some(suspect) = tick.tables.suspects.get(&running.digest)
--- a/crates/core/src/tables/mod.rs
+++ b/crates/core/src/tables/mod.rs
@@ -18,6 +18,7 @@
 mod loan;
 mod membership;
 mod order;
+mod pace;
 mod peer;
 mod placement_history;
 mod pool;
@@ -63,6 +64,7 @@
     StoreLink, StoreRequestKind, Suspicion, UnresolvedWrite,
 };
 pub use order::{PendingOrder, ServiceOrders};
+pub use pace::{Deal, Episode, INITIAL_WINDOW_CALLS, Pace, PaceCounts, Pacing, PoolTimes};
 pub use peer::{Peer, Peering, RateKey};
 pub use placement_history::{CacheHint, PlacementHistory};
 pub use pool::Pool;
@@ -79,7 +81,7 @@
 pub use table::Table;
 pub use timers::{Timer, Timers};
 pub use upstream::{LeavingNotice, PeriodCount, RunningAttempt, Upstream};
-pub use upstream_rate::UpstreamRate;
+pub use upstream_rate::{ColdLimit, UpstreamRate};
 pub use urgency::{Urgency, UrgencyClass};
 pub use versions::{STREAM_LIFE_US, SeenVersions};
 pub(crate) use view::hash_name;
@@ -128,6 +130,8 @@
     pub upstream_rates: Table<UpstreamName, UpstreamRate>,
     /// Speeds of upstreams, as the calls of all VMs show them.
     pub speeds: Table<UpstreamName, Speed>,
+    /// Upstreams that have started or returned lately.
+    pub pacing: Pacing,
     /// Software versions that the upstreams of services have had lately.
     pub seen_versions: Table<ServiceName, SeenVersions>,
     /// Orders to the engines of services, for those services whose orders this VM owns.
--- a/crates/core/src/tables/pool.rs
+++ b/crates/core/src/tables/pool.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
-use super::{DeadlineOrder, PeriodCount, PoolSpeed, Queue, QueuedCall, RetryBudget, SpeedMeans};
+use super::{
+    DeadlineOrder, PeriodCount, PoolSpeed, PoolTimes, Queue, QueuedCall, RetryBudget, SpeedMeans,
+};
 use crate::ids::{AttemptId, ContentDigest, UpstreamName};
 
 /// The upstreams of one service and model, with their queue.
@@ -25,6 +27,8 @@
     pub reserved: BTreeSet<UpstreamName>,
     /// Retry budget for the calls of this VM.
     pub retry_budget: RetryBudget,
+    /// Times of calls at upstreams that are not paced.
+    pub times: PoolTimes,
     /// Moving average of the tokens of a response.
     pub mean_answer_tokens: u64,
     /// Measured times of its calls.
--- a/crates/core/src/tables/timers.rs
+++ b/crates/core/src/tables/timers.rs
@@ -66,6 +66,8 @@
     UpstreamReady(UpstreamName),
     /// A period of shared places has begun.
     PlacesShared,
+    /// Upstreams that are paced or cold are looked at.
+    PaceReview,
     /// A lost link may be back and is probed.
     LinkProbe,
     /// The examination of a broken connection ends, and its cause has to be decided.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -56,6 +56,9 @@
     claim_waiting_calls: IntGauge,
     full_rejections: IntCounter,
     evacuated_upstreams: IntGauge,
+    paced_upstreams: IntGauge,
+    cold_upstreams: IntGauge,
+    held_back: IntGauge,
     lost_links: IntGauge,
     cut_off: IntGauge,
     tunnels: IntCounterVec,
@@ -178,6 +181,18 @@
                 "kwd_evacuated_upstreams",
                 "Listed upstreams whose failure domain is evacuated.",
             )?,
+            paced_upstreams: gauge(
+                "kwd_paced_upstreams",
+                "Upstreams that have started or recovered and are paced.",
+            )?,
+            cold_upstreams: gauge(
+                "kwd_cold_upstreams",
+                "Upstreams whose calls are limited because they are cold.",
+            )?,
+            held_back: gauge(
+                "kwd_held_back_calls",
+                "Calls since the start that waited although a paced upstream had room.",
+            )?,
             lost_links: gauge(
                 "kwd_lost_links",
                 "Upstreams that only other VMs reach, as far as known.",
@@ -393,6 +408,12 @@
         let rows = tables.upstreams.iter();
         let evacuated = rows.filter(|(_, row)| row.config.is_evacuated).count();
         self.evacuated_upstreams.set(gauge_value(evacuated as u64));
+        let pacing = &tables.pacing;
+        let paced = pacing.paced_upstreams() as u64;
+        self.paced_upstreams.set(gauge_value(paced));
+        let cold = pacing.cold.len() as u64;
+        self.cold_upstreams.set(gauge_value(cold));
+        self.held_back.set(gauge_value(pacing.held_back_calls));
         let links = tables.upstreams.iter();
         let lost = links.filter(|(_, row)| row.link != Link::Up).count();
         self.lost_links.set(gauge_value(lost as u64));
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -88,6 +88,10 @@
     stated_rates: BTreeMap<String, u64>,
     /// Upstreams of limited capacity; the others run any number of calls at once.
     pub capacities: Capacities,
+    /// How long calls run on upstreams, in percent of their normal time.
+    run_percents: BTreeMap<String, u64>,
+    /// Cold times that upstreams state in their responses.
+    cold_ms: BTreeMap<String, u64>,
     /// Every attempt sent to an upstream, in order of time.
     pub runs: Vec<Run>,
     /// Number of attempts that went through another VM.
@@ -141,6 +145,8 @@
             lost_links: BTreeMap::new(),
             stated_rates: BTreeMap::new(),
             capacities: Capacities::default(),
+            run_percents: BTreeMap::new(),
+            cold_ms: BTreeMap::new(),
             runs: Vec::new(),
             proxied_runs: 0,
             forwarded: Vec::new(),
