--- a/crates/core/src/systems/peers/group.rs
+++ b/crates/core/src/systems/peers/group.rs
@@ -74,9 +74,8 @@
             row.foreign_calls += calls;
         }
     }
-    for (name, _) in previous.iter().chain(&running) {
-        placement::refresh_and_assign(tick, name);
-    }
+    let changed = previous.iter().chain(&running).map(|(name, _)| name);
+    placement::refresh_loads(tick, changed);
 }
 
 /// Counts the reachable and the known VMs, and determines this VM's rank.
--- a/crates/core/src/systems/placement/availability.rs
+++ b/crates/core/src/systems/placement/availability.rs
@@ -1,5 +1,7 @@
 //! Tracks which upstreams of each pool have room and assigns waiting calls to them.
 
+use std::collections::BTreeSet;
+
 use super::super::{Tick, links, rates};
 use super::{claims, owner, queue_order};
 use crate::ids::{ContentDigest, PoolKey, UpstreamName};
@@ -38,6 +40,35 @@
     row.open_load_permille = open_load_permille;
 }
 
+/// Updates the availability of upstreams whose load at another VM has changed.
+///
+/// In a large fleet the waiting calls of a pool are assigned once for all of them: with 80 VMs, 260
+/// summaries arrive in a second, and each changes the loads of several upstreams.
+pub(crate) fn refresh_loads<'a>(
+    tick: &mut Tick<'_>,
+    upstreams: impl Iterator<Item = &'a UpstreamName>,
+) {
+    if !claims::is_large_fleet(tick) {
+        for name in upstreams {
+            refresh_and_assign(tick, name);
+        }
+        return;
+    }
+    let names: Vec<&UpstreamName> = upstreams.collect();
+    let mut pools: BTreeSet<PoolKey> = BTreeSet::new();
+    for name in &names {
+        refresh_availability(tick, name);
+        let row = tick.tables.upstreams.get(name);
+        pools.extend(row.into_iter().flat_map(|row| row.pools.iter().cloned()));
+    }
+    for pool in &pools {
+        owner::assign(tick, pool);
+    }
+    for name in names {
+        schedule_if_waiting(tick, name);
+    }
+}
+
 /// Updates the availability of an upstream and assigns waiting calls of its pools.
 pub(crate) fn refresh_and_assign(tick: &mut Tick<'_>, upstream: &UpstreamName) {
     let Some(row) = tick.tables.upstreams.get(upstream) else {
@@ -55,11 +86,19 @@
     for pool in &pools {
         owner::assign(tick, pool);
     }
+    schedule_if_waiting(tick, upstream);
+}
+
+/// Looks at an upstream again when its rate lets the next call through, if calls wait for it.
+fn schedule_if_waiting(tick: &mut Tick<'_>, upstream: &UpstreamName) {
+    let Some(row) = tick.tables.upstreams.get(upstream) else {
+        return;
+    };
     let has_waiting = |pool| {
         let row = tick.tables.pools.get(pool);
         row.is_some_and(|row| row.iter_waiting().next().is_some())
     };
-    if pools.iter().any(has_waiting) {
+    if row.pools.iter().any(has_waiting) {
         rates::schedule_ready(tick, upstream);
     }
 }
--- a/crates/core/src/systems/placement/mod.rs
+++ b/crates/core/src/systems/placement/mod.rs
@@ -20,7 +20,9 @@
 mod speeds;
 mod stated_rates;
 
-pub(crate) use availability::{refresh_and_assign, refresh_availability, requeue_held_everywhere};
+pub(crate) use availability::{
+    refresh_and_assign, refresh_availability, refresh_loads, requeue_held_everywhere,
+};
 pub(crate) use claims::schedule_period as schedule_shared_places;
 pub(crate) use finish::{end_attempt, resend_finish};
 pub(crate) use hints::record_cached_prefix;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -370,7 +370,8 @@
         let slow = control.slow_upstreams(now_us);
         self.slow_upstreams.set(gauge_value(slow as u64));
         let pools = tables.pools.iter();
-        let waiting: usize = pools.map(|(_, pool)| pool.claim_waiting_calls).sum();
+        let waiting = pools.map(|(_, pool)| pool.claim_waiting_calls.min(pool.queue.len()));
+        let waiting: usize = waiting.sum();
         self.claim_waiting_calls.set(gauge_value(waiting as u64));
         let links = tables.upstreams.iter();
         let lost = links.filter(|(_, row)| row.link != Link::Up).count();
