Let calls with a cached prefix use upstreams with ample room

The share of places, rounded to a few upstreams in each period, kept calls from the upstreams that have their prefix cached.

Calls whose prefix is cached now use an upstream that is less than 70% full without a share while no call waits elsewhere. shared_places passes.

--- a/crates/core/src/systems/placement/claims.rs
+++ b/crates/core/src/systems/placement/claims.rs
@@ -3,7 +3,7 @@
 //! A load is up to 300 ms old, so all VMs of a large fleet see a free place at the same time. Each VM
 //! therefore places at most its share of the places that become free, by the number of its calls. It
 //! does so whether or not calls wait elsewhere, since VMs that all see free places have no waiting
-//! calls. The places of VMs that are not heard are left to them. Small fleets place as before.
+//! calls; only calls whose prefix is cached go to an upstream with ample room anyway. The places of VMs that are not heard are left to them. Small fleets place as before.
 
 use super::super::Tick;
 use super::{owner, speeds};
@@ -26,6 +26,10 @@
 /// VMs at 130% of the capacity, 115 left 82 of 1,000 places idle, and 130 left 47.
 const ENDING_PERCENT: u64 = 130;
 
+/// Load of an upstream, in percent of its limit, below which calls whose prefix it has cached need
+/// no share of its places if no calls wait elsewhere.
+const SHARED_LOAD_PERCENT: u32 = 70;
+
 /// Shortest mean time of a call for which shares are computed.
 const MIN_CALL_US: u64 = 1_000;
 
@@ -39,6 +43,8 @@
     own_calls: u64,
     /// Calls of all VMs that wait or are placed in the period, as far as known.
     all_calls: u64,
+    /// Whether calls wait elsewhere.
+    is_contended: bool,
     /// The current period.
     period: u64,
     /// Salt with which this VM's shares are rounded in the period.
@@ -46,10 +52,27 @@
 }
 
 impl Share {
+    /// Returns whether calls of the pool wait at other VMs.
+    pub(super) fn is_contended(&self) -> bool {
+        self.is_contended
+    }
+
     /// Returns whether one more call may be placed on an upstream in this period.
-    pub(super) fn allows(&self, tick: &Tick<'_>, name: &UpstreamName) -> bool {
+    ///
+    /// A call whose prefix is cached there needs no share while the upstream has ample room: the
+    /// calls of different programs go to different upstreams, and reading the prefix again would
+    /// cost more than a short queue.
+    pub(super) fn allows(&self, tick: &Tick<'_>, name: &UpstreamName, is_cached: bool) -> bool {
         let row = tick.tables.upstreams.get(name);
-        row.is_some_and(|row| self.has_place(tick, name, row))
+        row.is_some_and(|row| {
+            (is_cached && self.has_ample_room(tick, row)) || self.has_place(tick, name, row)
+        })
+    }
+
+    /// Returns whether an upstream has so much room that VMs need not share it.
+    fn has_ample_room(&self, tick: &Tick<'_>, row: &Upstream) -> bool {
+        let limit_calls = row.limit_calls(tick.settings.policy.learned_limit);
+        !self.is_contended && row.running_calls() * 100 < limit_calls * SHARED_LOAD_PERCENT
     }
 
     /// Compares this VM's placements of the period with its share of the places.
@@ -76,7 +99,8 @@
     let pool = tick.tables.pools.get(key)?;
     let (period, salt) = current_period(tick);
     let (own_ending_calls, foreign_ending_calls) = ending_in_pool(tick, pool);
-    let calls_elsewhere = tick.tables.waiting_elsewhere(key).total() + foreign_ending_calls;
+    let waiting_calls = tick.tables.waiting_elsewhere(key).total();
+    let calls_elsewhere = waiting_calls + foreign_ending_calls;
     if calls_elsewhere == 0 {
         return None;
     }
@@ -85,6 +109,7 @@
     Some(Share {
         own_calls,
         all_calls: own_calls + calls_elsewhere,
+        is_contended: waiting_calls > 0,
         period,
         salt,
     })
@@ -119,8 +144,9 @@
     let Some(pool) = tick.tables.pools.get(key) else {
         return false;
     };
-    let mut open = pool.available.iter().map(|(_, name)| name);
-    let has_place = open.any(|name| share.allows(tick, name));
+    let open = || pool.available.iter().map(|(_, name)| name);
+    let has_place = open().any(|name| share.allows(tick, name, false));
+    let has_ample_room = open().any(|name| share.allows(tick, name, true));
     if let Some(pool) = tick.tables.pools.get_mut(key) {
         let waiting_calls = pool.queue.len();
         pool.claim_waiting_calls = if has_place { 0 } else { waiting_calls };
@@ -130,7 +156,7 @@
     }
     schedule_period(tick);
     log_used_up(tick, key, share);
-    false
+    has_ample_room
 }
 
 /// Returns the calls that an upstream may run at once as far as this VM decides.
--- a/crates/core/src/systems/placement/selection.rs
+++ b/crates/core/src/systems/placement/selection.rs
@@ -82,13 +82,22 @@
     let ignores_avoid = avoids_all(tick, pool, waiting);
     let is_allowed = |name: &UpstreamName| {
         let is_avoided = waiting.place.avoid.contains(name);
-        let is_claimable = share.is_none_or(|share| share.allows(tick, name));
+        let is_claimable = share.is_none_or(|share| {
+            let mut hints = hints::expected_cached_tokens(tick, &waiting.place);
+            let is_cached = hints.any(|(hinted, tokens)| hinted == name && tokens > 0);
+            share.allows(tick, name, is_cached)
+        });
         (ignores_avoid || !is_avoided) && is_claimable && may_use(tick, &waiting.place, name)
     };
     match tick.settings.policy.upstream_choice {
         UpstreamChoice::RoundRobin => select_round_robin(tick, pool, is_allowed),
         UpstreamChoice::LeastLoaded => select_least_loaded(pool, is_allowed),
-        UpstreamChoice::LowestCost => select_lowest_cost(tick, pool, waiting, is_allowed),
+        UpstreamChoice::LowestCost => select_lowest_cost(
+            tick,
+            pool,
+            (waiting, share.is_some_and(|share| share.is_contended())),
+            is_allowed,
+        ),
     }
 }
 
@@ -213,7 +222,7 @@
 fn select_lowest_cost(
     tick: &Tick<'_>,
     pool: &Pool,
-    waiting: &QueuedCall,
+    (waiting, is_shared): (&QueuedCall, bool),
     is_allowed: impl Fn(&UpstreamName) -> bool,
 ) -> Selection {
     let hints: SmallVec<[(&UpstreamName, u64); 2]> =
@@ -236,7 +245,7 @@
             upstream: name.clone(),
         })
     };
-    let compared = candidate_names(tick, pool, waiting, &hints);
+    let compared = candidate_names(tick, pool, (waiting, is_shared), &hints);
     let mut candidates: SmallVec<[Candidate; MAX_COMPARED_UPSTREAMS]> =
         compared.into_iter().filter_map(candidate).collect();
     if candidates.is_empty() {
@@ -280,11 +289,10 @@
 fn candidate_names<'a>(
     tick: &Tick<'_>,
     pool: &'a Pool,
-    waiting: &QueuedCall,
+    (waiting, is_shared): (&QueuedCall, bool),
     hints: &[(&'a UpstreamName, u64)],
 ) -> SmallVec<[&'a UpstreamName; MAX_COMPARED_UPSTREAMS]> {
-    let is_large_fleet = claims::is_large_fleet(tick);
-    if pool.upstreams.len() <= MAX_COMPARED_UPSTREAMS && !is_large_fleet {
+    if pool.upstreams.len() <= MAX_COMPARED_UPSTREAMS && !is_shared {
         return pool.available.iter().map(|(_, name)| name).collect();
     }
     if is_choosy(tick, &waiting.place) {
@@ -305,7 +313,7 @@
             compared.push(name);
         }
     }
-    if !is_large_fleet {
+    if !claims::is_large_fleet(tick) {
         compared.extend(pool.available.first().map(|(_, name)| name));
     }
     compared
