--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -57,6 +57,11 @@
     /// Whether an upstream that has started or recovered gets calls at a pace that follows its
     /// responses; with [`Coordination::Peers`] only.
     pub pace_returns: bool,
+    /// Whether the VMs of a large fleet share the places of upstreams, so that they do not all take
+    /// the same ones.
+    pub share_places: bool,
+    /// Whether waiting calls are ordered and refused by the deadlines of their programs.
+    pub deadline_order: bool,
 }
 
 impl Default for PolicyFeatures {
@@ -67,6 +72,8 @@
             upstream_choice: UpstreamChoice::LowestCost,
             learned_limit: true,
             pace_returns: true,
+            share_places: true,
+            deadline_order: true,
         }
     }
 }
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -205,6 +205,7 @@
     let caller_deadline_us = relayed.map_or(u64::MAX, |relayed| relayed.deadline_us);
     let program = relayed.and_then(|relayed| relayed.program.clone());
     let is_stream = route.kind.is_stream();
+    let has_deadline_order = tick.settings.policy.deadline_order;
     let account_regions = row.map_or(&[][..], |row| &row.config.allowed_regions);
     Box::new(RelayState {
         deadline_us: caller_deadline_us.min(route_deadline_us),
@@ -218,7 +219,9 @@
         budget_tokens: relayed
             .and_then(|relayed| relayed.budget_tokens)
             .filter(|_| is_stream),
-        program_deadline_us: relayed.and_then(|relayed| relayed.program_deadline_us),
+        program_deadline_us: relayed
+            .and_then(|relayed| relayed.program_deadline_us)
+            .filter(|_| has_deadline_order),
         expected_answer_tokens: relayed.and_then(|relayed| relayed.expected_answer_tokens),
         turn_number: 0,
         cover: None,
--- a/crates/core/src/systems/placement/claims.rs
+++ b/crates/core/src/systems/placement/claims.rs
@@ -86,9 +86,11 @@
     }
 }
 
-/// Returns whether so many VMs place calls that they must not all choose the same upstream.
+/// Returns whether VMs share places: so many place calls that they must not all choose the same
+/// upstream.
 pub(super) fn is_large_fleet(tick: &Tick<'_>) -> bool {
-    tick.tables.peering.known_vms > MAX_SMALL_FLEET_VMS
+    let is_large = tick.tables.peering.known_vms > MAX_SMALL_FLEET_VMS;
+    is_large && tick.settings.policy.share_places
 }
 
 /// Returns this VM's share of the places of a pool; `None` if it competes with no other VM.
--- a/crates/report/src/policy/variant.rs
+++ b/crates/report/src/policy/variant.rs
@@ -21,6 +21,8 @@
         upstream_choice,
         learned_limit: false,
         pace_returns: false,
+        share_places: false,
+        deadline_order: false,
     }
 }
 
@@ -31,6 +33,8 @@
     upstream_choice: UpstreamChoice::LowestCost,
     learned_limit: true,
     pace_returns: true,
+    share_places: true,
+    deadline_order: true,
 };
 
 impl Variant {
