--- a/crates/relay/src/peers/mod.rs
+++ b/crates/relay/src/peers/mod.rs
@@ -1,7 +1,7 @@
 //! Communication between VMs: summaries as datagrams, snapshots on request.
 //!
-//! [`encoding`] and [`decoding`] define the format of datagrams: [`layouts`] that earlier builds
-//! send, and [`sections`] with the rows of [`columns`]. [`assembly`] puts summaries together that
+//! `encoding` and `decoding` define the format of datagrams: `layouts` that earlier builds
+//! send, and `sections` with the rows of `columns`. `assembly` puts summaries together that
 //! have several datagrams.
 
 mod assembly;
