Learn speeds from other VMs only where places are shared

Shared speeds belong to the choice of upstreams that goes with shared places, and are off with it. The fleets of the tests use the defaults of a deployment; shared_places turns the feature on.

--- a/crates/core/src/config/settings.rs
+++ b/crates/core/src/config/settings.rs
@@ -57,8 +57,8 @@
     /// Whether an upstream that has started or recovered gets calls at a pace that follows its
     /// responses; with [`Coordination::Peers`] only.
     pub pace_returns: bool,
-    /// Whether the VMs of a large fleet share the places of upstreams, so that they do not all take
-    /// the same ones.
+    /// Whether VMs learn the speeds of upstreams from each other and, in a large fleet, share the
+    /// places of upstreams, so that they do not all take the same ones.
     pub share_places: bool,
     /// Whether waiting calls are ordered and refused by the deadlines of their programs.
     pub deadline_order: bool,
@@ -72,7 +72,7 @@
             upstream_choice: UpstreamChoice::LowestCost,
             learned_limit: true,
             pace_returns: true,
-            share_places: true,
+            share_places: false,
             deadline_order: true,
         }
     }
--- a/crates/core/src/systems/outcomes/ejection.rs
+++ b/crates/core/src/systems/outcomes/ejection.rs
@@ -26,11 +26,11 @@
 
 /// Sends no calls to a full upstream until some of its calls may have ended.
 pub(crate) fn back_off_full(tick: &mut Tick<'_>, upstream: &UpstreamName) {
-    let is_only = is_only_ready(tick, upstream);
+    let is_short = !tick.settings.policy.share_places || is_only_ready(tick, upstream);
     let Some(row) = tick.tables.upstreams.get_mut(upstream) else {
         return;
     };
-    let until_us = row.health.back_off_full(tick.now_us, is_only);
+    let until_us = row.health.back_off_full(tick.now_us, is_short);
     let timer = Timer::UpstreamReady(upstream.clone());
     tick.tables.timers.set(until_us, timer);
     tick.log(CapacityDecision::UpstreamFull {
--- a/crates/core/src/systems/placement/speeds.rs
+++ b/crates/core/src/systems/placement/speeds.rs
@@ -28,11 +28,19 @@
 /// Factor by which an upstream is slower than its pool to count as slow.
 const SLOW_FACTOR: u64 = 2;
 
+/// Returns whether VMs learn speeds from each other.
+fn is_enabled(tick: &Tick<'_>) -> bool {
+    tick.settings.coordination == Coordination::Peers && tick.settings.policy.share_places
+}
+
 /// Returns the expected time of a call on an upstream.
 ///
 /// It is the mean of all VMs, before the first call that of the pool, and of own calls if VMs do
 /// not report to each other.
 pub(super) fn mean_call_us(tick: &Tick<'_>, name: &UpstreamName, row: &Upstream) -> u64 {
+    if !is_enabled(tick) {
+        return row.mean_call_us;
+    }
     let now_us = tick.now_us;
     let speed = tick.tables.speeds.get(name);
     let known_us = speed.and_then(|speed| speed.means.call_us(now_us));
@@ -48,6 +56,9 @@
 
 /// Returns the expected time in which an upstream reads a prompt token.
 pub(super) fn prefill_ns_per_token(tick: &Tick<'_>, name: &UpstreamName, row: &Upstream) -> u64 {
+    if !is_enabled(tick) {
+        return row.prefill_ns_per_token;
+    }
     let now_us = tick.now_us;
     let speed = tick.tables.speeds.get(name);
     let known_ns = speed.and_then(|speed| speed.means.prefill_ns_per_token(now_us));
@@ -86,7 +97,7 @@
 
 /// Records a complete call of this VM.
 pub(super) fn record_own(tick: &mut Tick<'_>, name: &UpstreamName, sample: SpeedSample) {
-    if tick.settings.coordination != Coordination::Peers {
+    if !is_enabled(tick) {
         return;
     }
     let Some(speed) = speed_of(tick.tables, name) else {
@@ -103,7 +114,7 @@
 
 /// Records that an upstream has rejected a call of this VM because it was full.
 pub(super) fn record_rejection(tick: &mut Tick<'_>, name: &UpstreamName) {
-    if tick.settings.coordination != Coordination::Peers {
+    if !is_enabled(tick) {
         return;
     }
     if let Some(speed) = speed_of(tick.tables, name) {
@@ -135,6 +146,9 @@
 ///
 /// The first totals of a VM's process only begin the count; they may be of long ago.
 pub(crate) fn apply_reports(tick: &mut Tick<'_>, vm: &VmName, reports: Vec<UpstreamReport>) {
+    if !is_enabled(tick) {
+        return;
+    }
     for report in reports {
         let name = report.upstream.clone();
         let Some(row) = tick.tables.upstreams.get(&name) else {
--- a/crates/report/src/policy/variant.rs
+++ b/crates/report/src/policy/variant.rs
@@ -33,7 +33,7 @@
     upstream_choice: UpstreamChoice::LowestCost,
     learned_limit: true,
     pace_returns: true,
-    share_places: true,
+    share_places: false,
     deadline_order: true,
 };
 
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -70,6 +70,8 @@
     pub store: StoreState,
     /// Bound for evacuations in the settings of the VMs.
     evacuate_ms: Option<u64>,
+    /// Whether VMs share the places of upstreams.
+    shares_places: bool,
     /// VMs whose snapshots are those of a build that knows neither evacuations nor homes.
     older_builds: BTreeSet<usize>,
     /// Links (sender, receiver) that are interrupted.
@@ -108,7 +110,7 @@
 impl RelayFleet {
     /// Creates a fleet whose store holds the configuration and upstream list, and starts its VMs.
     pub fn new(vms: usize, config: FleetConfig, list: UpstreamList, seed: u64) -> Self {
-        Self::start_all((vms, None), config, list, seed)
+        Self::start_all((vms, None, false), config, list, seed)
     }
 
     /// Like [`Self::new`], with the bound for evacuations in the settings of all VMs.
@@ -118,18 +120,29 @@
         list: UpstreamList,
         seed: u64,
     ) -> Self {
-        Self::start_all((vms, Some(5_000)), config, list, seed)
+        Self::start_all((vms, Some(5_000), false), config, list, seed)
+    }
+
+    /// Like [`Self::new`], with VMs that share the places of upstreams.
+    pub fn with_shared_places(
+        vms: usize,
+        config: FleetConfig,
+        list: UpstreamList,
+        seed: u64,
+    ) -> Self {
+        Self::start_all((vms, None, true), config, list, seed)
     }
 
     /// Creates a fleet and starts its VMs.
     fn start_all(
-        (vms, evacuate_ms): (usize, Option<u64>),
+        (vms, evacuate_ms, shares_places): (usize, Option<u64>, bool),
         config: FleetConfig,
         list: UpstreamList,
         seed: u64,
     ) -> Self {
         let mut fleet = Self {
             evacuate_ms,
+            shares_places,
             now_us: 3_600_000_000,
             vms: Vec::new(),
             events: BTreeMap::new(),
@@ -179,6 +192,7 @@
             .coordination(Coordination::Peers)
             .policy(PolicyFeatures {
                 learned_limit: false,
+                share_places: self.shares_places,
                 ..PolicyFeatures::default()
             })
             .is_first_start(is_first_start)
