--- a/crates/core/src/systems/pacing/parts.rs
+++ b/crates/core/src/systems/pacing/parts.rs
@@ -11,8 +11,10 @@
 /// Time of a call in a pool in which none has been measured.
 const DEFAULT_CALL_US: u64 = 1_000_000;
 
-/// Time after the start of a process in which it paces all upstreams until it hears another VM.
-const UNINFORMED_US: u64 = 5_000_000;
+/// Time after the start of a process in which it paces all upstreams until it hears another VM:
+/// three rounds of summaries in a large fleet. A VM that hears nobody for longer would leave its
+/// upstreams idle.
+const UNINFORMED_US: u64 = 1_000_000;
 
 /// Returns whether the pace of an upstream lets this VM send it a call now.
 pub(crate) fn may_send(tick: &Tick<'_>, name: &UpstreamName) -> bool {
