Limit the framing of a body to a megabyte and a quarter

Four megabytes of framing are 800,000 chunks of one byte, whose parsing keeps the traffic thread from other calls.

--- a/crates/relay/src/upstream/body.rs
+++ b/crates/relay/src/upstream/body.rs
@@ -15,9 +15,11 @@
 /// Limit for the number of trailers.
 const MAX_TRAILERS: usize = 64;
 
-/// Part of the limit for a body, as a divisor, that the size lines and line ends of its chunks may
-/// take. Without it, chunks of one byte let a body take six times its limit from the connection.
-const FRAMING_DIVISOR: usize = 4;
+/// Limit for the size lines and line ends of the chunks of one body.
+///
+/// Without it, chunks of one byte let a body take six times its limit from the connection, and keep
+/// the traffic thread from other calls for as long as they are parsed.
+const MAX_FRAMING_BYTES: usize = 1_280 * 1024;
 
 /// The part of a body that is still to be read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -157,7 +159,7 @@
     /// Checks that the bytes of the body that were read, and the framing of its chunks, do not exceed
     /// their limits.
     pub fn check_length(&self, read_bytes: usize, max_bytes: usize) -> Result<(), ReadError> {
-        if read_bytes > max_bytes || self.framing_bytes > max_bytes / FRAMING_DIVISOR {
+        if read_bytes > max_bytes || self.framing_bytes > MAX_FRAMING_BYTES {
             return Err(too_long());
         }
         Ok(())
