Show that kept turns are denied after two losses of memory

Cause: a program that is new after n losses is taken to have used its budget n times, and gets a 402 that stays. Change: a script that kills all frontend processes twice, 5.6 s apart, and goes on from turns of before with new programs.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# The token budget of a program, while all frontend processes are killed twice.
+# New programs go on from kept turns after all frontend processes were killed twice.
 cd "$(dirname "$0")" && exec python3 -B case.py
