Let a mistake of a review script exit with 2

Cause: an exception that the scripts did not expect would have ended them with 1, which says that the rule was broken. Change: kd.py turns it into 2 and ends its processes on SIGTERM; run.sh exits with 2 without Python.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,3 +1,5 @@
 #!/bin/sh
 # New turns, after two of three storage machines were replaced one after the other.
-cd "$(dirname "$0")" && exec python3 -B case.py
+cd "$(dirname "$0")" || exit 2
+command -v python3 >/dev/null || exit 2
+exec python3 -B case.py
--- a/review/standins-2/kd.py
+++ b/review/standins-2/kd.py
@@ -560,9 +560,10 @@
     async def main():
         return await asyncio.wait_for(play(record, system), SPARE_TIME_S)
 
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # ends the processes on the way out
     try:
         broken = asyncio.run(main())
-    except (CannotRun, asyncio.TimeoutError, OSError) as error:
+    except Exception as error:  # a mistake of the script must not look like a broken rule
         record.say(f"the case could not run: {type(error).__name__} {error}")
         code = 2
     else:
