Log which claims deny a turn, and whose they are

The log did not tell why a program was refused as over_budget with nothing known to be used: the line of the refusal names tokens known to be used, not those that are claimed at storage VMs. A claim that is not granted now gets a line with the claim of each process, one that is not answered gets a line too, and the storage VM that decides logs its refusal. No decision changes.

--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -5,7 +5,7 @@
 
 use super::format::runners_up_text;
 use super::{
-    CapacityDecision, CloseReason, ConfinementDecision, CrashEvidence, Execution, LimitSource,
+    CapacityDecision, ClaimDecision, CloseReason, ConfinementDecision, CrashEvidence, Execution, LimitSource,
     LinkDecision, MembershipDecision, OrderAction, OriginEvidence, PaceDecision, PeerDecision,
     PlacementDecision, PlacementReason, RefusalKind, RetryReason, TakeoverSource,
 };
@@ -367,6 +367,10 @@
         /// Number of programs whose usage is known.
         programs: usize,
     },
+    /// A decision about a claim on a budget.
+    #[display("budgets: {_0}")]
+    #[from]
+    Claim(ClaimDecision),
     /// A program's budget covers a turn, which may run.
     #[display(
         "budgets: call {call} of {program} covered {cover:?}, {known_tokens} of {budget_tokens} tokens known to be used"
--- a/crates/core/src/output/format.rs
+++ b/crates/core/src/output/format.rs
@@ -1,6 +1,7 @@
 //! Formats lists in the log lines of decisions.
 
 use crate::ids::{SoftwareVersion, UpstreamName};
+use crate::usage::ProcessClaim;
 
 /// Formats the runners-up of a placement.
 pub(super) fn runners_up_text(runners_up: &[UpstreamName]) -> String {
@@ -26,3 +27,17 @@
         texts.join(", ")
     }
 }
+
+/// Formats the claims of processes on a budget.
+pub(super) fn claims_text(claims: &[ProcessClaim]) -> String {
+    let texts = claims.iter().map(|claim| {
+        let ProcessClaim {
+            vm,
+            incarnation,
+            tokens,
+            ..
+        } = claim;
+        format!("{vm} {incarnation} ({tokens})")
+    });
+    texts.collect::<Vec<String>>().join(", ")
+}
--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -2,6 +2,7 @@
 
 mod capacity_decision;
 mod charge;
+mod claim_decision;
 mod confinement_decision;
 mod decision;
 mod format;
@@ -17,6 +18,7 @@
 
 pub use capacity_decision::CapacityDecision;
 pub use charge::{Charge, ChargeOutcome};
+pub use claim_decision::ClaimDecision;
 pub use confinement_decision::ConfinementDecision;
 pub use decision::Decision;
 pub use link_decision::LinkDecision;
--- a/crates/core/src/systems/budgets/claims.rs
+++ b/crates/core/src/systems/budgets/claims.rs
@@ -7,7 +7,7 @@
 use super::{cover_turn, refuse_uncovered, reserve, start_turn, take_waiting};
 use crate::ids::{CallId, Incarnation, ProgramKey, VmName};
 use crate::origins::choose_holders;
-use crate::output::Output;
+use crate::output::{ClaimDecision, Output};
 use crate::systems::Tick;
 use crate::tables::{Call, Coverage, PendingClaim, Stage};
 use crate::usage::{ClaimAnswer, ClaimResult, ProcessClaim, TurnClaim, UsageClaim};
@@ -113,6 +113,9 @@
         ClaimResult::Recorded(answer) => Some(adopt(tick, program, answer)),
         ClaimResult::Uncounted | ClaimResult::Unanswered => None,
     };
+    if let PendingClaim::Turn { call, .. } = pending {
+        log_result(tick, program, call, result);
+    }
     match pending {
         PendingClaim::Turn { call, turn_tokens } if *result == ClaimResult::Unanswered => {
             let Some(row) = tick.tables.budgets.get_mut(program) else {
@@ -139,6 +142,28 @@
     }
 }
 
+/// Logs the result of a claim whose turn may not start.
+fn log_result(tick: &mut Tick<'_>, program: &ProgramKey, call: CallId, result: &ClaimResult) {
+    let row = tick.tables.budgets.get(program);
+    let budget_tokens = row.map_or(0, |row| row.budget_tokens);
+    let program = program.clone();
+    let decision = match result {
+        ClaimResult::Recorded(answer) if !answer.is_granted => {
+            let claims = answer.rows();
+            ClaimDecision::NotGranted {
+                call,
+                program,
+                claimed_tokens: claims.iter().map(|claim| claim.tokens).sum(),
+                budget_tokens,
+                claims,
+            }
+        }
+        ClaimResult::Unanswered => ClaimDecision::Unanswered { call, program },
+        ClaimResult::Recorded(_) | ClaimResult::Uncounted => return,
+    };
+    tick.log(decision);
+}
+
 /// Takes over what storage VMs know of processes that this VM does not hear; returns the tokens
 /// that all processes have claimed.
 ///
--- a/crates/core/src/usage/claims.rs
+++ b/crates/core/src/usage/claims.rs
@@ -136,6 +136,11 @@
 }
 
 impl ClaimAnswer {
+    /// Returns all claims that the storage VMs know, those of the deciding one first.
+    pub fn rows(&self) -> SmallVec<[ProcessClaim; 2]> {
+        self.claims.rows.iter().chain(&self.others).cloned().collect()
+    }
+
     /// Adds what another storage VM knows.
     pub fn add(&mut self, claims: ProgramClaims) {
         self.claims.is_closed |= claims.is_closed;
--- a/crates/relay/src/control/dispatcher.rs
+++ b/crates/relay/src/control/dispatcher.rs
@@ -254,6 +254,7 @@
         | Decision::StreamTakenUp { call, .. }
         | Decision::NoRetry { call, .. }
         | Decision::SilenceTolerated { call, .. } => Some(*call),
+        Decision::Claim(claim) => Some(claim.call()),
         Decision::Placed { attempt, .. }
         | Decision::Links(LinkDecision::Proxied { attempt, .. }) => Some(attempt.call),
         _ => None,
--- a/crates/relay/src/usage/server.rs
+++ b/crates/relay/src/usage/server.rs
@@ -26,6 +26,10 @@
             tracing::warn!(program = %claim.program, "usage: claim not recorded ({error})");
             ErrorObjectOwned::owned(NOT_RECORDED_CODE, error, None::<()>)
         })?;
+        if claim.turn.is_some() && !is_decided && !is_granted {
+            let (vm, claimed_tokens) = (&claim.own.vm, claims.tokens());
+            tracing::info!(program = %claim.program, %vm, claimed_tokens, "usage: turn not granted");
+        }
         Ok(RecordedClaim { is_granted, claims })
     }
 }
