Withdraw claims of turns that do not run or are broken off

Cause: a turn claims its most tokens at storage VMs before it runs. If their answers came too late, if its caller left meanwhile or if no upstream ran it, nobody took the claim back: storage VMs were told of ended turns only, and of these only the one that decides. The next try, on another VM, found the budget claimed, or another storage VM decided from a copy that still counted the turn.

Change: a VM corrects its claim at all storage VMs that it has asked (usage::AskedVms) as soon as a claimed turn does not start, is refused or is broken off, and repeats that for ten seconds at those that do not answer. Versions of claims order the correction and later claims. What a complete turn leaves over is reported to the deciding VM only, as before.

The model of storage VMs now has four of them, of which VMs may take some for lost.

--- a/crates/core/src/output/decision.rs
+++ b/crates/core/src/output/decision.rs
@@ -5,9 +5,9 @@
 
 use super::format::runners_up_text;
 use super::{
-    CapacityDecision, ClaimDecision, CloseReason, ConfinementDecision, CrashEvidence, Execution, LimitSource,
-    LinkDecision, MembershipDecision, OrderAction, OriginEvidence, PaceDecision, PeerDecision,
-    PlacementDecision, PlacementReason, RefusalKind, RetryReason, TakeoverSource,
+    CapacityDecision, ClaimDecision, CloseReason, ConfinementDecision, CrashEvidence, Execution,
+    LimitSource, LinkDecision, MembershipDecision, OrderAction, OriginEvidence, PaceDecision,
+    PeerDecision, PlacementDecision, PlacementReason, RefusalKind, RetryReason, TakeoverSource,
 };
 use crate::ids::{
     AccountName, AttemptId, CallId, ContentDigest, FencingToken, Incarnation, ProgramKey, Revision,
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -311,7 +311,7 @@
         outcomes::charge_last_run(tick, &call);
     }
     homes::end_turn(tick, &call, own_execution, used_tokens, None);
-    budgets::settle_turn(tick, &call);
+    budgets::settle_turn(tick, &call, false);
     let was_admitted = matches!(call.stage, Stage::Budget | Stage::Place);
     if was_admitted
         && own_execution == Execution::NotRun
--- a/crates/core/src/systems/budgets/claims.rs
+++ b/crates/core/src/systems/budgets/claims.rs
@@ -7,7 +7,7 @@
 use super::{cover_turn, refuse_uncovered, reserve, start_turn, take_waiting};
 use crate::ids::{CallId, Incarnation, ProgramKey, VmName};
 use crate::origins::choose_holders;
-use crate::output::{ClaimDecision, Output};
+use crate::output::{ClaimDecision, ClaimReceivers, Output};
 use crate::systems::Tick;
 use crate::tables::{Call, Coverage, PendingClaim, Stage};
 use crate::usage::{ClaimAnswer, ClaimResult, ProcessClaim, TurnClaim, UsageClaim};
@@ -27,7 +27,7 @@
     };
     row.pending_claim = Some(PendingClaim::Turn { call, turn_tokens });
     let turn = row.turn_claim(turn_tokens);
-    send(tick, program, Some(turn), false);
+    send(tick, program, Request::Turn(turn));
 }
 
 /// Has storage VMs end the use of the free part, so that what was used of it is known.
@@ -44,7 +44,7 @@
         turn_tokens,
         needed_tokens,
     });
-    send(tick, program, None, true);
+    send(tick, program, Request::Close);
 }
 
 /// Reports what an ended turn has used of its claim, so that the rest is free again.
@@ -53,12 +53,44 @@
 pub(super) fn report(tick: &mut Tick<'_>, program: &ProgramKey) {
     let row = tick.tables.budgets.get(program);
     if row.is_some_and(|row| row.pending_claim.is_none() && !row.has_record && !row.is_closed) {
-        send(tick, program, None, false);
+        send(tick, program, Request::Report(ClaimReceivers::Needed));
     }
 }
 
+/// Corrects the count of all storage VMs after a turn that did not run, or did not end.
+///
+/// Its caller may come back through a VM for which another storage VM decides, and a copy that
+/// counts the turn would leave no room for it.
+pub(super) fn withdraw(tick: &mut Tick<'_>, program: &ProgramKey) {
+    if let Some(row) = tick.tables.budgets.get_mut(program) {
+        row.has_unused_claim = true;
+        send_withdrawal(tick, program);
+    }
+}
+
+/// Sends a correction that is due, unless a claim in flight may count a turn that this VM does not
+/// count yet.
+fn send_withdrawal(tick: &mut Tick<'_>, program: &ProgramKey) {
+    let Some(row) = tick.tables.budgets.get_mut(program) else {
+        return;
+    };
+    if row.pending_claim.is_none() && std::mem::take(&mut row.has_unused_claim) && !row.has_record {
+        send(tick, program, Request::Report(ClaimReceivers::Earlier));
+    }
+}
+
+/// What storage VMs are asked for.
+enum Request {
+    /// To let a turn use the free part.
+    Turn(TurnClaim),
+    /// To let no more turns use it.
+    Close,
+    /// To count what this process has used.
+    Report(ClaimReceivers),
+}
+
 /// Sends a claim of this process, with what it knows of others.
-fn send(tick: &mut Tick<'_>, program: &ProgramKey, turn: Option<TurnClaim>, closes: bool) {
+fn send(tick: &mut Tick<'_>, program: &ProgramKey, request: Request) {
     let (vm, incarnation) = (tick.settings.vm.clone(), tick.settings.incarnation);
     let Some(row) = tick.tables.budgets.get_mut(program) else {
         return;
@@ -74,6 +106,11 @@
             tokens: usage.tokens,
         })
         .collect();
+    let (turn, closes, receivers) = match request {
+        Request::Turn(turn) => (Some(turn), false, ClaimReceivers::Needed),
+        Request::Close => (None, true, ClaimReceivers::Needed),
+        Request::Report(receivers) => (None, false, receivers),
+    };
     let claim = Box::new(UsageClaim {
         program: program.clone(),
         own,
@@ -82,7 +119,11 @@
         closes,
     });
     let proxies = choose_proxies(tick, program);
-    tick.outputs.push(Output::Claim { claim, proxies });
+    tick.outputs.push(Output::Claim {
+        claim,
+        receivers,
+        proxies,
+    });
 }
 
 /// Chooses VMs that may pass a claim on: this VM may be cut off from the storage VMs only.
@@ -95,7 +136,7 @@
 }
 
 /// Returns whether a process is not known to run: it is neither this one nor one that is heard.
-fn has_ended(tick: &Tick<'_>, vm: &VmName, incarnation: Incarnation) -> bool {
+fn is_unheard(tick: &Tick<'_>, vm: &VmName, incarnation: Incarnation) -> bool {
     if *vm == tick.settings.vm {
         return incarnation != tick.settings.incarnation;
     }
@@ -113,20 +154,10 @@
         ClaimResult::Recorded(answer) => Some(adopt(tick, program, answer)),
         ClaimResult::Uncounted | ClaimResult::Unanswered => None,
     };
-    if let PendingClaim::Turn { call, .. } = pending {
-        log_result(tick, program, call, result);
-    }
     match pending {
-        PendingClaim::Turn { call, turn_tokens } if *result == ClaimResult::Unanswered => {
-            let Some(row) = tick.tables.budgets.get_mut(program) else {
-                return;
-            };
-            row.waiting.insert(0, call);
-            let unrecorded_tokens = row.unrecorded_tokens(turn_tokens);
-            finish_close(tick, program, turn_tokens, (None, unrecorded_tokens));
-        }
         PendingClaim::Turn { call, turn_tokens } => {
-            finish_turn(tick, program, (call, turn_tokens), result);
+            log_result(tick, program, call, result);
+            finish_turn(tick, program, (call, turn_tokens), (result, claimed_tokens));
         }
         PendingClaim::Close {
             turn_tokens,
@@ -140,6 +171,7 @@
             finish_close(tick, program, needed_tokens, (claimed_tokens, unrecorded));
         }
     }
+    send_withdrawal(tick, program);
 }
 
 /// Logs the result of a claim whose turn may not start.
@@ -170,7 +202,7 @@
 /// Processes that it hears report their use themselves. What only storage VMs that keep copies know
 /// of such a process may be a claim that is not decided.
 fn adopt(tick: &mut Tick<'_>, program: &ProgramKey, answer: &ClaimAnswer) -> u64 {
-    let is_unheard = |claim: &&ProcessClaim| has_ended(tick, &claim.vm, claim.incarnation);
+    let is_unheard = |claim: &&ProcessClaim| is_unheard(tick, &claim.vm, claim.incarnation);
     let hidden: SmallVec<[&ProcessClaim; 2]> = answer.others.iter().filter(is_unheard).collect();
     let decided = answer.claims.rows.iter().filter(is_unheard);
     let unheard: SmallVec<[&ProcessClaim; 2]> = decided.chain(hidden.iter().copied()).collect();
@@ -187,11 +219,13 @@
 }
 
 /// Starts a turn that was granted; otherwise its tokens have to be reserved.
+///
+/// What storage VMs count of a turn that does not start is withdrawn.
 fn finish_turn(
     tick: &mut Tick<'_>,
     program: &ProgramKey,
     (call, turn_tokens): (CallId, u64),
-    result: &ClaimResult,
+    (result, claimed_tokens): (&ClaimResult, Option<u64>),
 ) {
     let is_waiting = |row: &Call| row.stage == Stage::Budget;
     let is_waiting = tick.tables.calls.get(&call).is_some_and(is_waiting);
@@ -209,13 +243,34 @@
     if is_waiting && is_granted && row.may_be_free(turn_tokens) {
         row.running_tokens += turn_tokens;
         start_turn(tick, program, call, Coverage::Free);
-    } else if is_waiting && !row.has_record {
+        cover_waiting(tick, program);
+        return;
+    }
+    row.has_unused_claim |= *result != ClaimResult::Uncounted;
+    if is_waiting && !row.has_record {
         row.waiting.insert(0, call);
-        close(tick, program, turn_tokens, turn_tokens);
+        let unrecorded_tokens = row.unrecorded_tokens(turn_tokens);
+        if *result == ClaimResult::Unanswered {
+            finish_close(
+                tick,
+                program,
+                turn_tokens,
+                (claimed_tokens, unrecorded_tokens),
+            );
+        } else {
+            close(tick, program, turn_tokens, turn_tokens);
+        }
         return;
-    } else if is_waiting {
+    }
+    send_withdrawal(tick, program);
+    if is_waiting {
         cover_turn(tick, call);
     }
+    cover_waiting(tick, program);
+}
+
+/// Covers the turns that waited for a claim.
+fn cover_waiting(tick: &mut Tick<'_>, program: &ProgramKey) {
     for call in take_waiting(tick, program) {
         cover_turn(tick, call);
     }
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -373,7 +373,9 @@
 }
 
 /// Records the tokens that a turn of this VM used, and releases the rest of its cover.
-pub(crate) fn settle_turn(tick: &mut Tick<'_>, call: &Call) {
+///
+/// The caller of a turn that is not complete (`is_complete`) may send it again through another VM.
+pub(crate) fn settle_turn(tick: &mut Tick<'_>, call: &Call, is_complete: bool) {
     let Some(relay) = &call.relay else {
         return;
     };
@@ -396,8 +398,10 @@
         let tokens = call.request.prompt_tokens + relay.forwarded_tokens;
         row.cached = Some((upstream.clone(), tokens));
     }
-    if cover == Coverage::Free && is_partly_used {
-        claims::report(tick, program);
+    match cover {
+        Coverage::Free if !is_complete => claims::withdraw(tick, program),
+        Coverage::Free if is_partly_used => claims::report(tick, program),
+        Coverage::Free | Coverage::Reserved => {}
     }
 }
 
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -52,6 +52,8 @@
     pub claim_version: u64,
     /// The request to storage VMs in flight.
     pub pending_claim: Option<PendingClaim>,
+    /// Whether storage VMs may count a turn of this process that does not run.
+    pub has_unused_claim: bool,
     /// Tokens that turns running on this VM without a reservation may still generate at most.
     pub running_tokens: u64,
     /// Tokens reserved by this VM that no turn uses yet.
--- a/crates/core/src/usage/claims.rs
+++ b/crates/core/src/usage/claims.rs
@@ -138,7 +138,12 @@
 impl ClaimAnswer {
     /// Returns all claims that the storage VMs know, those of the deciding one first.
     pub fn rows(&self) -> SmallVec<[ProcessClaim; 2]> {
-        self.claims.rows.iter().chain(&self.others).cloned().collect()
+        self.claims
+            .rows
+            .iter()
+            .chain(&self.others)
+            .cloned()
+            .collect()
     }
 
     /// Adds what another storage VM knows.
--- /dev/null
+++ b/crates/core/tests/unused_claims.rs
@@ -0,0 +1,86 @@
+//! Guards against programs that are denied turns because of claimed tokens that nobody uses.
+
+use knapweeddale_core::{Input, RefusalKind};
+use knapweeddale_testing::relays::{
+    RelayCall, RelayFleet, UpstreamState, account, fleet, upstreams,
+};
+use rstest::rstest;
+
+/// Maximum of tokens that one turn generates.
+const MAX_TURN_TOKENS: u64 = 100;
+
+/// A budget that holds one turn.
+const ONE_TURN: u64 = 175;
+
+/// Time in which a turn ends and is reported to all VMs.
+const SETTLE_MS: u64 = 600;
+
+/// Starts VMs with an account whose rate is never reached.
+fn start() -> RelayFleet {
+    let config = fleet(1, vec![account("bus", 100_000, 100_000)]);
+    let mut relays = RelayFleet::new(4, config, upstreams(1), 1);
+    relays.run_ms(3_000);
+    relays
+}
+
+/// Makes a turn of a kept history that generates a quarter of its maximum of tokens.
+fn turn(budget: u64, line: u64) -> RelayCall {
+    let mut call = RelayCall::turn("bus", "tour", budget, MAX_TURN_TOKENS);
+    call.path = "/talk/x".to_owned();
+    if let Some((.., known)) = &mut call.turn {
+        *known = line;
+    }
+    call
+}
+
+/// Checks that a turn runs on a VM for which a storage VM other than the first one decides.
+fn check_runs(relays: &mut RelayFleet, lost: usize, budget: u64) {
+    relays.usage.set_lost(1, lost);
+    let id = relays.call(1, turn(budget, 1));
+    relays.run_ms(SETTLE_MS);
+    assert!(relays.has_run(id), "{:?}", relays.refusal(id));
+}
+
+/// Guards against a claim that is recorded without an answer in time and counts for ever.
+#[rstest]
+fn lost_answer(#[values(0, 1)] lost: usize) {
+    let mut relays = start();
+    relays.usage.set_answers_lost(0, true);
+    let id = relays.call(0, turn(ONE_TURN, 1));
+    relays.run_ms(SETTLE_MS);
+    assert_eq!(relays.refusal(id), Some(RefusalKind::BudgetUnknown));
+    check_runs(&mut relays, lost, ONE_TURN);
+}
+
+/// Guards against a claim that counts for ever though its caller has left before it was granted.
+#[rstest]
+fn caller_gone(#[values(0, 1)] lost: usize) {
+    let mut relays = start();
+    relays.usage.set_latency_ms(200);
+    let id = relays.call(0, turn(ONE_TURN, 1));
+    relays.run_ms(100);
+    relays.give_input(0, Input::CallAbandoned(id));
+    relays.run_ms(SETTLE_MS);
+    check_runs(&mut relays, lost, ONE_TURN);
+}
+
+/// Sets the state of all model engines.
+fn set_engines(relays: &mut RelayFleet, state: Option<UpstreamState>) {
+    for engine in ["engine-1", "engine-2"] {
+        relays.set_upstream_state(engine, state);
+    }
+}
+
+/// Guards against a claim of a turn that no upstream has run, which counts at the storage VMs that
+/// keep copies.
+#[rstest]
+fn failed_turn(#[values(0, 1)] lost: usize) {
+    let mut relays = start();
+    set_engines(&mut relays, Some(UpstreamState::Crashed));
+    let id = relays.call(0, turn(ONE_TURN, 1));
+    relays.run_ms(4_000);
+    assert!(relays.refusal(id).is_some());
+    set_engines(&mut relays, None);
+    relays.run_ms(4_000);
+    check_runs(&mut relays, lost, ONE_TURN);
+}
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -29,7 +29,7 @@
 use crate::tunnel::{TunnelServer, serve_tunnels};
 use crate::turns::TurnClient;
 use crate::upstream::{Pool, run_probes};
-use crate::usage::{ClaimProxyRpcServer, ClaimProxyServer, UsageClient};
+use crate::usage::{AskedVms, ClaimProxyRpcServer, ClaimProxyServer, UsageClient};
 
 /// Interval at which idle connections to upstreams are checked for expiry.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
@@ -139,6 +139,7 @@
             tolerated_losses: settings.tolerated_losses,
             inputs: inputs.clone(),
             metrics: Arc::clone(&metrics),
+            asked: AskedVms::default(),
         };
         let usage = Arc::new(usage);
         let config = ServerConfig::builder().max_request_body_size(MAX_PEER_REQUEST_BYTES);
--- a/crates/relay/src/usage/client.rs
+++ b/crates/relay/src/usage/client.rs
@@ -4,15 +4,18 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
 use jsonrpsee::http_client::HttpClient;
 use knapweeddale_core::Input;
 use knapweeddale_core::origins::choose_holders;
+use knapweeddale_core::output::ClaimReceivers;
 use knapweeddale_core::usage::{ClaimAnswer, ClaimResult, UsageClaim};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
+use super::asked::AskedVms;
 use super::proxy::ClaimProxyRpcClient;
 use super::rpc::{RecordedClaim, UsageRpcClient};
 use crate::control::InputSender;
@@ -40,10 +43,18 @@
     Copies,
 }
 
-/// A claim and the VMs that may pass it on.
+/// Attempts to send a withdrawal to a storage VM, over about ten seconds: longer than its process
+/// takes to start again.
+const WITHDRAWAL_ATTEMPTS: u32 = 6;
+
+/// Delay before the second of these attempts; it doubles with each further one.
+const MIN_WITHDRAWAL_DELAY: Duration = Duration::from_millis(300);
+
+/// A claim, who gets it, and the VMs that may pass it on.
 #[derive(Debug)]
 pub(crate) struct ClaimRequest {
     pub claim: Box<UsageClaim>,
+    pub receivers: ClaimReceivers,
     pub proxies: SmallVec<[Arc<str>; 2]>,
 }
 
@@ -54,6 +65,7 @@
     pub tolerated_losses: usize,
     pub inputs: InputSender,
     pub metrics: Arc<Metrics>,
+    pub asked: AskedVms,
 }
 
 impl UsageClient {
@@ -69,7 +81,10 @@
     async fn handle(&self, request: ClaimRequest) {
         let claim: Arc<UsageClaim> = Arc::from(request.claim);
         if claim.is_report() {
-            self.report(&claim).await;
+            match request.receivers {
+                ClaimReceivers::Needed => self.report(&claim).await,
+                ClaimReceivers::Earlier => self.withdraw(&claim, &request.proxies).await,
+            }
             return;
         }
         let program = claim.program.clone();
@@ -105,6 +120,38 @@
         }
     }
 
+    /// Corrects what all storage VMs count that may have recorded a claim on the same budget.
+    ///
+    /// Those that do not answer may have recorded it nevertheless, so that they are asked again; a
+    /// later claim that reaches them first replaces the correction.
+    async fn withdraw(&self, claim: &Arc<UsageClaim>, proxies: &[Arc<str>]) {
+        if !self.storage.has_living() {
+            for address in proxies {
+                pass_on(address, claim).await;
+            }
+        }
+        let mut receivers = self.asked.of(&claim.program);
+        let mut delay = MIN_WITHDRAWAL_DELAY;
+        for _ in 0..WITHDRAWAL_ATTEMPTS {
+            let requests = receivers.into_iter().map(|address| async move {
+                let (_, answer) = self
+                    .record_at(Arc::clone(&address), Part::Copies, claim)
+                    .await;
+                matches!(answer, Err(RequestError::Failed)).then_some(address)
+            });
+            receivers = join_all(requests).await.into_iter().flatten().collect();
+            if receivers.is_empty() {
+                self.metrics.count_claim("withdrawn");
+                return;
+            }
+            sleep(delay).await;
+            delay *= 2;
+        }
+        self.metrics.count_claim("not_withdrawn");
+        tracing::warn!(program = %claim.program, vms = receivers.len(),
+            "usage: claim not withdrawn, storage VMs do not answer");
+    }
+
     /// Has enough storage VMs record a claim; the first by rendezvous hashing decides.
     pub async fn record(&self, claim: Arc<UsageClaim>) -> ClaimResult {
         let vms = self.storage.len();
@@ -157,6 +204,9 @@
         part: Part,
         claim: &Arc<UsageClaim>,
     ) -> (Part, Result<RecordedClaim, RequestError>) {
+        if !claim.is_report() {
+            self.asked.add(&claim.program, &address);
+        }
         let claim = UsageClaim::clone(claim);
         let record = |client: Arc<HttpClient>| async move {
             client.claim(claim, part == Part::Copies).await
--- a/crates/relay/src/usage/mod.rs
+++ b/crates/relay/src/usage/mod.rs
@@ -4,12 +4,14 @@
 //! more than may be lost ([`UsageClient`]); these sync it to their logs ([`UsageStore`]). An entry VM
 //! that reaches no storage VM has another one pass its claims on ([`ClaimProxyServer`]).
 
+mod asked;
 mod client;
 mod proxy;
 mod rpc;
 mod server;
 mod store;
 
+pub(crate) use asked::AskedVms;
 pub(crate) use client::{ClaimRequest, UsageClient};
 pub(crate) use proxy::{ClaimProxyRpcServer, ClaimProxyServer};
 pub(crate) use rpc::UsageRpcServer;
--- a/crates/testing/src/relays/outputs.rs
+++ b/crates/testing/src/relays/outputs.rs
@@ -26,7 +26,9 @@
         );
         match output {
             Output::Source(request) => self.query_store(vm, request),
-            Output::Claim { claim, .. } => self.send_claim(vm, &claim),
+            Output::Claim {
+                claim, receivers, ..
+            } => self.send_claim(vm, &claim, receivers),
             Output::SendSummary { address, summary } => self.send_summary(vm, &address, *summary),
             Output::RequestSnapshot {
                 address,
--- a/crates/testing/src/relays/usage.rs
+++ b/crates/testing/src/relays/usage.rs
@@ -1,21 +1,35 @@
 //! In-memory model of the storage VMs that record claims on budgets.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use knapweeddale_core::Input;
+use knapweeddale_core::output::ClaimReceivers;
 use knapweeddale_core::usage::{ClaimAnswer, ClaimResult, UsageClaim, UsageTable};
 
 use super::RelayFleet;
 use super::outputs::LINK_US;
 
+/// Number of storage VMs.
+const STORAGE_VMS: usize = 4;
+
+/// Storage VMs that record each claim, one more than may be lost.
+const NEEDED_VMS: usize = 2;
+
 /// The claims that storage VMs hold, and who reaches them.
+///
+/// Of the storage VMs that a VM does not take for lost, the first one decides about a turn and the
+/// others that are needed keep copies.
 #[derive(Debug)]
 pub struct UsageState {
-    table: UsageTable,
+    tables: Vec<UsageTable>,
     /// Time from a claim to its answer.
     latency_us: u64,
     is_down: bool,
     unreachable: BTreeSet<usize>,
+    /// VMs that get no answer, though their claims are recorded.
+    unanswered: BTreeSet<usize>,
+    /// The storage VMs that a VM takes for lost.
+    lost: BTreeMap<usize, usize>,
     /// Number of claims that were recorded.
     pub claims: u64,
 }
@@ -23,10 +37,12 @@
 impl Default for UsageState {
     fn default() -> Self {
         Self {
-            table: UsageTable::default(),
+            tables: (0..STORAGE_VMS).map(|_| UsageTable::default()).collect(),
             latency_us: 2 * LINK_US,
             is_down: false,
             unreachable: BTreeSet::new(),
+            unanswered: BTreeSet::new(),
+            lost: BTreeMap::new(),
             claims: 0,
         }
     }
@@ -38,6 +54,11 @@
         self.latency_us = 0;
     }
 
+    /// Sets the time from a claim to its answer.
+    pub fn set_latency_ms(&mut self, latency_ms: u64) {
+        self.latency_us = latency_ms * 1_000;
+    }
+
     /// Makes the storage VMs fail the claims of all VMs, or ends that.
     pub fn set_down(&mut self, is_down: bool) {
         self.is_down = is_down;
@@ -52,25 +73,70 @@
         }
     }
 
+    /// Sets whether the answers to a VM are lost.
+    pub fn set_answers_lost(&mut self, vm: usize, are_lost: bool) {
+        if are_lost {
+            self.unanswered.insert(vm);
+        } else {
+            self.unanswered.remove(&vm);
+        }
+    }
+
+    /// Makes a VM take the first storage VMs for lost, so that others decide about its turns.
+    pub fn set_lost(&mut self, vm: usize, lost: usize) {
+        self.lost.insert(vm, lost);
+    }
+
     /// Records a claim of a VM, if it reaches the storage VMs.
-    fn record(&mut self, vm: usize, claim: &UsageClaim, now_us: u64) -> ClaimResult {
+    fn record(
+        &mut self,
+        vm: usize,
+        claim: &UsageClaim,
+        receivers: ClaimReceivers,
+        now_us: u64,
+    ) -> ClaimResult {
         if self.is_down || self.unreachable.contains(&vm) {
             return ClaimResult::Unanswered;
         }
         self.claims += 1;
-        let (is_granted, claims) = self.table.record(claim, false, now_us);
-        ClaimResult::Recorded(Box::new(ClaimAnswer {
-            is_granted,
-            claims,
-            ..ClaimAnswer::default()
-        }))
+        let (skipped, taken) = match receivers {
+            ClaimReceivers::Needed if claim.is_report() => (self.lost_by(vm), 1),
+            ClaimReceivers::Needed => (self.lost_by(vm), NEEDED_VMS),
+            ClaimReceivers::Earlier => (0, STORAGE_VMS),
+        };
+        let tables = self.tables.iter_mut().skip(skipped).take(taken);
+        let mut answer: Option<ClaimAnswer> = None;
+        for table in tables {
+            let (is_granted, claims) = table.record(claim, answer.is_some(), now_us);
+            match &mut answer {
+                Some(answer) => answer.add(claims),
+                None => {
+                    answer = Some(ClaimAnswer {
+                        is_granted,
+                        claims,
+                        ..ClaimAnswer::default()
+                    });
+                }
+            }
+        }
+        match answer {
+            Some(answer) if !self.unanswered.contains(&vm) => {
+                ClaimResult::Recorded(Box::new(answer))
+            }
+            _ => ClaimResult::Unanswered,
+        }
+    }
+
+    /// Returns how many of the first storage VMs a VM takes for lost.
+    fn lost_by(&self, vm: usize) -> usize {
+        self.lost.get(&vm).copied().unwrap_or_default()
     }
 }
 
 impl RelayFleet {
     /// Sends a claim to the storage VMs and schedules their answer.
-    pub(super) fn send_claim(&mut self, vm: usize, claim: &UsageClaim) {
-        let result = self.usage.record(vm, claim, self.now_us);
+    pub(super) fn send_claim(&mut self, vm: usize, claim: &UsageClaim, receivers: ClaimReceivers) {
+        let result = self.usage.record(vm, claim, receivers, self.now_us);
         let program = claim.program.clone();
         if claim.is_report() {
             return;
