Deny turns for good only for tokens that are certainly used

Cause: a turn beside which too much was claimed led to a record in the store. The record counted the claims as used, found no room and marked the program as stopped, for good. A claim is the most that a running turn may use, and may belong to a VM that is only not heard yet: just after a start of all VMs, no VM hears the others, and each took all claims of the others for used.

Change: what is certainly used (ended turns of processes that are heard or have ended) is told from what is claimed. A turn that does not fit beside claims is refused for now, without a record and without closing the free part; the next try asks the storage VMs again.

--- a/crates/core/src/systems/budgets/claims.rs
+++ b/crates/core/src/systems/budgets/claims.rs
@@ -4,7 +4,7 @@
 
 use smallvec::SmallVec;
 
-use super::{cover_turn, refuse_uncovered, reserve, start_turn, take_waiting};
+use super::{cover_turn, deny_turn, reserve, start_turn, take_waiting};
 use crate::ids::{CallId, Incarnation, ProgramKey, VmName};
 use crate::origins::choose_holders;
 use crate::output::{ClaimDecision, ClaimReceivers, Output};
@@ -144,6 +144,15 @@
     !peer.is_some_and(|peer| peer.is_reachable && peer.incarnation == Some(incarnation))
 }
 
+/// Returns whether a process has certainly ended, since a later one of its VM is known.
+fn has_ended(tick: &Tick<'_>, vm: &VmName, incarnation: Incarnation) -> bool {
+    if *vm == tick.settings.vm {
+        return incarnation < tick.settings.incarnation;
+    }
+    let peer = tick.tables.peering.peers.get(vm);
+    peer.is_some_and(|peer| peer.incarnation > Some(incarnation))
+}
+
 /// Continues with the result of the claim in flight.
 pub(super) fn handle_result(tick: &mut Tick<'_>, program: &ProgramKey, result: &ClaimResult) {
     let row = tick.tables.budgets.get_mut(program);
@@ -206,13 +215,17 @@
     let hidden: SmallVec<[&ProcessClaim; 2]> = answer.others.iter().filter(is_unheard).collect();
     let decided = answer.claims.rows.iter().filter(is_unheard);
     let unheard: SmallVec<[&ProcessClaim; 2]> = decided.chain(hidden.iter().copied()).collect();
+    let unheard: SmallVec<[(&ProcessClaim, bool); 2]> = unheard
+        .into_iter()
+        .map(|claim| (claim, has_ended(tick, &claim.vm, claim.incarnation)))
+        .collect();
     let hidden_tokens: u64 = hidden.iter().map(|claim| claim.tokens).sum();
     let claimed_tokens = answer.claims.tokens().saturating_add(hidden_tokens);
     let Some(row) = tick.tables.budgets.get_mut(program) else {
         return claimed_tokens;
     };
-    for claim in unheard {
-        row.set_claimed(claim);
+    for (claim, has_ended) in unheard {
+        row.set_claimed(claim, has_ended);
     }
     row.is_closed |= answer.claims.is_closed;
     claimed_tokens.max(row.known_tokens())
@@ -250,13 +263,11 @@
     if is_waiting && !row.has_record {
         row.waiting.insert(0, call);
         let unrecorded_tokens = row.unrecorded_tokens(turn_tokens);
-        if *result == ClaimResult::Unanswered {
-            finish_close(
-                tick,
-                program,
-                turn_tokens,
-                (claimed_tokens, unrecorded_tokens),
-            );
+        let fits = |tokens: u64| tokens.saturating_add(turn_tokens) <= row.budget_tokens;
+        let is_claimed_up = !is_granted && !claimed_tokens.is_none_or(fits);
+        if *result == ClaimResult::Unanswered || is_claimed_up {
+            let taken = (claimed_tokens, unrecorded_tokens);
+            finish_close(tick, program, turn_tokens, taken);
         } else {
             close(tick, program, turn_tokens, turn_tokens);
         }
@@ -283,8 +294,8 @@
 
 /// Reserves tokens in a record that counts what was claimed of the free part.
 ///
-/// If that is not known, it counts the most that can have been used. A turn that does not fit beside
-/// it is refused for now, since nobody knows that it does not fit.
+/// If that is not known, it counts the most that can have been used. Turns that do not fit beside it
+/// are denied without a record: what is claimed may end up unused, and a record would keep it.
 fn finish_close(
     tick: &mut Tick<'_>,
     program: &ProgramKey,
@@ -296,11 +307,11 @@
     };
     let taken_tokens = claimed_tokens.unwrap_or(unrecorded_tokens);
     let fits = taken_tokens.saturating_add(needed_tokens) <= row.budget_tokens;
-    if fits || row.has_record || claimed_tokens.is_some() {
+    if fits || row.has_record {
         reserve(tick, program, needed_tokens, taken_tokens);
         return;
     }
     for call in take_waiting(tick, program) {
-        refuse_uncovered(tick, call);
+        deny_turn(tick, program, call);
     }
 }
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -111,6 +111,18 @@
     admission::refuse(tick, id, kind, Execution::NotRun, retry_after_ms);
 }
 
+/// Denies a turn beside which too much of the budget is claimed: for good if that much is certainly
+/// used, otherwise for now.
+fn deny_turn(tick: &mut Tick<'_>, program: &ProgramKey, id: CallId) {
+    let turn_tokens = turn_of(tick, id).map_or(0, |(.., tokens)| tokens);
+    let row = tick.tables.budgets.get(program);
+    if row.is_some_and(|row| row.is_used_up(turn_tokens)) {
+        stop_program(tick, program, id);
+    } else {
+        refuse_uncovered(tick, id);
+    }
+}
+
 /// Records that earlier programs are known and resumes the turns that waited for this.
 pub(crate) fn mark_programs_known(tick: &mut Tick<'_>, losses: u32, programs: usize) {
     let source = &mut tick.tables.source;
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -228,9 +228,11 @@
                 program: program.clone(),
                 budget_tokens: row.budget_tokens,
                 main_line: row.main_line,
+                // Claims are taken over from storage VMs only, which know when they change.
                 spent: row
                     .spent
                     .iter()
+                    .filter(|spent| !spent.is_claimed)
                     .map(|spent| (spent.vm.clone(), spent.incarnation, spent.tokens))
                     .collect(),
                 losses: row.losses,
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -31,6 +31,9 @@
     pub incarnation: Incarnation,
     /// Total over all turns of the program.
     pub tokens: u64,
+    /// Whether the process, which is not heard, has claimed these tokens and may not have passed
+    /// on all of them.
+    pub is_claimed: bool,
 }
 
 /// Use of a program's budget, as far as this VM knows it.
@@ -137,6 +140,18 @@
         self.spent.iter().map(|row| row.tokens).sum()
     }
 
+    /// Returns the tokens that are certainly used: those that ended processes and processes that are
+    /// heard have passed to callers.
+    fn used_tokens(&self) -> u64 {
+        let used = self.spent.iter().filter(|row| !row.is_claimed);
+        used.map(|row| row.tokens).sum()
+    }
+
+    /// Returns whether what is certainly used leaves no room for a turn.
+    pub fn is_used_up(&self, turn_tokens: u64) -> bool {
+        self.is_stopped || self.used_tokens().saturating_add(turn_tokens) > self.budget_tokens
+    }
+
     /// Returns the known use up to which another turn may use the free part.
     fn free_tokens(&self) -> u64 {
         self.budget_tokens / FREE_DIVISOR
@@ -166,13 +181,24 @@
         times.saturating_mul(granted) <= self.budget_tokens.saturating_add(turn_tokens)
     }
 
-    /// Returns whether the free part seems to have room for one more turn.
+    /// Returns whether the free part has room for one more turn, as far as this VM knows.
     pub fn may_be_free(&self, turn_tokens: u64) -> bool {
-        let known = self.known_tokens();
+        self.has_free_room(self.known_tokens(), turn_tokens)
+    }
+
+    /// Returns whether it would have room if claims of processes that are not heard were unused, so
+    /// that storage VMs have to be asked.
+    fn needs_claim(&self, turn_tokens: u64) -> bool {
+        let known_tokens = self.used_tokens().saturating_add(self.running_tokens);
+        self.has_free_room(known_tokens, turn_tokens)
+    }
+
+    /// Returns whether the free part has room for a turn beside the known tokens.
+    fn has_free_room(&self, known_tokens: u64, turn_tokens: u64) -> bool {
         !self.has_record
             && !self.is_closed
-            && known <= self.free_tokens()
-            && known.saturating_add(turn_tokens) <= self.budget_tokens
+            && known_tokens <= self.free_tokens()
+            && known_tokens.saturating_add(turn_tokens) <= self.budget_tokens
     }
 }
 
@@ -182,11 +208,10 @@
     ///
     /// A turn is refused for good only if what its callers are known to have got leaves no room.
     pub fn cover(&mut self, turn_tokens: u64) -> BudgetDecision {
-        let is_spent = self.spent_tokens().saturating_add(turn_tokens) > self.budget_tokens;
-        if self.is_stopped || is_spent {
+        if self.is_used_up(turn_tokens) {
             return BudgetDecision::Exhausted;
         }
-        if self.may_be_free(turn_tokens) {
+        if self.needs_claim(turn_tokens) {
             return BudgetDecision::NeedsClaim;
         }
         if self.reserved_tokens < turn_tokens {
@@ -227,30 +252,45 @@
         }
     }
 
-    /// Records the total that a process has passed to callers; a lower total is ignored.
+    /// Records the total that a process has passed to callers; a lower total is ignored, unless the
+    /// known one is a claim.
     pub fn set_spent(&mut self, vm: &VmName, incarnation: Incarnation, tokens: u64) {
         let known = self
             .spent
             .iter_mut()
             .find(|row| row.vm == *vm && row.incarnation == incarnation);
         match known {
+            Some(row) if row.is_claimed => {
+                row.tokens = tokens;
+                row.is_claimed = false;
+            }
             Some(row) => row.tokens = row.tokens.max(tokens),
             None => self.spent.push(ProcessUsage {
                 vm: vm.clone(),
                 incarnation,
                 tokens,
+                is_claimed: false,
             }),
         }
     }
 
     /// Records what a process that is not heard has claimed; without a record in the store, its
     /// last claim counts all of its turns, so that it replaces what was known.
-    pub fn set_claimed(&mut self, claim: &ProcessClaim) {
+    ///
+    /// If the process has ended, all that it claimed counts as used.
+    pub fn set_claimed(&mut self, claim: &ProcessClaim, has_ended: bool) {
         let is_known =
             |row: &&mut ProcessUsage| row.vm == claim.vm && row.incarnation == claim.incarnation;
+        let claimed = ProcessUsage {
+            vm: claim.vm.clone(),
+            incarnation: claim.incarnation,
+            tokens: claim.tokens,
+            is_claimed: !has_ended,
+        };
         match self.spent.iter_mut().find(is_known) {
-            Some(row) if !self.has_record => row.tokens = claim.tokens,
-            _ => self.set_spent(&claim.vm, claim.incarnation, claim.tokens),
+            Some(row) if !self.has_record => *row = claimed,
+            Some(row) => row.tokens = row.tokens.max(claim.tokens),
+            None => self.spent.push(claimed),
         }
     }
 
--- a/crates/core/tests/unused_claims.rs
+++ b/crates/core/tests/unused_claims.rs
@@ -12,6 +12,9 @@
 /// A budget that holds one turn.
 const ONE_TURN: u64 = 175;
 
+/// A budget that holds two turns.
+const TWO_TURNS: u64 = 2 * MAX_TURN_TOKENS;
+
 /// Time in which a turn ends and is reported to all VMs.
 const SETTLE_MS: u64 = 600;
 
@@ -84,3 +87,52 @@
     relays.run_ms(4_000);
     check_runs(&mut relays, lost, ONE_TURN);
 }
+
+/// Guards against a program that is stopped for good because its running turns may use up its
+/// budget; they use less.
+#[rstest]
+fn running_agents() {
+    let mut relays = start();
+    for (vm, line) in [(0, 1), (1, 2)] {
+        let id = relays.call(vm, turn(TWO_TURNS, line));
+        relays.run_ms(20);
+        assert!(relays.has_run(id), "{:?}", relays.refusal(id));
+    }
+    let id = relays.call(2, turn(TWO_TURNS, 3));
+    relays.run_ms(20);
+    assert_eq!(relays.refusal(id), Some(RefusalKind::BudgetUnknown));
+    relays.run_ms(SETTLE_MS);
+    check_runs(&mut relays, 0, TWO_TURNS);
+}
+
+/// Guards against a program that is stopped for good because of the claim of a VM that is not heard
+/// yet, as after a start of all VMs.
+#[rstest]
+fn unheard_vm() {
+    let mut relays = start();
+    relays.set_isolated(0, true);
+    relays.usage.set_reachable(0, true);
+    relays.run_ms(2_000);
+    relays.call(0, turn(ONE_TURN, 1));
+    relays.run_ms(20);
+    let id = relays.call(1, turn(ONE_TURN, 1));
+    relays.run_ms(20);
+    assert_eq!(relays.refusal(id), Some(RefusalKind::BudgetUnknown));
+    relays.run_ms(SETTLE_MS);
+    check_runs(&mut relays, 0, ONE_TURN);
+}
+
+/// Guards against tokens of a process that was killed while its turn ran, which its caller may have
+/// got.
+#[rstest]
+fn killed_vm() {
+    let mut relays = start();
+    relays.call(0, turn(ONE_TURN, 1));
+    relays.run_ms(20);
+    relays.kill(0);
+    relays.restart(0);
+    relays.run_ms(2_000);
+    let id = relays.call(1, turn(ONE_TURN, 1));
+    relays.run_ms(SETTLE_MS);
+    assert_eq!(relays.refusal(id), Some(RefusalKind::OverBudget));
+}
