Make no record by estimate for turns that the system keeps

Cause: if too few storage VMs answered a claim, a record in the store counted the most that can have been granted, a quarter of the budget and a turn, and the turn ran on a reservation. A turn that the system keeps cannot run while storage VMs do not answer: it was refused, its reservation stayed with its VM, and the second or third try on another VM found the record used up.

Change: such a turn is refused for now as budget_unknown, without a record. On routes that keep no turns the estimate stays (program_tokens storage_down).

unused_claims estimated_use failed with OverBudget before, 2 of 2, and passes.

--- a/crates/core/src/systems/budgets/claims.rs
+++ b/crates/core/src/systems/budgets/claims.rs
@@ -294,8 +294,9 @@
 
 /// Reserves tokens in a record that counts what was claimed of the free part.
 ///
-/// If that is not known, it counts the most that can have been used. Turns that do not fit beside it
-/// are denied without a record: what is claimed may end up unused, and a record would keep it.
+/// If that is not known, it counts the most that can have been used, but not for turns that the
+/// system keeps: without storage VMs they do not run, and the record would keep the estimate. Turns
+/// that do not fit are denied without a record: what is claimed may end up unused.
 fn finish_close(
     tick: &mut Tick<'_>,
     program: &ProgramKey,
@@ -307,7 +308,10 @@
     };
     let taken_tokens = claimed_tokens.unwrap_or(unrecorded_tokens);
     let fits = taken_tokens.saturating_add(needed_tokens) <= row.budget_tokens;
-    if fits || row.has_record {
+    let calls = &tick.tables.calls;
+    let is_kept = |id: &CallId| calls.get(id).is_some_and(Call::is_kept_turn);
+    let may_estimate = claimed_tokens.is_some() || !row.waiting.iter().any(is_kept);
+    if (fits && may_estimate) || row.has_record {
         reserve(tick, program, needed_tokens, taken_tokens);
         return;
     }
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -170,6 +170,12 @@
         }
     }
 
+    /// Returns whether the system keeps the call's turn.
+    pub fn is_kept_turn(&self) -> bool {
+        let relay = self.relay.as_ref();
+        relay.is_some_and(|relay| relay.route.history_ms.is_some())
+    }
+
     /// Returns a record of the end of the running attempt, or `None` if it has no upstream.
     pub fn to_last_run(&self, answer_tokens: u64, outcome: ChargeOutcome) -> Option<LastRun> {
         Some(LastRun {
--- a/crates/core/tests/unused_claims.rs
+++ b/crates/core/tests/unused_claims.rs
@@ -15,6 +15,9 @@
 /// A budget that holds two turns.
 const TWO_TURNS: u64 = 2 * MAX_TURN_TOKENS;
 
+/// A budget that holds three turns.
+const THREE_TURNS: u64 = 3 * MAX_TURN_TOKENS;
+
 /// Time in which a turn ends and is reported to all VMs.
 const SETTLE_MS: u64 = 600;
 
@@ -88,6 +91,21 @@
     check_runs(&mut relays, lost, ONE_TURN);
 }
 
+/// Guards against a record that counts an estimate as used while storage VMs do not answer, for a
+/// turn that cannot run without them.
+#[rstest]
+fn estimated_use(#[values(0, 1)] lost: usize) {
+    let mut relays = start();
+    relays.usage.set_answers_lost(0, true);
+    set_engines(&mut relays, Some(UpstreamState::Crashed));
+    let id = relays.call(0, turn(THREE_TURNS, 1));
+    relays.run_ms(4_000);
+    assert!(relays.refusal(id).is_some());
+    set_engines(&mut relays, None);
+    relays.run_ms(4_000);
+    check_runs(&mut relays, lost, THREE_TURNS);
+}
+
 /// Guards against a program that is stopped for good because its running turns may use up its
 /// budget; they use less.
 #[rstest]
