Report the use of ended turns to all storage VMs that count them

Cause: what a turn left over was reported once, to the storage VM that decides. Copies counted its most until the process claimed again, and the answers of copies counted only for processes that the deciding VM did not know: one that had not answered for a time decided from an older claim than others had.

Change: each report goes to all storage VMs that the process has asked, and to the VMs that passed its claims on, and is repeated where it is not answered, unless that VM is known to be lost. Of two claims of a process the later one counts, whoever sent it, and a turn is granted only if it fits beside all of them. What is used and what is claimed are kept apart, so that a process that falls silent does not hide what it is known to have used. No record is made for calls that have ended, and a process that stops counts turns in progress at their most.

--- a/crates/core/src/output/mod.rs
+++ b/crates/core/src/output/mod.rs
@@ -44,15 +44,6 @@
 use crate::tables::View;
 use crate::usage::UsageClaim;
 
-/// The storage VMs that get a claim.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ClaimReceivers {
-    /// As many as have to record it; of a report, the one that decides.
-    Needed,
-    /// All that may have recorded an earlier claim of this process on the budget.
-    Earlier,
-}
-
 /// An output of the core, to be executed by the process around it.
 #[derive(Debug, Clone)]
 pub enum Output {
@@ -106,8 +97,6 @@
     Claim {
         /// The claims.
         claim: Box<UsageClaim>,
-        /// The storage VMs that get them.
-        receivers: ClaimReceivers,
         /// Addresses of VMs that may pass it on if no storage VM answers this one.
         proxies: SmallVec<[Arc<str>; 2]>,
     },
--- a/crates/core/src/systems/admission/mod.rs
+++ b/crates/core/src/systems/admission/mod.rs
@@ -310,8 +310,13 @@
     if own_execution != Execution::NotRun {
         outcomes::charge_last_run(tick, &call);
     }
+    // A stopping process does not know what the caller of an attempt in progress has got.
+    let forwarded_tokens = match (call.stage, kind) {
+        (Stage::Running, RefusalKind::Draining) => call.request.max_tokens,
+        _ => call.forwarded_tokens(),
+    };
     homes::end_turn(tick, &call, own_execution, used_tokens, None);
-    budgets::settle_turn(tick, &call, false);
+    budgets::settle_turn(tick, &call, forwarded_tokens);
     let was_admitted = matches!(call.stage, Stage::Budget | Stage::Place);
     if was_admitted
         && own_execution == Execution::NotRun
--- a/crates/core/src/systems/budgets/claims.rs
+++ b/crates/core/src/systems/budgets/claims.rs
@@ -7,7 +7,7 @@
 use super::{cover_turn, deny_turn, reserve, start_turn, take_waiting};
 use crate::ids::{CallId, Incarnation, ProgramKey, VmName};
 use crate::origins::choose_holders;
-use crate::output::{ClaimDecision, ClaimReceivers, Output};
+use crate::output::{ClaimDecision, Output};
 use crate::systems::Tick;
 use crate::tables::{Call, Coverage, PendingClaim, Stage};
 use crate::usage::{ClaimAnswer, ClaimResult, ProcessClaim, TurnClaim, UsageClaim};
@@ -47,35 +47,26 @@
     send(tick, program, Request::Close);
 }
 
-/// Reports what an ended turn has used of its claim, so that the rest is free again.
+/// Reports what an ended turn has used of its claim, or that a turn does not run, so that the rest is
+/// free again.
 ///
-/// A claim in flight may count a turn that this VM does not count yet; the next one reports.
+/// All storage VMs that may have recorded the claim get the report: the next turn may come through a
+/// VM for which another one of them decides.
 pub(super) fn report(tick: &mut Tick<'_>, program: &ProgramKey) {
-    let row = tick.tables.budgets.get(program);
-    if row.is_some_and(|row| row.pending_claim.is_none() && !row.has_record && !row.is_closed) {
-        send(tick, program, Request::Report(ClaimReceivers::Needed));
-    }
-}
-
-/// Corrects the count of all storage VMs after a turn that did not run, or did not end.
-///
-/// Its caller may come back through a VM for which another storage VM decides, and a copy that
-/// counts the turn would leave no room for it.
-pub(super) fn withdraw(tick: &mut Tick<'_>, program: &ProgramKey) {
     if let Some(row) = tick.tables.budgets.get_mut(program) {
-        row.has_unused_claim = true;
-        send_withdrawal(tick, program);
+        row.must_report = true;
+        send_report(tick, program);
     }
 }
 
-/// Sends a correction that is due, unless a claim in flight may count a turn that this VM does not
-/// count yet.
-fn send_withdrawal(tick: &mut Tick<'_>, program: &ProgramKey) {
+/// Sends a report that is due, unless a claim in flight may count a turn that this VM does not count
+/// yet.
+fn send_report(tick: &mut Tick<'_>, program: &ProgramKey) {
     let Some(row) = tick.tables.budgets.get_mut(program) else {
         return;
     };
-    if row.pending_claim.is_none() && std::mem::take(&mut row.has_unused_claim) && !row.has_record {
-        send(tick, program, Request::Report(ClaimReceivers::Earlier));
+    if row.pending_claim.is_none() && std::mem::take(&mut row.must_report) && !row.has_record {
+        send(tick, program, Request::Report);
     }
 }
 
@@ -86,7 +77,7 @@
     /// To let no more turns use it.
     Close,
     /// To count what this process has used.
-    Report(ClaimReceivers),
+    Report,
 }
 
 /// Sends a claim of this process, with what it knows of others.
@@ -102,14 +93,14 @@
         .map(|usage| ProcessClaim {
             vm: usage.vm.clone(),
             incarnation: usage.incarnation,
-            version: 0,
-            tokens: usage.tokens,
+            version: usage.claim_version,
+            tokens: usage.most_tokens(),
         })
         .collect();
-    let (turn, closes, receivers) = match request {
-        Request::Turn(turn) => (Some(turn), false, ClaimReceivers::Needed),
-        Request::Close => (None, true, ClaimReceivers::Needed),
-        Request::Report(receivers) => (None, false, receivers),
+    let (turn, closes) = match request {
+        Request::Turn(turn) => (Some(turn), false),
+        Request::Close => (None, true),
+        Request::Report => (None, false),
     };
     let claim = Box::new(UsageClaim {
         program: program.clone(),
@@ -119,11 +110,7 @@
         closes,
     });
     let proxies = choose_proxies(tick, program);
-    tick.outputs.push(Output::Claim {
-        claim,
-        receivers,
-        proxies,
-    });
+    tick.outputs.push(Output::Claim { claim, proxies });
 }
 
 /// Chooses VMs that may pass a claim on: this VM may be cut off from the storage VMs only.
@@ -180,7 +167,7 @@
             finish_close(tick, program, needed_tokens, (claimed_tokens, unrecorded));
         }
     }
-    send_withdrawal(tick, program);
+    send_report(tick, program);
 }
 
 /// Logs the result of a claim whose turn may not start.
@@ -233,7 +220,7 @@
 
 /// Starts a turn that was granted; otherwise its tokens have to be reserved.
 ///
-/// What storage VMs count of a turn that does not start is withdrawn.
+/// Storage VMs that count a turn that does not start get a report.
 fn finish_turn(
     tick: &mut Tick<'_>,
     program: &ProgramKey,
@@ -246,25 +233,27 @@
     let Some(row) = tick.tables.budgets.get_mut(program) else {
         return;
     };
+    let budget_tokens = row.budget_tokens;
+    // Storage VMs that keep copies may know of more than the one that decides.
+    let fits_claimed = claimed_tokens.is_none_or(|tokens| tokens <= budget_tokens);
     let is_granted = match result {
-        ClaimResult::Recorded(answer) => answer.is_granted,
+        ClaimResult::Recorded(answer) => answer.is_granted && fits_claimed,
         // The turns of one line run one after the other, so that few of them are not reported yet.
         ClaimResult::Uncounted => line == row.main_line && row.is_uncounted_free(turn_tokens),
         ClaimResult::Unanswered => false,
     };
-    // Storage VMs that keep copies may know of more than the one that decides.
     if is_waiting && is_granted && row.may_be_free(turn_tokens) {
         row.running_tokens += turn_tokens;
         start_turn(tick, program, call, Coverage::Free);
         cover_waiting(tick, program);
         return;
     }
-    row.has_unused_claim |= *result != ClaimResult::Uncounted;
+    row.must_report |= *result != ClaimResult::Uncounted;
     if is_waiting && !row.has_record {
         row.waiting.insert(0, call);
         let unrecorded_tokens = row.unrecorded_tokens(turn_tokens);
-        let fits = |tokens: u64| tokens.saturating_add(turn_tokens) <= row.budget_tokens;
-        let is_claimed_up = !is_granted && !claimed_tokens.is_none_or(fits);
+        let exceeds_claimed = |tokens: u64| tokens.saturating_add(turn_tokens) > budget_tokens;
+        let is_claimed_up = !is_granted && claimed_tokens.is_some_and(exceeds_claimed);
         if *result == ClaimResult::Unanswered || is_claimed_up {
             let taken = (claimed_tokens, unrecorded_tokens);
             finish_close(tick, program, turn_tokens, taken);
@@ -273,7 +262,7 @@
         }
         return;
     }
-    send_withdrawal(tick, program);
+    send_report(tick, program);
     if is_waiting {
         cover_turn(tick, call);
     }
@@ -303,19 +292,25 @@
     needed_tokens: u64,
     (claimed_tokens, unrecorded_tokens): (Option<u64>, u64),
 ) {
+    let waiting = take_waiting(tick, program);
+    let calls = &tick.tables.calls;
+    let is_kept = |id: &CallId| calls.get(id).is_some_and(Call::is_kept_turn);
+    let may_estimate = !waiting.iter().any(is_kept);
     let Some(row) = tick.tables.budgets.get_mut(program) else {
         return;
     };
+    if waiting.is_empty() {
+        return;
+    }
     let taken_tokens = claimed_tokens.unwrap_or(unrecorded_tokens);
     let fits = taken_tokens.saturating_add(needed_tokens) <= row.budget_tokens;
-    let calls = &tick.tables.calls;
-    let is_kept = |id: &CallId| calls.get(id).is_some_and(Call::is_kept_turn);
-    let may_estimate = claimed_tokens.is_some() || !row.waiting.iter().any(is_kept);
-    if (fits && may_estimate) || row.has_record {
+    let is_known = claimed_tokens.is_some() || may_estimate;
+    if row.has_record || (fits && is_known) {
+        row.waiting = waiting;
         reserve(tick, program, needed_tokens, taken_tokens);
         return;
     }
-    for call in take_waiting(tick, program) {
+    for call in waiting {
         deny_turn(tick, program, call);
     }
 }
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -386,8 +386,8 @@
 
 /// Records the tokens that a turn of this VM used, and releases the rest of its cover.
 ///
-/// The caller of a turn that is not complete (`is_complete`) may send it again through another VM.
-pub(crate) fn settle_turn(tick: &mut Tick<'_>, call: &Call, is_complete: bool) {
+/// `used_tokens` are those that its caller may have got.
+pub(crate) fn settle_turn(tick: &mut Tick<'_>, call: &Call, used_tokens: u64) {
     let Some(relay) = &call.relay else {
         return;
     };
@@ -400,20 +400,18 @@
     let Some(row) = tick.tables.budgets.get_mut(program) else {
         return;
     };
-    row.settle_turn(cover, call.request.max_tokens, relay.forwarded_tokens);
-    let spent = row.spent_by(vm, incarnation) + relay.forwarded_tokens;
+    row.settle_turn(cover, call.request.max_tokens, used_tokens);
+    let spent = row.spent_by(vm, incarnation) + used_tokens;
     row.set_spent(vm, incarnation, spent);
     row.last_used_us = now_us;
     row.changed_round = round;
-    let is_partly_used = relay.forwarded_tokens < call.request.max_tokens;
+    let is_partly_used = used_tokens < call.request.max_tokens;
     if let Some(upstream) = &call.upstream {
         let tokens = call.request.prompt_tokens + relay.forwarded_tokens;
         row.cached = Some((upstream.clone(), tokens));
     }
-    match cover {
-        Coverage::Free if !is_complete => claims::withdraw(tick, program),
-        Coverage::Free if is_partly_used => claims::report(tick, program),
-        Coverage::Free | Coverage::Reserved => {}
+    if cover == Coverage::Free && is_partly_used {
+        claims::report(tick, program);
     }
 }
 
--- a/crates/core/src/systems/outcomes/results.rs
+++ b/crates/core/src/systems/outcomes/results.rs
@@ -44,7 +44,7 @@
     permit: Option<Permit>,
 ) {
     if let Some(call) = tick.tables.calls.remove(&id) {
-        budgets::settle_turn(tick, &call, true);
+        budgets::settle_turn(tick, &call, call.forwarded_tokens());
         tick.outputs.push(Output::Answered(Box::new(Answered {
             call: id,
             continuation,
--- a/crates/core/src/systems/peers/sending.rs
+++ b/crates/core/src/systems/peers/sending.rs
@@ -232,7 +232,7 @@
                 spent: row
                     .spent
                     .iter()
-                    .filter(|spent| !spent.is_claimed)
+                    .filter(|spent| spent.tokens > 0)
                     .map(|spent| (spent.vm.clone(), spent.incarnation, spent.tokens))
                     .collect(),
                 losses: row.losses,
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -31,9 +31,17 @@
     pub incarnation: Incarnation,
     /// Total over all turns of the program.
     pub tokens: u64,
-    /// Whether the process, which is not heard, has claimed these tokens and may not have passed
-    /// on all of them.
-    pub is_claimed: bool,
+    /// What the process has claimed while it was not heard; it may not have passed on all of that.
+    pub claimed_tokens: u64,
+    /// Version of that claim.
+    pub claim_version: u64,
+}
+
+impl ProcessUsage {
+    /// Returns the most that the process may have passed to callers, as far as this VM knows.
+    pub fn most_tokens(&self) -> u64 {
+        self.tokens.max(self.claimed_tokens)
+    }
 }
 
 /// Use of a program's budget, as far as this VM knows it.
@@ -55,8 +63,8 @@
     pub claim_version: u64,
     /// The request to storage VMs in flight.
     pub pending_claim: Option<PendingClaim>,
-    /// Whether storage VMs may count a turn of this process that does not run.
-    pub has_unused_claim: bool,
+    /// Whether storage VMs may count more than this process uses.
+    pub must_report: bool,
     /// Tokens that turns running on this VM without a reservation may still generate at most.
     pub running_tokens: u64,
     /// Tokens reserved by this VM that no turn uses yet.
@@ -135,16 +143,15 @@
         self.spent_tokens().saturating_add(self.running_tokens)
     }
 
-    /// Returns the tokens that all processes are known to have passed to callers.
+    /// Returns the most that all processes may have passed to callers, as far as this VM knows.
     fn spent_tokens(&self) -> u64 {
-        self.spent.iter().map(|row| row.tokens).sum()
+        self.spent.iter().map(ProcessUsage::most_tokens).sum()
     }
 
-    /// Returns the tokens that are certainly used: those that ended processes and processes that are
-    /// heard have passed to callers.
+    /// Returns the tokens that count as used: those that processes have passed to callers, and all
+    /// that ended processes claimed.
     fn used_tokens(&self) -> u64 {
-        let used = self.spent.iter().filter(|row| !row.is_claimed);
-        used.map(|row| row.tokens).sum()
+        self.spent.iter().map(|row| row.tokens).sum()
     }
 
     /// Returns whether what is certainly used leaves no room for a turn.
@@ -252,26 +259,14 @@
         }
     }
 
-    /// Records the total that a process has passed to callers; a lower total is ignored, unless the
-    /// known one is a claim.
+    /// Records the total that a process has passed to callers; a lower total is ignored.
+    ///
+    /// The process is heard, so that its claims are no longer needed.
     pub fn set_spent(&mut self, vm: &VmName, incarnation: Incarnation, tokens: u64) {
-        let known = self
-            .spent
-            .iter_mut()
-            .find(|row| row.vm == *vm && row.incarnation == incarnation);
-        match known {
-            Some(row) if row.is_claimed => {
-                row.tokens = tokens;
-                row.is_claimed = false;
-            }
-            Some(row) => row.tokens = row.tokens.max(tokens),
-            None => self.spent.push(ProcessUsage {
-                vm: vm.clone(),
-                incarnation,
-                tokens,
-                is_claimed: false,
-            }),
-        }
+        let row = self.usage_of(vm, incarnation);
+        row.tokens = row.tokens.max(tokens);
+        row.claimed_tokens = 0;
+        row.claim_version = 0;
     }
 
     /// Records what a process that is not heard has claimed; without a record in the store, its
@@ -279,21 +274,34 @@
     ///
     /// If the process has ended, all that it claimed counts as used.
     pub fn set_claimed(&mut self, claim: &ProcessClaim, has_ended: bool) {
-        let is_known =
-            |row: &&mut ProcessUsage| row.vm == claim.vm && row.incarnation == claim.incarnation;
-        let claimed = ProcessUsage {
-            vm: claim.vm.clone(),
-            incarnation: claim.incarnation,
-            tokens: claim.tokens,
-            is_claimed: !has_ended,
-        };
-        match self.spent.iter_mut().find(is_known) {
-            Some(row) if !self.has_record => *row = claimed,
-            Some(row) => row.tokens = row.tokens.max(claim.tokens),
-            None => self.spent.push(claimed),
+        let is_complete = !self.has_record;
+        let row = self.usage_of(&claim.vm, claim.incarnation);
+        row.claim_version = claim.version;
+        row.claimed_tokens = claim.tokens;
+        if has_ended && is_complete {
+            row.tokens = claim.tokens;
+        } else if has_ended {
+            row.tokens = row.tokens.max(claim.tokens);
         }
     }
 
+    /// Returns the row of a process, which is added if it is not known.
+    fn usage_of(&mut self, vm: &VmName, incarnation: Incarnation) -> &mut ProcessUsage {
+        let is_same = |row: &ProcessUsage| row.vm == *vm && row.incarnation == incarnation;
+        let known = self.spent.iter().position(is_same);
+        let at = known.unwrap_or_else(|| {
+            self.spent.push(ProcessUsage {
+                vm: vm.clone(),
+                incarnation,
+                tokens: 0,
+                claimed_tokens: 0,
+                claim_version: 0,
+            });
+            self.spent.len() - 1
+        });
+        &mut self.spent[at]
+    }
+
     /// Returns the total that a process has passed to callers.
     pub fn spent_by(&self, vm: &VmName, incarnation: Incarnation) -> u64 {
         self.spent
--- a/crates/core/src/tables/call.rs
+++ b/crates/core/src/tables/call.rs
@@ -170,6 +170,12 @@
         }
     }
 
+    /// Returns the tokens that ended attempts have forwarded to the caller of a relayed call.
+    pub fn forwarded_tokens(&self) -> u64 {
+        let relay = self.relay.as_ref();
+        relay.map_or(0, |relay| relay.forwarded_tokens)
+    }
+
     /// Returns whether the system keeps the call's turn.
     pub fn is_kept_turn(&self) -> bool {
         let relay = self.relay.as_ref();
--- a/crates/core/src/usage/claims.rs
+++ b/crates/core/src/usage/claims.rs
@@ -38,8 +38,8 @@
     pub program: ProgramKey,
     /// The claim of the asking process, without `turn`.
     pub own: ProcessClaim,
-    /// What the asking process knows of others, with version 0: storage VMs that never heard of
-    /// them, since they were added since or since builds before this one do not claim, learn it.
+    /// What the asking process knows of others: their last claims, or what they report, with version
+    /// 0. Storage VMs that were added since, or that did not answer them, learn it.
     pub others: SmallVec<[ProcessClaim; 2]>,
     /// The turn to be granted, if there is one.
     pub turn: Option<TurnClaim>,
@@ -146,14 +146,19 @@
             .collect()
     }
 
-    /// Adds what another storage VM knows.
+    /// Adds what another storage VM knows; of two claims of a process, the later one counts, since a
+    /// storage VM that did not answer for a time knows earlier ones.
     pub fn add(&mut self, claims: ProgramClaims) {
         self.claims.is_closed |= claims.is_closed;
         for row in claims.rows {
-            let is_same =
-                |known: &ProcessClaim| known.vm == row.vm && known.incarnation == row.incarnation;
-            if !self.claims.rows.iter().any(is_same) && !self.others.iter().any(is_same) {
-                self.others.push(row);
+            let is_same = |known: &&mut ProcessClaim| {
+                known.vm == row.vm && known.incarnation == row.incarnation
+            };
+            let known = self.claims.rows.iter_mut().chain(&mut self.others);
+            match known.into_iter().find(is_same) {
+                Some(known) if known.version < row.version => *known = row,
+                Some(_) => {}
+                None => self.others.push(row),
             }
         }
     }
--- a/crates/core/tests/unused_claims.rs
+++ b/crates/core/tests/unused_claims.rs
@@ -77,6 +77,16 @@
     }
 }
 
+/// Guards against a turn that was answered whole and counts its most at storage VMs that keep copies.
+#[rstest]
+fn complete_turn(#[values(0, 1)] lost: usize) {
+    let mut relays = start();
+    let id = relays.call(0, turn(ONE_TURN, 1));
+    relays.run_ms(SETTLE_MS);
+    assert!(relays.is_answered(id));
+    check_runs(&mut relays, lost, ONE_TURN);
+}
+
 /// Guards against a claim of a turn that no upstream has run, which counts at the storage VMs that
 /// keep copies.
 #[rstest]
@@ -154,3 +164,71 @@
     relays.run_ms(SETTLE_MS);
     assert_eq!(relays.refusal(id), Some(RefusalKind::OverBudget));
 }
+
+/// Guards against tokens of a process that is gone for good, which the other VMs have heard of.
+#[rstest]
+fn gone_vm() {
+    let mut relays = start();
+    let mut first = turn(ONE_TURN, 1);
+    first.tokens = 90;
+    relays.call(0, first);
+    relays.run_ms(SETTLE_MS);
+    relays.kill(0);
+    relays.run_ms(3_000);
+    let id = relays.call(1, turn(ONE_TURN, 1));
+    relays.run_ms(SETTLE_MS);
+    assert_eq!(relays.refusal(id), Some(RefusalKind::OverBudget));
+}
+
+/// Guards against tokens that a stopping VM has passed on in a turn that it cuts off.
+#[rstest]
+fn halted_vm() {
+    let mut relays = start();
+    let mut first = turn(ONE_TURN, 1);
+    first.run_ms = 1_000;
+    relays.call(0, first);
+    relays.run_ms(500);
+    relays.give_input(0, Input::Halt);
+    relays.run_ms(20);
+    let id = relays.call(1, turn(ONE_TURN, 1));
+    relays.run_ms(SETTLE_MS);
+    assert!(!relays.has_run(id));
+}
+
+/// Guards against a storage VM that decides from an older claim than others know, since it did not
+/// answer for a time.
+#[rstest]
+fn returned_decider() {
+    let mut relays = start();
+    relays.call(0, turn(ONE_TURN, 1));
+    relays.run_ms(SETTLE_MS);
+    relays.usage.set_lost(0, 1);
+    let mut second = turn(ONE_TURN, 1);
+    second.run_ms = 1_000;
+    let id = relays.call(0, second);
+    relays.run_ms(20);
+    assert!(relays.has_run(id));
+    let id = relays.call(1, turn(ONE_TURN, 2));
+    relays.run_ms(20);
+    assert_eq!(relays.refusal(id), Some(RefusalKind::BudgetUnknown));
+}
+
+/// Guards against reservations of turns that no upstream has run, which leave no room in the record
+/// for the next try.
+#[rstest]
+fn reserved_turns() {
+    let mut relays = start();
+    let mut first = turn(THREE_TURNS, 1);
+    first.tokens = 80;
+    relays.call(0, first);
+    relays.run_ms(SETTLE_MS);
+    set_engines(&mut relays, Some(UpstreamState::Crashed));
+    for vm in [2, 3] {
+        let id = relays.call(vm, turn(THREE_TURNS, 1));
+        relays.run_ms(4_000);
+        assert!(relays.refusal(id).is_some());
+    }
+    set_engines(&mut relays, None);
+    relays.run_ms(4_000);
+    check_runs(&mut relays, 0, THREE_TURNS);
+}
--- a/crates/relay/src/control/dispatcher.rs
+++ b/crates/relay/src/control/dispatcher.rs
@@ -353,17 +353,9 @@
                     tracing::error!("peers: snapshot request dropped, the queue is full");
                 }
             }
-            Output::Claim {
-                claim,
-                receivers,
-                proxies,
-            } => {
+            Output::Claim { claim, proxies } => {
                 let program = claim.program.clone();
-                let request = ClaimRequest {
-                    claim,
-                    receivers,
-                    proxies,
-                };
+                let request = ClaimRequest { claim, proxies };
                 if self.claims.try_send(request).is_err() {
                     let result = ClaimResult::Unanswered;
                     self.pending_inputs.push(Input::Claimed { program, result });
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -140,6 +140,7 @@
             inputs: inputs.clone(),
             metrics: Arc::clone(&metrics),
             asked: AskedVms::default(),
+            asked_proxies: AskedVms::default(),
         };
         let usage = Arc::new(usage);
         let config = ServerConfig::builder().max_request_body_size(MAX_PEER_REQUEST_BYTES);
--- a/crates/relay/src/storage_vms.rs
+++ b/crates/relay/src/storage_vms.rs
@@ -97,6 +97,11 @@
         addresses
     }
 
+    /// Returns whether the storage VM at an address is known to be lost.
+    pub fn is_lost(&self, address: &str) -> bool {
+        self.clients.is_lost(address)
+    }
+
     /// Returns whether a storage VM is not known to be lost.
     pub fn has_living(&self) -> bool {
         let list = self.list.borrow();
--- a/crates/relay/src/usage/client.rs
+++ b/crates/relay/src/usage/client.rs
@@ -9,7 +9,6 @@
 use jsonrpsee::http_client::HttpClient;
 use knapweeddale_core::Input;
 use knapweeddale_core::origins::choose_holders;
-use knapweeddale_core::output::ClaimReceivers;
 use knapweeddale_core::usage::{ClaimAnswer, ClaimResult, UsageClaim};
 use smallvec::SmallVec;
 use tokio::sync::mpsc;
@@ -34,6 +33,13 @@
 /// Time limit for another entry VM to pass a claim on.
 const PASS_ON_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Attempts to send a report to a storage VM, over about ten seconds: longer than its process takes
+/// to start again.
+const REPORT_ATTEMPTS: u32 = 6;
+
+/// Delay before the second of these attempts; it doubles with each further one.
+const MIN_REPORT_DELAY: Duration = Duration::from_millis(300);
+
 /// The part of a storage VM in a claim.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Part {
@@ -43,18 +49,10 @@
     Copies,
 }
 
-/// Attempts to send a withdrawal to a storage VM, over about ten seconds: longer than its process
-/// takes to start again.
-const WITHDRAWAL_ATTEMPTS: u32 = 6;
-
-/// Delay before the second of these attempts; it doubles with each further one.
-const MIN_WITHDRAWAL_DELAY: Duration = Duration::from_millis(300);
-
-/// A claim, who gets it, and the VMs that may pass it on.
+/// A claim and the VMs that may pass it on.
 #[derive(Debug)]
 pub(crate) struct ClaimRequest {
     pub claim: Box<UsageClaim>,
-    pub receivers: ClaimReceivers,
     pub proxies: SmallVec<[Arc<str>; 2]>,
 }
 
@@ -65,7 +63,10 @@
     pub tolerated_losses: usize,
     pub inputs: InputSender,
     pub metrics: Arc<Metrics>,
+    /// The storage VMs that get reports.
     pub asked: AskedVms,
+    /// The VMs that passed claims on, and pass on the reports.
+    pub asked_proxies: AskedVms,
 }
 
 impl UsageClient {
@@ -81,10 +82,7 @@
     async fn handle(&self, request: ClaimRequest) {
         let claim: Arc<UsageClaim> = Arc::from(request.claim);
         if claim.is_report() {
-            match request.receivers {
-                ClaimReceivers::Needed => self.report(&claim).await,
-                ClaimReceivers::Earlier => self.withdraw(&claim, &request.proxies).await,
-            }
+            self.report(&claim).await;
             return;
         }
         let program = claim.program.clone();
@@ -97,6 +95,7 @@
             if result != ClaimResult::Unanswered {
                 break;
             }
+            self.asked_proxies.add(&program, address);
             result = pass_on(address, &claim).await;
         }
         self.metrics.count_claim(match &result {
@@ -110,46 +109,48 @@
             .await;
     }
 
-    /// Reports what ended turns have used to the storage VM that decides. Copies may count too much,
-    /// and if the report is lost, so does that VM until the next claim.
-    async fn report(&self, claim: &Arc<UsageClaim>) {
-        let holders = choose_holders(&holder_key(claim), &self.storage.living(), 1);
-        if let Some(address) = holders.into_iter().next() {
-            // Only a claim needs to be repeated.
-            let _ = self.record_at(address, Part::Decides, claim).await;
-        }
-    }
-
-    /// Corrects what all storage VMs count that may have recorded a claim on the same budget.
+    /// Reports what ended turns have used to all VMs that may have recorded a claim on the budget.
     ///
     /// Those that do not answer may have recorded it nevertheless, so that they are asked again; a
-    /// later claim that reaches them first replaces the correction.
-    async fn withdraw(&self, claim: &Arc<UsageClaim>, proxies: &[Arc<str>]) {
-        if !self.storage.has_living() {
-            for address in proxies {
-                pass_on(address, claim).await;
-            }
+    /// later claim that reaches them first replaces the report.
+    pub async fn report(&self, claim: &Arc<UsageClaim>) {
+        for address in self.asked_proxies.of(&claim.program) {
+            pass_on(&address, claim).await;
         }
         let mut receivers = self.asked.of(&claim.program);
-        let mut delay = MIN_WITHDRAWAL_DELAY;
-        for _ in 0..WITHDRAWAL_ATTEMPTS {
-            let requests = receivers.into_iter().map(|address| async move {
-                let (_, answer) = self
-                    .record_at(Arc::clone(&address), Part::Copies, claim)
-                    .await;
-                matches!(answer, Err(RequestError::Failed)).then_some(address)
-            });
+        if receivers.is_empty() {
+            return;
+        }
+        let mut delay = MIN_REPORT_DELAY;
+        for attempt in 0..REPORT_ATTEMPTS {
+            if attempt > 0 {
+                sleep(delay).await;
+                delay *= 2;
+            }
+            let requests = receivers
+                .into_iter()
+                .map(|address| self.report_to(address, claim));
             receivers = join_all(requests).await.into_iter().flatten().collect();
             if receivers.is_empty() {
-                self.metrics.count_claim("withdrawn");
+                self.metrics.count_claim("reported");
                 return;
             }
-            sleep(delay).await;
-            delay *= 2;
         }
-        self.metrics.count_claim("not_withdrawn");
+        self.metrics.count_claim("not_reported");
         tracing::warn!(program = %claim.program, vms = receivers.len(),
-            "usage: claim not withdrawn, storage VMs do not answer");
+            "usage: use not reported, storage VMs do not answer");
+    }
+
+    /// Reports to one storage VM; returns its address if it does not answer. One that is known to be
+    /// lost is not asked, so that reports do not take the place of other requests.
+    async fn report_to(&self, address: Arc<str>, claim: &Arc<UsageClaim>) -> Option<Arc<str>> {
+        if self.storage.is_lost(&address) {
+            return Some(address);
+        }
+        // The part matters to claims of turns only.
+        let request = self.record_at(Arc::clone(&address), Part::Copies, claim);
+        let (_, answer) = request.await;
+        matches!(answer, Err(RequestError::Failed)).then_some(address)
     }
 
     /// Has enough storage VMs record a claim; the first by rendezvous hashing decides.
--- a/crates/relay/src/usage/proxy.rs
+++ b/crates/relay/src/usage/proxy.rs
@@ -11,7 +11,8 @@
 /// The RPC interface that entry VMs serve to each other.
 #[rpc(client, server, namespace = "usage")]
 pub(crate) trait ClaimProxyRpc {
-    /// Has storage VMs record a claim of another entry VM; it is not passed on again.
+    /// Has storage VMs record a claim of another entry VM; it is not passed on again. The answer to a
+    /// report has no meaning.
     #[method(name = "pass_on")]
     async fn pass_on(&self, claim: UsageClaim) -> RpcResult<ClaimResult>;
 }
@@ -25,6 +26,12 @@
 #[jsonrpsee::core::async_trait]
 impl ClaimProxyRpcServer for ClaimProxyServer {
     async fn pass_on(&self, claim: UsageClaim) -> RpcResult<ClaimResult> {
-        Ok(self.client.record(Arc::new(claim)).await)
+        let claim = Arc::new(claim);
+        if claim.is_report() {
+            let client = Arc::clone(&self.client);
+            tokio::spawn(async move { client.report(&claim).await });
+            return Ok(ClaimResult::Uncounted);
+        }
+        Ok(self.client.record(claim).await)
     }
 }
--- a/crates/testing/src/relays/outputs.rs
+++ b/crates/testing/src/relays/outputs.rs
@@ -26,9 +26,7 @@
         );
         match output {
             Output::Source(request) => self.query_store(vm, request),
-            Output::Claim {
-                claim, receivers, ..
-            } => self.send_claim(vm, &claim, receivers),
+            Output::Claim { claim, .. } => self.send_claim(vm, &claim),
             Output::SendSummary { address, summary } => self.send_summary(vm, &address, *summary),
             Output::RequestSnapshot {
                 address,
--- a/crates/testing/src/relays/usage.rs
+++ b/crates/testing/src/relays/usage.rs
@@ -2,9 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use knapweeddale_core::Input;
-use knapweeddale_core::output::ClaimReceivers;
 use knapweeddale_core::usage::{ClaimAnswer, ClaimResult, UsageClaim, UsageTable};
+use knapweeddale_core::{Input, ProgramKey};
 
 use super::RelayFleet;
 use super::outputs::LINK_US;
@@ -30,6 +29,8 @@
     unanswered: BTreeSet<usize>,
     /// The storage VMs that a VM takes for lost.
     lost: BTreeMap<usize, usize>,
+    /// The storage VMs that a VM has asked to record claims on a budget, which get its reports.
+    asked: BTreeMap<(usize, ProgramKey), BTreeSet<usize>>,
     /// Number of claims that were recorded.
     pub claims: u64,
 }
@@ -43,6 +44,7 @@
             unreachable: BTreeSet::new(),
             unanswered: BTreeSet::new(),
             lost: BTreeMap::new(),
+            asked: BTreeMap::new(),
             claims: 0,
         }
     }
@@ -88,25 +90,22 @@
     }
 
     /// Records a claim of a VM, if it reaches the storage VMs.
-    fn record(
-        &mut self,
-        vm: usize,
-        claim: &UsageClaim,
-        receivers: ClaimReceivers,
-        now_us: u64,
-    ) -> ClaimResult {
+    fn record(&mut self, vm: usize, claim: &UsageClaim, now_us: u64) -> ClaimResult {
         if self.is_down || self.unreachable.contains(&vm) {
             return ClaimResult::Unanswered;
         }
         self.claims += 1;
-        let (skipped, taken) = match receivers {
-            ClaimReceivers::Needed if claim.is_report() => (self.lost_by(vm), 1),
-            ClaimReceivers::Needed => (self.lost_by(vm), NEEDED_VMS),
-            ClaimReceivers::Earlier => (0, STORAGE_VMS),
+        let asked = self.asked.entry((vm, claim.program.clone())).or_default();
+        let receivers: Vec<usize> = if claim.is_report() {
+            asked.iter().copied().collect()
+        } else {
+            let lost = self.lost.get(&vm).copied().unwrap_or_default();
+            (lost..lost + NEEDED_VMS).collect()
         };
-        let tables = self.tables.iter_mut().skip(skipped).take(taken);
+        asked.extend(&receivers);
         let mut answer: Option<ClaimAnswer> = None;
-        for table in tables {
+        for receiver in receivers {
+            let table = &mut self.tables[receiver];
             let (is_granted, claims) = table.record(claim, answer.is_some(), now_us);
             match &mut answer {
                 Some(answer) => answer.add(claims),
@@ -126,17 +125,12 @@
             _ => ClaimResult::Unanswered,
         }
     }
-
-    /// Returns how many of the first storage VMs a VM takes for lost.
-    fn lost_by(&self, vm: usize) -> usize {
-        self.lost.get(&vm).copied().unwrap_or_default()
-    }
 }
 
 impl RelayFleet {
     /// Sends a claim to the storage VMs and schedules their answer.
-    pub(super) fn send_claim(&mut self, vm: usize, claim: &UsageClaim, receivers: ClaimReceivers) {
-        let result = self.usage.record(vm, claim, receivers, self.now_us);
+    pub(super) fn send_claim(&mut self, vm: usize, claim: &UsageClaim) {
+        let result = self.usage.record(vm, claim, self.now_us);
         let program = claim.program.clone();
         if claim.is_report() {
             return;
