Give reservations of turns that did not run back to the record

Cause: beyond the free part, a VM reserves a turn's tokens in the record in the store. If the turn was then refused, the tokens stayed with that VM, and the next try on another VM reserved more, until the record had no room left and marked the program as stopped.

Change: a reservation of which nothing was passed on, or that no call waits for any more, is given back with a conditional write (SourceRequest::Release). A write whose answer is lost is not repeated, so that tokens are never given back twice.

What a turn that ran leaves over stays with its VM, as before.

--- a/crates/core/src/output/source.rs
+++ b/crates/core/src/output/source.rs
@@ -36,4 +36,11 @@
         /// Whether the program is known to have a record; if so, it is read before it is written.
         has_record: bool,
     },
+    /// Give back tokens that were reserved for a turn that did not run; not answered.
+    Release {
+        /// The program that they were reserved for.
+        program: ProgramKey,
+        /// The number of tokens.
+        tokens: u64,
+    },
 }
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -327,14 +327,22 @@
     row.is_reserving = false;
     row.has_record |= tokens.is_some();
     row.changed_round = round;
-    row.reserved_tokens += tokens.unwrap_or_default();
+    let waiting = take_waiting(tick, program);
+    let Some(row) = tick.tables.budgets.get_mut(program) else {
+        return;
+    };
+    let unwanted_tokens = tokens.filter(|_| waiting.is_empty()).unwrap_or_default();
+    row.reserved_tokens += tokens.unwrap_or_default() - unwanted_tokens;
     let reserved_tokens = row.reserved_tokens;
     tick.log(Decision::BudgetReserved {
         program: program.clone(),
         tokens,
         reserved_tokens,
     });
-    for id in take_waiting(tick, program) {
+    if unwanted_tokens > 0 {
+        give_back(tick, program, unwanted_tokens);
+    }
+    for id in waiting {
         match tokens {
             Some(0) => stop_program(tick, program, id),
             Some(_) => cover_turn(tick, id),
@@ -400,7 +408,10 @@
     let Some(row) = tick.tables.budgets.get_mut(program) else {
         return;
     };
-    row.settle_turn(cover, call.request.max_tokens, used_tokens);
+    let is_given_back = cover == Coverage::Reserved && used_tokens == 0;
+    if !is_given_back {
+        row.settle_turn(cover, call.request.max_tokens, used_tokens);
+    }
     let spent = row.spent_by(vm, incarnation) + used_tokens;
     row.set_spent(vm, incarnation, spent);
     row.last_used_us = now_us;
@@ -413,6 +424,18 @@
     if cover == Coverage::Free && is_partly_used {
         claims::report(tick, program);
     }
+    if is_given_back {
+        give_back(tick, program, call.request.max_tokens);
+    }
+}
+
+/// Gives reserved tokens that no turn has used back to the record: the next turn may come through
+/// another VM, which cannot use what this one holds.
+fn give_back(tick: &mut Tick<'_>, program: &ProgramKey, tokens: u64) {
+    tick.outputs.push(Output::Source(SourceRequest::Release {
+        program: program.clone(),
+        tokens,
+    }));
 }
 
 /// Merges the use that another VM reports of a program.
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -378,4 +378,9 @@
         self.taken_tokens += tokens;
         tokens
     }
+
+    /// Gives back reserved tokens that no turn has used.
+    pub fn release(&mut self, tokens: u64) {
+        self.taken_tokens = self.taken_tokens.saturating_sub(tokens);
+    }
 }
--- a/crates/relay/src/store/budgets.rs
+++ b/crates/relay/src/store/budgets.rs
@@ -80,6 +80,43 @@
     })
 }
 
+/// Gives reserved tokens back to the record of a program.
+///
+/// A write whose answer is lost may have taken effect, so that it is not repeated. The tokens then
+/// stay unused.
+pub(super) async fn release<S: ObjectApi>(
+    store: &S,
+    program: &ProgramKey,
+    tokens: u64,
+    records: &RecordCache,
+) -> Result<(), StoreError> {
+    let key = record_key(program);
+    let mut known = records.get(&key);
+    for _ in 0..MAX_CONFLICTS {
+        let object = match known.take() {
+            Some(object) => object,
+            None => match store.get(&key).await? {
+                Some(object) => object,
+                None => return Ok(()),
+            },
+        };
+        let mut record = decode_record(&key, &object)?;
+        record.release(tokens);
+        let value = serde_json::to_vec(&record).map_err(|error| invalid_record(&key, &error))?;
+        match store.put(&key, value.clone(), object.version).await {
+            Ok(version) => {
+                records.set(key, Object { version, value });
+                return Ok(());
+            }
+            Err(StoreError::Conflict { .. }) => {}
+            Err(error) => return Err(error),
+        }
+    }
+    Err(StoreError::Unavailable {
+        reason: format!("{MAX_CONFLICTS} conflicting writes to {key}"),
+    })
+}
+
 /// Cache of records as this VM last wrote them; other VMs may have written them since.
 #[derive(Debug, Default)]
 pub(crate) struct RecordCache(Mutex<HashMap<String, Object>>);
--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -56,13 +56,23 @@
 
     /// Handles one request and sends the answer to the core.
     async fn handle_request(&self, request: SourceRequest) {
-        if let SourceRequest::MarkStopped {
-            program,
-            budget_tokens,
-        } = &request
-        {
-            budgets::record_stop(&*self.store, program, *budget_tokens).await;
-            return;
+        match &request {
+            SourceRequest::MarkStopped {
+                program,
+                budget_tokens,
+            } => return budgets::record_stop(&*self.store, program, *budget_tokens).await,
+            SourceRequest::Release { program, tokens } => {
+                let records = &self.budget_records;
+                let released = budgets::release(&*self.store, program, *tokens, records);
+                return match timeout(STORE_TIMEOUT, released).await {
+                    Ok(Ok(())) => tracing::debug!(%program, tokens, "budgets: tokens given back"),
+                    Ok(Err(error)) => {
+                        tracing::info!(%program, tokens, "budgets: tokens not given back ({error})");
+                    }
+                    Err(_) => tracing::info!(%program, tokens, "budgets: tokens not given back"),
+                };
+            }
+            _ => {}
         }
         let part = source_part(&request);
         let purpose = purpose_label(&part);
@@ -161,7 +171,7 @@
                 })
             }
             // Handled by `handle_request`, since it has no answer.
-            SourceRequest::MarkStopped { program, .. } => {
+            SourceRequest::MarkStopped { program, .. } | SourceRequest::Release { program, .. } => {
                 Ok(SourceEvent::Failed(SourceRequestKind::Budget(program)))
             }
             SourceRequest::Losses => {
@@ -193,9 +203,9 @@
         SourceRequest::Upstreams { .. } => SourceRequestKind::Upstreams,
         SourceRequest::Vms => SourceRequestKind::Vms,
         SourceRequest::Losses => SourceRequestKind::Losses,
-        SourceRequest::Reserve { program, .. } | SourceRequest::MarkStopped { program, .. } => {
-            SourceRequestKind::Budget(program.clone())
-        }
+        SourceRequest::Reserve { program, .. }
+        | SourceRequest::MarkStopped { program, .. }
+        | SourceRequest::Release { program, .. } => SourceRequestKind::Budget(program.clone()),
     }
 }
 
--- a/crates/testing/src/relays/store.rs
+++ b/crates/testing/src/relays/store.rs
@@ -142,6 +142,12 @@
                 record.is_stopped = true;
                 return None;
             }
+            SourceRequest::Release { program, tokens } => {
+                if let Some(record) = self.budgets.get_mut(&program) {
+                    record.release(tokens);
+                }
+                return None;
+            }
             SourceRequest::Losses => {
                 if self.losses.0 == 0 || now_us > self.losses.1 + LOSS_MERGE_WINDOW_US {
                     self.losses = (self.losses.0 + 1, now_us);
@@ -175,7 +181,9 @@
         SourceRequest::Upstreams { .. } => (SourceRequestKind::Upstreams, "upstreams"),
         SourceRequest::Vms => (SourceRequestKind::Vms, "vms"),
         SourceRequest::Losses => (SourceRequestKind::Losses, "losses"),
-        SourceRequest::Reserve { program, .. } | SourceRequest::MarkStopped { program, .. } => {
+        SourceRequest::Reserve { program, .. }
+        | SourceRequest::MarkStopped { program, .. }
+        | SourceRequest::Release { program, .. } => {
             (SourceRequestKind::Budget(program.clone()), "budget")
         }
     }
