Count the turns that a storage VM receives as copies

Change: TurnReplicator counts turns, bytes and those held already; Storage::copied returns the totals, for tests.

--- a/crates/core/src/turns/stored.rs
+++ b/crates/core/src/turns/stored.rs
@@ -115,6 +115,11 @@
         self.rows.is_empty()
     }
 
+    /// Returns whether a turn is stored.
+    pub fn contains(&self, key: &TurnKey) -> bool {
+        self.rows.contains_key(key)
+    }
+
     /// Returns the size of all turns in bytes.
     pub fn bytes(&self) -> usize {
         self.bytes
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -45,4 +45,4 @@
 pub use settings::{RelaySettings, StorageSettings};
 pub use storage::Storage;
 pub use tunnel::{OpenError, OpenReply, TunnelStream};
-pub use turns::{TurnList, list_turns};
+pub use turns::{CopyCounts, TurnList, list_turns};
--- a/crates/relay/src/storage/mod.rs
+++ b/crates/relay/src/storage/mod.rs
@@ -20,7 +20,7 @@
 use crate::origins::{OriginRpcServer, OriginServer};
 use crate::settings::StorageSettings;
 use crate::store::{Registration, Role, register};
-use crate::turns::{TurnReplicator, TurnRpcServer, TurnServer, TurnStore};
+use crate::turns::{CopyCounts, TurnReplicator, TurnRpcServer, TurnServer, TurnStore};
 use crate::usage::{UsageRpcServer, UsageServer, UsageStore};
 
 use self::ledger::{ChargeServer, Ledger};
@@ -136,6 +136,11 @@
         })
     }
 
+    /// Returns which turns this VM has received as copies since its start.
+    pub fn copied(&self) -> CopyCounts {
+        self.replicator.received()
+    }
+
     /// Stops the daemon. Confirmed batches are already synced to the disk.
     ///
     /// The VM may never come back with its disk, so the others first take over those of its turns
--- a/crates/relay/src/turns/mod.rs
+++ b/crates/relay/src/turns/mod.rs
@@ -15,6 +15,7 @@
 
 pub(crate) use client::{HistoryError, TurnClient};
 pub use list::{TurnList, list_turns};
+pub use replication::CopyCounts;
 pub(crate) use replication::TurnReplicator;
 pub(crate) use rpc::TurnRpcServer;
 pub(crate) use server::TurnServer;
--- a/crates/relay/src/turns/replication.rs
+++ b/crates/relay/src/turns/replication.rs
@@ -4,7 +4,8 @@
 //! holds it, and a VM that answers nothing holds up nobody but itself.
 
 use std::collections::HashSet;
-use std::sync::Arc;
+use std::ops::AddAssign;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use jsonrpsee::core::ClientError;
@@ -32,12 +33,33 @@
 /// Most VMs that a copied turn names as its holders.
 const MAX_NAMED_HOLDERS: usize = 8;
 
+/// Turns that this VM has received as copies.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct CopyCounts {
+    /// Turns, those included that it held already.
+    pub turns: usize,
+    /// Bytes of their contents.
+    pub bytes: usize,
+    /// Turns among them that it held already.
+    pub duplicates: usize,
+}
+
+impl AddAssign for CopyCounts {
+    fn add_assign(&mut self, other: Self) {
+        self.turns += other.turns;
+        self.bytes += other.bytes;
+        self.duplicates += other.duplicates;
+    }
+}
+
 /// Keeps the turns of this VM on enough VMs with a disk.
 #[derive(Debug, Clone)]
 pub(crate) struct TurnReplicator {
     store: Arc<TurnStore>,
     members: Arc<Members>,
     tolerated_losses: usize,
+    /// What this process has received since its start.
+    received: Arc<Mutex<CopyCounts>>,
 }
 
 /// # Construction
@@ -48,9 +70,15 @@
             store,
             members,
             tolerated_losses,
+            received: Arc::default(),
         }
     }
 
+    /// Returns what this process has received since its start.
+    pub fn received(&self) -> CopyCounts {
+        *self.received.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Returns the VMs that may hold turns; those at the `lost` addresses do not answer.
     fn holder_set(&self, lost: &[Arc<str>]) -> HolderSet {
         HolderSet::new(self.members.holder_vms(lost), self.tolerated_losses)
@@ -157,6 +185,7 @@
     /// Stores turns of another VM, each after the one it goes on from, and names this VM as one of
     /// their holders; returns how many are stored.
     async fn store_copies(&self, mut turns: Vec<StoredTurn>) -> Result<usize, String> {
+        self.count_received(&turns);
         let own: Arc<str> = Arc::from(self.members.own_address());
         for turn in &mut turns {
             if !turn.copies.contains(&own) && turn.copies.len() < MAX_NAMED_HOLDERS {
@@ -183,6 +212,26 @@
     }
 }
 
+/// # Counts
+impl TurnReplicator {
+    /// Counts turns that were received and are not stored yet.
+    fn count_received(&self, turns: &[StoredTurn]) -> CopyCounts {
+        let duplicates = {
+            let table = self.store.turns();
+            let held = turns.iter().filter(|turn| table.contains(&turn.key));
+            held.count()
+        };
+        let counts = CopyCounts {
+            turns: turns.len(),
+            bytes: turns.iter().map(|turn| turn.content.len()).sum(),
+            duplicates,
+        };
+        let mut received = self.received.lock().unwrap_or_else(PoisonError::into_inner);
+        *received += counts;
+        counts
+    }
+}
+
 /// # Turns of this VM
 impl TurnReplicator {
     /// Has the VM at `address` copy what it is to hold when this VM has stopped; returns how many
