Count a storage VM that has another name as one holder

Cause: HolderSet counted rows. A VM that was started again under another name at its address has two rows until the earlier one is forgotten, so that a turn on it counted as on two disks and one copy was missing.

Change: the set keeps one row for each address, which lives if one of its rows does.

--- a/crates/core/src/turns/holders.rs
+++ b/crates/core/src/turns/holders.rs
@@ -28,13 +28,21 @@
 /// many, not one too few.
 #[derive(Debug, Clone, Default)]
 pub struct HolderSet {
+    /// Sorted by address, one row each.
     vms: Vec<HolderVm>,
     needed_copies: usize,
 }
 
 impl HolderSet {
     /// Creates the set of these VMs, one more of which hold each turn than may be lost.
-    pub fn new(vms: Vec<HolderVm>, tolerated_losses: usize) -> Self {
+    pub fn new(mut vms: Vec<HolderVm>, tolerated_losses: usize) -> Self {
+        vms.sort_by(|left, right| left.address.cmp(&right.address));
+        // A VM that was started again under another name counts as one holder.
+        vms.dedup_by(|other, kept| {
+            let is_same = other.address == kept.address;
+            kept.is_lost &= !is_same || other.is_lost;
+            is_same
+        });
         Self {
             vms,
             needed_copies: tolerated_losses + 1,
--- a/crates/core/tests/turn_holders.rs
+++ b/crates/core/tests/turn_holders.rs
@@ -56,6 +56,20 @@
     assert!(!chosen.iter().any(|holder| is_lost(holder)), "{chosen:?}");
 }
 
+/// Guards against a VM that counts as two holders, since it was started again under another name
+/// at its address.
+#[rstest]
+fn same_address() {
+    let vms = [
+        ("a", "r", false),
+        ("a", "r", false),
+        ("b", "r", true),
+        ("c", "r", false),
+    ];
+    let chosen = holder_set(&vms, 1).holders_of(&turn("t", None, &["a", "b"]), "a");
+    assert_eq!(chosen.as_slice(), [Arc::from("a"), Arc::from("c")]);
+}
+
 /// Guards against a copy in a region that holds the turn nowhere else.
 #[rstest]
 fn same_regions() {
