Copy each kept turn once, and only what is lacking of its chain

Cause: a round read from all storage VMs side by side, so that each holder sent the same turns; turns_read returns the whole chain of each turn; and each VM sent the digests of all that another one is to hold in each of three rounds after each change.

Change: a round asks all VMs for their offers, four at a time, and then reads from one after the other, the nearest first, what is still lacking. turns_offered_chains lists the turns with those before them, so that the asking VM can tell what it lacks; turns_read_turns returns exactly the turns asked for. A cursor keeps turns that were compared from being listed again while they name the asking VM. Pages are 256 KB, and a round pauses after each one for as long as it took; a take-over does not. Rounds and take-overs take turns page by page, so that neither reads what the other one is reading. Probes go on during a round, which would hold them up otherwise. A leaving VM has four VMs take over at a time, not all. A round that a living VM did not answer is repeated after 4 s; copies that could not be stored no longer count as received, so that the folder of a lost disk is not marked as complete without them. Each round logs turns, bytes, duplicates and its time.

No layout changes.

--- a/crates/core/src/turns/holders.rs
+++ b/crates/core/src/turns/holders.rs
@@ -49,6 +49,17 @@
         }
     }
 
+    /// Returns whether the VM at `address` is to hold a turn, as [`Self::holders_of`] has it.
+    pub fn is_holder(&self, turn: &StoredTurn, address: &str, own: &str) -> bool {
+        let named = self.living_named(turn);
+        let is_named = named.iter().any(|vm| *vm.address == *address);
+        if is_named || named.len() >= self.needed_copies {
+            return is_named;
+        }
+        let holders = self.holders_of(turn, own);
+        holders.iter().any(|holder| **holder == *address)
+    }
+
     /// Returns the VMs that are to hold a turn: those that it names and that live, and more if
     /// these are too few.
     ///
@@ -56,11 +67,8 @@
     /// it: its account may allow no others.
     pub fn holders_of(&self, turn: &StoredTurn, own: &str) -> Holders {
         let is_named = |vm: &HolderVm| turn.copies.contains(&vm.address);
-        let living = || self.vms.iter().filter(|vm| !vm.is_lost);
-        let mut holders: Holders = living()
-            .filter(|vm| is_named(vm))
-            .map(|vm| Arc::clone(&vm.address))
-            .collect();
+        let named = self.living_named(turn);
+        let mut holders: Holders = named.iter().map(|vm| Arc::clone(&vm.address)).collect();
         let missing = self.needed_copies.saturating_sub(holders.len());
         if missing == 0 {
             return holders;
@@ -70,11 +78,30 @@
             let mut vms = vms.filter(|vm| is_named(vm) || *vm.address == *own);
             vms.next().is_some()
         };
-        let candidates: Vec<Arc<str>> = living()
+        let living = self.vms.iter().filter(|vm| !vm.is_lost);
+        let candidates: Vec<Arc<str>> = living
             .filter(|vm| !is_named(vm) && is_in_region(&vm.region))
             .map(|vm| Arc::clone(&vm.address))
             .collect();
         holders.extend(choose_holders(turn.key.id.as_str(), &candidates, missing));
         holders
     }
+
+    /// Returns the VMs that a turn names and that live.
+    fn living_named(&self, turn: &StoredTurn) -> SmallVec<[&HolderVm; 8]> {
+        let mut living: SmallVec<[&HolderVm; 8]> = SmallVec::new();
+        let named = turn.copies.iter().filter_map(|address| self.find(address));
+        for vm in named.filter(|vm| !vm.is_lost) {
+            if !living.iter().any(|known| known.address == vm.address) {
+                living.push(vm);
+            }
+        }
+        living
+    }
+
+    /// Returns the VM at an address.
+    fn find(&self, address: &str) -> Option<&HolderVm> {
+        let row = self.vms.binary_search_by(|vm| (*vm.address).cmp(address));
+        row.ok().map(|row| &self.vms[row])
+    }
 }
--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -8,14 +8,17 @@
 //! - [`StoredTurns`] is the table of a VM with a disk: its turns, their chains and their expiry.
 //! - [`CopyPlan`] decides which VMs get a copy of a turn and when it has enough.
 //! - [`HolderSet`] decides which VMs are to hold a turn after one of them was lost, left or joined.
+//! - [`Offers`] holds what one VM offers another one, which decides what it lacks of that.
 //! - [`TurnLookup`] decides which VMs are asked for a turn and when it certainly does not exist.
 
 mod copies;
 mod holders;
 mod lookup;
+mod offers;
 mod stored;
 
 pub use copies::{CopyPlan, CopyStep};
 pub use holders::{HolderSet, HolderVm, Holders};
 pub use lookup::{LookupStep, TurnAnswer, TurnLookup};
+pub use offers::{OfferedChain, Offers};
 pub use stored::{RejectedTurn, StoredTurn, StoredTurns, TurnKey};
--- a/crates/core/src/turns/stored.rs
+++ b/crates/core/src/turns/stored.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
-use super::{HolderSet, Holders};
+use super::{HolderSet, Holders, OfferedChain, Offers};
 use crate::ids::{AccountName, TurnId};
 use crate::tables::{Table, hash_name};
 use derive_more::{Display, Error};
@@ -254,13 +254,73 @@
     pub fn offers(&self, holders: &HolderSet, asking: &str, own: &str) -> Vec<u64> {
         let rows = self.order.values().rev();
         let rows = rows.filter_map(|key| self.rows.get(key));
-        let offered = rows.filter(|row| {
-            let holders = holders.holders_of(&row.turn, own);
-            holders.iter().any(|holder| **holder == *asking)
-        });
+        let offered = rows.filter(|row| holders.is_holder(&row.turn, asking, own));
         offered.map(|row| row.turn.key.digest()).collect()
     }
 
+    /// Returns the turns that the VM at `asking` is to hold, with the turns before them.
+    ///
+    /// That VM has compared all turns that were stored before the one of `from_number`; of these,
+    /// only those are offered that do not name it as a holder.
+    pub fn offered_chains(
+        &self,
+        holders: &HolderSet,
+        asking: &str,
+        own: &str,
+        from_number: u64,
+    ) -> Offers {
+        let is_named = |row: &Row| row.turn.copies.iter().any(|copy| **copy == *asking);
+        let is_offered = |row: &Row| {
+            let is_compared = row.number < from_number && is_named(row);
+            !is_compared && holders.is_holder(&row.turn, asking, own)
+        };
+        let mut offers = Offers {
+            next_number: self.next_number,
+            ..Offers::default()
+        };
+        let mut listed = HashSet::new();
+        for key in self.order.values().rev() {
+            let row = self.rows.get(key);
+            let Some(row) = row.filter(|row| is_offered(row)) else {
+                continue;
+            };
+            if listed.contains(&row.number) {
+                continue;
+            }
+            let chain = self.offered_chain(row, is_offered, &mut listed);
+            offers.chains.push(chain);
+        }
+        offers
+    }
+
+    /// Returns the chain of an offered turn up to a turn that is `listed` or to be listed by
+    /// itself.
+    fn offered_chain(
+        &self,
+        row: &Row,
+        is_offered: impl Fn(&Row) -> bool,
+        listed: &mut HashSet<u64>,
+    ) -> OfferedChain {
+        let mut chain = OfferedChain::default();
+        let mut next = Some(row);
+        while let Some(row) = next {
+            let digest = row.turn.key.digest();
+            let is_offered = is_offered(row);
+            let starts_another = is_offered && !chain.before.is_empty();
+            if starts_another || !listed.insert(row.number) {
+                chain.before.push(digest);
+                break;
+            }
+            match is_offered {
+                true => chain.offered.push(digest),
+                false => chain.before.push(digest),
+            }
+            let previous = row.turn.previous_key();
+            next = previous.and_then(|key| self.rows.get(&key));
+        }
+        chain
+    }
+
     /// Returns the digests of all turns.
     pub fn digests(&self) -> HashSet<u64> {
         self.rows.iter().map(|(key, _)| key.digest()).collect()
@@ -290,6 +350,24 @@
         rows.map(|row| row.turn.clone()).collect()
     }
 
+    /// Returns turns without those before them, in the order in which they can be stored; stops
+    /// after about `max_bytes`.
+    pub fn turns_of(&self, digests: &HashSet<u64>, max_bytes: usize) -> Vec<StoredTurn> {
+        let mut turns = Vec::new();
+        let mut bytes = 0;
+        for key in self.order.values() {
+            if bytes >= max_bytes || turns.len() == digests.len() {
+                break;
+            }
+            let is_wanted = digests.contains(&key.digest());
+            if let Some(row) = self.rows.get(key).filter(|_| is_wanted) {
+                bytes += row.turn.content.len();
+                turns.push(row.turn.clone());
+            }
+        }
+        turns
+    }
+
     /// Returns all turns in the order in which they can be stored, to hand them over.
     pub fn all(&self) -> Vec<StoredTurn> {
         let rows = self.order.values().filter_map(|key| self.rows.get(key));
--- a/crates/relay/src/storage/members.rs
+++ b/crates/relay/src/storage/members.rs
@@ -11,6 +11,8 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use crate::turns::OfferCursor;
+
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -24,6 +26,8 @@
     failed_probes: u32,
     /// Whether this VM has copied from it what it is to hold.
     is_copied: bool,
+    /// How far this VM has compared the turns of that VM with its own.
+    cursor: Option<OfferCursor>,
 }
 
 impl Member {
@@ -32,6 +36,7 @@
             vm,
             failed_probes: 0,
             is_copied: false,
+            cursor: None,
         }
     }
 
@@ -98,12 +103,21 @@
         self.joined.notified().await;
     }
 
-    /// Returns the other VMs that answer, the nearest first.
+    /// Returns the other VMs that answer: those of the same failure domain first, then those of
+    /// the same region.
+    ///
+    /// Those at the same distance begin with the next name after the one of this VM, so that not
+    /// all VMs copy from the same one.
     pub fn living(&self) -> Vec<StorageVm> {
         let rows = self.rows();
         let living = rows.values().filter(|row| !row.is_lost());
         let mut living: Vec<StorageVm> = living.map(|row| row.vm.clone()).collect();
-        living.sort_by_key(|vm| vm.failure_domain != self.own.failure_domain);
+        let own_region = self.region_of(&self.own.failure_domain);
+        living.sort_by_cached_key(|vm| {
+            let is_other_domain = vm.failure_domain != self.own.failure_domain;
+            let is_other_region = self.region_of(&vm.failure_domain) != own_region;
+            (is_other_domain, is_other_region, vm.vm < self.own.vm)
+        });
         living
     }
 
@@ -148,6 +162,22 @@
         }
     }
 
+    /// Returns how far this VM has compared the turns of the VM at an address with its own.
+    pub fn cursor(&self, address: &str) -> Option<OfferCursor> {
+        let rows = self.rows();
+        let row = rows.values().find(|row| row.vm.address == address);
+        row.and_then(|row| row.cursor)
+    }
+
+    /// Records how far this VM has compared the turns of the VM at an address with its own.
+    pub fn set_cursor(&self, address: &str, cursor: OfferCursor) {
+        let mut rows = self.rows();
+        let rows = rows.values_mut();
+        for row in rows.filter(|row| row.vm.address == address) {
+            row.cursor = Some(cursor);
+        }
+    }
+
     /// Returns whether this VM has copied what it is to hold from all others.
     pub fn are_all_copied(&self) -> bool {
         self.rows().values().all(|row| row.is_copied)
--- a/crates/relay/src/storage/repair.rs
+++ b/crates/relay/src/storage/repair.rs
@@ -5,10 +5,11 @@
 
 use futures_util::future::join_all;
 use knapweeddale_core::StorageVm;
-use tokio::time::{Instant, sleep};
+use tokio::sync::{Notify, Semaphore};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::Members;
-use crate::turns::{TurnReplicator, TurnStore};
+use crate::turns::{CopyCounts, Pace, Source, TurnReplicator, TurnStore};
 
 /// Interval at which the other VMs are probed.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -24,14 +25,23 @@
 /// Longest time for which routes keep turns; a lost disk lacks nothing after that time.
 const MAX_RETENTION: Duration = Duration::from_secs(600);
 
+/// Delay before another round if a VM that counts as living has not answered in the last one.
+const RETRY_DELAY: Duration = Duration::from_millis(4_000);
+
+/// Shortest time between two rounds.
+const ROUND_GAP: Duration = Duration::from_millis(300);
+
+/// VMs that are asked for their offers, or that take over turns, at the same time.
+const REQUESTS_AT_ONCE: usize = 4;
+
 /// The task that copies turns to this VM.
 pub(super) struct Repair {
     members: Arc<Members>,
     turns: Arc<TurnStore>,
     replicator: TurnReplicator,
     started: Instant,
-    /// Times of the rounds that are due.
-    rounds: Vec<Instant>,
+    /// Wakes the rounds after a change of the VMs that answer.
+    changed: Notify,
 }
 
 impl Repair {
@@ -41,59 +51,137 @@
             turns,
             replicator,
             started: Instant::now(),
-            rounds: Vec::new(),
+            changed: Notify::new(),
         }
     }
 
     /// Asks for copies after each change of the VMs that answer, until the task is aborted.
-    pub async fn run(mut self) {
-        self.schedule_rounds();
+    pub async fn run(self) {
+        tokio::join!(self.watch_members(), self.copy_rounds());
+    }
+
+    /// Probes the other VMs, also while turns are copied.
+    async fn watch_members(&self) {
         loop {
-            let now = Instant::now();
-            if self.rounds.first().is_some_and(|due| *due <= now) {
-                self.rounds.retain(|due| *due > now);
-                self.copy_from_all().await;
-            }
             let has_joined = tokio::select! {
                 () = self.members.joined() => true,
-                () = sleep(self.next_wait()) => false,
+                () = sleep(PROBE_INTERVAL) => false,
             };
             if self.members.probe().await || has_joined {
-                self.schedule_rounds();
+                self.changed.notify_one();
             }
             self.mark_complete();
         }
     }
 
-    /// Schedules the rounds after a change; they replace those of an earlier one.
-    fn schedule_rounds(&mut self) {
-        let now = Instant::now();
-        self.rounds = ROUND_DELAYS.iter().map(|delay| now + *delay).collect();
+    /// Runs the rounds at the start and after each change; a change begins them again.
+    async fn copy_rounds(&self) {
+        let mut begun = Instant::now();
+        let mut round = 0;
+        loop {
+            let is_whole = self.copy_from_all().await;
+            self.mark_complete();
+            let ended = Instant::now();
+            round += 1;
+            let next = match ROUND_DELAYS.get(round) {
+                Some(delay) => Some(begun + *delay),
+                None if is_whole => None,
+                None => Some(ended + RETRY_DELAY),
+            };
+            if self.wait_for_change(next).await {
+                begun = Instant::now();
+                round = 0;
+            }
+            sleep_until(ended + ROUND_GAP).await;
+        }
     }
 
-    /// Returns the time until the next probes or the next round.
-    fn next_wait(&self) -> Duration {
-        let round = self.rounds.first();
-        let wait = round.map(|due| due.saturating_duration_since(Instant::now()));
-        wait.unwrap_or(PROBE_INTERVAL).min(PROBE_INTERVAL)
+    /// Waits for a change until the next round is due; returns whether there was one.
+    async fn wait_for_change(&self, next_round: Option<Instant>) -> bool {
+        let changed = self.changed.notified();
+        match next_round {
+            Some(due) => timeout_at(due, changed).await.is_ok(),
+            None => {
+                changed.await;
+                true
+            }
+        }
     }
 
-    /// Copies what this VM is to hold from all VMs that answer.
-    async fn copy_from_all(&self) {
+    /// Copies what this VM is to hold from all VMs that answer, the nearest first; returns whether
+    /// all have answered.
+    async fn copy_from_all(&self) -> bool {
+        let started = Instant::now();
         let (living, lost) = (self.members.living(), self.members.lost());
-        let copies = living.iter().map(|vm| self.copy_from(vm, &lost));
-        join_all(copies).await;
+        let permits = Semaphore::new(REQUESTS_AT_ONCE);
+        let lists = living.iter().map(|vm| self.list(vm, &lost, &permits));
+        let sources = join_all(lists).await;
+        let mut received = CopyCounts::default();
+        let mut is_whole = true;
+        for (vm, source) in living.iter().zip(sources) {
+            match self.copy_from(vm, source).await {
+                Some(counts) => received += counts,
+                None => is_whole = false,
+            }
+        }
+        let CopyCounts {
+            turns,
+            bytes,
+            duplicates,
+        } = received;
+        let took_ms = started.elapsed().as_millis();
+        let vms = living.len();
+        tracing::info!(
+            vms,
+            turns,
+            bytes,
+            duplicates,
+            took_ms,
+            is_whole,
+            "turns: round of copies ended"
+        );
+        is_whole
     }
 
-    async fn copy_from(&self, vm: &StorageVm, lost: &[Arc<str>]) {
-        match self.replicator.copy_from(&vm.address, lost).await {
-            Ok(turns) => {
+    /// Asks another VM what this VM is to hold, with few others at the same time.
+    async fn list(
+        &self,
+        vm: &StorageVm,
+        lost: &[Arc<str>],
+        permits: &Semaphore,
+    ) -> Result<Source, String> {
+        // Fails only if the semaphore is closed, which it never is.
+        let _permit = permits.acquire().await;
+        self.replicator.list(&vm.address, lost.to_vec()).await
+    }
+
+    /// Copies what this VM lacks of the offers of another one; returns `None` if that failed.
+    async fn copy_from(
+        &self,
+        vm: &StorageVm,
+        source: Result<Source, String>,
+    ) -> Option<CopyCounts> {
+        let copied = match source {
+            Ok(source) => self.replicator.copy(&source, Pace::Background).await,
+            Err(error) => Err(error),
+        };
+        match copied {
+            Ok(counts) => {
                 self.members.mark_copied(&vm.vm);
+                let CopyCounts {
+                    turns,
+                    bytes,
+                    duplicates,
+                } = counts;
                 if turns > 0 {
-                    tracing::info!(vm = %vm.vm, turns, "turns: copies received");
+                    tracing::info!(vm = %vm.vm, turns, bytes, duplicates, "turns: copies received");
                 }
+                Some(counts)
+            }
+            Err(error) => {
+                tracing::warn!(vm = %vm.vm, "turns: copies not received ({error})");
+                None
             }
-            Err(error) => tracing::warn!(vm = %vm.vm, "turns: copies not received ({error})"),
         }
     }
 
@@ -114,13 +202,18 @@
 /// Has all other VMs that answer take over the turns of this VM; returns how many have done so.
 pub(super) async fn hand_over(replicator: &TurnReplicator, members: &Members) -> usize {
     let living = members.living();
-    let hand_overs = living.iter().map(|vm| hand_over_to(replicator, vm));
+    let permits = Semaphore::new(REQUESTS_AT_ONCE);
+    let hand_overs = living
+        .iter()
+        .map(|vm| hand_over_to(replicator, vm, &permits));
     let results = join_all(hand_overs).await;
     results.into_iter().filter(|is_done| *is_done).count()
 }
 
 /// Has another VM take over the turns of this VM; returns whether it has done so.
-async fn hand_over_to(replicator: &TurnReplicator, vm: &StorageVm) -> bool {
+async fn hand_over_to(replicator: &TurnReplicator, vm: &StorageVm, permits: &Semaphore) -> bool {
+    // Fails only if the semaphore is closed, which it never is.
+    let _permit = permits.acquire().await;
     let result = replicator.hand_over_to(&vm.address).await;
     match &result {
         Ok(turns) => tracing::info!(vm = %vm.vm, turns, "storage: turns handed over"),
--- a/crates/relay/src/turns/mod.rs
+++ b/crates/relay/src/turns/mod.rs
@@ -11,12 +11,14 @@
 mod replication;
 mod rpc;
 mod server;
+mod source;
 mod store;
 
 pub(crate) use client::{HistoryError, TurnClient};
 pub use list::{TurnList, list_turns};
 pub use replication::CopyCounts;
-pub(crate) use replication::TurnReplicator;
-pub(crate) use rpc::TurnRpcServer;
+pub(crate) use replication::{Pace, TurnReplicator};
+pub(crate) use rpc::{OfferCursor, TurnRpcServer};
 pub(crate) use server::TurnServer;
+pub(crate) use source::Source;
 pub(crate) use store::TurnStore;
--- a/crates/relay/src/turns/replication.rs
+++ b/crates/relay/src/turns/replication.rs
@@ -1,26 +1,25 @@
 //! Copies turns to the VMs that are to hold them after one of them was lost, left or joined.
 //!
-//! Each VM asks the others for what it is to hold and lacks. So a turn is sent once, whoever else
-//! holds it, and a VM that answers nothing holds up nobody but itself.
+//! Each VM asks the others what it is to hold, and then reads what it lacks of that from one of
+//! them after the other, the nearest first. So a turn is sent once, whoever else holds it.
 
 use std::collections::HashSet;
+use std::hash::{BuildHasher, RandomState};
 use std::ops::AddAssign;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use jsonrpsee::core::ClientError;
-use jsonrpsee::http_client::HttpClient;
 use knapweeddale_core::StorageVm;
-use knapweeddale_core::turns::{HolderSet, StoredTurn};
+use knapweeddale_core::turns::{HolderSet, Offers, RejectedTurn, StoredTurn};
+use tokio::time::{Instant, sleep};
 
-use super::rpc::{AppendAnswer, Digests, TurnRpcClient, WireTurn};
+use super::rpc::{AppendAnswer, Digests, OfferCursor, TurnRpcClient, WireOffers, WireTurn};
+use super::source::{PAGE_TIMEOUT, Source, SourceOffers, connect};
 use super::store::{AppendError, TurnStore};
 use crate::storage::Members;
 use crate::storage_clients::is_unknown_method;
 
-/// Time limit for one page of turns.
-const PAGE_TIMEOUT: Duration = Duration::from_millis(1_500);
-
 /// Time limit for a VM to take over what this VM is the last to hold.
 const TAKE_OVER_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -33,6 +32,28 @@
 /// Most VMs that a copied turn names as its holders.
 const MAX_NAMED_HOLDERS: usize = 8;
 
+/// Longest pause after a page of turns.
+const MAX_PAUSE: Duration = Duration::from_millis(500);
+
+/// How fast turns are copied.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Pace {
+    /// Pauses after each page for as long as the page took, so that callers' turns, claims and
+    /// probes get half of the time.
+    Background,
+    /// Without pauses.
+    Urgent,
+}
+
+impl Pace {
+    /// Waits after a page that took this long.
+    async fn pause(self, took: Duration) {
+        if self == Self::Background {
+            sleep(took.min(MAX_PAUSE)).await;
+        }
+    }
+}
+
 /// Turns that this VM has received as copies.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct CopyCounts {
@@ -58,6 +79,10 @@
     store: Arc<TurnStore>,
     members: Arc<Members>,
     tolerated_losses: usize,
+    /// Identifies this process, which numbers its turns.
+    process: u64,
+    /// Held while a page is read and stored, so that no turn is asked of two VMs.
+    paging: Arc<tokio::sync::Mutex<()>>,
     /// What this process has received since its start.
     received: Arc<Mutex<CopyCounts>>,
 }
@@ -70,6 +95,8 @@
             store,
             members,
             tolerated_losses,
+            process: RandomState::new().hash_one(()),
+            paging: Arc::default(),
             received: Arc::default(),
         }
     }
@@ -95,123 +122,222 @@
         self.store.turns().offers(&holders, &asking.address, own)
     }
 
-    /// Copies what this VM is to hold when the asking VM has stopped; returns how many turns.
+    /// Returns the turns that another VM is to hold, with the turns before them; only those since
+    /// `cursor` that name it already.
+    pub fn offered_chains(
+        &self,
+        asking: &StorageVm,
+        lost: &[Arc<str>],
+        cursor: Option<OfferCursor>,
+    ) -> WireOffers {
+        self.members.learn(asking);
+        let cursor = cursor.filter(|cursor| cursor.process == self.process);
+        let from_number = cursor.map_or(0, |cursor| cursor.next_number);
+        let holders = self.holder_set(lost);
+        let own = self.members.own_address();
+        let turns = self.store.turns();
+        let offers = turns.offered_chains(&holders, &asking.address, own, from_number);
+        WireOffers::new(offers, self.process)
+    }
+
+    /// Copies what this VM is to hold when the asking VM has stopped; returns what it received.
     ///
     /// # Errors
     ///
     /// Fails if this VM stops as well, or if a turn could not be copied.
-    pub async fn take_over(&self, leaving: &StorageVm) -> Result<usize, String> {
+    pub async fn take_over(&self, leaving: &StorageVm) -> Result<CopyCounts, String> {
         if self.store.is_closed() {
             return Err("this VM stops as well".to_owned());
         }
         let mut lost = self.members.lost();
         lost.push(Arc::from(leaving.address.as_str()));
-        self.copy_from(&leaving.address, &lost).await
+        let source = self.list(&leaving.address, lost).await?;
+        self.copy(&source, Pace::Urgent).await
     }
 }
 
 /// # Copies for this VM
 impl TurnReplicator {
-    /// Copies the turns that this VM is to hold and lacks from another VM; returns how many.
+    /// Asks another VM for what this VM is to hold.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the other VM does not answer.
+    pub async fn list(&self, address: &str, lost: Vec<Arc<str>>) -> Result<Source, String> {
+        let cursor = self.members.cursor(address);
+        let source = Source::list(address, self.members.own(), lost, cursor).await;
+        source.map_err(as_text)
+    }
+
+    /// Copies the turns that this VM lacks of those that another one offers; returns what it
+    /// received.
     ///
     /// # Errors
     ///
     /// Fails if the other VM does not answer or the turns cannot be stored.
-    pub async fn copy_from(&self, address: &str, lost: &[Arc<str>]) -> Result<usize, String> {
-        let client = connect(address, PAGE_TIMEOUT).map_err(|error| error.to_string())?;
-        let own = self.members.own().clone();
-        let offers = match client.offers(own, lost.to_vec()).await {
-            Ok(Digests(offers)) => offers,
-            Err(error) if is_unknown_method(&error) => {
-                return self.copy_from_earlier_build(&client, address, lost).await;
+    pub async fn copy(&self, source: &Source, pace: Pace) -> Result<CopyCounts, String> {
+        match &source.offers {
+            SourceOffers::Chains(offers, cursor) => {
+                self.copy_chains(source, offers, *cursor, pace).await
             }
-            Err(error) => return Err(error.to_string()),
-        };
-        let mut held = self.store.turns().digests();
-        let mut copied = 0;
-        let mut offers = offers.as_slice();
-        while !offers.is_empty() {
-            let wanted: Vec<u64> = offers
-                .iter()
-                .copied()
-                .filter(|digest| !held.contains(digest))
-                .take(READ_TURNS)
-                .collect();
+            SourceOffers::Digests(offers) => self.copy_whole_chains(source, offers, pace).await,
+            SourceOffers::Unlisted => self.copy_unlisted(source, pace).await,
+        }
+    }
+
+    /// Copies what this VM lacks of the offered chains.
+    async fn copy_chains(
+        &self,
+        source: &Source,
+        offers: &Offers,
+        cursor: OfferCursor,
+        pace: Pace,
+    ) -> Result<CopyCounts, String> {
+        let mut received = CopyCounts::default();
+        let mut is_whole = true;
+        // Turns that were read, or that have expired at the other VM.
+        let mut done = HashSet::new();
+        loop {
+            let paging = self.paging.lock().await;
+            let started = Instant::now();
+            let wanted = self.lacking(offers, &done);
             if wanted.is_empty() {
                 break;
             }
-            let read = client.read(Digests(wanted)).await;
-            let turns = read.map_err(|error| error.to_string())?;
+            let turns = source.client.read_turns(Digests(wanted.clone())).await;
+            let mut turns = stored_turns(turns.map_err(as_text)?);
+            turns.retain(|turn| wanted.contains(&turn.key.digest()));
             if turns.is_empty() {
+                done.extend(wanted);
+                continue;
+            }
+            done.extend(turns.iter().map(|turn| turn.key.digest()));
+            let stored = self.store_copies(turns).await?;
+            received += stored.received;
+            is_whole &= stored.is_whole;
+            drop(paging);
+            pace.pause(started.elapsed()).await;
+        }
+        if !is_whole {
+            return Err("not all copies could be stored".to_owned());
+        }
+        self.members.set_cursor(&source.address, cursor);
+        Ok(received)
+    }
+
+    /// Returns the digests of turns that this VM lacks and that are not `done`, for one page.
+    fn lacking(&self, offers: &Offers, done: &HashSet<u64>) -> Vec<u64> {
+        if offers.chains.is_empty() {
+            return Vec::new();
+        }
+        let mut held = self.store.turns().digests();
+        held.extend(done);
+        let mut lacking = offers.lacking(&held);
+        lacking.truncate(READ_TURNS);
+        lacking
+    }
+
+    /// Copies turns from a VM of a build that sends each turn with its whole chain.
+    async fn copy_whole_chains(
+        &self,
+        source: &Source,
+        offers: &[u64],
+        pace: Pace,
+    ) -> Result<CopyCounts, String> {
+        let mut received = CopyCounts::default();
+        let mut done = HashSet::new();
+        loop {
+            let paging = self.paging.lock().await;
+            let started = Instant::now();
+            let held = self.store.turns().digests();
+            let wanted = offers.iter().copied();
+            let wanted = wanted.filter(|row| !held.contains(row) && !done.contains(row));
+            let wanted: Vec<u64> = wanted.take(READ_TURNS).collect();
+            if wanted.is_empty() {
+                return Ok(received);
+            }
+            let turns = source.client.read(Digests(wanted.clone())).await;
+            let turns = stored_turns(turns.map_err(as_text)?);
+            let read: HashSet<u64> = turns.iter().map(|turn| turn.key.digest()).collect();
+            if !wanted.iter().any(|digest| read.contains(digest)) {
                 // They have expired since they were offered.
-                break;
+                done.extend(wanted);
+                continue;
             }
-            let turns: Vec<StoredTurn> = turns.into_iter().map(StoredTurn::from).collect();
-            held.extend(turns.iter().map(|turn| turn.key.digest()));
-            copied += self.store_copies(turns).await?;
-            let first_lacking = offers.iter().position(|digest| !held.contains(digest));
-            offers = first_lacking.map_or(&[], |at| &offers[at..]);
+            done.extend(read);
+            received += self.store_copies(turns).await?.received;
+            drop(paging);
+            pace.pause(started.elapsed()).await;
         }
-        Ok(copied)
     }
 
     /// Copies turns from a VM of a build that cannot tell which of its turns are to be copied.
-    async fn copy_from_earlier_build(
-        &self,
-        client: &HttpClient,
-        address: &str,
-        lost: &[Arc<str>],
-    ) -> Result<usize, String> {
-        let holders = self.holder_set(lost);
+    async fn copy_unlisted(&self, source: &Source, pace: Pace) -> Result<CopyCounts, String> {
+        let holders = self.holder_set(&source.lost);
         let own = self.members.own_address();
-        let mut copied = 0;
-        for named in [own, address] {
+        let mut received = CopyCounts::default();
+        for named in [own, &source.address] {
             let mut from = 0;
             loop {
-                let page = client.copies(named.to_owned(), from).await;
-                let page = page.map_err(|error| error.to_string())?;
-                let turns = page.turns.into_iter().map(StoredTurn::from).collect();
-                let turns = select_own(turns, &holders, own);
-                copied += self.store_copies(turns).await?;
+                let paging = self.paging.lock().await;
+                let started = Instant::now();
+                let page = source.client.copies(named.to_owned(), from).await;
+                let page = page.map_err(as_text)?;
+                let turns = select_own(stored_turns(page.turns), &holders, own);
+                received += self.store_copies(turns).await?.received;
+                drop(paging);
+                pace.pause(started.elapsed()).await;
                 match page.next {
                     Some(next) if next > from => from = next,
                     _ => break,
                 }
             }
         }
-        Ok(copied)
+        Ok(received)
     }
 
     /// Stores turns of another VM, each after the one it goes on from, and names this VM as one of
-    /// their holders; returns how many are stored.
-    async fn store_copies(&self, mut turns: Vec<StoredTurn>) -> Result<usize, String> {
-        self.count_received(&turns);
+    /// their holders.
+    async fn store_copies(&self, mut turns: Vec<StoredTurn>) -> Result<StoredCopies, String> {
         let own: Arc<str> = Arc::from(self.members.own_address());
         for turn in &mut turns {
             if !turn.copies.contains(&own) && turn.copies.len() < MAX_NAMED_HOLDERS {
                 turn.copies.push(Arc::clone(&own));
             }
         }
+        let mut copies = StoredCopies {
+            received: self.count_received(&turns),
+            is_whole: true,
+        };
         match self.store.append_copies(turns.clone()).await {
-            Ok(()) => return Ok(turns.len()),
+            Ok(()) => return Ok(copies),
             Err(AppendError::Rejected(_)) => {}
             Err(error) => return Err(error.to_string()),
         }
         // One of them cannot be stored; another VM may have it with its whole chain.
-        let mut stored = 0;
         for turn in turns {
             match self.store.append_copies(vec![turn]).await {
-                Ok(()) => stored += 1,
+                Ok(()) => {}
                 Err(AppendError::Rejected(error)) => {
+                    // Another turn with the same ID stays one however often it is copied.
+                    copies.is_whole &= error == RejectedTurn::Conflict;
                     tracing::warn!("turns: copy skipped ({error})");
                 }
                 Err(error) => return Err(error.to_string()),
             }
         }
-        Ok(stored)
+        Ok(copies)
     }
 }
 
+/// Copies that were received and are stored.
+#[derive(Debug)]
+struct StoredCopies {
+    received: CopyCounts,
+    /// Whether none of them has to be copied again.
+    is_whole: bool,
+}
+
 /// # Counts
 impl TurnReplicator {
     /// Counts turns that were received and are not stored yet.
@@ -281,9 +407,12 @@
     turns
 }
 
-/// Creates a client of the VM at `address`.
-fn connect(address: &str, limit: Duration) -> Result<HttpClient, ClientError> {
-    HttpClient::builder()
-        .request_timeout(limit)
-        .build(format!("http://{address}"))
+/// Converts the turns of an answer.
+fn stored_turns(turns: Vec<WireTurn>) -> Vec<StoredTurn> {
+    turns.into_iter().map(StoredTurn::from).collect()
+}
+
+/// Returns the text of a failed request.
+fn as_text(error: ClientError) -> String {
+    error.to_string()
 }
--- a/crates/relay/src/turns/rpc.rs
+++ b/crates/relay/src/turns/rpc.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::proc_macros::rpc;
-use knapweeddale_core::turns::{Holders, StoredTurn, TurnKey};
+use knapweeddale_core::turns::{Holders, OfferedChain, Offers, StoredTurn, TurnKey};
 use knapweeddale_core::{AccountName, StorageVm, TurnId};
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
 
@@ -30,9 +30,16 @@
 }
 
 /// Digests of turns, as Base64 text in JSON of eight little-endian bytes each.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Digests(pub Vec<u64>);
 
+impl Digests {
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
 impl Serialize for Digests {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let bytes: Vec<u8> = self.0.iter().flat_map(|row| row.to_le_bytes()).collect();
@@ -130,6 +137,64 @@
     pub next: Option<u64>,
 }
 
+/// How far a VM has compared what another one offers with what it holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OfferCursor {
+    /// Identifies the process that offers turns; another one numbers them anew.
+    pub process: u64,
+    /// Number of the first turn that was not compared.
+    pub next_number: u64,
+}
+
+/// Turns that a VM is to hold, with the turns before them.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WireChain {
+    /// The turns that the VM is to hold, each of which goes on from the next one.
+    pub offered: Digests,
+    /// The turns before them that it needs only with them.
+    #[serde(default, skip_serializing_if = "Digests::is_empty")]
+    pub before: Digests,
+}
+
+/// The turns that a VM is to hold and may lack.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct WireOffers {
+    /// Where to go on once the VM has what it lacks of these.
+    pub cursor: OfferCursor,
+    /// The turns, the youngest first.
+    pub chains: Vec<WireChain>,
+}
+
+impl WireOffers {
+    /// Creates the answer of a process.
+    pub fn new(offers: Offers, process: u64) -> Self {
+        let chains = offers.chains.into_iter().map(|chain| WireChain {
+            offered: Digests(chain.offered),
+            before: Digests(chain.before),
+        });
+        Self {
+            cursor: OfferCursor {
+                process,
+                next_number: offers.next_number,
+            },
+            chains: chains.collect(),
+        }
+    }
+}
+
+impl From<WireOffers> for Offers {
+    fn from(offers: WireOffers) -> Self {
+        let chains = offers.chains.into_iter().map(|chain| OfferedChain {
+            offered: chain.offered.0,
+            before: chain.before.0,
+        });
+        Self {
+            chains: chains.collect(),
+            next_number: offers.cursor.next_number,
+        }
+    }
+}
+
 /// The RPC interface of a VM with a disk.
 #[rpc(client, server, namespace = "turns")]
 pub(crate) trait TurnRpc {
@@ -150,8 +215,24 @@
     #[method(name = "offers")]
     async fn offers(&self, asking: StorageVm, lost: Vec<Arc<str>>) -> RpcResult<Digests>;
 
+    /// Returns the turns that the VM `asking` is to hold if those at the `lost` addresses do not
+    /// answer, with the turns before them; only those since `cursor` that name it already.
+    #[method(name = "offered_chains")]
+    async fn offered_chains(
+        &self,
+        asking: StorageVm,
+        lost: Vec<Arc<str>>,
+        cursor: Option<OfferCursor>,
+    ) -> RpcResult<WireOffers>;
+
+    /// Returns turns without those before them, each after the one it goes on from; the first of
+    /// them if they are too large for one answer, and none of those that have expired.
+    #[method(name = "read_turns")]
+    async fn read_turns(&self, digests: Digests) -> RpcResult<Vec<WireTurn>>;
+
     /// Returns turns with their chains, each after the one it goes on from; the youngest chains if
-    /// they are too large for one answer, and none of those that have expired.
+    /// they are too large for one answer, and none of those that have expired. Earlier builds ask
+    /// for these.
     #[method(name = "read")]
     async fn read(&self, digests: Digests) -> RpcResult<Vec<WireTurn>>;
 
--- a/crates/relay/src/turns/server.rs
+++ b/crates/relay/src/turns/server.rs
@@ -8,8 +8,11 @@
 use knapweeddale_core::turns::{RejectedTurn, StoredTurn, TurnAnswer, TurnKey};
 use knapweeddale_core::{AccountName, StorageVm, TurnId};
 
-use super::replication::TurnReplicator;
-use super::rpc::{AppendAnswer, Content, Digests, FetchAnswer, TurnPage, TurnRpcServer, WireTurn};
+use super::replication::{CopyCounts, TurnReplicator};
+use super::rpc::{
+    AppendAnswer, Content, Digests, FetchAnswer, OfferCursor, TurnPage, TurnRpcServer, WireOffers,
+    WireTurn,
+};
 use super::store::{AppendError, TurnStore};
 
 /// JSON-RPC error code for turns that were not stored; the sender may use another VM.
@@ -18,6 +21,10 @@
 /// Size of a page of turns for a VM that has lost its disk.
 const PAGE_BYTES: usize = 1024 * 1024;
 
+/// Size of a page of turns for a VM that lacks them; a larger one holds up callers' turns for
+/// longer.
+const READ_BYTES: usize = 256 * 1024;
+
 /// Serves the turns of this VM to others.
 #[derive(Clone)]
 pub(crate) struct TurnServer {
@@ -63,6 +70,21 @@
         Ok(Digests(self.replicator.offers(&asking, &lost)))
     }
 
+    async fn offered_chains(
+        &self,
+        asking: StorageVm,
+        lost: Vec<Arc<str>>,
+        cursor: Option<OfferCursor>,
+    ) -> RpcResult<WireOffers> {
+        Ok(self.replicator.offered_chains(&asking, &lost, cursor))
+    }
+
+    async fn read_turns(&self, digests: Digests) -> RpcResult<Vec<WireTurn>> {
+        let digests = digests.0.into_iter().collect();
+        let turns = self.store.turns().turns_of(&digests, READ_BYTES);
+        Ok(turns.iter().map(WireTurn::from).collect())
+    }
+
     async fn read(&self, digests: Digests) -> RpcResult<Vec<WireTurn>> {
         let digests = digests.0.into_iter().collect();
         let turns = self.store.turns().chains_of(&digests, PAGE_BYTES);
@@ -72,9 +94,17 @@
     async fn take_over(&self, leaving: StorageVm) -> RpcResult<usize> {
         let result = self.replicator.take_over(&leaving).await;
         match &result {
-            Ok(turns) => tracing::info!(vm = %leaving.vm, turns, "turns: taken over"),
+            Ok(received) => {
+                let CopyCounts {
+                    turns,
+                    bytes,
+                    duplicates,
+                } = *received;
+                tracing::info!(vm = %leaving.vm, turns, bytes, duplicates, "turns: taken over");
+            }
             Err(error) => tracing::warn!(vm = %leaving.vm, "turns: not taken over ({error})"),
         }
-        result.map_err(|error| ErrorObjectOwned::owned(NOT_STORED_CODE, error, None::<()>))
+        let turns = result.map(|received| received.turns);
+        turns.map_err(|error| ErrorObjectOwned::owned(NOT_STORED_CODE, error, None::<()>))
     }
 }
