Name storage VMs that copied a turn as its holders at the other ones

Cause: a VM that copied a turn named itself in its own record only. The other holders went on to count too few, and chose further VMs at each change, up to eight.

Change: offers state which turns do not name the asking VM; once it holds them it says so with turns_add_holder. A list of eight names drops a VM that is lost or unknown for the new one. The names are kept in memory; after a restart, they are learned again in the same way. VMs of earlier builds are not told.

--- a/crates/core/src/turns/holders.rs
+++ b/crates/core/src/turns/holders.rs
@@ -7,6 +7,9 @@
 use super::StoredTurn;
 use crate::origins::choose_holders;
 
+/// Most VMs that a copied turn names as its holders.
+const MAX_NAMED_HOLDERS: usize = 8;
+
 /// Addresses of the VMs that are to hold a turn.
 pub type Holders = SmallVec<[Arc<str>; 4]>;
 
@@ -87,6 +90,22 @@
         holders
     }
 
+    /// Adds a VM to the named holders of a turn, in place of one that is lost or unknown if they
+    /// are too many.
+    pub fn add_named(&self, named: &mut Holders, address: &Arc<str>) {
+        if named.contains(address) {
+            return;
+        }
+        if named.len() >= MAX_NAMED_HOLDERS {
+            let gone = named.iter().position(|holder| !self.is_living(holder));
+            let Some(gone) = gone else {
+                return;
+            };
+            named.remove(gone);
+        }
+        named.push(Arc::clone(address));
+    }
+
     /// Returns the VMs that a turn names and that live.
     fn living_named(&self, turn: &StoredTurn) -> SmallVec<[&HolderVm; 8]> {
         let mut living: SmallVec<[&HolderVm; 8]> = SmallVec::new();
@@ -99,6 +118,11 @@
         living
     }
 
+    /// Returns whether a VM is known and answers.
+    fn is_living(&self, address: &str) -> bool {
+        self.find(address).is_some_and(|vm| !vm.is_lost)
+    }
+
     /// Returns the VM at an address.
     fn find(&self, address: &str) -> Option<&HolderVm> {
         let row = self.vms.binary_search_by(|vm| (*vm.address).cmp(address));
--- a/crates/core/src/turns/offers.rs
+++ b/crates/core/src/turns/offers.rs
@@ -17,6 +17,8 @@
 pub struct Offers {
     /// The chains with the youngest turns first.
     pub chains: Vec<OfferedChain>,
+    /// Digests of those turns that do not name the VM as one of their holders yet.
+    pub unnamed: Vec<u64>,
     /// Number of the next turn that is stored; later offers may start at it.
     pub next_number: u64,
 }
--- a/crates/core/src/turns/stored.rs
+++ b/crates/core/src/turns/stored.rs
@@ -284,6 +284,9 @@
             let Some(row) = row.filter(|row| is_offered(row)) else {
                 continue;
             };
+            if !is_named(row) {
+                offers.unnamed.push(key.digest());
+            }
             if listed.contains(&row.number) {
                 continue;
             }
@@ -321,6 +324,15 @@
         chain
     }
 
+    /// Adds a VM to the holders that turns name.
+    pub fn add_holder(&mut self, digests: &HashSet<u64>, address: &Arc<str>, holders: &HolderSet) {
+        for (key, row) in self.rows.iter_mut() {
+            if digests.contains(&key.digest()) {
+                holders.add_named(&mut row.turn.copies, address);
+            }
+        }
+    }
+
     /// Returns the digests of all turns.
     pub fn digests(&self) -> HashSet<u64> {
         self.rows.iter().map(|(key, _)| key.digest()).collect()
--- a/crates/core/tests/turn_offers.rs
+++ b/crates/core/tests/turn_offers.rs
@@ -1,5 +1,5 @@
-//! Guards against kept turns that a VM reads more than once or that it cannot store for lack of
-//! the ones before them.
+//! Guards against kept turns that a VM reads more than once, that it cannot store for lack of the
+//! ones before them, or of which more and more VMs hold copies.
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -178,17 +178,30 @@
             }
             let mut turns = self.vms[source].turns.turns_of(&lacking, PAGE_BYTES);
             assert!(!turns.is_empty());
-            turns
-                .iter_mut()
-                .for_each(|turn| turn.copies.push(Arc::clone(&own)));
+            for turn in &mut turns {
+                holders.add_named(&mut turn.copies, &own);
+            }
             copied += turns.len();
             self.vms[asking].store_new(turns);
         }
+        let held = self.vms[asking].turns.digests();
+        let unnamed = offers.unnamed.iter().copied();
+        let unnamed = unnamed.filter(|digest| held.contains(digest)).collect();
+        self.vms[source].turns.add_holder(&unnamed, &own, holders);
         let cursors = &mut self.vms[asking].cursors;
         cursors.insert(address, offers.next_number);
         copied
     }
 
+    /// Has all VMs that are up copy what they lack.
+    fn copy_all(&mut self) {
+        for vm in 0..self.vms.len() {
+            if self.vms[vm].is_up {
+                self.copy_to(vm);
+            }
+        }
+    }
+
     /// Returns the turns that the others hold and one VM is to hold as well.
     fn due_to(&self, vm: usize) -> HashSet<u64> {
         let holders = self.holder_set();
@@ -198,6 +211,12 @@
         let offers = others.flat_map(|other| other.turns.offers(&holders, own, &other.address));
         offers.collect()
     }
+
+    /// Returns how many VMs that are up hold a turn.
+    fn copies_of(&self, key: &TurnKey) -> usize {
+        let living = self.vms.iter().filter(|vm| vm.is_up);
+        living.filter(|vm| vm.turns.contains(key)).count()
+    }
 }
 
 /// Guards against a turn that a VM reads twice, from one VM or from two, and against one that it is
@@ -224,3 +243,58 @@
         }
     }
 }
+
+/// Guards against lists of digests that are sent again although nothing has changed.
+#[rstest]
+fn compared_turns() {
+    for seed in seeds() {
+        let mut fleet = Fleet::new(8, seed);
+        (0..60).for_each(|_| fleet.keep_turn());
+        fleet.vms[0].is_up = false;
+        fleet.copy_all();
+        fleet.copy_all();
+        let holders = fleet.holder_set();
+        for (asking, source) in [(1, 2), (2, 1), (3, 5)] {
+            let (asking, source) = (&fleet.vms[asking], &fleet.vms[source]);
+            let cursor = asking.cursors[&source.address];
+            let turns = &source.turns;
+            let offers = turns.offered_chains(&holders, &asking.address, &source.address, cursor);
+            assert!(offers.chains.is_empty(), "seed {seed}: {offers:?}");
+        }
+    }
+}
+
+/// Guards against holders that the other ones do not learn of, so that each loss makes copies of
+/// turns that are on enough disks, and against turns on too few disks.
+#[rstest]
+fn bounded_holders() {
+    for seed in seeds() {
+        let mut fleet = Fleet::new(12, seed);
+        (0..60).for_each(|_| fleet.keep_turn());
+        fleet.copy_all();
+        for _ in 0..16 {
+            let lost = fleet.living();
+            fleet.vms[lost].is_up = false;
+            fleet.copy_all();
+            // Holders learn of copies that were made after they had compared their turns.
+            fleet.copy_all();
+            let number = fleet.vms.len();
+            fleet.vms.push(Vm::new(number));
+            fleet.copy_all();
+            for (turn, _) in &fleet.kept {
+                let copies = fleet.copies_of(&turn.key);
+                let id = &turn.key.id;
+                assert!(copies > TOLERATED_LOSSES, "seed {seed}: {copies} of {id}");
+                // The turns before another one are copied with it, so that they are on more disks.
+                let is_last = !fleet
+                    .kept
+                    .iter()
+                    .any(|row| row.0.previous.as_ref() == Some(id));
+                assert!(
+                    !is_last || copies <= FIRST_COPIES,
+                    "seed {seed}: {copies} of {id}"
+                );
+            }
+        }
+    }
+}
--- a/crates/relay/src/turns/replication.rs
+++ b/crates/relay/src/turns/replication.rs
@@ -29,9 +29,6 @@
 /// Turns that are asked for in one request.
 const READ_TURNS: usize = 512;
 
-/// Most VMs that a copied turn names as its holders.
-const MAX_NAMED_HOLDERS: usize = 8;
-
 /// Longest pause after a page of turns.
 const MAX_PAUSE: Duration = Duration::from_millis(500);
 
@@ -140,6 +137,14 @@
         WireOffers::new(offers, self.process)
     }
 
+    /// Names another VM as a holder of turns that it has copied.
+    pub fn add_holder(&self, address: &Arc<str>, digests: Digests) {
+        let digests = digests.0.into_iter().collect();
+        let holders = self.holder_set(&[]);
+        let mut turns = self.store.turns();
+        turns.add_holder(&digests, address, &holders);
+    }
+
     /// Copies what this VM is to hold when the asking VM has stopped; returns what it received.
     ///
     /// # Errors
@@ -218,6 +223,9 @@
             drop(paging);
             pace.pause(started.elapsed()).await;
         }
+        if pace == Pace::Background {
+            self.announce(source, offers).await;
+        }
         if !is_whole {
             return Err("not all copies could be stored".to_owned());
         }
@@ -237,6 +245,25 @@
         lacking
     }
 
+    /// Tells another VM which of its turns this VM holds without being named by them. Otherwise,
+    /// it would choose further holders of them when the next VM is lost.
+    async fn announce(&self, source: &Source, offers: &Offers) {
+        if offers.unnamed.is_empty() {
+            return;
+        }
+        let held = self.store.turns().digests();
+        let unnamed = offers.unnamed.iter().copied();
+        let held: Vec<u64> = unnamed.filter(|digest| held.contains(digest)).collect();
+        if held.is_empty() {
+            return;
+        }
+        let own = Arc::from(self.members.own_address());
+        let (address, turns) = (&source.address, held.len());
+        if let Err(error) = source.client.add_holder(own, Digests(held)).await {
+            tracing::warn!(address, turns, "turns: not named as a holder ({error})");
+        }
+    }
+
     /// Copies turns from a VM of a build that sends each turn with its whole chain.
     async fn copy_whole_chains(
         &self,
@@ -300,10 +327,9 @@
     /// their holders.
     async fn store_copies(&self, mut turns: Vec<StoredTurn>) -> Result<StoredCopies, String> {
         let own: Arc<str> = Arc::from(self.members.own_address());
+        let holders = self.holder_set(&[]);
         for turn in &mut turns {
-            if !turn.copies.contains(&own) && turn.copies.len() < MAX_NAMED_HOLDERS {
-                turn.copies.push(Arc::clone(&own));
-            }
+            holders.add_named(&mut turn.copies, &own);
         }
         let mut copies = StoredCopies {
             received: self.count_received(&turns),
--- a/crates/relay/src/turns/rpc.rs
+++ b/crates/relay/src/turns/rpc.rs
@@ -163,6 +163,8 @@
     pub cursor: OfferCursor,
     /// The turns, the youngest first.
     pub chains: Vec<WireChain>,
+    /// Those that do not name the VM as one of their holders.
+    pub unnamed: Digests,
 }
 
 impl WireOffers {
@@ -178,6 +180,7 @@
                 next_number: offers.next_number,
             },
             chains: chains.collect(),
+            unnamed: Digests(offers.unnamed),
         }
     }
 }
@@ -190,6 +193,7 @@
         });
         Self {
             chains: chains.collect(),
+            unnamed: offers.unnamed.0,
             next_number: offers.cursor.next_number,
         }
     }
@@ -230,6 +234,10 @@
     #[method(name = "read_turns")]
     async fn read_turns(&self, digests: Digests) -> RpcResult<Vec<WireTurn>>;
 
+    /// Names the VM at `address` as a holder of turns that it has synced to its disk.
+    #[method(name = "add_holder")]
+    async fn add_holder(&self, address: Arc<str>, digests: Digests) -> RpcResult<()>;
+
     /// Returns turns with their chains, each after the one it goes on from; the youngest chains if
     /// they are too large for one answer, and none of those that have expired. Earlier builds ask
     /// for these.
--- a/crates/relay/src/turns/server.rs
+++ b/crates/relay/src/turns/server.rs
@@ -85,6 +85,11 @@
         Ok(turns.iter().map(WireTurn::from).collect())
     }
 
+    async fn add_holder(&self, address: Arc<str>, digests: Digests) -> RpcResult<()> {
+        self.replicator.add_holder(&address, digests);
+        Ok(())
+    }
+
     async fn read(&self, digests: Digests) -> RpcResult<Vec<WireTurn>> {
         let digests = digests.0.into_iter().collect();
         let turns = self.store.turns().chains_of(&digests, PAGE_BYTES);
