Copy from the storage VMs that answer while others do not

Cause: since rounds wait for the offers of all VMs, four at a time, VMs that accept connections and answer nothing delay each round by 1.5 s for every four of them. The copies of a lost disk then take more than the 4 s that the platform grants.

Change: offers are asked of all VMs at once; a round waits 500 ms for them, copies from those that have answered, the nearest first, and then from the others as they answer.

--- a/crates/relay/src/storage/repair.rs
+++ b/crates/relay/src/storage/repair.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
 use futures_util::future::join_all;
+use futures_util::stream::FuturesUnordered;
 use knapweeddale_core::StorageVm;
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
@@ -31,8 +33,14 @@
 /// Shortest time between two rounds.
 const ROUND_GAP: Duration = Duration::from_millis(300);
 
-/// VMs that are asked for their offers, or that take over turns, at the same time.
-const REQUESTS_AT_ONCE: usize = 4;
+/// Time for which a round waits for the offers of all VMs, to copy from the nearest ones first.
+const LIST_WAIT: Duration = Duration::from_millis(500);
+
+/// VMs that take over turns at the same time.
+const HAND_OVERS_AT_ONCE: usize = 4;
+
+/// The answer of a VM to the request for its offers, with its rank among the nearest ones.
+type ListedSource<'a> = (usize, &'a StorageVm, Result<Source, String>);
 
 /// The task that copies turns to this VM.
 pub(super) struct Repair {
@@ -113,16 +121,25 @@
     async fn copy_from_all(&self) -> bool {
         let started = Instant::now();
         let (living, lost) = (self.members.living(), self.members.lost());
-        let permits = Semaphore::new(REQUESTS_AT_ONCE);
-        let lists = living.iter().map(|vm| self.list(vm, &lost, &permits));
-        let sources = join_all(lists).await;
+        let lists = living.iter().enumerate();
+        let mut lists: FuturesUnordered<_> = lists
+            .map(async |(rank, vm)| {
+                let source = self.replicator.list(&vm.address, lost.clone()).await;
+                (rank, vm, source)
+            })
+            .collect();
         let mut received = CopyCounts::default();
         let mut is_whole = true;
-        for (vm, source) in living.iter().zip(sources) {
-            match self.copy_from(vm, source).await {
-                Some(counts) => received += counts,
-                None => is_whole = false,
+        let mut wait_until = started + LIST_WAIT;
+        while !lists.is_empty() {
+            for (_, vm, source) in next_sources(&mut lists, wait_until).await {
+                match self.copy_from(vm, source).await {
+                    Some(counts) => received += counts,
+                    None => is_whole = false,
+                }
             }
+            // The others are copied from in the order in which they answer.
+            wait_until = Instant::now();
         }
         let CopyCounts {
             turns,
@@ -143,18 +160,6 @@
         is_whole
     }
 
-    /// Asks another VM what this VM is to hold, with few others at the same time.
-    async fn list(
-        &self,
-        vm: &StorageVm,
-        lost: &[Arc<str>],
-        permits: &Semaphore,
-    ) -> Result<Source, String> {
-        // Fails only if the semaphore is closed, which it never is.
-        let _permit = permits.acquire().await;
-        self.replicator.list(&vm.address, lost.to_vec()).await
-    }
-
     /// Copies what this VM lacks of the offers of another one; returns `None` if that failed.
     async fn copy_from(
         &self,
@@ -199,10 +204,23 @@
     }
 }
 
+/// Returns the answers that arrive until a time, the nearest VMs first; waits for one at least.
+async fn next_sources<'a, F: Future<Output = ListedSource<'a>>>(
+    lists: &mut FuturesUnordered<F>,
+    wait_until: Instant,
+) -> Vec<ListedSource<'a>> {
+    let mut sources: Vec<ListedSource<'a>> = lists.next().await.into_iter().collect();
+    while let Ok(Some(source)) = timeout_at(wait_until, lists.next()).await {
+        sources.push(source);
+    }
+    sources.sort_by_key(|(rank, ..)| *rank);
+    sources
+}
+
 /// Has all other VMs that answer take over the turns of this VM; returns how many have done so.
 pub(super) async fn hand_over(replicator: &TurnReplicator, members: &Members) -> usize {
     let living = members.living();
-    let permits = Semaphore::new(REQUESTS_AT_ONCE);
+    let permits = Semaphore::new(HAND_OVERS_AT_ONCE);
     let hand_overs = living
         .iter()
         .map(|vm| hand_over_to(replicator, vm, &permits));
