Start hand-overs beside storage VMs that do not answer

Cause: since a leaving VM has four VMs take over at a time, four that answer nothing hold up the others for the 3 s that a stop has for all of them.

Change: each further four start after 300 ms more at the latest.

Measured: no test shows it, since VMs that answer nothing are chosen as holders as well while their connections are accepted. kept_turns 14 of 14, replaced_storage 4 of 4, copied_once 5 of 5, storage_list 6 of 6, storage_role 3 of 3 (debug builds).

--- a/crates/relay/src/storage/repair.rs
+++ b/crates/relay/src/storage/repair.rs
@@ -8,7 +8,7 @@
 use futures_util::stream::FuturesUnordered;
 use knapweeddale_core::StorageVm;
 use tokio::sync::{Notify, Semaphore};
-use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::Members;
 use crate::turns::{CopyCounts, Pace, Source, TurnReplicator, TurnStore};
@@ -36,9 +36,12 @@
 /// Time for which a round waits for the offers of all VMs, to copy from the nearest ones first.
 const LIST_WAIT: Duration = Duration::from_millis(500);
 
-/// VMs that take over turns at the same time.
+/// VMs that take over turns at the same time, as long as they answer.
 const HAND_OVERS_AT_ONCE: usize = 4;
 
+/// Longest time for which as many VMs hold up the next ones; a stop has 3 s for all.
+const HAND_OVER_WAIT: Duration = Duration::from_millis(300);
+
 /// The answer of a VM to the request for its offers, with its rank among the nearest ones.
 type ListedSource<'a> = (usize, &'a StorageVm, Result<Source, String>);
 
@@ -221,17 +224,19 @@
 pub(super) async fn hand_over(replicator: &TurnReplicator, members: &Members) -> usize {
     let living = members.living();
     let permits = Semaphore::new(HAND_OVERS_AT_ONCE);
-    let hand_overs = living
-        .iter()
-        .map(|vm| hand_over_to(replicator, vm, &permits));
+    let hand_overs = living.iter().enumerate().map(async |(rank, vm)| {
+        let waves = u32::try_from(rank / HAND_OVERS_AT_ONCE).unwrap_or(u32::MAX);
+        let wait = HAND_OVER_WAIT.saturating_mul(waves);
+        // After that time it starts beside those that have not answered.
+        let _permit = timeout(wait, permits.acquire()).await;
+        hand_over_to(replicator, vm).await
+    });
     let results = join_all(hand_overs).await;
     results.into_iter().filter(|is_done| *is_done).count()
 }
 
 /// Has another VM take over the turns of this VM; returns whether it has done so.
-async fn hand_over_to(replicator: &TurnReplicator, vm: &StorageVm, permits: &Semaphore) -> bool {
-    // Fails only if the semaphore is closed, which it never is.
-    let _permit = permits.acquire().await;
+async fn hand_over_to(replicator: &TurnReplicator, vm: &StorageVm) -> bool {
     let result = replicator.hand_over_to(&vm.address).await;
     match &result {
         Ok(turns) => tracing::info!(vm = %vm.vm, turns, "storage: turns handed over"),
