--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -130,7 +130,7 @@
             )?,
             claims: counters(
                 "kwd_budget_claims_total",
-                "Claims on free parts of budgets, by what storage VMs answer.",
+                "Claims on free parts of budgets, by what storage VMs answer, and reports of what ended turns have used.",
                 "result",
             )?,
             retries: counters(
