Read logs record by record when a folder is opened

Cause: a start read all segments into memory as payloads and filled the table from them, so that a storage VM held each content twice, and all claim records that later ones replace. A VM that fitted into its limit before a loss of power was ended after it, again after each start.

Change: `Log::open` passes each record to a function; only one is in memory at a time. A length that is larger than the rest of the file reserves no memory. Queued records are moved into the batch that is written, not cloned. The layout on the disk is the same.

Tests changed: torn_records.rs collects the records that `Log::open` passes on; its checks are the same.

--- a/crates/log/src/frame.rs
+++ b/crates/log/src/frame.rs
@@ -1,5 +1,7 @@
 //! The encoding of a record: its length, a checksum and the payload.
 
+use std::io::{self, Read};
+
 use crate::LogError;
 
 /// Maximum size of a record in bytes; a larger length can only be damage.
@@ -27,14 +29,38 @@
     Ok(())
 }
 
-/// Returns the payload of the first record in `bytes` and the length of the record; `None` if it
-/// is incomplete or damaged.
-pub(crate) fn decode(bytes: &[u8]) -> Option<(&[u8], usize)> {
-    let (len, rest) = bytes.split_first_chunk::<4>()?;
-    let (expected, rest) = rest.split_first_chunk::<4>()?;
-    let payload = rest.get(..u32::from_le_bytes(*len) as usize)?;
-    let is_intact = checksum(*len, payload) == u32::from_le_bytes(*expected);
-    is_intact.then_some((payload, HEADER_BYTES + payload.len()))
+/// Reads the payload of the next record into `payload` and returns whether it is intact.
+///
+/// `rest_bytes` is the number of bytes up to the end of the file.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read.
+pub(crate) fn read_next(
+    reader: &mut impl Read,
+    rest_bytes: u64,
+    payload: &mut Vec<u8>,
+) -> io::Result<bool> {
+    if rest_bytes < HEADER_BYTES as u64 {
+        return Ok(false);
+    }
+    let (mut len, mut expected) = ([0; 4], [0; 4]);
+    reader.read_exact(&mut len)?;
+    reader.read_exact(&mut expected)?;
+    let payload_bytes = u32::from_le_bytes(len);
+    // A damaged length must not reserve more memory than the file has bytes.
+    if u64::from(payload_bytes) > rest_bytes - HEADER_BYTES as u64 {
+        return Ok(false);
+    }
+    payload.clear();
+    payload.resize(payload_bytes as usize, 0);
+    reader.read_exact(payload)?;
+    Ok(checksum(len, payload) == u32::from_le_bytes(expected))
+}
+
+/// Returns the size of a record with this payload in bytes.
+pub(crate) fn record_bytes(payload: &[u8]) -> u64 {
+    (HEADER_BYTES + payload.len()) as u64
 }
 
 /// Returns the checksum of a record, which also covers its length.
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -11,11 +11,11 @@
 //! use knapweeddale_log::Log;
 //!
 //! let folder = tempfile::tempdir()?;
-//! let (mut log, _) = Log::open(folder.path())?;
+//! let (mut log, _) = Log::open(folder.path(), |_, _| {})?;
 //! log.append(&[b"first".to_vec(), b"second".to_vec()])?;
 //! drop(log);
-//! let (_, recovered) = Log::open(folder.path())?;
-//! let payloads: Vec<&[u8]> = recovered.records.iter().map(|row| &*row.payload).collect();
+//! let mut payloads = Vec::new();
+//! Log::open(folder.path(), |_, payload| payloads.push(payload.to_vec()))?;
 //! assert_eq!(payloads, [b"first".as_slice(), b"second"]);
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
--- a/crates/log/src/log.rs
+++ b/crates/log/src/log.rs
@@ -1,5 +1,7 @@
 //! The log: appending, recovery and removal of segments.
 
+use std::fs::File;
+use std::io::{BufReader, ErrorKind};
 use std::path::{Path, PathBuf};
 
 use crate::segment::{Segment, list_segments, segment_path, sync_folder};
@@ -8,6 +10,9 @@
 /// Size after which a new segment is started.
 const SEGMENT_BYTES: u64 = 4 * 1024 * 1024;
 
+/// Bytes of a segment that are read at once.
+const READ_BYTES: usize = 64 * 1024;
+
 /// The number of a segment; later segments have higher numbers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SegmentId(pub u64);
@@ -30,7 +35,7 @@
     pub lost_bytes: u64,
 }
 
-/// What was found when a log was opened.
+/// What a log holds.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Recovered {
     /// All records, in the order in which they were appended.
@@ -49,29 +54,35 @@
 }
 
 impl Log {
-    /// Opens the log in a folder, creating it if needed, and returns all of its records.
+    /// Opens the log in a folder, creating it if needed, and passes each of its records to `visit`,
+    /// in the order in which they were appended; returns the segments whose end is torn.
     ///
-    /// Records are appended to a new segment, never behind the end of an old one, which may be
-    /// torn. Segments without a record are removed.
+    /// Only one record at a time is in memory. Records are appended to a new segment, never behind
+    /// the end of an old one, which may be torn. Segments without a record are removed.
     ///
     /// # Errors
     ///
     /// Fails if the folder cannot be read or written.
-    pub fn open(folder: &Path) -> Result<(Self, Recovered), LogError> {
+    pub fn open(
+        folder: &Path,
+        mut visit: impl FnMut(SegmentId, &[u8]),
+    ) -> Result<(Self, Vec<TornSegment>), LogError> {
         std::fs::create_dir_all(folder).map_err(LogError::at(folder))?;
-        let recovered = read(folder)?;
         let mut log = Self {
             folder: folder.to_owned(),
             active: None,
             next_id: SegmentId(1),
         };
-        for (segment, _) in list_segments(folder)? {
+        let mut torn = Vec::new();
+        for (segment, path) in list_segments(folder)? {
             log.next_id = SegmentId(segment.0 + 1);
-            if !recovered.records.iter().any(|row| row.segment == segment) {
+            let (records, end) = read_segment(segment, &path, &mut visit)?;
+            torn.extend(end);
+            if records == 0 {
                 log.remove(segment)?;
             }
         }
-        Ok((log, recovered))
+        Ok((log, torn))
     }
 
     /// Appends records and syncs them; returns the segment that holds them.
@@ -81,7 +92,8 @@
     /// Fails if a record is too large or the disk cannot be written. Then none of the records is
     /// confirmed, although some may be found when the log is opened again.
     pub fn append(&mut self, payloads: &[Vec<u8>]) -> Result<SegmentId, LogError> {
-        let mut bytes = Vec::new();
+        let all_bytes: u64 = payloads.iter().map(|row| frame::record_bytes(row)).sum();
+        let mut bytes = Vec::with_capacity(all_bytes as usize);
         for payload in payloads {
             frame::encode(payload, &mut bytes)?;
         }
@@ -115,9 +127,7 @@
         }
         let path = segment_path(&self.folder, segment);
         match std::fs::remove_file(&path) {
-            Err(error) if error.kind() != std::io::ErrorKind::NotFound => {
-                Err(LogError::at(&path)(error))
-            }
+            Err(error) if error.kind() != ErrorKind::NotFound => Err(LogError::at(&path)(error)),
             _ => sync_folder(&self.folder),
         }
     }
@@ -136,28 +146,36 @@
 pub fn read(folder: &Path) -> Result<Recovered, LogError> {
     let mut recovered = Recovered::default();
     for (segment, path) in list_segments(folder)? {
-        let bytes = std::fs::read(&path).map_err(LogError::at(&path))?;
-        let read_bytes = read_records(segment, &bytes, &mut recovered.records);
-        if read_bytes < bytes.len() {
-            recovered.torn.push(TornSegment {
-                segment,
-                lost_bytes: (bytes.len() - read_bytes) as u64,
-            });
-        }
+        let visit = &mut |segment, payload: &[u8]| {
+            let payload = payload.to_vec();
+            recovered.records.push(Record { segment, payload });
+        };
+        let (_, end) = read_segment(segment, &path, visit)?;
+        recovered.torn.extend(end);
     }
     Ok(recovered)
 }
 
-/// Decodes the records of a segment; returns the number of bytes before the first one that is
-/// incomplete or damaged.
-fn read_records(segment: SegmentId, bytes: &[u8], records: &mut Vec<Record>) -> usize {
-    let mut read_bytes = 0;
-    while let Some((payload, record_bytes)) = frame::decode(&bytes[read_bytes..]) {
-        records.push(Record {
-            segment,
-            payload: payload.to_vec(),
-        });
-        read_bytes += record_bytes;
+/// Passes the records of a segment to `visit`, up to the first one that is incomplete or damaged;
+/// returns their number, and the end of the segment if it is torn.
+fn read_segment(
+    segment: SegmentId,
+    path: &Path,
+    visit: &mut impl FnMut(SegmentId, &[u8]),
+) -> Result<(usize, Option<TornSegment>), LogError> {
+    let file = File::open(path).map_err(LogError::at(path))?;
+    let mut rest_bytes = file.metadata().map_err(LogError::at(path))?.len();
+    let mut reader = BufReader::with_capacity(READ_BYTES, file);
+    let mut payload = Vec::new();
+    let mut records = 0;
+    while frame::read_next(&mut reader, rest_bytes, &mut payload).map_err(LogError::at(path))? {
+        rest_bytes -= frame::record_bytes(&payload);
+        records += 1;
+        visit(segment, &payload);
     }
-    read_bytes
+    let torn = (rest_bytes > 0).then_some(TornSegment {
+        segment,
+        lost_bytes: rest_bytes,
+    });
+    Ok((records, torn))
 }
--- a/crates/log/tests/torn_records.rs
+++ b/crates/log/tests/torn_records.rs
@@ -2,13 +2,19 @@
 
 use std::path::{Path, PathBuf};
 
-use knapweeddale_log::{Log, LogError, MAX_RECORD_BYTES, Recovered};
+use knapweeddale_log::{Log, LogError, MAX_RECORD_BYTES, Record, Recovered};
 use proptest::prelude::*;
 use rstest::rstest;
 
-/// Opens the log in a folder.
+/// Opens the log in a folder and collects its records.
 fn open(folder: &Path) -> (Log, Recovered) {
-    Log::open(folder).expect("a usable folder")
+    let mut records = Vec::new();
+    let visit = |segment, payload: &[u8]| {
+        let payload = payload.to_vec();
+        records.push(Record { segment, payload });
+    };
+    let (log, torn) = Log::open(folder, visit).expect("a usable folder");
+    (log, Recovered { records, torn })
 }
 
 /// Returns the payloads of all recovered records.
--- a/crates/relay/src/synced_log.rs
+++ b/crates/relay/src/synced_log.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use knapweeddale_log::{Log, LogError, Recovered, SegmentId};
+use knapweeddale_log::{Log, LogError, SegmentId, TornSegment};
 use tokio::sync::oneshot;
 use tokio::task::spawn_blocking;
 
@@ -24,19 +24,23 @@
 }
 
 impl SyncedLog {
-    /// Opens the log in a folder, creating it if needed.
+    /// Opens the log in a folder, creating it if needed, and passes its records to `visit`; returns
+    /// the segments whose end is torn.
     ///
     /// # Errors
     ///
     /// Fails if the folder cannot be used.
-    pub fn open(folder: &Path) -> Result<(Self, Recovered), LogError> {
-        let (log, recovered) = Log::open(folder)?;
+    pub fn open(
+        folder: &Path,
+        visit: impl FnMut(SegmentId, &[u8]),
+    ) -> Result<(Self, Vec<TornSegment>), LogError> {
+        let (log, torn) = Log::open(folder, visit)?;
         let log = Self {
             log: Mutex::new(log),
             queued: Mutex::default(),
             writing: tokio::sync::Mutex::default(),
         };
-        Ok((log, recovered))
+        Ok((log, torn))
     }
 
     /// Writes records and returns once they are on the disk.
@@ -64,8 +68,9 @@
             .into_iter()
             .map(|write| (write.payloads, write.written))
             .unzip();
+        let payloads: Vec<Vec<u8>> = payloads.into_iter().flatten().collect();
         let log = Arc::clone(&self);
-        let task = spawn_blocking(move || lock(&log.log).append(&payloads.concat()));
+        let task = spawn_blocking(move || lock(&log.log).append(&payloads));
         let result = match task.await {
             Ok(result) => result.map_err(|error| error.to_string()),
             Err(error) => Err(error.to_string()),
--- a/crates/relay/src/turns/store.rs
+++ b/crates/relay/src/turns/store.rs
@@ -1,5 +1,6 @@
 //! The kept turns on the disk of a VM.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -7,7 +8,7 @@
 
 use derive_more::{Display, Error, From};
 use knapweeddale_core::turns::{RejectedTurn, StoredTurn, StoredTurns, TurnAnswer, TurnKey};
-use knapweeddale_log::{LogError, Record, SegmentId};
+use knapweeddale_log::{LogError, SegmentId};
 use knapweeddale_runtime::{BootClock, Clock};
 use tokio::sync::RwLock;
 use tokio::task::spawn_blocking;
@@ -69,25 +70,26 @@
     /// Fails if the folder cannot be used.
     pub fn open(folder: &Path, is_first_start: bool) -> Result<Self, LogError> {
         let clock = BootClock;
-        let (log, recovered) = SyncedLog::open(folder)?;
         let mut turns = StoredTurns::new(MAX_TURN_BYTES);
-        for record in &recovered.records {
-            match postcard::from_bytes::<StoredTurn>(&record.payload) {
-                Ok(turn) => turns.insert(turn, record.segment.0, clock.now_us()),
+        let mut segments = BTreeSet::new();
+        let (log, torn) = SyncedLog::open(folder, |segment, payload| {
+            segments.insert(segment.0);
+            match postcard::from_bytes::<StoredTurn>(payload) {
+                Ok(turn) => turns.insert(turn, segment.0, clock.now_us()),
                 Err(error) => tracing::error!("turns: record cannot be decoded ({error})"),
             }
-        }
-        for torn in &recovered.torn {
+        })?;
+        for torn in &torn {
             let segment = torn.segment.0;
             tracing::warn!(segment, lost_bytes = torn.lost_bytes, "turns: segment torn");
         }
         let is_complete = is_first_start || folder.join(COMPLETE_FILE).exists();
         tracing::info!(turns = turns.len(), is_complete, "turns: folder opened");
-        let unused = unused_segments(&turns, &recovered.records);
+        segments.retain(|segment| !turns.uses_segment(*segment));
         let store = Self {
             turns: Mutex::new(turns),
             log: Arc::new(log),
-            unused: Mutex::new(unused),
+            unused: Mutex::new(segments.into_iter().collect()),
             is_complete: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             appending: RwLock::default(),
@@ -236,14 +238,6 @@
     }
 }
 
-/// Returns the segments of which no turn is kept.
-fn unused_segments(turns: &StoredTurns, records: &[Record]) -> Vec<u64> {
-    let mut segments: Vec<u64> = records.iter().map(|record| record.segment.0).collect();
-    segments.dedup();
-    segments.retain(|segment| !turns.uses_segment(*segment));
-    segments
-}
-
 /// Locks a mutex; a panic while it was held leaves its content usable.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/relay/src/usage/store.rs
+++ b/crates/relay/src/usage/store.rs
@@ -42,16 +42,15 @@
     pub fn open(folder: &Path) -> Result<Self, LogError> {
         let clock = BootClock;
         let now_us = clock.now_us();
-        let (log, recovered) = SyncedLog::open(folder)?;
         let mut table = UsageTable::default();
         let mut segments = BTreeMap::new();
-        for record in &recovered.records {
-            segments.insert(record.segment.0, now_us);
-            match postcard::from_bytes::<UsageRecord>(&record.payload) {
+        let (log, _) = SyncedLog::open(folder, |segment, payload| {
+            segments.insert(segment.0, now_us);
+            match postcard::from_bytes::<UsageRecord>(payload) {
                 Ok(row) => table.restore(&row.program, row.claims, now_us),
                 Err(error) => tracing::error!("usage: record cannot be decoded ({error})"),
             }
-        }
+        })?;
         tracing::info!(programs = table.len(), "usage: folder opened");
         Ok(Self {
             table: Mutex::new(table),
