Bound kept turns by the memory of the storage VM

Cause: the limit of 48 MB counted contents alone, whatever the settings say. Each turn also takes a row, places in three indexes, its ID, and texts of its own for its account, the turn before it and its holders, since those are decoded for each record and message. Turns that were being written did not count.

Change: a turn counts with its row and indexes, and all of them may take half of `limits.memoryMb`; the rest of the plan is in `relay::memory`. Turns that are being written count too, and those of callers are refused when more than a thirty-second of the memory waits for the disk. A new turn beyond that is refused as `Full`; what is on the disk at a start is held in any case. Names of accounts and holders are held once, the ID of the turn before is shared with its row, and the index of expiry holds positions instead of keys.

Tests changed: rejected_turns had a table of 4 bytes, in which now no turn has room. Its check of `Full` is in the new full_memory of stored_turns.rs, which also checks the exact limit, the reserved room and the turns of the disk.

--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -13,6 +13,7 @@
 mod copies;
 mod holders;
 mod lookup;
+mod names;
 mod stored;
 
 pub use copies::{CopyPlan, CopyStep};
--- a/crates/core/src/turns/stored.rs
+++ b/crates/core/src/turns/stored.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::sync::Arc;
 
+use super::names::SharedNames;
 use super::{HolderSet, Holders};
 use crate::ids::{AccountName, TurnId};
 use crate::tables::{Table, hash_name};
@@ -11,6 +12,13 @@
 /// Turns in a chain that a lookup follows; more can only be a loop.
 const MAX_CHAIN_TURNS: usize = 10_000;
 
+/// Memory of a stored turn besides its content, in bytes: its row and the spare room of a growing
+/// table, its places in the indexes, its ID and the headers of its allocations.
+const ROW_BYTES: usize = 640;
+
+/// Memory of each holder beyond those for which a row has room, in bytes.
+const HOLDER_BYTES: usize = 2 * size_of::<Arc<str>>();
+
 /// Identifies a turn: callers choose its ID, so that it counts within their account only.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 #[cfg_attr(feature = "serde", derive(serde::Serialize, serde::Deserialize))]
@@ -48,6 +56,12 @@
 }
 
 impl StoredTurn {
+    /// Returns the memory that the turn takes in a table of stored turns, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let spilled = self.copies.len().saturating_sub(self.copies.inline_size());
+        ROW_BYTES + self.key.id.as_str().len() + self.content.len() + spilled * HOLDER_BYTES
+    }
+
     /// Returns the key of the turn before it.
     pub fn previous_key(&self) -> Option<TurnKey> {
         let id = self.previous.clone()?;
@@ -87,17 +101,23 @@
     rows: Table<TurnKey, Row>,
     /// Turns in the order in which they were stored, so that a turn follows the one before it.
     order: BTreeMap<u64, TurnKey>,
-    /// Turns by the time until which they are kept.
-    expiry: BTreeSet<(u64, TurnKey)>,
+    /// Positions of the turns by the time until which they are kept.
+    expiry: BTreeSet<(u64, u64)>,
+    names: SharedNames,
     /// Number of turns in each log segment.
     segments: BTreeMap<u64, usize>,
     next_number: u64,
+    /// Memory of all turns in bytes.
     bytes: usize,
+    /// Memory of the turns that are being written to the disk, in bytes.
+    reserved_bytes: usize,
     max_bytes: usize,
 }
 
 impl StoredTurns {
-    /// Creates an empty table that holds turns of up to `max_bytes` bytes together.
+    /// Creates an empty table that accepts turns while all of them take up to `max_bytes` of memory.
+    ///
+    /// Turns that are on the disk already are held beyond that.
     pub fn new(max_bytes: usize) -> Self {
         Self {
             max_bytes,
@@ -115,11 +135,26 @@
         self.rows.is_empty()
     }
 
-    /// Returns the size of all turns in bytes.
+    /// Returns the memory of all turns in bytes.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
 
+    /// Returns the memory of the turns that are being written to the disk, in bytes.
+    pub fn reserved_bytes(&self) -> usize {
+        self.reserved_bytes
+    }
+
+    /// Keeps room for turns of this size until they are inserted, or are known not to be.
+    pub fn reserve(&mut self, bytes: usize) {
+        self.reserved_bytes += bytes;
+    }
+
+    /// Releases room that was reserved.
+    pub fn release(&mut self, bytes: usize) {
+        self.reserved_bytes = self.reserved_bytes.saturating_sub(bytes);
+    }
+
     /// Checks whether a turn can be stored; returns `false` if it is stored already.
     ///
     /// `batch` holds turns that will be stored before it.
@@ -141,8 +176,9 @@
         if turn.previous_key().is_some_and(|key| !is_known(&key)) {
             return Err(RejectedTurn::LacksPrevious);
         }
-        let batch_bytes: usize = batch.iter().map(|turn| turn.content.len()).sum();
-        if self.bytes + batch_bytes + turn.content.len() > self.max_bytes {
+        let batch_bytes: usize = batch.iter().map(StoredTurn::memory_bytes).sum();
+        let used_bytes = self.bytes + self.reserved_bytes + batch_bytes;
+        if used_bytes + turn.memory_bytes() > self.max_bytes {
             return Err(RejectedTurn::Full);
         }
         Ok(true)
@@ -151,11 +187,12 @@
     /// Stores a turn that is on the disk, and keeps its chain as long as the turn itself.
     ///
     /// A turn that is stored already is only kept for longer.
-    pub fn insert(&mut self, turn: StoredTurn, segment: u64, now_us: u64) {
+    pub fn insert(&mut self, mut turn: StoredTurn, segment: u64, now_us: u64) {
         let keep_until_us = now_us + turn.retention_ms * 1_000;
+        self.share_names(&mut turn);
         let key = turn.key.clone();
         if !self.rows.contains_key(&key) {
-            self.bytes += turn.content.len();
+            self.bytes += turn.memory_bytes();
             *self.segments.entry(segment).or_default() += 1;
             let number = self.next_number;
             self.next_number += 1;
@@ -171,6 +208,15 @@
         self.keep_chain(key, keep_until_us);
     }
 
+    /// Replaces the names in a turn by the same ones of other turns, so that each is held once.
+    fn share_names(&mut self, turn: &mut StoredTurn) {
+        self.names.share(turn);
+        let previous = turn.previous_key().and_then(|key| self.rows.get(&key));
+        if let Some(row) = previous {
+            turn.previous = Some(row.turn.key.id.clone());
+        }
+    }
+
     /// Keeps a turn and all turns before it at least until the given time.
     fn keep_chain(&mut self, key: TurnKey, keep_until_us: u64) {
         let mut next = Some(key);
@@ -185,10 +231,10 @@
             if row.keep_until_us >= keep_until_us {
                 return;
             }
-            self.expiry.remove(&(row.keep_until_us, key.clone()));
+            self.expiry.remove(&(row.keep_until_us, row.number));
             row.keep_until_us = keep_until_us;
             next = row.turn.previous_key();
-            self.expiry.insert((keep_until_us, key));
+            self.expiry.insert((keep_until_us, row.number));
         }
     }
 
@@ -297,14 +343,14 @@
         while let Some((due_us, _)) = self.expiry.first()
             && *due_us <= now_us
         {
-            let Some((_, key)) = self.expiry.pop_first() else {
+            let Some((_, number)) = self.expiry.pop_first() else {
                 break;
             };
-            let Some(row) = self.rows.remove(&key) else {
+            let key = self.order.remove(&number);
+            let Some(row) = key.and_then(|key| self.rows.remove(&key)) else {
                 continue;
             };
-            self.order.remove(&row.number);
-            self.bytes -= row.turn.content.len();
+            self.bytes -= row.turn.memory_bytes();
             if let Some(count) = self.segments.get_mut(&row.segment) {
                 *count -= 1;
                 if *count == 0 {
--- a/crates/core/tests/stored_turns.rs
+++ b/crates/core/tests/stored_turns.rs
@@ -330,7 +330,7 @@
 /// Guards against a turn that replaces another one, and against one without its chain.
 #[rstest]
 fn rejected_turns() {
-    let mut turns = StoredTurns::new(4);
+    let mut turns = StoredTurns::new(MAX_BYTES);
     turns.insert(turn("a", None), 1, 0);
     assert_eq!(turns.check(&turn("a", None), &[]), Ok(false));
     let changed = StoredTurn {
@@ -341,8 +341,34 @@
     let lacking = turn("c", Some("b"));
     assert_eq!(turns.check(&lacking, &[]), Err(RejectedTurn::LacksPrevious));
     assert_eq!(turns.check(&lacking, &[turn("b", None)]), Ok(true));
-    let large = turn("large", Some("a"));
-    assert_eq!(turns.check(&large, &[]), Err(RejectedTurn::Full));
+}
+
+/// Guards against turns that are accepted beyond the memory, which more than their contents take,
+/// and against turns of the disk that are not held beyond it.
+#[rstest]
+fn full_memory() {
+    let turn_bytes = turn("a", None).memory_bytes();
+    assert!(turn_bytes > 200, "rows and indexes count");
+    let mut turns = StoredTurns::new(3 * turn_bytes);
+    let room = |turns: &StoredTurns| turns.check(&turn("x", None), &[]);
+    turns.insert(turn("a", None), 1, 0);
+    let batch = [turn("b", Some("a"))];
+    assert_eq!(turns.check(&turn("c", Some("b")), &batch), Ok(true));
+    let large = turn("large", Some("b"));
+    assert_eq!(turns.check(&large, &batch), Err(RejectedTurn::Full));
+    turns.reserve(2 * turn_bytes);
+    assert_eq!(room(&turns), Err(RejectedTurn::Full));
+    turns.release(2 * turn_bytes);
+    assert_eq!(room(&turns), Ok(true));
+    for id in ["b", "c", "d", "e"] {
+        turns.insert(turn(id, None), 1, 0);
+    }
+    assert_eq!((turns.len(), turns.bytes()), (5, 5 * turn_bytes));
+    assert_eq!(room(&turns), Err(RejectedTurn::Full));
+    assert_eq!(turns.check(&turn("e", None), &[]), Ok(false));
+    turns.expire(RETENTION_MS * 1_000);
+    assert_eq!(turns.bytes(), 0);
+    assert_eq!(room(&turns), Ok(true));
 }
 
 /// Guards against a copy too few, and against a wait for VMs that cannot help.
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -18,6 +18,14 @@
 /// leave too few connections for the short heads that most requests have.
 const MAX_COUNTED_HEAD_BYTES: usize = 64 * 1024;
 
+/// Part of the memory of a storage VM that kept turns may use, as a divisor. A third of it again can
+/// be expired turns that the disk still has when the process starts.
+const TURNS_DIVISOR: usize = 2;
+
+/// Part of the memory for kept turns that those which wait for the disk may use, as a divisor; they
+/// take three times as much until they are synced.
+const WRITES_DIVISOR: usize = 16;
+
 /// How the memory of a process is divided among the bytes of others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct MemoryPlan {
@@ -46,3 +54,23 @@
         (self.connections_bytes / bytes).max(1)
     }
 }
+
+/// How the memory of a storage VM is divided among what it holds for others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct StorageMemoryPlan {
+    /// Limit for kept turns, with their rows and indexes.
+    pub turn_bytes: usize,
+    /// Limit for the turns of callers that wait for the disk.
+    pub write_bytes: usize,
+}
+
+impl StorageMemoryPlan {
+    /// Divides the memory that a storage VM may use.
+    pub fn new(memory_bytes: usize) -> Self {
+        let turn_bytes = memory_bytes / TURNS_DIVISOR;
+        Self {
+            turn_bytes,
+            write_bytes: turn_bytes / WRITES_DIVISOR,
+        }
+    }
+}
--- a/crates/relay/src/settings.rs
+++ b/crates/relay/src/settings.rs
@@ -67,4 +67,7 @@
     /// Interval at which the store is polled for a request to retire this VM.
     #[builder(default = Duration::from_millis(2_500))]
     pub retirement_interval: Duration,
+    /// Memory that the process may use, in bytes.
+    #[builder(default = DEFAULT_MEMORY_BYTES)]
+    pub memory_bytes: usize,
 }
--- a/crates/relay/src/storage/mod.rs
+++ b/crates/relay/src/storage/mod.rs
@@ -17,6 +17,7 @@
 use crate::adapter::FleetStore;
 use crate::charges::{ChargeBatch, ChargeRpcServer, send_batch};
 use crate::daemon::StartError;
+use crate::memory::StorageMemoryPlan;
 use crate::origins::{OriginRpcServer, OriginServer};
 use crate::settings::StorageSettings;
 use crate::store::{Registration, Role, register};
@@ -79,9 +80,11 @@
         let charge_server = ChargeServer {
             ledger: Arc::clone(&ledger),
         };
+        let memory = StorageMemoryPlan::new(settings.memory_bytes);
         let turns = TurnStore::open(
             &settings.data_folder.join(TURN_FOLDER),
             settings.is_first_start,
+            memory,
         )
         .map_err(io::Error::other)?;
         let turns = Arc::new(turns);
--- a/crates/relay/src/turns/store.rs
+++ b/crates/relay/src/turns/store.rs
@@ -13,11 +13,9 @@
 use tokio::sync::RwLock;
 use tokio::task::spawn_blocking;
 
+use crate::memory::StorageMemoryPlan;
 use crate::synced_log::SyncedLog;
 
-/// Memory for the contents of turns.
-const MAX_TURN_BYTES: usize = 48 * 1024 * 1024;
-
 /// Name of the file that shows that the disk has lost no turn.
 const COMPLETE_FILE: &str = "complete";
 
@@ -44,6 +42,7 @@
 #[derive(Debug)]
 pub(crate) struct TurnStore {
     turns: Mutex<StoredTurns>,
+    memory: StorageMemoryPlan,
     log: Arc<SyncedLog>,
     /// Segments without kept turns that are not removed yet.
     unused: Mutex<Vec<u64>>,
@@ -68,9 +67,13 @@
     /// # Errors
     ///
     /// Fails if the folder cannot be used.
-    pub fn open(folder: &Path, is_first_start: bool) -> Result<Self, LogError> {
+    pub fn open(
+        folder: &Path,
+        is_first_start: bool,
+        memory: StorageMemoryPlan,
+    ) -> Result<Self, LogError> {
         let clock = BootClock;
-        let mut turns = StoredTurns::new(MAX_TURN_BYTES);
+        let mut turns = StoredTurns::new(memory.turn_bytes);
         let mut segments = BTreeSet::new();
         let (log, torn) = SyncedLog::open(folder, |segment, payload| {
             segments.insert(segment.0);
@@ -84,10 +87,12 @@
             tracing::warn!(segment, lost_bytes = torn.lost_bytes, "turns: segment torn");
         }
         let is_complete = is_first_start || folder.join(COMPLETE_FILE).exists();
-        tracing::info!(turns = turns.len(), is_complete, "turns: folder opened");
+        let (count, bytes) = (turns.len(), turns.bytes());
+        tracing::info!(turns = count, bytes, is_complete, "turns: folder opened");
         segments.retain(|segment| !turns.uses_segment(*segment));
         let store = Self {
             turns: Mutex::new(turns),
+            memory,
             log: Arc::new(log),
             unused: Mutex::new(segments.into_iter().collect()),
             is_complete: AtomicBool::new(false),
@@ -147,6 +152,9 @@
         if self.is_closed() {
             return Err(AppendError::Closed);
         }
+        if self.turns().reserved_bytes() > self.memory.write_bytes {
+            return Err(AppendError::Rejected(RejectedTurn::Full));
+        }
         self.append_all(turns).await
     }
 
@@ -167,8 +175,8 @@
     async fn append_all(self: &Arc<Self>, turns: Vec<StoredTurn>) -> Result<(), AppendError> {
         let mut new: Vec<StoredTurn> = Vec::with_capacity(turns.len());
         let mut known = Vec::new();
-        {
-            let table = self.turns();
+        let _reserved = {
+            let mut table = self.turns();
             for turn in turns {
                 if table.check(&turn, &new)? {
                     new.push(turn);
@@ -176,7 +184,8 @@
                     known.push(turn);
                 }
             }
-        }
+            ReservedRoom::new(self, &mut table, &new)
+        };
         let segment = if new.is_empty() {
             SegmentId(0)
         } else {
@@ -205,6 +214,29 @@
     }
 }
 
+/// Room for turns that are being written to the disk.
+///
+/// It ends with the request, also if its sender has closed the connection meanwhile.
+struct ReservedRoom<'a> {
+    store: &'a TurnStore,
+    bytes: usize,
+}
+
+impl<'a> ReservedRoom<'a> {
+    /// Reserves room for turns in the table of the store.
+    fn new(store: &'a TurnStore, table: &mut StoredTurns, turns: &[StoredTurn]) -> Self {
+        let bytes = turns.iter().map(StoredTurn::memory_bytes).sum();
+        table.reserve(bytes);
+        Self { store, bytes }
+    }
+}
+
+impl Drop for ReservedRoom<'_> {
+    fn drop(&mut self) {
+        self.store.turns().release(self.bytes);
+    }
+}
+
 /// # Disk
 impl TurnStore {
     /// Writes turns to the log.
