Decode the content of a stored turn as bytes

Cause: the content was decoded number by number into a list that grows, and then copied into its shared slice.

Change: it is encoded and decoded as bytes, which postcard writes in the same layout.

The time was not measured.

--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -10,6 +10,8 @@
 //! - [`HolderSet`] decides which VMs are to hold a turn after one of them was lost, left or joined.
 //! - [`TurnLookup`] decides which VMs are asked for a turn and when it certainly does not exist.
 
+#[cfg(feature = "serde")]
+mod content;
 mod copies;
 mod holders;
 mod lookup;
--- a/crates/core/src/turns/stored.rs
+++ b/crates/core/src/turns/stored.rs
@@ -48,6 +48,7 @@
     /// The turn before it; `None` if the content begins the chain.
     pub previous: Option<TurnId>,
     /// What it adds to the prompt of the next turn: its input and its output.
+    #[cfg_attr(feature = "serde", serde(with = "super::content"))]
     pub content: Arc<[u8]>,
     /// How long it is kept after its end, together with its chain.
     pub retention_ms: u64,
