Bound claims, and remove replaced claim records from the disk

Cause: programs with claims had no limit. Each claim writes the whole row of its program again, and a segment stayed until its last record was 300 s old, so that the disk held, and a start read, all claims of that time.

Change: programs count with their row and indexes, and may take a tenth of the memory. At the limit, the claim of a new program is refused; known ones go on, since forgetting one would grant its use again. The table knows which segment has the last record of each program: a segment without one is removed, and one with many replaced records is written again with the last ones only, in its place (`Log::replace`), at most one in a second. A segment is left alone until it has not been the last one for a whole interval. Claims are queued for the disk while the table is locked, so that the last record of a program has its last claims.

Not measured: the limit of claims on a deployment.

--- a/crates/log/src/log.rs
+++ b/crates/log/src/log.rs
@@ -4,7 +4,9 @@
 use std::io::{BufReader, ErrorKind};
 use std::path::{Path, PathBuf};
 
-use crate::segment::{Segment, list_segments, segment_path, sync_folder};
+use crate::segment::{
+    Segment, list_segments, remove_unfinished, replace_segment, segment_path, sync_folder,
+};
 use crate::{LogError, frame};
 
 /// Size after which a new segment is started.
@@ -68,6 +70,7 @@
         mut visit: impl FnMut(SegmentId, &[u8]),
     ) -> Result<(Self, Vec<TornSegment>), LogError> {
         std::fs::create_dir_all(folder).map_err(LogError::at(folder))?;
+        remove_unfinished(folder)?;
         let mut log = Self {
             folder: folder.to_owned(),
             active: None,
@@ -92,11 +95,7 @@
     /// Fails if a record is too large or the disk cannot be written. Then none of the records is
     /// confirmed, although some may be found when the log is opened again.
     pub fn append(&mut self, payloads: &[Vec<u8>]) -> Result<SegmentId, LogError> {
-        let all_bytes: u64 = payloads.iter().map(|row| frame::record_bytes(row)).sum();
-        let mut bytes = Vec::with_capacity(all_bytes as usize);
-        for payload in payloads {
-            frame::encode(payload, &mut bytes)?;
-        }
+        let bytes = encode_all(payloads)?;
         // The segment is put back only after a success: a failed write may have torn its end.
         let mut segment = match self.active.take() {
             Some(segment) if segment.bytes < SEGMENT_BYTES => segment,
@@ -112,17 +111,27 @@
         Ok(id)
     }
 
+    /// Replaces the records of a segment, which stay behind those of earlier segments; does nothing
+    /// to the one in use. Returns whether they were replaced.
+    ///
+    /// # Errors
+    ///
+    /// Fails if a record is too large or the disk cannot be written. Then the earlier records stay.
+    pub fn replace(&mut self, segment: SegmentId, payloads: &[Vec<u8>]) -> Result<bool, LogError> {
+        if self.active_segment() == Some(segment) {
+            return Ok(false);
+        }
+        replace_segment(&self.folder, segment, &encode_all(payloads)?)?;
+        Ok(true)
+    }
+
     /// Removes a segment; does nothing to the one in use.
     ///
     /// # Errors
     ///
     /// Fails if the file cannot be removed.
     pub fn remove(&mut self, segment: SegmentId) -> Result<(), LogError> {
-        if self
-            .active
-            .as_ref()
-            .is_some_and(|active| active.id == segment)
-        {
+        if self.active_segment() == Some(segment) {
             return Ok(());
         }
         let path = segment_path(&self.folder, segment);
@@ -138,6 +147,16 @@
     }
 }
 
+/// Encodes records one after the other.
+fn encode_all(payloads: &[Vec<u8>]) -> Result<Vec<u8>, LogError> {
+    let all_bytes: u64 = payloads.iter().map(|row| frame::record_bytes(row)).sum();
+    let mut bytes = Vec::with_capacity(all_bytes as usize);
+    for payload in payloads {
+        frame::encode(payload, &mut bytes)?;
+    }
+    Ok(bytes)
+}
+
 /// Reads all records of the log in a folder without changing it.
 ///
 /// # Errors
--- a/crates/log/src/segment.rs
+++ b/crates/log/src/segment.rs
@@ -10,6 +10,9 @@
 /// Extension of the files of segments.
 const EXTENSION: &str = "log";
 
+/// Extension of files that are to replace one of a segment.
+const NEW_EXTENSION: &str = "new";
+
 /// The segment to which records are appended.
 #[derive(Debug)]
 pub(crate) struct Segment {
@@ -45,6 +48,31 @@
     }
 }
 
+/// Replaces the content of a segment; after a power loss, it has the earlier or the new one.
+pub(crate) fn replace_segment(folder: &Path, id: SegmentId, bytes: &[u8]) -> Result<(), LogError> {
+    let path = segment_path(folder, id);
+    let new_path = path.with_extension(NEW_EXTENSION);
+    let write = || {
+        let mut file = File::create(&new_path)?;
+        file.write_all(bytes)?;
+        file.sync_all()?;
+        std::fs::rename(&new_path, &path)
+    };
+    write().map_err(LogError::at(&new_path))?;
+    sync_folder(folder)
+}
+
+/// Removes files that were to replace a segment when the process ended.
+pub(crate) fn remove_unfinished(folder: &Path) -> Result<(), LogError> {
+    for entry in std::fs::read_dir(folder).map_err(LogError::at(folder))? {
+        let path = entry.map_err(LogError::at(folder))?.path();
+        if path.extension().is_some_and(|found| found == NEW_EXTENSION) {
+            std::fs::remove_file(&path).map_err(LogError::at(&path))?;
+        }
+    }
+    Ok(())
+}
+
 /// Returns the path of a segment's file.
 pub(crate) fn segment_path(folder: &Path, id: SegmentId) -> PathBuf {
     folder.join(format!("{:020}.{EXTENSION}", id.0))
--- a/crates/log/tests/torn_records.rs
+++ b/crates/log/tests/torn_records.rs
@@ -121,6 +121,25 @@
     assert_eq!(payloads(&open(folder.path()).1), [b"last".to_vec()]);
 }
 
+/// Guards against a replaced segment whose records come in another order or are lost when the process
+/// ends meanwhile, and against the replacement of the segment in use.
+#[rstest]
+fn replaced_segment() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let large = vec![1; 5 * 1024 * 1024];
+    let (mut log, _) = open(folder.path());
+    let first = log.append(&[b"first".to_vec(), large]).expect("records");
+    let last = log.append(&[b"last".to_vec()]).expect("a record");
+    assert!(log.replace(first, &[b"first".to_vec()]).expect("a segment"));
+    assert!(!log.replace(last, &[]).expect("a segment that stays"));
+    drop(log);
+    let unfinished = folder.path().join("00000000000000000001.new");
+    std::fs::write(&unfinished, b"half").expect("a file");
+    let kept = [b"first".to_vec(), b"last".to_vec()];
+    assert_eq!(payloads(&open(folder.path()).1), kept);
+    assert!(!unfinished.exists());
+}
+
 /// Guards against a failed write that makes later records unreadable.
 #[rstest]
 fn failed_write() {
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -26,6 +26,9 @@
 /// take three times as much until they are synced.
 const WRITES_DIVISOR: usize = 16;
 
+/// Part of the memory of a storage VM that claims on budgets may use, as a divisor.
+const CLAIMS_DIVISOR: usize = 10;
+
 /// How the memory of a process is divided among the bytes of others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct MemoryPlan {
@@ -62,6 +65,8 @@
     pub turn_bytes: usize,
     /// Limit for the turns of callers that wait for the disk.
     pub write_bytes: usize,
+    /// Limit for claims on budgets, with their rows and indexes.
+    pub claim_bytes: usize,
 }
 
 impl StorageMemoryPlan {
@@ -71,6 +76,7 @@
         Self {
             turn_bytes,
             write_bytes: turn_bytes / WRITES_DIVISOR,
+            claim_bytes: memory_bytes / CLAIMS_DIVISOR,
         }
     }
 }
--- a/crates/relay/src/storage/mod.rs
+++ b/crates/relay/src/storage/mod.rs
@@ -105,7 +105,7 @@
             store: Arc::clone(&turns),
             replicator: replicator.clone(),
         };
-        let usage = UsageStore::open(&settings.data_folder.join(USAGE_FOLDER));
+        let usage = UsageStore::open(&settings.data_folder.join(USAGE_FOLDER), memory);
         let usage = Arc::new(usage.map_err(io::Error::other)?);
         let usage_server = UsageServer {
             store: Arc::clone(&usage),
--- a/crates/relay/src/synced_log.rs
+++ b/crates/relay/src/synced_log.rs
@@ -43,18 +43,25 @@
         Ok((log, torn))
     }
 
-    /// Writes records and returns once they are on the disk.
+    /// Queues records at once; the result waits until they are on the disk.
+    ///
+    /// Records are written in the order of the calls.
     ///
     /// # Errors
     ///
     /// Fails if the disk cannot be written.
-    pub async fn write(self: &Arc<Self>, payloads: Vec<Vec<u8>>) -> Result<SegmentId, String> {
+    pub fn write(
+        self: &Arc<Self>,
+        payloads: Vec<Vec<u8>>,
+    ) -> impl Future<Output = Result<SegmentId, String>> + use<> {
         let (written, is_written) = oneshot::channel();
         lock(&self.queued).push(QueuedWrite { payloads, written });
         // A task of its own, since the writes of others must not end with this request.
         tokio::spawn(Arc::clone(self).write_queued());
-        let written = is_written.await;
-        written.unwrap_or_else(|_| Err("the write was cancelled".to_owned()))
+        async move {
+            let written = is_written.await;
+            written.unwrap_or_else(|_| Err("the write was cancelled".to_owned()))
+        }
     }
 
     /// Writes all queued records with one sync.
@@ -84,6 +91,26 @@
         }
     }
 
+    /// Replaces the records of a segment, unless it is being written to; returns whether they were
+    /// replaced.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk cannot be written.
+    pub async fn replace(
+        self: &Arc<Self>,
+        segment: u64,
+        payloads: Vec<Vec<u8>>,
+    ) -> Result<bool, String> {
+        let log = Arc::clone(self);
+        let segment = SegmentId(segment);
+        let task = spawn_blocking(move || lock(&log.log).replace(segment, &payloads));
+        match task.await {
+            Ok(result) => result.map_err(|error| error.to_string()),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
     /// Removes segments unless they are written to or `is_used` says that they are in use; returns
     /// those that were not removed though unused. Blocks on the disk.
     pub fn remove(&self, segments: Vec<u64>, is_used: impl Fn(u64) -> bool) -> Vec<u64> {
