Write segments again without their many expired turns

Cause: a segment stays while one of its turns is kept, and a start takes all turns on the disk for kept ones, since it cannot compare clocks. With a long chain in each segment, what has expired came back after each loss of power, without a limit, and could exceed the memory.

Change: when the turns of all segments, expired ones included, take more than the limit for kept turns, the segment with the largest expired part is written again in its place with its kept turns, if that part is a quarter or more; one in a second, never the last one, and none while a turn is being written. So at most a third more than the kept turns is read at a start.

--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -16,6 +16,7 @@
 mod holders;
 mod lookup;
 mod names;
+mod segments;
 mod stored;
 
 pub use copies::{CopyPlan, CopyStep};
--- a/crates/core/src/turns/stored.rs
+++ b/crates/core/src/turns/stored.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::names::SharedNames;
+use super::segments::Segments;
 use super::{HolderSet, Holders};
 use crate::ids::{AccountName, TurnId};
 use crate::tables::{Table, hash_name};
@@ -105,8 +106,7 @@
     /// Positions of the turns by the time until which they are kept.
     expiry: BTreeSet<(u64, u64)>,
     names: SharedNames,
-    /// Number of turns in each log segment.
-    segments: BTreeMap<u64, usize>,
+    segments: Segments,
     next_number: u64,
     /// Memory of all turns in bytes.
     bytes: usize,
@@ -194,7 +194,7 @@
         let key = turn.key.clone();
         if !self.rows.contains_key(&key) {
             self.bytes += turn.memory_bytes();
-            *self.segments.entry(segment).or_default() += 1;
+            self.segments.add(segment, turn.memory_bytes());
             let number = self.next_number;
             self.next_number += 1;
             self.order.insert(number, key.clone());
@@ -352,20 +352,39 @@
                 continue;
             };
             self.bytes -= row.turn.memory_bytes();
-            if let Some(count) = self.segments.get_mut(&row.segment) {
-                *count -= 1;
-                if *count == 0 {
-                    self.segments.remove(&row.segment);
-                    unused.push(row.segment);
-                }
-            }
+            let is_unused = self.segments.remove(row.segment, row.turn.memory_bytes());
+            unused.extend(is_unused.then_some(row.segment));
         }
         unused
     }
 
     /// Returns whether a log segment holds a turn that is kept.
     pub fn uses_segment(&self, segment: u64) -> bool {
-        self.segments.contains_key(&segment)
+        self.segments.is_used(segment)
+    }
+}
+
+/// # Segments with expired turns
+impl StoredTurns {
+    /// Returns a segment that is to be written again without its many expired turns, and the kept
+    /// ones, in their order.
+    ///
+    /// A start takes all turns on the disk for kept ones, so that they have to fit into the memory.
+    /// Returns none while a turn is being written: the segment may be the one that gets it.
+    pub fn sparse_segment(&self) -> Option<(u64, Vec<StoredTurn>)> {
+        if self.reserved_bytes > 0 || self.segments.bytes() <= self.max_bytes {
+            return None;
+        }
+        let segment = self.segments.sparsest()?;
+        let rows = self.order.values().filter_map(|key| self.rows.get(key));
+        let kept = rows.filter(|row| row.segment == segment);
+        Some((segment, kept.map(|row| row.turn.clone()).collect()))
+    }
+
+    /// Notes that a segment was written again with these turns only.
+    pub fn set_rewritten(&mut self, segment: u64, turns: &[StoredTurn]) {
+        let bytes = turns.iter().map(StoredTurn::memory_bytes).sum();
+        self.segments.set_bytes(segment, bytes);
     }
 }
 
--- a/crates/core/tests/stored_turns.rs
+++ b/crates/core/tests/stored_turns.rs
@@ -385,3 +385,52 @@
     assert_eq!(plan.start().len(), 1);
     assert_eq!(plan.record(true), CopyStep::Failed);
 }
+
+/// Guards against expired turns that take memory after each start, and against turns that are lost
+/// or change their order when their segment is written again.
+#[rstest]
+fn rewritten_segments() {
+    let turn_bytes = turn("t-100", None).memory_bytes();
+    for seed in seeds() {
+        let mut random = Random::new(seed);
+        let mut turns = StoredTurns::new(60 * turn_bytes);
+        let mut disk: BTreeMap<u64, Vec<StoredTurn>> = BTreeMap::new();
+        for number in 100..300_u64 {
+            let previous = 100 + random.below(number - 99);
+            let previous = (previous < number).then(|| format!("t-{previous}"));
+            let turn = StoredTurn {
+                retention_ms: [10, RETENTION_MS][usize::from(random.below(20) == 0)],
+                ..turn(&format!("t-{number}"), previous.as_deref())
+            };
+            turns.insert(turn.clone(), number / 10, 0);
+            disk.entry(number / 10).or_default().push(turn);
+        }
+        let unused = turns.expire(20_000);
+        disk.retain(|segment, _| !unused.contains(segment));
+        turns.reserve(1);
+        assert!(turns.sparse_segment().is_none(), "a turn is being written");
+        turns.release(1);
+        for _ in 0..20 {
+            let Some((segment, kept)) = turns.sparse_segment() else {
+                break;
+            };
+            assert!(kept.len() < disk[&segment].len());
+            turns.set_rewritten(segment, &kept);
+            disk.insert(segment, kept);
+        }
+        let mut restarted = StoredTurns::new(60 * turn_bytes);
+        for (segment, kept) in &disk {
+            for turn in kept {
+                let is_behind = restarted.check(turn, &[]) != Err(RejectedTurn::LacksPrevious);
+                assert!(is_behind || turns.chain(&turn.key).is_none());
+                restarted.insert(turn.clone(), *segment, 30_000);
+            }
+        }
+        let most = 60.max(turns.len() * 4 / 3 + 10);
+        assert!(restarted.len() <= most, "seed {seed}: {}", restarted.len());
+        for turn in turns.all() {
+            let chain = turns.chain(&turn.key);
+            assert_eq!(restarted.chain(&turn.key), chain, "seed {seed}");
+        }
+    }
+}
--- a/crates/relay/src/turns/store.rs
+++ b/crates/relay/src/turns/store.rs
@@ -242,14 +242,17 @@
     /// Writes turns to the log.
     async fn write(&self, turns: &[StoredTurn]) -> Result<SegmentId, AppendError> {
         let failed = |reason: String| AppendError::NotWritten { reason };
-        let payloads: Result<Vec<_>, _> = turns.iter().map(postcard::to_allocvec).collect();
-        let payloads = payloads.map_err(|error| failed(error.to_string()))?;
+        let payloads = encode(turns).map_err(failed)?;
         self.log.write(payloads).await.map_err(failed)
     }
 
-    /// Removes expired turns, and the segments that hold none any more.
+    /// Removes expired turns, and the segments that hold none any more; writes one segment again
+    /// without its expired turns if those of all segments would fill the memory after a start.
     pub async fn expire(self: &Arc<Self>) {
         let expired = self.turns().expire(self.clock.now_us());
+        if let Err(error) = self.rewrite().await {
+            tracing::warn!("turns: segment not rewritten ({error})");
+        }
         let mut segments = std::mem::take(&mut *lock(&self.unused));
         segments.extend(expired);
         if segments.is_empty() {
@@ -262,6 +265,18 @@
         }
     }
 
+    /// Writes a segment again without its expired turns, if there is one with many.
+    async fn rewrite(&self) -> Result<(), String> {
+        let sparse = self.turns().sparse_segment();
+        let Some((segment, turns)) = sparse else {
+            return Ok(());
+        };
+        if self.log.replace(segment, encode(&turns)?).await? {
+            self.turns().set_rewritten(segment, &turns);
+        }
+        Ok(())
+    }
+
     /// Removes segments; those in use or not removable are tried again later.
     fn remove_segments(&self, segments: Vec<u64>) {
         let is_used = |segment| self.turns().uses_segment(segment);
@@ -270,6 +285,12 @@
     }
 }
 
+/// Encodes turns as records.
+fn encode(turns: &[StoredTurn]) -> Result<Vec<Vec<u8>>, String> {
+    let payloads: Result<Vec<_>, _> = turns.iter().map(postcard::to_allocvec).collect();
+    payloads.map_err(|error| error.to_string())
+}
+
 /// Locks a mutex; a panic while it was held leaves its content usable.
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
