--- a/crates/core/src/turns/mod.rs
+++ b/crates/core/src/turns/mod.rs
@@ -11,10 +11,14 @@
 //! - [`Offers`] holds what one VM offers another one, which decides what it lacks of that.
 //! - [`TurnLookup`] decides which VMs are asked for a turn and when it certainly does not exist.
 
+#[cfg(feature = "serde")]
+mod content;
 mod copies;
 mod holders;
 mod lookup;
+mod names;
 mod offers;
+mod segments;
 mod stored;
 
 pub use copies::{CopyPlan, CopyStep};
--- a/crates/core/tests/stored_turns.rs
+++ b/crates/core/tests/stored_turns.rs
@@ -330,7 +330,7 @@
 /// Guards against a turn that replaces another one, and against one without its chain.
 #[rstest]
 fn rejected_turns() {
-    let mut turns = StoredTurns::new(4);
+    let mut turns = StoredTurns::new(MAX_BYTES);
     turns.insert(turn("a", None), 1, 0);
     assert_eq!(turns.check(&turn("a", None), &[]), Ok(false));
     let changed = StoredTurn {
@@ -341,8 +341,34 @@
     let lacking = turn("c", Some("b"));
     assert_eq!(turns.check(&lacking, &[]), Err(RejectedTurn::LacksPrevious));
     assert_eq!(turns.check(&lacking, &[turn("b", None)]), Ok(true));
-    let large = turn("large", Some("a"));
-    assert_eq!(turns.check(&large, &[]), Err(RejectedTurn::Full));
+}
+
+/// Guards against turns that are accepted beyond the memory, which more than their contents take,
+/// and against turns of the disk that are not held beyond it.
+#[rstest]
+fn full_memory() {
+    let turn_bytes = turn("a", None).memory_bytes();
+    assert!(turn_bytes > 200, "rows and indexes count");
+    let mut turns = StoredTurns::new(3 * turn_bytes);
+    let room = |turns: &StoredTurns| turns.check(&turn("x", None), &[]);
+    turns.insert(turn("a", None), 1, 0);
+    let batch = [turn("b", Some("a"))];
+    assert_eq!(turns.check(&turn("c", Some("b")), &batch), Ok(true));
+    let large = turn("large", Some("b"));
+    assert_eq!(turns.check(&large, &batch), Err(RejectedTurn::Full));
+    turns.reserve(2 * turn_bytes);
+    assert_eq!(room(&turns), Err(RejectedTurn::Full));
+    turns.release(2 * turn_bytes);
+    assert_eq!(room(&turns), Ok(true));
+    for id in ["b", "c", "d", "e"] {
+        turns.insert(turn(id, None), 1, 0);
+    }
+    assert_eq!((turns.len(), turns.bytes()), (5, 5 * turn_bytes));
+    assert_eq!(room(&turns), Err(RejectedTurn::Full));
+    assert_eq!(turns.check(&turn("e", None), &[]), Ok(false));
+    turns.expire(RETENTION_MS * 1_000);
+    assert_eq!(turns.bytes(), 0);
+    assert_eq!(room(&turns), Ok(true));
 }
 
 /// Guards against a copy too few, and against a wait for VMs that cannot help.
@@ -359,3 +385,52 @@
     assert_eq!(plan.start().len(), 1);
     assert_eq!(plan.record(true), CopyStep::Failed);
 }
+
+/// Guards against expired turns that take memory after each start, and against turns that are lost
+/// or change their order when their segment is written again.
+#[rstest]
+fn rewritten_segments() {
+    let turn_bytes = turn("t-100", None).memory_bytes();
+    for seed in seeds() {
+        let mut random = Random::new(seed);
+        let mut turns = StoredTurns::new(60 * turn_bytes);
+        let mut disk: BTreeMap<u64, Vec<StoredTurn>> = BTreeMap::new();
+        for number in 100..300_u64 {
+            let previous = 100 + random.below(number - 99);
+            let previous = (previous < number).then(|| format!("t-{previous}"));
+            let turn = StoredTurn {
+                retention_ms: [10, RETENTION_MS][usize::from(random.below(20) == 0)],
+                ..turn(&format!("t-{number}"), previous.as_deref())
+            };
+            turns.insert(turn.clone(), number / 10, 0);
+            disk.entry(number / 10).or_default().push(turn);
+        }
+        let unused = turns.expire(20_000);
+        disk.retain(|segment, _| !unused.contains(segment));
+        turns.reserve(1);
+        assert!(turns.sparse_segment().is_none(), "a turn is being written");
+        turns.release(1);
+        for _ in 0..20 {
+            let Some((segment, kept)) = turns.sparse_segment() else {
+                break;
+            };
+            assert!(kept.len() < disk[&segment].len());
+            turns.set_rewritten(segment, &kept);
+            disk.insert(segment, kept);
+        }
+        let mut restarted = StoredTurns::new(60 * turn_bytes);
+        for (segment, kept) in &disk {
+            for turn in kept {
+                let is_behind = restarted.check(turn, &[]) != Err(RejectedTurn::LacksPrevious);
+                assert!(is_behind || turns.chain(&turn.key).is_none());
+                restarted.insert(turn.clone(), *segment, 30_000);
+            }
+        }
+        let most = 60.max(turns.len() * 4 / 3 + 10);
+        assert!(restarted.len() <= most, "seed {seed}: {}", restarted.len());
+        for turn in turns.all() {
+            let chain = turns.chain(&turn.key);
+            assert_eq!(restarted.chain(&turn.key), chain, "seed {seed}");
+        }
+    }
+}
--- a/crates/log/tests/torn_records.rs
+++ b/crates/log/tests/torn_records.rs
@@ -2,13 +2,19 @@
 
 use std::path::{Path, PathBuf};
 
-use knapweeddale_log::{Log, LogError, MAX_RECORD_BYTES, Recovered};
+use knapweeddale_log::{Log, LogError, MAX_RECORD_BYTES, Record, Recovered};
 use proptest::prelude::*;
 use rstest::rstest;
 
-/// Opens the log in a folder.
+/// Opens the log in a folder and collects its records.
 fn open(folder: &Path) -> (Log, Recovered) {
-    Log::open(folder).expect("a usable folder")
+    let mut records = Vec::new();
+    let visit = |segment, payload: &[u8]| {
+        let payload = payload.to_vec();
+        records.push(Record { segment, payload });
+    };
+    let (log, torn) = Log::open(folder, visit).expect("a usable folder");
+    (log, Recovered { records, torn })
 }
 
 /// Returns the payloads of all recovered records.
@@ -115,6 +121,25 @@
     assert_eq!(payloads(&open(folder.path()).1), [b"last".to_vec()]);
 }
 
+/// Guards against a replaced segment whose records come in another order or are lost when the process
+/// ends meanwhile, and against the replacement of the segment in use.
+#[rstest]
+fn replaced_segment() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let large = vec![1; 5 * 1024 * 1024];
+    let (mut log, _) = open(folder.path());
+    let first = log.append(&[b"first".to_vec(), large]).expect("records");
+    let last = log.append(&[b"last".to_vec()]).expect("a record");
+    assert!(log.replace(first, &[b"first".to_vec()]).expect("a segment"));
+    assert!(!log.replace(last, &[]).expect("a segment that stays"));
+    drop(log);
+    let unfinished = folder.path().join("00000000000000000001.new");
+    std::fs::write(&unfinished, b"half").expect("a file");
+    let kept = [b"first".to_vec(), b"last".to_vec()];
+    assert_eq!(payloads(&open(folder.path()).1), kept);
+    assert!(!unfinished.exists());
+}
+
 /// Guards against a failed write that makes later records unreadable.
 #[rstest]
 fn failed_write() {
--- a/crates/relay/src/synced_log.rs
+++ b/crates/relay/src/synced_log.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use knapweeddale_log::{Log, LogError, Recovered, SegmentId};
+use knapweeddale_log::{Log, LogError, SegmentId, TornSegment};
 use tokio::sync::oneshot;
 use tokio::task::spawn_blocking;
 
@@ -24,33 +24,44 @@
 }
 
 impl SyncedLog {
-    /// Opens the log in a folder, creating it if needed.
+    /// Opens the log in a folder, creating it if needed, and passes its records to `visit`; returns
+    /// the segments whose end is torn.
     ///
     /// # Errors
     ///
     /// Fails if the folder cannot be used.
-    pub fn open(folder: &Path) -> Result<(Self, Recovered), LogError> {
-        let (log, recovered) = Log::open(folder)?;
+    pub fn open(
+        folder: &Path,
+        visit: impl FnMut(SegmentId, &[u8]),
+    ) -> Result<(Self, Vec<TornSegment>), LogError> {
+        let (log, torn) = Log::open(folder, visit)?;
         let log = Self {
             log: Mutex::new(log),
             queued: Mutex::default(),
             writing: tokio::sync::Mutex::default(),
         };
-        Ok((log, recovered))
+        Ok((log, torn))
     }
 
-    /// Writes records and returns once they are on the disk.
+    /// Queues records at once; the result waits until they are on the disk.
+    ///
+    /// Records are written in the order of the calls.
     ///
     /// # Errors
     ///
     /// Fails if the disk cannot be written.
-    pub async fn write(self: &Arc<Self>, payloads: Vec<Vec<u8>>) -> Result<SegmentId, String> {
+    pub fn write(
+        self: &Arc<Self>,
+        payloads: Vec<Vec<u8>>,
+    ) -> impl Future<Output = Result<SegmentId, String>> + use<> {
         let (written, is_written) = oneshot::channel();
         lock(&self.queued).push(QueuedWrite { payloads, written });
         // A task of its own, since the writes of others must not end with this request.
         tokio::spawn(Arc::clone(self).write_queued());
-        let written = is_written.await;
-        written.unwrap_or_else(|_| Err("the write was cancelled".to_owned()))
+        async move {
+            let written = is_written.await;
+            written.unwrap_or_else(|_| Err("the write was cancelled".to_owned()))
+        }
     }
 
     /// Writes all queued records with one sync.
@@ -64,8 +75,9 @@
             .into_iter()
             .map(|write| (write.payloads, write.written))
             .unzip();
+        let payloads: Vec<Vec<u8>> = payloads.into_iter().flatten().collect();
         let log = Arc::clone(&self);
-        let task = spawn_blocking(move || lock(&log.log).append(&payloads.concat()));
+        let task = spawn_blocking(move || lock(&log.log).append(&payloads));
         let result = match task.await {
             Ok(result) => result.map_err(|error| error.to_string()),
             Err(error) => Err(error.to_string()),
@@ -79,6 +91,26 @@
         }
     }
 
+    /// Replaces the records of a segment, unless it is being written to; returns whether they were
+    /// replaced.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the disk cannot be written.
+    pub async fn replace(
+        self: &Arc<Self>,
+        segment: u64,
+        payloads: Vec<Vec<u8>>,
+    ) -> Result<bool, String> {
+        let log = Arc::clone(self);
+        let segment = SegmentId(segment);
+        let task = spawn_blocking(move || lock(&log.log).replace(segment, &payloads));
+        match task.await {
+            Ok(result) => result.map_err(|error| error.to_string()),
+            Err(error) => Err(error.to_string()),
+        }
+    }
+
     /// Removes segments unless they are written to or `is_used` says that they are in use; returns
     /// those that were not removed though unused. Blocks on the disk.
     pub fn remove(&self, segments: Vec<u64>, is_used: impl Fn(u64) -> bool) -> Vec<u64> {
--- a/crates/relay/src/turns/store.rs
+++ b/crates/relay/src/turns/store.rs
@@ -1,5 +1,6 @@
 //! The kept turns on the disk of a VM.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -7,16 +8,14 @@
 
 use derive_more::{Display, Error, From};
 use knapweeddale_core::turns::{RejectedTurn, StoredTurn, StoredTurns, TurnAnswer, TurnKey};
-use knapweeddale_log::{LogError, Record, SegmentId};
+use knapweeddale_log::{LogError, SegmentId};
 use knapweeddale_runtime::{BootClock, Clock};
 use tokio::sync::RwLock;
 use tokio::task::spawn_blocking;
 
+use crate::memory::StorageMemoryPlan;
 use crate::synced_log::SyncedLog;
 
-/// Memory for the contents of turns.
-const MAX_TURN_BYTES: usize = 48 * 1024 * 1024;
-
 /// Name of the file that shows that the disk has lost no turn.
 const COMPLETE_FILE: &str = "complete";
 
@@ -43,6 +42,7 @@
 #[derive(Debug)]
 pub(crate) struct TurnStore {
     turns: Mutex<StoredTurns>,
+    memory: StorageMemoryPlan,
     log: Arc<SyncedLog>,
     /// Segments without kept turns that are not removed yet.
     unused: Mutex<Vec<u64>>,
@@ -67,27 +67,34 @@
     /// # Errors
     ///
     /// Fails if the folder cannot be used.
-    pub fn open(folder: &Path, is_first_start: bool) -> Result<Self, LogError> {
+    pub fn open(
+        folder: &Path,
+        is_first_start: bool,
+        memory: StorageMemoryPlan,
+    ) -> Result<Self, LogError> {
         let clock = BootClock;
-        let (log, recovered) = SyncedLog::open(folder)?;
-        let mut turns = StoredTurns::new(MAX_TURN_BYTES);
-        for record in &recovered.records {
-            match postcard::from_bytes::<StoredTurn>(&record.payload) {
-                Ok(turn) => turns.insert(turn, record.segment.0, clock.now_us()),
+        let mut turns = StoredTurns::new(memory.turn_bytes);
+        let mut segments = BTreeSet::new();
+        let (log, torn) = SyncedLog::open(folder, |segment, payload| {
+            segments.insert(segment.0);
+            match postcard::from_bytes::<StoredTurn>(payload) {
+                Ok(turn) => turns.insert(turn, segment.0, clock.now_us()),
                 Err(error) => tracing::error!("turns: record cannot be decoded ({error})"),
             }
-        }
-        for torn in &recovered.torn {
+        })?;
+        for torn in &torn {
             let segment = torn.segment.0;
             tracing::warn!(segment, lost_bytes = torn.lost_bytes, "turns: segment torn");
         }
         let is_complete = is_first_start || folder.join(COMPLETE_FILE).exists();
-        tracing::info!(turns = turns.len(), is_complete, "turns: folder opened");
-        let unused = unused_segments(&turns, &recovered.records);
+        let (count, bytes) = (turns.len(), turns.bytes());
+        tracing::info!(turns = count, bytes, is_complete, "turns: folder opened");
+        segments.retain(|segment| !turns.uses_segment(*segment));
         let store = Self {
             turns: Mutex::new(turns),
+            memory,
             log: Arc::new(log),
-            unused: Mutex::new(unused),
+            unused: Mutex::new(segments.into_iter().collect()),
             is_complete: AtomicBool::new(false),
             is_closed: AtomicBool::new(false),
             appending: RwLock::default(),
@@ -145,6 +152,9 @@
         if self.is_closed() {
             return Err(AppendError::Closed);
         }
+        if self.turns().reserved_bytes() > self.memory.write_bytes {
+            return Err(AppendError::Rejected(RejectedTurn::Full));
+        }
         self.append_all(turns).await
     }
 
@@ -165,8 +175,8 @@
     async fn append_all(self: &Arc<Self>, turns: Vec<StoredTurn>) -> Result<(), AppendError> {
         let mut new: Vec<StoredTurn> = Vec::with_capacity(turns.len());
         let mut known = Vec::new();
-        {
-            let table = self.turns();
+        let _reserved = {
+            let mut table = self.turns();
             for turn in turns {
                 if table.check(&turn, &new)? {
                     new.push(turn);
@@ -174,7 +184,8 @@
                     known.push(turn);
                 }
             }
-        }
+            ReservedRoom::new(self, &mut table, &new)
+        };
         let segment = if new.is_empty() {
             SegmentId(0)
         } else {
@@ -203,19 +214,45 @@
     }
 }
 
+/// Room for turns that are being written to the disk.
+///
+/// It ends with the request, also if its sender has closed the connection meanwhile.
+struct ReservedRoom<'a> {
+    store: &'a TurnStore,
+    bytes: usize,
+}
+
+impl<'a> ReservedRoom<'a> {
+    /// Reserves room for turns in the table of the store.
+    fn new(store: &'a TurnStore, table: &mut StoredTurns, turns: &[StoredTurn]) -> Self {
+        let bytes = turns.iter().map(StoredTurn::memory_bytes).sum();
+        table.reserve(bytes);
+        Self { store, bytes }
+    }
+}
+
+impl Drop for ReservedRoom<'_> {
+    fn drop(&mut self) {
+        self.store.turns().release(self.bytes);
+    }
+}
+
 /// # Disk
 impl TurnStore {
     /// Writes turns to the log.
     async fn write(&self, turns: &[StoredTurn]) -> Result<SegmentId, AppendError> {
         let failed = |reason: String| AppendError::NotWritten { reason };
-        let payloads: Result<Vec<_>, _> = turns.iter().map(postcard::to_allocvec).collect();
-        let payloads = payloads.map_err(|error| failed(error.to_string()))?;
+        let payloads = encode(turns).map_err(failed)?;
         self.log.write(payloads).await.map_err(failed)
     }
 
-    /// Removes expired turns, and the segments that hold none any more.
+    /// Removes expired turns, and the segments that hold none any more; writes one segment again
+    /// without its expired turns if those of all segments would fill the memory after a start.
     pub async fn expire(self: &Arc<Self>) {
         let expired = self.turns().expire(self.clock.now_us());
+        if let Err(error) = self.rewrite().await {
+            tracing::warn!("turns: segment not rewritten ({error})");
+        }
         let mut segments = std::mem::take(&mut *lock(&self.unused));
         segments.extend(expired);
         if segments.is_empty() {
@@ -228,6 +265,18 @@
         }
     }
 
+    /// Writes a segment again without its expired turns, if there is one with many.
+    async fn rewrite(&self) -> Result<(), String> {
+        let sparse = self.turns().sparse_segment();
+        let Some((segment, turns)) = sparse else {
+            return Ok(());
+        };
+        if self.log.replace(segment, encode(&turns)?).await? {
+            self.turns().set_rewritten(segment, &turns);
+        }
+        Ok(())
+    }
+
     /// Removes segments; those in use or not removable are tried again later.
     fn remove_segments(&self, segments: Vec<u64>) {
         let is_used = |segment| self.turns().uses_segment(segment);
@@ -236,12 +285,10 @@
     }
 }
 
-/// Returns the segments of which no turn is kept.
-fn unused_segments(turns: &StoredTurns, records: &[Record]) -> Vec<u64> {
-    let mut segments: Vec<u64> = records.iter().map(|record| record.segment.0).collect();
-    segments.dedup();
-    segments.retain(|segment| !turns.uses_segment(*segment));
-    segments
+/// Encodes turns as records.
+fn encode(turns: &[StoredTurn]) -> Result<Vec<Vec<u8>>, String> {
+    let payloads: Result<Vec<_>, _> = turns.iter().map(postcard::to_allocvec).collect();
+    payloads.map_err(|error| error.to_string())
 }
 
 /// Locks a mutex; a panic while it was held leaves its content usable.
