Name the step that refused a kept turn, in each try

Cause: the log line of a refused turn said only that too few VMs with a disk answer, whether the list, the probe before the turn or the lookup failed, and `explain` named one cause for all tries of a request.

Change: HistoryError has a variant for each step, and the lookup's ones list what each VM said: absent, may have lost it, no answer, or waiting at the deadline. `explain` adds a line for each try of a request with several, with its outcome and the line of the step.

--- a/crates/core/src/turns/copies.rs
+++ b/crates/core/src/turns/copies.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Returns the number of VMs that have stored the turn.
+    pub fn stored_copies(&self) -> usize {
+        self.stored_copies
+    }
+
     /// Returns the VMs that get the turn at once.
     pub fn start(&mut self) -> Vec<Arc<str>> {
         let count = self.waiting.len().min(self.needed_copies + SPARE_COPIES);
--- a/crates/relay/src/call/history.rs
+++ b/crates/relay/src/call/history.rs
@@ -8,7 +8,7 @@
 use knapweeddale_core::turns::{StoredTurn, TurnKey};
 use knapweeddale_runtime::Clock;
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::attempt::Attempt;
 use crate::adapter::Dialect;
@@ -55,12 +55,13 @@
         if self.progress.is_stream_started {
             return Ok(());
         }
-        if self.shared.turns.can_store(kept.storage.as_deref()).await {
+        let allowed = kept.storage.as_deref();
+        let Err(error) = self.shared.turns.check_storable(allowed).await else {
             return Ok(());
-        }
+        };
         let request = self.head.request_id.as_deref().unwrap_or("-");
         tracing::info!(request, call = %self.dispatch.attempt.call,
-            "history: turn not begun, too few VMs with a disk answer to store it");
+            "history: turn not begun ({error})");
         self.shared.metrics.count_turn("not_begun");
         Err(Failure::HistoryUnavailable)
     }
@@ -71,15 +72,14 @@
             account: self.dispatch.account.clone(),
             id: previous.clone(),
         };
-        let found = timeout_at(deadline, self.shared.turns.find(&key)).await;
-        let found = found.unwrap_or(Err(HistoryError::Unavailable));
+        let found = self.shared.turns.find(&key, deadline).await;
         found.map_err(|error| {
             let request = self.head.request_id.as_deref().unwrap_or("-");
             tracing::info!(request, call = %self.dispatch.attempt.call, %previous,
                 "history: not read ({error})");
             match error {
-                HistoryError::Unknown => Failure::HistoryUnknown,
-                HistoryError::Unavailable => Failure::HistoryUnavailable,
+                HistoryError::Unknown { .. } => Failure::HistoryUnknown,
+                _ => Failure::HistoryUnavailable,
             }
         })
     }
--- a/crates/relay/src/explain.rs
+++ b/crates/relay/src/explain.rs
@@ -7,6 +7,16 @@
 use derive_more::{Display, Error};
 use serde::Deserialize;
 
+/// Beginnings of the lines that tell why a call was refused, the most specific first.
+const CAUSES: [&str; 6] = [
+    "history: not read",
+    "history: turn not",
+    "rates: no room",
+    "budgets: ",
+    "retry: call",
+    "call: stream broken off",
+];
+
 /// Error when a log file cannot be read.
 #[derive(Debug, Display, Error)]
 #[display("the log {file} cannot be read ({source}); give the path of a file with JSON lines")]
@@ -30,12 +40,21 @@
     text: String,
 }
 
+impl Line {
+    /// Returns the call that the line is about, directly or through one of its attempts.
+    fn call(&self) -> Option<&str> {
+        let attempt = self.attempt.as_deref();
+        let attempted = attempt.and_then(|attempt| attempt.rsplit_once('.'));
+        self.call.as_deref().or(attempted.map(|(call, _)| call))
+    }
+}
+
 /// The log lines of one request and a summary of its outcome.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Explanation {
     /// The lines, sorted by timestamp.
     pub lines: Vec<String>,
-    /// The outcome of the request, in one sentence.
+    /// The outcome of the request, in one sentence, and one for each try if there are several.
     pub summary: String,
 }
 
@@ -69,23 +88,13 @@
         .filter(|line| line.request.as_deref() == Some(request));
     let calls: BTreeSet<&str> = named.filter_map(|line| line.call.as_deref()).collect();
     let is_related = |line: &&Line| {
-        let attempt = line.attempt.as_deref();
-        let attempt_parts = attempt.and_then(|attempt| attempt.rsplit_once('.'));
         line.request.as_deref() == Some(request)
-            || line
-                .call
-                .as_deref()
-                .is_some_and(|call| calls.contains(call))
-            || attempt_parts.is_some_and(|(call, _)| calls.contains(call))
+            || line.call().is_some_and(|call| calls.contains(call))
     };
     let mut lines: Vec<&Line> = all_lines.iter().filter(is_related).collect();
     lines.sort_by(|a, b| a.timestamp.cmp(&b.timestamp));
-    let messages: Vec<&str> = lines
-        .iter()
-        .filter_map(|line| line.message.as_deref())
-        .collect();
     Explanation {
-        summary: summarize(request, &messages),
+        summary: summarize(request, &lines),
         lines: lines.iter().map(|line| line.text.clone()).collect(),
     }
 }
@@ -98,32 +107,67 @@
     Some(line)
 }
 
-/// Describes the outcome of a request in one sentence.
-fn summarize(request: &str, messages: &[&str]) -> String {
-    let last = |part: &str| messages.iter().rfind(|message| message.contains(part));
-    let count = |part: &str| {
-        messages
-            .iter()
-            .filter(|message| message.contains(part))
-            .count()
-    };
+/// Describes the outcome of a request; each try of its caller is a call of its own.
+fn summarize(request: &str, lines: &[&Line]) -> String {
+    let messages = messages_of(lines.iter().copied());
     if messages.is_empty() {
         return format!("No log names request {request}: it reached none of these VMs.");
     }
-    let attempts = count("placement: attempt");
-    let outcome = if last("call: answered").is_some() {
-        "was answered by its upstream".to_owned()
-    } else if let Some(refused) = last("admission: refused") {
-        let (_, reason) = refused.split_once(" as ").unwrap_or(("", refused));
-        format!("was refused as {reason}")
-    } else {
-        "has no recorded outcome: its caller disconnected or the VM stopped".to_owned()
+    let attempts = messages
+        .iter()
+        .filter(|message| message.contains("placement: attempt"))
+        .count();
+    let outcome = outcome_of(&messages);
+    let mut summary = format!("Request {request} {outcome} after {attempts} attempts.");
+    let mut calls: Vec<&str> = Vec::new();
+    for call in lines.iter().filter_map(|line| line.call()) {
+        if !calls.contains(&call) {
+            calls.push(call);
+        }
+    }
+    if calls.len() < 2 {
+        if let Some(cause) = cause_of(&messages) {
+            summary += &format!(" Last cause: {cause}.");
+        }
+        return summary;
+    }
+    for (number, call) in calls.iter().enumerate() {
+        let of_call = lines.iter().copied();
+        let messages = messages_of(of_call.filter(|line| line.call() == Some(call)));
+        let outcome = outcome_of(&messages);
+        let cause = cause_of(&messages).filter(|_| !is_answered(&messages));
+        let cause = cause.map(|cause| format!(": {cause}")).unwrap_or_default();
+        summary += &format!("\nTry {} (call {call}) {outcome}{cause}.", number + 1);
+    }
+    summary
+}
+
+/// Returns the messages of lines.
+fn messages_of<'a>(lines: impl Iterator<Item = &'a Line>) -> Vec<&'a str> {
+    lines.filter_map(|line| line.message.as_deref()).collect()
+}
+
+/// Returns whether a request or one of its calls was answered.
+fn is_answered(messages: &[&str]) -> bool {
+    let mut messages = messages.iter();
+    messages.any(|message| message.contains("call: answered"))
+}
+
+/// Returns how a request or one of its calls ended, as the end of a sentence.
+fn outcome_of(messages: &[&str]) -> String {
+    if is_answered(messages) {
+        return "was answered by its upstream".to_owned();
+    }
+    let mut refusals = messages.iter().rev();
+    let Some(refused) = refusals.find(|message| message.contains("admission: refused")) else {
+        return "has no recorded outcome: its caller disconnected or the VM stopped".to_owned();
     };
-    let causes = ["rates: no room", "budgets: ", "retry: call"];
-    let cause = causes.iter().find_map(|cause| last(cause));
-    let cause = cause.map(|cause| format!(" Last cause: {cause}."));
-    format!(
-        "Request {request} {outcome} after {attempts} attempts.{}",
-        cause.unwrap_or_default()
-    )
+    let (_, reason) = refused.split_once(" as ").unwrap_or(("", refused));
+    format!("was refused as {reason}")
+}
+
+/// Returns the line that tells best why a call was refused.
+fn cause_of<'a>(messages: &[&'a str]) -> Option<&'a str> {
+    let last = |part: &&str| messages.iter().rfind(|message| message.contains(*part));
+    CAUSES.iter().find_map(last).copied()
 }
--- a/crates/relay/src/storage_vms.rs
+++ b/crates/relay/src/storage_vms.rs
@@ -133,27 +133,29 @@
 
 /// # Health
 impl StorageVms {
-    /// Returns whether at least `needed` storage VMs answer now, only those `allowed` if stated.
+    /// Returns how many storage VMs accept connections now, only those `allowed` if stated; stops
+    /// when `needed` do.
     ///
     /// VMs that answered a moment ago count; others are probed. If too few answer, others may have
     /// taken their place, so that the list is read and they are tried.
-    pub async fn are_reachable(&self, needed: usize, allowed: Option<&[Arc<str>]>) -> bool {
+    pub async fn count_reachable(&self, needed: usize, allowed: Option<&[Arc<str>]>) -> usize {
         let is_allowed = |address: &Arc<str>| allowed.is_none_or(|rows| rows.contains(address));
         let mut addresses = self.addresses().await;
         addresses.retain(is_allowed);
-        if self.count_reachable(&addresses, needed).await >= needed {
-            return true;
-        }
-        if !self.read_list().await {
-            return false;
+        let reachable = self.probe_until(&addresses, needed).await;
+        if reachable >= needed || !self.read_list().await {
+            return reachable;
         }
         let mut renewed = self.addresses().await;
         renewed.retain(is_allowed);
-        renewed != addresses && self.count_reachable(&renewed, needed).await >= needed
+        if renewed == addresses {
+            return reachable;
+        }
+        self.probe_until(&renewed, needed).await
     }
 
     /// Returns how many VMs at these addresses answer; stops when they are enough.
-    async fn count_reachable(&self, addresses: &[Arc<str>], needed: usize) -> usize {
+    async fn probe_until(&self, addresses: &[Arc<str>], needed: usize) -> usize {
         let mut unconfirmed = Vec::new();
         for address in addresses {
             if !self.clients.is_confirmed(address) {
--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -5,17 +5,15 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use derive_more::{Display, Error};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use jsonrpsee::http_client::HttpClient;
-use knapweeddale_core::turns::{
-    CopyPlan, CopyStep, LookupStep, StoredTurn, TurnAnswer, TurnKey, TurnLookup,
-};
+use knapweeddale_core::turns::{CopyPlan, CopyStep, LookupStep, StoredTurn, TurnKey, TurnLookup};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 use super::cache::ChainCache;
+use super::errors::{FetchState, FetchStates, HistoryError};
 use super::rpc::{AppendAnswer, Content, FetchAnswer, TurnRpcClient, WireTurn};
 use crate::metrics::Metrics;
 use crate::storage_vms::StorageVms;
@@ -32,17 +30,6 @@
 /// What requests are about, in log lines.
 const PURPOSE: &str = "turns";
 
-/// Why the turns before a request cannot be used, or a turn cannot be stored.
-#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum HistoryError {
-    /// The turn certainly does not exist.
-    #[display("the turn does not exist")]
-    Unknown,
-    /// Too few VMs with a disk answer.
-    #[display("too few VMs with a disk answer")]
-    Unavailable,
-}
-
 /// Stores and finds kept turns.
 #[derive(Debug)]
 pub(crate) struct TurnClient {
@@ -71,78 +58,104 @@
     ///
     /// # Errors
     ///
-    /// Fails if the turn does not exist, or if that cannot be told.
-    pub async fn find(&self, key: &TurnKey) -> Result<Bytes, HistoryError> {
+    /// Fails if the turn does not exist, or if that cannot be told before the deadline.
+    pub async fn find(&self, key: &TurnKey, deadline: Instant) -> Result<Bytes, HistoryError> {
         if let Some(chain) = lock(&self.cache).get(key) {
             self.metrics.count_turn("cached");
             return Ok(chain);
         }
-        let result = self.find_remote(key).await;
+        let mut states = FetchStates::default();
+        let found = timeout_at(deadline, self.find_remote(key, &mut states)).await;
+        let result = found.unwrap_or(Err(HistoryError::LookupTimeout { states }));
         self.metrics.count_turn(match &result {
             Ok(_) => "fetched",
-            Err(HistoryError::Unknown) => "unknown",
-            Err(HistoryError::Unavailable) => "unavailable",
+            Err(HistoryError::Unknown { .. }) => "unknown",
+            Err(_) => "unavailable",
         });
         let chain = result?;
         lock(&self.cache).insert(key.clone(), chain.clone());
         Ok(chain)
     }
 
-    /// Asks the VMs with a disk for the chain of a turn.
-    async fn find_remote(&self, key: &TurnKey) -> Result<Bytes, HistoryError> {
+    /// Asks the VMs with a disk for the chain of a turn; `states` gets their answers.
+    async fn find_remote(
+        &self,
+        key: &TurnKey,
+        states: &mut FetchStates,
+    ) -> Result<Bytes, HistoryError> {
         let mut known = self.vms.addresses().await;
+        if known.is_empty() {
+            return Err(HistoryError::NoStorageVms);
+        }
         let mut lookup = TurnLookup::new(known.iter().cloned(), self.tolerated_losses + 1);
         let mut answers = FuturesUnordered::new();
         let mut step = lookup.start();
         loop {
             if step == LookupStep::Missing {
-                let new = self.read_unknown(&known).await?;
+                let Some(new) = self.read_unknown(&known).await else {
+                    let states = std::mem::take(states);
+                    return Err(HistoryError::ListNotRead { states });
+                };
                 if new.is_empty() {
-                    return Err(HistoryError::Unknown);
+                    let states = std::mem::take(states);
+                    return Err(HistoryError::Unknown { states });
                 }
                 known.extend(new.iter().cloned());
                 step = lookup.extend(new);
             }
             match step {
                 LookupStep::Ask(addresses) => {
+                    states.ask(&addresses);
                     answers.extend(addresses.into_iter().map(|to| self.fetch_from(to, key)));
                 }
                 LookupStep::Wait | LookupStep::Found | LookupStep::Missing => {}
-                LookupStep::Unavailable => return Err(HistoryError::Unavailable),
+                LookupStep::Unavailable => {
+                    let states = std::mem::take(states);
+                    return Err(HistoryError::NotFound { states });
+                }
             }
             step = match timeout(HEDGE_DELAY, answers.next()).await {
-                Ok(Some(Ok(chain))) => return Ok(chain),
-                Ok(Some(Err(answer))) => lookup.record(answer),
-                Ok(None) => return Err(HistoryError::Unavailable),
+                Ok(Some((_, Ok(chain)))) => return Ok(chain),
+                Ok(Some((address, Err(state)))) => {
+                    states.record(&address, state);
+                    lookup.record(state.into())
+                }
+                Ok(None) => LookupStep::Unavailable,
                 Err(_) => lookup.hedge(),
             };
         }
     }
 
     /// Returns the VMs that are not among the `known` ones, from a list that the store is asked for
-    /// now.
+    /// now; `None` if the store does not answer.
     ///
     /// A turn was stored before a request names it, and its VMs had registered before that. So no
     /// other VM than those of this list can hold it.
-    async fn read_unknown(&self, known: &[Arc<str>]) -> Result<Vec<Arc<str>>, HistoryError> {
+    async fn read_unknown(&self, known: &[Arc<str>]) -> Option<Vec<Arc<str>>> {
         if !self.vms.read_list().await {
-            return Err(HistoryError::Unavailable);
+            return None;
         }
         let mut addresses = self.vms.addresses().await;
         addresses.retain(|address| !known.contains(address));
-        Ok(addresses)
+        Some(addresses)
     }
 
-    /// Asks one VM for the chain of a turn; if it has none, returns what that means.
-    async fn fetch_from(&self, address: Arc<str>, key: &TurnKey) -> Result<Bytes, TurnAnswer> {
+    /// Asks one VM for the chain of a turn.
+    async fn fetch_from(
+        &self,
+        address: Arc<str>,
+        key: &TurnKey,
+    ) -> (Arc<str>, Result<Bytes, FetchState>) {
         let (account, id) = (key.account.clone(), key.id.clone());
         let fetch = |client: Arc<HttpClient>| async move { client.fetch(account, id).await };
         let answer = self.vms.request(PURPOSE, &address, fetch).await;
-        match answer {
+        let result = match answer {
             Some(FetchAnswer::Found(Content(chain))) => Ok(chain),
-            Some(FetchAnswer::Absent) => Err(TurnAnswer::Absent),
-            Some(FetchAnswer::Unknown) | None => Err(TurnAnswer::Unknown),
-        }
+            Some(FetchAnswer::Absent) => Err(FetchState::Absent),
+            Some(FetchAnswer::Unknown) => Err(FetchState::MayHaveLost),
+            None => Err(FetchState::NoAnswer),
+        };
+        (address, result)
     }
 }
 
@@ -212,7 +225,10 @@
                 }
             }
         });
-        let result = stored.await.unwrap_or(Err(HistoryError::Unavailable));
+        let result = stored.await.unwrap_or(Err(HistoryError::NotStored {
+            stored: plan.stored_copies(),
+            needed: self.tolerated_losses + 1,
+        }));
         let label = if result.is_ok() {
             "stored"
         } else {
@@ -255,13 +271,25 @@
 
 /// # Storage VMs
 impl TurnClient {
-    /// Returns whether enough of the `allowed` VMs with a disk answer to store a turn; all of them
-    /// may if none are stated.
+    /// Checks that enough of the `allowed` VMs with a disk accept connections to store a turn; all
+    /// of them may if none are stated.
     ///
     /// Otherwise, a turn would run in vain: its response cannot end before it is stored.
-    pub async fn can_store(&self, allowed: Option<&[Arc<str>]>) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Fails if too few accept connections.
+    pub async fn check_storable(&self, allowed: Option<&[Arc<str>]>) -> Result<(), HistoryError> {
         let needed = self.tolerated_losses + 1;
-        self.vms.are_reachable(needed, allowed).await
+        let reachable = self.vms.count_reachable(needed, allowed).await;
+        if reachable >= needed {
+            return Ok(());
+        }
+        Err(HistoryError::TooFewReachable {
+            reachable,
+            known: self.allowed_addresses(allowed).await.len(),
+            needed,
+        })
     }
 
     /// Returns the VMs with a disk that may store a turn, in the order in which they are used.
--- a/crates/relay/src/turns/mod.rs
+++ b/crates/relay/src/turns/mod.rs
@@ -7,13 +7,15 @@
 
 mod cache;
 mod client;
+mod errors;
 mod list;
 mod replication;
 mod rpc;
 mod server;
 mod store;
 
-pub(crate) use client::{HistoryError, TurnClient};
+pub(crate) use client::TurnClient;
+pub(crate) use errors::HistoryError;
 pub use list::{TurnList, list_turns};
 pub(crate) use replication::TurnReplicator;
 pub(crate) use rpc::TurnRpcServer;
