Wait until a response's deadline for the copies of its turn

Cause: a turn had 1.5 s to be stored, in requests of 400 ms each. While all storage VMs answered later, no copy was ever confirmed, although they made them: the response broke off after its last event.

Change: requests to store a turn wait like those of a lookup, and all of it ends with the deadline of the response; it has 1.5 s nevertheless if that is nearer.

--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -293,7 +293,7 @@
                 self.keep_output(&event);
             }
         }
-        self.store_turn().await?;
+        self.store_turn(stream_deadline).await?;
         let outcome = self.attempt_outcome();
         if self.progress.is_stream_started {
             self.reply.finish();
--- a/crates/relay/src/call/history.rs
+++ b/crates/relay/src/call/history.rs
@@ -101,11 +101,11 @@
         }
     }
 
-    /// Stores a turn whose stream is complete, before its response ends.
+    /// Stores a turn whose stream is complete, before its response ends at the deadline.
     ///
     /// A turn without an ID cannot be named later, and of a stream that its caller has resumed the
     /// first part is not known, so neither is kept.
-    pub(super) async fn store_turn(&mut self) -> Result<(), Failure> {
+    pub(super) async fn store_turn(&mut self, deadline: Instant) -> Result<(), Failure> {
         let Some(kept) = &self.dispatch.kept_turn else {
             return Ok(());
         };
@@ -134,7 +134,8 @@
         let earlier = self.progress.earlier_turns.clone().unwrap_or_default();
         let started = Instant::now();
         let allowed = kept.storage.as_deref();
-        let stored = self.shared.turns.store(turn, earlier, allowed).await;
+        let stored = self.shared.turns.store(turn, earlier, allowed, deadline);
+        let stored = stored.await;
         let took = started.elapsed();
         self.shared.metrics.observe_stage(Stage::StoreTurn, took);
         let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -21,8 +21,8 @@
 /// Time after which a late answer is no longer waited for alone.
 const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
-/// Time limit for storing a turn, which holds back the end of its response.
-const STORE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time limit for storing a turn that ends shortly before the deadline of its response.
+const MIN_STORE_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Delay before a turn that too few VMs have stored is sent to the others again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -168,7 +168,8 @@
     /// Stores a turn and returns once enough VMs have it on their disks.
     ///
     /// `earlier` holds the contents of all turns before it, for VMs that lack them. Only VMs at the
-    /// `allowed` addresses get it, if they are stated.
+    /// `allowed` addresses get it, if they are stated. The response is held back meanwhile, until
+    /// its deadline or, if that is near, for [`MIN_STORE_LIMIT`].
     ///
     /// # Errors
     ///
@@ -178,7 +179,9 @@
         mut turn: StoredTurn,
         earlier: Bytes,
         allowed: Option<&[Arc<str>]>,
+        deadline: Instant,
     ) -> Result<(), HistoryError> {
+        let deadline = deadline.max(Instant::now() + MIN_STORE_LIMIT);
         let addresses = self.allowed_addresses(allowed).await;
         let mut plan = CopyPlan::new(addresses, self.tolerated_losses);
         let first = plan.start();
@@ -193,13 +196,13 @@
             let (client, turn, earlier) = (Arc::clone(self), Arc::clone(&turn), earlier.clone());
             let results = results.clone();
             tokio::spawn(async move {
-                let is_stored = client.append_to(&address, &turn, earlier).await;
+                let is_stored = client.append_to(&address, &turn, earlier, deadline).await;
                 // Fails if enough other copies were made first.
                 let _ = results.send((address, is_stored));
             });
         };
         first.into_iter().for_each(&send);
-        let stored = timeout(STORE_LIMIT, async {
+        let stored = timeout_at(deadline, async {
             loop {
                 let mut step = match timeout(HEDGE_DELAY, answers.recv()).await {
                     Ok(Some((address, is_stored))) => {
@@ -245,14 +248,20 @@
     }
 
     /// Stores a turn on one VM, with the turns before it if that VM lacks them.
-    async fn append_to(&self, address: &Arc<str>, turn: &StoredTurn, earlier: Bytes) -> bool {
+    async fn append_to(
+        &self,
+        address: &Arc<str>,
+        turn: &StoredTurn,
+        earlier: Bytes,
+        deadline: Instant,
+    ) -> bool {
         let mut turn = turn.clone();
         if !turn.copies.contains(address) {
             turn.copies.push(Arc::clone(address));
         }
         let turn = &turn;
         let turns = vec![WireTurn::from(turn)];
-        let answer = self.append(address, turns).await;
+        let answer = self.append(address, turns, deadline).await;
         let (Some(AppendAnswer::LacksPrevious), Some(previous)) = (answer, &turn.previous) else {
             return answer == Some(AppendAnswer::Stored);
         };
@@ -263,13 +272,19 @@
             ..WireTurn::from(turn)
         };
         let turns = vec![before, WireTurn::from(turn)];
-        self.append(address, turns).await == Some(AppendAnswer::Stored)
+        self.append(address, turns, deadline).await == Some(AppendAnswer::Stored)
     }
 
     /// Sends turns to one VM; returns `None` if it does not answer.
-    async fn append(&self, address: &Arc<str>, turns: Vec<WireTurn>) -> Option<AppendAnswer> {
+    async fn append(
+        &self,
+        address: &Arc<str>,
+        turns: Vec<WireTurn>,
+        deadline: Instant,
+    ) -> Option<AppendAnswer> {
         let append = |client: Arc<HttpClient>| async move { client.append(turns).await };
-        self.vms.request(PURPOSE, address, append).await
+        let answer = self.vms.request_until(PURPOSE, address, deadline, append);
+        answer.await
     }
 }
 
