Read the list of storage VMs before a kept turn is refused as not found

Cause: a lookup read the list anew only if every VM that it asked never had the turn. If one of them did not answer or may have lost its disk, the turn was refused at once, although its holders may have registered meanwhile. While VMs that are gone stay in the list, it is read every 60 s only, so that all tries of a caller fail on the same old list.

Change: both outcomes read the list first, and the new VMs are asked. A lookup or a store whose VMs are all late asks for the list once and takes in the VMs that it adds, without waiting for it.

--- a/crates/relay/src/storage_vms.rs
+++ b/crates/relay/src/storage_vms.rs
@@ -74,6 +74,11 @@
         self.list.borrow().addresses.len()
     }
 
+    /// Returns the addresses of all storage VMs, as far as they are known.
+    pub fn listed(&self) -> Vec<Arc<str>> {
+        self.list.borrow().addresses.clone()
+    }
+
     /// Returns a reader of the list.
     pub fn list(&self) -> watch::Receiver<StorageList> {
         self.list.clone()
@@ -122,7 +127,7 @@
     }
 
     /// Asks the control thread to read the list; returns the number of this wish.
-    async fn request_list(&self) -> u64 {
+    pub async fn request_list(&self) -> u64 {
         let number = self.wishes.fetch_add(1, Ordering::Relaxed) + 1;
         self.inputs
             .send_input(Input::ReadStorageVms { number })
--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -91,30 +91,27 @@
         let mut lookup = TurnLookup::new(known.iter().cloned(), self.tolerated_losses + 1);
         let mut answers = FuturesUnordered::new();
         let mut step = lookup.start();
+        let mut is_list_requested = false;
         loop {
-            if step == LookupStep::Missing {
+            if matches!(step, LookupStep::Missing | LookupStep::Unavailable) {
                 let Some(new) = self.read_unknown(&known).await else {
                     let states = std::mem::take(states);
                     return Err(HistoryError::ListNotRead { states });
                 };
                 if new.is_empty() {
                     let states = std::mem::take(states);
-                    return Err(HistoryError::Unknown { states });
+                    return Err(match step {
+                        LookupStep::Missing => HistoryError::Unknown { states },
+                        _ => HistoryError::NotFound { states },
+                    });
                 }
                 known.extend(new.iter().cloned());
                 step = lookup.extend(new);
             }
-            match step {
-                LookupStep::Ask(addresses) => {
-                    states.ask(&addresses);
-                    let addresses = addresses.into_iter();
-                    answers.extend(addresses.map(|to| self.fetch_from(to, key, deadline)));
-                }
-                LookupStep::Wait | LookupStep::Found | LookupStep::Missing => {}
-                LookupStep::Unavailable => {
-                    let states = std::mem::take(states);
-                    return Err(HistoryError::NotFound { states });
-                }
+            if let LookupStep::Ask(addresses) = step {
+                states.ask(&addresses);
+                let addresses = addresses.into_iter();
+                answers.extend(addresses.map(|to| self.fetch_from(to, key, deadline)));
             }
             step = match timeout(HEDGE_DELAY, answers.next()).await {
                 Ok(Some((_, Ok(chain)))) => return Ok(chain),
@@ -123,11 +120,34 @@
                     lookup.record(state.into())
                 }
                 Ok(None) => LookupStep::Unavailable,
-                Err(_) => lookup.hedge(),
+                Err(_) => match lookup.hedge() {
+                    LookupStep::Wait => {
+                        let new = self.look_for_others(&mut known, &mut is_list_requested);
+                        lookup.extend(new.await)
+                    }
+                    step => step,
+                },
             };
         }
     }
 
+    /// Adds VMs to the `known` ones while all of these are late, and returns them.
+    ///
+    /// Others may have taken the place of those; the list is read once for that.
+    async fn look_for_others(
+        &self,
+        known: &mut Vec<Arc<str>>,
+        is_list_requested: &mut bool,
+    ) -> Vec<Arc<str>> {
+        if !std::mem::replace(is_list_requested, true) {
+            self.vms.request_list().await;
+        }
+        let mut new = self.vms.listed();
+        new.retain(|address| !known.contains(address));
+        known.extend(new.iter().cloned());
+        new
+    }
+
     /// Returns the VMs that are not among the `known` ones, from a list that the store is asked for
     /// now; `None` if the store does not answer.
     ///
@@ -183,6 +203,8 @@
     ) -> Result<(), HistoryError> {
         let deadline = deadline.max(Instant::now() + MIN_STORE_LIMIT);
         let addresses = self.allowed_addresses(allowed).await;
+        let mut known = addresses.clone();
+        let mut is_list_requested = false;
         let mut plan = CopyPlan::new(addresses, self.tolerated_losses);
         let first = plan.start();
         turn.copies = first.iter().cloned().collect();
@@ -212,7 +234,15 @@
                         plan.record(is_stored)
                     }
                     Ok(None) => CopyStep::Failed,
-                    Err(_) => plan.hedge(),
+                    Err(_) => match plan.hedge() {
+                        CopyStep::Wait => {
+                            let new = self.look_for_others(&mut known, &mut is_list_requested);
+                            let mut new = new.await;
+                            new.retain(|to| is_allowed(to, allowed) && !asked.contains(to));
+                            plan.extend(new)
+                        }
+                        step => step,
+                    },
                 };
                 if step == CopyStep::Failed {
                     // Other VMs may have taken the place of those that do not answer.
@@ -314,11 +344,16 @@
     /// Returns the VMs with a disk that may store a turn, in the order in which they are used.
     async fn allowed_addresses(&self, allowed: Option<&[Arc<str>]>) -> Vec<Arc<str>> {
         let mut addresses = self.vms.addresses().await;
-        addresses.retain(|address| allowed.is_none_or(|allowed| allowed.contains(address)));
+        addresses.retain(|address| is_allowed(address, allowed));
         addresses
     }
 }
 
+/// Returns whether a VM is one of the `allowed` ones, or none are stated.
+fn is_allowed(address: &Arc<str>, allowed: Option<&[Arc<str>]>) -> bool {
+    allowed.is_none_or(|allowed| allowed.contains(address))
+}
+
 /// Joins the contents of earlier turns and of a new one.
 fn join(earlier: &[u8], content: &[u8]) -> Bytes {
     let mut chain = BytesMut::with_capacity(earlier.len() + content.len());
