Wait for the list of storage VMs as long as the store is asked for it

Cause: a turn waited 400 ms for the first list after the start of its VM, and 450 ms for a list as it is now. A store that answers each page of the list after 250 ms takes longer, so that every try was refused although each read succeeded a moment later.

Change: the core counts the wishes for which the store was asked in vain, as it counts those that were answered. Both waits end with one of the two, or with the deadline of the call.

--- a/crates/core/src/systems/source/mod.rs
+++ b/crates/core/src/systems/source/mod.rs
@@ -162,6 +162,10 @@
 /// Records a failed request and backs off.
 fn record_failure(tick: &mut Tick<'_>, part: &SourceRequestKind) {
     let now_us = tick.now_us;
+    if *part == SourceRequestKind::Vms {
+        let wishes = &mut tick.tables.source.list_wishes;
+        wishes.failed = wishes.requested;
+    }
     if let Some(state) = read_state(tick, part) {
         let delay_us = (MIN_BACKOFF_US << state.failures.min(4)).min(MAX_BACKOFF_US);
         state.requested_us = None;
--- a/crates/core/src/tables/source.rs
+++ b/crates/core/src/tables/source.rs
@@ -83,6 +83,8 @@
     pub requested: u64,
     /// The last wish that the list in force answers: the store was asked for it afterwards.
     pub answered: u64,
+    /// The last wish for which the store was asked in vain.
+    pub failed: u64,
 }
 
 /// State of the reads from the platform's store.
--- a/crates/relay/src/call/history.rs
+++ b/crates/relay/src/call/history.rs
@@ -31,14 +31,15 @@
     ///
     /// Fails if the turns before it cannot be used, or if the turn itself could not be stored.
     pub(super) async fn load_prompt(&mut self, deadline: Instant) -> Result<Bytes, Failure> {
-        self.check_storable().await?;
+        let lookup_deadline = deadline - REFUSAL_TIME;
+        self.check_storable(lookup_deadline).await?;
         let previous = self.head.previous_turn.as_ref();
         let Some(previous) = previous.filter(|_| self.dispatch.kept_turn.is_some()) else {
             return Ok(self.body.clone());
         };
         let earlier = match &self.progress.earlier_turns {
             Some(earlier) => earlier.clone(),
-            None => self.find_turns(previous, deadline).await?,
+            None => self.find_turns(previous, lookup_deadline).await?,
         };
         self.progress.earlier_turns = Some(earlier.clone());
         let prompt_bytes = earlier.len() + self.body.len();
@@ -52,7 +53,7 @@
     }
 
     /// Fails if the turn has not begun and too few VMs with a disk answer to store it.
-    async fn check_storable(&self) -> Result<(), Failure> {
+    async fn check_storable(&self, deadline: Instant) -> Result<(), Failure> {
         let Some(kept) = &self.dispatch.kept_turn else {
             return Ok(());
         };
@@ -60,7 +61,7 @@
             return Ok(());
         }
         let allowed = kept.storage.as_deref();
-        let Err(error) = self.shared.turns.check_storable(allowed).await else {
+        let Err(error) = self.shared.turns.check_storable(allowed, deadline).await else {
             return Ok(());
         };
         let request = self.head.request_id.as_deref().unwrap_or("-");
@@ -76,8 +77,7 @@
             account: self.dispatch.account.clone(),
             id: previous.clone(),
         };
-        let lookup_deadline = deadline - REFUSAL_TIME;
-        let found = self.shared.turns.find(&key, lookup_deadline).await;
+        let found = self.shared.turns.find(&key, deadline).await;
         found.map_err(|error| {
             let request = self.head.request_id.as_deref().unwrap_or("-");
             tracing::info!(request, call = %self.dispatch.attempt.call, %previous,
--- a/crates/relay/src/control/dispatcher.rs
+++ b/crates/relay/src/control/dispatcher.rs
@@ -262,10 +262,12 @@
 
 /// # Published state
 impl OutputDispatcher {
-    /// Publishes the list of storage VMs if it was read again.
+    /// Publishes the list of storage VMs if it was read again, or could not be.
     fn publish_storage_list(&mut self, control: &Control) {
         let source = &control.tables().source;
-        if Arc::ptr_eq(&source.keepers, &self.published_keepers) {
+        let failed = source.list_wishes.failed;
+        let is_same = Arc::ptr_eq(&source.keepers, &self.published_keepers);
+        if is_same && failed == self.storage_list.borrow().failed {
             return;
         }
         self.published_keepers = Arc::clone(&source.keepers);
@@ -273,6 +275,7 @@
         self.storage_list.send_replace(StorageList {
             addresses: keeper_addresses(&source.keepers, nearest),
             answered: source.list_wishes.answered,
+            failed,
         });
     }
 }
--- a/crates/relay/src/storage_vms.rs
+++ b/crates/relay/src/storage_vms.rs
@@ -12,19 +12,13 @@
 use jsonrpsee::http_client::HttpClient;
 use knapweeddale_core::Input;
 use tokio::sync::watch;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::control::InputSender;
 use crate::storage_clients::StorageClients;
 
 pub(crate) use crate::storage_clients::RequestError;
 
-/// Longest wait for the list, which a VM reads after its start.
-const LIST_WAIT: Duration = Duration::from_millis(400);
-
-/// Longest wait for the list as the store has it now.
-const READ_LIMIT: Duration = Duration::from_millis(450);
-
 /// Probes beside those that are needed, in case one of them is not accepted.
 const SPARE_PROBES: usize = 1;
 
@@ -41,6 +35,15 @@
     pub addresses: Vec<Arc<str>>,
     /// The last wish for the list that it answers.
     pub answered: u64,
+    /// The last wish for which the store was asked in vain.
+    pub failed: u64,
+}
+
+impl StorageList {
+    /// Returns the last wish for the list for which the store was asked, with or without success.
+    fn last_read(&self) -> u64 {
+        self.answered.max(self.failed)
+    }
 }
 
 /// The storage VMs that this VM may use.
@@ -91,13 +94,25 @@
         let _ = list.wait_for(|list| !list.addresses.is_empty()).await;
     }
 
+    /// Waits until storage VMs are known, or until the store has answered or could not be read.
+    async fn wait_for_first_read(&self) {
+        if self.len() > 0 {
+            return;
+        }
+        let mut list = self.list.clone();
+        let number = self.request_list().await;
+        let is_read = |list: &StorageList| !list.addresses.is_empty() || list.last_read() >= number;
+        // Fails only after the control thread has ended; the last list is used then.
+        let _ = list.wait_for(is_read).await;
+    }
+
     /// Returns the addresses of all storage VMs, those that did not answer last.
     ///
-    /// Waits a moment for the list after the start of this VM.
-    pub async fn addresses(&self) -> Vec<Arc<str>> {
+    /// Waits for the list after the start of this VM, until the deadline at most.
+    pub async fn addresses(&self, deadline: Instant) -> Vec<Arc<str>> {
         // Without a list in time there is no VM to use.
-        let _ = timeout(LIST_WAIT, self.wait_for_list()).await;
-        let mut addresses = self.list.borrow().addresses.clone();
+        let _ = timeout_at(deadline, self.wait_for_first_read()).await;
+        let mut addresses = self.listed();
         self.clients.sort_by_health(&mut addresses);
         addresses
     }
@@ -118,12 +133,15 @@
     }
 
     /// Has the list read from the store; returns whether it is now as the store had it after this
-    /// call.
-    pub async fn read_list(&self) -> bool {
+    /// call. Ends when the store has answered or could not be read, or at the deadline.
+    pub async fn read_list(&self, deadline: Instant) -> bool {
         let mut list = self.list.clone();
         let number = self.request_list().await;
-        let read = list.wait_for(|list| list.answered >= number);
-        matches!(timeout(READ_LIMIT, read).await, Ok(Ok(_)))
+        let read = list.wait_for(|list| list.last_read() >= number);
+        match timeout_at(deadline, read).await {
+            Ok(Ok(list)) => list.answered >= number,
+            Ok(Err(_)) | Err(_) => false,
+        }
     }
 
     /// Asks the control thread to read the list; returns the number of this wish.
@@ -143,15 +161,20 @@
     ///
     /// VMs that answered a moment ago count; others are probed. If too few answer, others may have
     /// taken their place, so that the list is read and they are tried.
-    pub async fn count_reachable(&self, needed: usize, allowed: Option<&[Arc<str>]>) -> usize {
+    pub async fn count_reachable(
+        &self,
+        needed: usize,
+        allowed: Option<&[Arc<str>]>,
+        deadline: Instant,
+    ) -> usize {
         let is_allowed = |address: &Arc<str>| allowed.is_none_or(|rows| rows.contains(address));
-        let mut addresses = self.addresses().await;
+        let mut addresses = self.addresses(deadline).await;
         addresses.retain(is_allowed);
         let reachable = self.probe_until(&addresses, needed).await;
-        if reachable >= needed || !self.read_list().await {
+        if reachable >= needed || !self.read_list(deadline).await {
             return reachable;
         }
-        let mut renewed = self.addresses().await;
+        let mut renewed = self.addresses(deadline).await;
         renewed.retain(is_allowed);
         if renewed == addresses {
             return reachable;
--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -10,7 +10,7 @@
 use jsonrpsee::http_client::HttpClient;
 use knapweeddale_core::turns::{CopyPlan, CopyStep, LookupStep, StoredTurn, TurnKey, TurnLookup};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::cache::ChainCache;
 use super::errors::{FetchState, FetchStates, HistoryError};
@@ -84,7 +84,7 @@
         deadline: Instant,
         states: &mut FetchStates,
     ) -> Result<Bytes, HistoryError> {
-        let mut known = self.vms.addresses().await;
+        let mut known = self.vms.addresses(deadline).await;
         if known.is_empty() {
             return Err(HistoryError::NoStorageVms);
         }
@@ -94,7 +94,7 @@
         let mut is_list_requested = false;
         loop {
             if matches!(step, LookupStep::Missing | LookupStep::Unavailable) {
-                let Some(new) = self.read_unknown(&known).await else {
+                let Some(new) = self.read_unknown(&known, deadline).await else {
                     let states = std::mem::take(states);
                     return Err(HistoryError::ListNotRead { states });
                 };
@@ -153,11 +153,11 @@
     ///
     /// A turn was stored before a request names it, and its VMs had registered before that. So no
     /// other VM than those of this list can hold it.
-    async fn read_unknown(&self, known: &[Arc<str>]) -> Option<Vec<Arc<str>>> {
-        if !self.vms.read_list().await {
+    async fn read_unknown(&self, known: &[Arc<str>], deadline: Instant) -> Option<Vec<Arc<str>>> {
+        if !self.vms.read_list(deadline).await {
             return None;
         }
-        let mut addresses = self.vms.addresses().await;
+        let mut addresses = self.vms.listed();
         addresses.retain(|address| !known.contains(address));
         Some(addresses)
     }
@@ -202,7 +202,7 @@
         deadline: Instant,
     ) -> Result<(), HistoryError> {
         let deadline = deadline.max(Instant::now() + MIN_STORE_LIMIT);
-        let addresses = self.allowed_addresses(allowed).await;
+        let addresses = self.allowed_addresses(allowed, deadline).await;
         let mut known = addresses.clone();
         let mut is_list_requested = false;
         let mut plan = CopyPlan::new(addresses, self.tolerated_losses);
@@ -246,9 +246,10 @@
                 };
                 if step == CopyStep::Failed {
                     // Other VMs may have taken the place of those that do not answer.
-                    self.vms.read_list().await;
-                    sleep(RETRY_DELAY).await;
-                    let mut addresses = self.allowed_addresses(allowed).await;
+                    let retry_time = Instant::now() + RETRY_DELAY;
+                    self.vms.read_list(retry_time).await;
+                    sleep_until(retry_time).await;
+                    let mut addresses = self.allowed_addresses(allowed, deadline).await;
                     addresses.retain(|address| !asked.contains(address));
                     step = plan.extend(addresses);
                 }
@@ -328,22 +329,30 @@
     /// # Errors
     ///
     /// Fails if too few accept connections.
-    pub async fn check_storable(&self, allowed: Option<&[Arc<str>]>) -> Result<(), HistoryError> {
+    pub async fn check_storable(
+        &self,
+        allowed: Option<&[Arc<str>]>,
+        deadline: Instant,
+    ) -> Result<(), HistoryError> {
         let needed = self.tolerated_losses + 1;
-        let reachable = self.vms.count_reachable(needed, allowed).await;
+        let reachable = self.vms.count_reachable(needed, allowed, deadline).await;
         if reachable >= needed {
             return Ok(());
         }
         Err(HistoryError::TooFewReachable {
             reachable,
-            known: self.allowed_addresses(allowed).await.len(),
+            known: self.allowed_addresses(allowed, deadline).await.len(),
             needed,
         })
     }
 
     /// Returns the VMs with a disk that may store a turn, in the order in which they are used.
-    async fn allowed_addresses(&self, allowed: Option<&[Arc<str>]>) -> Vec<Arc<str>> {
-        let mut addresses = self.vms.addresses().await;
+    async fn allowed_addresses(
+        &self,
+        allowed: Option<&[Arc<str>]>,
+        deadline: Instant,
+    ) -> Vec<Arc<str>> {
+        let mut addresses = self.vms.addresses(deadline).await;
         addresses.retain(|address| is_allowed(address, allowed));
         addresses
     }
