Give a registration the time for a list of several pages

Cause: the list of VMs had to be read within 900 ms, however many pages it has. Two pages of 500 ms each never were, so that a VM that starts while the store is slow knew no storage VM for as long as it was.

Change: a registration, which reads the list, has 1.9 s; the core repeats it after 2 s.

--- a/crates/relay/src/store/mod.rs
+++ b/crates/relay/src/store/mod.rs
@@ -26,6 +26,10 @@
 /// Time limit for a request; a slow store answers within a quarter of a second.
 const STORE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Time limit for a registration, which reads the list of all VMs page by page; the core repeats it
+/// after 2 s.
+const REGISTRATION_TIMEOUT: Duration = Duration::from_millis(1_900);
+
 /// Time limit for reading the evacuations. It is shorter than that for the list, which is used
 /// without them if they take longer.
 const EVACUATIONS_TIMEOUT: Duration = Duration::from_millis(500);
@@ -68,7 +72,8 @@
         let purpose = purpose_label(&part);
         let sent_us = self.clock.now_us();
         let started = Instant::now();
-        let answer = timeout(STORE_TIMEOUT, self.send_request(request, sent_us)).await;
+        let limit = time_limit(&part);
+        let answer = timeout(limit, self.send_request(request, sent_us)).await;
         let took = started.elapsed();
         let event = match answer {
             Ok(Ok(event)) => {
@@ -83,7 +88,7 @@
             }
             Err(_) => {
                 self.metrics.observe_store_request(purpose, false, took);
-                tracing::debug!(purpose, "source: request timed out after {STORE_TIMEOUT:?}");
+                tracing::debug!(purpose, "source: request timed out after {limit:?}");
                 SourceEvent::Failed(part)
             }
         };
@@ -199,6 +204,14 @@
     }
 }
 
+/// Returns the time limit for a request.
+fn time_limit(part: &SourceRequestKind) -> Duration {
+    match part {
+        SourceRequestKind::Vms => REGISTRATION_TIMEOUT,
+        _ => STORE_TIMEOUT,
+    }
+}
+
 /// Returns the label of a request in metrics and logs.
 fn purpose_label(part: &SourceRequestKind) -> &'static str {
     match part {
