Let a storage VM have more than 100 requests open

Cause: the RPC library answers 429 beyond 100 requests at a time, and all entry VMs send to each storage VM.

Change: a storage VM has up to 1,024 requests open.

--- a/crates/relay/src/storage/mod.rs
+++ b/crates/relay/src/storage/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use jsonrpsee::server::{Methods, Server, ServerHandle};
+use jsonrpsee::server::{Methods, Server, ServerConfig, ServerHandle};
 use knapweeddale_core::VmName;
 use knapweeddale_store::StoreError;
 use tokio::task::JoinSet;
@@ -33,6 +33,10 @@
 /// Name of the folder of claims on budgets.
 const USAGE_FOLDER: &str = "usage";
 
+/// Requests that may be open at the same time. All entry VMs send to each VM with a disk, so that
+/// the default of 100 rejects requests while the disk is slow.
+const MAX_OPEN_REQUESTS: u32 = 1_024;
+
 /// Interval at which expired turns and claims are removed.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -74,7 +78,9 @@
         store: S,
     ) -> Result<Self, StartError> {
         let ledger = Arc::new(Mutex::new(Ledger::open(&settings.data_folder)?));
-        let server = Server::builder().build(settings.peer_listen).await?;
+        let config = ServerConfig::builder().max_connections(MAX_OPEN_REQUESTS);
+        let server = Server::builder().set_config(config.build());
+        let server = server.build(settings.peer_listen).await?;
         let address = server.local_addr()?;
         let charge_server = ChargeServer {
             ledger: Arc::clone(&ledger),
