Bound the lookups of kept turns that wait for slow storage VMs

Cause: a call holds its place at an upstream while the turns before it are read. Since lookups wait until their deadline, 24 turns that wait for slow storage VMs took all places of a relay, and a call of a route without kept turns got 503 after 2.5 s.

Change: at most eight lookups of an entry VM wait longer than 400 ms; the others are refused then, as all were before. That a waiting call gives its place back is not done: it needs a stage of its own in the core.

--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -1,6 +1,7 @@
 //! The entry VM's side of kept turns: stores them on VMs with a disk and finds them there.
 
 use std::collections::HashSet;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -9,7 +10,7 @@
 use futures_util::stream::FuturesUnordered;
 use jsonrpsee::http_client::HttpClient;
 use knapweeddale_core::turns::{CopyPlan, CopyStep, LookupStep, StoredTurn, TurnKey, TurnLookup};
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::cache::ChainCache;
@@ -21,6 +22,13 @@
 /// Time after which a late answer is no longer waited for alone.
 const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
+/// Time after which a lookup counts as late.
+const LATE_DELAY: Duration = Duration::from_millis(400);
+
+/// Lookups that may be late at the same time. Each of their calls holds a place at an upstream,
+/// which calls that need no storage VM lack meanwhile.
+const MAX_LATE_LOOKUPS: usize = 8;
+
 /// Time limit for storing a turn that ends shortly before the deadline of its response.
 const MIN_STORE_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -36,6 +44,7 @@
     vms: Arc<StorageVms>,
     tolerated_losses: usize,
     cache: Mutex<ChainCache>,
+    late_lookups: Semaphore,
     metrics: Arc<Metrics>,
 }
 
@@ -47,6 +56,7 @@
             vms,
             tolerated_losses,
             cache: Mutex::default(),
+            late_lookups: Semaphore::new(MAX_LATE_LOOKUPS),
             metrics,
         }
     }
@@ -65,7 +75,7 @@
             return Ok(chain);
         }
         let mut states = FetchStates::default();
-        let found = timeout_at(deadline, self.find_remote(key, deadline, &mut states)).await;
+        let found = self.find_in_time(key, deadline, &mut states).await;
         let result = found.unwrap_or(Err(HistoryError::LookupTimeout { states }));
         self.metrics.count_turn(match &result {
             Ok(_) => "fetched",
@@ -77,6 +87,23 @@
         Ok(chain)
     }
 
+    /// Does the same as [`Self::find_remote`]; `None` if the lookup is not complete at the deadline,
+    /// or is late while many others are.
+    async fn find_in_time(
+        &self,
+        key: &TurnKey,
+        deadline: Instant,
+        states: &mut FetchStates,
+    ) -> Option<Result<Bytes, HistoryError>> {
+        let late_time = deadline.min(Instant::now() + LATE_DELAY);
+        let mut lookup = pin!(self.find_remote(key, deadline, states));
+        if let Ok(result) = timeout_at(late_time, &mut lookup).await {
+            return Some(result);
+        }
+        let _permit = self.late_lookups.try_acquire().ok()?;
+        timeout_at(deadline, lookup).await.ok()
+    }
+
     /// Asks the VMs with a disk for the chain of a turn; `states` gets their answers.
     async fn find_remote(
         &self,
--- a/crates/relay/src/turns/errors.rs
+++ b/crates/relay/src/turns/errors.rs
@@ -90,8 +90,8 @@
         /// The answers of the VMs that were asked.
         states: FetchStates,
     },
-    /// The turn was not found before the deadline of the call.
-    #[display("lookup: not answered before the deadline; {states}")]
+    /// The turn was not found before the deadline of the call, or while many others were late.
+    #[display("lookup: not answered in time; {states}")]
     LookupTimeout {
         /// The answers of the VMs that were asked.
         states: FetchStates,
