--- a/crates/relay/src/call/history.rs
+++ b/crates/relay/src/call/history.rs
@@ -1,6 +1,7 @@
 //! Turns that the system keeps, as part of an attempt: their prompts and their storage.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use knapweeddale_core::TurnId;
@@ -8,7 +9,7 @@
 use knapweeddale_core::turns::{StoredTurn, TurnKey};
 use knapweeddale_runtime::Clock;
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::Instant;
 
 use super::attempt::Attempt;
 use crate::adapter::Dialect;
@@ -19,6 +20,9 @@
 /// Maximum size of a prompt together with the turns before it.
 const MAX_PROMPT_BYTES: usize = 4 * 1024 * 1024;
 
+/// Time before the deadline of a call that is left for its refusal.
+const REFUSAL_TIME: Duration = Duration::from_millis(30);
+
 impl<D: Dialect, C: Clock> Attempt<'_, D, C> {
     /// Returns the body for the upstream: that of the caller, after the turns before it if the
     /// system keeps them.
@@ -27,14 +31,15 @@
     ///
     /// Fails if the turns before it cannot be used, or if the turn itself could not be stored.
     pub(super) async fn load_prompt(&mut self, deadline: Instant) -> Result<Bytes, Failure> {
-        self.check_storable().await?;
+        let lookup_deadline = deadline - REFUSAL_TIME;
+        self.check_storable(lookup_deadline).await?;
         let previous = self.head.previous_turn.as_ref();
         let Some(previous) = previous.filter(|_| self.dispatch.kept_turn.is_some()) else {
             return Ok(self.body.clone());
         };
         let earlier = match &self.progress.earlier_turns {
             Some(earlier) => earlier.clone(),
-            None => self.find_turns(previous, deadline).await?,
+            None => self.find_turns(previous, lookup_deadline).await?,
         };
         self.progress.earlier_turns = Some(earlier.clone());
         let prompt_bytes = earlier.len() + self.body.len();
@@ -48,19 +53,20 @@
     }
 
     /// Fails if the turn has not begun and too few VMs with a disk answer to store it.
-    async fn check_storable(&self) -> Result<(), Failure> {
+    async fn check_storable(&self, deadline: Instant) -> Result<(), Failure> {
         let Some(kept) = &self.dispatch.kept_turn else {
             return Ok(());
         };
         if self.progress.is_stream_started {
             return Ok(());
         }
-        if self.shared.turns.can_store(kept.storage.as_deref()).await {
+        let allowed = kept.storage.as_deref();
+        let Err(error) = self.shared.turns.check_storable(allowed, deadline).await else {
             return Ok(());
-        }
+        };
         let request = self.head.request_id.as_deref().unwrap_or("-");
         tracing::info!(request, call = %self.dispatch.attempt.call,
-            "history: turn not begun, too few VMs with a disk answer to store it");
+            "history: turn not begun ({error})");
         self.shared.metrics.count_turn("not_begun");
         Err(Failure::HistoryUnavailable)
     }
@@ -71,15 +77,14 @@
             account: self.dispatch.account.clone(),
             id: previous.clone(),
         };
-        let found = timeout_at(deadline, self.shared.turns.find(&key)).await;
-        let found = found.unwrap_or(Err(HistoryError::Unavailable));
+        let found = self.shared.turns.find(&key, deadline).await;
         found.map_err(|error| {
             let request = self.head.request_id.as_deref().unwrap_or("-");
             tracing::info!(request, call = %self.dispatch.attempt.call, %previous,
                 "history: not read ({error})");
             match error {
-                HistoryError::Unknown => Failure::HistoryUnknown,
-                HistoryError::Unavailable => Failure::HistoryUnavailable,
+                HistoryError::Unknown { .. } => Failure::HistoryUnknown,
+                _ => Failure::HistoryUnavailable,
             }
         })
     }
@@ -96,11 +101,11 @@
         }
     }
 
-    /// Stores a turn whose stream is complete, before its response ends.
+    /// Stores a turn whose stream is complete, before its response ends at the deadline.
     ///
     /// A turn without an ID cannot be named later, and of a stream that its caller has resumed the
     /// first part is not known, so neither is kept.
-    pub(super) async fn store_turn(&mut self) -> Result<(), Failure> {
+    pub(super) async fn store_turn(&mut self, deadline: Instant) -> Result<(), Failure> {
         let Some(kept) = &self.dispatch.kept_turn else {
             return Ok(());
         };
@@ -129,7 +134,8 @@
         let earlier = self.progress.earlier_turns.clone().unwrap_or_default();
         let started = Instant::now();
         let allowed = kept.storage.as_deref();
-        let stored = self.shared.turns.store(turn, earlier, allowed).await;
+        let stored = self.shared.turns.store(turn, earlier, allowed, deadline);
+        let stored = stored.await;
         let took = started.elapsed();
         self.shared.metrics.observe_stage(Stage::StoreTurn, took);
         let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -1,21 +1,20 @@
 //! The entry VM's side of kept turns: stores them on VMs with a disk and finds them there.
 
 use std::collections::HashSet;
+use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use derive_more::{Display, Error};
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use jsonrpsee::http_client::HttpClient;
-use knapweeddale_core::turns::{
-    CopyPlan, CopyStep, LookupStep, StoredTurn, TurnAnswer, TurnKey, TurnLookup,
-};
-use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use knapweeddale_core::turns::{CopyPlan, CopyStep, LookupStep, StoredTurn, TurnKey, TurnLookup};
+use tokio::sync::{Semaphore, mpsc};
+use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::cache::ChainCache;
+use super::errors::{FetchState, FetchStates, HistoryError};
 use super::rpc::{AppendAnswer, Content, FetchAnswer, TurnRpcClient, WireTurn};
 use crate::metrics::Metrics;
 use crate::storage_vms::StorageVms;
@@ -23,8 +22,15 @@
 /// Time after which a late answer is no longer waited for alone.
 const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
-/// Time limit for storing a turn, which holds back the end of its response.
-const STORE_LIMIT: Duration = Duration::from_millis(1_500);
+/// Time after which a lookup counts as late.
+const LATE_DELAY: Duration = Duration::from_millis(400);
+
+/// Lookups that may be late at the same time. Each of their calls holds a place at an upstream,
+/// which calls that need no storage VM lack meanwhile.
+const MAX_LATE_LOOKUPS: usize = 8;
+
+/// Time limit for storing a turn that ends shortly before the deadline of its response.
+const MIN_STORE_LIMIT: Duration = Duration::from_millis(1_500);
 
 /// Delay before a turn that too few VMs have stored is sent to the others again.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -32,23 +38,13 @@
 /// What requests are about, in log lines.
 const PURPOSE: &str = "turns";
 
-/// Why the turns before a request cannot be used, or a turn cannot be stored.
-#[derive(Debug, Display, Error, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum HistoryError {
-    /// The turn certainly does not exist.
-    #[display("the turn does not exist")]
-    Unknown,
-    /// Too few VMs with a disk answer.
-    #[display("too few VMs with a disk answer")]
-    Unavailable,
-}
-
 /// Stores and finds kept turns.
 #[derive(Debug)]
 pub(crate) struct TurnClient {
     vms: Arc<StorageVms>,
     tolerated_losses: usize,
     cache: Mutex<ChainCache>,
+    late_lookups: Semaphore,
     metrics: Arc<Metrics>,
 }
 
@@ -60,6 +56,7 @@
             vms,
             tolerated_losses,
             cache: Mutex::default(),
+            late_lookups: Semaphore::new(MAX_LATE_LOOKUPS),
             metrics,
         }
     }
@@ -71,78 +68,145 @@
     ///
     /// # Errors
     ///
-    /// Fails if the turn does not exist, or if that cannot be told.
-    pub async fn find(&self, key: &TurnKey) -> Result<Bytes, HistoryError> {
+    /// Fails if the turn does not exist, or if that cannot be told before the deadline.
+    pub async fn find(&self, key: &TurnKey, deadline: Instant) -> Result<Bytes, HistoryError> {
         if let Some(chain) = lock(&self.cache).get(key) {
             self.metrics.count_turn("cached");
             return Ok(chain);
         }
-        let result = self.find_remote(key).await;
+        let mut states = FetchStates::default();
+        let found = self.find_in_time(key, deadline, &mut states).await;
+        let result = found.unwrap_or(Err(HistoryError::LookupTimeout { states }));
         self.metrics.count_turn(match &result {
             Ok(_) => "fetched",
-            Err(HistoryError::Unknown) => "unknown",
-            Err(HistoryError::Unavailable) => "unavailable",
+            Err(HistoryError::Unknown { .. }) => "unknown",
+            Err(_) => "unavailable",
         });
         let chain = result?;
         lock(&self.cache).insert(key.clone(), chain.clone());
         Ok(chain)
     }
 
-    /// Asks the VMs with a disk for the chain of a turn.
-    async fn find_remote(&self, key: &TurnKey) -> Result<Bytes, HistoryError> {
-        let mut known = self.vms.addresses().await;
+    /// Does the same as [`Self::find_remote`]; `None` if the lookup is not complete at the deadline,
+    /// or is late while many others are.
+    async fn find_in_time(
+        &self,
+        key: &TurnKey,
+        deadline: Instant,
+        states: &mut FetchStates,
+    ) -> Option<Result<Bytes, HistoryError>> {
+        let late_time = deadline.min(Instant::now() + LATE_DELAY);
+        let mut lookup = pin!(self.find_remote(key, deadline, states));
+        if let Ok(result) = timeout_at(late_time, &mut lookup).await {
+            return Some(result);
+        }
+        let _permit = self.late_lookups.try_acquire().ok()?;
+        timeout_at(deadline, lookup).await.ok()
+    }
+
+    /// Asks the VMs with a disk for the chain of a turn; `states` gets their answers.
+    async fn find_remote(
+        &self,
+        key: &TurnKey,
+        deadline: Instant,
+        states: &mut FetchStates,
+    ) -> Result<Bytes, HistoryError> {
+        let mut known = self.vms.addresses(deadline).await;
+        if known.is_empty() {
+            return Err(HistoryError::NoStorageVms);
+        }
         let mut lookup = TurnLookup::new(known.iter().cloned(), self.tolerated_losses + 1);
         let mut answers = FuturesUnordered::new();
         let mut step = lookup.start();
+        let mut is_list_requested = false;
         loop {
-            if step == LookupStep::Missing {
-                let new = self.read_unknown(&known).await?;
+            if matches!(step, LookupStep::Missing | LookupStep::Unavailable) {
+                let Some(new) = self.read_unknown(&known, deadline).await else {
+                    let states = std::mem::take(states);
+                    return Err(HistoryError::ListNotRead { states });
+                };
                 if new.is_empty() {
-                    return Err(HistoryError::Unknown);
+                    let states = std::mem::take(states);
+                    return Err(match step {
+                        LookupStep::Missing => HistoryError::Unknown { states },
+                        _ => HistoryError::NotFound { states },
+                    });
                 }
                 known.extend(new.iter().cloned());
                 step = lookup.extend(new);
             }
-            match step {
-                LookupStep::Ask(addresses) => {
-                    answers.extend(addresses.into_iter().map(|to| self.fetch_from(to, key)));
-                }
-                LookupStep::Wait | LookupStep::Found | LookupStep::Missing => {}
-                LookupStep::Unavailable => return Err(HistoryError::Unavailable),
+            if let LookupStep::Ask(addresses) = step {
+                states.ask(&addresses);
+                let addresses = addresses.into_iter();
+                answers.extend(addresses.map(|to| self.fetch_from(to, key, deadline)));
             }
             step = match timeout(HEDGE_DELAY, answers.next()).await {
-                Ok(Some(Ok(chain))) => return Ok(chain),
-                Ok(Some(Err(answer))) => lookup.record(answer),
-                Ok(None) => return Err(HistoryError::Unavailable),
-                Err(_) => lookup.hedge(),
+                Ok(Some((_, Ok(chain)))) => return Ok(chain),
+                Ok(Some((address, Err(state)))) => {
+                    states.record(&address, state);
+                    lookup.record(state.into())
+                }
+                Ok(None) => LookupStep::Unavailable,
+                Err(_) => match lookup.hedge() {
+                    LookupStep::Wait => {
+                        let new = self.look_for_others(&mut known, &mut is_list_requested);
+                        lookup.extend(new.await)
+                    }
+                    step => step,
+                },
             };
         }
     }
 
+    /// Adds VMs to the `known` ones while all of these are late, and returns them.
+    ///
+    /// Others may have taken the place of those; the list is read once for that.
+    async fn look_for_others(
+        &self,
+        known: &mut Vec<Arc<str>>,
+        is_list_requested: &mut bool,
+    ) -> Vec<Arc<str>> {
+        if !std::mem::replace(is_list_requested, true) {
+            self.vms.request_list().await;
+        }
+        let mut new = self.vms.listed();
+        new.retain(|address| !known.contains(address));
+        known.extend(new.iter().cloned());
+        new
+    }
+
     /// Returns the VMs that are not among the `known` ones, from a list that the store is asked for
-    /// now.
+    /// now; `None` if the store does not answer.
     ///
     /// A turn was stored before a request names it, and its VMs had registered before that. So no
     /// other VM than those of this list can hold it.
-    async fn read_unknown(&self, known: &[Arc<str>]) -> Result<Vec<Arc<str>>, HistoryError> {
-        if !self.vms.read_list().await {
-            return Err(HistoryError::Unavailable);
+    async fn read_unknown(&self, known: &[Arc<str>], deadline: Instant) -> Option<Vec<Arc<str>>> {
+        if !self.vms.read_list(deadline).await {
+            return None;
         }
-        let mut addresses = self.vms.addresses().await;
+        let mut addresses = self.vms.listed();
         addresses.retain(|address| !known.contains(address));
-        Ok(addresses)
+        Some(addresses)
     }
 
-    /// Asks one VM for the chain of a turn; if it has none, returns what that means.
-    async fn fetch_from(&self, address: Arc<str>, key: &TurnKey) -> Result<Bytes, TurnAnswer> {
+    /// Asks one VM for the chain of a turn.
+    async fn fetch_from(
+        &self,
+        address: Arc<str>,
+        key: &TurnKey,
+        deadline: Instant,
+    ) -> (Arc<str>, Result<Bytes, FetchState>) {
         let (account, id) = (key.account.clone(), key.id.clone());
         let fetch = |client: Arc<HttpClient>| async move { client.fetch(account, id).await };
-        let answer = self.vms.request(PURPOSE, &address, fetch).await;
-        match answer {
+        let answer = self.vms.request_until(PURPOSE, &address, deadline, fetch);
+        let answer = answer.await;
+        let result = match answer {
             Some(FetchAnswer::Found(Content(chain))) => Ok(chain),
-            Some(FetchAnswer::Absent) => Err(TurnAnswer::Absent),
-            Some(FetchAnswer::Unknown) | None => Err(TurnAnswer::Unknown),
-        }
+            Some(FetchAnswer::Absent) => Err(FetchState::Absent),
+            Some(FetchAnswer::Unknown) => Err(FetchState::MayHaveLost),
+            None => Err(FetchState::NoAnswer),
+        };
+        (address, result)
     }
 }
 
@@ -151,7 +215,8 @@
     /// Stores a turn and returns once enough VMs have it on their disks.
     ///
     /// `earlier` holds the contents of all turns before it, for VMs that lack them. Only VMs at the
-    /// `allowed` addresses get it, if they are stated.
+    /// `allowed` addresses get it, if they are stated. The response is held back meanwhile, until
+    /// its deadline or, if that is near, for [`MIN_STORE_LIMIT`].
     ///
     /// # Errors
     ///
@@ -161,8 +226,12 @@
         mut turn: StoredTurn,
         earlier: Bytes,
         allowed: Option<&[Arc<str>]>,
+        deadline: Instant,
     ) -> Result<(), HistoryError> {
-        let addresses = self.allowed_addresses(allowed).await;
+        let deadline = deadline.max(Instant::now() + MIN_STORE_LIMIT);
+        let addresses = self.allowed_addresses(allowed, deadline).await;
+        let mut known = addresses.clone();
+        let mut is_list_requested = false;
         let mut plan = CopyPlan::new(addresses, self.tolerated_losses);
         let first = plan.start();
         turn.copies = first.iter().cloned().collect();
@@ -176,13 +245,13 @@
             let (client, turn, earlier) = (Arc::clone(self), Arc::clone(&turn), earlier.clone());
             let results = results.clone();
             tokio::spawn(async move {
-                let is_stored = client.append_to(&address, &turn, earlier).await;
+                let is_stored = client.append_to(&address, &turn, earlier, deadline).await;
                 // Fails if enough other copies were made first.
                 let _ = results.send((address, is_stored));
             });
         };
         first.into_iter().for_each(&send);
-        let stored = timeout(STORE_LIMIT, async {
+        let stored = timeout_at(deadline, async {
             loop {
                 let mut step = match timeout(HEDGE_DELAY, answers.recv()).await {
                     Ok(Some((address, is_stored))) => {
@@ -192,13 +261,22 @@
                         plan.record(is_stored)
                     }
                     Ok(None) => CopyStep::Failed,
-                    Err(_) => plan.hedge(),
+                    Err(_) => match plan.hedge() {
+                        CopyStep::Wait => {
+                            let new = self.look_for_others(&mut known, &mut is_list_requested);
+                            let mut new = new.await;
+                            new.retain(|to| is_allowed(to, allowed) && !asked.contains(to));
+                            plan.extend(new)
+                        }
+                        step => step,
+                    },
                 };
                 if step == CopyStep::Failed {
                     // Other VMs may have taken the place of those that do not answer.
-                    self.vms.read_list().await;
-                    sleep(RETRY_DELAY).await;
-                    let mut addresses = self.allowed_addresses(allowed).await;
+                    let retry_time = Instant::now() + RETRY_DELAY;
+                    self.vms.read_list(retry_time).await;
+                    sleep_until(retry_time).await;
+                    let mut addresses = self.allowed_addresses(allowed, deadline).await;
                     addresses.retain(|address| !asked.contains(address));
                     step = plan.extend(addresses);
                 }
@@ -212,7 +290,10 @@
                 }
             }
         });
-        let result = stored.await.unwrap_or(Err(HistoryError::Unavailable));
+        let result = stored.await.unwrap_or(Err(HistoryError::NotStored {
+            stored: plan.stored_copies(),
+            needed: self.tolerated_losses + 1,
+        }));
         let label = if result.is_ok() {
             "stored"
         } else {
@@ -225,14 +306,20 @@
     }
 
     /// Stores a turn on one VM, with the turns before it if that VM lacks them.
-    async fn append_to(&self, address: &Arc<str>, turn: &StoredTurn, earlier: Bytes) -> bool {
+    async fn append_to(
+        &self,
+        address: &Arc<str>,
+        turn: &StoredTurn,
+        earlier: Bytes,
+        deadline: Instant,
+    ) -> bool {
         let mut turn = turn.clone();
         if !turn.copies.contains(address) {
             turn.copies.push(Arc::clone(address));
         }
         let turn = &turn;
         let turns = vec![WireTurn::from(turn)];
-        let answer = self.append(address, turns).await;
+        let answer = self.append(address, turns, deadline).await;
         let (Some(AppendAnswer::LacksPrevious), Some(previous)) = (answer, &turn.previous) else {
             return answer == Some(AppendAnswer::Stored);
         };
@@ -243,35 +330,66 @@
             ..WireTurn::from(turn)
         };
         let turns = vec![before, WireTurn::from(turn)];
-        self.append(address, turns).await == Some(AppendAnswer::Stored)
+        self.append(address, turns, deadline).await == Some(AppendAnswer::Stored)
     }
 
     /// Sends turns to one VM; returns `None` if it does not answer.
-    async fn append(&self, address: &Arc<str>, turns: Vec<WireTurn>) -> Option<AppendAnswer> {
+    async fn append(
+        &self,
+        address: &Arc<str>,
+        turns: Vec<WireTurn>,
+        deadline: Instant,
+    ) -> Option<AppendAnswer> {
         let append = |client: Arc<HttpClient>| async move { client.append(turns).await };
-        self.vms.request(PURPOSE, address, append).await
+        let answer = self.vms.request_until(PURPOSE, address, deadline, append);
+        answer.await
     }
 }
 
 /// # Storage VMs
 impl TurnClient {
-    /// Returns whether enough of the `allowed` VMs with a disk answer to store a turn; all of them
-    /// may if none are stated.
+    /// Checks that enough of the `allowed` VMs with a disk accept connections to store a turn; all
+    /// of them may if none are stated.
     ///
     /// Otherwise, a turn would run in vain: its response cannot end before it is stored.
-    pub async fn can_store(&self, allowed: Option<&[Arc<str>]>) -> bool {
+    ///
+    /// # Errors
+    ///
+    /// Fails if too few accept connections.
+    pub async fn check_storable(
+        &self,
+        allowed: Option<&[Arc<str>]>,
+        deadline: Instant,
+    ) -> Result<(), HistoryError> {
         let needed = self.tolerated_losses + 1;
-        self.vms.are_reachable(needed, allowed).await
+        let reachable = self.vms.count_reachable(needed, allowed, deadline).await;
+        if reachable >= needed {
+            return Ok(());
+        }
+        Err(HistoryError::TooFewReachable {
+            reachable,
+            known: self.allowed_addresses(allowed, deadline).await.len(),
+            needed,
+        })
     }
 
     /// Returns the VMs with a disk that may store a turn, in the order in which they are used.
-    async fn allowed_addresses(&self, allowed: Option<&[Arc<str>]>) -> Vec<Arc<str>> {
-        let mut addresses = self.vms.addresses().await;
-        addresses.retain(|address| allowed.is_none_or(|allowed| allowed.contains(address)));
+    async fn allowed_addresses(
+        &self,
+        allowed: Option<&[Arc<str>]>,
+        deadline: Instant,
+    ) -> Vec<Arc<str>> {
+        let mut addresses = self.vms.addresses(deadline).await;
+        addresses.retain(|address| is_allowed(address, allowed));
         addresses
     }
 }
 
+/// Returns whether a VM is one of the `allowed` ones, or none are stated.
+fn is_allowed(address: &Arc<str>, allowed: Option<&[Arc<str>]>) -> bool {
+    allowed.is_none_or(|allowed| allowed.contains(address))
+}
+
 /// Joins the contents of earlier turns and of a new one.
 fn join(earlier: &[u8], content: &[u8]) -> Bytes {
     let mut chain = BytesMut::with_capacity(earlier.len() + content.len());
--- a/crates/relay/src/turns/mod.rs
+++ b/crates/relay/src/turns/mod.rs
@@ -7,6 +7,7 @@
 
 mod cache;
 mod client;
+mod errors;
 mod list;
 mod replication;
 mod rpc;
@@ -14,7 +15,8 @@
 mod source;
 mod store;
 
-pub(crate) use client::{HistoryError, TurnClient};
+pub(crate) use client::TurnClient;
+pub(crate) use errors::HistoryError;
 pub use list::{TurnList, list_turns};
 pub use replication::CopyCounts;
 pub(crate) use replication::{Pace, TurnReplicator};
