Split the metrics of a relaying VM by what they count

metrics.rs had grown to 463 lines: all metrics, the stages of a call and the methods of calls and of the fleet. They are modules of a folder now; paths, names and help texts are unchanged. metrics_page reads mod.rs, in which all metrics are still registered, and compares the same names and texts as before.

--- a/crates/relay/tests/metrics_page.rs
+++ b/crates/relay/tests/metrics_page.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 const PAGE: &str = include_str!("../../../docs/metrics.md");
-const CODE: &str = include_str!("../src/metrics.rs");
+const CODE: &str = include_str!("../src/metrics/mod.rs");
 
 /// Returns the names of the metrics that a text mentions.
 fn metric_names(text: &str) -> BTreeSet<&str> {
