--- a/crates/testing/src/mesh/accessors.rs
+++ b/crates/testing/src/mesh/accessors.rs
@@ -1,6 +1,7 @@
 //! Accessors by which tests inspect a mesh.
 
 use knapweeddale_core::tables::Tables;
+use knapweeddale_core::{Control, Incarnation, ProgramKey, VmName};
 
 use super::{Mesh, Traffic};
 
@@ -42,4 +43,31 @@
     pub fn traffic(&self, vm: usize) -> Traffic {
         self.vms[vm].traffic
     }
+
+    /// Returns the control state of a VM; `None` while it is crashed.
+    pub fn control(&self, vm: usize) -> Option<&Control> {
+        self.vms[vm].control.as_ref()
+    }
+
+    /// Returns the current incarnation of a VM.
+    pub fn incarnation(&self, vm: usize) -> Incarnation {
+        self.vms[vm].incarnation
+    }
+
+    /// Returns the index of a program's home in the view of a VM.
+    pub fn home_of(&self, vm: usize, program: &ProgramKey) -> Option<usize> {
+        let view = &self.control(vm)?.tables().view;
+        self.index(view.program_home(program)?)
+    }
+
+    /// Returns the index of a VM.
+    pub fn index(&self, vm: &VmName) -> Option<usize> {
+        self.vm_indices.get(vm).copied()
+    }
+
+    /// Returns the current time on the clock of a VM.
+    pub fn local_us(&self, vm: usize) -> u64 {
+        let row = &self.vms[vm];
+        self.now_us * row.clock_rate_ppm / 1_000_000 + row.clock_offset_us
+    }
 }
