Split the fake engine by job

http/engine.rs (461 lines) held the options and requests of the fake engine, its state and its response formats. State and responses are modules of their own; the public paths are unchanged.

The tests of knapweeddale_entry that use the engine were not run.

--- a/crates/testing/src/http/engine.rs
+++ b/crates/testing/src/http/engine/mod.rs
@@ -1,6 +1,8 @@
 //! Fake model engine with a batch limit, a prefix cache and injected faults.
 
-use std::collections::{BTreeMap, VecDeque};
+mod completion;
+mod state;
+
 use std::io;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -8,6 +10,8 @@
 use serde_json::{Value, json};
 use tokio::sync::Semaphore;
 
+use self::completion::{Completion, split_words};
+use self::state::State;
 use super::connection::{Connection, Request};
 use super::server::{FakeServer, Handler};
 
@@ -63,25 +67,6 @@
     state: Mutex<State>,
 }
 
-/// Mutable state of the engine.
-#[derive(Debug, Default)]
-struct State {
-    running: usize,
-    running_history: VecDeque<(Instant, usize)>,
-    /// Time of the last restart; `None` before the first.
-    restarted_at: Option<Instant>,
-    /// Loaded models; `None` until an order arrives if the options list none.
-    models: Option<Vec<String>>,
-    /// Highest fencing token received, as (epoch, seq).
-    token: (u64, u64),
-    heads: Vec<u8>,
-    executions: BTreeMap<String, u64>,
-    faults: VecDeque<EngineFault>,
-    cancelled: u64,
-    /// Program, generation and cached prompt words; least recently used first.
-    cache: VecDeque<(String, u64, Vec<String>)>,
-}
-
 /// # Control by tests
 impl FakeEngine {
     /// Starts an engine on loopback.
@@ -164,62 +149,6 @@
     }
 }
 
-/// A completion request in progress.
-struct Completion {
-    model: String,
-    stream: bool,
-    tag: String,
-    tokens: u64,
-    prompt_tokens: usize,
-    cached_tokens: usize,
-}
-
-impl Completion {
-    fn text(&self, token: u64) -> String {
-        format!("{}-{token} ", self.tag)
-    }
-
-    fn usage(&self) -> Value {
-        json!({
-            "prompt_tokens": self.prompt_tokens,
-            "completion_tokens": self.tokens,
-            "prompt_tokens_details": {"cached_tokens": self.cached_tokens},
-        })
-    }
-
-    fn build_chunk(&self, token: u64) -> String {
-        let delta = json!({"role": "assistant", "content": self.text(token)});
-        json!({
-            "object": "chat.completion.chunk",
-            "model": self.model,
-            "choices": [{"index": 0, "delta": delta, "finish_reason": null}],
-        })
-        .to_string()
-    }
-
-    fn build_last_chunk(&self) -> String {
-        json!({
-            "object": "chat.completion.chunk",
-            "model": self.model,
-            "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
-            "usage": self.usage(),
-        })
-        .to_string()
-    }
-
-    fn build_response(&self) -> String {
-        let content: String = (0..self.tokens).map(|token| self.text(token)).collect();
-        let message = json!({"role": "assistant", "content": content});
-        json!({
-            "object": "chat.completion",
-            "model": self.model,
-            "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
-            "usage": self.usage(),
-        })
-        .to_string()
-    }
-}
-
 /// # Requests
 impl FakeEngine {
     /// Admits a request to the batch, or returns the HTTP status of its refusal.
@@ -371,46 +300,6 @@
     }
 }
 
-impl State {
-    /// Adjusts the number of running requests and records the time; keeps 1,000 records.
-    fn change_running(&mut self, by: isize) {
-        self.running = self.running.saturating_add_signed(by);
-        self.running_history
-            .push_back((Instant::now(), self.running));
-        if self.running_history.len() > 1_000 {
-            self.running_history.pop_front();
-        }
-    }
-
-    /// Caches the prompt and returns how many of its leading words were cached already.
-    fn use_cache(&mut self, request: &Request, words: Vec<String>, entries: usize) -> usize {
-        let Some(program) = request.header("kwd-program") else {
-            return 0;
-        };
-        let generation = request.header("kwd-generation");
-        let generation = generation.and_then(|text| text.parse().ok()).unwrap_or(0);
-        let position = self.cache.iter().position(|(name, _, _)| *name == program);
-        let old = position.and_then(|at| self.cache.remove(at));
-        let cached = old.map_or(0, |(_, _, old)| {
-            old.iter().zip(&words).take_while(|(a, b)| a == b).count()
-        });
-        self.cache.push_back((program, generation, words));
-        if self.cache.len() > entries {
-            self.cache.pop_front();
-        }
-        cached
-    }
-}
-
-/// Splits the content of all messages into words; each word counts as one token.
-fn split_words(body: &Value) -> Vec<String> {
-    let messages = body["messages"].as_array().into_iter().flatten();
-    messages
-        .filter_map(|message| message["content"].as_str())
-        .flat_map(|text| text.split_whitespace().map(str::to_owned))
-        .collect()
-}
-
 impl Handler for FakeEngine {
     fn on_restart(&self) {
         let mut state = self.state();
