Send the calls that show which upstreams a VM uses by one function

It is a method of RelayFleet now; the numbers of calls (6, 8 and 6) and all assertions are unchanged.

--- a/crates/core/tests/evacuated_domains.rs
+++ b/crates/core/tests/evacuated_domains.rs
@@ -5,6 +5,9 @@
 use knapweeddale_testing::relays::{RelayCall, RelayFleet, account, fleet, spread_upstreams};
 use rstest::rstest;
 
+/// Calls that are sent to see which upstreams a VM uses.
+const CALLS: usize = 6;
+
 /// VMs of each fleet.
 const VMS: usize = 4;
 
@@ -20,27 +23,17 @@
     relays
 }
 
-/// Sends calls to a VM and returns the upstreams that they ran on.
-fn send_calls(relays: &mut RelayFleet, vm: usize) -> Vec<String> {
-    let before = relays.runs.len();
-    for _ in 0..6 {
-        relays.call(vm, RelayCall::tool("bus"));
-        relays.run_ms(2);
-    }
-    let runs = &relays.runs[before..];
-    let mut names: Vec<String> = runs.iter().map(|run| run.upstream.clone()).collect();
-    names.sort();
-    names.dedup();
-    names
-}
-
 /// Time after which the pace of an upstream that has returned ends if it gets no calls.
 const IDLE_PACE_MS: u64 = 6_000;
 
 /// Asserts that calls of these VMs run in north only.
 fn assert_south_is_empty(relays: &mut RelayFleet, vms: &[usize]) {
     for vm in vms {
-        assert_eq!(send_calls(relays, *vm), ["tool-1"], "vm-{vm}");
+        assert_eq!(
+            relays.run_tool_calls(*vm, "bus", CALLS),
+            ["tool-1"],
+            "vm-{vm}"
+        );
     }
 }
 
@@ -55,7 +48,10 @@
     relays.store.set_evacuations(&[]);
     relays.run_ms(EVACUATE_MS / 2 + IDLE_PACE_MS);
     for vm in 0..VMS {
-        assert_eq!(send_calls(&mut relays, vm), ["tool-1", "tool-2"]);
+        assert_eq!(
+            relays.run_tool_calls(vm, "bus", CALLS),
+            ["tool-1", "tool-2"]
+        );
     }
 }
 
@@ -113,7 +109,7 @@
     relays.store.set_down(false);
     relays.run_ms(EVACUATE_MS / 2 + IDLE_PACE_MS);
     for vm in 0..VMS {
-        assert_eq!(send_calls(&mut relays, vm), ["tool-2"]);
+        assert_eq!(relays.run_tool_calls(vm, "bus", CALLS), ["tool-2"]);
     }
 }
 
@@ -172,7 +168,7 @@
     let mut relays = RelayFleet::new(1, config, list, 1);
     relays.store.set_evacuations(&["north"]);
     relays.run_ms(1_000);
-    assert_eq!(send_calls(&mut relays, 0), ["tool-1", "tool-2"]);
+    assert_eq!(relays.run_tool_calls(0, "bus", CALLS), ["tool-1", "tool-2"]);
     assert_eq!(relays.store.requests.get("evacuations"), None);
 }
 
--- a/crates/core/tests/home_regions.rs
+++ b/crates/core/tests/home_regions.rs
@@ -7,6 +7,9 @@
 };
 use rstest::rstest;
 
+/// Calls that are sent to see which upstreams a VM uses.
+const CALLS: usize = 8;
+
 /// Returns region names.
 fn regions<T: FromIterator<RegionName>>(names: &[&str]) -> T {
     names.iter().map(|name| RegionName::from(*name)).collect()
@@ -35,20 +38,6 @@
     relays
 }
 
-/// Sends calls of an account and returns the upstreams that they ran on.
-fn send_calls(relays: &mut RelayFleet, account: &str) -> Vec<String> {
-    let before = relays.runs.len();
-    for _ in 0..8 {
-        relays.call(0, RelayCall::tool(account));
-        relays.run_ms(2);
-    }
-    let runs = &relays.runs[before..];
-    let mut names: Vec<String> = runs.iter().map(|run| run.upstream.clone()).collect();
-    names.sort();
-    names.dedup();
-    names
-}
-
 /// Guards against a list of homes that binds too little or too much.
 #[rstest]
 #[case::none(&[], &[], "south", &["tool-1", "tool-2"])]
@@ -64,7 +53,7 @@
     #[case] expected: &[&str],
 ) {
     let mut relays = start(homes(route, bus), domain);
-    assert_eq!(send_calls(&mut relays, "bus"), expected);
+    assert_eq!(relays.run_tool_calls(0, "bus", CALLS), expected);
 }
 
 /// Guards against an upstream without a failure domain that counts as at home.
@@ -74,7 +63,7 @@
     list.upstreams[2].config.failure_domain = None;
     let mut relays = RelayFleet::new(3, homes(&["norte", "sur"], &[]), list, 1);
     relays.run_ms(2_000);
-    assert_eq!(send_calls(&mut relays, "bus"), ["tool-2"]);
+    assert_eq!(relays.run_tool_calls(0, "bus", CALLS), ["tool-2"]);
 }
 
 /// Guards against a call that waits although no listed upstream may run it.
@@ -96,7 +85,7 @@
     relays.run_ms(2_500);
     let call = relays.call(0, RelayCall::tool("bus"));
     assert_eq!(relays.refusal(call), Some(RefusalKind::Evacuated));
-    assert_eq!(send_calls(&mut relays, "car"), ["tool-1"]);
+    assert_eq!(relays.run_tool_calls(0, "car", CALLS), ["tool-1"]);
 }
 
 /// Guards against calls that are held back by those which wait for a full upstream at home, and
@@ -113,7 +102,7 @@
     };
     relays.call(0, slow.clone());
     let waiting = relays.call(0, slow);
-    assert_eq!(send_calls(&mut relays, "car"), ["tool-1"]);
+    assert_eq!(relays.run_tool_calls(0, "car", CALLS), ["tool-1"]);
     assert!(!relays.has_run(waiting));
     relays.run_ms(600);
     assert_eq!(relays.upstreams_of(waiting), ["tool-2"]);
@@ -147,7 +136,7 @@
     list.upstreams[2].config.failure_domain = Some("south".into());
     let mut relays = RelayFleet::new(1, homes(&[], &["sur"]), list, 1);
     relays.run_ms(2_000);
-    assert_eq!(send_calls(&mut relays, "bus"), ["tool-1"]);
+    assert_eq!(relays.run_tool_calls(0, "bus", CALLS), ["tool-1"]);
 }
 
 /// Guards against a body that is passed on through a VM outside the homes of its call, and against
--- a/crates/core/tests/listed_upstreams.rs
+++ b/crates/core/tests/listed_upstreams.rs
@@ -2,11 +2,12 @@
 //! upstreams that get no calls.
 
 use knapweeddale_core::UpstreamName;
-use knapweeddale_testing::relays::{
-    RelayCall, RelayFleet, account, fleet, listed_upstream, upstreams,
-};
+use knapweeddale_testing::relays::{RelayFleet, account, fleet, listed_upstream, upstreams};
 use rstest::rstest;
 
+/// Calls that are sent to see which upstreams a VM uses.
+const CALLS: usize = 6;
+
 /// Starts VMs with one account.
 fn start() -> RelayFleet {
     let config = fleet(1, vec![account("bus", 1_000, 1_000)]);
@@ -15,20 +16,6 @@
     relays
 }
 
-/// Sends calls to a VM and returns the upstreams that they ran on.
-fn send_calls(relays: &mut RelayFleet, vm: usize) -> Vec<String> {
-    let before = relays.runs.len();
-    for _ in 0..6 {
-        relays.call(vm, RelayCall::tool("bus"));
-        relays.run_ms(2);
-    }
-    let runs = &relays.runs[before..];
-    let mut names: Vec<String> = runs.iter().map(|run| run.upstream.clone()).collect();
-    names.sort();
-    names.dedup();
-    names
-}
-
 /// Guards against calls to an upstream whose entry says that it is leaving.
 #[rstest]
 fn leaving() {
@@ -38,7 +25,7 @@
     relays.store.set_upstreams(list);
     relays.run_ms(1_500);
     for vm in 0..4 {
-        assert_eq!(send_calls(&mut relays, vm), ["tool-2"]);
+        assert_eq!(relays.run_tool_calls(vm, "bus", CALLS), ["tool-2"]);
     }
 }
 
@@ -51,7 +38,7 @@
     relays.store.set_upstreams(list);
     relays.run_ms(1_500);
     for vm in 0..4 {
-        assert_eq!(send_calls(&mut relays, vm), ["tool-2"]);
+        assert_eq!(relays.run_tool_calls(vm, "bus", CALLS), ["tool-2"]);
     }
 }
 
@@ -66,14 +53,14 @@
     relays.store.set_upstreams(list);
     relays.store.set_down(false);
     relays.run_ms(1_000);
-    assert_eq!(send_calls(&mut relays, 0), ["tool-1", "tool-2"]);
+    assert_eq!(relays.run_tool_calls(0, "bus", CALLS), ["tool-1", "tool-2"]);
     // One of them has written its entry again, the other has not.
     let mut list = upstreams(3);
     list.upstreams.remove(3);
     relays.store.set_upstreams(list);
     relays.run_ms(3_000);
     for vm in 0..4 {
-        assert_eq!(send_calls(&mut relays, vm), ["tool-1"]);
+        assert_eq!(relays.run_tool_calls(vm, "bus", CALLS), ["tool-1"]);
     }
 }
 
@@ -88,7 +75,7 @@
     ];
     relays.store.set_upstreams(list);
     relays.run_ms(1_500);
-    assert_eq!(send_calls(&mut relays, 3), ["tool-9"]);
+    assert_eq!(relays.run_tool_calls(3, "bus", CALLS), ["tool-9"]);
 }
 
 /// Guards against cache hints that remain valid after their upstream has restarted under the
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempts;
 mod builds;
+mod calls;
 mod capacity;
 mod fixtures;
 mod outputs;
