--- a/crates/testing/src/lib.rs
+++ b/crates/testing/src/lib.rs
@@ -16,4 +16,6 @@
 mod seeds;
 
 pub use random::Random;
-pub use seeds::{assert_members, joined_mesh, run_checked, sample_accounts, seeds, seeds_from};
+pub use seeds::{
+    assert_members, joined_mesh, many_seeds, run_checked, sample_accounts, seeds, seeds_from,
+};
--- a/crates/testing/src/seeds.rs
+++ b/crates/testing/src/seeds.rs
@@ -1,5 +1,7 @@
 //! Seeds, setup and checks shared by fault tests.
 
+use std::ops::RangeInclusive;
+
 use crate::invariants;
 use crate::mesh::Mesh;
 use knapweeddale_core::{AccountName, FleetConfig};
@@ -11,15 +13,25 @@
 ///
 /// The environment variable `KNAPWEEDDALE_SEEDS` sets their number, and
 /// `KNAPWEEDDALE_FIRST_SEED` the first one.
-pub fn seeds() -> std::ops::RangeInclusive<u64> {
+pub fn seeds() -> RangeInclusive<u64> {
     seeds_from(1)
 }
 
 /// Like [`seeds`], but starts at `first` if `KNAPWEEDDALE_FIRST_SEED` is not set.
-pub fn seeds_from(first: u64) -> std::ops::RangeInclusive<u64> {
+pub fn seeds_from(first: u64) -> RangeInclusive<u64> {
+    seed_range(first, DEFAULT_SEEDS)
+}
+
+/// Like [`seeds`], but returns `count` seeds if `KNAPWEEDDALE_SEEDS` is not set.
+pub fn many_seeds(count: u64) -> RangeInclusive<u64> {
+    seed_range(1, count)
+}
+
+/// Returns the seeds that the environment sets, or `count` seeds from `first`.
+fn seed_range(first: u64, count: u64) -> RangeInclusive<u64> {
     let number = |name: &str| std::env::var(name).ok()?.parse::<u64>().ok();
     let first = number("KNAPWEEDDALE_FIRST_SEED").unwrap_or(first);
-    let count = number("KNAPWEEDDALE_SEEDS").unwrap_or(DEFAULT_SEEDS);
+    let count = number("KNAPWEEDDALE_SEEDS").unwrap_or(count);
     first..=first + count.max(1) - 1
 }
 
