Add a second service of engines by one function in tests

nested_routes and resumed_origins built the service `other-models` by the same lines. The lines are a fixture of RelayFleet now; assertions are unchanged.

Measured: both tests pass as before (1 and 9 cases); clippy of knapweeddale_core's tests and knapweeddale_testing is clean.

--- a/crates/core/tests/nested_routes.rs
+++ b/crates/core/tests/nested_routes.rs
@@ -5,10 +5,12 @@
 
 use knapweeddale_core::tables::STREAM_LIFE_US;
 use knapweeddale_core::{
-    Backend, FleetConfig, HostRoute, ListedUpstream, RefusalKind, ServiceConfig, ServiceName,
-    StreamStart, UpstreamList,
+    Backend, FleetConfig, HostRoute, ListedUpstream, RefusalKind, ServiceName, StreamStart,
+    UpstreamList,
+};
+use knapweeddale_testing::relays::{
+    RelayCall, RelayFleet, account, add_other_models, fleet, listed_engine,
 };
-use knapweeddale_testing::relays::{RelayCall, RelayFleet, account, fleet, listed_engine};
 use knapweeddale_testing::seeds;
 use rstest::rstest;
 
@@ -19,15 +21,7 @@
 /// there.
 fn config(revision: u64, has_deep: bool) -> FleetConfig {
     let mut config = fleet(revision, vec![account("bus", 1_000, 1_000)]);
-    let models = config
-        .services
-        .iter()
-        .find(|row| row.name.as_str() == "models");
-    let other = ServiceConfig {
-        name: ServiceName::from("other-models"),
-        ..models.expect("the service of the engines").clone()
-    };
-    config.services.push(other);
+    add_other_models(&mut config);
     let chat = config
         .host_routes
         .iter()
--- a/crates/core/tests/resumed_origins.rs
+++ b/crates/core/tests/resumed_origins.rs
@@ -3,11 +3,11 @@
 
 use knapweeddale_core::tables::STREAM_LIFE_US;
 use knapweeddale_core::{
-    Backend, CallId, FleetConfig, ListedUpstream, RefusalKind, ServiceConfig, ServiceName,
-    StreamOrigin, StreamStart, UpstreamList,
+    Backend, CallId, FleetConfig, ListedUpstream, RefusalKind, ServiceName, StreamOrigin,
+    StreamStart, UpstreamList,
 };
 use knapweeddale_testing::relays::{
-    RelayCall, RelayFleet, account, fleet, listed_engine, listed_upstream,
+    RelayCall, RelayFleet, account, add_other_models, fleet, listed_engine, listed_upstream,
 };
 use knapweeddale_testing::seeds;
 use rstest::rstest;
@@ -39,15 +39,7 @@
 /// Creates a configuration whose streams go to two services with these weights.
 fn config(revision: u64, weights: [u32; 2]) -> FleetConfig {
     let mut config = fleet(revision, vec![account("bus", 1_000, 1_000)]);
-    let models = config
-        .services
-        .iter()
-        .find(|row| row.name.as_str() == "models");
-    let other = ServiceConfig {
-        name: ServiceName::from("other-models"),
-        ..models.expect("the service of the engines").clone()
-    };
-    config.services.push(other);
+    add_other_models(&mut config);
     for route in &mut config.host_routes {
         if route.kind.is_stream() {
             route.backends = ["models", "other-models"]
--- a/crates/testing/src/relays/fixtures.rs
+++ b/crates/testing/src/relays/fixtures.rs
@@ -263,3 +263,18 @@
         ],
     }
 }
+
+/// Adds the service `other-models`, which is like that of the engines.
+///
+/// # Panics
+///
+/// Panics if the configuration has no service `models`.
+pub fn add_other_models(config: &mut FleetConfig) {
+    let mut services = config.services.iter();
+    let models = services.find(|row| row.name.as_str() == "models");
+    let other = ServiceConfig {
+        name: ServiceName::from("other-models"),
+        ..models.expect("the service of the engines").clone()
+    };
+    config.services.push(other);
+}
--- a/crates/testing/src/relays/mod.rs
+++ b/crates/testing/src/relays/mod.rs
@@ -27,8 +27,8 @@
 pub use builds::OtherBuild;
 pub use capacity::{Capacities, UpstreamCapacity};
 pub use fixtures::{
-    ForwardedTokens, RelayCall, Run, account, fleet, listed_engine, listed_upstream,
-    spread_upstreams, upstreams,
+    ForwardedTokens, RelayCall, Run, account, add_other_models, fleet, listed_engine,
+    listed_upstream, spread_upstreams, upstreams,
 };
 pub use store::StoreState;
 pub use usage::UsageState;
