--- a/crates/core/src/systems/budgets/claims.rs
+++ b/crates/core/src/systems/budgets/claims.rs
@@ -164,7 +164,11 @@
                 ClaimResult::Uncounted => row.uncounted_tokens(turn_tokens),
                 _ => row.unrecorded_tokens(turn_tokens),
             });
-            finish_close(tick, program, needed_tokens, (claimed_tokens, unrecorded));
+            let used = UsedTokens {
+                claimed: claimed_tokens,
+                at_most: unrecorded,
+            };
+            finish_close(tick, program, needed_tokens, used);
         }
     }
     send_report(tick, program);
@@ -255,8 +259,11 @@
         let exceeds_claimed = |tokens: u64| tokens.saturating_add(turn_tokens) > budget_tokens;
         let is_claimed_up = !is_granted && claimed_tokens.is_some_and(exceeds_claimed);
         if *result == ClaimResult::Unanswered || is_claimed_up {
-            let taken = (claimed_tokens, unrecorded_tokens);
-            finish_close(tick, program, turn_tokens, taken);
+            let used = UsedTokens {
+                claimed: claimed_tokens,
+                at_most: unrecorded_tokens,
+            };
+            finish_close(tick, program, turn_tokens, used);
         } else {
             close(tick, program, turn_tokens, turn_tokens);
         }
@@ -281,17 +288,21 @@
     call.relay.as_ref()?.line
 }
 
+/// What was used of a budget without a record.
+#[derive(Debug, Clone, Copy)]
+struct UsedTokens {
+    /// The tokens that all processes have claimed, if storage VMs have answered.
+    claimed: Option<u64>,
+    /// The most that can have been used.
+    at_most: u64,
+}
+
 /// Reserves tokens in a record that counts what was claimed of the free part.
 ///
 /// If that is not known, it counts the most that can have been used, but not for turns that the
 /// system keeps: without storage VMs they do not run, and the record would keep the estimate. Turns
 /// that do not fit are denied without a record: what is claimed may end up unused.
-fn finish_close(
-    tick: &mut Tick<'_>,
-    program: &ProgramKey,
-    needed_tokens: u64,
-    (claimed_tokens, unrecorded_tokens): (Option<u64>, u64),
-) {
+fn finish_close(tick: &mut Tick<'_>, program: &ProgramKey, needed_tokens: u64, used: UsedTokens) {
     let waiting = take_waiting(tick, program);
     let calls = &tick.tables.calls;
     let is_kept = |id: &CallId| calls.get(id).is_some_and(Call::is_kept_turn);
@@ -302,9 +313,9 @@
     if waiting.is_empty() {
         return;
     }
-    let taken_tokens = claimed_tokens.unwrap_or(unrecorded_tokens);
+    let taken_tokens = used.claimed.unwrap_or(used.at_most);
     let fits = taken_tokens.saturating_add(needed_tokens) <= row.budget_tokens;
-    let is_known = claimed_tokens.is_some() || may_estimate;
+    let is_known = used.claimed.is_some() || may_estimate;
     if row.has_record || (fits && is_known) {
         row.waiting = waiting;
         reserve(tick, program, needed_tokens, taken_tokens);
--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -3,9 +3,10 @@
 //! A quarter of a budget may be used once storage VMs have recorded each turn (`claims`); beyond
 //! it, a VM reserves tokens in the program's record in the store before it forwards them to
 //! callers. Unused reservations are lost with their VM, so VMs that crash or can't reach each other
-//! never exceed a budget. What is not known is neither used up nor free: if storage VMs do not
-//! answer, a new record counts all that they can have granted, and a turn that does not fit is
-//! refused for now.
+//! never exceed a budget. What is not known is neither used up nor free: a turn that does not fit
+//! beside what is claimed, and may end up unused, is refused for now. If storage VMs do not answer, a
+//! new record counts all that they can have granted, but not for turns that the system keeps, which
+//! need storage VMs themselves.
 
 mod claims;
 
--- a/crates/core/src/tables/budget.rs
+++ b/crates/core/src/tables/budget.rs
@@ -213,7 +213,7 @@
 impl Budget {
     /// Takes the tokens of one more turn from the budget if there are enough.
     ///
-    /// A turn is refused for good only if what its callers are known to have got leaves no room.
+    /// A turn is refused for good only if what counts as used leaves no room.
     pub fn cover(&mut self, turn_tokens: u64) -> BudgetDecision {
         if self.is_used_up(turn_tokens) {
             return BudgetDecision::Exhausted;
