--- a/crates/core/src/output/refusal.rs
+++ b/crates/core/src/output/refusal.rs
@@ -74,7 +74,7 @@
     Isolated = "isolated", 503, "resend; the load balancer will choose another VM";
     /// This VM has no configuration yet.
     NotConfigured = "not_configured", 503, "resend; the VM has just started";
-    /// The store did not confirm that the program's budget covers the turn.
+    /// Neither storage VMs nor the store confirmed that the program's budget covers the turn.
     BudgetUnknown = "budget_unknown", 503, "resend after the time in retry-after";
     /// No service offers the model.
     ModelUnknown = "model_unknown", 404, "list the models with GET /v1/models";
