Copy turns on too few disks before those on enough

Cause: a VM that has lost its disk reads its turns youngest first at a bounded rate, so that a turn which a further loss left on too few disks waits behind them.

Change: Offers::lacking begins with the turns that do not name the asking VM: it is to hold them because too few others do.

--- a/crates/core/src/turns/offers.rs
+++ b/crates/core/src/turns/offers.rs
@@ -24,13 +24,17 @@
 }
 
 impl Offers {
-    /// Returns the digests of the turns that a VM lacks that holds the `held` ones: the youngest
-    /// chains first, and each turn after the one it goes on from.
+    /// Returns the digests of the turns that a VM lacks that holds the `held` ones, each after the
+    /// one it goes on from.
+    ///
+    /// Turns that do not name the VM come first, since they are on too few disks without it; then
+    /// the youngest ones.
     pub fn lacking(&self, held: &HashSet<u64>) -> Vec<u64> {
         let previous: HashMap<u64, u64> = self.chains.iter().flat_map(links).collect();
         let mut lacking = Vec::new();
         let mut listed = HashSet::new();
-        for digest in self.chains.iter().flat_map(|chain| &chain.offered) {
+        let offered = self.chains.iter().flat_map(|chain| &chain.offered);
+        for digest in self.unnamed.iter().chain(offered) {
             let start = lacking.len();
             let mut next = Some(*digest);
             while let Some(digest) = next.filter(|row| !held.contains(row) && listed.insert(*row)) {
--- a/crates/core/tests/turn_offers.rs
+++ b/crates/core/tests/turn_offers.rs
@@ -4,7 +4,9 @@
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
-use knapweeddale_core::turns::{HolderSet, HolderVm, StoredTurn, StoredTurns, TurnKey};
+use knapweeddale_core::turns::{
+    HolderSet, HolderVm, OfferedChain, Offers, StoredTurn, StoredTurns, TurnKey,
+};
 use knapweeddale_core::{AccountName, TurnId};
 use knapweeddale_testing::{Random, seeds};
 use rstest::rstest;
@@ -298,3 +300,18 @@
         }
     }
 }
+
+/// Guards against turns on too few disks that are copied after those that are on enough.
+#[rstest]
+fn short_first() {
+    let chain = |offered: &[u64], before: &[u64]| OfferedChain {
+        offered: offered.to_vec(),
+        before: before.to_vec(),
+    };
+    let offers = Offers {
+        chains: vec![chain(&[5, 4], &[3]), chain(&[2], &[1])],
+        unnamed: vec![2],
+        next_number: 5,
+    };
+    assert_eq!(offers.lacking(&HashSet::from([3])), [1, 2, 4, 5]);
+}
