Let a storage VM answer more than 100 requests at the same time

Cause: the RPC server kept the library's limit of 100 requests under way and answered further ones with 429, which a sender takes for a failure. Up to 90 VMs of the present deployments send claims, turns, lookups and probes, so that a VM that is only slow turns requests away.

Change: the limit follows from the memory, a quarter of it at 64 KB for each request: 480 for 120 MB. The size of one request is limited by the library only (10 MB).

--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -58,6 +58,13 @@
     }
 }
 
+/// Part of the memory of a storage VM that requests under way may use, as a divisor.
+const REQUESTS_DIVISOR: usize = 4;
+
+/// Memory of a request under way: a turn of 10 KB as text, decoded, encoded for the disk, and its
+/// connection.
+const REQUEST_BYTES: usize = 64 * 1024;
+
 /// How the memory of a storage VM is divided among what it holds for others.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct StorageMemoryPlan {
@@ -67,6 +74,8 @@
     pub write_bytes: usize,
     /// Limit for claims on budgets, with their rows and indexes.
     pub claim_bytes: usize,
+    /// Limit for the requests that are under way at the same time.
+    pub max_requests: u32,
 }
 
 impl StorageMemoryPlan {
@@ -77,6 +86,7 @@
             turn_bytes,
             write_bytes: turn_bytes / WRITES_DIVISOR,
             claim_bytes: memory_bytes / CLAIMS_DIVISOR,
+            max_requests: (memory_bytes / REQUESTS_DIVISOR / REQUEST_BYTES).max(1) as u32,
         }
     }
 }
--- a/crates/relay/src/storage/mod.rs
+++ b/crates/relay/src/storage/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use jsonrpsee::server::{Methods, Server, ServerHandle};
+use jsonrpsee::server::{Methods, Server, ServerConfig, ServerHandle};
 use knapweeddale_core::VmName;
 use knapweeddale_store::StoreError;
 use tokio::task::JoinSet;
@@ -75,12 +75,15 @@
         store: S,
     ) -> Result<Self, StartError> {
         let ledger = Arc::new(Mutex::new(Ledger::open(&settings.data_folder)?));
-        let server = Server::builder().build(settings.peer_listen).await?;
+        let memory = StorageMemoryPlan::new(settings.memory_bytes);
+        // The library's own limit of 100 requests is below the number of VMs that may ask at once.
+        let config = ServerConfig::builder().max_connections(memory.max_requests);
+        let server = Server::builder().set_config(config.build());
+        let server = server.build(settings.peer_listen).await?;
         let address = server.local_addr()?;
         let charge_server = ChargeServer {
             ledger: Arc::clone(&ledger),
         };
-        let memory = StorageMemoryPlan::new(settings.memory_bytes);
         let turns = TurnStore::open(
             &settings.data_folder.join(TURN_FOLDER),
             settings.is_first_start,
