--- a/crates/core/src/turns/segments.rs
+++ b/crates/core/src/turns/segments.rs
@@ -34,6 +34,15 @@
         self.bytes += turn_bytes;
     }
 
+    /// Notes that a kept turn of a segment takes another size than before.
+    pub fn resize(&mut self, segment: u64, bytes_before: usize, bytes: usize) {
+        if let Some(row) = self.rows.get_mut(&segment) {
+            row.kept_bytes = row.kept_bytes - bytes_before + bytes;
+            row.all_bytes = row.all_bytes - bytes_before + bytes;
+            self.bytes = self.bytes - bytes_before + bytes;
+        }
+    }
+
     /// Notes that a turn is no longer kept in a segment; returns whether none is left in it.
     pub fn remove(&mut self, segment: u64, turn_bytes: usize) -> bool {
         let Some(row) = self.rows.get_mut(&segment) else {
--- a/crates/core/src/turns/stored.rs
+++ b/crates/core/src/turns/stored.rs
@@ -375,7 +375,11 @@
     pub fn add_holder(&mut self, digests: &HashSet<u64>, address: &Arc<str>, holders: &HolderSet) {
         for (key, row) in self.rows.iter_mut() {
             if digests.contains(&key.digest()) {
+                let bytes_before = row.turn.memory_bytes();
                 holders.add_named(&mut row.turn.copies, address);
+                let bytes = row.turn.memory_bytes();
+                self.bytes = self.bytes - bytes_before + bytes;
+                self.segments.resize(row.segment, bytes_before, bytes);
             }
         }
     }
--- a/crates/core/tests/kept_copies.rs
+++ b/crates/core/tests/kept_copies.rs
@@ -38,6 +38,8 @@
     is_up: bool,
     /// The other VMs that it knows, and whether it takes them for lost.
     members: BTreeMap<Address, bool>,
+    process: u64,
+    cursors: BTreeMap<Address, (u64, u64)>,
 }
 
 impl Vm {
@@ -88,7 +90,10 @@
 
     /// Starts the process of a VM with what was synced.
     fn start(&mut self, index: usize) {
+        self.next_id += 1;
         let vm = &mut self.vms[index];
+        vm.process = self.next_id;
+        vm.cursors.clear();
         vm.is_up = true;
         vm.members.clear();
         vm.turns = StoredTurns::new(usize::MAX);
@@ -138,23 +143,49 @@
     /// power.
     fn copy(&mut self, to: &Address, from: &Address, lost: &[Address]) -> Option<()> {
         let tolerated_losses = self.tolerated_losses;
-        let mut held = self.vm(to)?.turns.digests();
+        let cursor = self.vm(to)?.cursors.get(from).copied();
         let source = self.vm(from)?;
+        let process = source.process;
+        let from_number = cursor.filter(|c| c.0 == process).map_or(0, |c| c.1);
         source.members.entry(Arc::clone(to)).or_default();
         let holders = source.holder_set(lost, tolerated_losses);
-        let mut offers = source.turns.offers(&holders, to, from);
+        let offers = source.turns.offered_chains(&holders, to, from, from_number);
+        let mut done: HashSet<u64> = HashSet::new();
         loop {
-            offers.retain(|digest| !held.contains(digest));
-            let wanted: HashSet<u64> = offers.iter().copied().collect();
-            let turns = self.vm(from)?.turns.chains_of(&wanted, PAGE_BYTES);
+            let mut held = self.vm(to)?.turns.digests();
+            held.extend(&done);
+            let mut lacking = offers.lacking(&held);
+            lacking.truncate(8);
+            let wanted: HashSet<u64> = lacking.iter().copied().collect();
+            if wanted.is_empty() {
+                break;
+            }
+            let turns = self.vm(from)?.turns.turns_of(&wanted, PAGE_BYTES);
             if turns.is_empty() {
-                return Some(());
+                done.extend(wanted);
+                continue;
             }
-            held.extend(turns.iter().map(|turn| turn.key.digest()));
+            done.extend(turns.iter().map(|turn| turn.key.digest()));
             let stored = self.append(to, turns)?;
             stored.expect("turns in an order in which they can be stored");
             self.vm(from)?.is_up = !self.random.per_mille(self.losses_per_mille);
         }
+        let held = self.vm(to)?.turns.digests();
+        let unnamed: HashSet<u64> = offers
+            .unnamed
+            .iter()
+            .copied()
+            .filter(|d| held.contains(d))
+            .collect();
+        if self.random.below(8) > 0 {
+            let source = self.vm(from)?;
+            let holders = source.holder_set(&[], tolerated_losses);
+            source.turns.add_holder(&unnamed, to, &holders);
+        }
+        self.vm(to)?
+            .cursors
+            .insert(Arc::clone(from), (process, offers.next_number));
+        Some(())
     }
 
     /// Has a VM register, copy what it is to hold from the others and probe them.
--- a/crates/core/tests/turn_offers.rs
+++ b/crates/core/tests/turn_offers.rs
@@ -315,3 +315,30 @@
     };
     assert_eq!(offers.lacking(&HashSet::from([3])), [1, 2, 4, 5]);
 }
+
+/// Guards against a count of memory that no longer fits once turns name further VMs as holders.
+#[rstest]
+fn named_later() {
+    let key = TurnKey {
+        account: Some(AccountName::from("bus")),
+        id: TurnId::from("a"),
+    };
+    let mut turns = StoredTurns::new(MAX_BYTES);
+    let turn = StoredTurn {
+        key: key.clone(),
+        previous: None,
+        content: Arc::from(&b"one;"[..]),
+        retention_ms: 1,
+        copies: Default::default(),
+    };
+    turns.insert(turn, 7, 0);
+    let digests = HashSet::from([key.digest()]);
+    let holders = HolderSet::new(Vec::new(), TOLERATED_LOSSES);
+    let bytes = turns.bytes();
+    for number in 0..8 {
+        turns.add_holder(&digests, &Arc::from(format!("vm-{number}")), &holders);
+    }
+    assert!(turns.bytes() > bytes);
+    assert_eq!(turns.expire(1_000_000), [7]);
+    assert_eq!(turns.bytes(), 0);
+}
--- a/crates/relay/src/storage/mod.rs
+++ b/crates/relay/src/storage/mod.rs
@@ -34,10 +34,6 @@
 /// Name of the folder of claims on budgets.
 const USAGE_FOLDER: &str = "usage";
 
-/// Requests that may be open at the same time. All entry VMs send to each VM with a disk, so that
-/// the default of 100 rejects requests while the disk is slow.
-const MAX_OPEN_REQUESTS: u32 = 1_024;
-
 /// Interval at which expired turns and claims are removed.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -79,14 +75,15 @@
         store: S,
     ) -> Result<Self, StartError> {
         let ledger = Arc::new(Mutex::new(Ledger::open(&settings.data_folder)?));
-        let config = ServerConfig::builder().max_connections(MAX_OPEN_REQUESTS);
+        let memory = StorageMemoryPlan::new(settings.memory_bytes);
+        // The library's own limit of 100 requests is below the number of VMs that may ask at once.
+        let config = ServerConfig::builder().max_connections(memory.max_requests);
         let server = Server::builder().set_config(config.build());
         let server = server.build(settings.peer_listen).await?;
         let address = server.local_addr()?;
         let charge_server = ChargeServer {
             ledger: Arc::clone(&ledger),
         };
-        let memory = StorageMemoryPlan::new(settings.memory_bytes);
         let turns = TurnStore::open(
             &settings.data_folder.join(TURN_FOLDER),
             settings.is_first_start,
