--- a/review/standins-3/claims.rs
+++ b/review/standins-3/claims.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::thread;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use crate::Outcome;
 use crate::fleet::Fleet;
@@ -111,15 +111,13 @@
 }
 
 fn start_workers(fleet: &mut Fleet) -> Vec<Arc<Worker>> {
-    let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis());
-    let born = u64::try_from(born).unwrap_or(0);
     let behaviour = Behaviour::Sound { events: EVENTS, gap_ms: 2 };
     (1..=2)
         .map(|number| {
             let address: SocketAddr = format!("{}:8080", fleet.next_ip()).parse().expect("an address");
             let id = format!("i-engine{number}");
-            let worker = Worker::start(&id, address, behaviour, "v1");
-            let entry = worker::entry("models", address, "za", "v1", 16, born);
+            let worker = Worker::start(&id, address, behaviour);
+            let entry = worker::entry(address);
             fleet.store.write("servers", &id, &entry);
             worker
         })
--- a/review/standins-3/endless.rs
+++ b/review/standins-3/endless.rs
@@ -38,9 +38,9 @@
         .map(|number| {
             let address: SocketAddr = format!("{}:8080", fleet.next_ip()).parse().expect("an address");
             let id = format!("i-engine{number}");
-            let entry = worker::entry("models", address, "za", "v1", 16, 1_700_000_000_000);
+            let entry = worker::entry(address);
             fleet.store.write("servers", &id, &entry);
-            Worker::start(&id, address, SOUND, "v1")
+            Worker::start(&id, address, SOUND)
         })
         .collect();
     stores.iter().for_each(|index| fleet.start(*index, true));
--- a/review/standins-3/http.rs
+++ b/review/standins-3/http.rs
@@ -161,6 +161,30 @@
     response
 }
 
+/// Sends requests one after the other on one connection until `head_of` returns none; returns how
+/// many were answered with 200.
+pub fn send_many(address: SocketAddr, mut head_of: impl FnMut() -> Option<String>) -> usize {
+    let mut answered = 0;
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_secs(1)) {
+        let mut connection = Connection::new(stream);
+        loop {
+            let Some(head) = head_of() else { return answered };
+            let text = format!("{head}Content-Length: 0\r\n\r\n");
+            if connection.stream.write_all(text.as_bytes()).is_err() {
+                break;
+            }
+            let Ok((first, headers)) = connection.read_head() else { break };
+            let length = find_header(&headers, "content-length");
+            let length = length.and_then(|text| text.parse().ok()).unwrap_or(0);
+            if connection.read_exact(length).is_err() {
+                break;
+            }
+            answered += usize::from(first.contains(" 200 "));
+        }
+    }
+    answered
+}
+
 fn try_send(
     address: SocketAddr,
     head: &str,
--- a/review/standins-3/late_turn.rs
+++ b/review/standins-3/late_turn.rs
@@ -33,9 +33,9 @@
     for number in 1..=2 {
         let address: SocketAddr = format!("{}:8080", fleet.next_ip()).parse().expect("an address");
         let id = format!("i-engine{number}");
-        let entry = worker::entry("models", address, "za", "v1", 16, 1_700_000_000_000);
+        let entry = worker::entry(address);
         fleet.store.write("servers", &id, &entry);
-        Worker::start(&id, address, Behaviour::Sound { events: 6, gap_ms: 5 }, "v1");
+        Worker::start(&id, address, Behaviour::Sound { events: 6, gap_ms: 5 });
     }
     stores.iter().for_each(|index| fleet.start(*index, true));
     thread::sleep(Duration::from_millis(300));
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -7,10 +7,10 @@
 mod http;
 mod json;
 mod late_turn;
+mod poison;
 mod record;
-mod records;
+mod retirement;
 mod store;
-mod upgrade;
 mod worker;
 
 use std::path::Path;
@@ -39,8 +39,8 @@
         "claims" => claims::run(&mut record, has_trouble),
         "endless" => endless::run(&mut record, has_trouble),
         "late_turn" => late_turn::run(&mut record, has_trouble),
-        "records" => records::run(&mut record, has_trouble),
-        "upgrade" => upgrade::run(&mut record, has_trouble),
+        "retirement" => retirement::run(&mut record, has_trouble),
+        "poison" => poison::run(&mut record, has_trouble),
         _ => Outcome::Unable,
     };
     let (text, code) = match outcome {
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -54,13 +54,6 @@
         self.put(kind, name, Some(spec), None);
     }
 
-    /// Returns the names and values of all objects of a kind.
-    pub fn objects(&self, kind: &str) -> Vec<(String, String)> {
-        let state = self.state();
-        let rows = state.rows.iter().filter(|((row_kind, _), _)| row_kind == kind);
-        rows.map(|((_, name), row)| (name.clone(), row.spec.to_string())).collect()
-    }
-
     /// Returns the state that the system reported for an object.
     pub fn status(&self, kind: &str, name: &str) -> String {
         let key = (kind.to_owned(), name.to_owned());
--- a/review/standins-3/worker.rs
+++ b/review/standins-3/worker.rs
@@ -9,6 +9,12 @@
 
 use crate::http::{Connection, Request};
 
+/// Body of a request that crashes each worker that begins to run it.
+pub const POISON: &[u8] = b"poison";
+
+/// Time for which a worker is down after such a request.
+const DOWN: Duration = Duration::from_secs(2);
+
 /// What a worker does with the requests of streams.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Behaviour {
@@ -19,32 +25,29 @@
     Endless { mb_per_s: u64 },
 }
 
-/// One process of a worker.
-struct Process {
-    has_ended: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
-    version: String,
-}
-
 pub struct Worker {
     pub id: String,
     pub address: SocketAddr,
     behaviour: Mutex<Behaviour>,
-    process: Mutex<Option<Arc<Process>>>,
+    connections: Mutex<Vec<TcpStream>>,
+    is_down: AtomicBool,
+    /// When requests with [`POISON`] began to run, and crashed the worker.
+    pub poisoned: Mutex<Vec<Instant>>,
     pub endless_answers: AtomicU64,
 }
 
 impl Worker {
-    /// Starts a worker whose answers name its software version.
-    pub fn start(id: &str, address: SocketAddr, behaviour: Behaviour, version: &str) -> Arc<Self> {
+    /// Starts a worker.
+    pub fn start(id: &str, address: SocketAddr, behaviour: Behaviour) -> Arc<Self> {
         let worker = Arc::new(Self {
             id: id.to_owned(),
             address,
             behaviour: Mutex::new(behaviour),
-            process: Mutex::new(None),
+            connections: Mutex::default(),
+            is_down: AtomicBool::new(false),
+            poisoned: Mutex::default(),
             endless_answers: AtomicU64::new(0),
         });
-        worker.start_process(version);
         let accepting = Arc::clone(&worker);
         thread::spawn(move || accepting.accept());
         worker
@@ -54,63 +57,58 @@
         *self.behaviour.lock().expect("a sound mutex") = behaviour;
     }
 
-    /// Starts the process of the worker.
-    pub fn start_process(self: &Arc<Self>, version: &str) {
-        let process = Process {
-            has_ended: AtomicBool::new(false),
-            connections: Mutex::default(),
-            version: version.to_owned(),
-        };
-        *self.process.lock().expect("a sound mutex") = Some(Arc::new(process));
-    }
-
-    /// Accepts connections for the process that runs. The port belongs to the supervisor of the
-    /// worker, so that a connection waits while no process runs.
+    /// Accepts connections for the process that runs; the port refuses them while the worker is down.
     fn accept(self: &Arc<Self>) {
-        let listener = TcpListener::bind(self.address).expect("a free port for a worker");
-        listener.set_nonblocking(true).expect("a listener");
         loop {
-            let process = self.process.lock().expect("a sound mutex").clone();
-            let accepted = process.and_then(|process| Some((process, listener.accept().ok()?)));
-            match accepted {
-                Some((process, (stream, _))) => self.serve(process, stream),
-                None => thread::sleep(Duration::from_millis(1)),
+            let listener = TcpListener::bind(self.address).expect("a free port for a worker");
+            listener.set_nonblocking(true).expect("a listener");
+            while !self.is_down.load(Ordering::Relaxed) {
+                match listener.accept() {
+                    Ok((stream, _)) => self.serve(stream),
+                    Err(_) => thread::sleep(Duration::from_millis(1)),
+                }
+            }
+            drop(listener);
+            while self.is_down.load(Ordering::Relaxed) {
+                thread::sleep(Duration::from_millis(1));
             }
         }
     }
 
     /// Serves one connection in a thread of its own.
-    fn serve(self: &Arc<Self>, process: Arc<Process>, stream: TcpStream) {
+    fn serve(self: &Arc<Self>, stream: TcpStream) {
         // Fails only on a connection that has ended.
         let _ = stream.set_nonblocking(false);
         let Ok(copy) = stream.try_clone() else { return };
-        process.connections.lock().expect("a sound mutex").push(copy);
+        self.connections.lock().expect("a sound mutex").push(copy);
         let worker = Arc::clone(self);
         thread::spawn(move || {
             let mut connection = Connection::new(stream);
             while let Ok(request) = connection.read_request() {
-                if worker.handle(&process, &request, &mut connection.stream).is_err() {
+                if worker.handle(&request, &mut connection.stream).is_err() {
                     return;
                 }
             }
         });
     }
 
-    /// Ends the process of the worker as a crash does: all its connections close at once.
-    pub fn crash(&self) {
-        let process = self.process.lock().expect("a sound mutex").take();
-        let Some(process) = process else { return };
-        process.has_ended.store(true, Ordering::Relaxed);
-        for stream in process.connections.lock().expect("a sound mutex").drain(..) {
+    /// Crashes, and comes back after [`DOWN`].
+    fn crash(self: &Arc<Self>) {
+        self.is_down.store(true, Ordering::Relaxed);
+        // The listener closes within a millisecond or two.
+        thread::sleep(Duration::from_millis(5));
+        for stream in self.connections.lock().expect("a sound mutex").drain(..) {
             // Fails if the connection has ended.
             let _ = stream.shutdown(Shutdown::Both);
         }
+        let worker = Arc::clone(self);
+        thread::spawn(move || {
+            thread::sleep(DOWN);
+            worker.is_down.store(false, Ordering::Relaxed);
+        });
     }
 
-    fn handle(&self, process: &Process, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
-        if process.has_ended.load(Ordering::Relaxed) {
-            return Err(io::ErrorKind::ConnectionAborted.into());
-        }
+    fn handle(self: &Arc<Self>, request: &Request, stream: &mut TcpStream) -> io::Result<()> {
         if request.header("expect-instance").is_some_and(|id| id != self.id) {
             let text = format!(
                 "HTTP/1.1 421 Misdirected Request\r\nInstance-Id: {}\r\nContent-Length: 0\r\n\r\n",
@@ -125,11 +123,25 @@
             );
             return stream.write_all(text.as_bytes());
         }
+        if request.body == POISON {
+            self.poisoned.lock().expect("a sound mutex").push(Instant::now());
+            self.crash();
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
         let id = request.header("request-id").unwrap_or_default().to_owned();
+        if request.path.starts_with("/pay/") {
+            let text = format!(
+                "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {}\r\n\
+                 Content-Length: 800\r\n\r\n{}",
+                self.id,
+                "x".repeat(800)
+            );
+            return stream.write_all(text.as_bytes());
+        }
         let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {}.{}\r\n\
+            "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Signature: {}\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
-            self.id, process.version
+            self.id
         );
         let behaviour = *self.behaviour.lock().expect("a sound mutex");
         stream.write_all(head.as_bytes())?;
@@ -138,7 +150,7 @@
                 let from = request.header("last-event-id").and_then(|id| id.parse().ok());
                 for number in from.unwrap_or(0) + 1..=events {
                     thread::sleep(Duration::from_millis(gap_ms));
-                    let event = format!("id: {number}\ndata: {number} of {}\n\n", process.version);
+                    let event = format!("id: {number}\ndata: piece {number}\n\n");
                     let chunk = format!("{:x}\r\n{event}\r\n", event.len());
                     stream.write_all(chunk.as_bytes())?;
                 }
@@ -162,9 +174,9 @@
 }
 
 /// Returns the entry of a worker in the store.
-pub fn entry(service: &str, address: SocketAddr, zone: &str, version: &str, slots: u32, born: u64) -> String {
+pub fn entry(address: SocketAddr) -> String {
     format!(
-        r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"{version}","slots":{slots},"state":"ready","coldLeftMs":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"seq":1,"born":{born}}}"#
+        r#"{{"service":"models","address":"{address}","zone":"za","version":"v1","slots":16,"state":"ready","coldLeftMs":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"seq":1,"born":1796000000000}}"#
     )
 }
 
@@ -176,8 +188,9 @@
             r#"{{"name":"r-{prefix}","host":"ficu95.example","pathPrefix":"/{prefix}/","kind":"{kind}","timeoutMs":3000,"sloMs":200,"priority":0,"service":"models","maxAttempts":1,"serverHistory":{history},"retentionS":{retention_s:.1},"public":false,"sticky":true,"resumable":{resumable},"targetGapMs":200}}"#
         )
     };
+    // No limit for the tenant: the rates are not what the cases are about.
     format!(
-        r#"{{"version":{version},"routes":[{},{},{}],"services":[{{"name":"models","healthPath":"/health","maxConns":180,"protocol":"h1","tls":false,"engine":{{"slots":16,"kvCapacity":133601,"kvTokenBytes":262144,"linkMbps":2200000.0,"moves":true,"backups":true,"stride":11,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,"models":[{{"name":"m"}}]}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["3fexd9dnn2ctnfzs989a"],"priority":1,"ratePerS":305,"burst":305}}]}}"#,
+        r#"{{"version":{version},"routes":[{},{},{}],"services":[{{"name":"models","healthPath":"/health","maxConns":180,"protocol":"h1","tls":false,"engine":{{"slots":16,"kvCapacity":133601,"kvTokenBytes":262144,"linkMbps":2200000.0,"moves":true,"backups":true,"stride":11,"most":12,"pinMs":4000.0,"holdMs":2000.0,"handle_s":5.0,"models":[{{"name":"m"}}]}}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"tenants":[{{"name":"hule930","apiKeys":["3fexd9dnn2ctnfzs989a"],"priority":1}}]}}"#,
         route("plan", "streaming", false, true),
         route("talk", "streaming", true, false),
         route("pay", "non_idempotent", false, false)
