--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts in review/11 to review/15. Needs only rustc.
+# Builds the stand-ins of the scripts in review/12, review/13 and review/14. Needs only rustc.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
