--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -8,7 +8,7 @@
 use http::{Response, StatusCode};
 use knapweeddale_core::input::{AttemptOutcome, Failure, StatedRate, UpstreamStatement};
 use knapweeddale_core::{Dispatch, Input, StreamFormat};
-use knapweeddale_runtime::Clock;
+use knapweeddale_runtime::{Clock, MemoryPermit};
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
@@ -40,6 +40,8 @@
     pub earlier_turns: Option<Bytes>,
     /// The data of the forwarded events, if the system keeps the turn.
     pub kept_output: BytesMut,
+    /// Counts the bytes of `kept_output`.
+    pub kept_permit: Option<MemoryPermit>,
 }
 
 impl Progress {
--- a/crates/relay/src/call/history.rs
+++ b/crates/relay/src/call/history.rs
@@ -99,6 +99,11 @@
             output.extend_from_slice(line);
             output.extend_from_slice(b"\n");
         }
+        let held_bytes = output.capacity();
+        let permit = &mut self.progress.kept_permit;
+        let permit = permit.get_or_insert_with(|| self.shared.kept_turns.permit());
+        // The limiter only counts.
+        let _ = permit.resize(held_bytes);
     }
 
     /// Stores a turn whose stream is complete, before its response ends at the deadline.
@@ -132,6 +137,8 @@
             copies: SmallVec::new(),
         };
         let earlier = self.progress.earlier_turns.clone().unwrap_or_default();
+        let (input_bytes, output_bytes) = (self.body.len(), self.progress.kept_output.len());
+        let earlier_bytes = earlier.len();
         let started = Instant::now();
         let allowed = kept.storage.as_deref();
         let stored = self.shared.turns.store(turn, earlier, allowed, deadline);
@@ -141,7 +148,8 @@
         let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
         match stored {
             Ok(()) => {
-                tracing::info!(request = id, %call, took_us, "history: turn stored");
+                tracing::info!(request = id, %call, took_us, input_bytes, output_bytes,
+                    earlier_bytes, "history: turn stored");
                 Ok(())
             }
             Err(error) => {
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -182,6 +182,7 @@
             max_body_bytes: settings.max_body_bytes,
             requests: MemoryLimiter::new(memory.buffer_bytes),
             responses,
+            kept_turns: MemoryLimiter::new(usize::MAX),
             memory,
         });
         let tracker = ConnectionTracker {
--- a/crates/relay/src/front/service.rs
+++ b/crates/relay/src/front/service.rs
@@ -80,8 +80,11 @@
 
 /// Returns the metrics in the Prometheus text format.
 fn metrics_response<D, C>(shared: &SharedState<D, C>) -> Response<RelayBody> {
-    let (requests, responses) = (shared.requests.used_bytes(), shared.responses.used_bytes());
-    shared.metrics.set_buffered_bytes(requests, responses);
+    shared.metrics.set_buffered_bytes([
+        ("requests", shared.requests.used_bytes()),
+        ("responses", shared.responses.used_bytes()),
+        ("kept_turns", shared.kept_turns.used_bytes()),
+    ]);
     match shared.metrics.to_text() {
         Ok(text) => plain_response(StatusCode::OK, Bytes::from(text)),
         Err(error) => {
--- a/crates/relay/src/metrics/calls.rs
+++ b/crates/relay/src/metrics/calls.rs
@@ -41,9 +41,9 @@
         self.rejected_connections.inc();
     }
 
-    /// Sets the gauges for the memory of long requests and responses.
-    pub(crate) fn set_buffered_bytes(&self, requests: usize, responses: usize) {
-        for (what, bytes) in [("requests", requests), ("responses", responses)] {
+    /// Sets the gauges for the memory of what this VM holds for others.
+    pub(crate) fn set_buffered_bytes<const N: usize>(&self, rows: [(&str, usize); N]) {
+        for (what, bytes) in rows {
             let gauge = self.buffered_bytes.with_label_values(&[what]);
             gauge.set(gauge_value(bytes as u64));
         }
--- a/crates/relay/src/metrics/mod.rs
+++ b/crates/relay/src/metrics/mod.rs
@@ -116,7 +116,7 @@
             )?,
             buffered_bytes: gauges(
                 "kwd_buffered_bytes",
-                "Bytes of long requests and responses in memory.",
+                "Bytes of long requests and responses, and of kept turns, in memory.",
                 "what",
             )?,
             turns: counters("kwd_turns_total", "Kept turns by result.", "result")?,
