Break off streams that go on after the tokens that their request allows

Seen: an upstream in trouble sends events without end on a stream. All of them reach the caller until the deadline, on routes with and without kept turns: more tokens than the request allows, beyond the budget of its program.

Cause: nothing compared the events with the second number of Token-Usage, which is the most that a turn generates, in events of `stride` tokens.

Change: an event after the last allowed token ends the stream as a broken one (Failure::TooLong). All attempts of the call count. It is not taken up at another upstream, which could end it as if it were whole. It counts as a failure of the upstream, and what reached the caller is charged.

--- a/crates/core/src/input/attempt.rs
+++ b/crates/core/src/input/attempt.rs
@@ -81,6 +81,12 @@
         /// Whether any part of the response reached the caller.
         forwarded: bool,
     },
+    /// The response has more than its request allows, so that no part of it is an answer. Nothing
+    /// can follow the part that reached the caller.
+    TooLong {
+        /// Tokens that reached the caller.
+        answer_tokens: u64,
+    },
     /// The connection broke, as it does when the upstream crashes.
     ConnectionLost {
         /// Tokens received before the connection broke.
@@ -139,7 +145,7 @@
             Self::ConnectionLost { forwarded, .. }
             | Self::Silent { forwarded, .. }
             | Self::InvalidResponse { forwarded, .. } => *forwarded,
-            Self::CallerGone { .. } | Self::HistoryNotStored { .. } => true,
+            Self::CallerGone { .. } | Self::HistoryNotStored { .. } | Self::TooLong { .. } => true,
             _ => false,
         }
     }
@@ -151,6 +157,7 @@
             | Self::Silent { answer_tokens, .. }
             | Self::InvalidResponse { answer_tokens, .. }
             | Self::CallerGone { answer_tokens }
+            | Self::TooLong { answer_tokens }
             | Self::HistoryNotStored { answer_tokens } => *answer_tokens,
             _ => 0,
         }
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -165,6 +165,7 @@
         Failure::RefusedByUpstream { .. }
         | Failure::UpstreamError { .. }
         | Failure::InvalidResponse { .. }
+        | Failure::TooLong { .. }
         | Failure::Silent { .. } => AttemptResult::Failed,
         Failure::ConnectionLost { .. } => AttemptResult::Lost,
         _ => AttemptResult::Unused,
@@ -184,7 +185,8 @@
     // Only a stream can go on after the part that its caller has.
     let relay = call.relay.as_ref();
     let is_stream = relay.is_some_and(|relay| relay.route.kind.is_stream());
-    let is_resumable = is_stream && call.idempotent && !is_caller_gone;
+    let is_too_long = matches!(failure, Failure::TooLong { .. });
+    let is_resumable = is_stream && call.idempotent && !is_caller_gone && !is_too_long;
     if failure.is_forwarded() && !is_resumable {
         return Err(RetryReason::Forwarded);
     }
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -26,6 +26,8 @@
 pub(super) struct Progress {
     /// Tokens that the current attempt forwarded.
     pub forwarded_tokens: u64,
+    /// Tokens that all attempts forwarded.
+    pub call_tokens: u64,
     /// The last event that was forwarded, by any attempt; an upstream resumes after it.
     pub last_event_id: Option<u64>,
     /// Whether an event was forwarded, by any attempt.
@@ -282,6 +284,7 @@
                 if event.id.is_some() && event.id <= self.progress.last_event_id {
                     continue;
                 }
+                self.check_tokens()?;
                 // Recorded first: the caller may take the stream up as soon as it has the event.
                 if form.is_resumable && !self.progress.is_stream_started {
                     self.record_origin();
@@ -291,6 +294,7 @@
                     .await?;
                 self.progress.last_event_id = event.id.or(self.progress.last_event_id);
                 self.progress.forwarded_tokens += form.tokens_per_event;
+                self.progress.call_tokens += form.tokens_per_event;
                 self.progress.is_stream_started = true;
                 self.keep_output(&event);
             }
@@ -305,6 +309,26 @@
         Ok(AttemptEnd::Finished(outcome, Some(empty)))
     }
 
+    /// Fails if the stream goes on after the last token that its request allows.
+    ///
+    /// What goes on then is no answer, and would be handed to the caller beyond the budget of its
+    /// program.
+    fn check_tokens(&self) -> Result<(), Failure> {
+        let max_tokens = self.head.max_tokens;
+        if max_tokens == 0 || self.progress.call_tokens < max_tokens {
+            return Ok(());
+        }
+        Err(self.too_long(&format!("it goes on after {max_tokens} tokens")))
+    }
+
+    /// Logs a stream with more than its request allows and returns the failure.
+    fn too_long(&self, reason: &str) -> Failure {
+        self.invalid_response(reason);
+        Failure::TooLong {
+            answer_tokens: self.progress.forwarded_tokens,
+        }
+    }
+
     /// Sends a part of the body to the caller, until the deadline if the caller reads slowly.
     pub(super) async fn send_part(
         &mut self,
