Reserve the memory of kept turns before they are sent to an upstream

One answer of data blocks without end on a route that keeps turns takes an entry VM over 110 MB within 1.4 s; it is killed, and all calls on it end without an answer.

Cause: the output of a kept turn grew with each event without a limit and was counted nowhere. Evidence: with kwd_buffered_bytes{what="kept_turns"}, the output grows with the memory of the process (12 to 102 MB in 1.2 s) while responses and requests hold 0 to 8 bytes. The class, what an entry VM holds for others without an account, has more members on the same path: the content was copied for each storage VM and twice as text, the chain of turns was read as text of up to 10 MB, decoded, and copied into the prompt, all before its limit of 4 MB was looked at, and every hedge after 60 ms sent one copy more.

Change: TurnMemory is the account of kept turns. A turn reserves its prompt and its expected content before it is sent; if there is no room within 0.4 s it is refused as overloaded, not run. Output beyond what was expected takes memory of the responses, 2 MB at the most; beyond that the stream ends as a broken one. Transfers to and from storage VMs wait for memory in their order, ordinary ones apart from long ones. Contents are sent without a copy, and a long content gets more time before another storage VM gets a copy.

--- a/crates/core/src/input/attempt.rs
+++ b/crates/core/src/input/attempt.rs
@@ -59,6 +59,8 @@
     HistoryUnavailable,
     /// The request with the turns before it is too large.
     HistoryTooLarge,
+    /// This VM has no memory for the turn at present.
+    HistoryOutOfMemory,
     /// The response is complete, but the turn could not be stored.
     HistoryNotStored {
         /// Tokens that reached the caller.
@@ -125,6 +127,7 @@
                 | Self::HistoryUnknown
                 | Self::HistoryUnavailable
                 | Self::HistoryTooLarge
+                | Self::HistoryOutOfMemory
         )
     }
 
@@ -135,6 +138,7 @@
             Self::HistoryUnknown
                 | Self::HistoryUnavailable
                 | Self::HistoryTooLarge
+                | Self::HistoryOutOfMemory
                 | Self::HistoryNotStored { .. }
         )
     }
--- a/crates/core/src/systems/outcomes/retries.rs
+++ b/crates/core/src/systems/outcomes/retries.rs
@@ -302,6 +302,7 @@
         Failure::Silent { .. } => RefusalKind::UpstreamSilent,
         Failure::HistoryUnknown => RefusalKind::TurnUnknown,
         Failure::HistoryTooLarge => RefusalKind::TooLarge,
+        Failure::HistoryOutOfMemory => RefusalKind::Overloaded,
         Failure::HistoryUnavailable | Failure::HistoryNotStored { .. } => {
             RefusalKind::HistoryUnavailable
         }
--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -3,15 +3,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Buf, Bytes, BytesMut};
+use bytes::{Buf, Bytes};
 use http::request::Parts;
 use http::{Response, StatusCode};
 use knapweeddale_core::input::{AttemptOutcome, Failure, StatedRate, UpstreamStatement};
 use knapweeddale_core::{Dispatch, Input, StreamFormat};
-use knapweeddale_runtime::{Clock, MemoryPermit};
+use knapweeddale_runtime::Clock;
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
+use super::history::KeptTurnProgress;
 use super::reply::{RelayBody, Reply};
 use super::request;
 use super::responses::{is_authentic, to_caller_head, to_caller_response};
@@ -38,12 +39,8 @@
     pub sent_to: SmallVec<[Arc<str>; 4]>,
     /// Time from sending a request to the end of its response, summed over all attempts.
     pub upstream_time: Duration,
-    /// Contents of the turns before this one, once they were read.
-    pub earlier_turns: Option<Bytes>,
-    /// The data of the forwarded events, if the system keeps the turn.
-    pub kept_output: BytesMut,
-    /// Counts the bytes of `kept_output`.
-    pub kept_permit: Option<MemoryPermit>,
+    /// The turn, if the system keeps it and it has begun.
+    pub kept_turn: Option<KeptTurnProgress>,
 }
 
 impl Progress {
@@ -296,7 +293,7 @@
                 self.progress.forwarded_tokens += form.tokens_per_event;
                 self.progress.call_tokens += form.tokens_per_event;
                 self.progress.is_stream_started = true;
-                self.keep_output(&event);
+                self.keep_output(&event)?;
             }
         }
         self.store_turn(stream_deadline).await?;
@@ -322,7 +319,7 @@
     }
 
     /// Logs a stream with more than its request allows and returns the failure.
-    fn too_long(&self, reason: &str) -> Failure {
+    pub(super) fn too_long(&self, reason: &str) -> Failure {
         self.invalid_response(reason);
         Failure::TooLong {
             answer_tokens: self.progress.forwarded_tokens,
--- a/crates/relay/src/call/history.rs
+++ b/crates/relay/src/call/history.rs
@@ -1,9 +1,8 @@
 //! Turns that the system keeps, as part of an attempt: their prompts and their storage.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use knapweeddale_core::TurnId;
 use knapweeddale_core::input::Failure;
 use knapweeddale_core::turns::{StoredTurn, TurnKey};
@@ -14,42 +13,94 @@
 use super::attempt::Attempt;
 use crate::adapter::Dialect;
 use crate::metrics::Stage;
-use crate::turns::HistoryError;
+use crate::turns::{HistoryError, OutputError, TurnContent, TurnSize, expected_output_bytes};
 use crate::upstream::Event;
 
-/// Maximum size of a prompt together with the turns before it.
-const MAX_PROMPT_BYTES: usize = 4 * 1024 * 1024;
-
 /// Time before the deadline of a call that is left for its refusal.
 const REFUSAL_TIME: Duration = Duration::from_millis(30);
 
+/// A kept turn under way.
+#[derive(Debug)]
+pub(super) struct KeptTurnProgress {
+    /// The body for the upstream: the contents of the turns before, then the input.
+    prompt: Bytes,
+    /// Size of the contents of the turns before.
+    earlier_bytes: usize,
+    content: TurnContent,
+}
+
 impl<D: Dialect, C: Clock> Attempt<'_, D, C> {
     /// Returns the body for the upstream: that of the caller, after the turns before it if the
     /// system keeps them.
     ///
     /// # Errors
     ///
-    /// Fails if the turns before it cannot be used, or if the turn itself could not be stored.
+    /// Fails if the turns before it cannot be used, if there is no memory for the turn, or if the
+    /// turn itself could not be stored.
     pub(super) async fn load_prompt(&mut self, deadline: Instant) -> Result<Bytes, Failure> {
+        if self.dispatch.kept_turn.is_none() {
+            return Ok(self.body.clone());
+        }
         let lookup_deadline = deadline - REFUSAL_TIME;
         self.check_storable(lookup_deadline).await?;
-        let previous = self.head.previous_turn.as_ref();
-        let Some(previous) = previous.filter(|_| self.dispatch.kept_turn.is_some()) else {
-            return Ok(self.body.clone());
+        if let Some(turn) = &self.progress.kept_turn {
+            return Ok(turn.prompt.clone());
+        }
+        let turn = self.begin_turn(lookup_deadline).await;
+        let turn = turn.map_err(|error| self.history_failure(&error))?;
+        let prompt = turn.prompt.clone();
+        self.progress.kept_turn = Some(turn);
+        Ok(prompt)
+    }
+
+    /// Reads the turns before this one and reserves the memory for it.
+    async fn begin_turn(&self, deadline: Instant) -> Result<KeptTurnProgress, HistoryError> {
+        let turns = &self.shared.turns;
+        let form = self.dispatch.events;
+        let tokens_per_event = form.map_or(0, |form| form.tokens_per_event);
+        let size = TurnSize {
+            input_bytes: self.body.len(),
+            output_bytes: expected_output_bytes(self.head.max_tokens, tokens_per_event),
         };
-        let earlier = match &self.progress.earlier_turns {
-            Some(earlier) => earlier.clone(),
-            None => self.find_turns(previous, lookup_deadline).await?,
+        let (prompt, earlier_bytes, reservation) = match &self.head.previous_turn {
+            Some(previous) => {
+                let held = turns.find(&self.turn_key(previous), size, deadline).await?;
+                let prompt = Bytes::from([&held.chain[..], self.body].concat());
+                (prompt, held.chain.len(), held.reservation)
+            }
+            None => {
+                let held = turns.memory().hold(size.held_bytes(0), deadline);
+                (self.body.clone(), 0, held.await?)
+            }
         };
-        self.progress.earlier_turns = Some(earlier.clone());
-        let prompt_bytes = earlier.len() + self.body.len();
-        if prompt_bytes > MAX_PROMPT_BYTES {
-            return Err(Failure::HistoryTooLarge);
+        let growth = self.shared.responses.permit();
+        Ok(KeptTurnProgress {
+            prompt,
+            earlier_bytes,
+            content: TurnContent::new(self.body, size.output_bytes, reservation, growth),
+        })
+    }
+
+    /// Returns the key of a turn of the caller's account.
+    fn turn_key(&self, id: &TurnId) -> TurnKey {
+        TurnKey {
+            account: self.dispatch.account.clone(),
+            id: id.clone(),
+        }
+    }
+
+    /// Logs why a turn cannot begin and returns the failure.
+    fn history_failure(&self, error: &HistoryError) -> Failure {
+        let request = self.head.request_id.as_deref().unwrap_or("-");
+        let previous = self.head.previous_turn.as_ref().map_or("-", TurnId::as_str);
+        tracing::info!(request, call = %self.dispatch.attempt.call, previous,
+            "history: not read ({error})");
+        match error {
+            HistoryError::Unknown { .. } => Failure::HistoryUnknown,
+            HistoryError::PromptTooLarge { .. } => Failure::HistoryTooLarge,
+            HistoryError::NoMemory { .. } => Failure::HistoryOutOfMemory,
+            _ => Failure::HistoryUnavailable,
         }
-        let mut prompt = BytesMut::with_capacity(prompt_bytes);
-        prompt.extend_from_slice(&earlier);
-        prompt.extend_from_slice(self.body);
-        Ok(prompt.freeze())
     }
 
     /// Fails if the turn has not begun and too few VMs with a disk answer to store it.
@@ -71,39 +122,19 @@
         Err(Failure::HistoryUnavailable)
     }
 
-    /// Reads the turns up to `previous`.
-    async fn find_turns(&self, previous: &TurnId, deadline: Instant) -> Result<Bytes, Failure> {
-        let key = TurnKey {
-            account: self.dispatch.account.clone(),
-            id: previous.clone(),
-        };
-        let found = self.shared.turns.find(&key, deadline).await;
-        found.map_err(|error| {
-            let request = self.head.request_id.as_deref().unwrap_or("-");
-            tracing::info!(request, call = %self.dispatch.attempt.call, %previous,
-                "history: not read ({error})");
-            match error {
-                HistoryError::Unknown { .. } => Failure::HistoryUnknown,
-                _ => Failure::HistoryUnavailable,
-            }
-        })
-    }
-
     /// Adds the data of a forwarded event to the output of a turn that is kept.
-    pub(super) fn keep_output(&mut self, event: &Event) {
-        if self.dispatch.kept_turn.is_none() {
-            return;
-        }
-        let output = &mut self.progress.kept_output;
-        for line in event.data() {
-            output.extend_from_slice(line);
-            output.extend_from_slice(b"\n");
-        }
-        let held_bytes = output.capacity();
-        let permit = &mut self.progress.kept_permit;
-        let permit = permit.get_or_insert_with(|| self.shared.kept_turns.permit());
-        // The limiter only counts.
-        let _ = permit.resize(held_bytes);
+    ///
+    /// # Errors
+    ///
+    /// Fails if the output is too long to be kept. The stream then ends as a broken one, since a
+    /// turn that is answered whole has to be kept.
+    pub(super) fn keep_output(&mut self, event: &Event) -> Result<(), Failure> {
+        let Some(turn) = &mut self.progress.kept_turn else {
+            return Ok(());
+        };
+        let mut lines = event.data();
+        let kept: Result<(), OutputError> = lines.try_for_each(|line| turn.content.push_line(line));
+        kept.map_err(|error| self.too_long(&error.to_string()))
     }
 
     /// Stores a turn whose stream is complete, before its response ends at the deadline.
@@ -123,26 +154,24 @@
             tracing::warn!(request = id, %call, "history: resumed turn is not kept");
             return Ok(());
         }
-        let mut content = Vec::with_capacity(self.body.len() + self.progress.kept_output.len());
-        content.extend_from_slice(self.body);
-        content.extend_from_slice(&self.progress.kept_output);
+        let Some(progress) = self.progress.kept_turn.take() else {
+            return Ok(());
+        };
+        let earlier_bytes = progress.earlier_bytes;
+        let earlier = progress.prompt.slice(..earlier_bytes);
+        let (input_bytes, output_bytes) = (self.body.len(), progress.content.output_bytes());
+        let (content, memory) = progress.content.into_parts();
         let turn = StoredTurn {
-            key: TurnKey {
-                account: self.dispatch.account.clone(),
-                id: TurnId::from(id),
-            },
+            key: self.turn_key(&TurnId::from(id)),
             previous: self.head.previous_turn.clone(),
-            content: Arc::from(content),
+            content,
             retention_ms: kept.retention_ms,
             copies: SmallVec::new(),
         };
-        let earlier = self.progress.earlier_turns.clone().unwrap_or_default();
-        let (input_bytes, output_bytes) = (self.body.len(), self.progress.kept_output.len());
-        let earlier_bytes = earlier.len();
         let started = Instant::now();
         let allowed = kept.storage.as_deref();
-        let stored = self.shared.turns.store(turn, earlier, allowed, deadline);
-        let stored = stored.await;
+        let turns = &self.shared.turns;
+        let stored = turns.store(turn, earlier, memory, allowed, deadline).await;
         let took = started.elapsed();
         self.shared.metrics.observe_stage(Stage::StoreTurn, took);
         let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
--- a/crates/relay/src/daemon.rs
+++ b/crates/relay/src/daemon.rs
@@ -172,6 +172,7 @@
             turns: Arc::new(TurnClient::new(
                 Arc::clone(&storage),
                 settings.tolerated_losses,
+                &memory.turns,
                 Arc::clone(&metrics),
             )),
             origins: Arc::new(origins),
@@ -182,7 +183,6 @@
             max_body_bytes: settings.max_body_bytes,
             requests: MemoryLimiter::new(memory.buffer_bytes),
             responses,
-            kept_turns: MemoryLimiter::new(usize::MAX),
             memory,
         });
         let tracker = ConnectionTracker {
--- a/crates/relay/src/front/service.rs
+++ b/crates/relay/src/front/service.rs
@@ -83,7 +83,9 @@
     shared.metrics.set_buffered_bytes([
         ("requests", shared.requests.used_bytes()),
         ("responses", shared.responses.used_bytes()),
-        ("kept_turns", shared.kept_turns.used_bytes()),
+        ("kept_turns", shared.turns.memory().held_bytes()),
+        ("turn_transfers", shared.turns.memory().transfer_bytes()),
+        ("cached_turns", shared.turns.cached_bytes()),
     ]);
     match shared.metrics.to_text() {
         Ok(text) => plain_response(StatusCode::OK, Bytes::from(text)),
--- a/crates/relay/src/front/shared.rs
+++ b/crates/relay/src/front/shared.rs
@@ -35,8 +35,6 @@
     pub requests: MemoryLimiter,
     /// Limit for the memory of responses.
     pub responses: MemoryLimiter,
-    /// Counts the memory of the outputs of kept turns under way.
-    pub kept_turns: MemoryLimiter,
     /// How the memory of the process is divided.
     pub memory: MemoryPlan,
 }
--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -11,6 +11,31 @@
 /// decoded, they take a few times as much.
 const SUMMARIES_DIVISOR: usize = 32;
 
+/// Parts of the memory of a process that the prompts and contents of ordinary kept turns under way
+/// may use.
+const HELD_TURNS_PARTS: usize = 3;
+
+/// Parts that those of long kept turns may use.
+const LONG_HELD_TURNS_PARTS: usize = 5;
+
+/// Parts that lookups of ordinary chains may use.
+const LOOKUPS_PARTS: usize = 1;
+
+/// Parts that requests which store ordinary turns may use.
+const STORES_PARTS: usize = 2;
+
+/// Parts that transfers of long turns and chains may use.
+const LONG_TRANSFERS_PARTS: usize = 6;
+
+/// Parts that the cached chains of turns may use.
+const CACHED_TURNS_PARTS: usize = 4;
+
+/// Number of the parts above that make up the memory of a process.
+const PARTS: usize = 64;
+
+/// Most memory for cached chains; callers soon go on from a turn, or never.
+const MAX_CACHED_TURN_BYTES: usize = 6 * 1024 * 1024;
+
 /// Memory of a connection besides the buffer for the head of a request: its socket, task and timer.
 const CONNECTION_BYTES: usize = 8 * 1024;
 
@@ -37,6 +62,8 @@
     /// Limit for the summaries of other VMs that wait for the control thread or the rest of their
     /// datagrams, as datagrams.
     pub summary_bytes: usize,
+    /// Limits for kept turns.
+    pub turns: TurnMemoryPlan,
     /// Limit for the connections of callers.
     connections_bytes: usize,
 }
@@ -47,6 +74,7 @@
         Self {
             buffer_bytes: memory_bytes / BUFFERS_DIVISOR,
             summary_bytes: memory_bytes / SUMMARIES_DIVISOR,
+            turns: TurnMemoryPlan::new(memory_bytes),
             connections_bytes: memory_bytes / CONNECTIONS_DIVISOR,
         }
     }
@@ -58,6 +86,37 @@
     }
 }
 
+/// How the memory of an entry VM for kept turns is divided.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct TurnMemoryPlan {
+    /// Limit for the prompts and contents of ordinary turns under way.
+    pub held_bytes: usize,
+    /// Limit for the prompts and contents of long turns under way.
+    pub long_held_bytes: usize,
+    /// Limit for the answers to lookups of ordinary chains.
+    pub lookup_bytes: usize,
+    /// Limit for the requests that store ordinary turns.
+    pub store_bytes: usize,
+    /// Limit for the transfers of long turns and chains.
+    pub long_transfer_bytes: usize,
+    /// Limit for cached chains.
+    pub cache_bytes: usize,
+}
+
+impl TurnMemoryPlan {
+    fn new(memory_bytes: usize) -> Self {
+        let part_bytes = memory_bytes / PARTS;
+        Self {
+            held_bytes: part_bytes * HELD_TURNS_PARTS,
+            long_held_bytes: part_bytes * LONG_HELD_TURNS_PARTS,
+            lookup_bytes: part_bytes * LOOKUPS_PARTS,
+            store_bytes: part_bytes * STORES_PARTS,
+            long_transfer_bytes: part_bytes * LONG_TRANSFERS_PARTS,
+            cache_bytes: (part_bytes * CACHED_TURNS_PARTS).min(MAX_CACHED_TURN_BYTES),
+        }
+    }
+}
+
 /// Part of the memory of a storage VM that requests under way may use, as a divisor.
 const REQUESTS_DIVISOR: usize = 4;
 
--- a/crates/relay/src/turns/client.rs
+++ b/crates/relay/src/turns/client.rs
@@ -1,33 +1,30 @@
-//! The entry VM's side of kept turns: stores them on VMs with a disk and finds them there.
+//! The entry VM's side of kept turns: stores them on VMs with a disk.
 
 use std::collections::HashSet;
-use std::pin::pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt;
-use futures_util::stream::FuturesUnordered;
+use bytes::Bytes;
 use jsonrpsee::http_client::HttpClient;
-use knapweeddale_core::turns::{CopyPlan, CopyStep, LookupStep, StoredTurn, TurnKey, TurnLookup};
+use knapweeddale_core::turns::{CopyPlan, CopyStep, StoredTurn};
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::{Instant, sleep_until, timeout, timeout_at};
 
 use super::cache::ChainCache;
-use super::errors::{FetchState, FetchStates, HistoryError};
-use super::rpc::{AppendAnswer, Content, FetchAnswer, TurnRpcClient, WireTurn};
+use super::errors::HistoryError;
+use super::lookup::MAX_LATE_LOOKUPS;
+use super::memory::{HeldMemory, TurnMemory};
+use super::rpc::{AppendAnswer, Content, TurnRpcClient, WireTurn};
+use crate::memory::TurnMemoryPlan;
 use crate::metrics::Metrics;
 use crate::storage_vms::StorageVms;
 
 /// Time after which a late answer is no longer waited for alone.
-const HEDGE_DELAY: Duration = Duration::from_millis(60);
+pub(super) const HEDGE_DELAY: Duration = Duration::from_millis(60);
 
-/// Time after which a lookup counts as late.
-const LATE_DELAY: Duration = Duration::from_millis(400);
-
-/// Lookups that may be late at the same time. Each of their calls holds a place at an upstream,
-/// which calls that need no storage VM lack meanwhile.
-const MAX_LATE_LOOKUPS: usize = 8;
+/// Bytes of a content that a storage VM is given a millisecond more for, beyond [`HEDGE_DELAY`]. A
+/// long content takes longer to send than a storage VM to answer, and each copy more delays it.
+const BYTES_PER_MS: usize = 8 * 1024;
 
 /// Time limit for storing a turn that ends shortly before the deadline of its response.
 const MIN_STORE_LIMIT: Duration = Duration::from_millis(1_500);
@@ -36,177 +33,49 @@
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// What requests are about, in log lines.
-const PURPOSE: &str = "turns";
+pub(super) const PURPOSE: &str = "turns";
 
 /// Stores and finds kept turns.
 #[derive(Debug)]
 pub(crate) struct TurnClient {
-    vms: Arc<StorageVms>,
-    tolerated_losses: usize,
-    cache: Mutex<ChainCache>,
-    late_lookups: Semaphore,
-    metrics: Arc<Metrics>,
+    pub(super) vms: Arc<StorageVms>,
+    pub(super) tolerated_losses: usize,
+    pub(super) cache: Mutex<ChainCache>,
+    pub(super) late_lookups: Semaphore,
+    pub(super) memory: TurnMemory,
+    pub(super) metrics: Arc<Metrics>,
 }
 
 /// # Construction
 impl TurnClient {
     /// Creates a client of these VMs with a disk.
-    pub fn new(vms: Arc<StorageVms>, tolerated_losses: usize, metrics: Arc<Metrics>) -> Self {
+    pub fn new(
+        vms: Arc<StorageVms>,
+        tolerated_losses: usize,
+        memory: &TurnMemoryPlan,
+        metrics: Arc<Metrics>,
+    ) -> Self {
         Self {
             vms,
             tolerated_losses,
-            cache: Mutex::default(),
+            cache: Mutex::new(ChainCache::new(memory.cache_bytes)),
             late_lookups: Semaphore::new(MAX_LATE_LOOKUPS),
+            memory: TurnMemory::new(memory),
             metrics,
         }
     }
 }
 
-/// # Lookup
+/// # Memory
 impl TurnClient {
-    /// Returns the contents of a turn and all turns before it, the oldest first.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the turn does not exist, or if that cannot be told before the deadline.
-    pub async fn find(&self, key: &TurnKey, deadline: Instant) -> Result<Bytes, HistoryError> {
-        if let Some(chain) = lock(&self.cache).get(key) {
-            self.metrics.count_turn("cached");
-            return Ok(chain);
-        }
-        let mut states = FetchStates::default();
-        let found = self.find_in_time(key, deadline, &mut states).await;
-        let result = found.unwrap_or(Err(HistoryError::LookupTimeout { states }));
-        self.metrics.count_turn(match &result {
-            Ok(_) => "fetched",
-            Err(HistoryError::Unknown { .. }) => "unknown",
-            Err(_) => "unavailable",
-        });
-        let chain = result?;
-        lock(&self.cache).insert(key.clone(), chain.clone());
-        Ok(chain)
-    }
-
-    /// Does the same as [`Self::find_remote`]; `None` if the lookup is not complete at the deadline,
-    /// or is late while many others are.
-    async fn find_in_time(
-        &self,
-        key: &TurnKey,
-        deadline: Instant,
-        states: &mut FetchStates,
-    ) -> Option<Result<Bytes, HistoryError>> {
-        let late_time = deadline.min(Instant::now() + LATE_DELAY);
-        let mut lookup = pin!(self.find_remote(key, deadline, states));
-        if let Ok(result) = timeout_at(late_time, &mut lookup).await {
-            return Some(result);
-        }
-        let _permit = self.late_lookups.try_acquire().ok()?;
-        timeout_at(deadline, lookup).await.ok()
-    }
-
-    /// Asks the VMs with a disk for the chain of a turn; `states` gets their answers.
-    async fn find_remote(
-        &self,
-        key: &TurnKey,
-        deadline: Instant,
-        states: &mut FetchStates,
-    ) -> Result<Bytes, HistoryError> {
-        let mut known = self.vms.addresses(deadline).await;
-        if known.is_empty() {
-            return Err(HistoryError::NoStorageVms);
-        }
-        let mut lookup = TurnLookup::new(known.iter().cloned(), self.tolerated_losses + 1);
-        let mut answers = FuturesUnordered::new();
-        let mut step = lookup.start();
-        let mut is_list_requested = false;
-        loop {
-            if matches!(step, LookupStep::Missing | LookupStep::Unavailable) {
-                let Some(new) = self.read_unknown(&known, deadline).await else {
-                    let states = std::mem::take(states);
-                    return Err(HistoryError::ListNotRead { states });
-                };
-                if new.is_empty() {
-                    let states = std::mem::take(states);
-                    return Err(match step {
-                        LookupStep::Missing => HistoryError::Unknown { states },
-                        _ => HistoryError::NotFound { states },
-                    });
-                }
-                known.extend(new.iter().cloned());
-                step = lookup.extend(new);
-            }
-            if let LookupStep::Ask(addresses) = step {
-                states.ask(&addresses);
-                let addresses = addresses.into_iter();
-                answers.extend(addresses.map(|to| self.fetch_from(to, key, deadline)));
-            }
-            step = match timeout(HEDGE_DELAY, answers.next()).await {
-                Ok(Some((_, Ok(chain)))) => return Ok(chain),
-                Ok(Some((address, Err(state)))) => {
-                    states.record(&address, state);
-                    lookup.record(state.into())
-                }
-                Ok(None) => LookupStep::Unavailable,
-                Err(_) => match lookup.hedge() {
-                    LookupStep::Wait => {
-                        let new = self.look_for_others(&mut known, &mut is_list_requested);
-                        lookup.extend(new.await)
-                    }
-                    step => step,
-                },
-            };
-        }
-    }
-
-    /// Adds VMs to the `known` ones while all of these are late, and returns them.
-    ///
-    /// Others may have taken the place of those; the list is read once for that.
-    async fn look_for_others(
-        &self,
-        known: &mut Vec<Arc<str>>,
-        is_list_requested: &mut bool,
-    ) -> Vec<Arc<str>> {
-        if !std::mem::replace(is_list_requested, true) {
-            self.vms.request_list().await;
-        }
-        let mut new = self.vms.listed();
-        new.retain(|address| !known.contains(address));
-        known.extend(new.iter().cloned());
-        new
+    /// Returns the memory for turns under way.
+    pub fn memory(&self) -> &TurnMemory {
+        &self.memory
     }
 
-    /// Returns the VMs that are not among the `known` ones, from a list that the store is asked for
-    /// now; `None` if the store does not answer.
-    ///
-    /// A turn was stored before a request names it, and its VMs had registered before that. So no
-    /// other VM than those of this list can hold it.
-    async fn read_unknown(&self, known: &[Arc<str>], deadline: Instant) -> Option<Vec<Arc<str>>> {
-        if !self.vms.read_list(deadline).await {
-            return None;
-        }
-        let mut addresses = self.vms.listed();
-        addresses.retain(|address| !known.contains(address));
-        Some(addresses)
-    }
-
-    /// Asks one VM for the chain of a turn.
-    async fn fetch_from(
-        &self,
-        address: Arc<str>,
-        key: &TurnKey,
-        deadline: Instant,
-    ) -> (Arc<str>, Result<Bytes, FetchState>) {
-        let (account, id) = (key.account.clone(), key.id.clone());
-        let fetch = |client: Arc<HttpClient>| async move { client.fetch(account, id).await };
-        let answer = self.vms.request_until(PURPOSE, &address, deadline, fetch);
-        let answer = answer.await;
-        let result = match answer {
-            Some(FetchAnswer::Found(Content(chain))) => Ok(chain),
-            Some(FetchAnswer::Absent) => Err(FetchState::Absent),
-            Some(FetchAnswer::Unknown) => Err(FetchState::MayHaveLost),
-            None => Err(FetchState::NoAnswer),
-        };
-        (address, result)
+    /// Returns the size of the cached chains.
+    pub fn cached_bytes(&self) -> usize {
+        lock(&self.cache).bytes()
     }
 }
 
@@ -214,9 +83,10 @@
 impl TurnClient {
     /// Stores a turn and returns once enough VMs have it on their disks.
     ///
-    /// `earlier` holds the contents of all turns before it, for VMs that lack them. Only VMs at the
-    /// `allowed` addresses get it, if they are stated. The response is held back meanwhile, until
-    /// its deadline or, if that is near, for [`MIN_STORE_LIMIT`].
+    /// `earlier` holds the contents of all turns before it, for VMs that lack them, and `memory`
+    /// lasts as long as a copy is under way. Only VMs at the `allowed` addresses get it, if they are
+    /// stated. The response is held back meanwhile, until its deadline or, if that is near, for
+    /// [`MIN_STORE_LIMIT`].
     ///
     /// # Errors
     ///
@@ -225,6 +95,7 @@
         self: &Arc<Self>,
         mut turn: StoredTurn,
         earlier: Bytes,
+        memory: HeldMemory,
         allowed: Option<&[Arc<str>]>,
         deadline: Instant,
     ) -> Result<(), HistoryError> {
@@ -234,18 +105,20 @@
         let mut is_list_requested = false;
         let mut plan = CopyPlan::new(addresses, self.tolerated_losses);
         let first = plan.start();
+        let hedge_delay = hedge_delay(turn.content.len());
         turn.copies = first.iter().cloned().collect();
-        let (key, chain) = (turn.key.clone(), join(&earlier, &turn.content));
         let turn = Arc::new(turn);
+        let memory = Arc::new(memory);
         // VMs that have the turn or have not answered yet.
         let mut asked: HashSet<Arc<str>> = first.iter().cloned().collect();
         let (results, mut answers) = mpsc::unbounded_channel();
         let send = |address: Arc<str>| {
             // The copies that are not waited for are made nevertheless.
             let (client, turn, earlier) = (Arc::clone(self), Arc::clone(&turn), earlier.clone());
-            let results = results.clone();
+            let (memory, results) = (Arc::clone(&memory), results.clone());
             tokio::spawn(async move {
                 let is_stored = client.append_to(&address, &turn, earlier, deadline).await;
+                drop((turn, memory));
                 // Fails if enough other copies were made first.
                 let _ = results.send((address, is_stored));
             });
@@ -253,7 +126,7 @@
         first.into_iter().for_each(&send);
         let stored = timeout_at(deadline, async {
             loop {
-                let mut step = match timeout(HEDGE_DELAY, answers.recv()).await {
+                let mut step = match timeout(hedge_delay, answers.recv()).await {
                     Ok(Some((address, is_stored))) => {
                         if !is_stored {
                             asked.remove(&address);
@@ -301,7 +174,10 @@
         };
         self.metrics.count_turn(label);
         result?;
-        lock(&self.cache).insert(key, chain);
+        if lock(&self.cache).accepts(earlier.len() + turn.content.len()) {
+            let chain = Bytes::from([&earlier[..], &turn.content].concat());
+            lock(&self.cache).insert(turn.key.clone(), chain);
+        }
         Ok(())
     }
 
@@ -340,6 +216,10 @@
         turns: Vec<WireTurn>,
         deadline: Instant,
     ) -> Option<AppendAnswer> {
+        let content_bytes = turns.iter().map(|turn| turn.content.0.len()).sum();
+        let memory = timeout_at(deadline, self.memory.send(content_bytes));
+        // Held until the request has ended.
+        let _memory = memory.await.ok()?;
         let append = |client: Arc<HttpClient>| async move { client.append(turns).await };
         let answer = self.vms.request_until(PURPOSE, address, deadline, append);
         answer.await
@@ -348,6 +228,23 @@
 
 /// # Storage VMs
 impl TurnClient {
+    /// Adds VMs to the `known` ones while all of these are late, and returns them.
+    ///
+    /// Others may have taken the place of those; the list is read once for that.
+    pub(super) async fn look_for_others(
+        &self,
+        known: &mut Vec<Arc<str>>,
+        is_list_requested: &mut bool,
+    ) -> Vec<Arc<str>> {
+        if !std::mem::replace(is_list_requested, true) {
+            self.vms.request_list().await;
+        }
+        let mut new = self.vms.listed();
+        new.retain(|address| !known.contains(address));
+        known.extend(new.iter().cloned());
+        new
+    }
+
     /// Checks that enough of the `allowed` VMs with a disk accept connections to store a turn; all
     /// of them may if none are stated.
     ///
@@ -385,20 +282,18 @@
     }
 }
 
+/// Returns the time after which another VM gets a copy of a content of this size as well.
+fn hedge_delay(content_bytes: usize) -> Duration {
+    let more_ms = u64::try_from(content_bytes / BYTES_PER_MS).unwrap_or(u64::MAX);
+    HEDGE_DELAY + Duration::from_millis(more_ms)
+}
+
 /// Returns whether a VM is one of the `allowed` ones, or none are stated.
 fn is_allowed(address: &Arc<str>, allowed: Option<&[Arc<str>]>) -> bool {
     allowed.is_none_or(|allowed| allowed.contains(address))
 }
 
-/// Joins the contents of earlier turns and of a new one.
-fn join(earlier: &[u8], content: &[u8]) -> Bytes {
-    let mut chain = BytesMut::with_capacity(earlier.len() + content.len());
-    chain.extend_from_slice(earlier);
-    chain.extend_from_slice(content);
-    chain.freeze()
-}
-
 /// Locks a mutex; a panic while it was held leaves its content usable.
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+pub(super) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/relay/src/turns/errors.rs
+++ b/crates/relay/src/turns/errors.rs
@@ -66,7 +66,7 @@
 
 /// Why the turns before a request cannot be used, or a turn cannot be stored.
 ///
-/// Each text begins with the step that failed: `list`, `probe`, `lookup` or `store`.
+/// Each text begins with the step that failed: `list`, `probe`, `memory`, `lookup` or `store`.
 #[derive(Debug, Display, Error, Clone, PartialEq, Eq)]
 pub(crate) enum HistoryError {
     /// The turn certainly does not exist.
@@ -96,6 +96,18 @@
         /// The answers of the VMs that were asked.
         states: FetchStates,
     },
+    /// The prompt with the turns before it exceeds its limit.
+    #[display("lookup: the prompt would have {bytes} bytes with the turns before it")]
+    PromptTooLarge {
+        /// Size of the prompt with the turns before it.
+        bytes: usize,
+    },
+    /// The memory for kept turns did not become free in time.
+    #[display("memory: {bytes} bytes for the turn did not become free in time")]
+    NoMemory {
+        /// Memory that the turn needs.
+        bytes: usize,
+    },
     /// Too few VMs with a disk accept connections to store the turn.
     #[display("probe: {reachable} of {known} VMs with a disk accept connections, {needed} needed")]
     TooFewReachable {
--- a/crates/relay/src/turns/mod.rs
+++ b/crates/relay/src/turns/mod.rs
@@ -7,8 +7,11 @@
 
 mod cache;
 mod client;
+mod content;
 mod errors;
 mod list;
+mod lookup;
+mod memory;
 mod replication;
 mod rpc;
 mod server;
@@ -16,8 +19,10 @@
 mod store;
 
 pub(crate) use client::TurnClient;
+pub(crate) use content::{OutputError, TurnContent, expected_output_bytes};
 pub(crate) use errors::HistoryError;
 pub use list::{TurnList, list_turns};
+pub(crate) use lookup::TurnSize;
 pub use replication::CopyCounts;
 pub(crate) use replication::{Pace, TurnReplicator};
 pub(crate) use rpc::{OfferCursor, TurnRpcServer};
--- a/crates/relay/src/turns/rpc.rs
+++ b/crates/relay/src/turns/rpc.rs
@@ -1,8 +1,10 @@
 //! The RPC interface of a VM with a disk for kept turns.
 
+use std::fmt;
 use std::sync::Arc;
 
 use base64::Engine;
+use base64::display::Base64Display;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use jsonrpsee::core::RpcResult;
@@ -17,15 +19,30 @@
 
 impl Serialize for Content {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
-        serializer.serialize_str(&STANDARD.encode(&self.0))
+        // Written in pieces: the whole text besides the request would add to its memory.
+        serializer.collect_str(&Base64Display::new(&self.0, &STANDARD))
     }
 }
 
 impl<'de> Deserialize<'de> for Content {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
-        let text = String::deserialize(deserializer)?;
+        deserializer.deserialize_str(ContentVisitor)
+    }
+}
+
+/// Decodes the text of a [`Content`] where it is, without a copy of it.
+struct ContentVisitor;
+
+impl de::Visitor<'_> for ContentVisitor {
+    type Value = Content;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Base64 text")
+    }
+
+    fn visit_str<E: de::Error>(self, text: &str) -> Result<Content, E> {
         let bytes = STANDARD.decode(text).map_err(de::Error::custom)?;
-        Ok(Self(Bytes::from(bytes)))
+        Ok(Content(Bytes::from(bytes)))
     }
 }
 
@@ -99,7 +116,7 @@
             account: turn.key.account.clone(),
             id: turn.key.id.clone(),
             previous: turn.previous.clone(),
-            content: Content(Bytes::copy_from_slice(&turn.content)),
+            content: Content(Bytes::from_owner(Arc::clone(&turn.content))),
             retention_ms: turn.retention_ms,
             copies: turn.copies.clone(),
         }
@@ -122,6 +139,11 @@
 pub(crate) enum FetchAnswer {
     /// The contents of all turns up to this one, the oldest first.
     Found(Content),
+    /// The contents have more bytes than were asked for.
+    TooLarge {
+        /// Bytes of all contents.
+        bytes: u64,
+    },
     /// The turn was never stored here, or has expired.
     Absent,
     /// The turn is not stored here, but may have been before the disk was lost.
@@ -206,9 +228,15 @@
     #[method(name = "append")]
     async fn append(&self, turns: Vec<WireTurn>) -> RpcResult<AppendAnswer>;
 
-    /// Returns the chain of a turn.
+    /// Returns the chain of a turn, or only its size if it has more than `max_bytes`. Earlier builds
+    /// state no maximum, and return chains of any size.
     #[method(name = "fetch")]
-    async fn fetch(&self, account: Option<AccountName>, id: TurnId) -> RpcResult<FetchAnswer>;
+    async fn fetch(
+        &self,
+        account: Option<AccountName>,
+        id: TurnId,
+        max_bytes: Option<u64>,
+    ) -> RpcResult<FetchAnswer>;
 
     /// Returns turns of which the VM at `address` had a copy, from a position on.
     #[method(name = "copies")]
--- a/crates/relay/src/turns/server.rs
+++ b/crates/relay/src/turns/server.rs
@@ -49,9 +49,17 @@
         }
     }
 
-    async fn fetch(&self, account: Option<AccountName>, id: TurnId) -> RpcResult<FetchAnswer> {
+    async fn fetch(
+        &self,
+        account: Option<AccountName>,
+        id: TurnId,
+        max_bytes: Option<u64>,
+    ) -> RpcResult<FetchAnswer> {
         let (answer, contents) = self.store.find(&TurnKey { account, id });
+        let bytes = contents.iter().map(|content| content.len() as u64).sum();
+        let is_too_large = max_bytes.is_some_and(|max_bytes| bytes > max_bytes);
         Ok(match answer {
+            TurnAnswer::Found if is_too_large => FetchAnswer::TooLarge { bytes },
             TurnAnswer::Found => FetchAnswer::Found(Content(Bytes::from(contents.concat()))),
             TurnAnswer::Absent => FetchAnswer::Absent,
             TurnAnswer::Unknown => FetchAnswer::Unknown,
