Let long requests to a storage VM, and its long answers, wait for memory

Seen: of 12 turns of 3 MB that reach a storage VM at the same time, fewer than 8 are stored although half of its 120 MB is for turns: the others are refused because too much is being written.

Cause: neither long requests nor long answers are counted; a request is read as a whole before anything looks at it.

Change: a layer of the RPC server has a request of more than 64 KB wait for memory before its body is read, and an answer before it is encoded, each in the order of arrival within a sixteenth of the memory. A larger one waits until it is alone. Ordinary requests do not wait.

That the memory is exceeded without the change was not seen in a run.

--- a/crates/relay/src/memory.rs
+++ b/crates/relay/src/memory.rs
@@ -120,6 +120,10 @@
 /// Part of the memory of a storage VM that requests under way may use, as a divisor.
 const REQUESTS_DIVISOR: usize = 4;
 
+/// Part of the memory of a storage VM that long requests may use, as a divisor; long answers may use
+/// as much again.
+const LONG_REQUESTS_DIVISOR: usize = 16;
+
 /// Memory of a request under way: a turn of 10 KB as text, decoded, encoded for the disk, and its
 /// connection.
 const REQUEST_BYTES: usize = 64 * 1024;
@@ -135,6 +139,10 @@
     pub claim_bytes: usize,
     /// Limit for the requests that are under way at the same time.
     pub max_requests: u32,
+    /// Limit for long requests under way.
+    pub long_request_bytes: usize,
+    /// Limit for long answers that are being encoded.
+    pub long_answer_bytes: usize,
 }
 
 impl StorageMemoryPlan {
@@ -146,6 +154,8 @@
             write_bytes: turn_bytes / WRITES_DIVISOR,
             claim_bytes: memory_bytes / CLAIMS_DIVISOR,
             max_requests: (memory_bytes / REQUESTS_DIVISOR / REQUEST_BYTES).max(1) as u32,
+            long_request_bytes: memory_bytes / LONG_REQUESTS_DIVISOR,
+            long_answer_bytes: memory_bytes / LONG_REQUESTS_DIVISOR,
         }
     }
 }
--- a/crates/relay/src/storage/mod.rs
+++ b/crates/relay/src/storage/mod.rs
@@ -3,6 +3,7 @@
 mod ledger;
 mod members;
 mod repair;
+mod request_memory;
 
 use std::io;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -10,9 +11,11 @@
 
 use jsonrpsee::server::{Methods, Server, ServerConfig, ServerHandle};
 use knapweeddale_core::VmName;
+use knapweeddale_runtime::MemoryQueue;
 use knapweeddale_store::StoreError;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
+use tower::ServiceBuilder;
 
 use crate::adapter::FleetStore;
 use crate::charges::{ChargeBatch, ChargeRpcServer, send_batch};
@@ -27,6 +30,8 @@
 use self::ledger::{ChargeServer, Ledger};
 pub(crate) use self::members::Members;
 use self::repair::{Repair, hand_over};
+pub(crate) use self::request_memory::AnswerMemory;
+use self::request_memory::RequestMemoryLayer;
 
 /// Name of the folder of kept turns.
 const TURN_FOLDER: &str = "turns";
@@ -78,7 +83,13 @@
         let memory = StorageMemoryPlan::new(settings.memory_bytes);
         // The library's own limit of 100 requests is below the number of VMs that may ask at once.
         let config = ServerConfig::builder().max_connections(memory.max_requests);
-        let server = Server::builder().set_config(config.build());
+        let memory_layer = RequestMemoryLayer {
+            requests: MemoryQueue::new(memory.long_request_bytes),
+            answers: MemoryQueue::new(memory.long_answer_bytes),
+        };
+        let server = Server::builder()
+            .set_config(config.build())
+            .set_http_middleware(ServiceBuilder::new().layer(memory_layer));
         let server = server.build(settings.peer_listen).await?;
         let address = server.local_addr()?;
         let charge_server = ChargeServer {
--- a/crates/relay/src/turns/rpc.rs
+++ b/crates/relay/src/turns/rpc.rs
@@ -230,7 +230,7 @@
 
     /// Returns the chain of a turn, or only its size if it has more than `max_bytes`. Earlier builds
     /// state no maximum, and return chains of any size.
-    #[method(name = "fetch")]
+    #[method(name = "fetch", with_extensions)]
     async fn fetch(
         &self,
         account: Option<AccountName>,
@@ -239,7 +239,7 @@
     ) -> RpcResult<FetchAnswer>;
 
     /// Returns turns of which the VM at `address` had a copy, from a position on.
-    #[method(name = "copies")]
+    #[method(name = "copies", with_extensions)]
     async fn copies(&self, address: String, from: u64) -> RpcResult<TurnPage>;
 
     /// Returns the digests of the turns that the VM `asking` is to hold if those at the `lost`
@@ -259,7 +259,7 @@
 
     /// Returns turns without those before them, each after the one it goes on from; the first of
     /// them if they are too large for one answer, and none of those that have expired.
-    #[method(name = "read_turns")]
+    #[method(name = "read_turns", with_extensions)]
     async fn read_turns(&self, digests: Digests) -> RpcResult<Vec<WireTurn>>;
 
     /// Names the VM at `address` as a holder of turns that it has synced to its disk.
@@ -269,7 +269,7 @@
     /// Returns turns with their chains, each after the one it goes on from; the youngest chains if
     /// they are too large for one answer, and none of those that have expired. Earlier builds ask
     /// for these.
-    #[method(name = "read")]
+    #[method(name = "read", with_extensions)]
     async fn read(&self, digests: Digests) -> RpcResult<Vec<WireTurn>>;
 
     /// Copies what this VM is to hold when the VM `leaving` has stopped; returns how many turns
--- a/crates/relay/src/turns/server.rs
+++ b/crates/relay/src/turns/server.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use jsonrpsee::Extensions;
 use jsonrpsee::core::RpcResult;
 use jsonrpsee::types::ErrorObjectOwned;
 use knapweeddale_core::turns::{RejectedTurn, StoredTurn, TurnAnswer, TurnKey};
@@ -14,6 +15,7 @@
     WireTurn,
 };
 use super::store::{AppendError, TurnStore};
+use crate::storage::AnswerMemory;
 
 /// JSON-RPC error code for turns that were not stored; the sender may use another VM.
 const NOT_STORED_CODE: i32 = -32_002;
@@ -51,27 +53,36 @@
 
     async fn fetch(
         &self,
+        extensions: &Extensions,
         account: Option<AccountName>,
         id: TurnId,
         max_bytes: Option<u64>,
     ) -> RpcResult<FetchAnswer> {
         let (answer, contents) = self.store.find(&TurnKey { account, id });
-        let bytes = contents.iter().map(|content| content.len() as u64).sum();
-        let is_too_large = max_bytes.is_some_and(|max_bytes| bytes > max_bytes);
+        let bytes: usize = contents.iter().map(|content| content.len()).sum();
+        let is_too_large = max_bytes.is_some_and(|max_bytes| bytes as u64 > max_bytes);
+        if !is_too_large {
+            reserve_answer(extensions, bytes).await;
+        }
         Ok(match answer {
-            TurnAnswer::Found if is_too_large => FetchAnswer::TooLarge { bytes },
+            TurnAnswer::Found if is_too_large => FetchAnswer::TooLarge {
+                bytes: bytes as u64,
+            },
             TurnAnswer::Found => FetchAnswer::Found(Content(Bytes::from(contents.concat()))),
             TurnAnswer::Absent => FetchAnswer::Absent,
             TurnAnswer::Unknown => FetchAnswer::Unknown,
         })
     }
 
-    async fn copies(&self, address: String, from: u64) -> RpcResult<TurnPage> {
+    async fn copies(
+        &self,
+        extensions: &Extensions,
+        address: String,
+        from: u64,
+    ) -> RpcResult<TurnPage> {
         let (turns, next) = self.store.turns().copies_of(&address, from, PAGE_BYTES);
-        Ok(TurnPage {
-            turns: turns.iter().map(WireTurn::from).collect(),
-            next,
-        })
+        let turns = to_wire(extensions, &turns).await;
+        Ok(TurnPage { turns, next })
     }
 
     async fn offers(&self, asking: StorageVm, lost: Vec<Arc<str>>) -> RpcResult<Digests> {
@@ -87,10 +98,14 @@
         Ok(self.replicator.offered_chains(&asking, &lost, cursor))
     }
 
-    async fn read_turns(&self, digests: Digests) -> RpcResult<Vec<WireTurn>> {
+    async fn read_turns(
+        &self,
+        extensions: &Extensions,
+        digests: Digests,
+    ) -> RpcResult<Vec<WireTurn>> {
         let digests = digests.0.into_iter().collect();
         let turns = self.store.turns().turns_of(&digests, READ_BYTES);
-        Ok(turns.iter().map(WireTurn::from).collect())
+        Ok(to_wire(extensions, &turns).await)
     }
 
     async fn add_holder(&self, address: Arc<str>, digests: Digests) -> RpcResult<()> {
@@ -98,10 +113,10 @@
         Ok(())
     }
 
-    async fn read(&self, digests: Digests) -> RpcResult<Vec<WireTurn>> {
+    async fn read(&self, extensions: &Extensions, digests: Digests) -> RpcResult<Vec<WireTurn>> {
         let digests = digests.0.into_iter().collect();
         let turns = self.store.turns().chains_of(&digests, PAGE_BYTES);
-        Ok(turns.iter().map(WireTurn::from).collect())
+        Ok(to_wire(extensions, &turns).await)
     }
 
     async fn take_over(&self, leaving: StorageVm) -> RpcResult<usize> {
@@ -121,3 +136,17 @@
         turns.map_err(|error| ErrorObjectOwned::owned(NOT_STORED_CODE, error, None::<()>))
     }
 }
+
+/// Converts turns to the form in which they are sent, once there is memory for the answer.
+async fn to_wire(extensions: &Extensions, turns: &[StoredTurn]) -> Vec<WireTurn> {
+    let bytes = turns.iter().map(|turn| turn.content.len()).sum();
+    reserve_answer(extensions, bytes).await;
+    turns.iter().map(WireTurn::from).collect()
+}
+
+/// Waits for the memory of an answer with contents of this size.
+async fn reserve_answer(extensions: &Extensions, content_bytes: usize) {
+    if let Some(memory) = extensions.get::<AnswerMemory>() {
+        memory.reserve(content_bytes).await;
+    }
+}
--- a/crates/runtime/src/lib.rs
+++ b/crates/runtime/src/lib.rs
@@ -19,7 +19,7 @@
 pub use control_loop::{OutputHandler, spawn_control_loop};
 pub use ids::{CallIds, new_incarnation, random_u64};
 pub use memory::{MemoryExhausted, MemoryLimiter, MemoryPermit, UNCOUNTED_BYTES};
-pub use memory_queue::{MemoryQueue, MemoryReservation};
+pub use memory_queue::{MemoryQueue, MemoryReservation, PendingReservation};
 pub use metrics::{gauge_value, register};
 pub use probe::{ProbeRequest, request_probe};
 pub use queue::{Envelope, InputQueue, InputSender, QueueFull, input_queue};
--- a/crates/runtime/src/memory_queue.rs
+++ b/crates/runtime/src/memory_queue.rs
@@ -1,8 +1,11 @@
 //! Limits the memory of work that can wait until other work of its kind has ended.
 
+use std::fmt;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio_util::sync::PollSemaphore;
 
 use crate::MemoryExhausted;
 
@@ -39,6 +42,14 @@
         MemoryReservation { _permit: permit }
     }
 
+    /// Returns a reservation to poll, for a future that is written by hand.
+    pub fn pending(&self, bytes: usize) -> PendingReservation {
+        PendingReservation {
+            free_units: PollSemaphore::new(Arc::clone(&self.free_units)),
+            units: self.units(bytes),
+        }
+    }
+
     /// Reserves memory if it is free and nothing waits for it.
     ///
     /// # Errors
@@ -71,3 +82,26 @@
 pub struct MemoryReservation {
     _permit: Option<OwnedSemaphorePermit>,
 }
+
+/// Memory that is being waited for.
+pub struct PendingReservation {
+    free_units: PollSemaphore,
+    units: u32,
+}
+
+impl PendingReservation {
+    /// Returns the memory once it is reserved.
+    pub fn poll(&mut self, context: &mut Context<'_>) -> Poll<MemoryReservation> {
+        let permit = self.free_units.poll_acquire_many(context, self.units);
+        permit.map(|permit| MemoryReservation { _permit: permit })
+    }
+}
+
+impl fmt::Debug for PendingReservation {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("PendingReservation")
+            .field("units", &self.units)
+            .finish_non_exhaustive()
+    }
+}
