Count the memory of a lookup once, not for each storage VM that it asks

Seen: of 40 turns that go on from a kept one at the same time while a storage VM accepts connections and does not answer, some are refused with 503.

Cause: each request of a lookup waited for memory of its own. Lookups that waited for the silent VM held all of it, and none could ask the next VM until their deadlines.

Change: a lookup waits for the memory of one answer, and its requests share it: it ends with the first answer that has the chain. Besides, the limit for prompts is looked at before a short chain is taken as well.

--- a/crates/relay/src/turns/lookup.rs
+++ b/crates/relay/src/turns/lookup.rs
@@ -37,6 +37,11 @@
 }
 
 impl TurnSize {
+    /// Returns whether the prompt after a chain of this size is short enough.
+    fn allows(self, chain_bytes: usize) -> bool {
+        chain_bytes + self.input_bytes <= MAX_PROMPT_BYTES
+    }
+
     /// Returns the memory that the turn holds after a chain of this size: its prompt, which is the
     /// caller's own body if there is no chain, and its content.
     ///
@@ -138,10 +143,9 @@
         size: TurnSize,
         deadline: Instant,
     ) -> Result<MemoryReservation, HistoryError> {
-        let prompt_bytes = chain_bytes + size.input_bytes;
-        if prompt_bytes > MAX_PROMPT_BYTES {
+        if !size.allows(chain_bytes) {
             return Err(HistoryError::PromptTooLarge {
-                bytes: prompt_bytes,
+                bytes: chain_bytes + size.input_bytes,
             });
         }
         let bytes = size.held_bytes(chain_bytes);
@@ -201,6 +205,10 @@
         if known.is_empty() {
             return Err(HistoryError::NoStorageVms);
         }
+        // One for all requests of the lookup, which ends with the first answer that has the chain:
+        // lookups that wait for a VM which does not answer must not keep each other from asking the
+        // next one.
+        let _memory = self.memory.receive(ORDINARY_BYTES).await;
         let mut lookup = TurnLookup::new(known.iter().cloned(), self.tolerated_losses + 1);
         let mut answers = FuturesUnordered::new();
         let mut step = lookup.start();
@@ -267,8 +275,9 @@
         key: &TurnKey,
         deadline: Instant,
     ) -> (Arc<str>, Result<Fetched, FetchState>) {
-        let fetched = self.fetch_up_to(ORDINARY_BYTES, &address, key, deadline);
-        let fetched = fetched.await;
+        let fetched = self
+            .fetch_up_to(ORDINARY_BYTES, &address, key, deadline)
+            .await;
         (address, fetched)
     }
 
@@ -277,10 +286,13 @@
     fn hold_fetched(&self, address: Arc<str>, fetched: Fetched, size: TurnSize) -> Located {
         let chain_bytes = match fetched {
             Fetched::Chain(chain) => {
-                if let Some(reservation) = self.memory.try_hold(size.held_bytes(chain.len())) {
+                let chain_bytes = chain.len();
+                if size.allows(chain_bytes)
+                    && let Some(reservation) = self.memory.try_hold(size.held_bytes(chain_bytes))
+                {
                     return Located::Chain(HeldChain { chain, reservation });
                 }
-                chain.len()
+                chain_bytes
             }
             Fetched::TooLarge(chain_bytes) => chain_bytes,
         };
@@ -306,8 +318,12 @@
             // Half of the time is left for the others if this one does not answer.
             let left = deadline.saturating_duration_since(Instant::now());
             let limit = Instant::now() + left / 2;
-            let fetched = self.fetch_up_to(chain_bytes, &address, key, limit);
-            if let Ok(Ok(Fetched::Chain(chain))) = timeout_at(limit, fetched).await {
+            let fetched = timeout_at(limit, async {
+                // Held until the answer is decoded.
+                let _memory = self.memory.receive(chain_bytes).await;
+                self.fetch_up_to(chain_bytes, &address, key, limit).await
+            });
+            if let Ok(Ok(Fetched::Chain(chain))) = fetched.await {
                 return Some(chain);
             }
         }
@@ -322,8 +338,6 @@
         key: &TurnKey,
         deadline: Instant,
     ) -> Result<Fetched, FetchState> {
-        // Held until the answer is decoded.
-        let _memory = self.memory.receive(max_bytes).await;
         let (account, id) = (key.account.clone(), key.id.clone());
         let max_bytes = u64::try_from(max_bytes).unwrap_or(u64::MAX);
         let fetch = |client: Arc<HttpClient>| async move {
