Send the queued events of a stream before breaking it off

Callers missed events before the end of a broken stream, and with them the head of the response, although the charge record and the budget counted them.

Cause: the body of the response fails when its stream breaks, and the HTTP library then discards the frames that it has taken and not written yet. Events that come together with the break are never written; neither are those that a slow caller has yet to accept.

Change: the body is pending once before it fails, and until the caller accepts bytes again, so that the library writes first. The limit for stalled writes ends the wait for a caller who accepts nothing.

--- a/crates/relay/src/front/activity.rs
+++ b/crates/relay/src/front/activity.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll, Waker, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,7 +22,7 @@
 #[derive(Debug, Clone)]
 pub(super) struct Activity(Arc<Mutex<State>>);
 
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct State {
     /// Requests whose response has not been handed to the connection as a whole.
     open_requests: usize,
@@ -34,6 +34,8 @@
     head_since: Option<Instant>,
     /// Since when the caller has accepted no byte of what is to be written.
     blocked_since: Option<Instant>,
+    /// Woken when the caller accepts bytes again.
+    unblocked_waker: Option<Waker>,
 }
 
 impl Activity {
@@ -45,6 +47,7 @@
             longest_idle: Duration::ZERO,
             head_since: None,
             blocked_since: None,
+            unblocked_waker: None,
         })))
     }
 
@@ -123,10 +126,24 @@
 
     fn record_write(&self, is_blocked: bool) {
         let mut state = self.state();
-        state.blocked_since = match is_blocked {
-            true => state.blocked_since.or_else(|| Some(Instant::now())),
-            false => None,
-        };
+        if is_blocked {
+            state.blocked_since.get_or_insert_with(Instant::now);
+            return;
+        }
+        state.blocked_since = None;
+        if let Some(waker) = state.unblocked_waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the caller accepts bytes.
+    fn poll_unblocked(&self, context: &Context<'_>) -> Poll<()> {
+        let mut state = self.state();
+        if state.blocked_since.is_none() {
+            return Poll::Ready(());
+        }
+        state.unblocked_waker = Some(context.waker().clone());
+        Poll::Pending
     }
 }
 
@@ -146,8 +163,21 @@
 /// The body of a response, which holds its request open until it is sent.
 #[derive(Debug)]
 pub(super) struct ResponseBody {
-    pub body: RelayBody,
-    pub _request: OpenRequest,
+    body: RelayBody,
+    request: OpenRequest,
+    /// Whether the body has failed, which the connection is told once it has written all before.
+    is_broken: bool,
+}
+
+impl ResponseBody {
+    /// Creates the body of the response to a request.
+    pub fn new(body: RelayBody, request: OpenRequest) -> Self {
+        Self {
+            body,
+            request,
+            is_broken: false,
+        }
+    }
 }
 
 impl Body for ResponseBody {
@@ -158,7 +188,21 @@
         self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenStream>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(context)
+        let this = self.get_mut();
+        if !this.is_broken {
+            let frame = ready!(Pin::new(&mut this.body).poll_frame(context));
+            if !matches!(frame, Some(Err(BrokenStream))) {
+                return Poll::Ready(frame);
+            }
+            // When a body fails, the HTTP library discards the frames that it has not written. While
+            // the body is pending, it writes them; they are charged, and the caller resumes after
+            // the last one.
+            this.is_broken = true;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        ready!(this.request.0.poll_unblocked(context));
+        Poll::Ready(Some(Err(BrokenStream)))
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/relay/src/front/listener.rs
+++ b/crates/relay/src/front/listener.rs
@@ -137,12 +137,7 @@
         let response = handle_request(Arc::clone(&shared), kind, request);
         async move {
             let response = response.await;
-            response.map(|response| {
-                response.map(|body| ResponseBody {
-                    body,
-                    _request: open,
-                })
-            })
+            response.map(|response| response.map(|body| ResponseBody::new(body, open)))
         }
     });
     let mut is_closing = *closing.borrow();
