Split the rows of programs and their reservations from the budget system

The rows of programs move to `programs.rs` and reservations in the store's record to `reservations.rs`.

--- a/crates/core/src/systems/budgets/mod.rs
+++ b/crates/core/src/systems/budgets/mod.rs
@@ -9,16 +9,20 @@
 //! need storage VMs themselves.
 
 mod claims;
+mod programs;
+mod reservations;
 
 use smallvec::SmallVec;
 
+pub(crate) use programs::{merge_snapshot, merge_use, restore_record};
+
+use self::programs::{count_turn, expire_program, open_program};
+use self::reservations::{give_back, handle_reservation, reserve};
 use super::{Tick, admission};
-use crate::ids::{CallId, Incarnation, ProgramKey, VmName};
-use crate::message::{ProgramSpent, ProgramUse};
+use crate::ids::{CallId, ProgramKey};
 use crate::output::{Decision, Execution, Output, RefusalKind, SourceRequest};
 use crate::tables::{
-    Budget, BudgetDecision, BudgetRecord, Call, Coverage, ProgramKnowledge, RelayState, RouteTurns,
-    Stage, Timer,
+    Budget, BudgetDecision, Call, Coverage, ProgramKnowledge, RelayState, Stage, Timer,
 };
 use crate::usage::ClaimResult;
 
@@ -137,14 +141,6 @@
     tick.log(Decision::ProgramUsageKnown { programs, losses });
 }
 
-/// Restores a program from its record in the store after all VMs lost their state.
-pub(crate) fn restore_record(tick: &mut Tick<'_>, record: &BudgetRecord) {
-    let row = get_or_create_row(tick, &record.program, DEFAULT_RETENTION_MS * 1_000);
-    row.budget_tokens = record.budget_tokens;
-    row.has_record = true;
-    row.is_stopped |= record.is_stopped;
-}
-
 /// Covers a turn by its program's budget, requests a reservation for it, or refuses it.
 fn cover_turn(tick: &mut Tick<'_>, id: CallId) {
     let is_waiting = |call: &Call| call.stage == Stage::Budget;
@@ -203,21 +199,6 @@
     admission::enter_stage(tick, id, Stage::Place);
 }
 
-/// Reserves tokens in the record of a program; a new one counts `taken_tokens` as used.
-fn reserve(tick: &mut Tick<'_>, program: &ProgramKey, needed_tokens: u64, taken_tokens: u64) {
-    let Some(row) = tick.tables.budgets.get_mut(program) else {
-        return;
-    };
-    row.is_reserving = true;
-    tick.outputs.push(Output::Source(SourceRequest::Reserve {
-        program: program.clone(),
-        budget_tokens: row.budget_tokens,
-        taken_tokens,
-        needed_tokens,
-        has_record: row.has_record,
-    }));
-}
-
 /// Takes the calls that wait for the request of a program that was answered.
 fn take_waiting(tick: &mut Tick<'_>, program: &ProgramKey) -> SmallVec<[CallId; 2]> {
     let row = tick.tables.budgets.get_mut(program);
@@ -243,115 +224,6 @@
     tick.tables.calls.get_mut(&id)?.relay.as_deref_mut()
 }
 
-/// Creates the row of a new program, or updates the time at which it was last used.
-///
-/// A new program is announced to the other VMs at once, so that they can distinguish its
-/// sub-agents from its main line of turns.
-fn open_program(tick: &mut Tick<'_>, id: CallId, program: &ProgramKey, line: Option<u64>) {
-    let now_us = tick.now_us;
-    let relay = tick
-        .tables
-        .calls
-        .get(&id)
-        .and_then(|call| call.relay.as_ref());
-    let Some(relay) = relay else {
-        return;
-    };
-    let budget_tokens = relay.budget_tokens.unwrap_or_default();
-    let retention_us = relay.route.program_keep_ms.unwrap_or(DEFAULT_RETENTION_MS) * 1_000;
-    let round = tick.tables.peering.next_round();
-    let row = get_or_create_row(tick, program, retention_us);
-    row.last_used_us = now_us;
-    if row.budget_tokens > 0 {
-        return;
-    }
-    row.budget_tokens = budget_tokens;
-    if row.main_line.is_none() {
-        row.main_line = line;
-        row.changed_round = round;
-        tick.work.peers.announce = true;
-    }
-}
-
-/// Numbers a turn among those of its program, once, and counts it for its route.
-fn count_turn(tick: &mut Tick<'_>, id: CallId, program: &ProgramKey) {
-    let tables = &mut *tick.tables;
-    let Some(row) = tables.budgets.get_mut(program) else {
-        return;
-    };
-    let call = tables.calls.get_mut(&id);
-    let Some(relay) = call.and_then(|call| call.relay.as_deref_mut()) else {
-        return;
-    };
-    if relay.turn_number > 0 {
-        return;
-    }
-    row.turns += 1;
-    relay.turn_number = row.turns;
-    let turns = tables
-        .route_turns
-        .get_or_insert_with(&relay.route.name, RouteTurns::default);
-    turns.record(row.turns == 1);
-}
-
-/// Returns the row of a program; creates the row and its expiry timer if it is missing.
-fn get_or_create_row<'a>(
-    tick: &'a mut Tick<'_>,
-    program: &ProgramKey,
-    retention_us: u64,
-) -> &'a mut Budget {
-    let now_us = tick.now_us;
-    if !tick.tables.budgets.contains_key(program) {
-        let timer = Timer::BudgetIdle(program.clone());
-        tick.tables.timers.set(now_us + retention_us, timer);
-        let knowledge = tick.tables.source.knowledge;
-        let row = Budget {
-            retention_us,
-            last_used_us: now_us,
-            first_seen_us: now_us,
-            losses: knowledge.losses(now_us).unwrap_or(u32::MAX),
-            ..Budget::default()
-        };
-        tick.tables.budgets.insert(program.clone(), row);
-    }
-    tick.tables
-        .budgets
-        .get_or_insert_with(program, Budget::default)
-}
-
-/// Records a reservation and continues the turns that waited for it.
-fn handle_reservation(tick: &mut Tick<'_>, program: &ProgramKey, tokens: Option<u64>) {
-    let round = tick.tables.peering.next_round();
-    let Some(row) = tick.tables.budgets.get_mut(program) else {
-        return;
-    };
-    row.is_reserving = false;
-    row.has_record |= tokens.is_some();
-    row.changed_round = round;
-    let waiting = take_waiting(tick, program);
-    let Some(row) = tick.tables.budgets.get_mut(program) else {
-        return;
-    };
-    let unwanted_tokens = tokens.filter(|_| waiting.is_empty()).unwrap_or_default();
-    row.reserved_tokens += tokens.unwrap_or_default() - unwanted_tokens;
-    let reserved_tokens = row.reserved_tokens;
-    tick.log(Decision::BudgetReserved {
-        program: program.clone(),
-        tokens,
-        reserved_tokens,
-    });
-    if unwanted_tokens > 0 {
-        give_back(tick, program, unwanted_tokens);
-    }
-    for id in waiting {
-        match tokens {
-            Some(0) => stop_program(tick, program, id),
-            Some(_) => cover_turn(tick, id),
-            None => refuse_uncovered(tick, id),
-        }
-    }
-}
-
 /// Logs that a turn is not covered by its program's budget.
 pub(crate) fn report_uncovered(tick: &mut Tick<'_>, program: &ProgramKey, call: CallId) {
     let row = tick.tables.budgets.get(program);
@@ -429,60 +301,3 @@
         give_back(tick, program, call.request.max_tokens);
     }
 }
-
-/// Gives reserved tokens that no turn has used back to the record: the next turn may come through
-/// another VM, which cannot use what this one holds.
-fn give_back(tick: &mut Tick<'_>, program: &ProgramKey, tokens: u64) {
-    tick.outputs.push(Output::Source(SourceRequest::Release {
-        program: program.clone(),
-        tokens,
-    }));
-}
-
-/// Merges the use that another VM reports of a program.
-pub(crate) fn merge_use(
-    tick: &mut Tick<'_>,
-    vm: &VmName,
-    incarnation: Incarnation,
-    used: &ProgramUse,
-) {
-    let now_us = tick.now_us;
-    let row = get_or_create_row(tick, &used.program, DEFAULT_RETENTION_MS * 1_000);
-    // Another VM reports its use again only when a turn has ended there.
-    row.turns += u32::from(used.tokens > row.spent_by(vm, incarnation));
-    row.set_spent(vm, incarnation, used.tokens);
-    row.main_line = row.main_line.or(used.main_line);
-    row.is_stopped |= used.is_stopped;
-    row.has_record |= used.has_record;
-    row.last_used_us = now_us;
-    if let Some((upstream, tokens)) = &used.cached {
-        super::placement::record_cached_prefix(tick, &used.program, upstream, *tokens);
-    }
-}
-
-/// Merges the state of a program from the snapshot of another VM.
-pub(crate) fn merge_snapshot(tick: &mut Tick<'_>, program: &ProgramSpent) {
-    let row = get_or_create_row(tick, &program.program, DEFAULT_RETENTION_MS * 1_000);
-    row.budget_tokens = row.budget_tokens.max(program.budget_tokens);
-    row.main_line = row.main_line.or(program.main_line);
-    row.is_stopped |= program.is_stopped;
-    row.has_record |= program.has_record;
-    row.losses = program.losses;
-    for (vm, incarnation, tokens) in &program.spent {
-        row.set_spent(vm, *incarnation, *tokens);
-    }
-}
-
-/// Removes a program that had no turns within its retention time, or checks again later.
-fn expire_program(tick: &mut Tick<'_>, program: ProgramKey) {
-    let Some(row) = tick.tables.budgets.get(&program) else {
-        return;
-    };
-    let due_us = row.last_used_us + row.retention_us;
-    if due_us <= tick.now_us && row.waiting.is_empty() {
-        tick.tables.budgets.remove(&program);
-    } else {
-        let due_us = due_us.max(tick.now_us + 1_000_000);
-        tick.tables.timers.set(due_us, Timer::BudgetIdle(program));
-    }
-}
