Let other tasks run between the chunks and comments of a response

Calls on one traffic thread waited for each other's responses: while the bytes of a body in tiny chunks, or of a stream of comments, had arrived already, their task parsed up to 128 reads of 16 KB before another one ran.

Cause: only reads count for the runtime's budget of a task, and a read of 16 KB holds thousands of tiny pieces.

Change: each chunk of a body and each block of a stream takes from the budget.

--- a/crates/relay/src/call/attempt.rs
+++ b/crates/relay/src/call/attempt.rs
@@ -266,7 +266,7 @@
                 Ok(None) => break,
             };
             events.push(&bytes).map_err(|error| self.failure(&error))?;
-            while let Some(event) = events.next().map_err(|error| self.failure(&error))? {
+            while let Some(event) = events.next().await.map_err(|error| self.failure(&error))? {
                 let stage = if is_first {
                     Stage::FirstByte
                 } else {
--- a/crates/relay/src/upstream/body.rs
+++ b/crates/relay/src/upstream/body.rs
@@ -3,6 +3,7 @@
 use bytes::{Buf, Bytes};
 use http::{Method, StatusCode};
 use knapweeddale_runtime::MemoryPermit;
+use tokio::task::coop::consume_budget;
 
 use super::grammar::{self, Framing, LINE_END};
 use super::{Connection, ReadError, ResponseHead};
@@ -111,7 +112,12 @@
                 }
                 Remaining::UntilClose => return self.read_until_close().await,
                 Remaining::ChunkSize => self.read_chunk_size().await?,
-                Remaining::Chunk(0) => self.read_chunk_end().await?,
+                Remaining::Chunk(0) => {
+                    // Lets other tasks run between chunks: many tiny ones would keep the traffic
+                    // thread from them.
+                    consume_budget().await;
+                    self.read_chunk_end().await?;
+                }
                 Remaining::Chunk(bytes) => {
                     let part = self.read_part(bytes).await?;
                     self.remaining = Remaining::Chunk(bytes - part.len() as u64);
--- a/crates/relay/src/upstream/events.rs
+++ b/crates/relay/src/upstream/events.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use knapweeddale_runtime::{MemoryLimiter, MemoryPermit};
+use tokio::task::coop::consume_budget;
 
 use super::ReadError;
 
@@ -67,13 +68,15 @@
     /// Removes and returns the next complete event, if there is one.
     ///
     /// Blocks without data, such as comments that keep a connection open, are dropped: they must
-    /// not pass for progress.
+    /// not pass for progress. Other tasks run between blocks, as many tiny ones would keep the
+    /// traffic thread from them.
     ///
     /// # Errors
     ///
     /// Fails if an event, or the comments between two events, exceed the limit.
-    pub fn next(&mut self) -> Result<Option<Event>, ReadError> {
+    pub async fn next(&mut self) -> Result<Option<Event>, ReadError> {
         while let Some(end) = self.find_event_end() {
+            consume_budget().await;
             self.searched_len = 0;
             let bytes = self.split_to(end)?;
             let id = parse_event_id(&bytes);
