End a response at its deadline although its next bytes are there

Cause: the timeout around each step of a response looks at its timer only if the step waits. A worker that sends faster than its bytes are parsed always has the next piece ready, so that a stream in 1-byte chunks was parsed up to the limit of an event, 1 MB, whatever its deadline.

Change: no step begins after the deadline.

--- a/crates/relay/src/call/silence.rs
+++ b/crates/relay/src/call/silence.rs
@@ -21,7 +21,8 @@
 }
 
 impl<D: Dialect, C: Clock> Attempt<'_, D, C> {
-    /// Waits for a step until the deadline.
+    /// Waits for a step until the deadline, after which no step begins: an upstream that sends faster
+    /// than its bytes are parsed always has the next ones ready.
     ///
     /// Silence does not end the wait: it is reported to the core, which cancels the attempt if the
     /// call can go on in another one.
@@ -32,6 +33,9 @@
         deadline: Instant,
     ) -> Result<T, Failure> {
         let limit = Duration::from_millis(silence.limit_ms);
+        if Instant::now() >= deadline {
+            return Err(self.progress.silent_failure());
+        }
         let mut step = pin!(step);
         let mut report_at = silence.since + limit;
         loop {
